--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,1 @@
+export * from "./command_line.ts";
--- /dev/null
+++ b/src/cli/load_command.ts
@@ -0,0 +1,96 @@
+/**
+ * `plumloft load`: a bounded load of callers.
+ *
+ * @module
+ */
+import { createWriteStream } from "node:fs";
+import type { Argv } from "yargs";
+import { isServed, type LoadPlan, runLoad } from "../load/index.ts";
+
+interface LoadOptions {
+  target: string[];
+  service: string;
+  "key-header"?: string;
+  keys: number;
+  method: string;
+  "body-size": number;
+  requests: number;
+  seconds: number;
+  callers: number;
+  pause: number;
+  history?: string;
+}
+
+/** Adds the command to `yargs`. */
+export function addLoadCommand(yargs: Argv): Argv {
+  return yargs.command(
+    "load",
+    "send a bounded load and record what callers saw",
+    (argv) =>
+      argv
+        .option("target", {
+          type: "string",
+          array: true,
+          demandOption: true,
+          describe: "entries, such as 127.0.0.1:8080",
+        })
+        .option("service", { type: "string", demandOption: true })
+        .option("key-header", {
+          type: "string",
+          describe: "header that carries the key",
+        })
+        .option("keys", { type: "number", default: 1_000 })
+        .option("method", {
+          choices: ["GET", "POST", "PUT"],
+          default: "POST",
+        })
+        .option("body-size", { type: "number", default: 32 })
+        .option("requests", { type: "number", default: 1_000 })
+        .option("seconds", { type: "number", default: 30 })
+        .option("callers", { type: "number", default: 16 })
+        .option("pause", {
+          type: "number",
+          default: 0,
+          describe: "ms between two requests of a caller",
+        })
+        .option("history", {
+          type: "string",
+          describe: "file for the history, in JSON lines",
+        }),
+    (options) => load(options),
+  );
+}
+
+async function load(options: LoadOptions): Promise<void> {
+  const plan: LoadPlan = {
+    targets: options.target,
+    service: options.service,
+    keyHeader: options["key-header"] ?? null,
+    keys: options.keys,
+    method: options.method as LoadPlan["method"],
+    bodySize: options["body-size"],
+    requests: options.requests,
+    seconds: options.seconds,
+    callers: options.callers,
+    pause: options.pause,
+  };
+  const file = options.history === undefined
+    ? null
+    : createWriteStream(options.history);
+  const result = await runLoad(plan, (entry) => {
+    file?.write(`${JSON.stringify(entry)}\n`);
+  });
+  file?.end();
+  const { entries, latencies, seconds } = result;
+  process.stdout.write(`${
+    JSON.stringify({
+      requests: entries.length,
+      served: entries.filter(isServed).length,
+      notRun: entries.filter((each) => each.outcome === "not-run").length,
+      unknown: entries.filter((each) => each.outcome === "unknown").length,
+      mismatched: entries.filter((each) => each.matched === false).length,
+      perSecond: entries.length / seconds,
+      latency: latencies.summary(),
+    })
+  }\n`);
+}
--- /dev/null
+++ b/src/core/ledger/index.ts
@@ -0,0 +1,3 @@
+export * from "./fold.ts";
+export * from "./reader.ts";
+export * from "./record.ts";
--- /dev/null
+++ b/src/core/membership/index.ts
@@ -0,0 +1,3 @@
+export * from "./liveness.ts";
+export * from "./member.ts";
+export * from "./quorum.ts";
--- /dev/null
+++ b/src/load/caller_load.ts
@@ -0,0 +1,121 @@
+/**
+ * A bounded load of callers that records what each of them saw.
+ *
+ * @module
+ */
+import { randomBytes, randomUUID } from "node:crypto";
+import { Pool } from "undici";
+import { OUTCOME, REQUEST_ID } from "../adapters/headers.ts";
+import { Latencies } from "../metrics/index.ts";
+import type { HistoryEntry } from "./history.ts";
+
+/** What callers do. */
+export interface LoadPlan {
+  /** Entries as `host:port`; requests go to each in turn. */
+  targets: string[];
+  service: string;
+  /** Header that carries the key, or null for a service without keys. */
+  keyHeader: string | null;
+  /** Number of different keys. */
+  keys: number;
+  method: "GET" | "POST" | "PUT";
+  /** Bytes of each body. */
+  bodySize: number;
+  /** Requests at the most. */
+  requests: number;
+  /** Seconds at the most. */
+  seconds: number;
+  /** Callers, each with one request at a time. */
+  callers: number;
+  /** Milliseconds between two requests of one caller. */
+  pause: number;
+}
+
+/** What came of a load. */
+export interface LoadResult {
+  entries: HistoryEntry[];
+  latencies: Latencies;
+  seconds: number;
+}
+
+/** Runs a load to its end. */
+export async function runLoad(
+  plan: LoadPlan,
+  observe: (entry: HistoryEntry) => void = () => {},
+): Promise<LoadResult> {
+  const pools = plan.targets.map((target) => ({
+    target,
+    pool: new Pool(`http://${target}`, { connections: plan.callers }),
+  }));
+  const entries: HistoryEntry[] = [];
+  const latencies = Latencies.create();
+  const start = performance.now();
+  const end = start + plan.seconds * 1_000;
+  let next = 0;
+  const call = async () => {
+    while (next < plan.requests && performance.now() < end) {
+      const number = next++;
+      const { target, pool } = pools[number % pools.length];
+      const begun = performance.now();
+      const entry = await sendOne(plan, target, pool, number);
+      latencies.record(performance.now() - begun);
+      entries.push(entry);
+      observe(entry);
+      if (plan.pause > 0) await pause(plan.pause);
+    }
+  };
+  await Promise.all(Array.from({ length: plan.callers }, call));
+  await Promise.all(pools.map(({ pool }) => pool.destroy()));
+  return { entries, latencies, seconds: (performance.now() - start) / 1_000 };
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+async function sendOne(
+  plan: LoadPlan,
+  target: string,
+  pool: Pool,
+  number: number,
+): Promise<HistoryEntry> {
+  const requestId = randomUUID();
+  const key = plan.keyHeader === null ? null : `key-${number % plan.keys}`;
+  const hasBody = plan.method !== "GET";
+  const body = hasBody ? `${requestId}:${filler(plan.bodySize)}` : null;
+  const headers: Record<string, string> = { [REQUEST_ID]: requestId };
+  if (key !== null) headers[plan.keyHeader!] = key;
+  const entry: HistoryEntry = {
+    requestId,
+    service: plan.service,
+    key,
+    method: plan.method,
+    target,
+    startedAt: Date.now(),
+    endedAt: 0,
+    status: 0,
+    outcome: null,
+    matched: null,
+  };
+  try {
+    const answer = await pool.request({
+      method: plan.method,
+      path: `/${plan.service}/${key ?? "any"}`,
+      headers,
+      body,
+    });
+    const text = await answer.body.text();
+    const outcome = answer.headers[OUTCOME];
+    entry.status = answer.statusCode;
+    if (outcome === "not-run" || outcome === "unknown") entry.outcome = outcome;
+    if (answer.statusCode === 200 && hasBody) entry.matched = text === body;
+  } catch {
+    entry.outcome = "unknown";
+  }
+  entry.endedAt = Date.now();
+  return entry;
+}
+
+function filler(size: number): string {
+  return randomBytes(Math.ceil(size / 2)).toString("hex").slice(0, size);
+}
--- /dev/null
+++ b/src/load/index.ts
@@ -0,0 +1,2 @@
+export * from "./caller_load.ts";
+export * from "./history.ts";
--- /dev/null
+++ b/src/logging/index.ts
@@ -0,0 +1,2 @@
+export * from "./batched_transport.ts";
+export * from "./journal.ts";
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,2 @@
+export * from "./latencies.ts";
+export * from "./vm_metrics.ts";
--- /dev/null
+++ b/src/operators/index.ts
@@ -0,0 +1,2 @@
+export * from "./differences.ts";
+export * from "./publisher.ts";
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,5 @@
+export * from "./address.ts";
+export * from "./configuration_files.ts";
+export * from "./invalid_input.ts";
+export * from "./vm_settings.ts";
+export * from "./yaml_file.ts";
