--- a/src/adapters/admin_server.ts
+++ b/src/adapters/admin_server.ts
@@ -53,20 +53,45 @@
   async #show(url: string, response: ServerResponse): Promise<void> {
     switch (url) {
       case "/status":
-        return end(response, 200, "application/json", JSON.stringify(this.pages.status()));
+        return end(
+          response,
+          200,
+          "application/json",
+          JSON.stringify(this.pages.status()),
+        );
       case "/metrics":
-        return end(response, 200, "text/plain; version=0.0.4", await this.pages.metrics());
+        return end(
+          response,
+          200,
+          "text/plain; version=0.0.4",
+          await this.pages.metrics(),
+        );
       case "/ready": {
         const isReady = this.pages.isReady();
-        return end(response, isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n");
+        return end(
+          response,
+          isReady ? 200 : 503,
+          "text/plain",
+          isReady ? "ready\n" : "not ready\n",
+        );
       }
       default:
-        return end(response, 404, "text/plain", "expected /status, /metrics or /ready\n");
+        return end(
+          response,
+          404,
+          "text/plain",
+          "expected /status, /metrics or /ready\n",
+        );
     }
   }
 }
 
-function end(response: ServerResponse, status: number, type: string, body: string): void {
+function end(
+  response: ServerResponse,
+  status: number,
+  type: string,
+  body: string,
+): void {
   response.writeHead(status, { "content-type": type });
   response.end(body);
 }
--- a/src/adapters/caller_server.ts
+++ b/src/adapters/caller_server.ts
@@ -19,12 +19,7 @@
 import { parseAddress } from "../settings/index.ts";
 import type { AnswerReceiver, OutgoingRequest } from "./backend_client.ts";
 import type { EventSink } from "./event_loop.ts";
-import {
-  OUTCOME,
-  passedOn,
-  REQUEST_ID,
-  REQUEST_TIMEOUT,
-} from "./headers.ts";
+import { OUTCOME, passedOn, REQUEST_ID, REQUEST_TIMEOUT } from "./headers.ts";
 import type { KeyHash } from "./key_hash.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import { type Body, readBody } from "./request_body.ts";
@@ -335,7 +330,8 @@
 function checkHeaders(headers: IncomingHttpHeaders): Rejection | null {
   const id = headers[REQUEST_ID];
   if (id !== undefined && !REQUEST_ID_PATTERN.test(String(id))) {
-    const reason = `expected ${REQUEST_ID} to match ${REQUEST_ID_PATTERN.source}`;
+    const reason =
+      `expected ${REQUEST_ID} to match ${REQUEST_ID_PATTERN.source}`;
     return { status: 400, reason };
   }
   const timeout = headers[REQUEST_TIMEOUT];
--- a/src/adapters/event_loop.ts
+++ b/src/adapters/event_loop.ts
@@ -4,13 +4,34 @@
  *
  * @module
  */
-import { EventEmitter } from "node:events";
 import * as most from "most";
 import type { Effect, Event, Router } from "../core/index.ts";
 
-/** Name under which sources emit events. */
+/** Name under which `most` listens. */
 const EVENT = "event";
 
+/**
+ * What `most` takes events from. It is shaped as an `EventTarget` since `most`
+ * passes on an `EventEmitter`'s events only after the stack has cleared, and
+ * loses those that are emitted meanwhile.
+ */
+class EventOrigin {
+  #listener: ((event: Event) => void) | null = null;
+
+  addEventListener(_name: string, listener: (event: Event) => void): void {
+    this.#listener = listener;
+  }
+
+  removeEventListener(): void {
+    this.#listener = null;
+  }
+
+  /** Passes an event on at once. */
+  emit(event: Event): void {
+    this.#listener?.(event);
+  }
+}
+
 /** Carries out effects. */
 export abstract class EffectRunner {
   /** Carries out one effect; never throws. */
@@ -24,7 +45,7 @@
 
 /** See the module's comment. */
 export class EventLoop implements EventSink {
-  readonly #source = new EventEmitter();
+  readonly #origin = new EventOrigin();
   readonly #waiting: Event[] = [];
   #running = false;
 
@@ -37,8 +58,9 @@
 
   /** Lets `router` reduce all events from here on. */
   connect(router: Router, runner: EffectRunner): void {
-    most.fromEvent<Event>(EVENT, this.#source)
-      .map((event) => router.step(event))
+    const origin = this.#origin as unknown as EventTarget;
+    most.fromEvent(EVENT, origin)
+      .map((event) => router.step(event as unknown as Event))
       .observe((effects) => {
         for (const effect of effects) runner.run(effect);
       });
@@ -55,7 +77,7 @@
     try {
       let next = this.#waiting.shift();
       while (next !== undefined) {
-        this.#source.emit(EVENT, next);
+        this.#origin.emit(next);
         next = this.#waiting.shift();
       }
     } finally {
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -63,10 +63,15 @@
   override async read(offset: number, wait: boolean): Promise<LogPage> {
     const held = wait ? POLL_WAIT : 0;
     const query = `from=${offset}&wait=${held}&limit=${READ_LIMIT}`;
-    const page = await this.#call("read log", readSchema, `${this.url}?${query}`, {
-      method: "GET",
-      headersTimeout: held + ANSWER_TIMEOUT,
-    });
+    const page = await this.#call(
+      "read log",
+      readSchema,
+      `${this.url}?${query}`,
+      {
+        method: "GET",
+        headersTimeout: held + ANSWER_TIMEOUT,
+      },
+    );
     const entries = page.records.map(({ offset, data }) => ({ offset, data }));
     return { entries, first: page.first, next: page.next };
   }
--- a/src/adapters/peer_network.ts
+++ b/src/adapters/peer_network.ts
@@ -126,7 +126,9 @@
     socket.resume();
     socket.connect({ host, port });
     const { cluster, site, vm, peerAddress } = this.identity;
-    socket.write(encodeFrame({ kind: "hello", cluster, site, vm, peerAddress }));
+    socket.write(
+      encodeFrame({ kind: "hello", cluster, site, vm, peerAddress }),
+    );
     this.#outgoing.set(address, socket);
     return socket;
   }
--- a/src/adapters/step_error.ts
+++ b/src/adapters/step_error.ts
@@ -15,12 +15,27 @@
 
 /** Raised when a step towards a peer fails. */
 export class StepError extends VError {
-  private constructor(readonly info: StepInfo, cause: Error | undefined, detail: string) {
-    super({ name: "StepError", cause, info }, "%s at %s: %s", info.step, info.peer, detail);
+  private constructor(
+    readonly info: StepInfo,
+    cause: Error | undefined,
+    detail: string,
+  ) {
+    super(
+      { name: "StepError", cause, info },
+      "%s at %s: %s",
+      info.step,
+      info.peer,
+      detail,
+    );
   }
 
   /** An error at `step` towards `peer`. */
-  static create(step: string, peer: string, detail: string, cause?: Error): StepError {
+  static create(
+    step: string,
+    peer: string,
+    detail: string,
+    cause?: Error,
+  ): StepError {
     return new StepError({ step, peer }, cause, detail);
   }
 }
--- a/src/cli/config_command.ts
+++ b/src/cli/config_command.ts
@@ -160,11 +160,15 @@
   if (!result.accepted) {
     const { inForce } = result;
     print(`refused: ${result.why}`);
-    print(`revision ${inForce.revision} by ${inForce.operator} is in force; your folder differs from it in:`);
+    print(
+      `revision ${inForce.revision} by ${inForce.operator} is in force; your folder differs from it in:`,
+    );
     for (const each of findDifferences(inForce.configuration, configuration)) {
       print(formatDifference(each));
     }
-    print(`edit again from there, then publish with --based-on ${inForce.revision}`);
+    print(
+      `edit again from there, then publish with --based-on ${inForce.revision}`,
+    );
     process.exitCode = EXIT.refused;
     return;
   }
--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -105,13 +105,15 @@
     ...Array.from({ length: KEYED_SERVERS }, (_, i) => `apothiki-${i + 1}`),
     ...Array.from({ length: PLAIN_SERVERS }, (_, i) => `archeio-${i + 1}`),
   ];
-  return Promise.all(ids.map((id) =>
-    BackendService.start(backendServiceSchema.parse({
-      id,
-      listen: `${LOOPBACK}:0`,
-      checks: { token: id.startsWith("apothiki"), lease: true },
-    }))
-  ));
+  return Promise.all(
+    ids.map((id) =>
+      BackendService.start(backendServiceSchema.parse({
+        id,
+        listen: `${LOOPBACK}:0`,
+        checks: { token: id.startsWith("apothiki"), lease: true },
+      }))
+    ),
+  );
 }
 
 function demoConfiguration(addresses: string[]): Configuration {
@@ -137,7 +139,10 @@
       availabilityZones: ZONES,
       services: {
         apothiki: {
-          backendServers: servers("apothiki", addresses.slice(0, KEYED_SERVERS)),
+          backendServers: servers(
+            "apothiki",
+            addresses.slice(0, KEYED_SERVERS),
+          ),
         },
         archeio: {
           backendServers: servers("archeio", addresses.slice(KEYED_SERVERS)),
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -68,10 +68,18 @@
   const lines = [
     `VM ${status.vm} (incarnation ${status.incarnation})`,
     `  configuration  revision ${status.revision}`,
-    `  log            ${status.logReachable ? "reachable" : "out"}, read up to ${status.ledgerNext - 1}`,
-    `  term           ${term.offset}, held by ${status.holds ? "this VM" : term.vm || "nobody"}`,
+    `  log            ${
+      status.logReachable ? "reachable" : "out"
+    }, read up to ${status.ledgerNext - 1}`,
+    `  term           ${term.offset}, held by ${
+      status.holds ? "this VM" : term.vm || "nobody"
+    }`,
     `  view           ${view.position.term}.${view.position.version}, ${view.membership.members.length} members, ${view.membership.witnesses.length} witnesses`,
-    `  view lease     ${status.member ? `${Math.round(status.leaseRemaining)} ms left` : "not a member"}`,
+    `  view lease     ${
+      status.member
+        ? `${Math.round(status.leaseRemaining)} ms left`
+        : "not a member"
+    }`,
     `  in flight      ${status.inFlight}`,
   ];
   for (const [service, slots] of Object.entries(view.services)) {
@@ -89,7 +97,9 @@
     const owned = (view.services[server.service] ?? [])
       .filter((slot) => slot.server === server.id).length;
     lines.push(
-      `    ${server.id.padEnd(20)} ${state.padEnd(8)} ${server.inFlight} in flight, ${owned} slots`,
+      `    ${server.id.padEnd(20)} ${
+        state.padEnd(8)
+      } ${server.inFlight} in flight, ${owned} slots`,
     );
   }
   return lines.join("\n");
--- a/src/core/configuration/check.ts
+++ b/src/core/configuration/check.ts
@@ -25,7 +25,8 @@
       faults.push({
         document: overlay.site,
         path: ["site"],
-        message: `expected one overlay per site, found a second '${overlay.site}'`,
+        message:
+          `expected one overlay per site, found a second '${overlay.site}'`,
       });
     }
     sites.add(overlay.site);
@@ -60,7 +61,9 @@
       if (!overlay.availabilityZones.includes(server.availabilityZone)) {
         fault(
           [...path, "availabilityZone"],
-          `expected one of ${overlay.availabilityZones.join(", ")}, found '${server.availabilityZone}'`,
+          `expected one of ${
+            overlay.availabilityZones.join(", ")
+          }, found '${server.availabilityZone}'`,
         );
       }
     }
--- a/src/core/configuration/site_configuration.ts
+++ b/src/core/configuration/site_configuration.ts
@@ -3,11 +3,7 @@
  *
  * @module
  */
-import type {
-  BackendServer,
-  Configuration,
-  Service,
-} from "./document.ts";
+import type { BackendServer, Configuration, Service } from "./document.ts";
 
 /** One service with the values and backend servers of one site. */
 export interface SiteService extends Service {
@@ -46,7 +42,9 @@
   for (const [name, service] of Object.entries(configuration.base.services)) {
     const difference = overlay?.services[name];
     const defined = Object.fromEntries(
-      Object.entries(difference ?? {}).filter(([, value]) => value !== undefined),
+      Object.entries(difference ?? {}).filter(([, value]) =>
+        value !== undefined
+      ),
     );
     services.set(name, { backendServers: [], ...service, ...defined, name });
   }
--- a/src/core/ledger/reader.ts
+++ b/src/core/ledger/reader.ts
@@ -5,11 +5,7 @@
  *
  * @module
  */
-import {
-  EMPTY_LEDGER,
-  foldRecord,
-  type Verdict,
-} from "./fold.ts";
+import { EMPTY_LEDGER, foldRecord, type Verdict } from "./fold.ts";
 import {
   type Ledger,
   type LogEntry,
@@ -99,7 +95,9 @@
       return [];
     }
     const covered = record.ledger.next;
-    if (covered < this.#held[0].offset || covered < this.#ledger.next) return [];
+    if (covered < this.#held[0].offset || covered < this.#ledger.next) {
+      return [];
+    }
     const replay = this.#held.filter((each) => each.offset >= covered);
     this.#ledger = record.ledger;
     this.#complete = true;
@@ -129,5 +127,7 @@
   const parsed = recordSchema.safeParse(entry.data);
   if (parsed.success) return parsed.data;
   const [issue] = parsed.error.issues;
-  return `not a record of this version: ${issue.path.join(".")}: ${issue.message}`;
+  return `not a record of this version: ${
+    issue.path.join(".")
+  }: ${issue.message}`;
 }
--- a/src/core/ownership/membership_keeper.ts
+++ b/src/core/ownership/membership_keeper.ts
@@ -61,9 +61,13 @@
 function hearsMajority({ ledger, self, ...input }: MembershipInput): boolean {
   const { witnesses } = ledger.membership;
   const since = input.now - 2 * input.timing.renewal;
-  return witnesses.length === 0 || isBlocked(witnesses, (witness) =>
-    sameMember(witness, self) || isReplaced(ledger, witness) ||
-    input.liveness.lastHeard(witness.vm, witness.incarnation) >= since);
+  return witnesses.length === 0 ||
+    isBlocked(
+      witnesses,
+      (witness) =>
+        sameMember(witness, self) || isReplaced(ledger, witness) ||
+        input.liveness.lastHeard(witness.vm, witness.incarnation) >= since,
+    );
 }
 
 function isPresent(input: MembershipInput, start: Start): boolean {
--- a/src/core/ownership/replica.ts
+++ b/src/core/ownership/replica.ts
@@ -56,7 +56,9 @@
   /** Adopts a whole view unless it is older than what was promised. */
   adopt(view: View): Adoption {
     if (comparePositions(view.position, this.#floor) < 0) return "stale";
-    if (comparePositions(view.position, this.#view.position) <= 0) return "stale";
+    if (comparePositions(view.position, this.#view.position) <= 0) {
+      return "stale";
+    }
     this.#view = view;
     this.#floor = view.position;
     return "adopted";
--- a/src/core/ownership/term_holder.ts
+++ b/src/core/ownership/term_holder.ts
@@ -111,7 +111,9 @@
     const isOwn = term.vm === context.self.vm &&
       term.incarnation === context.self.incarnation;
     if (!isOwn) {
-      if (held) out.push(note("term.ended", { term: term.offset, holder: term.vm }));
+      if (held) {
+        out.push(note("term.ended", { term: term.offset, holder: term.vm }));
+      }
       return;
     }
     this.#heldSince = context.now;
@@ -450,7 +452,13 @@
         kept.push(...names);
         continue;
       }
-      this.#grant(context, service, names.map(({ slot }) => slot), servers, out);
+      this.#grant(
+        context,
+        service,
+        names.map(({ slot }) => slot),
+        servers,
+        out,
+      );
     }
     this.#free = kept;
   }
@@ -466,7 +474,10 @@
     for (let slot = slots.length; slot < service.keySlots; slot++) {
       slots.push({ server: null, token: 0 });
     }
-    const placed = this.#placement.fill({ slots, servers, loads: null }, vacant);
+    const placed = this.#placement.fill(
+      { slots, servers, loads: null },
+      vacant,
+    );
     const byServer = new Map<string, GrantedSlot[]>();
     for (const { slot, server } of placed) {
       this.#grants += 1;
--- a/src/core/ownership/term_opening.ts
+++ b/src/core/ownership/term_opening.ts
@@ -51,7 +51,9 @@
   /** Asks all who have not promised yet. */
   ask(self: Member, out: Effect[]): void {
     for (const member of this.#asked()) {
-      if (this.#promises.has(memberKey(member.vm, member.incarnation))) continue;
+      if (this.#promises.has(memberKey(member.vm, member.incarnation))) {
+        continue;
+      }
       if (member.vm === self.vm) continue;
       out.push({
         kind: "peer.send",
--- a/src/core/ownership/view.ts
+++ b/src/core/ownership/view.ts
@@ -77,6 +77,10 @@
 }
 
 /** Whether `server` holds a slot of `service` in the view. */
-export function holdsSlot(view: View, service: string, server: string): boolean {
+export function holdsSlot(
+  view: View,
+  service: string,
+  server: string,
+): boolean {
   return (view.services[service] ?? []).some((slot) => slot.server === server);
 }
--- a/src/core/position.ts
+++ b/src/core/position.ts
@@ -44,7 +44,9 @@
  */
 export function fencingToken(term: number, grant: number): number {
   if (grant >= 2 ** GRANT_BITS) {
-    throw new RangeError(`term ${term} has used up its grants: claim a new term`);
+    throw new RangeError(
+      `term ${term} has used up its grants: claim a new term`,
+    );
   }
   return term * 2 ** GRANT_BITS + grant;
 }
--- a/src/core/requests/dispatcher.ts
+++ b/src/core/requests/dispatcher.ts
@@ -45,7 +45,12 @@
 
 /** Where to send a request, or why not now. */
 type Choice =
-  | { kind: "send"; server: WatchedServer; token: number | null; reason: string }
+  | {
+    kind: "send";
+    server: WatchedServer;
+    token: number | null;
+    reason: string;
+  }
   | { kind: "wait"; reason: string; patience: number }
   | { kind: "refuse"; reason: string; retryAfter: number };
 
@@ -133,7 +138,11 @@
       this.#deliver(context, exchange, attempt, out);
       return;
     }
-    out.push({ kind: "attempt.abort", attempt: attempt.id, cause: event.verdict });
+    out.push({
+      kind: "attempt.abort",
+      attempt: attempt.id,
+      cause: event.verdict,
+    });
     this.#release(exchange, attempt);
     if (event.verdict === "shed") attempt.server.limit.onShed(context.now);
     else context.suspect(attempt.server, "fenced");
@@ -217,14 +226,23 @@
         exchange.mayHaveRun = true;
       }
       const status = wasSent ? 504 : 503;
-      this.#refuse(context, exchange, status, "deadline passed", RETRY_AFTER, out);
+      this.#refuse(
+        context,
+        exchange,
+        status,
+        "deadline passed",
+        RETRY_AFTER,
+        out,
+      );
     }
     this.pumpAll(context, out);
   }
 
   /** Sends whatever waits and can be sent. */
   pumpAll(context: DispatchContext, out: Effect[]): void {
-    for (const service of this.#queues.keys()) this.#pump(context, service, out);
+    for (const service of this.#queues.keys()) {
+      this.#pump(context, service, out);
+    }
   }
 
   /** Up to which view nothing sent to former owners can still start. */
@@ -327,7 +345,12 @@
     if (server.inFlight >= server.limit.current) {
       return wait("owner is busy", Infinity);
     }
-    return { kind: "send", server, token: slot.token, reason: "owner of the key" };
+    return {
+      kind: "send",
+      server,
+      token: slot.token,
+      reason: "owner of the key",
+    };
   }
 
   #chooseBalanced(
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -16,27 +16,18 @@
  */
 import {
   EMPTY_SITE,
-  siteConfiguration,
   type SiteConfiguration,
+  siteConfiguration,
 } from "./configuration/index.ts";
 import type { Effect } from "./effect.ts";
-import type {
-  Event,
-  LogRead,
-  PeerMessage,
-  ProbeResult,
-} from "./event.ts";
+import type { Event, LogRead, PeerMessage, ProbeResult } from "./event.ts";
 import {
   type Ledger,
   LedgerReader,
   type SiteLedger,
   siteLedger,
 } from "./ledger/index.ts";
-import {
-  includesMember,
-  Liveness,
-  type Member,
-} from "./membership/index.ts";
+import { includesMember, Liveness, type Member } from "./membership/index.ts";
 import type { Message } from "./message.ts";
 import {
   type Adoption,
@@ -395,7 +386,9 @@
       this.#incarnation,
     );
     if (isWitness) this.#confirm(this.options.vm, this.#incarnation, sequence);
-    const holder = this.#siteLedger().starts.find((each) => each.vm === term.vm);
+    const holder = this.#siteLedger().starts.find((each) =>
+      each.vm === term.vm
+    );
     const asked = new Map<string, string>();
     for (const witness of witnesses) asked.set(witness.vm, witness.peerAddress);
     if (holder !== undefined) asked.set(holder.vm, holder.peerAddress);
@@ -617,7 +610,10 @@
     this.#servers.onFailure(server);
     if (wasConfirming && this.#holder.isSteady) {
       server.lost = true;
-      this.#note("warn", "server.lost", { server: server.id, why: event.cause });
+      this.#note("warn", "server.lost", {
+        server: server.id,
+        why: event.cause,
+      });
       this.#holder.tick(this.#holding(), this.#out);
       return;
     }
--- a/src/core/routing/balancer.ts
+++ b/src/core/routing/balancer.ts
@@ -52,7 +52,9 @@
   }
 
   override choose({ servers }: Candidates): WatchedServer {
-    return servers.reduce((best, each) => cost(each) < cost(best) ? each : best);
+    return servers.reduce((best, each) =>
+      cost(each) < cost(best) ? each : best
+    );
   }
 }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,4 +5,7 @@
  */
 import { runCommandLine } from "./cli/index.ts";
 
-void runCommandLine(process.argv.slice(2));
+/** Arguments before those of the command: the program and its script. */
+const OWN_ARGUMENTS = 2;
+
+void runCommandLine(process.argv.slice(OWN_ARGUMENTS));
--- a/src/metrics/vm_metrics.ts
+++ b/src/metrics/vm_metrics.ts
@@ -60,7 +60,9 @@
   }
 
   /** All metrics as text; peers' traffic is counted elsewhere. */
-  render(traffic: { bytesSent: number; bytesReceived: number }): Promise<string> {
+  render(
+    traffic: { bytesSent: number; bytesReceived: number },
+  ): Promise<string> {
     this.#requests.reset();
     for (const [key, count] of this.#counts) {
       const [service, status] = key.split(" ");
--- a/src/settings/yaml_file.ts
+++ b/src/settings/yaml_file.ts
@@ -48,7 +48,9 @@
   const parsed = schema.safeParse(found);
   if (parsed.success) return { file, value: parsed.data, lineOf };
   throw InvalidInput.create(
-    parsed.error.issues.flatMap((issue) => describe(file, issue, found, lineOf)),
+    parsed.error.issues.flatMap((issue) =>
+      describe(file, issue, found, lineOf)
+    ),
   );
 }
 
@@ -134,8 +136,6 @@
 ): Node | undefined {
   const { contents } = document;
   if (path.length === 0) return contents ?? undefined;
-  const found = isCollection(contents)
-    ? contents.getIn(path, true)
-    : undefined;
+  const found = isCollection(contents) ? contents.getIn(path, true) : undefined;
   return isScalar(found) || isCollection(found) ? found : undefined;
 }
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -25,12 +25,7 @@
 } from "../adapters/headers.ts";
 import { checksSchema } from "../core/configuration/index.ts";
 import { addressSchema } from "../settings/index.ts";
-import {
-  HttpService,
-  readBytes,
-  readJson,
-  sendJson,
-} from "./http_service.ts";
+import { HttpService, readBytes, readJson, sendJson } from "./http_service.ts";
 import { FAULTS_PATH } from "./log_service.ts";
 import { WorkQueue } from "./work_queue.ts";
 
