--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,27 @@
+/**
+ * The benchmark's command line; prints one JSON line for each figure.
+ *
+ * @module
+ */
+import yargs from "yargs";
+import { measureOverhead } from "./overhead.ts";
+
+/** Rounds and seconds of the quick run. */
+const QUICK = { rounds: 3, seconds: 3 };
+/** Rounds and seconds of the whole run. */
+const WHOLE = { rounds: 5, seconds: 5 };
+
+async function main(args: readonly string[]): Promise<void> {
+  const options = await yargs([...args])
+    .option("quick", {
+      type: "boolean",
+      default: false,
+      describe: "a short run of the overhead beside a bare proxy",
+    })
+    .strict()
+    .parseAsync();
+  const { rounds, seconds } = options.quick ? QUICK : WHOLE;
+  await measureOverhead(rounds, seconds);
+}
+
+void main(process.argv.slice(2));
