Model of the core under virtual time, with properties checked on random schedules

Found at once: the term holder adopted its own views without its dispatcher following them, so requests in flight at a lost server were not drained, and the slot was granted anew while the frozen server could still start them. The router now follows whatever view its replica shows after each event.

--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -30,7 +30,6 @@
 import { includesMember, Liveness, type Member } from "./membership/index.ts";
 import type { Message } from "./message.ts";
 import {
-  type Adoption,
   type HolderContext,
   type OwnershipTiming,
   TermClaim,
@@ -119,6 +118,10 @@
   #seededAt = -Infinity;
   #fetchedAt = -Infinity;
   #reportedDrain: Position = ORIGIN;
+  /** The newest view whose losses the dispatcher has followed. */
+  #followed: Position = ORIGIN;
+  /** Servers that the term holder has named as lost. */
+  #lost: readonly string[] = [];
   /** Offset of the membership whose witnesses confirm the lease. */
   #leasedMembership = 0;
   #checkpointNext = 1;
@@ -159,6 +162,7 @@
     this.#out = [];
     this.#now = Math.max(this.#now, event.now);
     this.#reduce(event);
+    this.#followView();
     return this.#out;
   }
 
@@ -416,14 +420,20 @@
     this.#lease.confirm(sequence, vm, witnesses.length);
   }
 
-  #adopted(adoption: Adoption, lost: readonly string[]): void {
-    if (adoption !== "adopted") return;
-    const { offset } = this.#replica.view.membership;
+  /** Lets go of what an adopted view, from others or of its own, has taken. */
+  #followView(): void {
+    const { view } = this.#replica;
+    if (comparePositions(view.position, this.#followed) === 0) return;
+    this.#followed = view.position;
+    const { offset } = view.membership;
     if (offset !== this.#leasedMembership) this.#lease.restart();
     this.#leasedMembership = offset;
     if (!this.#isMember()) this.#lease.release();
+    const lost = this.#holder.isSteady ? this.#servers.lost() : this.#lost;
     this.#dispatcher.adopt(this.#dispatching(), lost, this.#out);
     this.#reportAdoption();
+    // The holder may have issued the next view in answer.
+    this.#followView();
   }
 
   #reportAdoption(): void {
@@ -455,7 +465,7 @@
   }
 
   #drained(): Position {
-    return this.#dispatcher.drained(this.#now, this.#replica.view.position);
+    return this.#dispatcher.drained(this.#now, this.#followed);
   }
 
   // Peers.
@@ -481,7 +491,8 @@
       case "view.changed": {
         const adoption = this.#replica.change(message.change);
         if (adoption === "gap") this.#fetchView(from, address);
-        return this.#adopted(adoption, message.lost);
+        this.#lost = message.lost;
+        return;
       }
       case "view.adopted":
         this.#liveness.hear(from, message.incarnation, this.#now);
@@ -498,7 +509,8 @@
         });
       case "view.sent":
         this.#holder.received(this.#holding(), message.view, this.#out);
-        return this.#adopted(this.#replica.adopt(message.view), []);
+        this.#replica.adopt(message.view);
+        return;
       case "server.suspected":
         return this.#confirmSuspicion(message.server, message.cause);
       case "ledger.fetched":
--- /dev/null
+++ b/test/model/evidence.ts
@@ -0,0 +1,111 @@
+/**
+ * What is recorded of a run of the model, and the properties that must hold.
+ *
+ * @module
+ */
+
+/** One start of work at a backend server. */
+export interface WorkStart {
+  at: number;
+  server: string;
+  service: string;
+  slot: number | null;
+  token: number | null;
+  requestId: string;
+}
+
+/** The final answer to one request. */
+export interface FinalAnswer {
+  at: number;
+  arrivedAt: number;
+  requestId: string;
+  kind: "served" | "not-run" | "unknown";
+  reason: string;
+}
+
+/** A configuration that a VM put in force. */
+export interface AppliedRevision {
+  at: number;
+  vm: string;
+  /** Which start of the process. */
+  run: number;
+  revision: number;
+}
+
+/** Everything that was recorded. */
+export interface Evidence {
+  starts: WorkStart[];
+  answers: FinalAnswer[];
+  revisions: AppliedRevision[];
+}
+
+/** Breaches of exclusive ownership: work under an older token after a newer. */
+export function findSecondOwners({ starts }: Evidence): string[] {
+  const newest = new Map<string, WorkStart>();
+  const faults: string[] = [];
+  const keyed = starts.filter((start) => start.token !== null)
+    .sort((a, b) => a.at - b.at);
+  for (const start of keyed) {
+    const slot = `${start.service}/${start.slot}`;
+    const last = newest.get(slot);
+    if (last === undefined || start.token! > last.token!) {
+      newest.set(slot, start);
+      continue;
+    }
+    if (start.token === last.token && start.server === last.server) continue;
+    faults.push(
+      `${slot}: ${start.server} started under token ${start.token} at ${
+        start.at.toFixed(1)
+      }, but ${last.server} had under ${last.token} at ${last.at.toFixed(1)}`,
+    );
+  }
+  return faults;
+}
+
+/** Requests that ran more than once. */
+export function findRepeatedRuns({ starts }: Evidence): string[] {
+  const counts = new Map<string, number>();
+  for (const { requestId } of starts) {
+    counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+  }
+  return [...counts].filter(([, count]) => count > 1)
+    .map(([id, count]) => `${id} ran ${count} times`);
+}
+
+/** Requests that were refused as not run, but ran. */
+export function findFalseRefusals({ starts, answers }: Evidence): string[] {
+  const ran = new Set(starts.map((start) => start.requestId));
+  return answers
+    .filter((answer) => answer.kind === "not-run" && ran.has(answer.requestId))
+    .map(({ requestId, reason }) => `${requestId} ran, but: ${reason}`);
+}
+
+/** Requests with more than one final answer. */
+export function findRepeatedAnswers({ answers }: Evidence): string[] {
+  const seen = new Set<string>();
+  return answers.filter(({ requestId }) => {
+    const isRepeated = seen.has(requestId);
+    seen.add(requestId);
+    return isRepeated;
+  }).map(({ requestId }) => `${requestId} was answered twice`);
+}
+
+/** Requests that were served although no server ran them. */
+export function findInventedAnswers({ starts, answers }: Evidence): string[] {
+  const ran = new Set(starts.map((start) => start.requestId));
+  return answers
+    .filter((answer) => answer.kind === "served" && !ran.has(answer.requestId))
+    .map(({ requestId }) => `${requestId} was served but did not run`);
+}
+
+/** VMs that went back to an older configuration. */
+export function findReversions({ revisions }: Evidence): string[] {
+  const newest = new Map<string, number>();
+  const faults: string[] = [];
+  for (const { vm, revision } of revisions) {
+    const last = newest.get(vm) ?? 0;
+    if (revision < last) faults.push(`${vm} went from ${last} to ${revision}`);
+    newest.set(vm, Math.max(last, revision));
+  }
+  return faults;
+}
--- /dev/null
+++ b/test/model/properties.ts
@@ -0,0 +1,41 @@
+/**
+ * The properties of a run of the model, by name.
+ *
+ * @module
+ */
+import {
+  type Evidence,
+  findFalseRefusals,
+  findInventedAnswers,
+  findRepeatedAnswers,
+  findRepeatedRuns,
+  findReversions,
+  findSecondOwners,
+} from "./evidence.ts";
+import { CALM } from "./world.ts";
+
+/** One property and how breaches of it are found. */
+export interface Property {
+  name: string;
+  /** A line for each breach. */
+  findBreaches(evidence: Evidence): string[];
+}
+
+/** Requests that found no owner although all faults had long been over. */
+function findUnserved({ answers }: Evidence): string[] {
+  return answers
+    .filter((answer) => answer.arrivedAt > CALM && answer.kind === "not-run")
+    .filter((answer) => answer.reason !== "shed")
+    .map(({ requestId, reason }) => `${requestId}: ${reason}`);
+}
+
+/** All properties that are checked. */
+export const PROPERTIES: readonly Property[] = [
+  { name: "a slot has at most one owner", findBreaches: findSecondOwners },
+  { name: "work runs at most once", findBreaches: findRepeatedRuns },
+  { name: "not-run is true", findBreaches: findFalseRefusals },
+  { name: "a request has one final answer", findBreaches: findRepeatedAnswers },
+  { name: "an answer is of work that ran", findBreaches: findInventedAnswers },
+  { name: "a configuration never reverts", findBreaches: findReversions },
+  { name: "all is served after the faults", findBreaches: findUnserved },
+];
