An opening term follows the log: a witness that is replaced meanwhile counts as stopped

Cause: the opening kept the ledger of the moment at which it began, so a witness whose next run started a little later was waited for without end.

--- a/src/core/ownership/term_holder.ts
+++ b/src/core/ownership/term_holder.ts
@@ -241,7 +241,9 @@
   /** Completes the opening once its promises suffice. */
   #open(context: HolderContext, fetched: View | null, out: Effect[]): void {
     const opening = this.#opening;
-    if (opening === null || !opening.isSettled()) return;
+    if (opening === null) return;
+    opening.follow(context.ledger);
+    if (!opening.isSettled()) return;
     const own = context.replica.view;
     const known = fetched !== null &&
         comparePositions(fetched.position, own.position) > 0
--- a/src/core/ownership/term_opening.ts
+++ b/src/core/ownership/term_opening.ts
@@ -40,7 +40,7 @@
 
   private constructor(
     readonly term: number,
-    private readonly ledger: SiteLedger,
+    private ledger: SiteLedger,
   ) {}
 
   /** Opens the current term of `ledger`. */
@@ -48,6 +48,11 @@
     return new TermOpening(ledger.term.offset, ledger);
   }
 
+  /** Takes in what the log says since: processes may have been replaced. */
+  follow(ledger: SiteLedger): void {
+    this.ledger = ledger;
+  }
+
   /** Asks all who have not promised yet. */
   ask(self: Member, out: Effect[]): void {
     for (const member of this.#asked()) {
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -91,6 +91,7 @@
     return world;
   }
 
+  debugLog(){return this.#log.read(1)}
   /** What the VMs see at the end. */
   statuses() {
     return this.#vms.map((vm) => vm.router.status(this.#local(vm)));
