Failures on running processes: scenarios, histories, checks, table

Ports that the kernel had handed out were taken by outgoing connections before their process started; processes now have loopback addresses of their own.

--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import { build } from "esbuild";
 import { Deployment, endProcess, waitFor } from "../test/support/deployment.ts";
-import { freeAddress } from "../test/support/free_port.ts";
+import { loopbackAddress } from "../test/support/loopback_address.ts";
 import { median, printFigure } from "./figure.ts";
 import { processorSeconds } from "./processor_time.ts";
 
@@ -49,7 +49,7 @@
       { ...service, name: "apothiki", keyHeader: "x-stock-key" },
     ],
   });
-  const address = await freeAddress();
+  const address = loopbackAddress();
   const proxy = spawn(process.execPath, [
     await bundleProxy(),
     address,
--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -10,6 +10,7 @@
 import { addConfigCommand } from "./config_command.ts";
 import { addDemoCommand } from "./demo_command.ts";
 import { EXIT } from "./exit_code.ts";
+import { addHistoryCommand } from "./history_command.ts";
 import { addLoadCommand } from "./load_command.ts";
 import { addServeCommand } from "./serve_command.ts";
 import { addStandInCommand } from "./stand_in_command.ts";
@@ -33,6 +34,7 @@
   addStatusCommand(parser);
   addStandInCommand(parser);
   addLoadCommand(parser);
+  addHistoryCommand(parser);
   addDemoCommand(parser);
   try {
     await parser.parseAsync([...args]);
--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+import { randomInt } from "node:crypto";
+import { once } from "node:events";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { Writable } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
 import { EntryProcess, HttpLog } from "../adapters/index.ts";
@@ -24,6 +25,9 @@
 } from "../stand_ins/index.ts";
 
 const LOOPBACK = "127.0.0.1";
+/** Ports below those that kernels give to outgoing connections. */
+const LOWEST_PORT = 20_000;
+const HIGHEST_PORT = 32_000;
 const ENTRIES = 3;
 const KEYED_SERVERS = 3;
 const PLAIN_SERVERS = 2;
@@ -178,10 +182,15 @@
 
 /** An address of this machine that is free now. */
 async function freeAddress(): Promise<string> {
+  const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
+  try {
+    await once(server.listen(port, LOOPBACK), "listening");
+  } catch {
+    return freeAddress();
+  }
+  server.close();
+  await once(server, "close");
   return `${LOOPBACK}:${port}`;
 }
 
--- a/src/cli/load_command.ts
+++ b/src/cli/load_command.ts
@@ -77,19 +77,19 @@
   const file = options.history === undefined
     ? null
     : createWriteStream(options.history);
-  const result = await runLoad(plan, (entry) => {
-    file?.write(`${JSON.stringify(entry)}\n`);
+  const result = await runLoad(plan, (call) => {
+    file?.write(`${JSON.stringify(call)}\n`);
   });
   file?.end();
-  const { entries, latencies, seconds } = result;
+  const { calls, latencies, seconds } = result;
   process.stdout.write(`${
     JSON.stringify({
-      requests: entries.length,
-      served: entries.filter(isServed).length,
-      notRun: entries.filter((each) => each.outcome === "not-run").length,
-      unknown: entries.filter((each) => each.outcome === "unknown").length,
-      mismatched: entries.filter((each) => each.matched === false).length,
-      perSecond: entries.length / seconds,
+      requests: calls.length,
+      served: calls.filter(isServed).length,
+      notRun: calls.filter((each) => each.outcome === "not-run").length,
+      unknown: calls.filter((each) => each.outcome === "unknown").length,
+      mismatched: calls.filter((each) => each.matched === false).length,
+      perSecond: calls.length / seconds,
       latency: latencies.summary(),
     })
   }\n`);
--- a/src/load/caller_load.ts
+++ b/src/load/caller_load.ts
@@ -7,11 +7,11 @@
 import { Pool } from "undici";
 import { OUTCOME, REQUEST_ID } from "../adapters/headers.ts";
 import { Latencies } from "../metrics/index.ts";
-import type { HistoryEntry } from "./history.ts";
+import type { Call } from "./history.ts";
 
 /** What callers do. */
 export interface LoadPlan {
-  /** Entries as `host:port`; requests go to each in turn. */
+  /** Entries as `host:port`; each caller keeps to one while it is ready. */
   targets: string[];
   service: string;
   /** Header that carries the key, or null for a service without keys. */
@@ -29,11 +29,13 @@
   callers: number;
   /** Milliseconds between two requests of one caller. */
   pause: number;
+  /** Whether the balancer sends callers to a target now; all if absent. */
+  isReady?: (target: string) => boolean;
 }
 
 /** What came of a load. */
 export interface LoadResult {
-  entries: HistoryEntry[];
+  calls: Call[];
   latencies: Latencies;
   seconds: number;
 }
@@ -41,32 +43,41 @@
 /** Runs a load to its end. */
 export async function runLoad(
   plan: LoadPlan,
-  observe: (entry: HistoryEntry) => void = () => {},
+  observe: (call: Call) => void = () => {},
 ): Promise<LoadResult> {
   const pools = plan.targets.map((target) => ({
     target,
     pool: new Pool(`http://${target}`, { connections: plan.callers }),
   }));
-  const entries: HistoryEntry[] = [];
+  const calls: Call[] = [];
   const latencies = Latencies.create();
   const start = performance.now();
   const end = start + plan.seconds * 1_000;
   let next = 0;
-  const call = async () => {
+  const act = async (caller: number) => {
     while (next < plan.requests && performance.now() < end) {
       const number = next++;
-      const { target, pool } = pools[number % pools.length];
+      const usable = pools.filter((each) =>
+        plan.isReady?.(each.target) ?? true
+      );
+      if (usable.length === 0) return;
+      const own = pools[caller % pools.length];
+      const { target, pool } = usable.includes(own)
+        ? own
+        : usable[caller % usable.length];
       const begun = performance.now();
-      const entry = await sendOne(plan, target, pool, number);
+      const call = await sendOne(plan, target, pool, number);
       latencies.record(performance.now() - begun);
-      entries.push(entry);
-      observe(entry);
+      calls.push(call);
+      observe(call);
       if (plan.pause > 0) await pause(plan.pause);
     }
   };
-  await Promise.all(Array.from({ length: plan.callers }, call));
+  await Promise.all(
+    Array.from({ length: plan.callers }, (_, caller) => act(caller)),
+  );
   await Promise.all(pools.map(({ pool }) => pool.destroy()));
-  return { entries, latencies, seconds: (performance.now() - start) / 1_000 };
+  return { calls, latencies, seconds: (performance.now() - start) / 1_000 };
 }
 
 function pause(milliseconds: number): Promise<void> {
@@ -78,14 +89,15 @@
   target: string,
   pool: Pool,
   number: number,
-): Promise<HistoryEntry> {
+): Promise<Call> {
   const requestId = randomUUID();
   const key = plan.keyHeader === null ? null : `key-${number % plan.keys}`;
   const hasBody = plan.method !== "GET";
   const body = hasBody ? `${requestId}:${filler(plan.bodySize)}` : null;
   const headers: Record<string, string> = { [REQUEST_ID]: requestId };
   if (key !== null) headers[plan.keyHeader!] = key;
-  const entry: HistoryEntry = {
+  const call: Call = {
+    kind: "call",
     requestId,
     service: plan.service,
     key,
@@ -106,14 +118,14 @@
     });
     const text = await answer.body.text();
     const outcome = answer.headers[OUTCOME];
-    entry.status = answer.statusCode;
-    if (outcome === "not-run" || outcome === "unknown") entry.outcome = outcome;
-    if (answer.statusCode === 200 && hasBody) entry.matched = text === body;
+    call.status = answer.statusCode;
+    if (outcome === "not-run" || outcome === "unknown") call.outcome = outcome;
+    if (answer.statusCode === 200 && hasBody) call.matched = text === body;
   } catch {
-    entry.outcome = "unknown";
+    call.outcome = "unknown";
   }
-  entry.endedAt = Date.now();
-  return entry;
+  call.endedAt = Date.now();
+  return call;
 }
 
 function filler(size: number): string {
--- a/test/model/evidence.ts
+++ b/src/load/evidence.ts
@@ -1,5 +1,6 @@
 /**
- * What is recorded of a run of the model, and the properties that must hold.
+ * What is recorded of a run of the system or of its model, and how breaches of
+ * what must always hold are found in it.
  *
  * @module
  */
@@ -32,7 +33,7 @@
   revision: number;
 }
 
-/** Everything that was recorded. */
+/** Everything that was recorded. Times are milliseconds of one clock. */
 export interface Evidence {
   starts: WorkStart[];
   answers: FinalAnswer[];
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+import { appendFileSync } from "node:fs";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
@@ -24,6 +25,7 @@
   TOKEN,
 } from "../adapters/headers.ts";
 import { checksSchema } from "../core/configuration/index.ts";
+import type { Run } from "../load/index.ts";
 import { addressSchema } from "../settings/index.ts";
 import { HttpService, readBytes, readJson, sendJson } from "./http_service.ts";
 import { FAULTS_PATH } from "./log_service.ts";
@@ -47,6 +49,8 @@
   /** Time after the start in which work takes ten times as long. */
   coldStart: z.number().nonnegative().default(0),
   checks: checksSchema.prefault({}),
+  /** File to which each run is written as it starts; none if absent. */
+  runsFile: z.string().optional(),
 });
 
 /** See {@linkcode backendServiceSchema}. */
@@ -75,19 +79,6 @@
 /** See {@linkcode backendFaultsSchema}. */
 export type BackendFaults = z.infer<typeof backendFaultsSchema>;
 
-/** One piece of work that ran. Times are milliseconds since the epoch. */
-export interface Run {
-  server: string;
-  requestId: string;
-  exchange: string;
-  method: string;
-  service: string;
-  slot: number | null;
-  token: number | null;
-  startedAt: number;
-  endedAt: number;
-}
-
 /** Factor by which work takes longer during a cold start. */
 const COLD_FACTOR = 10;
 
@@ -230,6 +221,7 @@
 
   async #run(request: IncomingMessage): Promise<void> {
     const run: Run = {
+      kind: "run",
       server: this.settings.id,
       requestId: String(request.headers[REQUEST_ID] ?? ""),
       exchange: String(request.headers[EXCHANGE] ?? ""),
@@ -241,6 +233,11 @@
       endedAt: 0,
     };
     this.#runs.push(run);
+    const { runsFile } = this.settings;
+    if (runsFile !== undefined) {
+      // Written at once, so that it outlives the process.
+      appendFileSync(runsFile, `${JSON.stringify(run)}\n`);
+    }
     const work = this.#faults.work ?? this.settings.work;
     const isCold = run.startedAt < this.#startedAt + this.settings.coldStart;
     const time = isCold ? work * COLD_FACTOR : work;
--- a/test/model/properties.ts
+++ b/test/model/properties.ts
@@ -11,7 +11,7 @@
   findRepeatedRuns,
   findReversions,
   findSecondOwners,
-} from "./evidence.ts";
+} from "../../src/load/index.ts";
 import { CALM } from "./world.ts";
 
 /** One property and how breaches of it are found. */
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -16,7 +16,7 @@
   PowerOfTwoChoices,
   Router,
 } from "../../src/core/index.ts";
-import type { Evidence } from "./evidence.ts";
+import type { Evidence } from "../../src/load/index.ts";
 import { ModelLog } from "./model_log.ts";
 import { ModelServer, type ServerRequest } from "./model_server.ts";
 import type { Fault, Schedule } from "./schedule.ts";
--- a/test/path_test.ts
+++ b/test/path_test.ts
@@ -29,16 +29,14 @@
     runLoad({ ...plan, service: "apothiki", keyHeader: "x-stock-key" }),
     runLoad({ ...plan, service: "archeio", keyHeader: null }),
   ]);
-  const entries = results.flatMap((result) => result.entries);
+  const calls = results.flatMap((result) => result.calls);
   t.snapshot({
-    sent: entries.length,
-    served: entries.filter(isServed).length,
-    whole: entries.filter((entry) => entry.matched === true).length,
+    sent: calls.length,
+    served: calls.filter(isServed).length,
+    whole: calls.filter((call) => call.matched === true).length,
   });
-  const runs = await Promise.all(
-    deployment.servers.map((server) => deployment.runs(server)),
-  );
-  const ids = runs.flat().map((run) => run.requestId);
+  const runs = deployment.servers.flatMap((server) => deployment.runs(server));
+  const ids = runs.map((run) => run.requestId);
   t.is(new Set(ids).size, ids.length, "each request ran once");
   t.is(ids.length, REQUESTS);
 });
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -7,6 +7,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import {
   createWriteStream,
+  existsSync,
   mkdirSync,
   mkdtempSync,
   readFileSync,
@@ -18,13 +19,10 @@
 import { request } from "undici";
 import { stringify } from "yaml";
 import type { RouterStatus } from "../../src/core/index.ts";
-import type {
-  BackendFaults,
-  LogFaults,
-  Run,
-} from "../../src/stand_ins/index.ts";
+import { readHistory, type Run } from "../../src/load/index.ts";
+import type { BackendFaults, LogFaults } from "../../src/stand_ins/index.ts";
 import { bundledProgram } from "./bundled_program.ts";
-import { freeAddress } from "./free_port.ts";
+import { loopbackAddress } from "./loopback_address.ts";
 
 /** One service of a deployment. */
 export interface ServicePlan {
@@ -144,10 +142,10 @@
     await putFaults(server.address, faults);
   }
 
-  /** What ran at a backend server. */
-  async runs(server: RunningServer): Promise<Run[]> {
-    const { body } = await request(`http://${server.address}/stand-in/runs`);
-    return await body.json() as Run[];
+  /** What ran at a backend server, in all runs of its process. */
+  runs(server: RunningServer): Run[] {
+    const file = this.#runsFile(server.name);
+    return existsSync(file) ? readHistory(file).runs : [];
   }
 
   /** Tells the platform's list of VMs that some are leaving. */
@@ -192,27 +190,27 @@
   }
 
   async #start(): Promise<void> {
-    this.log = await this.#standIn("log", {});
-    this.vms = await this.#standIn("vms", { lag: 100 });
+    this.log = this.#standIn("log", {});
+    this.vms = this.#standIn("vms", { lag: 100 });
     for (const service of this.plan.services) {
       for (let number = 1; number <= service.servers; number++) {
-        const started = await this.#startServer(service, number);
+        const started = this.#startServer(service, number);
         this.servers.push(started);
       }
     }
     this.#writeConfiguration();
     for (let number = 1; number <= this.plan.entries; number++) {
-      this.entries.push(await this.#startEntry(number));
+      this.entries.push(this.#startEntry(number));
     }
     await this.#publish();
     await this.ready();
   }
 
-  async #standIn(
+  #standIn(
     kind: "log" | "vms",
     settings: Record<string, unknown>,
-  ): Promise<Running> {
-    const address = await freeAddress();
+  ): Running {
+    const address = loopbackAddress();
     const args = [
       "stand-in",
       kind,
@@ -226,12 +224,12 @@
     return { name: kind, address, child, arguments: args };
   }
 
-  async #startServer(
+  #startServer(
     service: ServicePlan,
     number: number,
-  ): Promise<RunningServer> {
+  ): RunningServer {
     const name = `${service.name}-${number}`;
-    const address = await freeAddress();
+    const address = loopbackAddress();
     const args = [
       "stand-in",
       "backend",
@@ -242,18 +240,19 @@
         slots: service.slots ?? 3,
         work: service.work ?? 1,
         checks: service.checks,
+        runsFile: this.#runsFile(name),
       }),
     ];
     const child = this.#spawn(name, args);
     return { name, address, child, service: service.name, arguments: args };
   }
 
-  async #startEntry(number: number): Promise<RunningEntry> {
+  #startEntry(number: number): RunningEntry {
     const name = `entry-${number}`;
     const [address, admin, peer] = [
-      await freeAddress(),
-      await freeAddress(),
-      await freeAddress(),
+      loopbackAddress(),
+      loopbackAddress(),
+      loopbackAddress(),
     ];
     const args = [
       "serve",
@@ -276,6 +275,10 @@
     return { name, address, admin, child, arguments: args };
   }
 
+  #runsFile(name: string): string {
+    return join(this.folder, `${name}.runs`);
+  }
+
   #settings(name: string, value: unknown): string {
     const file = join(this.folder, `${name}.yaml`);
     writeFileSync(file, stringify(value));
