--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
  */
 import yargs from "yargs";
 import { measureOverhead } from "./overhead.ts";
+import { measureSlopes } from "./slopes.ts";
 
 /** Rounds and seconds of the quick run. */
 const QUICK = { rounds: 3, seconds: 3 };
@@ -18,8 +19,17 @@
       default: false,
       describe: "a short run of the overhead beside a bare proxy",
     })
+    .option("slopes", {
+      type: "boolean",
+      default: false,
+      describe: "what control costs as the system grows",
+    })
     .strict()
     .parseAsync();
+  if (options.slopes) {
+    measureSlopes();
+    return;
+  }
   const { rounds, seconds } = options.quick ? QUICK : WHOLE;
   await measureOverhead(rounds, seconds);
 }
