--- a/bench/core_site.ts
+++ b/bench/core_site.ts
@@ -48,7 +48,7 @@
  */
 export const PACKET_OVERHEAD = 78;
 /** Milliseconds between ticks, as in an entry process. */
-const TICK = 10;
+const TICK = 20;
 /** Members that are witnesses, at the most. */
 const WITNESSES = MAXIMUM_WITNESSES;
 const SELF = 0;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import yargs from "yargs";
+import { measureIdleControl } from "./control.ts";
 import { measureOverhead } from "./overhead.ts";
 import { measureSlopes } from "./slopes.ts";
 
@@ -24,8 +25,17 @@
       default: false,
       describe: "what control costs as the system grows",
     })
+    .option("control", {
+      type: "boolean",
+      default: false,
+      describe: "what control costs running processes without callers",
+    })
     .strict()
     .parseAsync();
+  if (options.control) {
+    await measureIdleControl();
+    return;
+  }
   if (options.slopes) {
     measureSlopes();
     return;
--- a/src/adapters/backend_client.ts
+++ b/src/adapters/backend_client.ts
@@ -203,13 +203,19 @@
 
   async #askHealth({ address, timeout }: Probe): Promise<boolean> {
     const pool = this.#pool(this.#control, address, null);
-    const { statusCode, body } = await pool.request({
-      method: "GET",
-      path: HEALTH_PATH,
-      signal: AbortSignal.timeout(timeout),
-    });
-    const answer = healthSchema.safeParse(await body.json());
-    return statusCode === 200 && answer.success && answer.data.healthy;
+    const aborter = new AbortController();
+    const timer = setTimeout(() => aborter.abort(), timeout);
+    try {
+      const { statusCode, body } = await pool.request({
+        method: "GET",
+        path: HEALTH_PATH,
+        signal: aborter.signal,
+      });
+      const answer = healthSchema.safeParse(await body.json());
+      return statusCode === 200 && answer.success && answer.data.healthy;
+    } finally {
+      clearTimeout(timer);
+    }
   }
 
   async #pushGrant({ address, service, slots }: GrantPush): Promise<number> {
--- a/src/adapters/entry_process.ts
+++ b/src/adapters/entry_process.ts
@@ -22,7 +22,7 @@
 import { VmRunner } from "./vm_runner.ts";
 
 /** Time between two ticks of the core, in milliseconds. */
-const TICK = 10;
+const TICK = 20;
 /** Length of the random part of the ids that a process makes. */
 const NONCE_LENGTH = 8;
 
--- a/src/core/requests/dispatcher.ts
+++ b/src/core/requests/dispatcher.ts
@@ -133,7 +133,7 @@
       this.#afterLoss(context, exchange, attempt, "mismatched answer", out);
       return;
     }
-    context.servers.onSuccess(attempt.server);
+    context.servers.onSuccess(attempt.server, context.now);
     if (event.verdict === "ran") {
       this.#deliver(context, exchange, attempt, out);
       return;
@@ -215,13 +215,11 @@
   /** Ends what has passed its deadline and sends what can be sent. */
   tick(context: DispatchContext, out: Effect[]): void {
     for (const exchange of [...this.#exchanges.values()]) {
-      if (context.now < exchange.deadline) continue;
       if (exchange.state === "delivering") continue;
+      this.#suspectSlow(context, exchange);
+      if (context.now < exchange.deadline) continue;
       const wasSent = exchange.attempt !== null;
-      if (exchange.attempt !== null) {
-        const { server, sentAt } = exchange.attempt;
-        const isSlow = context.now - sentAt >= SLOW_ANSWER;
-        if (isSlow) context.suspect(server, "deadline passed");
+      if (wasSent) {
         this.#abort(context, exchange, "deadline passed", out);
         exchange.mayHaveRun = true;
       }
@@ -252,6 +250,12 @@
     return this.#drained;
   }
 
+  /** A server that owes an answer for long is probed. */
+  #suspectSlow(context: DispatchContext, { attempt }: Exchange): void {
+    if (attempt === null || context.now < attempt.sentAt + SLOW_ANSWER) return;
+    context.suspect(attempt.server, "answer is slow");
+  }
+
   #route(
     context: DispatchContext,
     service: SiteService,
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -238,6 +238,7 @@
       vm: this.options.vm,
       membership: this.#replica.view.membership,
       timing: this.options.timing,
+      configuration: this.#configuration,
       servers: this.#servers,
     }, this.#out);
     this.#dispatcher.tick(this.#dispatching(), this.#out);
--- a/src/core/routing/server_watch.ts
+++ b/src/core/routing/server_watch.ts
@@ -33,6 +33,8 @@
   failures: number;
   /** Successful probes since the last failure. */
   goodProbes: number;
+  /** When it last answered a real request. */
+  succeededAt: number;
   /** When the last probe was sent. */
   probedAt: number;
   /** Whether a failed probe decides that the server is lost. */
@@ -151,7 +153,8 @@
   }
 
   /** The server did something right for a real request. */
-  onSuccess(server: WatchedServer): void {
+  onSuccess(server: WatchedServer, now: number): void {
+    server.succeededAt = now;
     server.failures = 0;
     if (server.down) this.#setDown(server, false);
   }
@@ -204,6 +207,7 @@
     lost: false,
     failures: 0,
     goodProbes: 0,
+    succeededAt: -Infinity,
     probedAt: -Infinity,
     confirming: false,
     reportedAt: -Infinity,
