Bad input of operators and callers, duplicate VM ids, frames that decode elsewhere

A frame of the folded log could not be decoded by another process: cbor-x keeps state about structures that it has met, which the other side does not have when known and unknown ones nest. A decoder in the same process shares that state, so tests that decode where they encode cannot see it; decoders now have a codec of their own, and only three flat kinds of message go without field names. The failure showed in a process that asks a peer for the log's state, which the test of duplicate VM ids brings about.

--- a/src/adapters/caller_server.ts
+++ b/src/adapters/caller_server.ts
@@ -37,13 +37,15 @@
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9._:-]{1,128}$/;
 /** Longest key, in characters. */
 const MAXIMUM_KEY = 1_024;
-/** Time in which a caller must send its headers, in milliseconds. */
-const HEADERS_TIMEOUT = 10_000;
-/** Time in which a caller must send its whole request. */
-const REQUEST_TIMEOUT_MS = 60_000;
-/** How often those two are looked at. */
+/** How often callers' timeouts are looked at, in milliseconds. */
 const CHECK_INTERVAL = 1_000;
 
+/** Times in which callers must send, in milliseconds. */
+export interface CallerTimeouts {
+  headersTimeout: number;
+  requestTimeout: number;
+}
+
 /** An answer that plumloft itself gives. */
 export interface FinalAnswer {
   status: number;
@@ -82,14 +84,15 @@
 
   private constructor(
     private readonly address: string,
+    timeouts: CallerTimeouts,
     private readonly idPrefix: string,
     private readonly sink: EventSink,
     private readonly keyHash: KeyHash,
     private readonly observer: AnswerObserver,
   ) {
     this.#server = createServer({
-      headersTimeout: HEADERS_TIMEOUT,
-      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: timeouts.headersTimeout,
+      requestTimeout: timeouts.requestTimeout,
       connectionsCheckingInterval: CHECK_INTERVAL,
       keepAliveTimeout: 60_000,
     }, (request, response) => this.#take(request, response));
@@ -110,12 +113,20 @@
   /** A server at `address`; ids that it makes begin with `idPrefix`. */
   static create(
     address: string,
+    timeouts: CallerTimeouts,
     idPrefix: string,
     sink: EventSink,
     keyHash: KeyHash,
     observer: AnswerObserver,
   ): CallerServer {
-    return new CallerServer(address, idPrefix, sink, keyHash, observer);
+    return new CallerServer(
+      address,
+      timeouts,
+      idPrefix,
+      sink,
+      keyHash,
+      observer,
+    );
   }
 
   /** Accepts callers. Rejects when the address is in use. */
--- a/src/adapters/entry_process.ts
+++ b/src/adapters/entry_process.ts
@@ -30,6 +30,7 @@
 export class EntryProcess {
   readonly #timers: NodeJS.Timeout[] = [];
   #isStopping = false;
+  #failure: string | null = null;
   #resolveStopped: () => void = () => {};
   /** Resolves when the process has shut down. */
   readonly stopped: Promise<void>;
@@ -84,6 +85,7 @@
       router,
       CallerServer.create(
         settings.listen,
+        settings.callers,
         prefix,
         loop,
         await loadKeyHash(),
@@ -103,10 +105,20 @@
       }),
       journal,
     );
-    await process.#run();
+    try {
+      await process.#run();
+    } catch (error) {
+      await process.#stop();
+      throw error;
+    }
     return process;
   }
 
+  /** Why the process could not go on, if it could not. */
+  get failure(): string | null {
+    return this.#failure;
+  }
+
   /** What the process sees now. */
   status(): RouterStatus {
     return this.router.status(monotonicNow());
@@ -145,6 +157,11 @@
         journal: this.journal,
         logsRequests: this.settings.logging.requests,
         stopped: () => void this.#stop(),
+        failed: (reason) => {
+          this.#failure = reason;
+          this.journal.write("error", "vm.failed", { why: reason });
+          void this.#stop();
+        },
       }),
     );
     await this.peers.listen();
--- a/src/adapters/frame.ts
+++ b/src/adapters/frame.ts
@@ -15,28 +15,46 @@
 export const PROTOCOL = 1;
 
 /**
- * The fields of the records that are sent all the time. Both sides know them, so
- * their names are not sent; all other values name their fields.
+ * The fields of the messages that are sent all the time. Both sides know them,
+ * so their names are not sent.
  */
 const STRUCTURES = [
   ["kind", "incarnation", "sequence", "adopted", "drained"],
   ["kind", "incarnation", "sequence", "floor", "adopted", "member"],
+  ["kind", "incarnation", "adopted", "drained"],
   ["term", "version"],
-  ["service", "slot", "server", "token"],
-  ["server", "token"],
-  ["vm", "incarnation", "availabilityZone", "peerAddress"],
 ];
 
-const encoder = new Encoder(
-  {
-    useRecords: true,
-    structures: STRUCTURES,
-    maxSharedStructures: STRUCTURES.length,
-  } as ConstructorParameters<typeof Encoder>[0],
-);
+/**
+ * Kinds of messages that consist of those structures alone. All others go with
+ * the names of their fields: `cbor-x` mixes up the structures of values that
+ * nest both known ones and many of their own.
+ */
+const COMPACT_KINDS = new Set([
+  "renewal.asked",
+  "renewal.answered",
+  "view.adopted",
+]);
+
+const plain = new Encoder({ useRecords: false });
+const compact = createCodec();
+
+/** A codec of its own: one keeps state about what it has encoded. */
+function createCodec(): Encoder {
+  const structures = STRUCTURES.map((fields) => [...fields]);
+  return new Encoder(
+    {
+      useRecords: true,
+      mapsAsObjects: true,
+      structures,
+      maxSharedStructures: structures.length,
+    } as ConstructorParameters<typeof Encoder>[0],
+  );
+}
 
 /** A value as one frame. */
-export function encodeFrame(value: unknown): Buffer {
+export function encodeFrame(value: { kind: string }): Buffer {
+  const encoder = COMPACT_KINDS.has(value.kind) ? compact : plain;
   const body = encoder.encode(value);
   const frame = Buffer.allocUnsafe(HEADER + body.length);
   frame.writeUInt32BE(body.length, 0);
@@ -47,6 +65,7 @@
 /** Takes frames out of a stream of bytes. */
 export class FrameDecoder {
   #pending: Buffer = Buffer.alloc(0);
+  readonly #codec = createCodec();
 
   private constructor() {}
 
@@ -70,7 +89,7 @@
       }
       if (this.#pending.length < HEADER + length) break;
       const body = this.#pending.subarray(HEADER, HEADER + length);
-      values.push(encoder.decode(body));
+      values.push(this.#codec.decode(body));
       this.#pending = this.#pending.subarray(HEADER + length);
     }
     return values;
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -45,6 +45,9 @@
    * log all the same.
    */
   abstract append(record: LogRecord): Promise<number>;
+
+  /** Gives up what is under way and closes all connections. */
+  abstract close(): void;
 }
 
 /** The log service's HTTP interface. */
@@ -86,6 +89,10 @@
     return answer.offset;
   }
 
+  override close(): void {
+    void this.#agent.destroy();
+  }
+
   async #call<T>(
     step: string,
     schema: z.ZodType<T>,
--- a/src/adapters/log_tail.ts
+++ b/src/adapters/log_tail.ts
@@ -33,9 +33,11 @@
     while (!this.#stopped) {
       try {
         const page = await this.log.read(position(), wait);
+        if (this.#stopped) return;
         wait = page.entries.length === 0;
         this.sink.push({ kind: "log.read", now: monotonicNow(), ...page });
       } catch (error) {
+        if (this.#stopped) return;
         this.sink.push({
           kind: "log.read_failed",
           now: monotonicNow(),
@@ -62,5 +64,6 @@
   /** Reads no more. */
   stop(): void {
     this.#stopped = true;
+    this.log.close();
   }
 }
--- a/src/adapters/vm_list_client.ts
+++ b/src/adapters/vm_list_client.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 import type { EventSink } from "./event_loop.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
@@ -22,6 +22,7 @@
 export class VmListClient {
   #timer: NodeJS.Timeout | null = null;
   #isReading = false;
+  readonly #agent = new Agent({ connections: 1 });
 
   private constructor(
     private readonly url: string,
@@ -42,6 +43,7 @@
   /** Reads no more. */
   stop(): void {
     if (this.#timer !== null) clearInterval(this.#timer);
+    void this.#agent.destroy();
   }
 
   async #read(): Promise<void> {
@@ -51,6 +53,7 @@
       const { body } = await request(this.url, {
         headersTimeout: ANSWER_TIMEOUT,
         bodyTimeout: ANSWER_TIMEOUT,
+        dispatcher: this.#agent,
       });
       const { vms } = listSchema.parse(await body.json());
       this.sink.push({ kind: "vms.listed", now: monotonicNow(), vms });
--- a/src/adapters/vm_runner.ts
+++ b/src/adapters/vm_runner.ts
@@ -22,6 +22,8 @@
   logsRequests: boolean;
   /** Called when nothing is in flight after a shutdown was requested. */
   stopped(): void;
+  /** Called when the process cannot go on. */
+  failed(reason: string): void;
 }
 
 /** See the module's comment. */
@@ -61,6 +63,8 @@
         return journal.write(effect.level, effect.decision, effect.detail);
       case "process.stop":
         return this.adapters.stopped();
+      case "process.fail":
+        return this.adapters.failed(effect.reason);
     }
   }
 
--- a/src/cli/stand_in_command.ts
+++ b/src/cli/stand_in_command.ts
@@ -53,8 +53,11 @@
     async ({ settings }) => {
       const standIn = await start(readYamlFile(settings, schema).value);
       process.stdout.write(`${name} listens at ${standIn.address}\n`);
-      process.once("SIGTERM", () => standIn.close());
-      process.once("SIGINT", () => standIn.close());
+      await new Promise<void>((resolve) => {
+        process.once("SIGTERM", resolve);
+        process.once("SIGINT", resolve);
+      });
+      standIn.close();
     },
   );
 }
--- a/src/core/effect.ts
+++ b/src/core/effect.ts
@@ -123,6 +123,12 @@
   kind: "process.stop";
 }
 
+/** The process cannot go on; an operator has to mend its settings. */
+export interface Failure {
+  kind: "process.fail";
+  reason: string;
+}
+
 /** Every effect. */
 export type Effect =
   | LogAppend
@@ -135,4 +141,5 @@
   | GrantPush
   | ConfigurationApplied
   | Note
-  | Stop;
+  | Stop
+  | Failure;
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -116,6 +116,8 @@
   #incarnation = 0;
   #starts = 0;
   #startedAt = -Infinity;
+  /** Since when another process of the same VM is asked for. */
+  #contestedSince: number | null = null;
   #renewedAt = -Infinity;
   #seededAt = -Infinity;
   #fetchedAt = -Infinity;
@@ -129,7 +131,8 @@
   #checkpointNext = 1;
   #checkpointAt = 0;
   #prunedAt = 0;
-  #logReachable = false;
+  /** Whether the last read of the log succeeded; null before the first. */
+  #logReachable: boolean | null = null;
   #stopping = false;
   #vmCount = 0;
   #out: Effect[] = [];
@@ -181,7 +184,7 @@
       member: this.#isMember(),
       leaseRemaining: Math.max(0, this.#lease.until - now),
       view: this.#replica.view,
-      logReachable: this.#logReachable,
+      logReachable: this.#logReachable === true,
       inFlight: this.#dispatcher.size,
       servers: [...this.#servers.all()],
     };
@@ -257,7 +260,7 @@
   // The log.
 
   #readLog(event: LogRead): void {
-    if (!this.#logReachable) this.#note("info", "log.reachable", {});
+    if (this.#logReachable !== true) this.#note("info", "log.reachable", {});
     this.#logReachable = true;
     const outcomes = this.#reader.read(event.entries, event.first, event.next);
     for (const { offset, kind, verdict } of outcomes) {
@@ -274,7 +277,7 @@
   }
 
   #logFailed(detail: string): void {
-    if (this.#logReachable) {
+    if (this.#logReachable !== false) {
       this.#note("warn", "log.unreachable", { why: detail });
     }
     this.#logReachable = false;
@@ -314,27 +317,33 @@
   }
 
   #followStart(): void {
-    const start = this.#siteLedger().starts.find((each) =>
-      each.nonce === this.#nonce()
-    );
-    if (start !== undefined) {
+    const { starts } = this.#siteLedger();
+    const start = starts.find((each) => each.vm === this.options.vm);
+    if (start?.nonce === this.#nonce()) {
       if (this.#incarnation !== start.incarnation) this.#lease.release();
       this.#incarnation = start.incarnation;
       return;
     }
     if (this.#incarnation === 0) return;
+    this.#incarnation = 0;
+    this.#lease.release();
+    if (start !== undefined) {
+      this.#fail(`another process at ${start.peerAddress} runs as this VM`);
+      return;
+    }
     // The membership was changed without this process, which was not heard: it
     // takes part again as a new member.
-    this.#incarnation = 0;
     this.#starts += 1;
     this.#startedAt = -Infinity;
     this.#note("warn", "vm.excluded", { vm: this.options.vm });
   }
 
+  /** Announces this start of the process in the log. */
   #register(): void {
-    const isKnown = this.#incarnation !== 0 || !this.#reader.complete;
-    if (isKnown || this.#now < this.#startedAt + START_RETRY) return;
+    if (this.#incarnation !== 0 || !this.#reader.complete) return;
     if (this.#stopping) return;
+    if (this.#now < this.#startedAt + START_RETRY) return;
+    if (this.#mayBeDuplicate()) return;
     this.#startedAt = this.#now;
     this.#out.push({
       kind: "log.append",
@@ -349,6 +358,31 @@
     });
   }
 
+  /**
+   * Whether the log names a process of the same VM at another address that may
+   * still run. It is asked, and taken for gone when it does not answer in time.
+   */
+  #mayBeDuplicate(): boolean {
+    const { vm, peerAddress, timing } = this.options;
+    const start = this.#siteLedger().starts.find((each) => each.vm === vm);
+    if (start === undefined || start.peerAddress === peerAddress) return false;
+    this.#contestedSince ??= this.#now;
+    if (this.#now >= this.#contestedSince + timing.memberTimeout) return false;
+    if (this.#now < this.#seededAt + SEED_INTERVAL) return true;
+    this.#seededAt = this.#now;
+    this.#send(vm, start.peerAddress, { kind: "ledger.fetched" });
+    return true;
+  }
+
+  /** Another process that runs as this VM has answered. */
+  #fail(reason: string): void {
+    this.#stopping = true;
+    this.#out.push({
+      kind: "process.fail",
+      reason: `expected a VM id of its own for '${this.options.vm}': ${reason}`,
+    });
+  }
+
   #writeCheckpoint(): void {
     const { ledger } = this.#reader;
     if (!this.#holder.isSteady) return;
@@ -481,6 +515,10 @@
   // Peers.
 
   #receive({ from, address, message }: PeerMessage): void {
+    const { vm, peerAddress } = this.options;
+    if (from === vm && address !== peerAddress && this.#incarnation === 0) {
+      return this.#fail(`another process at ${address} runs as this VM`);
+    }
     switch (message.kind) {
       case "renewal.asked":
         return this.#renewalAsked(from, address, message);
--- a/src/settings/vm_settings.ts
+++ b/src/settings/vm_settings.ts
@@ -35,6 +35,13 @@
   /** Peers to ask for the log's state when the log is out at the start. */
   seeds: z.array(addressSchema).default([]),
   timing: ownershipTimingSchema.prefault({}),
+  /** Bounds on what callers may take. */
+  callers: z.strictObject({
+    /** Time in which a caller must send its headers. */
+    headersTimeout: z.number().int().positive().default(10_000),
+    /** Time in which a caller must send its whole request. */
+    requestTimeout: z.number().int().positive().default(60_000),
+  }).prefault({}),
   logging: z.strictObject({
     level: z.enum(["error", "warn", "info"]).default("info"),
     /** Whether each routing decision gets a line. */
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -258,6 +258,7 @@
         return;
       case "note":
       case "process.stop":
+      case "process.fail":
     }
   }
 
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -71,6 +71,7 @@
 export class Deployment {
   readonly entries: RunningEntry[] = [];
   readonly servers: RunningServer[] = [];
+  readonly #commands = new Set<ChildProcess>();
   log!: Running;
   vms!: Running;
 
@@ -95,12 +96,10 @@
 
   /** Ends every process that was started. */
   async stop(): Promise<void> {
-    const all = [this.log, this.vms, ...this.servers, ...this.entries];
-    await Promise.all(
-      all.filter((each) => each !== undefined).map((each) =>
-        endProcess(each.child)
-      ),
-    );
+    const all = [this.log, this.vms, ...this.servers, ...this.entries]
+      .filter((each) => each !== undefined)
+      .map((each) => each.child);
+    await Promise.all([...all, ...this.#commands].map(endProcess));
   }
 
   /** Runs a command of the program to its end. */
@@ -112,12 +111,19 @@
     let errors = "";
     child.stdout.on("data", (chunk) => output += chunk);
     child.stderr.on("data", (chunk) => errors += chunk);
+    this.#commands.add(child);
     const code = await new Promise<number | null>((resolve) =>
       child.once("close", resolve)
     );
+    this.#commands.delete(child);
     return { code, output, errors };
   }
 
+  /** Addresses that nothing uses yet. */
+  freeAddresses(count: number): string[] {
+    return Array.from({ length: count }, loopbackAddress);
+  }
+
   /** Folder of the configuration that was published. */
   get configurationFolder(): string {
     return join(this.folder, "configuration");
