--- a/src/adapters/backend_client.ts
+++ b/src/adapters/backend_client.ts
@@ -159,6 +159,14 @@
     flight.controller?.abort(new Error(cause));
   }
 
+  /** Drops an attempt's answer; its connection stays in use. */
+  discard(attempt: number): void {
+    const flight = this.#flights.get(attempt);
+    if (flight === undefined) return;
+    flight.decision = "abort";
+    this.#flights.delete(attempt);
+  }
+
   /** Asks a server for its health. */
   probe(effect: Probe): void {
     const sentAt = monotonicNow();
--- a/src/adapters/vm_runner.ts
+++ b/src/adapters/vm_runner.ts
@@ -48,6 +48,8 @@
         return this.#refuse(effect);
       case "attempt.abort":
         return backends.abort(effect.attempt, effect.cause);
+      case "attempt.discard":
+        return backends.discard(effect.attempt);
       case "peer.send":
         return peers.send(effect.address, effect.message);
       case "log.append":
--- a/src/core/effect.ts
+++ b/src/core/effect.ts
@@ -81,6 +81,12 @@
   cause: string;
 }
 
+/** Read an answer to its end and drop it; its connection stays in use. */
+export interface AttemptDiscard {
+  kind: "attempt.discard";
+  attempt: number;
+}
+
 /** Ask a backend server for its health. */
 export interface Probe {
   kind: "server.probe";
@@ -137,6 +143,7 @@
   | Refusal
   | Delivery
   | AttemptAbort
+  | AttemptDiscard
   | Probe
   | GrantPush
   | ConfigurationApplied
--- a/src/core/requests/dispatcher.ts
+++ b/src/core/requests/dispatcher.ts
@@ -138,11 +138,7 @@
       this.#deliver(context, exchange, attempt, out);
       return;
     }
-    out.push({
-      kind: "attempt.abort",
-      attempt: attempt.id,
-      cause: event.verdict,
-    });
+    out.push({ kind: "attempt.discard", attempt: attempt.id });
     this.#release(exchange, attempt);
     if (event.verdict === "shed") attempt.server.limit.onShed(context.now);
     else context.suspect(attempt.server, "fenced");
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -242,6 +242,7 @@
           attempt: effect.attempt,
         });
       case "attempt.abort":
+      case "attempt.discard":
         vm.attempts.delete(effect.attempt);
         return;
       case "server.probe":
