Moves for balance are taken back when they take long; none begins while a member is silent

A move that is not done in 300 ms gives the slots back under their old tokens, which nobody else was granted in between.

--- a/bench/core_site.ts
+++ b/bench/core_site.ts
@@ -85,6 +85,9 @@
       seeds: [],
       nonce: "vm-0",
       seed: 1,
+      clockOrigin: 0,
+      startedAt: 0,
+      hash: () => 0,
       timing: { ...DEFAULT_TIMING, memberTimeout: 1e9 },
       checkpointInterval: 1e9,
       balancer: PowerOfTwoChoices.create(),
@@ -94,6 +97,7 @@
       incarnation: 0,
       availabilityZone: `zone-${index % 5}`,
       peerAddress: `vm-${index}`,
+      startedAt: 0,
     }));
   }
 
@@ -172,6 +176,7 @@
         vm: member.vm,
         availabilityZone: member.availabilityZone,
         peerAddress: member.peerAddress,
+        startedAt: member.startedAt,
         nonce: member.vm === "vm-0" ? "vm-0.0" : member.vm,
       });
     }
--- a/src/adapters/entry_process.ts
+++ b/src/adapters/entry_process.ts
@@ -60,6 +60,7 @@
     const loop = EventLoop.create();
     const metrics = VmMetrics.create();
     const nonce = randomUUID();
+    const hash = await loadKeyHash();
     const prefix = `${vm}-${nonce.slice(0, NONCE_LENGTH)}`;
     const router = Router.create({
       cluster,
@@ -70,6 +71,9 @@
       seeds: settings.seeds,
       nonce,
       seed: randomInt(2 ** 31),
+      clockOrigin: performance.timeOrigin,
+      startedAt: Date.now(),
+      hash,
       timing: settings.timing,
       checkpointInterval: settings.log.checkpointInterval,
       balancer: PowerOfTwoChoices.create(),
@@ -88,7 +92,7 @@
         settings.callers,
         prefix,
         loop,
-        await loadKeyHash(),
+        hash,
         metrics,
       ),
       BackendClient.create(prefix, loop),
--- a/src/core/ledger/fold.ts
+++ b/src/core/ledger/fold.ts
@@ -131,6 +131,7 @@
     incarnation: offset,
     availabilityZone: record.availabilityZone,
     peerAddress: record.peerAddress,
+    startedAt: record.startedAt,
     nonce: record.nonce,
   };
   const others = state.starts.filter((each) => each.vm !== record.vm);
--- a/src/core/ledger/reader_test.ts
+++ b/src/core/ledger/reader_test.ts
@@ -29,6 +29,7 @@
     vm,
     availabilityZone: "z",
     peerAddress: "p",
+    startedAt: 0,
     nonce,
   };
 }
--- a/src/core/ledger/record.ts
+++ b/src/core/ledger/record.ts
@@ -33,6 +33,8 @@
   vm: name,
   availabilityZone: name,
   peerAddress: z.string(),
+  /** Milliseconds since the epoch by the VM's clock. */
+  startedAt: z.number().default(0),
   /** Tells this run of the process from every other. */
   nonce: z.string().min(1).max(64),
 });
--- a/src/core/membership/member.ts
+++ b/src/core/membership/member.ts
@@ -14,6 +14,8 @@
   availabilityZone: z.string(),
   /** Address at which the process accepts its peers, as `host:port`. */
   peerAddress: z.string(),
+  /** When the process started, in milliseconds since the epoch. */
+  startedAt: z.number().default(0),
 });
 
 /** One run of one entry process. */
--- a/src/core/message.ts
+++ b/src/core/message.ts
@@ -90,6 +90,29 @@
   ledger: ledgerSchema,
 });
 
+/** Asks a home of a request id whether the id is new. */
+export const claimAskedSchema = z.object({
+  kind: z.literal("claim.asked"),
+  exchange: sequence,
+  id: z.string().max(256),
+  /** Tells this claim from others of the same id. */
+  owner: z.string().max(256),
+});
+
+/** A home's answer to {@linkcode claimAskedSchema}. */
+export const claimAnsweredSchema = z.object({
+  kind: z.literal("claim.answered"),
+  exchange: sequence,
+  isNew: z.boolean(),
+});
+
+/** The request did not run: its id may be used again. */
+export const claimReleasedSchema = z.object({
+  kind: z.literal("claim.released"),
+  id: z.string().max(256),
+  owner: z.string().max(256),
+});
+
 /** Every message between peers. */
 export const messageSchema = z.discriminatedUnion("kind", [
   renewalAskedSchema,
@@ -103,6 +126,9 @@
   serverSuspectedSchema,
   ledgerFetchedSchema,
   ledgerSentSchema,
+  claimAskedSchema,
+  claimAnsweredSchema,
+  claimReleasedSchema,
 ]);
 
 /** See {@linkcode messageSchema}. */
--- a/src/core/ownership/membership_keeper.ts
+++ b/src/core/ownership/membership_keeper.ts
@@ -81,8 +81,8 @@
   return isNamed && input.heldSince >= since;
 }
 
-function toMember({ vm, incarnation, availabilityZone, peerAddress }: Start) {
-  return { vm, incarnation, availabilityZone, peerAddress };
+function toMember({ nonce: _, ...member }: Start): Member {
+  return member;
 }
 
 function sameMembers(a: readonly Member[], b: readonly Member[]): boolean {
--- a/src/core/ownership/term_claim.ts
+++ b/src/core/ownership/term_claim.ts
@@ -74,6 +74,7 @@
       incarnation: term.incarnation,
       availabilityZone: "",
       peerAddress: "",
+      startedAt: 0,
     };
     if (term.offset === 0 || isReplaced(ledger, holder)) return this.#since;
     const heard = liveness.lastHeard(term.vm, term.incarnation);
--- a/src/core/ownership/term_holder.ts
+++ b/src/core/ownership/term_holder.ts
@@ -33,6 +33,8 @@
 const REBALANCE_INTERVAL = 1_000;
 /** Part of a service's slots that one round may move. */
 const REBALANCE_SHARE = 1 / 16;
+/** Time after which a move is taken back; nothing forces it. */
+const MOVE_PATIENCE = 300;
 /** Time between two sendings of a whole view to the same member. */
 const RESEND_INTERVAL = 100;
 /** Time after which an unanswered append of a membership is written again. */
@@ -358,6 +360,8 @@
         settle: settleTime(context, service, reason),
         waitingFor: open.tracker.leaseHolders(context),
         blockedAt: reason === "opened" ? context.now : null,
+        since: context.now,
+        undo: reason === "moved" ? currentGrants(context, names) : null,
       }));
     }
   }
@@ -366,6 +370,7 @@
     if (context.now < open.rebalancedAt + REBALANCE_INTERVAL) return;
     open.rebalancedAt = context.now;
     if (open.vacancies.length > 0 || !open.grants.isIdle) return;
+    if (!hearsAll(context)) return;
     const changes: SlotChange[] = [];
     for (const service of context.configuration.services.values()) {
       const slots = context.replica.view.services[service.name];
@@ -383,12 +388,16 @@
   /** Frees vacancies that have waited enough, and grants what is free. */
   #advance(context: HolderContext, open: OpenTerm, out: Effect[]): void {
     open.tracker.releaseDeparted(context);
-    if (open.vacancies.length > 0) this.#freeVacancies(context, open);
+    const undone = open.vacancies.length > 0
+      ? this.#freeVacancies(context, open)
+      : [];
     open.grants.grant(context, out);
-    this.#issue(context, open, open.grants.takeAccepted(), null, out);
+    const accepted = open.grants.takeAccepted();
+    this.#issue(context, open, [...undone, ...accepted], null, out);
   }
 
-  #freeVacancies(context: HolderContext, open: OpenTerm): void {
+  /** Returns the changes that give slots back to their owners. */
+  #freeVacancies(context: HolderContext, open: OpenTerm): SlotChange[] {
     const { tracker } = open;
     const holders = tracker.leaseHolders(context);
     // Until the leases of the term before have run out, processes may hold some
@@ -396,6 +405,7 @@
     const isFirst = context.ledger.previousWitnesses.length === 0;
     const bound = leaseBound(context.timing);
     const knowsAll = isFirst || context.now >= open.openedAt + bound;
+    const undone: SlotChange[] = [];
     open.vacancies = open.vacancies.filter((vacancy) => {
       const { position } = vacancy;
       const isFree = vacancy.isFree({
@@ -405,9 +415,15 @@
         isBlocked: () => tracker.isBlockedAt(context, position),
         leaseBound: bound,
       });
-      if (isFree) open.grants.add(vacancy.slots);
-      return !isFree;
+      if (isFree) {
+        open.grants.add(vacancy.slots);
+        return false;
+      }
+      if (!canUndo(context, vacancy)) return true;
+      undone.push(...vacancy.undo!);
+      return false;
     });
+    return undone;
   }
 
   // Views.
@@ -477,6 +493,39 @@
   return [...members, ...left].filter((member) => member.vm !== self.vm);
 }
 
+/** What some slots are in the view in use. */
+function currentGrants(
+  { replica }: HolderContext,
+  slots: readonly SlotName[],
+): SlotChange[] {
+  return slots.map(({ service, slot }) => ({
+    service,
+    slot,
+    ...replica.view.services[service][slot],
+  }));
+}
+
+/** Whether a move that takes too long can be taken back. */
+function canUndo({ now, servers }: HolderContext, vacancy: Vacancy): boolean {
+  const { undo, since } = vacancy;
+  if (undo === null || now < since + MOVE_PATIENCE) return false;
+  return undo.every(({ server }) =>
+    server !== null && servers.find(server) !== undefined &&
+    !servers.isLost(server)
+  );
+}
+
+/**
+ * Whether every member was heard lately. A slot that moves while one is silent
+ * has no owner until that member's lease has surely run out.
+ */
+function hearsAll({ now, self, timing, replica, liveness }: HolderContext) {
+  const since = now - 2 * timing.renewal;
+  return replica.view.membership.members.every(({ vm, incarnation }) =>
+    vm === self.vm || liveness.lastHeard(vm, incarnation) >= since
+  );
+}
+
 function newSlots({ name, keySlots }: SiteService): SlotName[] {
   return Array.from({ length: keySlots }, (_, slot) => ({
     service: name,
--- a/src/core/ownership/vacancy.ts
+++ b/src/core/ownership/vacancy.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Position } from "../position.ts";
+import type { SlotChange } from "./view.ts";
 
 /** Why slots were taken from their owner. */
 export type VacancyReason = "lost" | "leaving" | "removed" | "moved" | "opened";
@@ -28,6 +29,13 @@
   waitingFor: Set<string>;
   /** Since when older leases are known not to be renewed, if they are. */
   blockedAt: number | null;
+  /** Since when the slots wait. */
+  since: number;
+  /**
+   * What the slots were, when their owners can have them back: nobody else was
+   * granted them in between, so that the old grants hold as before.
+   */
+  undo: SlotChange[] | null;
 }
 
 /** Facts on which a vacancy's end depends. */
@@ -59,6 +67,16 @@
     return this.parts.position;
   }
 
+  /** Since when the slots wait. */
+  get since(): number {
+    return this.parts.since;
+  }
+
+  /** What gives the slots back, if they can be. */
+  get undo(): SlotChange[] | null {
+    return this.parts.undo;
+  }
+
   /** The slots that wait. */
   get slots(): readonly SlotName[] {
     return this.parts.slots;
--- a/src/core/requests/dispatcher.ts
+++ b/src/core/requests/dispatcher.ts
@@ -23,9 +23,13 @@
   type ServerWatch,
   type WatchedServer,
 } from "../routing/index.ts";
+import {
+  type ClaimContext,
+  type ClaimEnd,
+  ClaimRegistry,
+} from "./claim_registry.ts";
 import { DrainTracker, type KeyedAttempt } from "./drain_tracker.ts";
 import type { Attempt, Exchange } from "./exchange.ts";
-import { RecentIds } from "./recent_ids.ts";
 
 /** What the dispatcher reads of its process at one moment. */
 export interface DispatchContext {
@@ -37,6 +41,7 @@
   /** Until when keyed servers may be sent to. */
   leaseUntil: number;
   timing: OwnershipTiming;
+  claims(): ClaimContext;
   /** A number in [0, 1). */
   draw(): number;
   /** Called when a server's conduct speaks against it. */
@@ -75,7 +80,7 @@
   readonly #meanTimes = new Map<string, number>();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #drains = DrainTracker.create();
-  readonly #recent = RecentIds.create();
+  readonly #claims = ClaimRegistry.create();
   #drained: Position = ORIGIN;
   #attempts = 0;
 
@@ -100,15 +105,63 @@
       this.#refuse(context, exchange, 404, "unknown service", null, out);
       return;
     }
-    if (
-      !event.idempotent && event.callerChoseId &&
-      !this.#recent.add(`${event.service}/${event.requestId}`, event.now)
-    ) {
+    if (event.idempotent || !event.callerChoseId) {
+      this.#admit(context, service, exchange, out);
+      return;
+    }
+    exchange.state = "claiming";
+    const id = `${event.service}/${event.requestId}`;
+    const end = this.#claims.claim(context.claims(), exchange.id, id);
+    if (end !== null) this.#endClaim(context, end, out);
+  }
+
+  /** A VM asks whether a request id is new here. */
+  claimAsked(id: string, owner: string, now: number): boolean {
+    return this.#claims.asked(id, owner, now);
+  }
+
+  /** A VM has answered a claim. */
+  claimAnswered(
+    context: DispatchContext,
+    exchange: number,
+    vm: string,
+    isNew: boolean,
+    out: Effect[],
+  ): void {
+    const end = this.#claims.answered(exchange, vm, isNew);
+    if (end !== null) this.#endClaim(context, end, out);
+  }
+
+  /** A VM gives a claim back. */
+  claimReleased(id: string, owner: string): void {
+    this.#claims.released(id, owner);
+  }
+
+  #endClaim(context: DispatchContext, end: ClaimEnd, out: Effect[]): void {
+    const exchange = this.#exchanges.get(end.exchange);
+    if (exchange === undefined || exchange.state !== "claiming") return;
+    const service = context.configuration.services.get(exchange.service);
+    if (end.result === "known") {
       exchange.mayHaveRun = true;
       this.#refuse(context, exchange, 409, "request id was used", null, out);
       return;
     }
-    this.#budget(event.service).deposit();
+    if (end.result === "unclear" || service === undefined) {
+      const reason = "request id cannot be claimed";
+      this.#refuse(context, exchange, 503, reason, RETRY_AFTER, out);
+      return;
+    }
+    this.#admit(context, service, exchange, out);
+  }
+
+  #admit(
+    context: DispatchContext,
+    service: SiteService,
+    exchange: Exchange,
+    out: Effect[],
+  ): void {
+    exchange.state = "queued";
+    this.#budget(service.name).deposit();
     this.#route(context, service, exchange, out);
   }
 
@@ -210,6 +263,9 @@
 
   /** Ends what has passed its deadline and sends what can be sent. */
   tick(context: DispatchContext, out: Effect[]): void {
+    for (const end of this.#claims.expire(context.now)) {
+      this.#endClaim(context, end, out);
+    }
     for (const exchange of [...this.#exchanges.values()]) {
       if (exchange.state === "delivering") continue;
       this.#suspectSlow(context, exchange);
@@ -507,6 +563,9 @@
       server: exchange.tried.at(-1) ?? null,
       reason,
     });
+    if (!exchange.mayHaveRun) {
+      this.#claims.release(context.claims(), exchange.id);
+    }
     this.#forget(exchange);
   }
 
@@ -546,6 +605,7 @@
 
   #forget(exchange: Exchange): void {
     this.#exchanges.delete(exchange.id);
+    this.#claims.forget(exchange.id);
     const queue = this.#queues.get(exchange.service);
     const index = queue?.indexOf(exchange) ?? -1;
     if (index >= 0) queue!.splice(index, 1);
--- a/src/core/requests/dispatcher_test.ts
+++ b/src/core/requests/dispatcher_test.ts
@@ -53,6 +53,14 @@
     view: viewAt(1, "keyed-1", 5),
     leaseUntil: 600,
     timing: DEFAULT_TIMING,
+    claims: () => ({
+      now: 0,
+      wallTime: 0,
+      self: member("a"),
+      members: [],
+      hash: () => 0,
+      send: () => {},
+    }),
     draw: () => 0,
     suspect: () => {},
   };
@@ -68,6 +76,16 @@
   };
 }
 
+function member(vm: string) {
+  return {
+    vm,
+    incarnation: 1,
+    availabilityZone: "z",
+    peerAddress: vm,
+    startedAt: 0,
+  };
+}
+
 const arrival: RequestArrival = {
   kind: "request.arrived",
   now: 0,
--- a/src/core/requests/exchange.ts
+++ b/src/core/requests/exchange.ts
@@ -6,10 +6,10 @@
 import type { WatchedServer } from "../routing/index.ts";
 
 /**
- * Where a request stands. `queued`: no server has it now. `dispatched`: a server
+ * Where a request stands. `claiming`: its id is being claimed. `queued`: no server has it now. `dispatched`: a server
  * may be running it. `delivering`: its answer is being passed on.
  */
-export type ExchangeState = "queued" | "dispatched" | "delivering";
+export type ExchangeState = "claiming" | "queued" | "dispatched" | "delivering";
 
 /** One request of a caller. Times are monotonic milliseconds. */
 export interface Exchange {
--- a/src/core/requests/index.ts
+++ b/src/core/requests/index.ts
@@ -1,4 +1,4 @@
+export * from "./claim_registry.ts";
 export * from "./dispatcher.ts";
 export * from "./drain_tracker.ts";
 export * from "./exchange.ts";
-export * from "./recent_ids.ts";
--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -40,7 +40,11 @@
 } from "./ownership/index.ts";
 import { comparePositions, ORIGIN, type Position } from "./position.ts";
 import { uniformFloat64 } from "./random.ts";
-import { type DispatchContext, Dispatcher } from "./requests/index.ts";
+import {
+  type ClaimContext,
+  type DispatchContext,
+  Dispatcher,
+} from "./requests/index.ts";
 import {
   type Balancer,
   probe,
@@ -62,6 +66,12 @@
   nonce: string;
   /** Seed of all random choices. */
   seed: number;
+  /** Milliseconds since the epoch at which the monotonic clock read zero. */
+  clockOrigin: number;
+  /** Milliseconds since the epoch at which the process started. */
+  startedAt: number;
+  /** Hashes text to an unsigned number of 32 bits. */
+  hash(text: string): number;
   timing: OwnershipTiming;
   /**
    * Time between two checkpoints, in milliseconds: a small part of the time for
@@ -353,6 +363,7 @@
         vm: this.options.vm,
         availabilityZone: this.options.availabilityZone,
         peerAddress: this.options.peerAddress,
+        startedAt: this.options.startedAt,
         nonce: this.#nonce(),
       },
     });
@@ -560,6 +571,26 @@
         return;
       case "server.suspected":
         return this.#confirmSuspicion(message.server, message.cause);
+      case "claim.asked":
+        return this.#send(from, address, {
+          kind: "claim.answered",
+          exchange: message.exchange,
+          isNew: this.#dispatcher.claimAsked(
+            message.id,
+            message.owner,
+            this.#now,
+          ),
+        });
+      case "claim.answered":
+        return this.#dispatcher.claimAnswered(
+          this.#dispatching(),
+          message.exchange,
+          from,
+          message.isNew,
+          this.#out,
+        );
+      case "claim.released":
+        return this.#dispatcher.claimReleased(message.id, message.owner);
       case "ledger.fetched":
         if (!this.#reader.complete) return;
         return this.#send(from, address, {
@@ -716,17 +747,31 @@
       view: this.#replica.view,
       leaseUntil: this.#lease.until,
       timing: this.options.timing,
+      claims: () => this.#claiming(),
       draw: this.#random,
       suspect: (server, cause) => this.#suspect(server, cause),
     };
   }
 
+  #claiming(): ClaimContext {
+    const { clockOrigin, hash } = this.options;
+    return {
+      now: this.#now,
+      wallTime: clockOrigin + this.#now,
+      self: this.#self(),
+      members: this.#replica.view.membership.members,
+      hash,
+      send: (to, message) => this.#send(to.vm, to.peerAddress, message),
+    };
+  }
+
   #self(): Member {
     return {
       vm: this.options.vm,
       incarnation: this.#incarnation,
       availabilityZone: this.options.availabilityZone,
       peerAddress: this.options.peerAddress,
+      startedAt: this.options.startedAt,
     };
   }
 
--- a/test/model/world.ts
+++ b/test/model/world.ts
@@ -131,6 +131,9 @@
         seeds: this.#vms.map((each) => each.name),
         nonce: `${name}-${run}`,
         seed: Math.floor(this.#draw() * 2 ** 31),
+        clockOrigin: 0,
+        startedAt: 0,
+        hash: (text) => textHash(text),
         timing: this.#timing,
         checkpointInterval: 60_000,
         balancer: PowerOfTwoChoices.create(),
@@ -503,6 +506,15 @@
   }
 }
 
+/** A hash of its own (FNV-1a): the model needs none that can be loaded. */
+function textHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193) >>> 0;
+  }
+  return hash;
+}
+
 function modelConfiguration(servers: ModelServer[]): Configuration {
   const listed = (service: string) =>
     servers.filter((server) => server.service === service).map((server) => ({
