--- a/src/cli/stand_in_command.ts
+++ b/src/cli/stand_in_command.ts
@@ -11,25 +11,35 @@
   backendServiceSchema,
   LogService,
   logServiceSchema,
+  type StandIn,
   VmListService,
   vmListServiceSchema,
 } from "../stand_ins/index.ts";
 
-/** What a stand-in is to this command. */
-interface StandIn {
-  readonly address: string;
-  close(): void;
-}
-
 /** Adds the commands to `yargs`. */
 export function addStandInCommand(yargs: Argv): Argv {
   return yargs.command(
     "stand-in",
     "run a stand-in of the platform or of a backend server",
     (argv) => {
-      addOne(argv, "log", logServiceSchema, LogService.start);
-      addOne(argv, "vms", vmListServiceSchema, VmListService.start);
-      addOne(argv, "backend", backendServiceSchema, BackendService.start);
+      addOne(
+        argv,
+        "log",
+        logServiceSchema,
+        (settings) => LogService.start(settings),
+      );
+      addOne(
+        argv,
+        "vms",
+        vmListServiceSchema,
+        (settings) => VmListService.start(settings),
+      );
+      addOne(
+        argv,
+        "backend",
+        backendServiceSchema,
+        (settings) => BackendService.start(settings),
+      );
       return argv.demandCommand(1, "name one of: log, vms, backend").strict();
     },
   );
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -8,4 +8,5 @@
 export * from "./position.ts";
 export * from "./requests/index.ts";
 export * from "./router.ts";
+export * from "./router_options.ts";
 export * from "./routing/index.ts";
--- a/src/core/requests/dispatcher.ts
+++ b/src/core/requests/dispatcher.ts
@@ -8,63 +8,23 @@
  *
  * @module
  */
-import type { SiteConfiguration, SiteService } from "../configuration/index.ts";
+import type { SiteService } from "../configuration/index.ts";
 import type { Effect, RequestOutcome } from "../effect.ts";
 import type {
   AttemptAnswer,
   AttemptFailure,
   RequestArrival,
 } from "../event.ts";
-import type { OwnershipTiming, View } from "../ownership/index.ts";
 import { comparePositions, ORIGIN, type Position } from "../position.ts";
-import {
-  type Balancer,
-  RetryBudget,
-  type ServerWatch,
-  type WatchedServer,
-} from "../routing/index.ts";
-import {
-  type ClaimContext,
-  type ClaimEnd,
-  ClaimRegistry,
-} from "./claim_registry.ts";
+import { type Balancer, RetryBudget } from "../routing/index.ts";
+import { type ClaimEnd, ClaimRegistry } from "./claim_registry.ts";
+import { type Choice, chooseServer, RETRY_AFTER } from "./choice.ts";
+import type { DispatchContext } from "./dispatch_context.ts";
 import { DrainTracker, type KeyedAttempt } from "./drain_tracker.ts";
 import type { Attempt, Exchange } from "./exchange.ts";
 
-/** What the dispatcher reads of its process at one moment. */
-export interface DispatchContext {
-  now: number;
-  availabilityZone: string;
-  configuration: SiteConfiguration;
-  servers: ServerWatch;
-  view: View;
-  /** Until when keyed servers may be sent to. */
-  leaseUntil: number;
-  timing: OwnershipTiming;
-  claims(): ClaimContext;
-  /** A number in [0, 1). */
-  draw(): number;
-  /** Called when a server's conduct speaks against it. */
-  suspect(server: WatchedServer, cause: string): void;
-}
-
-/** Where to send a request, or why not now. */
-type Choice =
-  | {
-    kind: "send";
-    server: WatchedServer;
-    token: number | null;
-    reason: string;
-  }
-  | { kind: "wait"; reason: string; patience: number }
-  | { kind: "refuse"; reason: string; retryAfter: number };
-
 /** Requests of one service that wait at one VM. */
 const MAXIMUM_QUEUE = 512;
-/** How long a request waits for a lapsed view lease, in milliseconds. */
-const LEASE_PATIENCE = 300;
-/** When a refused caller may come back, in milliseconds. */
-const RETRY_AFTER = 1_000;
 /** Pause before a keyed request that was shed is sent again. */
 const SHED_PAUSE = 10;
 /** An answer that takes longer than this is reason to probe its server. */
@@ -326,7 +286,12 @@
     exchange: Exchange,
     out: Effect[],
   ): void {
-    const choice = this.#choose(context, service, exchange);
+    const choice = chooseServer(
+      context,
+      service,
+      exchange,
+      this.balancer,
+    );
     switch (choice.kind) {
       case "send":
         this.#dispatch(context, exchange, choice, out);
@@ -380,66 +345,6 @@
     return width === 0 ? 0 : mean * (length + 1) / width;
   }
 
-  #choose(
-    context: DispatchContext,
-    service: SiteService,
-    exchange: Exchange,
-  ): Choice {
-    if (context.now < exchange.notBefore) {
-      return { kind: "wait", reason: "pause before retry", patience: Infinity };
-    }
-    return exchange.slot === null
-      ? this.#chooseBalanced(context, service, exchange)
-      : this.#chooseOwner(context, service, exchange.slot);
-  }
-
-  #chooseOwner(
-    context: DispatchContext,
-    service: SiteService,
-    index: number,
-  ): Choice {
-    if (context.now >= context.leaseUntil) {
-      return wait("no view lease", LEASE_PATIENCE);
-    }
-    const slot = context.view.services[service.name]?.[index];
-    if (slot === undefined || slot.server === null) {
-      return wait("slot has no owner", Infinity);
-    }
-    const server = context.servers.find(slot.server);
-    if (server === undefined || server.down) {
-      return wait("owner is down", Infinity);
-    }
-    if (server.inFlight >= server.limit.current) {
-      return wait("owner is busy", Infinity);
-    }
-    return {
-      kind: "send",
-      server,
-      token: slot.token,
-      reason: "owner of the key",
-    };
-  }
-
-  #chooseBalanced(
-    context: DispatchContext,
-    service: SiteService,
-    exchange: Exchange,
-  ): Choice {
-    const usable = context.servers.usable(service.name);
-    if (usable.length === 0) {
-      const reason = "no backend server is up";
-      return { kind: "refuse", reason, retryAfter: RETRY_AFTER };
-    }
-    const server = this.balancer.choose({
-      servers: usable,
-      tried: exchange.tried,
-      availabilityZone: context.availabilityZone,
-      draw: context.draw,
-    });
-    if (server === null) return wait("all are busy", Infinity);
-    return { kind: "send", server, token: null, reason: "least work" };
-  }
-
   #dispatch(
     context: DispatchContext,
     exchange: Exchange,
@@ -633,7 +538,12 @@
         this.#refuse(context, exchange, 503, "service was removed", null, out);
         continue;
       }
-      const choice = this.#choose(context, service, exchange);
+      const choice = chooseServer(
+        context,
+        service,
+        exchange,
+        this.balancer,
+      );
       if (choice.kind === "wait") {
         if (context.now - exchange.arrivedAt <= choice.patience) continue;
         this.#refuse(context, exchange, 503, choice.reason, RETRY_AFTER, out);
@@ -704,7 +614,3 @@
     server: attempt.server.id,
   };
 }
-
-function wait(reason: string, patience: number): Choice {
-  return { kind: "wait", reason, patience };
-}
--- a/src/core/requests/dispatcher_test.ts
+++ b/src/core/requests/dispatcher_test.ts
@@ -7,7 +7,8 @@
 import type { RequestArrival } from "../event.ts";
 import { DEFAULT_TIMING, type View } from "../ownership/index.ts";
 import { LeastOutstanding, ServerWatch } from "../routing/index.ts";
-import { type DispatchContext, Dispatcher } from "./dispatcher.ts";
+import type { DispatchContext } from "./dispatch_context.ts";
+import { Dispatcher } from "./dispatcher.ts";
 
 const server = (id: string) => ({
   id,
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -27,7 +27,7 @@
 import { checksSchema } from "../core/configuration/index.ts";
 import type { Run } from "../load/index.ts";
 import { addressSchema } from "../settings/index.ts";
-import { HttpService, readBytes, readJson, sendJson } from "./http_service.ts";
+import { readBytes, readJson, sendJson, StandIn } from "./stand_in.ts";
 import { FAULTS_PATH } from "./log_service.ts";
 import { WorkQueue } from "./work_queue.ts";
 
@@ -79,6 +79,8 @@
 /** See {@linkcode backendFaultsSchema}. */
 export type BackendFaults = z.infer<typeof backendFaultsSchema>;
 
+/** Time for which idle connections are kept, in milliseconds. */
+const KEEP_ALIVE = 120_000;
 /** Factor by which work takes longer during a cold start. */
 const COLD_FACTOR = 10;
 
@@ -88,16 +90,16 @@
 });
 
 /** See the module's comment. */
-export class BackendService {
+export class BackendService extends StandIn {
   readonly #queue: WorkQueue;
   readonly #granted = new Map<string, number>();
   readonly #state = new Map<string, Buffer>();
   readonly #runs: Run[] = [];
   readonly #startedAt = Date.now();
   #faults: BackendFaults = backendFaultsSchema.parse({});
-  #service: HttpService | null = null;
 
   private constructor(private readonly settings: BackendServiceSettings) {
+    super();
     this.#queue = WorkQueue.create(settings.slots, settings.queue);
   }
 
@@ -106,27 +108,12 @@
     settings: BackendServiceSettings,
   ): Promise<BackendService> {
     const backend = new BackendService(settings);
-    backend.#service = await HttpService.listen(
-      settings.listen,
-      (request, response) => backend.#handle(request, response),
-    );
-    const { server } = backend.#service;
-    server.maxConnections = settings.connections;
-    server.keepAliveTimeout = 120_000;
+    await backend.listen(settings.listen);
+    backend.limit(settings.connections, KEEP_ALIVE);
     return backend;
   }
 
-  /** The address it listens at. */
-  get address(): string {
-    return this.#service!.address;
-  }
-
-  /** Stops the stand-in. */
-  close(): void {
-    this.#service!.close();
-  }
-
-  async #handle(
+  protected override async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/src/stand_ins/log_service.ts
+++ b/src/stand_ins/log_service.ts
@@ -8,7 +8,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
 import { addressSchema } from "../settings/index.ts";
-import { HttpService, readJson, sendJson } from "./http_service.ts";
+import { readJson, sendJson, StandIn } from "./stand_in.ts";
 
 /** Settings of the stand-in. */
 export const logServiceSchema = z.strictObject({
@@ -47,34 +47,22 @@
 }
 
 /** See the module's comment. */
-export class LogService {
+export class LogService extends StandIn {
   readonly #streams = new Map<string, Stream>();
   #faults: LogFaults = logFaultsSchema.parse({});
-  #service: HttpService | null = null;
 
-  private constructor(private readonly settings: LogServiceSettings) {}
+  private constructor(private readonly settings: LogServiceSettings) {
+    super();
+  }
 
   /** Starts the stand-in. */
   static async start(settings: LogServiceSettings): Promise<LogService> {
     const log = new LogService(settings);
-    log.#service = await HttpService.listen(
-      settings.listen,
-      (request, response) => log.#handle(request, response),
-    );
+    await log.listen(settings.listen);
     return log;
   }
 
-  /** The address it listens at. */
-  get address(): string {
-    return this.#service!.address;
-  }
-
-  /** Stops the stand-in. */
-  close(): void {
-    this.#service!.close();
-  }
-
-  async #handle(
+  protected override async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/src/stand_ins/http_service.ts
+++ b/src/stand_ins/stand_in.ts
@@ -12,41 +12,50 @@
 import type { AddressInfo } from "node:net";
 import { parseAddress } from "../settings/index.ts";
 
-/** Handles one request. */
-export type Handler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => void | Promise<void>;
-
-/** A listening HTTP server that a stand-in is built on. */
-export class HttpService {
-  private constructor(readonly server: Server) {}
+/** A stand-in: one HTTP server at an address of its own. */
+export abstract class StandIn {
+  readonly #server: Server;
 
-  /** Listens at `address`; port 0 takes any. Rejects when it is in use. */
-  static listen(address: string, handler: Handler): Promise<HttpService> {
-    const server = createServer((request, response) => {
-      Promise.resolve(handler(request, response)).catch((error: Error) => {
+  protected constructor() {
+    this.#server = createServer((request, response) => {
+      this.handle(request, response).catch((error: Error) => {
         if (response.headersSent) response.destroy();
         else sendJson(response, 400, { error: error.message });
       });
     });
-    const { host, port } = parseAddress(address);
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, () => resolve(new HttpService(server)));
-    });
   }
 
   /** The address it listens at. */
   get address(): string {
-    const { address, port } = this.server.address() as AddressInfo;
+    const { address, port } = this.#server.address() as AddressInfo;
     return `${address}:${port}`;
   }
 
   /** Closes the server and its connections. */
   close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Answers one request. */
+  protected abstract handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void>;
+
+  /** Bounds the connections, and keeps idle ones for a while. */
+  protected limit(connections: number, keepAlive: number): void {
+    this.#server.maxConnections = connections;
+    this.#server.keepAliveTimeout = keepAlive;
+  }
+
+  /** Listens at `address`; port 0 takes any. Rejects when it is in use. */
+  protected listen(address: string): Promise<void> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => resolve());
+    });
   }
 }
 
--- a/src/stand_ins/vm_list_service.ts
+++ b/src/stand_ins/vm_list_service.ts
@@ -7,7 +7,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
 import { addressSchema } from "../settings/index.ts";
-import { HttpService, readJson, sendJson } from "./http_service.ts";
+import { readJson, sendJson, StandIn } from "./stand_in.ts";
 
 /** Schema of a change: VMs by id. */
 const vmsSchema = z.record(z.string(), z.enum(["live", "leaving", "gone"]));
@@ -24,35 +24,22 @@
 export type VmListServiceSettings = z.infer<typeof vmListServiceSchema>;
 
 /** See the module's comment. */
-export class VmListService {
+export class VmListService extends StandIn {
   readonly #vms: Map<string, "live" | "leaving" | "gone">;
-  #service: HttpService | null = null;
 
   private constructor(private readonly settings: VmListServiceSettings) {
+    super();
     this.#vms = new Map(Object.entries(settings.vms));
   }
 
   /** Starts the stand-in. */
   static async start(settings: VmListServiceSettings): Promise<VmListService> {
     const list = new VmListService(settings);
-    list.#service = await HttpService.listen(
-      settings.listen,
-      (request, response) => list.#handle(request, response),
-    );
+    await list.listen(settings.listen);
     return list;
   }
 
-  /** The address it listens at. */
-  get address(): string {
-    return this.#service!.address;
-  }
-
-  /** Stops the stand-in. */
-  close(): void {
-    this.#service!.close();
-  }
-
-  async #handle(
+  protected override async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
