--- a/src/adapters/caller_server.ts
+++ b/src/adapters/caller_server.ts
@@ -33,6 +33,8 @@
   "DELETE",
   "TRACE",
 ]);
+/** Headers of callers that are for plumloft. */
+const OWN_HEADERS: ReadonlySet<string> = new Set([REQUEST_ID, REQUEST_TIMEOUT]);
 /** What a caller's request id must look like. */
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9._:-]{1,128}$/;
 /** Longest key, in characters. */
@@ -229,8 +231,6 @@
     const chosen = headers[REQUEST_ID] as string | undefined;
     const timeout = headers[REQUEST_TIMEOUT] as string | undefined;
     const method = request.method ?? "GET";
-    delete headers[REQUEST_ID];
-    delete headers[REQUEST_TIMEOUT];
     const now = monotonicNow();
     this.#exchanges.set(exchange, {
       request,
@@ -238,7 +238,7 @@
       outgoing: {
         method,
         path: request.url ?? "/",
-        headers: passedOn(headers),
+        headers: passedOn(headers, OWN_HEADERS),
         body: body.kind === "whole"
           ? body.bytes
           : body.kind === "streamed"
--- a/src/adapters/headers.ts
+++ b/src/adapters/headers.ts
@@ -41,8 +41,16 @@
 /** Prefix of headers that only plumloft may set. */
 const OWN_PREFIX = "plumloft-";
 
-/** Headers that are passed on: `[name, value, name, value, ...]`. */
-export function passedOn(headers: IncomingHttpHeaders): string[] {
+const NONE: ReadonlySet<string> = new Set();
+
+/**
+ * Headers that are passed on, but for those in `left`:
+ * `[name, value, name, value, ...]`.
+ */
+export function passedOn(
+  headers: IncomingHttpHeaders,
+  left: ReadonlySet<string> = NONE,
+): string[] {
   const named = headers.connection;
   const listed = named === undefined || named === "keep-alive" ||
       named === "close"
@@ -52,6 +60,7 @@
   for (const name in headers) {
     const value = headers[name];
     if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    if (left.has(name)) continue;
     if (name.startsWith(OWN_PREFIX) || listed?.has(name) === true) continue;
     if (typeof value === "string") {
       kept.push(name, value);
--- a/src/adapters/request_body.ts
+++ b/src/adapters/request_body.ts
@@ -54,10 +54,10 @@
   const finish = (body: Body) => {
     if (isDone) return;
     isDone = true;
-    request.removeAllListeners("data");
+    request.off("data", take);
     done(body);
   };
-  request.on("data", (chunk: Buffer) => {
+  const take = (chunk: Buffer) => {
     chunks.push(chunk);
     size += chunk.length;
     if (size > maximum) {
@@ -70,9 +70,11 @@
     for (const each of chunks) stream.write(each);
     finish({ kind: "streamed", stream });
     limit(request, stream, maximum - size);
-  });
+  };
+  request.on("data", take);
   request.on("end", () => {
-    finish({ kind: "whole", bytes: Buffer.concat(chunks) });
+    const bytes = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+    finish({ kind: "whole", bytes });
   });
 }
 
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -6,10 +6,11 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import {
-  createWriteStream,
+  closeSync,
   existsSync,
   mkdirSync,
   mkdtempSync,
+  openSync,
   readFileSync,
   writeFileSync,
 } from "node:fs";
@@ -292,14 +293,12 @@
   }
 
   #spawn(name: string, args: string[]): ChildProcess {
+    // Straight to a file: a pipe would make this process read every log line.
+    const file = openSync(join(this.folder, `${name}.log`), "a");
     const child = spawn(process.execPath, [this.program, ...args], {
-      stdio: ["ignore", "pipe", "pipe"],
+      stdio: ["ignore", file, file],
     });
-    const file = createWriteStream(join(this.folder, `${name}.log`), {
-      flags: "a",
-    });
-    child.stdout.pipe(file, { end: false });
-    child.stderr.pipe(file, { end: false });
+    closeSync(file);
     return child;
   }
 
