--- a/src/core/router.ts
+++ b/src/core/router.ts
@@ -74,7 +74,7 @@
   readonly #servers = ServerWatch.create();
   readonly #dispatcher: Dispatcher;
   readonly #lease: ViewLease;
-  readonly #random: () => number;
+  readonly #dispatchContext: DispatchContext;
   #configuration: SiteConfiguration = EMPTY_SITE;
   #now = 0;
   #incarnation = 0;
@@ -104,7 +104,18 @@
   private constructor(private readonly options: RouterOptions) {
     this.#dispatcher = Dispatcher.create(options.balancer);
     this.#lease = ViewLease.create(options.timing.lease);
-    this.#random = uniformFloat64(options.seed);
+    this.#dispatchContext = {
+      now: 0,
+      availabilityZone: options.availabilityZone,
+      configuration: this.#configuration,
+      servers: this.#servers,
+      view: this.#replica.view,
+      leaseUntil: this.#lease.until,
+      timing: options.timing,
+      claims: () => this.#claiming(),
+      draw: uniformFloat64(options.seed),
+      suspect: (server, cause) => this.#suspect(server, cause),
+    };
   }
 
   /** A process that has just started and knows nothing. */
@@ -692,19 +703,14 @@
     };
   }
 
+  /** One object for all events: a new one for each costs more than it says. */
   #dispatching(): DispatchContext {
-    return {
-      now: this.#now,
-      availabilityZone: this.options.availabilityZone,
-      configuration: this.#configuration,
-      servers: this.#servers,
-      view: this.#replica.view,
-      leaseUntil: this.#lease.until,
-      timing: this.options.timing,
-      claims: () => this.#claiming(),
-      draw: this.#random,
-      suspect: (server, cause) => this.#suspect(server, cause),
-    };
+    const context = this.#dispatchContext;
+    context.now = this.#now;
+    context.configuration = this.#configuration;
+    context.view = this.#replica.view;
+    context.leaseUntil = this.#lease.until;
+    return context;
   }
 
   #claiming(): ClaimContext {
--- a/src/logging/journal.ts
+++ b/src/logging/journal.ts
@@ -46,7 +46,9 @@
   /** Writes one line. */
   write(level: Level, message: string, fields: Fields): void {
     const time = new Date().toISOString();
-    this.logger.log({ level, message, time, vm: this.vm, ...fields });
+    this.logger.log(
+      Object.assign({ level, message, time, vm: this.vm }, fields),
+    );
   }
 
   /** Writes out everything that waits. */
