A peer that is cut off is named

The line of a peer that spoke garbage named undefined:undefined: the address was asked of a socket that had been destroyed. A test sends an over-long frame, a greeting of another cluster and garbage to a running entry.

--- a/src/adapters/peer_network.ts
+++ b/src/adapters/peer_network.ts
@@ -205,10 +205,12 @@
   }
 
   #cutOff(socket: Socket, hello: Hello | null, error: unknown): void {
+    // A socket that is destroyed no longer knows its other side.
+    const address = `${socket.remoteAddress}:${socket.remotePort}`;
     socket.destroy();
     this.journal.write("warn", "peer.cut_off", {
       step: "receive from peer",
-      peer: hello?.vm ?? `${socket.remoteAddress}:${socket.remotePort}`,
+      peer: hello?.vm ?? address,
       why: errorText(error).slice(0, 500),
     });
   }
