--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -173,6 +173,12 @@
     unit: "ms for each VM",
     circumstances: { ...size },
   });
+  printFigure({
+    name: "checkpoint.bytes",
+    value: JSON.stringify(site.router.ledger).length / 1_000,
+    unit: "KB of the record",
+    circumstances: { ...size },
+  });
   printFigure({
     name: "publication.bytes",
     value: JSON.stringify(site.configuration()).length / 1_000,
--- a/src/adapters/frame_test.ts
+++ b/src/adapters/frame_test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
+import { EMPTY_LEDGER, foldRecord } from "../core/index.ts";
+import { readConfiguration } from "../settings/index.ts";
 import { encodeFrame, FrameDecoder, MAXIMUM_FRAME } from "./frame.ts";
 
 const position = fc.record({ term: fc.nat(), version: fc.nat() });
@@ -51,6 +53,32 @@
   );
 });
 
+test("frames: the log's state comes out of another process's codec", (t) => {
+  const configuration = readConfiguration("examples/co-operative");
+  const published = foldRecord(EMPTY_LEDGER, 1, {
+    kind: "configuration.published",
+    id: "first",
+    operator: "o",
+    basedOn: 0,
+    publishedAt: 0,
+    configuration,
+  });
+  const { ledger } = foldRecord(published.ledger, 2, {
+    kind: "vm.started",
+    site: "thessalia",
+    vm: "entry-1",
+    availabilityZone: "larisa",
+    peerAddress: "127.0.0.1:1",
+    startedAt: 0,
+    nonce: "n",
+  });
+  const sent = { kind: "ledger.sent", ledger };
+  for (let time = 0; time < 3; time++) {
+    const decoded = FrameDecoder.create().push(encodeFrame(sent));
+    t.deepEqual(decoded, [JSON.parse(JSON.stringify(sent))]);
+  }
+});
+
 test("frames: one that is over-long is refused before it is read", (t) => {
   const header = Buffer.alloc(4);
   header.writeUInt32BE(MAXIMUM_FRAME + 1, 0);
