--- a/src/adapters/backend_client.ts
+++ b/src/adapters/backend_client.ts
@@ -26,7 +26,7 @@
   TOKEN,
 } from "./headers.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
-import { errorText } from "./step_error.ts";
+import { errorText } from "../errors/index.ts";
 
 /** Where a server answers probes. */
 export const HEALTH_PATH = "/plumloft/health";
--- a/src/adapters/index.ts
+++ b/src/adapters/index.ts
@@ -1,4 +1,4 @@
 export * from "./entry_process.ts";
 export * from "./headers.ts";
 export * from "./log_client.ts";
-export * from "./step_error.ts";
+export * from "../errors/index.ts";
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -6,7 +6,7 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 import type { LogEntry, LogRecord } from "../core/index.ts";
-import { errorText, StepError } from "./step_error.ts";
+import { errorText, StepError } from "../errors/index.ts";
 
 /** Time that the log may hold a long poll, in milliseconds. */
 const POLL_WAIT = 2_000;
--- a/src/adapters/log_tail.ts
+++ b/src/adapters/log_tail.ts
@@ -8,7 +8,7 @@
 import type { EventSink } from "./event_loop.ts";
 import type { Log } from "./log_client.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
-import { errorText } from "./step_error.ts";
+import { errorText } from "../errors/index.ts";
 
 /** Pause after a failed read, in milliseconds. */
 const RETRY_PAUSE = 200;
--- a/src/adapters/peer_network.ts
+++ b/src/adapters/peer_network.ts
@@ -13,7 +13,7 @@
 import type { EventSink } from "./event_loop.ts";
 import { encodeFrame, FrameDecoder, PROTOCOL } from "./frame.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
-import { errorText } from "./step_error.ts";
+import { errorText } from "../errors/index.ts";
 
 /** The first frame of a connection: who speaks. */
 const helloSchema = z.object({
--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -8,6 +8,7 @@
 import { InvalidInput } from "../settings/index.ts";
 import { VERSION } from "../version.ts";
 import { addConfigCommand } from "./config_command.ts";
+import { addEntryCommand } from "./entry_command.ts";
 import { addDemoCommand } from "./demo_command.ts";
 import { EXIT } from "./exit_code.ts";
 import { addHistoryCommand } from "./history_command.ts";
@@ -30,6 +31,7 @@
       throw error ?? usageError(message);
     });
   addServeCommand(parser);
+  addEntryCommand(parser);
   addConfigCommand(parser);
   addStatusCommand(parser);
   addStandInCommand(parser);
--- /dev/null
+++ b/src/cli/entry_command.ts
@@ -0,0 +1,62 @@
+/**
+ * `plumloft entry`: an entry process on the platform.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+import type { Argv } from "yargs";
+import {
+  PlatformHeaders,
+  PlatformOrders,
+  PlatformStore,
+} from "../../platform/index.ts";
+import { EntryProcess } from "../runtime/entry_process.ts";
+import {
+  type EntrySettings,
+  entrySettingsSchema,
+  readYamlFile,
+} from "../settings/index.ts";
+
+/** Adds the command to `yargs`. */
+export function addEntryCommand(yargs: Argv): Argv {
+  return yargs.command(
+    "entry",
+    "run an entry process on the platform",
+    (argv) =>
+      argv.option("settings", {
+        type: "string",
+        demandOption: true,
+        describe: "settings of the process, in YAML",
+      }),
+    ({ settings }) => serve(settings),
+  );
+}
+
+async function serve(file: string): Promise<void> {
+  const settings = readYamlFile(file, entrySettingsSchema).value;
+  // A run of the process must not be taken for an earlier one.
+  const run = randomBytes(4);
+  const member = `${settings.vm}/${run.toString("hex")}`;
+  const { address, partitions } = settings.store;
+  const platform = {
+    store: PlatformStore.create(address, settings.vm, member, partitions),
+    headers: PlatformHeaders.create(),
+    orders: PlatformOrders.create(),
+  };
+  const entry = await EntryProcess.start(
+    settings,
+    platform,
+    process.stdout,
+    run.readUInt32BE(0),
+  );
+  process.once("SIGTERM", () => entry.shutdown());
+  process.once("SIGINT", () => entry.shutdown());
+  process.on("SIGHUP", () => entry.reloaded(isChanged(file, settings)));
+  await entry.stopped;
+}
+
+/** Whether the settings differ from those that the process was started with. */
+function isChanged(file: string, settings: EntrySettings): boolean {
+  const now = readYamlFile(file, entrySettingsSchema).value;
+  return JSON.stringify(now) !== JSON.stringify(settings);
+}
--- /dev/null
+++ b/src/core/dispatch/dispatcher.ts
@@ -0,0 +1,598 @@
+/**
+ * The life of requests: which server gets one and when, what may be sent again,
+ * and what a caller is told.
+ *
+ * Once a byte may have reached a server, only that server's own statement makes
+ * a request "not run". All else may have run, and non-idempotent work is then
+ * never sent again.
+ *
+ * @module
+ */
+import type { Catalog, Route } from "../catalog/index.ts";
+import type { Fleet, TrackedServer } from "../fleet/index.ts";
+import type { KeyDirectory } from "../keyspace/index.ts";
+import type { DispatchEffect } from "./dispatch_effect.ts";
+import type {
+  Attempt,
+  AttemptOutcome,
+  PendingRequest,
+  RequestArrival,
+} from "./request.ts";
+import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
+import { chooseServer, hasRoom } from "./server_choice.ts";
+
+/** Share of the target latency for which a request waits for a server; later
+ * its caller does better with a new attempt elsewhere. */
+const WAIT_SHARE = 0.22;
+/** Share of the time left after which a refused caller should come back: the
+ * longest that callers honour is a third. */
+const RETRY_AFTER_SHARE = 0.3;
+/** Shortest pause that a refused caller is asked for, in milliseconds. */
+const SHORTEST_RETRY_AFTER = 20;
+/** Time after the deadline for which a server's own last answer is awaited, in
+ * milliseconds: servers stop at the deadline and say so. */
+const DEADLINE_SLACK = 60;
+/** An attempt is doubled after this many usual latencies ... */
+const HEDGE_FACTOR = 3;
+/** ... and this share of the target latency. */
+const HEDGE_SHARE = 0.5;
+/** A draining server keeps its keys for this long in milliseconds while they
+ * are moved; then nothing more is sent to it. */
+const DRAINING_KEYS_TIME = 700;
+/** Pause before a key is looked up again after its server refused, in
+ * milliseconds. */
+const KEY_PAUSE = 30;
+/** Requests that may wait for one service at this VM; bounds memory. */
+const MAXIMUM_WAITING = 256;
+/** Longest time without an answer when neither caller nor route says one, in
+ * milliseconds. */
+const DEFAULT_TIMEOUT = 30_000;
+/** What callers are asked to wait for while nothing is configured, in ms. */
+const UNCONFIGURED_RETRY_AFTER = 250;
+
+/** What requests are dispatched upon. */
+export interface DispatchContext {
+  catalog: Catalog;
+  fleet: Fleet;
+  directory: KeyDirectory;
+  availabilityZone: string;
+  retryLimits: RetryLimits;
+  /** Number of VMs, or null when unknown. */
+  vms(): number | null;
+  /** A number in [0, 1). */
+  draw(): number;
+}
+
+/** Where a request can go now. */
+type Placing =
+  | { kind: "server"; server: TrackedServer }
+  /** Not now, maybe later. */
+  | { kind: "wait"; reason: string };
+
+/** See the module's comment. */
+export class Dispatcher {
+  readonly #requests = new Map<number, PendingRequest>();
+  readonly #byAttempt = new Map<number, PendingRequest>();
+  readonly #waiting = new Map<string, PendingRequest[]>();
+  readonly #budgets = new Map<string, RetryBudget>();
+  #attemptCount = 0;
+  #effects: DispatchEffect[] = [];
+
+  private constructor(private readonly context: DispatchContext) {}
+
+  /** A dispatcher without requests. */
+  static create(context: DispatchContext): Dispatcher {
+    return new Dispatcher(context);
+  }
+
+  /** Requests without a final answer. */
+  get pending(): number {
+    return this.#requests.size;
+  }
+
+  /** A request arrived. */
+  arrive(arrival: RequestArrival, now: number): DispatchEffect[] {
+    const { catalog } = this.context;
+    const route = catalog.route(arrival.host, arrival.target);
+    if (route !== undefined) {
+      const request = this.#admit(arrival, route, now);
+      this.#dispatch(request, now);
+    } else if (catalog.isKnown) {
+      this.#answerUnrouted(arrival, 404, null, "no route");
+    } else {
+      const pause = UNCONFIGURED_RETRY_AFTER;
+      this.#answerUnrouted(arrival, 503, pause, "no configuration yet");
+    }
+    return this.#take();
+  }
+
+  /** A caller left without waiting for its answer. */
+  leave(exchange: number, now: number): DispatchEffect[] {
+    const request = this.#requests.get(exchange);
+    if (request === undefined) return [];
+    this.#note("info", "request.left", request, now, {});
+    this.#finish(request, null);
+    this.#pump(request.service, now);
+    return this.#take();
+  }
+
+  /** An attempt ended. */
+  ended(
+    number: number,
+    outcome: AttemptOutcome,
+    now: number,
+  ): DispatchEffect[] {
+    const request = this.#byAttempt.get(number);
+    if (request === undefined) return [];
+    this.#byAttempt.delete(number);
+    const attempt = request.attempts.find((each) => each.number === number)!;
+    request.attempts = request.attempts.filter((each) => each !== attempt);
+    if (outcome.kind === "failed") {
+      this.#attemptFailed(request, attempt, outcome, now);
+    } else if (outcome.isNotRun) {
+      this.#attemptRefused(request, attempt, outcome, now);
+    } else {
+      this.#attemptAnswered(request, attempt, outcome, now);
+    }
+    this.#pump(request.service, now);
+    return this.#take();
+  }
+
+  /** Looks at all requests whose time has come, and at those that wait. */
+  advance(now: number): DispatchEffect[] {
+    for (const request of [...this.#requests.values()]) {
+      this.#advanceRequest(request, now);
+    }
+    for (const service of this.#waiting.keys()) this.#pump(service, now);
+    return this.#take();
+  }
+
+  /** When {@linkcode advance} is next needed; Infinity without requests. */
+  nextAt(): number {
+    let next = Infinity;
+    for (const request of this.#requests.values()) {
+      next = Math.min(next, this.#dueAt(request));
+    }
+    return next;
+  }
+
+  #admit(arrival: RequestArrival, route: Route, now: number): PendingRequest {
+    const service = this.context.catalog.destination(route);
+    const isKeyed = this.context.catalog.service(service)?.isKeyed ?? false;
+    const timeout = Math.min(
+      arrival.timeout ?? DEFAULT_TIMEOUT,
+      route.timeout > 0 ? route.timeout : DEFAULT_TIMEOUT,
+    );
+    const request: PendingRequest = {
+      arrival,
+      route,
+      service,
+      key: isKeyed ? arrival.key : null,
+      arrivedAt: now,
+      deadline: now + timeout,
+      waitEnd: now + Math.min(WAIT_SHARE * route.targetLatency, timeout),
+      retryAt: -Infinity,
+      attempts: [],
+      tried: [],
+      mayHaveRun: false,
+    };
+    this.#requests.set(arrival.exchange, request);
+    this.#budget(service).request(now);
+    return request;
+  }
+
+  /** Sends a request, or lets it wait, or refuses it. */
+  #dispatch(request: PendingRequest, now: number): void {
+    const queue = this.#queue(request.service);
+    const placing = this.#place(request, now);
+    if (placing.kind === "server") {
+      this.#send(request, placing.server, now);
+    } else if (now >= request.waitEnd || queue.length >= MAXIMUM_WAITING) {
+      this.#refuse(request, placing.reason, now);
+    } else {
+      enqueue(queue, request);
+    }
+  }
+
+  #place(request: PendingRequest, now: number): Placing {
+    const { fleet, availabilityZone, draw } = this.context;
+    if (request.key !== null) {
+      return this.#placeKeyed(request, request.key, now);
+    }
+    const context = { fleet, availabilityZone, vms: this.context.vms(), draw };
+    const server = chooseServer(request.service, request.tried, now, context);
+    if (server !== null) return { kind: "server", server };
+    return { kind: "wait", reason: "no server has room" };
+  }
+
+  #placeKeyed(request: PendingRequest, key: number, now: number): Placing {
+    const { fleet, directory } = this.context;
+    if (now < request.retryAt) {
+      return { kind: "wait", reason: "the key's server refused" };
+    }
+    const range = directory.find(request.service, key);
+    if (range === undefined) {
+      return { kind: "wait", reason: "no assignment of keys is known" };
+    }
+    if (!range.isOpen || range.server === null) {
+      return { kind: "wait", reason: "the key is on the move" };
+    }
+    const server = fleet.get(range.server);
+    if (server === undefined) {
+      return { kind: "wait", reason: "the key's server is gone" };
+    }
+    const drainingSince = server.drainingSince ?? Infinity;
+    if (now > drainingSince + DRAINING_KEYS_TIME) {
+      return { kind: "wait", reason: "the key's server is leaving" };
+    }
+    if (hasRoom(server, now, this.context.vms())) {
+      return { kind: "server", server };
+    }
+    return { kind: "wait", reason: "the key's server has no room" };
+  }
+
+  #send(request: PendingRequest, server: TrackedServer, now: number): void {
+    this.#attemptCount += 1;
+    const number = this.#attemptCount;
+    const attempt: Attempt = {
+      number,
+      server: server.id,
+      startedAt: now,
+      hedgeAt: this.#hedgeAt(request, now),
+    };
+    request.attempts.push(attempt);
+    if (!request.tried.includes(server.id)) request.tried.push(server.id);
+    this.#byAttempt.set(number, request);
+    server.started(number, now);
+    this.#effects.push({
+      kind: "attempt.start",
+      attempt: number,
+      exchange: request.arrival.exchange,
+      server: server.id,
+      address: server.entry.address,
+      remaining: Math.max(1, Math.floor(request.deadline - now)),
+    });
+  }
+
+  #hedgeAt(request: PendingRequest, now: number): number {
+    const { isIdempotent, targetLatency } = request.route;
+    if (!isIdempotent || request.key !== null) return Infinity;
+    const usual = this.context.fleet.usualLatency(request.service);
+    return now + Math.max(HEDGE_FACTOR * usual, HEDGE_SHARE * targetLatency);
+  }
+
+  #attemptAnswered(
+    request: PendingRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome & { kind: "answered" },
+    now: number,
+  ): void {
+    const server = this.context.fleet.get(attempt.server);
+    if (!outcome.isGenuine) {
+      server?.failed(attempt.number, now);
+      request.mayHaveRun = true;
+      this.#afterUnknown(request, attempt, "spoilt answer", now);
+      return;
+    }
+    const isFailure = outcome.status >= 500;
+    if (isFailure) server?.refused(attempt.number, now, outcome.load);
+    else server?.answered(attempt.number, now, outcome.load);
+    if (isFailure && request.route.isIdempotent) {
+      request.mayHaveRun = true;
+      if (this.#again(request, now)) {
+        const detail = { server: attempt.server, status: outcome.status };
+        this.#note("info", "request.again", request, now, detail);
+        return;
+      }
+    }
+    if (isFailure) {
+      const detail = { server: attempt.server, status: outcome.status };
+      this.#note("warn", "request.failed_at_server", request, now, detail);
+    }
+    this.#finish(request, attempt.number);
+    this.#effects.push({
+      kind: "request.deliver",
+      exchange: request.arrival.exchange,
+      attempt: attempt.number,
+    });
+  }
+
+  /** The server stated that it did not run the request. */
+  #attemptRefused(
+    request: PendingRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome & { kind: "answered" },
+    now: number,
+  ): void {
+    const server = this.context.fleet.get(attempt.server);
+    const isOther = outcome.server !== null &&
+      outcome.server !== attempt.server;
+    if (isOther) server?.failed(attempt.number, now);
+    else if (outcome.status === 421) server?.cancelled(attempt.number);
+    else server?.refused(attempt.number, now, outcome.load);
+    const detail = { server: attempt.server, status: outcome.status };
+    this.#note("info", "attempt.not_run", request, now, detail);
+    if (request.key !== null) {
+      request.retryAt = now + KEY_PAUSE;
+      request.tried = request.tried.filter((each) => each !== attempt.server);
+    }
+    if (this.#again(request, now)) return;
+    if (request.attempts.length > 0) return;
+    if (request.mayHaveRun) this.#fail(request, 502, "not run again", now);
+    else this.#refuse(request, "the server did not run it", now);
+  }
+
+  #attemptFailed(
+    request: PendingRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome & { kind: "failed" },
+    now: number,
+  ): void {
+    this.context.fleet.get(attempt.server)?.failed(attempt.number, now);
+    if (outcome.wasSent) {
+      request.mayHaveRun = true;
+      this.#afterUnknown(request, attempt, outcome.cause, now);
+      return;
+    }
+    const detail = { server: attempt.server, cause: outcome.cause };
+    this.#note("info", "attempt.not_sent", request, now, detail);
+    if (request.attempts.length > 0) return;
+    if (request.mayHaveRun) {
+      return this.#fail(request, 502, "not sent again", now);
+    }
+    // Nothing reached a server, so this is no retry.
+    if (request.key !== null) request.retryAt = now + KEY_PAUSE;
+    request.waitEnd = Math.max(request.waitEnd, now + 1);
+    if (request.tried.length >= request.route.maximumAttempts) {
+      return this.#refuse(request, outcome.cause, now);
+    }
+    this.#dispatch(request, now);
+  }
+
+  /** The request may have run, and its answer is lost. */
+  #afterUnknown(
+    request: PendingRequest,
+    attempt: Attempt,
+    cause: string,
+    now: number,
+  ): void {
+    const detail = { server: attempt.server, cause };
+    if (request.route.isIdempotent && this.#again(request, now)) {
+      this.#note("info", "request.again", request, now, detail);
+      return;
+    }
+    if (request.attempts.length > 0) return;
+    this.#note("warn", "request.unknown", request, now, detail);
+    this.#fail(request, 502, cause, now);
+  }
+
+  /** Sends a request once more if that is allowed; it may have to wait. */
+  #again(request: PendingRequest, now: number): boolean {
+    if (request.attempts.length > 0) return true;
+    const { maximumAttempts } = request.route;
+    const isAllowed = request.key !== null
+      ? request.tried.length <= maximumAttempts
+      : request.tried.length < maximumAttempts;
+    if (!isAllowed || !this.#isWorthwhile(request, now)) return false;
+    const placing = this.#place(request, now);
+    const mayWait = request.key !== null && now < request.waitEnd;
+    if (placing.kind === "wait" && !mayWait) return false;
+    if (!this.#withdraw(request, now)) return false;
+    if (placing.kind === "server") this.#send(request, placing.server, now);
+    else enqueue(this.#queue(request.service), request);
+    return true;
+  }
+
+  /** Whether an answer can still be expected before the deadline. */
+  #isWorthwhile(request: PendingRequest, now: number): boolean {
+    const usual = this.context.fleet.usualLatency(request.service);
+    return request.deadline - now > usual / 2;
+  }
+
+  #withdraw(request: PendingRequest, now: number): boolean {
+    const vms = this.context.vms() ?? 1;
+    return this.#budget(request.service).withdraw(now, vms);
+  }
+
+  #advanceRequest(request: PendingRequest, now: number): void {
+    if (now < this.#dueAt(request)) return;
+    if (now >= request.retryAt) request.retryAt = -Infinity;
+    if (request.attempts.length === 0) {
+      const placing = this.#place(request, now);
+      if (now >= request.waitEnd && placing.kind === "wait") {
+        this.#remove(request);
+        this.#giveUpWaiting(request, placing.reason, now);
+      }
+      return;
+    }
+    if (now >= request.deadline + DEADLINE_SLACK) {
+      this.#note("warn", "request.timed_out", request, now, {
+        server: request.attempts[0].server,
+      });
+      this.#fail(request, 504, "no answer in time", now);
+      return;
+    }
+    this.#hedge(request, now);
+  }
+
+  #giveUpWaiting(request: PendingRequest, reason: string, now: number): void {
+    if (request.mayHaveRun) this.#fail(request, 502, reason, now);
+    else this.#refuse(request, reason, now);
+  }
+
+  /** Tries another server beside one that takes too long. */
+  #hedge(request: PendingRequest, now: number): void {
+    const attempt = request.attempts[0];
+    if (now < attempt.hedgeAt) return;
+    attempt.hedgeAt = Infinity;
+    if (request.tried.length >= request.route.maximumAttempts) return;
+    if (!this.#isWorthwhile(request, now)) return;
+    const placing = this.#place(request, now);
+    if (placing.kind !== "server" || !this.#withdraw(request, now)) return;
+    this.#note("info", "request.hedged", request, now, {
+      server: attempt.server,
+      second: placing.server.id,
+    });
+    this.#send(request, placing.server, now);
+    for (const each of request.attempts) each.hedgeAt = Infinity;
+  }
+
+  #dueAt(request: PendingRequest): number {
+    if (request.attempts.length === 0) {
+      const { retryAt, waitEnd } = request;
+      return retryAt === -Infinity ? waitEnd : Math.min(waitEnd, retryAt);
+    }
+    const hedgeAt = Math.min(...request.attempts.map((each) => each.hedgeAt));
+    return Math.min(request.deadline + DEADLINE_SLACK, hedgeAt);
+  }
+
+  /** Sends waiting requests of a service, the most urgent first. */
+  #pump(service: string, now: number): void {
+    const queue = this.#waiting.get(service);
+    if (queue === undefined || queue.length === 0) return;
+    let isFull = false;
+    const rest: PendingRequest[] = [];
+    for (const request of queue) {
+      if (isFull && request.key === null) {
+        rest.push(request);
+        continue;
+      }
+      const placing = this.#place(request, now);
+      if (placing.kind === "server") {
+        request.retryAt = -Infinity;
+        this.#send(request, placing.server, now);
+      } else {
+        isFull = isFull || request.tried.length === 0;
+        rest.push(request);
+      }
+    }
+    this.#waiting.set(service, rest);
+  }
+
+  #refuse(request: PendingRequest, reason: string, now: number): void {
+    const left = request.arrivedAt + (request.arrival.timeout ?? 0) - now;
+    const pause = Math.max(SHORTEST_RETRY_AFTER, left * RETRY_AFTER_SHARE);
+    this.#note("warn", "request.refused", request, now, { reason });
+    this.#finish(request, null);
+    this.#effects.push({
+      kind: "request.refuse",
+      exchange: request.arrival.exchange,
+      status: 503,
+      retryAfter: pause,
+      reason,
+    });
+  }
+
+  /** Ends a request that may have run without an answer of a server. */
+  #fail(
+    request: PendingRequest,
+    status: 502 | 504,
+    reason: string,
+    now: number,
+  ): void {
+    this.#note("warn", "request.failed", request, now, { status, reason });
+    this.#finish(request, null);
+    this.#effects.push({
+      kind: "request.refuse",
+      exchange: request.arrival.exchange,
+      status,
+      retryAfter: null,
+      reason,
+    });
+  }
+
+  /** Forgets a request; all attempts but `winner` are given up. */
+  #finish(request: PendingRequest, winner: number | null): void {
+    this.#requests.delete(request.arrival.exchange);
+    this.#remove(request);
+    for (const { number, server } of request.attempts) {
+      this.#byAttempt.delete(number);
+      if (number === winner) continue;
+      this.context.fleet.get(server)?.cancelled(number);
+      this.#effects.push({ kind: "attempt.cancel", attempt: number });
+    }
+  }
+
+  #answerUnrouted(
+    { exchange, id, host, target }: RequestArrival,
+    status: number,
+    retryAfter: number | null,
+    reason: string,
+  ): void {
+    const { version } = this.context.catalog;
+    this.#effects.push({
+      kind: "note",
+      level: "warn",
+      decision: "request.unrouted",
+      detail: { request: id, host, target, status, version, reason },
+    });
+    this.#effects.push({
+      kind: "request.refuse",
+      exchange,
+      status,
+      retryAfter,
+      reason,
+    });
+  }
+
+  #queue(service: string): PendingRequest[] {
+    const queue = this.#waiting.get(service);
+    if (queue !== undefined) return queue;
+    const created: PendingRequest[] = [];
+    this.#waiting.set(service, created);
+    return created;
+  }
+
+  #remove(request: PendingRequest): void {
+    const queue = this.#queue(request.service);
+    const index = queue.indexOf(request);
+    if (index >= 0) queue.splice(index, 1);
+  }
+
+  #budget(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      budget = RetryBudget.create(this.context.retryLimits);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #note(
+    level: "info" | "warn",
+    decision: string,
+    request: PendingRequest,
+    now: number,
+    detail: Record<string, string | number | boolean | null>,
+  ): void {
+    this.#effects.push({
+      kind: "note",
+      level,
+      decision,
+      detail: {
+        request: request.arrival.id,
+        route: request.route.name,
+        service: request.service,
+        key: request.key,
+        age: Math.round(now - request.arrivedAt),
+        version: this.context.catalog.version,
+        ...detail,
+      },
+    });
+  }
+
+  #take(): DispatchEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+}
+
+/** Puts a request behind those of the same or a more urgent priority. */
+function enqueue(queue: PendingRequest[], request: PendingRequest): void {
+  let index = queue.length;
+  while (
+    index > 0 && queue[index - 1].route.priority > request.route.priority
+  ) index -= 1;
+  queue.splice(index, 0, request);
+}
--- /dev/null
+++ b/src/core/dispatch/index.ts
@@ -0,0 +1,5 @@
+export * from "./dispatch_effect.ts";
+export * from "./dispatcher.ts";
+export * from "./request.ts";
+export * from "./retry_budget.ts";
+export * from "./server_choice.ts";
--- /dev/null
+++ b/src/core/dispatch/server_choice.ts
@@ -0,0 +1,77 @@
+/**
+ * Chooses a backend server for a request.
+ *
+ * @module
+ */
+import type { Fleet, TrackedServer } from "../fleet/index.ts";
+
+/** Requests of all VMs that one server should have at most, in multiples of
+ * the requests that it runs at a time: one set runs, one waits, so that no slot
+ * idles between two requests and the server's own queue never fills. */
+const LOAD_PER_SLOT = 2;
+/** Requests that this VM alone may have at a server, in multiples of its part
+ * of the server's slots: callers are spread unevenly over VMs. */
+const OWN_SHARE = 4;
+/** Number of VMs assumed until the group is known. */
+const ASSUMED_VMS = 8;
+/** How much more a server in another availability zone may seem to cost. Its
+ * bytes are paid for, and a hop takes longer. */
+const FAR_FACTOR = 1.3;
+/** Random share added to costs, so that VMs do not all choose alike. */
+const JITTER = 0.2;
+
+/** What a choice is made upon. */
+export interface ChoiceContext {
+  fleet: Fleet;
+  availabilityZone: string;
+  /** Number of VMs that share the servers, or null when unknown. */
+  vms: number | null;
+  /** A number in [0, 1). */
+  draw(): number;
+}
+
+/** Whether a server can take one more request of this VM now. */
+export function hasRoom(
+  server: TrackedServer,
+  now: number,
+  vms: number | null,
+): boolean {
+  const { slots } = server.entry;
+  const part = slots * OWN_SHARE / (vms ?? ASSUMED_VMS);
+  if (server.inFlight >= Math.max(1, Math.ceil(part))) return false;
+  return server.load(now) < slots * LOAD_PER_SLOT;
+}
+
+/**
+ * The server where an answer is expected first, among those with room that were
+ * not tried. Servers that failed or are silent come last. Null when none has
+ * room.
+ */
+export function chooseServer(
+  service: string,
+  tried: readonly string[],
+  now: number,
+  context: ChoiceContext,
+): TrackedServer | null {
+  const { fleet, vms } = context;
+  const usual = fleet.usualLatency(service);
+  const usable = fleet.of(service).filter((server) =>
+    !server.entry.isDraining && !tried.includes(server.id)
+  );
+  const sound = usable.filter((server) =>
+    !server.isPaused(now) && !server.isSilent(now, usual)
+  );
+  const pool = sound.length > 0 ? sound : usable;
+  let best: TrackedServer | null = null;
+  let lowest = Infinity;
+  for (const server of pool) {
+    if (!hasRoom(server, now, vms)) continue;
+    const isNear = server.entry.availabilityZone === context.availabilityZone;
+    const cost = (server.cost(now, usual) + 1) * (isNear ? 1 : FAR_FACTOR) *
+      (1 + JITTER * context.draw());
+    if (cost >= lowest) continue;
+    lowest = cost;
+    best = server;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/core/entry.ts
@@ -0,0 +1,276 @@
+/**
+ * The reducer of an entry process: takes every event, answers with effects.
+ *
+ * It reads no clock and draws no random numbers but those of its seed, so the
+ * same code runs over sockets and under virtual time.
+ *
+ * @module
+ */
+import { Catalog } from "./catalog/index.ts";
+import { Dispatcher } from "./dispatch/index.ts";
+import type { EntryEffect } from "./entry_effect.ts";
+import type { EntryEvent } from "./entry_event.ts";
+import type { EntryOptions } from "./entry_options.ts";
+import { Fleet, type FleetChange } from "./fleet/index.ts";
+import {
+  type Assignment,
+  KeyDirectory,
+  KeyLoad,
+  TermCampaign,
+} from "./keyspace/index.ts";
+import { uniformFloat64 } from "./random.ts";
+
+/** Pause between looks at the ranges while this VM leads, in milliseconds. */
+const LEADING_INTERVAL = 50;
+/** Pause between looks at anything else, in milliseconds. */
+const IDLE_INTERVAL = 250;
+/** The store counts as lost after this long without an answer, in
+ * milliseconds: some calls of each second are missing by then. */
+const STORE_LOST_AFTER = 1_500;
+/** Pause between looks at a shutdown, in milliseconds. */
+const SHUTDOWN_INTERVAL = 50;
+
+/** See the module's comment. */
+export class Entry {
+  readonly catalog = Catalog.create();
+  readonly fleet = Fleet.create();
+  readonly directory = KeyDirectory.create();
+  readonly campaign: TermCampaign;
+  readonly dispatcher: Dispatcher;
+  readonly #loads = new Map<string, KeyLoad>();
+  #storeAnsweredAt = -Infinity;
+  #isStoreLost = true;
+  #isReady = false;
+  #shutdownAt: number | null = null;
+  #isClosed = false;
+  #isStopped = false;
+  #effects: EntryEffect[] = [];
+
+  private constructor(private readonly options: EntryOptions) {
+    this.campaign = TermCampaign.create(
+      options.leaseTiming,
+      this.fleet,
+      this.#loads,
+    );
+    this.dispatcher = Dispatcher.create({
+      catalog: this.catalog,
+      fleet: this.fleet,
+      directory: this.directory,
+      availabilityZone: options.availabilityZone,
+      retryLimits: options.retryLimits,
+      vms: () => this.campaign.members,
+      draw: uniformFloat64(options.seed),
+    });
+  }
+
+  /** The core of a process that knows nothing yet. */
+  static create(options: EntryOptions): Entry {
+    return new Entry(options);
+  }
+
+  /** Takes one event. */
+  step(event: EntryEvent): EntryEffect[] {
+    this.#reduce(event);
+    this.#advance(event.now);
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+
+  /** When a timer has to go off if nothing else happens before. */
+  nextAt(now: number): number {
+    const isBusy = this.campaign.phase !== "follower";
+    const pause = isBusy ? LEADING_INTERVAL : IDLE_INTERVAL;
+    const stop = this.#shutdownAt === null ? Infinity : SHUTDOWN_INTERVAL;
+    return Math.min(this.dispatcher.nextAt(), now + Math.min(pause, stop));
+  }
+
+  #reduce(event: EntryEvent): void {
+    const { now } = event;
+    switch (event.kind) {
+      case "timer":
+        return;
+      case "configuration.read":
+        if (!this.catalog.apply(event.configuration)) return;
+        this.#note("configuration.applied", {
+          version: this.catalog.version,
+          routes: event.configuration.routes.length,
+        });
+        this.#put({ kind: "limits.apply", limits: event.configuration.limits });
+        return;
+      case "servers.read":
+        this.#noteFleet(
+          event.isWhole
+            ? this.fleet.replace(event.entries, now)
+            : this.fleet.apply(event.entries, event.removed, now),
+        );
+        return;
+      case "assignments.read":
+        return this.#takeAssignments(event.assignments);
+      case "store.answered":
+        return this.#storeAnswered(event.sentAt, now);
+      case "store.failed":
+        this.#put({
+          kind: "note",
+          level: "warn",
+          decision: "store.call_failed",
+          detail: { step: event.step, cause: event.cause },
+        });
+        return;
+      case "group.joined":
+        return this.campaign.joined(event.membership, now);
+      case "group.failed":
+        return this.campaign.joinFailed(now);
+      case "term.read":
+        return this.#put(...this.campaign.read(event.records, now));
+      case "term.claimed":
+        this.#note("term.claimed", {
+          term: event.term,
+          outcome: event.outcome,
+        });
+        return this.#put(
+          ...this.campaign.claimed(event.term, event.outcome, now),
+        );
+      case "assignments.written":
+        return this.#put(
+          ...this.campaign.written(event.term, event.outcome, now),
+        );
+      case "order.ended":
+        this.#noteOrder(event.order, event.outcome);
+        return this.#put(
+          ...this.campaign.ordered(event.order, event.outcome, now),
+        );
+      case "request.arrived":
+        this.#countKey(event.arrival.host, event.arrival.target, event);
+        return this.#put(...this.dispatcher.arrive(event.arrival, now));
+      case "request.left":
+        return this.#put(...this.dispatcher.leave(event.exchange, now));
+      case "attempt.ended":
+        return this.#put(
+          ...this.dispatcher.ended(event.attempt, event.outcome, now),
+        );
+      case "shutdown":
+        return this.#startShutdown(now);
+    }
+  }
+
+  /** Takes the steps that time alone brings. */
+  #advance(now: number): void {
+    this.#noteFleet(this.fleet.expire(now));
+    const silence = now - this.#storeAnsweredAt;
+    if (!this.#isStoreLost && silence > STORE_LOST_AFTER) {
+      this.#isStoreLost = true;
+      this.#note("store.lost", { silence: Math.round(silence) });
+    }
+    const services = this.catalog.keyedServices.map((each) => each.name);
+    const phase = this.campaign.phase;
+    this.#put(...this.campaign.advance(services, now, silence));
+    if (this.campaign.phase !== phase) {
+      this.#note("term.phase", { from: phase, to: this.campaign.phase });
+    }
+    this.#put(...this.dispatcher.advance(now));
+    this.#updateReadiness();
+    this.#advanceShutdown(now);
+  }
+
+  #storeAnswered(sentAt: number, now: number): void {
+    this.#storeAnsweredAt = Math.max(this.#storeAnsweredAt, sentAt);
+    if (!this.#isStoreLost || now - sentAt > STORE_LOST_AFTER) return;
+    this.#isStoreLost = false;
+    this.fleet.regained(now);
+    this.#note("store.regained", {});
+  }
+
+  #takeAssignments(assignments: readonly Assignment[]): void {
+    for (const assignment of assignments) {
+      const isTaken = this.directory.apply(assignment);
+      this.#note("assignment.read", {
+        service: assignment.service,
+        term: assignment.term,
+        ranges: assignment.ranges.length,
+        open: assignment.ranges.filter((each) => each.isOpen).length,
+        isTaken,
+      });
+    }
+  }
+
+  /** Counts a request's key as a sample of what is asked for. */
+  #countKey(
+    host: string,
+    target: string,
+    { arrival, now }: EntryEvent & { kind: "request.arrived" },
+  ): void {
+    if (arrival.key === null) return;
+    const route = this.catalog.route(host, target);
+    for (const { service } of route?.destinations ?? []) {
+      if (!this.catalog.service(service)?.isKeyed) continue;
+      const load = this.#loads.get(service) ?? KeyLoad.create();
+      this.#loads.set(service, load);
+      load.record(arrival.key, now);
+    }
+  }
+
+  #updateReadiness(): void {
+    const isReady = this.catalog.isKnown && this.#shutdownAt === null;
+    if (isReady === this.#isReady) return;
+    this.#isReady = isReady;
+    this.#note("readiness.changed", { isReady });
+    this.#put({ kind: "readiness.set", isReady });
+  }
+
+  #startShutdown(now: number): void {
+    if (this.#shutdownAt !== null) return;
+    this.#shutdownAt = now;
+    this.#note("shutdown.started", { pending: this.dispatcher.pending });
+    this.#put({ kind: "callers.drain" }, ...this.campaign.retire());
+  }
+
+  #advanceShutdown(now: number): void {
+    if (this.#shutdownAt === null || this.#isStopped) return;
+    const elapsed = now - this.#shutdownAt;
+    const { closeAfter, stopAfter } = this.options.shutdown;
+    if (elapsed >= closeAfter && !this.#isClosed) {
+      this.#isClosed = true;
+      this.#put({ kind: "callers.close" });
+    }
+    const isIdle = this.#isClosed && this.dispatcher.pending === 0;
+    if (!isIdle && elapsed < stopAfter) return;
+    this.#isStopped = true;
+    this.#note("shutdown.finished", { pending: this.dispatcher.pending });
+    this.#put({ kind: "process.stop" });
+  }
+
+  #noteFleet(changes: readonly FleetChange[]): void {
+    for (const { kind, server } of changes) {
+      if (kind === "removed") {
+        this.#put({ kind: "connections.close", server: server.id });
+      }
+      this.#note(`server.${kind}`, {
+        server: server.id,
+        service: server.service,
+        address: server.address,
+        zone: server.availabilityZone,
+      });
+    }
+  }
+
+  #noteOrder(order: number, outcome: { kind: string; cause?: string }): void {
+    if (outcome.kind === "accepted") return;
+    this.#note("order.not_accepted", {
+      order,
+      outcome: outcome.kind,
+      cause: outcome.cause ?? null,
+    });
+  }
+
+  #note(
+    decision: string,
+    detail: Record<string, string | number | boolean | null>,
+  ): void {
+    this.#put({ kind: "note", level: "info", decision, detail });
+  }
+
+  #put(...effects: EntryEffect[]): void {
+    this.#effects.push(...effects);
+  }
+}
--- /dev/null
+++ b/src/core/entry_effect.ts
@@ -0,0 +1,25 @@
+/**
+ * Everything that the core wants done, as data.
+ *
+ * @module
+ */
+import type { CallerLimits } from "./catalog/index.ts";
+import type { DispatchEffect } from "./dispatch/index.ts";
+import type { KeyspaceEffect } from "./keyspace/index.ts";
+
+/** See the module's comment. */
+export type EntryEffect =
+  | DispatchEffect
+  | KeyspaceEffect
+  /** Callers are held to these limits from now on. */
+  | { kind: "limits.apply"; limits: CallerLimits }
+  /** The connections to a server that is gone are of no more use. */
+  | { kind: "connections.close"; server: string }
+  /** What the balancer's readiness check is told. */
+  | { kind: "readiness.set"; isReady: boolean }
+  /** Connections of callers end with their next answer. */
+  | { kind: "callers.drain" }
+  /** Idle connections of callers are closed and no new ones taken. */
+  | { kind: "callers.close" }
+  /** Nothing is left to do. */
+  | { kind: "process.stop" };
--- /dev/null
+++ b/src/core/entry_event.ts
@@ -0,0 +1,47 @@
+/**
+ * Everything that the core is told. Each event carries the time of the
+ * monotonic clock at which it was taken in, in milliseconds.
+ *
+ * @module
+ */
+import type { Configuration } from "./catalog/index.ts";
+import type { AttemptOutcome, RequestArrival } from "./dispatch/index.ts";
+import type { BackendServer } from "./fleet/index.ts";
+import type {
+  Assignment,
+  Membership,
+  OrderOutcome,
+  Records,
+  WriteOutcome,
+} from "./keyspace/index.ts";
+
+/** What happened, without its time. */
+export type Occurrence =
+  /** A timer that the core asked for went off. */
+  | { kind: "timer" }
+  | { kind: "configuration.read"; configuration: Configuration }
+  | {
+    kind: "servers.read";
+    entries: BackendServer[];
+    removed: string[];
+    /** Whether `entries` is the whole list. */
+    isWhole: boolean;
+  }
+  | { kind: "assignments.read"; assignments: Assignment[] }
+  /** A call to the store that was sent at `sentAt` was answered. */
+  | { kind: "store.answered"; sentAt: number }
+  | { kind: "store.failed"; step: string; cause: string }
+  | { kind: "group.joined"; membership: Membership }
+  | { kind: "group.failed" }
+  | { kind: "term.read"; records: Records | null }
+  | { kind: "term.claimed"; term: number; outcome: WriteOutcome }
+  | { kind: "assignments.written"; term: number; outcome: WriteOutcome }
+  | { kind: "order.ended"; order: number; outcome: OrderOutcome }
+  | { kind: "request.arrived"; arrival: RequestArrival }
+  | { kind: "request.left"; exchange: number }
+  | { kind: "attempt.ended"; attempt: number; outcome: AttemptOutcome }
+  /** The process was asked to stop. */
+  | { kind: "shutdown" };
+
+/** See the module's comment. */
+export type EntryEvent = Occurrence & { now: number };
--- /dev/null
+++ b/src/core/entry_options.ts
@@ -0,0 +1,26 @@
+/**
+ * What the core of one entry process is made with.
+ *
+ * @module
+ */
+import type { RetryLimits } from "./dispatch/index.ts";
+import type { LeaseTiming } from "./keyspace/index.ts";
+
+/** Times of a shutdown, in milliseconds after it was asked for. */
+export interface ShutdownTiming {
+  /** Until then callers' new connections are taken: the balancer needs two
+   * readiness checks, a second apart, to turn to other VMs. */
+  closeAfter: number;
+  /** The process stops then whatever is in flight. */
+  stopAfter: number;
+}
+
+/** See the module's comment. */
+export interface EntryOptions {
+  availabilityZone: string;
+  leaseTiming: LeaseTiming;
+  retryLimits: RetryLimits;
+  shutdown: ShutdownTiming;
+  /** Seed of all random numbers. */
+  seed: number;
+}
--- /dev/null
+++ b/src/core/fleet/fleet.ts
@@ -0,0 +1,140 @@
+/**
+ * The backend servers that the registry lists.
+ *
+ * @module
+ */
+import type { BackendServer } from "./backend_server.ts";
+import { TrackedServer } from "./tracked_server.ts";
+
+/**
+ * Time after the registry is back within which entries that lapsed during its
+ * outage are written again, in milliseconds; as the platform's operators state
+ * it. Removals that are read in this time take effect at its end, if the entry
+ * has not come back.
+ */
+const RETURN_TIME = 2_000;
+
+/** A change of the list of servers. */
+export interface FleetChange {
+  kind: "joined" | "draining" | "removed";
+  server: BackendServer;
+}
+
+/** See the module's comment. */
+export class Fleet {
+  readonly #servers = new Map<string, TrackedServer>();
+  readonly #byService = new Map<string, TrackedServer[]>();
+  /** Ids whose removal waits, and until when. */
+  readonly #doubtful = new Map<string, number>();
+  #regainedAt = -Infinity;
+
+  private constructor() {}
+
+  /** An empty list. */
+  static create(): Fleet {
+    return new Fleet();
+  }
+
+  /** The registry answers again after an outage. */
+  regained(now: number): void {
+    this.#regainedAt = now;
+  }
+
+  /** Takes new or changed entries and removals. */
+  apply(
+    entries: readonly BackendServer[],
+    removed: readonly string[],
+    now: number,
+  ): FleetChange[] {
+    const changes: FleetChange[] = [];
+    for (const id of removed) this.#withdraw(id, now, changes);
+    for (const entry of entries) this.#put(entry, now, changes);
+    return changes;
+  }
+
+  /** Takes a whole list: servers that it does not hold are removed. */
+  replace(entries: readonly BackendServer[], now: number): FleetChange[] {
+    const listed = new Set(entries.map((entry) => entry.id));
+    const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
+    return this.apply(entries, missing, now);
+  }
+
+  /** Carries out removals whose time has come. */
+  expire(now: number): FleetChange[] {
+    const changes: FleetChange[] = [];
+    for (const [id, at] of this.#doubtful) {
+      if (at <= now) this.#remove(id, changes);
+    }
+    return changes;
+  }
+
+  /** A server by id. */
+  get(id: string): TrackedServer | undefined {
+    return this.#servers.get(id);
+  }
+
+  /** All servers of a service. */
+  of(service: string): readonly TrackedServer[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Whether another run of a server is listed at `address`. */
+  isReused(address: string, id: string): boolean {
+    for (const server of this.#servers.values()) {
+      if (server.entry.address === address && server.id !== id) return true;
+    }
+    return false;
+  }
+
+  /** Mean of the known latencies of a service's servers, in milliseconds. */
+  usualLatency(service: string): number {
+    let sum = 0;
+    let count = 0;
+    for (const { latency } of this.of(service)) {
+      if (latency === null) continue;
+      sum += latency;
+      count += 1;
+    }
+    return count === 0 ? 0 : sum / count;
+  }
+
+  #put(entry: BackendServer, now: number, changes: FleetChange[]): void {
+    this.#doubtful.delete(entry.id);
+    const known = this.#servers.get(entry.id);
+    if (known === undefined) {
+      this.#add(entry, now);
+      changes.push({ kind: "joined", server: entry });
+      return;
+    }
+    const wasDraining = known.entry.isDraining;
+    known.update(entry, now);
+    if (entry.isDraining && !wasDraining) {
+      changes.push({ kind: "draining", server: entry });
+    }
+  }
+
+  #add(entry: BackendServer, now: number): void {
+    const server = TrackedServer.create(entry);
+    server.update(entry, now);
+    this.#servers.set(entry.id, server);
+    const others = this.#byService.get(entry.service) ?? [];
+    this.#byService.set(entry.service, [...others, server]);
+  }
+
+  #withdraw(id: string, now: number, changes: FleetChange[]): void {
+    const until = this.#regainedAt + RETURN_TIME;
+    if (until <= now) return this.#remove(id, changes);
+    if (this.#servers.has(id)) this.#doubtful.set(id, until);
+  }
+
+  #remove(id: string, changes: FleetChange[]): void {
+    this.#doubtful.delete(id);
+    const server = this.#servers.get(id);
+    if (server === undefined) return;
+    this.#servers.delete(id);
+    const { service } = server.entry;
+    const others = this.of(service).filter((each) => each.id !== id);
+    this.#byService.set(service, others);
+    changes.push({ kind: "removed", server: server.entry });
+  }
+}
--- /dev/null
+++ b/src/core/fleet/tracked_server.ts
@@ -0,0 +1,162 @@
+/**
+ * One backend server with this VM's own observations of it: load, latency,
+ * refusals and failures. Routing goes by outcomes of requests; health checks
+ * would cost a server a slot and may be wrong.
+ *
+ * @module
+ */
+import type { BackendServer, ReportedLoad } from "./backend_server.ts";
+
+/** Weight of the newest sample in moving averages. */
+const SAMPLE_WEIGHT = 0.2;
+/** Time for which a reported load counts in full, in milliseconds; others'
+ * requests last about as long. */
+const LOAD_LIFETIME = 300;
+/** First pause after failures in a row, in milliseconds; doubles with each. */
+const FIRST_PAUSE = 300;
+/** Longest such pause: a server that recovers is tried again within it. */
+const LONGEST_PAUSE = 3_000;
+/** Failures in a row before a server is paused; one may be an accident. */
+const FAILURES_TO_PAUSE = 2;
+/** Lowest assumed share of accepted requests, so that costs stay finite. */
+const LOWEST_ACCEPTANCE = 0.05;
+/** How much longer than usual an answer may take before its server counts as
+ * silent, and the shortest such time in milliseconds. */
+const SILENCE_FACTOR = 4;
+const SHORTEST_SILENCE = 250;
+
+/** See the module's comment. */
+export class TrackedServer {
+  /** When it was first seen draining, or null. */
+  drainingSince: number | null = null;
+  /** Requests of this VM that it has. */
+  inFlight = 0;
+  #latency: number | null = null;
+  #acceptance = 1;
+  #failures = 0;
+  #pausedUntil = 0;
+  #othersLoad = 0;
+  #loadAt = -Infinity;
+  #lastAnswerAt = -Infinity;
+  readonly #startedAt = new Map<number, number>();
+
+  private constructor(public entry: BackendServer) {}
+
+  /** A server of which nothing is known but its entry. */
+  static create(entry: BackendServer): TrackedServer {
+    return new TrackedServer(entry);
+  }
+
+  get id(): string {
+    return this.entry.id;
+  }
+
+  /** Moving average of its answer times in milliseconds, or null. */
+  get latency(): number | null {
+    return this.#latency;
+  }
+
+  /** Takes a newer entry of the same run. */
+  update(entry: BackendServer, now: number): void {
+    this.entry = entry;
+    if (entry.isDraining) this.drainingSince ??= now;
+  }
+
+  /** A request was sent to it. */
+  started(attempt: number, now: number): void {
+    this.inFlight += 1;
+    this.#startedAt.set(attempt, now);
+  }
+
+  /** A request left it without an outcome that says something of it. */
+  cancelled(attempt: number): void {
+    this.#end(attempt);
+  }
+
+  /** It answered a request that it had run. */
+  answered(attempt: number, now: number, load: ReportedLoad | null): void {
+    const startedAt = this.#end(attempt);
+    this.#heard(now, load);
+    this.#failures = 0;
+    this.#acceptance = mix(this.#acceptance, 1);
+    if (startedAt === undefined) return;
+    const sample = now - startedAt;
+    this.#latency = this.#latency === null
+      ? sample
+      : mix(this.#latency, sample);
+  }
+
+  /** It refused a request, or answered it with a failure. */
+  refused(attempt: number, now: number, load: ReportedLoad | null): void {
+    this.#end(attempt);
+    this.#heard(now, load);
+    this.#acceptance = mix(this.#acceptance, 0);
+  }
+
+  /** A request to it failed: no answer, or one that cannot be used. */
+  failed(attempt: number, now: number): void {
+    this.#end(attempt);
+    this.#acceptance = mix(this.#acceptance, 0);
+    this.#failures += 1;
+    if (this.#failures < FAILURES_TO_PAUSE) return;
+    const doublings = this.#failures - FAILURES_TO_PAUSE;
+    this.#pausedUntil = now +
+      Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** doublings);
+  }
+
+  /** Whether it should be spared after failures. */
+  isPaused(now: number): boolean {
+    return now < this.#pausedUntil;
+  }
+
+  /**
+   * Whether a request has waited for much longer than `usualLatency` while
+   * nothing else came from the server: it is dark, frozen or very slow.
+   */
+  isSilent(now: number, usualLatency: number): boolean {
+    const limit = Math.max(SHORTEST_SILENCE, usualLatency * SILENCE_FACTOR);
+    for (const startedAt of this.#startedAt.values()) {
+      return now - startedAt > limit && this.#lastAnswerAt < startedAt;
+    }
+    return false;
+  }
+
+  /** Requests that it probably has, of this VM and of others. */
+  load(now: number): number {
+    const age = Math.max(0, now - this.#loadAt);
+    const others = this.#othersLoad * Math.exp(-age / LOAD_LIFETIME);
+    return this.inFlight + others;
+  }
+
+  /**
+   * Expected time to an answer in milliseconds for one more request, longer for
+   * a server that refuses a share of them.
+   */
+  cost(now: number, usualLatency: number): number {
+    const latency = this.#latency ?? usualLatency;
+    const pressure = Math.max(1, (this.load(now) + 1) / this.entry.slots);
+    return latency * pressure / Math.max(LOWEST_ACCEPTANCE, this.#acceptance);
+  }
+
+  #heard(now: number, load: ReportedLoad | null): void {
+    this.#lastAnswerAt = now;
+    if (load === null) return;
+    this.#othersLoad = Math.max(
+      0,
+      load.running + load.waiting - this.inFlight,
+    );
+    this.#loadAt = now;
+  }
+
+  #end(attempt: number): number | undefined {
+    const startedAt = this.#startedAt.get(attempt);
+    if (startedAt === undefined) return undefined;
+    this.#startedAt.delete(attempt);
+    this.inFlight -= 1;
+    return startedAt;
+  }
+}
+
+function mix(average: number, sample: number): number {
+  return average + SAMPLE_WEIGHT * (sample - average);
+}
--- /dev/null
+++ b/src/core/keyspace/held_range.ts
@@ -0,0 +1,79 @@
+/**
+ * One range of keys as the term holder manages it.
+ *
+ * ```
+ * vacant -> assigned -> held -> closing -> vacant
+ *              |                   |
+ *              +---> expiring <----+      (no answer: wait for the lease)
+ * ```
+ *
+ * @module
+ */
+import type { KeyRange } from "./assignment.ts";
+
+/** Where a range stands; see the module's comment. */
+export type RangeState =
+  /** No server holds the keys. */
+  | "vacant"
+  /** A server was chosen; it gets its first grant once that is recorded. */
+  | "assigned"
+  /** A server holds the keys and its grant is renewed. */
+  | "held"
+  /** The keys are being taken back; requests are no longer sent there. */
+  | "closing"
+  /** The server did not answer; its lease has to run out. */
+  | "expiring";
+
+/** See the module's comment. Times are those of the holder's clock. */
+export interface HeldRange extends KeyRange {
+  state: RangeState;
+  /** The only server that may hold the keys. */
+  server: string | null;
+  /** Address of that server, kept for when it is no longer listed. */
+  address: string | null;
+  /** Fencing token of its grant. */
+  token: number;
+  /** Whether it has accepted a grant of this term, which makes it refuse those
+   * of older holders. */
+  isFenced: boolean;
+  /** Text that its last holder gave out for a warm start. */
+  handover: string | null;
+  /** When the last grant that the server answered runs out at the latest. */
+  leaseEnd: number;
+  /** When grants that it did not answer run out at the latest. */
+  doubtEnd: number;
+  /** Hold time of the last grant that was sent. */
+  hold: number;
+  /** When the next order is due. */
+  dueAt: number;
+  /** Orders in a row that got no answer. */
+  failures: number;
+  /** The order in flight, or null. */
+  order: number | null;
+  /** Server that the keys are to go to next, or null. */
+  destination: string | null;
+  /** Change of the table that brought the range into its state. */
+  revision: number;
+}
+
+/** A range that nobody holds. */
+export function vacantRange(range: KeyRange, revision: number): HeldRange {
+  return {
+    first: range.first,
+    last: range.last,
+    state: "vacant",
+    server: null,
+    address: null,
+    token: 0,
+    isFenced: false,
+    handover: null,
+    leaseEnd: 0,
+    doubtEnd: 0,
+    hold: 0,
+    dueAt: 0,
+    failures: 0,
+    order: null,
+    destination: null,
+    revision,
+  };
+}
--- /dev/null
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -0,0 +1,95 @@
+/**
+ * What the holders of terms want done, as data.
+ *
+ * @module
+ */
+import type { Assignment } from "./assignment.ts";
+
+/** How an order to a backend server ended. */
+export type OrderOutcome =
+  | { kind: "accepted"; handover: string | null }
+  /** The server has seen a higher token on some of the keys. */
+  | { kind: "superseded" }
+  /** No usable answer: the order may still be carried out. */
+  | { kind: "failed"; cause: string };
+
+/** Grants keys to a server, or renews the grant. */
+export interface GrantOrder {
+  kind: "order.grant";
+  order: number;
+  service: string;
+  server: string;
+  address: string;
+  first: number;
+  last: number;
+  token: number;
+  /** Milliseconds for which the server holds the keys. */
+  hold: number;
+  handover: string | null;
+}
+
+/** Takes keys back. */
+export interface ReleaseOrder {
+  kind: "order.release";
+  order: number;
+  service: string;
+  server: string;
+  address: string;
+  first: number;
+  last: number;
+  token: number;
+}
+
+/** Keys begin to move for the sake of balance; for the log. */
+export interface MoveNote {
+  kind: "keys.move";
+  service: string;
+  first: number;
+  last: number;
+  from: string;
+  to: string;
+}
+
+/** Records assignments; the answer is the event `assignments.written`. */
+export interface AssignmentWrite {
+  kind: "assignments.write";
+  term: number;
+  /** Number of the write within the term, from 1. */
+  sequence: number;
+  assignments: Assignment[];
+}
+
+/** Asks for what is recorded; the answer is the event `term.read`. */
+export interface TermRead {
+  kind: "term.read";
+}
+
+/** Claims a term if the record still ends at `end`; answered by `term.claimed`. */
+export interface TermClaim {
+  kind: "term.claim";
+  term: number;
+  end: number;
+}
+
+/** Joins the group that elects, or stays in it; answered by `group.joined`. */
+export interface GroupJoin {
+  kind: "group.join";
+  /** Newest generation of the group that this VM knows. */
+  generation: number;
+}
+
+/** Leaves the group at once, so that another VM takes over. */
+export interface GroupLeave {
+  kind: "group.leave";
+}
+
+/** All effects of the key space. */
+export type KeyspaceEffect =
+  | GrantOrder
+  | ReleaseOrder
+  | MoveNote
+  | AssignmentWrite
+  | TermRead
+  | TermClaim
+  | GroupJoin
+  | GroupLeave;
--- /dev/null
+++ b/src/core/keyspace/placement.ts
@@ -0,0 +1,189 @@
+/**
+ * Decides which server should hold which keys, from measured load.
+ *
+ * @module
+ */
+import { KEY_COUNT, keyCount, type KeyRange } from "./assignment.ts";
+import type { HeldRange } from "./held_range.ts";
+import { samplesIn } from "./key_load.ts";
+
+/** Share of a range's weight that its number of keys makes, the rest is its
+ * measured load: cold keys are spread too, but cheaply. */
+const KEY_SHARE = 0.2;
+/** Samples below which the measured load says little, so that only the number
+ * of keys counts. */
+const FEWEST_SAMPLES = 30;
+/** A server is relieved when it carries this many times its fair share. A move
+ * makes its keys wait for the work that runs on them, so small differences
+ * stay. */
+const OVERLOAD = 1.35;
+/** Weight below which a move is not worth its orders. */
+const SMALLEST_MOVE = 0.015;
+/** Moves planned at a time for one service. */
+const MAXIMUM_MOVES = 6;
+
+/** A server that may get keys. */
+export interface Candidate {
+  id: string;
+  /** Relative speed; 1 is usual. */
+  speed: number;
+}
+
+/** Keys that should go to another server. */
+export interface Move {
+  range: HeldRange;
+  piece: KeyRange;
+  destination: string;
+}
+
+/** Weighs ranges for one decision. */
+export class Placement {
+  private constructor(
+    private readonly samples: readonly number[],
+    private readonly candidates: readonly Candidate[],
+  ) {}
+
+  /** Weighs by `samples`: ascending keys of recent requests. */
+  static create(
+    samples: readonly number[],
+    candidates: readonly Candidate[],
+  ): Placement {
+    return new Placement(samples, candidates);
+  }
+
+  /** Share of all work that a range makes, 0 to 1. */
+  weight(range: KeyRange): number {
+    const keys = keyCount(range) / KEY_COUNT;
+    if (this.samples.length < FEWEST_SAMPLES) return keys;
+    const load = samplesIn(this.samples, range) / this.samples.length;
+    return KEY_SHARE * keys + (1 - KEY_SHARE) * load;
+  }
+
+  /** Work of each candidate relative to its speed. */
+  loads(ranges: readonly HeldRange[]): Map<string, number> {
+    const loads = new Map(this.candidates.map(({ id }) => [id, 0]));
+    for (const range of ranges) {
+      const server = range.destination ?? range.server;
+      if (server === null || !loads.has(server)) continue;
+      loads.set(server, loads.get(server)! + this.weight(range));
+    }
+    for (const { id, speed } of this.candidates) {
+      loads.set(id, loads.get(id)! / speed);
+    }
+    return loads;
+  }
+
+  /** The candidate that a range without one should go to. */
+  choose(loads: Map<string, number>, range: KeyRange): string | null {
+    let best: Candidate | null = null;
+    let lowest = Infinity;
+    const weight = this.weight(range);
+    for (const candidate of this.candidates) {
+      const load = loads.get(candidate.id)! + weight / candidate.speed;
+      if (load >= lowest) continue;
+      lowest = load;
+      best = candidate;
+    }
+    if (best === null) return null;
+    loads.set(best.id, lowest);
+    return best.id;
+  }
+
+  /** Cuts a range into pieces that each make at most `most` of all work. */
+  pieces(range: KeyRange, most: number): KeyRange[] {
+    const pieces: KeyRange[] = [];
+    let rest: KeyRange | null = { first: range.first, last: range.last };
+    while (rest !== null && this.weight(rest) > most && keyCount(rest) > 1) {
+      const piece = this.#prefix(rest, most);
+      pieces.push(piece);
+      rest = piece.last < rest.last
+        ? { first: piece.last + 1, last: rest.last }
+        : null;
+    }
+    if (rest !== null) pieces.push(rest);
+    return pieces;
+  }
+
+  /** Moves from the servers that carry too much to those that carry least. */
+  moves(ranges: readonly HeldRange[]): Move[] {
+    const loads = this.loads(ranges);
+    const speeds = new Map(
+      this.candidates.map((each) => [each.id, each.speed]),
+    );
+    const totalSpeed = this.candidates.reduce(
+      (sum, { speed }) => sum + speed,
+      0,
+    );
+    if (this.candidates.length < 2) return [];
+    const total = ranges.reduce((sum, each) => sum + this.weight(each), 0);
+    const fair = total / totalSpeed;
+    const moves: Move[] = [];
+    for (const range of this.#heaviestFirst(ranges, loads)) {
+      if (moves.length >= MAXIMUM_MOVES) break;
+      const server = range.server!;
+      const excess = (loads.get(server)! - fair) * speeds.get(server)!;
+      if (loads.get(server)! < fair * OVERLOAD || excess < SMALLEST_MOVE) {
+        continue;
+      }
+      const move = this.#relieve(range, excess, fair, loads, speeds);
+      if (move !== null) moves.push(move);
+    }
+    return moves;
+  }
+
+  /** Takes up to `excess` off the front of `range` for the idlest server. */
+  #relieve(
+    range: HeldRange,
+    excess: number,
+    fair: number,
+    loads: Map<string, number>,
+    speeds: Map<string, number>,
+  ): Move | null {
+    let receiver: string | null = null;
+    for (const [id, load] of loads) {
+      if (id === range.server) continue;
+      if (receiver === null || load < loads.get(receiver)!) receiver = id;
+    }
+    if (receiver === null) return null;
+    const room = (fair - loads.get(receiver)!) * speeds.get(receiver)!;
+    const amount = Math.min(excess, room);
+    if (amount < SMALLEST_MOVE) return null;
+    const piece = this.#prefix(range, amount);
+    const weight = this.weight(piece);
+    // One key that alone outweighs the room would only move the overload.
+    if (weight > 2 * amount) return null;
+    const from = range.server!;
+    loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
+    loads.set(receiver, loads.get(receiver)! + weight / speeds.get(receiver)!);
+    return { range, piece, destination: receiver };
+  }
+
+  #heaviestFirst(
+    ranges: readonly HeldRange[],
+    loads: Map<string, number>,
+  ): HeldRange[] {
+    return ranges
+      .filter((each) =>
+        each.state === "held" && each.order === null &&
+        each.server !== null && loads.has(each.server)
+      )
+      .map((range) => ({ range, weight: this.weight(range) }))
+      .sort((a, b) => b.weight - a.weight)
+      .map(({ range }) => range);
+  }
+
+  /** The longest prefix of `range` that weighs at most `most`; one key at least. */
+  #prefix(range: KeyRange, most: number): KeyRange {
+    let low = range.first;
+    let high = range.last;
+    while (low < high) {
+      const middle = (low + high + 1) >> 1;
+      if (this.weight({ first: range.first, last: middle }) <= most) {
+        low = middle;
+      } else {
+        high = middle - 1;
+      }
+    }
+    return { first: range.first, last: low };
+  }
+}
--- /dev/null
+++ b/src/core/keyspace/range_table.ts
@@ -0,0 +1,135 @@
+/**
+ * All ranges of one service at the term holder, with the count of changes that
+ * tells which of them are recorded.
+ *
+ * @module
+ */
+import {
+  type Assignment,
+  coversAllKeys,
+  KEY_COUNT,
+  type KeyRange,
+} from "./assignment.ts";
+import { type HeldRange, vacantRange } from "./held_range.ts";
+
+/** See the module's comment. */
+export class RangeTable {
+  /** Changes so far. */
+  revision = 0;
+  /** Changes that the store has confirmed. */
+  recorded = 0;
+
+  private constructor(
+    readonly service: string,
+    public ranges: HeldRange[],
+  ) {}
+
+  /** A table in which no key is held. */
+  static create(service: string): RangeTable {
+    const all = { first: 0, last: KEY_COUNT - 1 };
+    return new RangeTable(service, [vacantRange(all, 0)]);
+  }
+
+  /**
+   * Continues what an older holder recorded. Its servers are to be granted
+   * their keys anew; one that does not answer may hold them until
+   * `predecessorEnd`.
+   */
+  static resume(
+    assignment: Assignment,
+    predecessorEnd: number,
+  ): RangeTable {
+    if (!coversAllKeys(assignment.ranges)) {
+      throw new RangeError(`ranges of ${assignment.service} have gaps`);
+    }
+    const ranges = assignment.ranges.map((each): HeldRange => {
+      const range = vacantRange(each, 0);
+      if (each.server === null) return range;
+      range.state = each.isOpen ? "held" : "assigned";
+      range.server = each.server;
+      range.address = each.address;
+      range.leaseEnd = predecessorEnd;
+      return range;
+    });
+    return new RangeTable(assignment.service, ranges);
+  }
+
+  /** Whether some change is not recorded. */
+  get isDirty(): boolean {
+    return this.recorded < this.revision;
+  }
+
+  /** Notes that `range` has changed in a way that has to be recorded. */
+  changed(range: HeldRange): void {
+    this.revision += 1;
+    range.revision = this.revision;
+  }
+
+  /** Whether the state of `range` is recorded. */
+  isRecorded(range: HeldRange): boolean {
+    return range.revision <= this.recorded;
+  }
+
+  /** What is to be recorded. */
+  snapshot(term: number): Assignment {
+    return {
+      service: this.service,
+      term,
+      ranges: this.ranges.map(({ first, last, server, address, state }) => ({
+        first,
+        last,
+        server,
+        address,
+        isOpen: state === "held",
+      })),
+    };
+  }
+
+  /**
+   * Cuts `piece` out of `range` and returns it; the rest stays as it is. Only
+   * for a range without an order in flight.
+   */
+  cut(range: HeldRange, piece: KeyRange): HeldRange {
+    const parts: HeldRange[] = [];
+    if (piece.first > range.first) {
+      parts.push({ ...range, last: piece.first - 1 });
+    }
+    const middle = { ...range, first: piece.first, last: piece.last };
+    parts.push(middle);
+    if (piece.last < range.last) {
+      parts.push({ ...range, first: piece.last + 1 });
+    }
+    this.ranges.splice(this.ranges.indexOf(range), 1, ...parts);
+    return middle;
+  }
+
+  /**
+   * Joins neighbours that one server holds, so that one order renews them. The
+   * joined range needs a new token, which `nextToken` gives.
+   */
+  joinNeighbours(now: number, nextToken: () => number): void {
+    const joined: HeldRange[] = [];
+    for (const range of this.ranges) {
+      const before = joined.at(-1);
+      if (before === undefined || !canJoin(before, range)) {
+        joined.push(range);
+        continue;
+      }
+      before.last = range.last;
+      before.token = nextToken();
+      before.leaseEnd = Math.max(before.leaseEnd, range.leaseEnd);
+      before.doubtEnd = Math.max(before.doubtEnd, range.doubtEnd);
+      before.isFenced = before.isFenced && range.isFenced;
+      before.revision = Math.max(before.revision, range.revision);
+      before.dueAt = now;
+    }
+    this.ranges = joined;
+  }
+}
+
+function canJoin(a: HeldRange, b: HeldRange): boolean {
+  const areHeld = a.state === "held" && b.state === "held";
+  const areIdle = a.order === null && b.order === null;
+  return areHeld && areIdle && a.server === b.server &&
+    a.failures === 0 && b.failures === 0;
+}
--- /dev/null
+++ b/src/core/keyspace/term_campaign.ts
@@ -0,0 +1,221 @@
+/**
+ * Decides when this VM is the term holder.
+ *
+ * The store elects one member of a group. The elected VM reads what is recorded
+ * and claims the next term by a write that the store accepts only if nothing
+ * was written since; from then on it refuses the writes of older terms. The
+ * holder's authority to send orders is bounded by its last confirmed membership
+ * call, on its own monotonic clock.
+ *
+ * @module
+ */
+import type { Fleet } from "../fleet/index.ts";
+import type { Assignment } from "./assignment.ts";
+import type { KeyLoad } from "./key_load.ts";
+import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
+import type { LeaseTiming } from "./lease_timing.ts";
+import { TermHolder } from "./term_holder.ts";
+
+/** Pause between membership calls, in milliseconds: a third of the time after
+ * which the store takes a silent member out. */
+export const JOIN_INTERVAL = 500;
+/** Time for which the election must stand before a term is claimed, in
+ * milliseconds: many members that join at once move it around. */
+const SETTLE_TIME = 300;
+/** Pause after a claim that failed, in milliseconds. */
+const CLAIM_PAUSE = 200;
+
+/** The answer to a membership call. */
+export interface Membership {
+  /** Grows with each change of the group. */
+  generation: number;
+  /** Whether this VM is the elected one. */
+  isElected: boolean;
+  /** Estimated number of VMs in the group, or null. */
+  members: number | null;
+  /** When the call was sent. */
+  sentAt: number;
+}
+
+/** What is recorded of all services. */
+export interface Records {
+  /** Newest term that was claimed. */
+  term: number;
+  /** Where the record ends. */
+  end: number;
+  assignments: Assignment[];
+}
+
+/** How a write to the record ended. */
+export type WriteOutcome = "done" | "refused" | "unknown";
+
+type Phase =
+  | { kind: "follower" }
+  | { kind: "settling"; since: number; generation: number }
+  | { kind: "reading" }
+  | { kind: "claiming"; records: Records }
+  | { kind: "pausing"; until: number }
+  | { kind: "leading"; holder: TermHolder };
+
+/** See the module's comment. */
+export class TermCampaign {
+  #phase: Phase = { kind: "follower" };
+  #generation = 0;
+  #members: number | null = null;
+  #authorityEnd = -Infinity;
+  #joinDueAt = -Infinity;
+  #isJoining = false;
+  #isRetired = false;
+  #orderCount = 0;
+
+  private constructor(
+    private readonly timing: LeaseTiming,
+    private readonly fleet: Fleet,
+    private readonly loads: ReadonlyMap<string, KeyLoad>,
+  ) {}
+
+  /** A campaign of a VM that is not elected yet. */
+  static create(
+    timing: LeaseTiming,
+    fleet: Fleet,
+    loads: ReadonlyMap<string, KeyLoad>,
+  ): TermCampaign {
+    return new TermCampaign(timing, fleet, loads);
+  }
+
+  /** The holder while this VM leads, or null. */
+  get holder(): TermHolder | null {
+    return this.#phase.kind === "leading" ? this.#phase.holder : null;
+  }
+
+  /** Estimated number of VMs, or null before the first membership call. */
+  get members(): number | null {
+    return this.#members;
+  }
+
+  /** What this VM is doing about the term, for operators. */
+  get phase(): Phase["kind"] {
+    return this.#phase.kind;
+  }
+
+  /** A membership call was answered. */
+  joined(membership: Membership, now: number): void {
+    this.#isJoining = false;
+    this.#joinDueAt = membership.sentAt + JOIN_INTERVAL;
+    this.#generation = Math.max(this.#generation, membership.generation);
+    this.#members = membership.members ?? this.#members;
+    if (this.#isRetired) return;
+    if (!membership.isElected) {
+      this.#phase = { kind: "follower" };
+      return;
+    }
+    this.#authorityEnd = membership.sentAt + this.timing.authority;
+    this.#settle(membership.generation, now);
+  }
+
+  /** A membership call failed; it is repeated. */
+  joinFailed(now: number): void {
+    this.#isJoining = false;
+    this.#joinDueAt = now + JOIN_INTERVAL / 2;
+  }
+
+  /** The record was read, or could not be (null). */
+  read(records: Records | null, now: number): KeyspaceEffect[] {
+    if (this.#phase.kind !== "reading") return [];
+    if (records === null) return this.#pause(now);
+    this.#phase = { kind: "claiming", records };
+    const term = Math.max(records.term + 1, this.#generation);
+    return [{ kind: "term.claim", term, end: records.end }];
+  }
+
+  /** A claim was answered. */
+  claimed(term: number, outcome: WriteOutcome, now: number): KeyspaceEffect[] {
+    if (this.#phase.kind !== "claiming") return [];
+    if (outcome !== "done") return this.#pause(now);
+    const holder = TermHolder.create(
+      term,
+      this.#phase.records.assignments,
+      this.timing,
+      this.fleet,
+      this.loads,
+      () => this.#orderCount += 1,
+      now,
+    );
+    this.#phase = { kind: "leading", holder };
+    return [];
+  }
+
+  /** A write of the holder was answered. */
+  written(term: number, outcome: WriteOutcome, now: number): KeyspaceEffect[] {
+    if (this.holder?.term !== term) return [];
+    // After a write without an answer the record has to be read again.
+    if (outcome !== "done") return this.#pause(now);
+    this.holder.written();
+    return [];
+  }
+
+  /** An order was answered. */
+  ordered(id: number, outcome: OrderOutcome, now: number): KeyspaceEffect[] {
+    const holder = this.holder;
+    if (holder === null || holder.ordered(id, outcome, now)) return [];
+    return this.#pause(now);
+  }
+
+  /** Takes all steps that are due. */
+  advance(
+    services: readonly string[],
+    now: number,
+    storeSilence: number,
+  ): KeyspaceEffect[] {
+    const effects: KeyspaceEffect[] = [];
+    if (!this.#isJoining && !this.#isRetired && now >= this.#joinDueAt) {
+      this.#isJoining = true;
+      effects.push({ kind: "group.join", generation: this.#generation });
+    }
+    const phase = this.#phase;
+    if (phase.kind !== "follower" && now >= this.#authorityEnd) {
+      this.#phase = { kind: "follower" };
+    } else if (phase.kind === "settling") {
+      if (now - phase.since >= SETTLE_TIME) effects.push(...this.#startRead());
+    } else if (phase.kind === "pausing") {
+      if (now >= phase.until) effects.push(...this.#startRead());
+    } else if (phase.kind === "leading") {
+      effects.push(
+        ...phase.holder.advance(
+          services,
+          now,
+          this.#authorityEnd,
+          storeSilence,
+        ),
+      );
+    }
+    return effects;
+  }
+
+  /** Gives the term up for good, since the process is about to stop. */
+  retire(): KeyspaceEffect[] {
+    this.#isRetired = true;
+    this.#phase = { kind: "follower" };
+    return [{ kind: "group.leave" }];
+  }
+
+  #settle(generation: number, now: number): void {
+    const phase = this.#phase;
+    const isNew = phase.kind === "follower";
+    const hasMoved = phase.kind === "settling" &&
+      phase.generation !== generation;
+    if (isNew || hasMoved) {
+      this.#phase = { kind: "settling", since: now, generation };
+    }
+  }
+
+  #startRead(): KeyspaceEffect[] {
+    this.#phase = { kind: "reading" };
+    return [{ kind: "term.read" }];
+  }
+
+  #pause(now: number): KeyspaceEffect[] {
+    this.#phase = { kind: "pausing", until: now + CLAIM_PAUSE };
+    return [];
+  }
+}
--- /dev/null
+++ b/src/core/keyspace/term_holder.ts
@@ -0,0 +1,445 @@
+/**
+ * The term holder: gives keys to backend servers and takes them back.
+ *
+ * A range changes its server only when the change is recorded and the old
+ * server either has confirmed its release or cannot hold the keys any more.
+ * Orders go out only while the holder's authority lasts.
+ *
+ * @module
+ */
+import type { Fleet, TrackedServer } from "../fleet/index.ts";
+import type { Assignment } from "./assignment.ts";
+import { type HeldRange, vacantRange } from "./held_range.ts";
+import type { KeyLoad } from "./key_load.ts";
+import {
+  answeredEnd,
+  type LeaseTiming,
+  predecessorEnd,
+  unansweredEnd,
+} from "./lease_timing.ts";
+import { type Candidate, type Move, Placement } from "./placement.ts";
+import { RangeTable } from "./range_table.ts";
+import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
+
+/** Tokens of one term: more than a holder gives out in years. */
+const TOKENS_OF_TERM = 2 ** 28;
+/** Unanswered orders in a row after which a server counts as lost. */
+const FAILURES_TO_LOSE = 2;
+/** Pause before an unanswered order is sent again, in milliseconds. */
+const RETRY_PAUSE = 150;
+/** Time that the news of closed keys takes to the other VMs, in milliseconds:
+ * requests sent meanwhile would only be refused by the server. */
+const NEWS_TIME = 15;
+/** Pause between looks at the balance of load, in milliseconds. */
+const BALANCE_INTERVAL = 500;
+/** Share of a fair server's work that a piece of a lost server's keys makes at
+ * most, so that they are spread. */
+const PIECE_SHARE = 0.5;
+/** Bounds of the measured relative speed of a server. */
+const SLOWEST = 0.35;
+const FASTEST = 2;
+/** Ranges of a service above which none is split: each costs a renewal. */
+const RANGES_PER_SERVER = 6;
+
+/** An order that is in flight. */
+interface Order {
+  table: RangeTable;
+  range: HeldRange;
+  kind: "grant" | "release";
+  sentAt: number;
+  hold: number;
+}
+
+/** See the module's comment. */
+export class TermHolder {
+  readonly #tables = new Map<string, RangeTable>();
+  readonly #orders = new Map<number, Order>();
+  readonly #balancedAt = new Map<string, number>();
+  /** Revisions that the write in flight records, by service; null if none. */
+  #writing: Map<string, number> | null = null;
+  #writeNumber = 0;
+  #tokenNumber = 0;
+  #effects: KeyspaceEffect[] = [];
+
+  private constructor(
+    readonly term: number,
+    private readonly timing: LeaseTiming,
+    private readonly fleet: Fleet,
+    private readonly loads: ReadonlyMap<string, KeyLoad>,
+    private readonly nextOrder: () => number,
+  ) {}
+
+  /**
+   * Continues from what is recorded. All orders of older terms were fenced off
+   * in the store by `now`.
+   */
+  static create(
+    term: number,
+    recorded: readonly Assignment[],
+    timing: LeaseTiming,
+    fleet: Fleet,
+    loads: ReadonlyMap<string, KeyLoad>,
+    nextOrder: () => number,
+    now: number,
+  ): TermHolder {
+    const holder = new TermHolder(term, timing, fleet, loads, nextOrder);
+    const end = predecessorEnd(now, timing);
+    for (const assignment of recorded) {
+      const table = RangeTable.resume(assignment, end);
+      for (const range of table.ranges) range.token = holder.#nextToken();
+      holder.#tables.set(assignment.service, table);
+    }
+    return holder;
+  }
+
+  /** The ranges of a service, for operators. */
+  ranges(service: string): readonly HeldRange[] {
+    return this.#tables.get(service)?.ranges ?? [];
+  }
+
+  /**
+   * Takes all steps that are due. `authorityEnd` is until when orders may be
+   * sent, `storeSilence` for how long the store has not answered.
+   */
+  advance(
+    services: readonly string[],
+    now: number,
+    authorityEnd: number,
+    storeSilence: number,
+  ): KeyspaceEffect[] {
+    if (now < authorityEnd) {
+      const hold = storeSilence > this.timing.storeSilence
+        ? this.timing.longHold
+        : this.timing.hold;
+      for (const service of services) this.#advanceService(service, now, hold);
+    }
+    return this.#take();
+  }
+
+  /** The store confirmed the write in flight. */
+  written(): void {
+    for (const [service, revision] of this.#writing ?? []) {
+      const table = this.#tables.get(service);
+      if (table !== undefined) table.recorded = revision;
+    }
+    this.#writing = null;
+  }
+
+  /** An order ended. Returns false when a newer holder was found out. */
+  ordered(id: number, outcome: OrderOutcome, now: number): boolean {
+    const order = this.#orders.get(id);
+    if (order === undefined) return true;
+    this.#orders.delete(id);
+    order.range.order = null;
+    if (outcome.kind === "superseded") return false;
+    if (order.kind === "grant") this.#granted(order, outcome, now);
+    else this.#released(order, outcome, now);
+    return true;
+  }
+
+  #advanceService(service: string, now: number, hold: number): void {
+    let table = this.#tables.get(service);
+    if (table === undefined) {
+      table = RangeTable.create(service);
+      this.#tables.set(service, table);
+    }
+    for (const range of [...table.ranges]) {
+      this.#advanceRange(table, range, now, hold);
+    }
+    this.#assignVacant(table, now);
+    this.#balance(table, now);
+    this.#write();
+  }
+
+  #advanceRange(
+    table: RangeTable,
+    range: HeldRange,
+    now: number,
+    hold: number,
+  ): void {
+    if (range.order !== null) return;
+    switch (range.state) {
+      case "vacant":
+        return;
+      case "assigned":
+        if (table.isRecorded(range) && now >= range.dueAt) {
+          this.#grant(table, range, now, hold);
+        }
+        return;
+      case "held":
+        if (this.#mustLeave(range)) this.#close(table, range, now);
+        else if (now >= range.dueAt || range.hold < hold) {
+          this.#grant(table, range, now, hold);
+        }
+        return;
+      case "closing":
+        if (table.isRecorded(range) && now >= range.dueAt) {
+          this.#takeBack(table, range, now, hold);
+        }
+        return;
+      case "expiring":
+        if (this.#isFree(range, now)) this.#vacate(table, range);
+    }
+  }
+
+  /** Whether the server of a held range has failed or is leaving. */
+  #mustLeave(range: HeldRange): boolean {
+    if (range.failures >= FAILURES_TO_LOSE) return true;
+    const server = this.fleet.get(range.server!);
+    return server === undefined || server.entry.isDraining;
+  }
+
+  #isFree(range: HeldRange, now: number): boolean {
+    if (now >= Math.max(range.leaseEnd, range.doubtEnd)) return true;
+    // Another run at its address proves that the server has ended.
+    return range.address !== null &&
+      this.fleet.isReused(range.address, range.server!);
+  }
+
+  #close(table: RangeTable, range: HeldRange, now: number): void {
+    const isLost = range.failures >= FAILURES_TO_LOSE;
+    range.state = isLost ? "expiring" : "closing";
+    range.dueAt = now + NEWS_TIME;
+    table.changed(range);
+  }
+
+  #vacate(table: RangeTable, range: HeldRange): void {
+    const vacant = vacantRange(range, 0);
+    vacant.handover = range.handover;
+    vacant.destination = range.destination;
+    Object.assign(range, vacant);
+    table.changed(range);
+  }
+
+  /** Asks for the release, or first makes sure that older holders are fenced. */
+  #takeBack(
+    table: RangeTable,
+    range: HeldRange,
+    now: number,
+    hold: number,
+  ): void {
+    if (!range.isFenced) return this.#grant(table, range, now, hold);
+    const id = this.#order(table, range, "release", now, 0);
+    this.#effects.push({
+      kind: "order.release",
+      order: id,
+      service: table.service,
+      server: range.server!,
+      address: range.address!,
+      first: range.first,
+      last: range.last,
+      token: this.#nextToken(),
+    });
+  }
+
+  #grant(
+    table: RangeTable,
+    range: HeldRange,
+    now: number,
+    hold: number,
+  ): void {
+    const address = this.fleet.get(range.server!)?.entry.address;
+    range.address = address ?? range.address;
+    if (range.address === null) {
+      range.state = "expiring";
+      return;
+    }
+    const id = this.#order(table, range, "grant", now, hold);
+    range.hold = hold;
+    this.#effects.push({
+      kind: "order.grant",
+      order: id,
+      service: table.service,
+      server: range.server!,
+      address: range.address,
+      first: range.first,
+      last: range.last,
+      token: range.token,
+      hold,
+      handover: range.handover,
+    });
+  }
+
+  #order(
+    table: RangeTable,
+    range: HeldRange,
+    kind: Order["kind"],
+    now: number,
+    hold: number,
+  ): number {
+    const id = this.nextOrder();
+    range.order = id;
+    this.#orders.set(id, { table, range, kind, sentAt: now, hold });
+    return id;
+  }
+
+  #granted(order: Order, outcome: OrderOutcome, now: number): void {
+    const { table, range } = order;
+    if (outcome.kind === "failed") return this.#failed(order, now);
+    range.failures = 0;
+    range.isFenced = true;
+    range.handover = null;
+    range.leaseEnd = Math.max(range.leaseEnd, answeredEnd(now, order.hold));
+    range.dueAt = order.sentAt + this.timing.renewal;
+    if (range.state === "closing") range.dueAt = now;
+    if (range.state !== "assigned") return;
+    range.state = "held";
+    range.destination = null;
+    table.changed(range);
+  }
+
+  #failed({ range, sentAt, hold }: Order, now: number): void {
+    const end = unansweredEnd(sentAt, hold, this.timing);
+    range.doubtEnd = Math.max(range.doubtEnd, end);
+    range.failures += 1;
+    range.dueAt = now + RETRY_PAUSE;
+    const isLost = range.failures >= FAILURES_TO_LOSE;
+    if (isLost && range.state !== "held") range.state = "expiring";
+  }
+
+  #released(order: Order, outcome: OrderOutcome, now: number): void {
+    const { table, range } = order;
+    if (outcome.kind !== "accepted") {
+      range.state = "expiring";
+      return;
+    }
+    range.handover = outcome.handover;
+    range.leaseEnd = 0;
+    if (range.doubtEnd > now) range.state = "expiring";
+    else this.#vacate(table, range);
+  }
+
+  /** Gives ranges without a server to the servers with most room. */
+  #assignVacant(table: RangeTable, now: number): void {
+    const vacant = table.ranges.filter((each) => each.state === "vacant");
+    if (vacant.length === 0) return;
+    const candidates = this.#candidates(table.service, now);
+    if (candidates.length === 0) return;
+    const placement = this.#placement(table, candidates, now);
+    const loads = placement.loads(table.ranges);
+    const most = PIECE_SHARE / candidates.length;
+    for (const range of vacant) {
+      const planned = candidates.some(({ id }) => id === range.destination);
+      const pieces = planned ? [range] : placement.pieces(range, most);
+      let rest = range;
+      for (const { first, last } of pieces) {
+        const piece = table.cut(rest, { first, last });
+        rest = table.ranges[table.ranges.indexOf(piece) + 1] ?? piece;
+        const server = planned
+          ? range.destination
+          : placement.choose(loads, piece);
+        this.#assign(table, piece, server!, now);
+      }
+    }
+  }
+
+  #assign(
+    table: RangeTable,
+    range: HeldRange,
+    server: string,
+    now: number,
+  ): void {
+    range.state = "assigned";
+    range.server = server;
+    range.address = this.fleet.get(server)?.entry.address ?? null;
+    range.token = this.#nextToken();
+    range.isFenced = false;
+    range.dueAt = now;
+    table.changed(range);
+  }
+
+  #balance(table: RangeTable, now: number): void {
+    const balancedAt = this.#balancedAt.get(table.service) ?? 0;
+    if (now < balancedAt + BALANCE_INTERVAL) return;
+    this.#balancedAt.set(table.service, now);
+    if (table.ranges.some((each) => each.state !== "held")) return;
+    table.joinNeighbours(now, () => this.#nextToken());
+    const candidates = this.#candidates(table.service, now);
+    if (table.ranges.length > candidates.length * RANGES_PER_SERVER) return;
+    const placement = this.#placement(table, candidates, now);
+    for (const move of placement.moves(table.ranges)) {
+      this.#move(table, move, now);
+    }
+  }
+
+  #move(table: RangeTable, { range, piece, destination }: Move, now: number) {
+    const moving = table.cut(range, piece);
+    moving.destination = destination;
+    moving.state = "closing";
+    moving.dueAt = now + NEWS_TIME;
+    table.changed(moving);
+    this.#effects.push({
+      kind: "keys.move",
+      service: table.service,
+      first: moving.first,
+      last: moving.last,
+      from: moving.server!,
+      to: destination,
+    });
+  }
+
+  #placement(
+    table: RangeTable,
+    candidates: readonly Candidate[],
+    now: number,
+  ): Placement {
+    const samples = this.loads.get(table.service)?.sorted(now) ?? [];
+    return Placement.create(samples, candidates);
+  }
+
+  /** Servers that may get keys, with their measured speeds. */
+  #candidates(service: string, now: number): Candidate[] {
+    const usual = this.fleet.usualLatency(service);
+    const usable = this.fleet.of(service).filter((each) =>
+      !each.entry.isDraining
+    );
+    const sound = usable.filter((each) => !this.#isSuspect(each, now, usual));
+    return (sound.length > 0 ? sound : usable).map((server) => ({
+      id: server.id,
+      speed: relativeSpeed(server, usual),
+    }));
+  }
+
+  #isSuspect(server: TrackedServer, now: number, usual: number): boolean {
+    if (server.isPaused(now) || server.isSilent(now, usual)) return true;
+    for (const table of this.#tables.values()) {
+      for (const range of table.ranges) {
+        if (range.server === server.id && range.failures > 0) return true;
+      }
+    }
+    return false;
+  }
+
+  /** Records all changes, one write at a time. */
+  #write(): void {
+    if (this.#writing !== null) return;
+    const dirty = [...this.#tables.values()].filter((each) => each.isDirty);
+    if (dirty.length === 0) return;
+    this.#writing = new Map(
+      dirty.map((table) => [table.service, table.revision]),
+    );
+    this.#writeNumber += 1;
+    this.#effects.push({
+      kind: "assignments.write",
+      term: this.term,
+      sequence: this.#writeNumber,
+      assignments: dirty.map((table) => table.snapshot(this.term)),
+    });
+  }
+
+  #nextToken(): number {
+    this.#tokenNumber += 1;
+    return this.term * TOKENS_OF_TERM + this.#tokenNumber;
+  }
+
+  #take(): KeyspaceEffect[] {
+    const effects = this.#effects;
+    this.#effects = [];
+    return effects;
+  }
+}
+
+function relativeSpeed(server: TrackedServer, usual: number): number {
+  if (server.latency === null || usual === 0) return 1;
+  return Math.min(FASTEST, Math.max(SLOWEST, usual / server.latency));
+}
--- /dev/null
+++ b/src/errors/index.ts
@@ -0,0 +1,1 @@
+export * from "./step_error.ts";
--- a/src/adapters/step_error.ts
+++ b/src/errors/step_error.ts
@@ -1,5 +1,5 @@
 /**
- * Errors of the adapters: each carries the step and the peer at which it arose.
+ * Errors towards other processes: each carries the step and the peer at which it arose.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 
 /** Raised when a step towards a peer fails. */
 export class StepError extends VError {
-  private constructor(
+  protected constructor(
     readonly info: StepInfo,
     cause: Error | undefined,
     detail: string,
--- a/src/logging/journal.ts
+++ b/src/logging/journal.ts
@@ -51,6 +51,11 @@
     );
   }
 
+  /** Lines that were dropped because the output was too slow. */
+  get dropped(): number {
+    return this.transport.dropped;
+  }
+
   /** Writes out everything that waits. */
   flush(): void {
     this.transport.flush();
--- /dev/null
+++ b/src/runtime/control_store.ts
@@ -0,0 +1,63 @@
+/**
+ * The store that outlives every process: configuration, the registry of backend
+ * servers, assignments of keys, and the group of entry processes.
+ *
+ * @module
+ */
+import type { Occurrence } from "../core/entry_event.ts";
+import type { Assignment, Records } from "../core/keyspace/index.ts";
+
+/** What is followed in the store. */
+export type Feed = "configuration" | "servers" | "assignments";
+
+/** What a read brought. */
+export interface StoreRead {
+  occurrences: Occurrence[];
+  /** Records that did not decode and were passed over. */
+  faults: string[];
+  /** Position to read on from. */
+  next: number;
+}
+
+/** The answer to a membership call. */
+export interface GroupMembership {
+  generation: number;
+  isElected: boolean;
+  /** Estimated number of members, or null. */
+  members: number | null;
+}
+
+/** See the module's comment. All calls reject with an error that carries step
+ * and peer. */
+export abstract class ControlStore {
+  /** Reads all that is current. */
+  abstract readAll(feed: Feed): Promise<StoreRead>;
+  /**
+   * Reads what was written from a position on; with `wait` milliseconds, waits
+   * that long for the next record.
+   */
+  abstract readOn(feed: Feed, from: number, wait: number): Promise<StoreRead>;
+  /** Joins the group, or stays in it for `timeToLive` milliseconds. */
+  abstract join(
+    generation: number,
+    timeToLive: number,
+  ): Promise<GroupMembership>;
+  /** Leaves the group at once. */
+  abstract leave(): Promise<void>;
+  /** Reads all that term holders have recorded. */
+  abstract readRecords(): Promise<Records>;
+  /** Claims a term if the record ends at `end` and no newer one was claimed. */
+  abstract claimTerm(term: number, end: number): Promise<void>;
+  /** Records assignments; refused when a newer term was claimed. */
+  abstract writeAssignments(
+    term: number,
+    sequence: number,
+    assignments: readonly Assignment[],
+  ): Promise<void>;
+  /** Whether a read failed since its records are no longer kept. */
+  abstract isExpired(error: unknown): boolean;
+  /** Whether a call was surely not carried out. */
+  abstract isRefusal(error: unknown): boolean;
+  /** Ends all connections. */
+  abstract close(): void;
+}
--- /dev/null
+++ b/src/runtime/entry_metrics.ts
@@ -0,0 +1,66 @@
+/**
+ * Counters and latency histograms of one entry process, in the Prometheus text
+ * format.
+ *
+ * @module
+ */
+import { Latencies } from "../metrics/latencies.ts";
+
+/** Gauges that are read when metrics are asked for. */
+export type GaugeReader = () => Record<string, number>;
+
+/** See the module's comment. */
+export class EntryMetrics {
+  readonly #counts = new Map<string, number>();
+  readonly #latencies = new Map<string, Latencies>();
+
+  private constructor(private readonly readGauges: GaugeReader) {}
+
+  /** Metrics that all stand at zero. */
+  static create(readGauges: GaugeReader): EntryMetrics {
+    return new EntryMetrics(readGauges);
+  }
+
+  /** Counts something; `labels` as in `status="200"`. */
+  count(name: string, labels = ""): void {
+    const key = labels === "" ? name : `${name}{${labels}}`;
+    this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
+  }
+
+  /** Records a duration in milliseconds. */
+  observe(name: string, milliseconds: number): void {
+    let latencies = this.#latencies.get(name);
+    if (latencies === undefined) {
+      latencies = Latencies.create();
+      this.#latencies.set(name, latencies);
+    }
+    latencies.record(milliseconds);
+  }
+
+  /** An answer went to a caller; `isOwn` when it is plumloft's. */
+  answered(status: number, isOwn: boolean, milliseconds: number): void {
+    const source = isOwn ? "plumloft" : "server";
+    this.count("requests_total", `status="${status}",source="${source}"`);
+    this.observe("request_milliseconds", milliseconds);
+  }
+
+  /** All metrics as text. */
+  render(): string {
+    const lines: string[] = [];
+    for (const [key, count] of this.#counts) {
+      lines.push(`plumloft_${key} ${count}`);
+    }
+    for (const [name, value] of Object.entries(this.readGauges())) {
+      lines.push(`plumloft_${name} ${value}`);
+    }
+    for (const [name, latencies] of this.#latencies) {
+      const { count, percentiles } = latencies.summary();
+      for (const { percentile, value } of percentiles) {
+        const quantile = percentile / 100;
+        lines.push(`plumloft_${name}{quantile="${quantile}"} ${value}`);
+      }
+      lines.push(`plumloft_${name}_count ${count}`);
+    }
+    return `${lines.join("\n")}\n`;
+  }
+}
--- /dev/null
+++ b/src/runtime/entry_process.ts
@@ -0,0 +1,185 @@
+/**
+ * One entry process: the core with its sockets around it.
+ *
+ * @module
+ */
+import type { Writable } from "node:stream";
+import { Entry } from "../core/entry.ts";
+import { Journal } from "../logging/index.ts";
+import type { EntrySettings } from "../settings/index.ts";
+import { BackendPool } from "./backend_pool.ts";
+import { CallerServer } from "./caller_server.ts";
+import type { ControlStore } from "./control_store.ts";
+import { EntryLoop } from "./entry_loop.ts";
+import { EntryMetrics } from "./entry_metrics.ts";
+import { EntryRunner } from "./entry_runner.ts";
+import { FeedFollower, type FeedPace } from "./feed_follower.ts";
+import type { HeaderCodec } from "./header_codec.ts";
+import { MetricsServer } from "./metrics_server.ts";
+import type { OrderSender } from "./order_sender.ts";
+import { ReadinessServer } from "./readiness_server.ts";
+import { StoreLink } from "./store_link.ts";
+
+/** Longest wait of a read for news that come seldom, in milliseconds: a call
+ * costs more than the bytes, and one that dies in silence is noticed by the
+ * short calls beside it. */
+const LONG_POLL = 20_000;
+/** Share of the drain time after which the registry is read again, so that one
+ * slow answer still leaves time to turn away. */
+const REGISTRY_SHARE = 0.45;
+/** Time of a shutdown in which new connections still come, in milliseconds. */
+const CLOSE_AFTER = 3_600;
+/** The same as a share of a short shutdown. */
+const CLOSE_SHARE = 0.6;
+/** Milliseconds in a second. */
+const SECOND = 1_000;
+/** Time kept between our own end and the end by force, in milliseconds. */
+const STOP_MARGIN = 250;
+/** Time for a release to be answered, in milliseconds: work that runs on the
+ * keys ends first. */
+const RELEASE_TIMEOUT = 3_000;
+
+/** What connects a process to its platform. */
+export interface PlatformAdapters {
+  store: ControlStore;
+  headers: HeaderCodec;
+  orders: OrderSender;
+}
+
+/** See the module's comment. */
+export class EntryProcess {
+  /** Resolves when the process has stopped. */
+  readonly stopped: Promise<void>;
+  readonly #followers: FeedFollower[] = [];
+  readonly #loop: EntryLoop;
+  readonly #callers: CallerServer;
+  readonly #backends: BackendPool;
+  readonly #readiness = ReadinessServer.create();
+  readonly #metricsServer: MetricsServer;
+  readonly #journal: Journal;
+  #resolveStopped: () => void = () => {};
+
+  private constructor(
+    private readonly settings: EntrySettings,
+    private readonly platform: PlatformAdapters,
+    output: Writable,
+    seed: number,
+  ) {
+    this.stopped = new Promise((resolve) => this.#resolveStopped = resolve);
+    this.#journal = Journal.create(settings.vm, settings.logging.level, output);
+    const shutdownTimeout = settings.shutdownTimeoutSeconds * SECOND;
+    const entry = Entry.create({
+      availabilityZone: settings.availabilityZone,
+      leaseTiming: settings.leases,
+      retryLimits: settings.retries,
+      shutdown: {
+        closeAfter: Math.min(CLOSE_AFTER, shutdownTimeout * CLOSE_SHARE),
+        stopAfter: shutdownTimeout - STOP_MARGIN,
+      },
+      seed,
+    });
+    this.#loop = EntryLoop.create(entry);
+    const metrics = EntryMetrics.create(() => gauges(entry, this.#journal));
+    this.#metricsServer = MetricsServer.create(metrics);
+    this.#callers = CallerServer.create(platform.headers, this.#loop, metrics);
+    this.#backends = BackendPool.create(platform.headers, this.#loop);
+    this.#loop.connect(EntryRunner.create({
+      sink: this.#loop,
+      callers: this.#callers,
+      backends: this.#backends,
+      orders: platform.orders,
+      orderTimeouts: {
+        grant: settings.leases.orderTimeout,
+        release: RELEASE_TIMEOUT,
+      },
+      store: this.#storeLink(),
+      readiness: this.#readiness,
+      metrics,
+      journal: this.#journal,
+      stopped: () => this.#stop(),
+    }));
+  }
+
+  /** Starts a process. Rejects when an address cannot be had. */
+  static async start(
+    settings: EntrySettings,
+    platform: PlatformAdapters,
+    output: Writable,
+    seed: number,
+  ): Promise<EntryProcess> {
+    const process = new EntryProcess(settings, platform, output, seed);
+    await process.#start();
+    return process;
+  }
+
+  /** Stops once nothing is in flight. */
+  shutdown(): void {
+    this.#loop.push({ kind: "shutdown" });
+  }
+
+  /** Notes that the settings were looked at again. */
+  reloaded(isChanged: boolean): void {
+    this.#journal.write("info", "settings.reloaded", { isChanged });
+  }
+
+  async #start(): Promise<void> {
+    const { settings } = this;
+    await this.#readiness.listen(settings.readiness);
+    await this.#callers.listen(settings.listen);
+    await this.#metricsServer.listen(settings.admin);
+    this.#journal.write("info", "process.started", {
+      zone: settings.availabilityZone,
+      listen: settings.listen,
+      store: settings.store.address,
+    });
+    const registryPause = settings.drainTime * REGISTRY_SHARE;
+    this.#follow("configuration", { wait: LONG_POLL, pause: 0 });
+    this.#follow("assignments", { wait: LONG_POLL, pause: 0 });
+    this.#follow("servers", { wait: 0, pause: registryPause });
+    this.#loop.push({ kind: "timer" });
+  }
+
+  #follow(
+    feed: "configuration" | "assignments" | "servers",
+    pace: FeedPace,
+  ): void {
+    const { store } = this.platform;
+    this.#followers.push(
+      FeedFollower.create(store, feed, pace, this.#loop, this.#journal),
+    );
+  }
+
+  #storeLink(): StoreLink {
+    const { memberTimeToLive, minimumTimeToLive } = this.settings.store;
+    const timeToLive = Math.max(memberTimeToLive, minimumTimeToLive);
+    return StoreLink.create(this.platform.store, timeToLive, this.#loop);
+  }
+
+  #stop(): void {
+    this.#loop.stop();
+    for (const follower of this.#followers) follower.stop();
+    this.#callers.destroy();
+    this.#backends.close();
+    this.#readiness.close();
+    this.#metricsServer.close();
+    this.platform.orders.close();
+    this.platform.store.close();
+    this.#journal.write("info", "process.stopped", {});
+    this.#journal.flush();
+    this.#resolveStopped();
+  }
+}
+
+/** Beliefs of the core and the state of the process, for metrics. */
+function gauges(entry: Entry, journal: Journal): Record<string, number> {
+  const { user, system } = process.cpuUsage();
+  return {
+    configuration_version: entry.catalog.version,
+    requests_pending: entry.dispatcher.pending,
+    vms: entry.campaign.members ?? 0,
+    is_term_holder: entry.campaign.holder === null ? 0 : 1,
+    log_lines_dropped: journal.dropped,
+    processor_seconds: (user + system) / 1e6,
+    memory_bytes: process.memoryUsage.rss(),
+  };
+}
--- /dev/null
+++ b/src/runtime/entry_runner.ts
@@ -0,0 +1,140 @@
+/**
+ * Carries out the effects of the core.
+ *
+ * @module
+ */
+import type { EntryEffect } from "../core/entry_effect.ts";
+import type {
+  AttemptStart,
+  Delivery,
+  Note,
+  Refusal,
+} from "../core/dispatch/index.ts";
+import type {
+  GrantOrder,
+  OrderOutcome,
+  ReleaseOrder,
+} from "../core/keyspace/index.ts";
+import type { Journal } from "../logging/index.ts";
+import type { BackendPool } from "./backend_pool.ts";
+import type { CallerServer } from "./caller_server.ts";
+import type { EffectHandler, OccurrenceSink } from "./entry_loop.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+import type { OrderSender } from "./order_sender.ts";
+import type { ReadinessServer } from "./readiness_server.ts";
+import type { StoreLink } from "./store_link.ts";
+
+/** Times for orders, in milliseconds. */
+export interface OrderTimeouts {
+  grant: number;
+  /** A release is answered when the work that runs on the keys has ended. */
+  release: number;
+}
+
+/** What effects are carried out with. */
+export interface EntryAdapters {
+  sink: OccurrenceSink;
+  callers: CallerServer;
+  backends: BackendPool;
+  orders: OrderSender;
+  orderTimeouts: OrderTimeouts;
+  store: StoreLink;
+  readiness: ReadinessServer;
+  metrics: EntryMetrics;
+  journal: Journal;
+  /** Called when the process has nothing left to do. */
+  stopped(): void;
+}
+
+/** See the module's comment. */
+export class EntryRunner implements EffectHandler {
+  private constructor(private readonly adapters: EntryAdapters) {}
+
+  /** A runner over these adapters. */
+  static create(adapters: EntryAdapters): EntryRunner {
+    return new EntryRunner(adapters);
+  }
+
+  handle(effect: EntryEffect): void {
+    const { store, callers, backends, readiness, journal } = this.adapters;
+    switch (effect.kind) {
+      case "attempt.start":
+        return this.#start(effect);
+      case "attempt.cancel":
+        return backends.cancel(effect.attempt);
+      case "request.deliver":
+        return this.#deliver(effect);
+      case "request.refuse":
+        return this.#refuse(effect);
+      case "note":
+        return this.#note(effect);
+      case "limits.apply":
+        return callers.apply(effect.limits);
+      case "connections.close":
+        return backends.forget(effect.server);
+      case "readiness.set":
+        return readiness.set(effect.isReady);
+      case "callers.drain":
+        readiness.set(false);
+        return callers.drain();
+      case "callers.close":
+        return callers.close();
+      case "process.stop":
+        return this.adapters.stopped();
+      case "order.grant":
+      case "order.release":
+        return void this.#order(effect);
+      case "keys.move": {
+        const { kind, ...detail } = effect;
+        return journal.write("info", kind, detail);
+      }
+      case "assignments.write":
+        return void store.write(effect);
+      case "term.read":
+        return void store.readRecords();
+      case "term.claim":
+        return void store.claim(effect);
+      case "group.join":
+        return void store.join(effect);
+      case "group.leave":
+        return void store.leave();
+    }
+  }
+
+  #start(effect: AttemptStart): void {
+    const { backends, callers, metrics } = this.adapters;
+    const outgoing = callers.outgoing(effect.exchange);
+    if (outgoing === undefined) return;
+    metrics.count("attempts_total");
+    backends.send(effect, outgoing);
+  }
+
+  #deliver(effect: Delivery): void {
+    const answer = this.adapters.backends.take(effect.attempt);
+    if (answer !== null) this.adapters.callers.deliver(effect.exchange, answer);
+  }
+
+  #refuse(effect: Refusal): void {
+    this.adapters.metrics.count("refusals_total", `reason="${effect.reason}"`);
+    this.adapters.callers.refuse(effect);
+  }
+
+  #note({ level, decision, detail }: Note): void {
+    this.adapters.metrics.count("decisions_total", `decision="${decision}"`);
+    this.adapters.journal.write(level, decision, detail);
+  }
+
+  async #order(order: GrantOrder | ReleaseOrder): Promise<void> {
+    const { orders, orderTimeouts, sink, metrics } = this.adapters;
+    const startedAt = performance.now();
+    const outcome: OrderOutcome = order.kind === "order.grant"
+      ? await orders.grant(order, orderTimeouts.grant)
+      : await orders.release(order, orderTimeouts.release);
+    metrics.count(
+      "orders_total",
+      `kind="${order.kind}",outcome="${outcome.kind}"`,
+    );
+    metrics.observe("order_milliseconds", performance.now() - startedAt);
+    sink.push({ kind: "order.ended", order: order.order, outcome });
+  }
+}
--- /dev/null
+++ b/src/runtime/feed_follower.ts
@@ -0,0 +1,96 @@
+/**
+ * Follows one feed of the store: reads all that is current, then what is
+ * written from there on, and starts over when records have expired.
+ *
+ * @module
+ */
+import type { Journal } from "../logging/index.ts";
+import { errorText } from "../errors/index.ts";
+import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import type { ControlStore, Feed, StoreRead } from "./control_store.ts";
+import type { OccurrenceSink } from "./entry_loop.ts";
+
+/** Pause after a read that failed, in milliseconds. */
+const RETRY_PAUSE = 250;
+
+/** How a feed is followed. */
+export interface FeedPace {
+  /** Time for which a read waits for the next record, in milliseconds: for
+   * feeds that change seldom, where news has to come at once. */
+  wait: number;
+  /** Pause between reads, in milliseconds: for feeds that always change. */
+  pause: number;
+}
+
+/** See the module's comment. */
+export class FeedFollower {
+  #next: number | null = null;
+  #isStopped = false;
+
+  private constructor(
+    private readonly store: ControlStore,
+    private readonly feed: Feed,
+    private readonly pace: FeedPace,
+    private readonly sink: OccurrenceSink,
+    private readonly journal: Journal,
+  ) {}
+
+  /** Starts to follow `feed`. */
+  static create(
+    store: ControlStore,
+    feed: Feed,
+    pace: FeedPace,
+    sink: OccurrenceSink,
+    journal: Journal,
+  ): FeedFollower {
+    const follower = new FeedFollower(store, feed, pace, sink, journal);
+    void follower.#follow();
+    return follower;
+  }
+
+  /** Reads nothing more. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #follow(): Promise<void> {
+    while (!this.#isStopped) {
+      const startedAt = monotonicNow();
+      const isDone = await this.#read(startedAt);
+      const pause = isDone ? this.pace.pause : RETRY_PAUSE;
+      const left = startedAt + pause - monotonicNow();
+      if (left > 0) await new Promise((next) => setTimeout(next, left));
+    }
+  }
+
+  async #read(sentAt: number): Promise<boolean> {
+    try {
+      const read = this.#next === null
+        ? await this.store.readAll(this.feed)
+        : await this.store.readOn(this.feed, this.#next, this.pace.wait);
+      if (this.#isStopped) return true;
+      this.#next = read.next;
+      this.#pass(read, sentAt);
+      return true;
+    } catch (error) {
+      if (this.store.isExpired(error)) this.#next = null;
+      const step = `follow ${this.feed}`;
+      if (!this.#isStopped) {
+        this.sink.push({
+          kind: "store.failed",
+          step,
+          cause: errorText(error),
+        });
+      }
+      return false;
+    }
+  }
+
+  #pass(read: StoreRead, sentAt: number): void {
+    this.sink.push({ kind: "store.answered", sentAt });
+    for (const fault of read.faults) {
+      this.journal.write("warn", "record.skipped", { feed: this.feed, fault });
+    }
+    for (const occurrence of read.occurrences) this.sink.push(occurrence);
+  }
+}
--- /dev/null
+++ b/src/runtime/order_sender.ts
@@ -0,0 +1,20 @@
+/**
+ * Sends the term holder's orders to backend servers.
+ *
+ * @module
+ */
+import type {
+  GrantOrder,
+  OrderOutcome,
+  ReleaseOrder,
+} from "../core/keyspace/index.ts";
+
+/** See the module's comment. No call rejects. */
+export abstract class OrderSender {
+  /** Sends a grant; resolves after `timeout` milliseconds at the latest. */
+  abstract grant(order: GrantOrder, timeout: number): Promise<OrderOutcome>;
+  /** Sends a release; resolves after `timeout` milliseconds at the latest. */
+  abstract release(order: ReleaseOrder, timeout: number): Promise<OrderOutcome>;
+  /** Ends all connections. */
+  abstract close(): void;
+}
--- /dev/null
+++ b/src/runtime/store_link.ts
@@ -0,0 +1,108 @@
+/**
+ * Carries out the core's calls to the store and reports how each ended.
+ *
+ * @module
+ */
+import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import type {
+  AssignmentWrite,
+  GroupJoin,
+  TermClaim,
+  WriteOutcome,
+} from "../core/keyspace/index.ts";
+import { errorText } from "../errors/index.ts";
+import type { ControlStore } from "./control_store.ts";
+import type { OccurrenceSink } from "./entry_loop.ts";
+
+/** See the module's comment. */
+export class StoreLink {
+  private constructor(
+    private readonly store: ControlStore,
+    private readonly timeToLive: number,
+    private readonly sink: OccurrenceSink,
+  ) {}
+
+  /** Calls `store`; members of the group live `timeToLive` ms without a call. */
+  static create(
+    store: ControlStore,
+    timeToLive: number,
+    sink: OccurrenceSink,
+  ): StoreLink {
+    return new StoreLink(store, timeToLive, sink);
+  }
+
+  /** Joins the group or stays in it. */
+  async join({ generation }: GroupJoin): Promise<void> {
+    const sentAt = monotonicNow();
+    try {
+      const membership = await this.store.join(generation, this.timeToLive);
+      this.sink.push({ kind: "store.answered", sentAt });
+      this.sink.push({
+        kind: "group.joined",
+        membership: { ...membership, sentAt },
+      });
+    } catch (error) {
+      this.#failed("join the group", error);
+      this.sink.push({ kind: "group.failed" });
+    }
+  }
+
+  /** Leaves the group. */
+  async leave(): Promise<void> {
+    try {
+      await this.store.leave();
+    } catch (error) {
+      this.#failed("leave the group", error);
+    }
+  }
+
+  /** Reads what term holders have recorded. */
+  async readRecords(): Promise<void> {
+    const sentAt = monotonicNow();
+    try {
+      const records = await this.store.readRecords();
+      this.sink.push({ kind: "store.answered", sentAt });
+      this.sink.push({ kind: "term.read", records });
+    } catch (error) {
+      this.#failed("read assignments", error);
+      this.sink.push({ kind: "term.read", records: null });
+    }
+  }
+
+  /** Claims a term. */
+  async claim({ term, end }: TermClaim): Promise<void> {
+    const outcome = await this.#write(
+      "claim the term",
+      () => this.store.claimTerm(term, end),
+    );
+    this.sink.push({ kind: "term.claimed", term, outcome });
+  }
+
+  /** Records assignments. */
+  async write({ term, sequence, assignments }: AssignmentWrite): Promise<void> {
+    const outcome = await this.#write(
+      "record assignments",
+      () => this.store.writeAssignments(term, sequence, assignments),
+    );
+    this.sink.push({ kind: "assignments.written", term, outcome });
+  }
+
+  async #write(
+    step: string,
+    call: () => Promise<void>,
+  ): Promise<WriteOutcome> {
+    const sentAt = monotonicNow();
+    try {
+      await call();
+      this.sink.push({ kind: "store.answered", sentAt });
+      return "done";
+    } catch (error) {
+      this.#failed(step, error);
+      return this.store.isRefusal(error) ? "refused" : "unknown";
+    }
+  }
+
+  #failed(step: string, error: unknown): void {
+    this.sink.push({ kind: "store.failed", step, cause: errorText(error) });
+  }
+}
--- /dev/null
+++ b/src/settings/entry_settings.ts
@@ -0,0 +1,43 @@
+/**
+ * Settings of one entry process. A process learns its addresses and its
+ * availability zone from here and nowhere else. Durations are milliseconds.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { retryLimitsSchema } from "../core/dispatch/retry_budget.ts";
+import { leaseTimingSchema } from "../core/keyspace/lease_timing.ts";
+import { addressSchema } from "./address.ts";
+
+/** Schema of {@linkcode EntrySettings}; unknown fields are ignored. */
+export const entrySettingsSchema = z.object({
+  vm: z.string().min(1),
+  availabilityZone: z.string().min(1),
+  /** Where callers connect. */
+  listen: addressSchema,
+  /** Where the balancer asks whether this VM takes connections. */
+  readiness: addressSchema,
+  /** Where operators ask for metrics. */
+  admin: addressSchema,
+  store: z.object({
+    address: addressSchema,
+    /** Partitions of a topic. */
+    partitions: z.number().int().positive(),
+    /** Time after which the store takes a silent member out of its group; the
+     * shortest that it allows or longer. */
+    memberTimeToLive: z.number().int().positive().default(1_500),
+    minimumTimeToLive: z.number().int().nonnegative().default(0),
+  }),
+  leases: leaseTimingSchema.prefault({}),
+  retries: retryLimitsSchema.prefault({}),
+  /** Time within which a leaving server gets no more new work. */
+  drainTime: z.number().positive().default(2_000),
+  /** Time between the request to stop and the process's end by force. */
+  shutdownTimeoutSeconds: z.number().positive().default(6),
+  logging: z.object({
+    level: z.enum(["error", "warn", "info"]).default("info"),
+  }).prefault({}),
+});
+
+/** See {@linkcode entrySettingsSchema}. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
