An answer without a length whose connection is reset is not passed on

Ruled out: the order of 'error' and 'end' (only 'end' comes), chunked and sized answers (found incomplete already). A write of no bytes fails after a reset and succeeds after an orderly end; an answer that only its connection ends waits for it.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -82,6 +82,8 @@
   request: ClientRequest;
   /** Set once the answer is whole. */
   answer: TakenAnswer | null;
+  /** Whether the answer has ended and the end is being checked. */
+  isChecked: boolean;
 }
 
 /** See the module's comment. */
@@ -114,7 +116,7 @@
       agent: this.#agent(start.server),
       setHost: false,
     });
-    const running: RunningAttempt = { request, answer: null };
+    const running: RunningAttempt = { request, answer: null, isChecked: false };
     this.#attempts.set(start.attempt, running);
     this.#watch(start.attempt, running, outgoing);
     request.end(outgoing.body.length > 0 ? outgoing.body : undefined);
@@ -226,10 +228,22 @@
       "error",
       (error) => this.#fail(attempt, running, true, errorText(error)),
     );
-    response.once("end", () => {
-      if (!response.complete) return;
+    const succeed = () => {
       if (!facts.isOwnExchange) running.request.destroy();
       this.#succeed(attempt, running, response, facts, Buffer.concat(chunks));
+    };
+    const reset = endsWithConnection(response)
+      ? findReset(response.socket)
+      : null;
+    response.once("end", () => {
+      if (!response.complete) return;
+      if (reset === null) return succeed();
+      running.isChecked = true;
+      void reset.then((error) => {
+        if (error === null) return succeed();
+        running.isChecked = false;
+        this.#fail(attempt, running, true, errorText(error));
+      });
     });
   }
 
@@ -271,7 +285,7 @@
     cause: string,
   ): void {
     const isCurrent = this.#attempts.get(attempt) === running;
-    if (!isCurrent || running.answer !== null) return;
+    if (!isCurrent || running.answer !== null || running.isChecked) return;
     this.#attempts.delete(attempt);
     running.request.destroy();
     this.sink.push({
@@ -282,6 +296,25 @@
   }
 }
 
+/** Whether nothing but the end of its connection ends an answer. */
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
+/**
+ * The error of a connection whose end is about to be read, or null when its
+ * other side closed it in order. A reset that arrives together with the last
+ * bytes is read as an orderly end; a write of no bytes then still fails.
+ */
+function findReset(socket: Socket): Promise<Error | null> {
+  return new Promise((resolve) => {
+    socket.prependOnceListener("end", () => {
+      socket.write("", (error) => resolve(error ?? null));
+    });
+  });
+}
+
 function withoutHopByHop(headers: readonly string[]): string[] {
   const kept: string[] = [];
   for (let i = 0; i < headers.length; i += 2) {
