Assignments go from the term holder to its peers, sampled keys the other way

Now the store records only who may get keys; the rest goes over the peers' connections. A move needs an excess of 2.2 standard deviations. Ruled out: longer windows alone (later, not fewer moves).

--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -1,21 +1,31 @@
 /**
- * The command line of the one binary.
+ * The command line of the one binary. What only operators need is loaded when
+ * it is asked for, since every entry process pays for what is loaded.
  *
  * @module
  */
-import yargs from "yargs";
-import { errorText } from "../adapters/index.ts";
-import { InvalidInput } from "../settings/index.ts";
+import yargs, { type Argv } from "yargs";
+import { errorText } from "../errors/index.ts";
+import { InvalidInput } from "../settings/invalid_input.ts";
 import { VERSION } from "../version.ts";
-import { addConfigCommand } from "./config_command.ts";
-import { addEntryCommand } from "./entry_command.ts";
-import { addDemoCommand } from "./demo_command.ts";
 import { EXIT } from "./exit_code.ts";
-import { addHistoryCommand } from "./history_command.ts";
-import { addLoadCommand } from "./load_command.ts";
-import { addServeCommand } from "./serve_command.ts";
-import { addStandInCommand } from "./stand_in_command.ts";
-import { addStatusCommand } from "./status_command.ts";
+
+/** Adds one command to the parser. */
+type Adder = (argv: Argv) => Argv;
+
+/** Loads a command by its first word. */
+const COMMANDS: Record<string, () => Promise<Adder>> = {
+  entry: async () => (await import("./entry_command.ts")).addEntryCommand,
+  serve: async () => (await import("./serve_command.ts")).addServeCommand,
+  config: async () => (await import("./config_command.ts")).addConfigCommand,
+  status: async () => (await import("./status_command.ts")).addStatusCommand,
+  "stand-in": async () =>
+    (await import("./stand_in_command.ts")).addStandInCommand,
+  load: async () => (await import("./load_command.ts")).addLoadCommand,
+  "check-history": async () =>
+    (await import("./history_command.ts")).addHistoryCommand,
+  demo: async () => (await import("./demo_command.ts")).addDemoCommand,
+};
 
 /** Runs the command that `args` name; sets the exit code of the process. */
 export async function runCommandLine(args: readonly string[]): Promise<void> {
@@ -30,15 +40,8 @@
     .fail((message, error) => {
       throw error ?? usageError(message);
     });
-  addServeCommand(parser);
-  addEntryCommand(parser);
-  addConfigCommand(parser);
-  addStatusCommand(parser);
-  addStandInCommand(parser);
-  addLoadCommand(parser);
-  addHistoryCommand(parser);
-  addDemoCommand(parser);
   try {
+    await addCommands(parser, args[0]);
     await parser.parseAsync([...args]);
   } catch (error) {
     process.stderr.write(`plumloft: ${errorText(error)}\n`);
@@ -46,6 +49,13 @@
   }
 }
 
+/** Adds the named command, or all of them for help and for faulty names. */
+async function addCommands(parser: Argv, name: string): Promise<void> {
+  const named = COMMANDS[name];
+  const loaders = named === undefined ? Object.values(COMMANDS) : [named];
+  for (const load of loaders) (await load())(parser);
+}
+
 function usageError(message: string): InvalidInput {
   return InvalidInput.create([{
     file: "command line",
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -18,6 +18,12 @@
   KeyLoad,
   TermCampaign,
 } from "./keyspace/index.ts";
+import {
+  expandAssignment,
+  FollowerLink,
+  HolderLink,
+  type PeerMessage,
+} from "./peers/index.ts";
 import { uniformFloat64 } from "./random.ts";
 
 /** Pause between looks at the ranges while this VM leads, in milliseconds. */
@@ -38,6 +44,11 @@
   readonly campaign: TermCampaign;
   readonly dispatcher: Dispatcher;
   readonly #loads = new Map<string, KeyLoad>();
+  readonly #followerLink = FollowerLink.create();
+  readonly #holderLink = HolderLink.create();
+  #announcedTerm = -1;
+  #published = { term: 0, version: 0 };
+  #vms: number | null = null;
   #storeAnsweredAt = -Infinity;
   #isStoreLost = true;
   #isReady = false;
@@ -58,7 +69,7 @@
       directory: this.directory,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
-      vms: () => this.campaign.members,
+      vms: () => this.#vms ?? this.campaign.members,
       draw: uniformFloat64(options.seed),
     });
   }
@@ -107,6 +118,10 @@
         return;
       case "assignments.read":
         return this.#takeAssignments(event.assignments);
+      case "holder.announced":
+        return this.#follow(event.term, event.vm, event.address);
+      case "peer.received":
+        return this.#receive(event.address, event.message, now);
       case "store.answered":
         return this.#storeAnswered(event.sentAt, now);
       case "store.failed":
@@ -168,6 +183,7 @@
     if (this.campaign.phase !== phase) {
       this.#note("term.phase", { from: phase, to: this.campaign.phase });
     }
+    this.#advanceLinks(now);
     this.#put(...this.dispatcher.advance(now));
     this.#updateReadiness();
     this.#advanceShutdown(now);
@@ -194,6 +210,67 @@
     }
   }
 
+  #follow(term: number, vm: string, address: string): void {
+    if (term <= this.#announcedTerm) return;
+    this.#announcedTerm = term;
+    this.#followerLink.follow(address);
+    this.#note("holder.announced", { term, vm, address });
+  }
+
+  /** Takes a message of another VM. */
+  #receive(address: string, message: PeerMessage, now: number): void {
+    if (message.kind === "keys.asked") {
+      return this.#takeReport(address, message, now);
+    }
+    if (address === this.#followerLink.holder) this.#followerLink.heard(now);
+    this.#vms = message.vms;
+    if (message.kind === "holder.alive") return;
+    this.#takeAssignments(
+      message.assignments.map((each) =>
+        expandAssignment(each, message.term, message.version)
+      ),
+    );
+  }
+
+  #takeReport(
+    address: string,
+    message: PeerMessage & { kind: "keys.asked" },
+    now: number,
+  ): void {
+    const { holder } = this.campaign;
+    if (holder === null) return;
+    for (const { service, keys } of message.samples) {
+      for (const key of keys) this.#load(service).record(key, now);
+    }
+    this.#put(this.#holderLink.reported(address, message, holder, now));
+  }
+
+  /** Informs the others while this VM leads, else stays in touch with them. */
+  #advanceLinks(now: number): void {
+    const { holder } = this.campaign;
+    if (holder === null) {
+      if (this.catalog.keyedServices.length === 0) return;
+      const { position } = this.directory;
+      return this.#put(...this.#followerLink.advance(now, position));
+    }
+    this.#vms = this.#holderLink.vms(now);
+    const { term, version } = holder;
+    const { term: toldTerm, version: toldVersion } = this.#published;
+    if (term === toldTerm && version === toldVersion) return;
+    this.#published = { term, version };
+    this.#takeAssignments(holder.assignments);
+    this.#put(...this.#holderLink.publish(holder, now));
+  }
+
+  #load(service: string): KeyLoad {
+    let load = this.#loads.get(service);
+    if (load === undefined) {
+      load = KeyLoad.create();
+      this.#loads.set(service, load);
+    }
+    return load;
+  }
+
   /** Counts a request's key as a sample of what is asked for. */
   #countKey(
     host: string,
@@ -204,9 +281,8 @@
     const route = this.catalog.route(host, target);
     for (const { service } of route?.destinations ?? []) {
       if (!this.catalog.service(service)?.isKeyed) continue;
-      const load = this.#loads.get(service) ?? KeyLoad.create();
-      this.#loads.set(service, load);
-      load.record(arrival.key, now);
+      this.#load(service).record(arrival.key, now);
+      this.#followerLink.sample(service, arrival.key);
     }
   }
 
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -6,11 +6,14 @@
 import type { CallerLimits } from "./catalog/index.ts";
 import type { DispatchEffect } from "./dispatch/index.ts";
 import type { KeyspaceEffect } from "./keyspace/index.ts";
+import type { AssignmentFetch, PeerSend } from "./peers/index.ts";
 
 /** See the module's comment. */
 export type EntryEffect =
   | DispatchEffect
   | KeyspaceEffect
+  | PeerSend
+  | AssignmentFetch
   /** Callers are held to these limits from now on. */
   | { kind: "limits.apply"; limits: CallerLimits }
   /** The connections to a server that is gone are of no more use. */
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -14,6 +14,7 @@
   Records,
   WriteOutcome,
 } from "./keyspace/index.ts";
+import type { PeerMessage } from "./peers/index.ts";
 
 /** What happened, without its time. */
 export type Occurrence =
@@ -28,6 +29,9 @@
     isWhole: boolean;
   }
   | { kind: "assignments.read"; assignments: Assignment[] }
+  /** A VM announced that it holds a term. */
+  | { kind: "holder.announced"; term: number; vm: string; address: string }
+  | { kind: "peer.received"; address: string; message: PeerMessage }
   /** A call to the store that was sent at `sentAt` was answered. */
   | { kind: "store.answered"; sentAt: number }
   | { kind: "store.failed"; step: string; cause: string }
--- a/src/core/entry_options.ts
+++ b/src/core/entry_options.ts
@@ -17,6 +17,8 @@
 
 /** See the module's comment. */
 export interface EntryOptions {
+  /** Address at which other VMs reach this one. */
+  peerAddress: string;
   availabilityZone: string;
   leaseTiming: LeaseTiming;
   retryLimits: RetryLimits;
--- a/src/core/keyspace/assignment.ts
+++ b/src/core/keyspace/assignment.ts
@@ -33,8 +33,10 @@
 /** All keys of one service: ranges in ascending order without gaps. */
 export const assignmentSchema = z.object({
   service: z.string().min(1),
-  /** Term of the holder that recorded it. */
+  /** Term of the holder that made it. */
   term: z.number().int().nonnegative(),
+  /** Number of the holder's change, within the term. */
+  version: z.number().int().nonnegative(),
   ranges: z.array(assignedRangeSchema),
 });
 
--- a/src/core/keyspace/key_directory.ts
+++ b/src/core/keyspace/key_directory.ts
@@ -16,14 +16,23 @@
     return new KeyDirectory();
   }
 
-  /** Takes a newer assignment; one of an older term is ignored. */
+  /** Takes an assignment unless a newer one is known. */
   apply(assignment: Assignment): boolean {
     const known = this.#assignments.get(assignment.service);
-    if (known !== undefined && assignment.term < known.term) return false;
+    if (known !== undefined && !isNewer(assignment, known)) return false;
     this.#assignments.set(assignment.service, assignment);
     return true;
   }
 
+  /** The oldest state among the services: what the holder may have to tell. */
+  get position(): { term: number; version: number } {
+    let oldest: Assignment | null = null;
+    for (const assignment of this.#assignments.values()) {
+      if (oldest === null || isNewer(oldest, assignment)) oldest = assignment;
+    }
+    return { term: oldest?.term ?? 0, version: oldest?.version ?? 0 };
+  }
+
   /** The range that holds `key`, or undefined when nothing is recorded. */
   find(service: string, key: number): AssignedRange | undefined {
     const ranges = this.#assignments.get(service)?.ranges ?? [];
@@ -39,3 +48,7 @@
     return undefined;
   }
 }
+
+function isNewer(a: Assignment, b: Assignment): boolean {
+  return a.term === b.term ? a.version > b.version : a.term > b.term;
+}
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -59,6 +59,12 @@
   assignments: Assignment[];
 }
 
+/** Tells all VMs who holds the term. */
+export interface HolderAnnouncement {
+  kind: "holder.announce";
+  term: number;
+}
+
 /** Asks for what is recorded; the answer is the event `term.read`. */
 export interface TermRead {
   kind: "term.read";
@@ -91,5 +97,6 @@
   | AssignmentWrite
   | TermRead
   | TermClaim
+  | HolderAnnouncement
   | GroupJoin
   | GroupLeave;
--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -17,6 +17,9 @@
  * makes its keys wait for the work that runs on them, so small differences
  * stay. */
 const OVERLOAD = 1.35;
+/** How many standard deviations above its fair share the requests of a server
+ * must be: a second's sample scatters, and chasing that moves keys for nothing. */
+const SIGNIFICANCE = 2.2;
 /** Weight below which a move is not worth its orders. */
 const SMALLEST_MOVE = 0.015;
 /** Moves planned at a time for one service. */
@@ -117,20 +120,26 @@
     if (this.candidates.length < 2) return [];
     const total = ranges.reduce((sum, each) => sum + this.weight(each), 0);
     const fair = total / totalSpeed;
+    const limit = Math.max(fair * OVERLOAD, fair + this.#scatter(fair));
     const moves: Move[] = [];
     for (const range of this.#heaviestFirst(ranges, loads)) {
       if (moves.length >= MAXIMUM_MOVES) break;
       const server = range.server!;
       const excess = (loads.get(server)! - fair) * speeds.get(server)!;
-      if (loads.get(server)! < fair * OVERLOAD || excess < SMALLEST_MOVE) {
-        continue;
-      }
+      if (loads.get(server)! < limit || excess < SMALLEST_MOVE) continue;
       const move = this.#relieve(range, excess, fair, loads, speeds);
       if (move !== null) moves.push(move);
     }
     return moves;
   }
 
+  /** What a share of `fair` may exceed itself by through chance alone. */
+  #scatter(fair: number): number {
+    const count = this.samples.length;
+    if (count < FEWEST_SAMPLES) return 0;
+    return SIGNIFICANCE * Math.sqrt(fair * count) / count;
+  }
+
   /** Takes up to `excess` off the front of `range` for the idlest server. */
   #relieve(
     range: HeldRange,
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -45,7 +45,7 @@
     const ranges = assignment.ranges.map((each): HeldRange => {
       const range = vacantRange(each, 0);
       if (each.server === null) return range;
-      range.state = each.isOpen ? "held" : "assigned";
+      range.state = "held";
       range.server = each.server;
       range.address = each.address;
       range.leaseEnd = predecessorEnd;
@@ -54,12 +54,15 @@
     return new RangeTable(assignment.service, ranges);
   }
 
-  /** Whether some change is not recorded. */
+  /** Whether some range got a server that is not recorded: all else that
+   * changes need not outlive the holder. */
   get isDirty(): boolean {
-    return this.recorded < this.revision;
+    return this.ranges.some((each) =>
+      each.state === "assigned" && !this.isRecorded(each)
+    );
   }
 
-  /** Notes that `range` has changed in a way that has to be recorded. */
+  /** Notes that `range` has changed in a way that others have to know. */
   changed(range: HeldRange): void {
     this.revision += 1;
     range.revision = this.revision;
@@ -70,11 +73,12 @@
     return range.revision <= this.recorded;
   }
 
-  /** What is to be recorded. */
-  snapshot(term: number): Assignment {
+  /** All ranges as others are told. */
+  snapshot(term: number, version: number): Assignment {
     return {
       service: this.service,
       term,
+      version,
       ranges: this.ranges.map(({ first, last, server, address, state }) => ({
         first,
         last,
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -142,7 +142,7 @@
       now,
     );
     this.#phase = { kind: "leading", holder };
-    return [];
+    return [{ kind: "holder.announce", term }];
   }
 
   /** A write of the holder was answered. */
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -29,7 +29,7 @@
 const RETRY_PAUSE = 150;
 /** Time that the news of closed keys takes to the other VMs, in milliseconds:
  * requests sent meanwhile would only be refused by the server. */
-const NEWS_TIME = 15;
+const NEWS_TIME = 5;
 /** Pause between looks at the balance of load, in milliseconds. */
 const BALANCE_INTERVAL = 500;
 /** Share of a fair server's work that a piece of a lost server's keys makes at
@@ -92,6 +92,20 @@
     return holder;
   }
 
+  /** Number of changes so far; others are told when it grows. */
+  get version(): number {
+    let changes = 0;
+    for (const table of this.#tables.values()) changes += table.revision;
+    return changes;
+  }
+
+  /** All assignments as they stand. */
+  get assignments(): Assignment[] {
+    return [...this.#tables.values()].map((table) =>
+      table.snapshot(this.term, this.version)
+    );
+  }
+
   /** The ranges of a service, for operators. */
   ranges(service: string): readonly HeldRange[] {
     return this.#tables.get(service)?.ranges ?? [];
@@ -173,9 +187,7 @@
         }
         return;
       case "closing":
-        if (table.isRecorded(range) && now >= range.dueAt) {
-          this.#takeBack(table, range, now, hold);
-        }
+        if (now >= range.dueAt) this.#takeBack(table, range, now, hold);
         return;
       case "expiring":
         if (this.#isFree(range, now)) this.#vacate(table, range);
@@ -423,7 +435,9 @@
       kind: "assignments.write",
       term: this.term,
       sequence: this.#writeNumber,
-      assignments: dirty.map((table) => table.snapshot(this.term)),
+      assignments: dirty.map((table) =>
+        table.snapshot(this.term, this.version)
+      ),
     });
   }
 
--- /dev/null
+++ b/src/core/peers/follower_link.ts
@@ -0,0 +1,99 @@
+/**
+ * How a VM that does not hold the term stays in touch with the one that does.
+ *
+ * It reports the keys that it was asked for and gets every change of the
+ * assignments at once. While the holder does not answer it asks for what the
+ * store has recorded instead.
+ *
+ * @module
+ */
+import type { PeerMessage, PeerSend } from "./peer_message.ts";
+
+/** Pause between reports, in milliseconds: how late a busy key is noticed. */
+const REPORT_INTERVAL = 500;
+/** Silence of the holder after which the record is read, in milliseconds. */
+const HOLDER_SILENCE = 1_600;
+/** Pause between reads of the record, in milliseconds: each is paid for. */
+const FETCH_INTERVAL = 1_000;
+/** Keys of one report for each service; a sample of more is as good. */
+const MAXIMUM_KEYS = 128;
+
+/** Asks for what the store has recorded. */
+export interface AssignmentFetch {
+  kind: "assignments.fetch";
+}
+
+/** Where the assignments stand that a process knows. */
+export interface Position {
+  term: number;
+  version: number;
+}
+
+/** See the module's comment. */
+export class FollowerLink {
+  #holder: string | null = null;
+  #heardAt = -Infinity;
+  #reportedAt = -Infinity;
+  #fetchedAt = -Infinity;
+  readonly #samples = new Map<string, number[]>();
+
+  private constructor() {}
+
+  /** A link to a holder that is not known yet. */
+  static create(): FollowerLink {
+    return new FollowerLink();
+  }
+
+  /** Time since the holder was heard, in milliseconds. */
+  silence(now: number): number {
+    return now - this.#heardAt;
+  }
+
+  /** The holder's address, or null. */
+  get holder(): string | null {
+    return this.#holder;
+  }
+
+  /** Another VM holds the term now. */
+  follow(address: string): void {
+    if (address === this.#holder) return;
+    this.#holder = address;
+    this.#reportedAt = -Infinity;
+  }
+
+  /** The holder was heard. */
+  heard(now: number): void {
+    this.#heardAt = now;
+  }
+
+  /** A key was asked for. */
+  sample(service: string, key: number): void {
+    const keys = this.#samples.get(service) ?? [];
+    if (keys.length < MAXIMUM_KEYS) keys.push(key);
+    this.#samples.set(service, keys);
+  }
+
+  /** Takes all steps that are due. */
+  advance(now: number, position: Position): (PeerSend | AssignmentFetch)[] {
+    const effects: (PeerSend | AssignmentFetch)[] = [];
+    const isReportDue = now - this.#reportedAt >= REPORT_INTERVAL;
+    if (this.#holder !== null && isReportDue) {
+      this.#reportedAt = now;
+      const message = this.#report(position);
+      effects.push({ kind: "peer.send", address: this.#holder, message });
+    }
+    const isFetchDue = now - this.#fetchedAt >= FETCH_INTERVAL;
+    if (this.silence(now) >= HOLDER_SILENCE && isFetchDue) {
+      this.#fetchedAt = now;
+      effects.push({ kind: "assignments.fetch" });
+    }
+    return effects;
+  }
+
+  #report({ term, version }: Position): PeerMessage {
+    const samples = [...this.#samples]
+      .map(([service, keys]) => ({ service, keys }));
+    this.#samples.clear();
+    return { kind: "keys.asked", term, version, samples };
+  }
+}
--- /dev/null
+++ b/src/core/peers/index.ts
@@ -0,0 +1,4 @@
+export * from "./follower_link.ts";
+export * from "./holder_link.ts";
+export * from "./peer_message.ts";
+export * from "./shared_assignment.ts";
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -8,7 +8,7 @@
 import type { Assignment, Records } from "../core/keyspace/index.ts";
 
 /** What is followed in the store. */
-export type Feed = "configuration" | "servers" | "assignments";
+export type Feed = "configuration" | "servers" | "holder";
 
 /** What a read brought. */
 export interface StoreRead {
@@ -54,6 +54,8 @@
     sequence: number,
     assignments: readonly Assignment[],
   ): Promise<void>;
+  /** Tells all VMs that this one holds `term` and is reached at `address`. */
+  abstract announceHolder(term: number, address: string): Promise<void>;
   /** Whether a read failed since its records are no longer kept. */
   abstract isExpired(error: unknown): boolean;
   /** Whether a call was surely not carried out. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -9,7 +9,7 @@
 import type { EntrySettings } from "../settings/index.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { CallerServer } from "./caller_server.ts";
-import type { ControlStore } from "./control_store.ts";
+import type { ControlStore, Feed } from "./control_store.ts";
 import { EntryLoop } from "./entry_loop.ts";
 import { EntryMetrics } from "./entry_metrics.ts";
 import { EntryRunner } from "./entry_runner.ts";
@@ -17,6 +17,7 @@
 import type { HeaderCodec } from "./header_codec.ts";
 import { MetricsServer } from "./metrics_server.ts";
 import type { OrderSender } from "./order_sender.ts";
+import { PeerNetwork } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { StoreLink } from "./store_link.ts";
 
@@ -56,6 +57,7 @@
   readonly #backends: BackendPool;
   readonly #readiness = ReadinessServer.create();
   readonly #metricsServer: MetricsServer;
+  readonly #peers: PeerNetwork;
   readonly #journal: Journal;
   #resolveStopped: () => void = () => {};
 
@@ -69,6 +71,7 @@
     this.#journal = Journal.create(settings.vm, settings.logging.level, output);
     const shutdownTimeout = settings.shutdownTimeoutSeconds * SECOND;
     const entry = Entry.create({
+      peerAddress: settings.peer,
       availabilityZone: settings.availabilityZone,
       leaseTiming: settings.leases,
       retryLimits: settings.retries,
@@ -83,6 +86,11 @@
     this.#metricsServer = MetricsServer.create(metrics);
     this.#callers = CallerServer.create(platform.headers, this.#loop, metrics);
     this.#backends = BackendPool.create(platform.headers, this.#loop);
+    this.#peers = PeerNetwork.create(
+      { vm: settings.vm, peerAddress: settings.peer },
+      this.#loop,
+      this.#journal,
+    );
     this.#loop.connect(EntryRunner.create({
       sink: this.#loop,
       callers: this.#callers,
@@ -93,6 +101,8 @@
         release: RELEASE_TIMEOUT,
       },
       store: this.#storeLink(),
+      peers: this.#peers,
+      peerAddress: settings.peer,
       readiness: this.#readiness,
       metrics,
       journal: this.#journal,
@@ -127,6 +137,7 @@
     await this.#readiness.listen(settings.readiness);
     await this.#callers.listen(settings.listen);
     await this.#metricsServer.listen(settings.admin);
+    await this.#peers.listen();
     this.#journal.write("info", "process.started", {
       zone: settings.availabilityZone,
       listen: settings.listen,
@@ -134,13 +145,13 @@
     });
     const registryPause = settings.drainTime * REGISTRY_SHARE;
     this.#follow("configuration", { wait: LONG_POLL, pause: 0 });
-    this.#follow("assignments", { wait: LONG_POLL, pause: 0 });
+    this.#follow("holder", { wait: LONG_POLL, pause: 0 });
     this.#follow("servers", { wait: 0, pause: registryPause });
     this.#loop.push({ kind: "timer" });
   }
 
   #follow(
-    feed: "configuration" | "assignments" | "servers",
+    feed: Feed,
     pace: FeedPace,
   ): void {
     const { store } = this.platform;
@@ -162,6 +173,7 @@
     this.#backends.close();
     this.#readiness.close();
     this.#metricsServer.close();
+    this.#peers.close();
     this.platform.orders.close();
     this.platform.store.close();
     this.#journal.write("info", "process.stopped", {});
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -20,6 +20,7 @@
 import type { CallerServer } from "./caller_server.ts";
 import type { EffectHandler, OccurrenceSink } from "./entry_loop.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
+import type { PeerNetwork } from "./peer_network.ts";
 import type { OrderSender } from "./order_sender.ts";
 import type { ReadinessServer } from "./readiness_server.ts";
 import type { StoreLink } from "./store_link.ts";
@@ -39,6 +40,9 @@
   orders: OrderSender;
   orderTimeouts: OrderTimeouts;
   store: StoreLink;
+  peers: PeerNetwork;
+  /** Where other VMs reach this one. */
+  peerAddress: string;
   readiness: ReadinessServer;
   metrics: EntryMetrics;
   journal: Journal;
@@ -94,6 +98,12 @@
         return void store.readRecords();
       case "term.claim":
         return void store.claim(effect);
+      case "holder.announce":
+        return void store.announce(effect, this.adapters.peerAddress);
+      case "assignments.fetch":
+        return void store.fetch();
+      case "peer.send":
+        return this.adapters.peers.send(effect.address, effect.message);
       case "group.join":
         return void store.join(effect);
       case "group.leave":
--- /dev/null
+++ b/src/runtime/peer_network.ts
@@ -0,0 +1,200 @@
+/**
+ * Messages between entry processes over TCP. Whoever has something to say to a
+ * peer opens a connection, and both use it; each side begins by saying who it
+ * is. A lost message is nothing that the core does not
+ * expect: what matters is said again.
+ *
+ * @module
+ */
+import { createServer, type Server, Socket } from "node:net";
+import { z } from "zod";
+import { type PeerMessage, peerMessageSchema } from "../core/peers/index.ts";
+import { type Journal } from "../logging/index.ts";
+import { parseAddress } from "../settings/index.ts";
+import type { OccurrenceSink } from "./entry_loop.ts";
+import { encodeFrame, FrameDecoder, PROTOCOL } from "./frame.ts";
+import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import { errorText } from "../errors/index.ts";
+
+/** The first frame of a connection: who speaks. */
+const helloSchema = z.object({
+  kind: z.literal("hello"),
+  protocol: z.literal(PROTOCOL),
+  vm: z.string(),
+  peerAddress: z.string(),
+});
+
+type Hello = z.infer<typeof helloSchema>;
+
+/** Who this process is towards its peers. */
+export interface PeerIdentity {
+  vm: string;
+  peerAddress: string;
+}
+
+/** Bytes that may wait for one peer before messages to it are dropped. */
+const MAXIMUM_PENDING = 8 * 1024 * 1024;
+/** Time in which a connection must stand, in milliseconds. */
+const CONNECT_TIMEOUT = 500;
+/** Pause before a peer that refused is tried again. */
+const RECONNECT_PAUSE = 100;
+
+/** Counts of what went over the network. */
+export interface PeerTraffic {
+  messagesSent: number;
+  bytesSent: number;
+  bytesReceived: number;
+  dropped: number;
+}
+
+/** See the module's comment. */
+export class PeerNetwork {
+  readonly #server: Server;
+  /** The connection to use for each peer, by the peer's address. */
+  readonly #connections = new Map<string, Socket>();
+  readonly #sockets = new Set<Socket>();
+  readonly #refusedAt = new Map<string, number>();
+  #lastMessage: PeerMessage | null = null;
+  #lastFrame: Buffer = Buffer.alloc(0);
+  readonly traffic: PeerTraffic = {
+    messagesSent: 0,
+    bytesSent: 0,
+    bytesReceived: 0,
+    dropped: 0,
+  };
+
+  private constructor(
+    private readonly identity: PeerIdentity,
+    private readonly sink: OccurrenceSink,
+    private readonly journal: Journal,
+  ) {
+    this.#server = createServer((socket) => this.#attach(socket));
+  }
+
+  /** A network of which this process is `identity`. */
+  static create(
+    identity: PeerIdentity,
+    sink: OccurrenceSink,
+    journal: Journal,
+  ): PeerNetwork {
+    return new PeerNetwork(identity, sink, journal);
+  }
+
+  /** Accepts peers. Rejects when the address is in use. */
+  listen(): Promise<void> {
+    const { host, port } = parseAddress(this.identity.peerAddress);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Sends a message, or drops it when the peer cannot be reached. */
+  send(address: string, message: PeerMessage): void {
+    const socket = this.#connection(address);
+    if (socket === null || socket.writableLength > MAXIMUM_PENDING) {
+      this.traffic.dropped += 1;
+      return;
+    }
+    const frame = this.#encode(message);
+    this.traffic.messagesSent += 1;
+    this.traffic.bytesSent += frame.length;
+    socket.write(frame);
+  }
+
+  /** The frame of a message; one that goes to many is encoded once. */
+  #encode(message: PeerMessage): Buffer {
+    if (this.#lastMessage !== message) {
+      this.#lastMessage = message;
+      this.#lastFrame = encodeFrame(message);
+    }
+    return this.#lastFrame;
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #connection(address: string): Socket | null {
+    const known = this.#connections.get(address);
+    if (known !== undefined) return known;
+    const refusedAt = this.#refusedAt.get(address) ?? -Infinity;
+    if (monotonicNow() < refusedAt + RECONNECT_PAUSE) return null;
+    const socket = new Socket();
+    const { host, port } = parseAddress(address);
+    socket.setTimeout(CONNECT_TIMEOUT, () => {
+      if (socket.connecting) socket.destroy();
+    });
+    socket.on("connect", () => socket.setTimeout(0));
+    socket.on("error", () => this.#refusedAt.set(address, monotonicNow()));
+    socket.connect({ host, port });
+    this.#attach(socket);
+    this.#use(address, socket);
+    return socket;
+  }
+
+  /** Says who this process is, and takes in what the other side says. */
+  #attach(socket: Socket): void {
+    const decoder = FrameDecoder.create();
+    let hello: Hello | null = null;
+    this.#sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on("close", () => this.#sockets.delete(socket));
+    socket.on("end", () => socket.destroy());
+    socket.on("error", () => socket.destroy());
+    socket.on("data", (bytes) => {
+      this.traffic.bytesReceived += bytes.length;
+      try {
+        for (const value of decoder.push(bytes)) {
+          if (hello === null) {
+            hello = helloSchema.parse(value);
+            this.#use(hello.peerAddress, socket);
+          } else {
+            this.#receive(hello, value);
+          }
+        }
+      } catch (error) {
+        this.#cutOff(socket, hello, error);
+      }
+    });
+    const { vm, peerAddress } = this.identity;
+    const own: Hello = {
+      kind: "hello",
+      protocol: PROTOCOL,
+      vm,
+      peerAddress,
+    };
+    socket.write(encodeFrame(own));
+  }
+
+  /** Sends to the peer at `address` over this connection from here on. */
+  #use(address: string, socket: Socket): void {
+    if (this.#connections.get(address) === socket) return;
+    this.#connections.set(address, socket);
+    socket.on("close", () => {
+      if (this.#connections.get(address) !== socket) return;
+      this.#connections.delete(address);
+    });
+  }
+
+  #receive({ peerAddress }: Hello, value: unknown): void {
+    this.sink.push({
+      kind: "peer.received",
+      address: peerAddress,
+      message: peerMessageSchema.parse(value),
+    });
+  }
+
+  #cutOff(socket: Socket, hello: Hello | null, error: unknown): void {
+    // A socket that is destroyed no longer knows its other side.
+    const address = `${socket.remoteAddress}:${socket.remotePort}`;
+    socket.destroy();
+    this.journal.write("warn", "peer.cut_off", {
+      step: "receive from peer",
+      peer: hello?.vm ?? address,
+      why: errorText(error).slice(0, 500),
+    });
+  }
+}
--- a/src/runtime/store_link.ts
+++ b/src/runtime/store_link.ts
@@ -7,6 +7,7 @@
 import type {
   AssignmentWrite,
   GroupJoin,
+  HolderAnnouncement,
   TermClaim,
   WriteOutcome,
 } from "../core/keyspace/index.ts";
@@ -78,6 +79,27 @@
     this.sink.push({ kind: "term.claimed", term, outcome });
   }
 
+  /** Tells all VMs that this one, reached at `address`, holds the term. */
+  async announce({ term }: HolderAnnouncement, address: string): Promise<void> {
+    try {
+      await this.store.announceHolder(term, address);
+    } catch (error) {
+      this.#failed("announce the holder", error);
+    }
+  }
+
+  /** Reads the recorded assignments for routing. */
+  async fetch(): Promise<void> {
+    const sentAt = monotonicNow();
+    try {
+      const { assignments } = await this.store.readRecords();
+      this.sink.push({ kind: "store.answered", sentAt });
+      this.sink.push({ kind: "assignments.read", assignments });
+    } catch (error) {
+      this.#failed("fetch assignments", error);
+    }
+  }
+
   /** Records assignments. */
   async write({ term, sequence, assignments }: AssignmentWrite): Promise<void> {
     const outcome = await this.#write(
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -17,6 +17,8 @@
   listen: addressSchema,
   /** Where the balancer asks whether this VM takes connections. */
   readiness: addressSchema,
+  /** Where the other entry processes connect. */
+  peer: addressSchema,
   /** Where operators ask for metrics. */
   admin: addressSchema,
   store: z.object({
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -20,6 +20,11 @@
     platform: "node",
     target: "node20",
     format: "cjs",
+    // The text of the program stays in memory, in two bytes for each character
+    // if one of them needs it; comments of libraries are most of those.
+    minifyWhitespace: true,
+    minifySyntax: true,
+    legalComments: "none",
     logLevel: "error",
     // CommonJS has no import.meta; yargs asks for its URL.
     define: { "import.meta.url": "bundleUrl" },
