Busy keys go where they are done soonest; speeds are measured without queues

Cause: one key with 39 % of the requests outweighed any room, so it stayed where it was; and a server's speed was taken from answer times with its queue. Balance also stood still while any range moved.

--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -51,7 +51,10 @@
     return this.entry.id;
   }
 
-  /** Moving average of its answer times in milliseconds, or null. */
+  /**
+   * Moving average of its answer times in milliseconds while no request waited
+   * there, or null: what the server itself needs, not its queue.
+   */
   get latency(): number | null {
     return this.#latency;
   }
@@ -80,6 +83,7 @@
     this.#failures = 0;
     this.#acceptance = mix(this.#acceptance, 1);
     if (startedAt === undefined) return;
+    if (load !== null && load.waiting > 0 && this.#latency !== null) return;
     const sample = now - startedAt;
     this.#latency = this.#latency === null
       ? sample
--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -20,10 +20,11 @@
 /** How many standard deviations above its fair share the requests of a server
  * must be: a second's sample scatters, and chasing that moves keys for nothing. */
 const SIGNIFICANCE = 2.2;
+/** Share of its server's load below which the load of a new server must stay
+ * for a piece that cannot be divided. */
+const CLEAR_GAIN = 0.8;
 /** Weight below which a move is not worth its orders. */
 const SMALLEST_MOVE = 0.015;
-/** Moves planned at a time for one service. */
-const MAXIMUM_MOVES = 6;
 
 /** A server that may get keys. */
 export interface Candidate {
@@ -123,7 +124,6 @@
     const limit = Math.max(fair * OVERLOAD, fair + this.#scatter(fair));
     const moves: Move[] = [];
     for (const range of this.#heaviestFirst(ranges, loads)) {
-      if (moves.length >= MAXIMUM_MOVES) break;
       const server = range.server!;
       const excess = (loads.get(server)! - fair) * speeds.get(server)!;
       if (loads.get(server)! < limit || excess < SMALLEST_MOVE) continue;
@@ -155,18 +155,43 @@
     }
     if (receiver === null) return null;
     const room = (fair - loads.get(receiver)!) * speeds.get(receiver)!;
-    const amount = Math.min(excess, room);
-    if (amount < SMALLEST_MOVE) return null;
+    const amount = Math.max(SMALLEST_MOVE, Math.min(excess, room));
     const piece = this.#prefix(range, amount);
     const weight = this.weight(piece);
-    // One key that alone outweighs the room would only move the overload.
-    if (weight > 2 * amount) return null;
+    // What cannot be divided would only move the overload.
+    if (weight > 2 * amount) return this.#improve(range, piece, loads, speeds);
     const from = range.server!;
     loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
     loads.set(receiver, loads.get(receiver)! + weight / speeds.get(receiver)!);
     return { range, piece, destination: receiver };
   }
 
+  /**
+   * Moves a piece that alone overloads a server, such as one busy key, to where
+   * it would be done clearly sooner: to the fastest server, as a rule.
+   */
+  #improve(
+    range: HeldRange,
+    piece: KeyRange,
+    loads: Map<string, number>,
+    speeds: Map<string, number>,
+  ): Move | null {
+    const from = range.server!;
+    const weight = this.weight(piece);
+    let destination: string | null = null;
+    let lowest = loads.get(from)! * CLEAR_GAIN;
+    for (const [id, load] of loads) {
+      const after = load + weight / speeds.get(id)!;
+      if (id === from || after >= lowest) continue;
+      lowest = after;
+      destination = id;
+    }
+    if (destination === null) return null;
+    loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
+    loads.set(destination, lowest);
+    return { range, piece, destination };
+  }
+
   #heaviestFirst(
     ranges: readonly HeldRange[],
     loads: Map<string, number>,
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -31,13 +31,16 @@
  * requests sent meanwhile would only be refused by the server. */
 const NEWS_TIME = 5;
 /** Pause between looks at the balance of load, in milliseconds. */
-const BALANCE_INTERVAL = 500;
+const BALANCE_INTERVAL = 300;
 /** Share of a fair server's work that a piece of a lost server's keys makes at
  * most, so that they are spread. */
 const PIECE_SHARE = 0.5;
 /** Bounds of the measured relative speed of a server. */
 const SLOWEST = 0.35;
 const FASTEST = 2;
+/** Ranges of one service that may be on the move at a time. Keys wait while
+ * they move, for as long as the work that runs on them. */
+const MAXIMUM_MOVES = 6;
 /** Ranges of a service above which none is split: each costs a renewal. */
 const RANGES_PER_SERVER = 6;
 
@@ -364,12 +367,14 @@
     const balancedAt = this.#balancedAt.get(table.service) ?? 0;
     if (now < balancedAt + BALANCE_INTERVAL) return;
     this.#balancedAt.set(table.service, now);
-    if (table.ranges.some((each) => each.state !== "held")) return;
+    const moving = table.ranges.filter((each) => each.state !== "held").length;
+    if (moving >= MAXIMUM_MOVES) return;
     table.joinNeighbours(now, () => this.#nextToken());
     const candidates = this.#candidates(table.service, now);
     if (table.ranges.length > candidates.length * RANGES_PER_SERVER) return;
     const placement = this.#placement(table, candidates, now);
-    for (const move of placement.moves(table.ranges)) {
+    const moves = placement.moves(table.ranges);
+    for (const move of moves.slice(0, MAXIMUM_MOVES - moving)) {
       this.#move(table, move, now);
     }
   }
