--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -15,7 +15,6 @@
 
 /** Loads a command by its first word. */
 const COMMANDS: Record<string, () => Promise<Adder>> = {
-  entry: async () => (await import("./entry_command.ts")).addEntryCommand,
   serve: async () => (await import("./serve_command.ts")).addServeCommand,
   config: async () => (await import("./config_command.ts")).addConfigCommand,
   status: async () => (await import("./status_command.ts")).addStatusCommand,
--- a/src/cli/config_command.ts
+++ b/src/cli/config_command.ts
@@ -1,48 +1,32 @@
 /**
- * `plumloft config`: the only way in which operators drive the system.
+ * `plumloft config`: checks, shows, compares and publishes what operators
+ * declare.
  *
  * @module
  */
-import { existsSync, readFileSync, writeFileSync } from "node:fs";
-import { userInfo } from "node:os";
-import { join } from "node:path";
-import { setTimeout as delay } from "node:timers/promises";
-import { request } from "undici";
 import { stringify } from "yaml";
 import type { Argv } from "yargs";
-import { HttpLog } from "../adapters/index.ts";
-import { checkSuccession, type Configuration } from "../core/index.ts";
-import {
-  findDifferences,
-  formatDifference,
-  Publisher,
-} from "../operators/index.ts";
-import { InvalidInput, readConfiguration } from "../settings/index.ts";
+import { PlatformStore } from "../../platform/index.ts";
+import type { Configuration } from "../core/catalog/index.ts";
+import { siteConfiguration } from "../core/declaration/index.ts";
+import type { ControlStore } from "../runtime/control_store.ts";
+import { InvalidInput, readDeclaration } from "../settings/index.ts";
 import { EXIT } from "./exit_code.ts";
 
-/** File in which a folder keeps the revision that it was edited from. */
-const REVISION_FILE = ".revision";
-/** Time between two looks at the VMs, in milliseconds. */
-const WAIT_INTERVAL = 100;
-
-interface LogOptions {
-  log: string;
-  stream: string;
+interface StoreOptions {
+  store: string;
 }
 
-interface PublishOptions extends LogOptions {
+interface SiteOptions extends StoreOptions {
   folder: string;
-  basedOn?: number;
-  operator: string;
-  timeout: number;
-  wait?: string[];
+  site: string;
 }
 
 /** Adds the commands to `yargs`. */
 export function addConfigCommand(yargs: Argv): Argv {
   return yargs.command(
     "config",
-    "check, publish and show the configuration",
+    "check, compare, publish and show configurations",
     (argv) =>
       argv
         .command(
@@ -54,48 +38,22 @@
         .command(
           "diff <folder>",
           "show how a folder differs from what is in force",
-          (each) => withLog(withFolder(each)),
+          (each) => withStore(withSite(withFolder(each))),
           (options) => diff(options),
         )
         .command(
           "publish <folder>",
-          "publish a folder",
-          (each) =>
-            withLog(withFolder(each))
-              .option("based-on", {
-                type: "number",
-                describe: "revision that the folder was edited from",
-              })
-              .option("operator", {
-                type: "string",
-                default: userInfo().username,
-                describe: "name that the history shows",
-              })
-              .option("timeout", {
-                type: "number",
-                default: 10_000,
-                describe: "milliseconds to wait for the log",
-              })
-              .option("wait", {
-                type: "string",
-                array: true,
-                describe: "admin addresses of VMs that must have it in force",
-              }),
+          "publish the configuration of a site",
+          (each) => withStore(withSite(withFolder(each))),
           (options) => publish(options),
         )
         .command(
           "show",
           "show what is in force",
-          (each) => withLog(each),
+          (each) => withStore(each),
           (options) => show(options),
         )
-        .command(
-          "history",
-          "show what was published",
-          (each) => withLog(each),
-          (options) => history(options),
-        )
-        .demandCommand(1, "name one of: check, diff, publish, show, history")
+        .demandCommand(1, "name one of: check, diff, publish, show")
         .strict(),
   );
 }
@@ -108,22 +66,20 @@
   });
 }
 
-function withLog<T>(yargs: Argv<T>) {
-  return yargs
-    .option("log", {
-      type: "string",
-      demandOption: true,
-      describe: "URL of the platform's log",
-    })
-    .option("stream", {
-      type: "string",
-      default: "plumloft",
-      describe: "stream of the log",
-    });
+function withSite<T>(yargs: Argv<T>) {
+  return yargs.option("site", {
+    type: "string",
+    demandOption: true,
+    describe: "site whose overlay is laid over the base file",
+  });
 }
 
-function publisher({ log, stream }: LogOptions): Publisher {
-  return Publisher.create(HttpLog.create(log, stream));
+function withStore<T>(yargs: Argv<T>) {
+  return yargs.option("store", {
+    type: "string",
+    demandOption: true,
+    describe: "address of the platform's store",
+  });
 }
 
 function print(text: string): void {
@@ -131,116 +87,85 @@
 }
 
 function check(folder: string): void {
-  const { base, overlays } = readConfiguration(folder);
-  const services = Object.keys(base.services).length;
-  print(`${folder}: ${services} services, ${overlays.length} sites, no faults`);
-}
-
-async function diff(options: LogOptions & { folder: string }): Promise<void> {
-  const wanted = readConfiguration(options.folder);
-  const { accepted } = await publisher(options).read();
-  for (const each of findDifferences(accepted.configuration, wanted)) {
-    print(formatDifference(each));
-  }
-  print(`# against revision ${accepted.revision}`);
+  const { base, overlays } = readDeclaration(folder);
+  print(
+    `${folder}: ${Object.keys(base.services).length} services, ${
+      Object.keys(base.routes).length
+    } routes, ${overlays.length} sites`,
+  );
 }
 
-async function publish(options: PublishOptions): Promise<void> {
-  const configuration = readConfiguration(options.folder);
-  const to = publisher(options);
-  const { accepted } = await to.read();
-  checkSuccessor(options.folder, accepted.configuration, configuration);
-  const basedOn = options.basedOn ?? readRevision(options.folder);
-  const result = await to.publish(
-    configuration,
-    options.operator,
-    basedOn,
-    options.timeout,
-  );
-  if (!result.accepted) {
-    const { inForce } = result;
-    print(`refused: ${result.why}`);
+async function show({ store: address }: StoreOptions): Promise<void> {
+  await withControlStore(address, async (store) => {
+    const { configuration } = await store.readConfiguration();
     print(
-      `revision ${inForce.revision} by ${inForce.operator} is in force; your folder differs from it in:`,
+      configuration === null ? "nothing is in force" : asYaml(configuration),
     );
-    for (const each of findDifferences(inForce.configuration, configuration)) {
-      print(formatDifference(each));
-    }
-    print(
-      `edit again from there, then publish with --based-on ${inForce.revision}`,
-    );
-    process.exitCode = EXIT.refused;
-    return;
-  }
-  writeFileSync(join(options.folder, REVISION_FILE), `${result.revision}\n`);
-  print(`accepted: revision ${result.revision}`);
-  await waitInForce(options.wait ?? [], result.revision, options.timeout);
-}
-
-function checkSuccessor(
-  folder: string,
-  current: Configuration | null,
-  next: Configuration,
-): void {
-  const faults = checkSuccession(current, next);
-  if (faults.length === 0) return;
-  throw InvalidInput.create(faults.map(({ path, message }) => ({
-    file: join(folder, "base.yaml"),
-    line: 0,
-    path: path.join("."),
-    message,
-  })));
+  });
 }
 
-function readRevision(folder: string): number {
-  const file = join(folder, REVISION_FILE);
-  return existsSync(file) ? Number(readFileSync(file, "utf8")) : 0;
+async function diff({ folder, site, store }: SiteOptions): Promise<void> {
+  await withControlStore(store, async (control) => {
+    const { configuration } = await control.readConfiguration();
+    const version = configuration?.version ?? 0;
+    const next = siteConfiguration(readDeclaration(folder), site, version);
+    const lines = differences(
+      configuration === null ? "" : asYaml(configuration),
+      asYaml(next),
+    );
+    print(lines.length === 0 ? "no difference" : lines.join("\n"));
+  });
 }
 
-/** Waits until each VM says that it runs at least `revision`. */
-async function waitInForce(
-  vms: readonly string[],
-  revision: number,
-  timeout: number,
-): Promise<void> {
-  const start = Date.now();
-  const missing = new Set(vms);
-  while (missing.size > 0 && Date.now() < start + timeout) {
-    for (const vm of missing) {
-      if (await runningRevision(vm) < revision) continue;
-      missing.delete(vm);
-      print(`in force at ${vm} after ${Date.now() - start} ms`);
-    }
-    if (missing.size > 0) await delay(WAIT_INTERVAL);
+async function publish({ folder, site, store }: SiteOptions): Promise<void> {
+  const declaration = readDeclaration(folder);
+  const sites = declaration.overlays.map((each) => each.site);
+  if (!sites.includes(site)) {
+    throw InvalidInput.create([{
+      file: folder,
+      line: 0,
+      path: "site",
+      message: `expected one of ${sites.join(", ")}, found '${site}'`,
+    }]);
   }
-  if (missing.size === 0) return;
-  print(`not yet in force at ${[...missing].join(", ")}: see their status`);
-  process.exitCode = EXIT.failed;
+  await withControlStore(store, async (control) => {
+    const { configuration, end } = await control.readConfiguration();
+    const version = (configuration?.version ?? 0) + 1;
+    const next = siteConfiguration(declaration, site, version);
+    try {
+      await control.publish(next, end);
+    } catch (error) {
+      if (!control.isConflict(error)) throw error;
+      print(`refused: ${(error as Error).message}`);
+      process.exitCode = EXIT.failed;
+      return;
+    }
+    print(`published version ${version}`);
+  });
 }
 
-async function runningRevision(vm: string): Promise<number> {
+async function withControlStore(
+  address: string,
+  act: (store: ControlStore) => Promise<void>,
+): Promise<void> {
+  const store = PlatformStore.create(address, "operator", "operator", 1);
   try {
-    const { body } = await request(`http://${vm}/status`);
-    const status = await body.json() as { revision: number };
-    return status.revision;
-  } catch {
-    return -1;
+    await act(store);
+  } finally {
+    store.close();
   }
 }
 
-async function show(options: LogOptions): Promise<void> {
-  const { accepted } = await publisher(options).read();
-  print(`# revision ${accepted.revision} by ${accepted.operator || "nobody"}`);
-  if (accepted.configuration === null) return;
-  print(stringify(accepted.configuration).trimEnd());
+function asYaml(configuration: Configuration): string {
+  return stringify(configuration);
 }
 
-async function history(options: LogOptions): Promise<void> {
-  const from = publisher(options);
-  await from.read();
-  for (const each of from.history) {
-    const time = new Date(each.publishedAt).toISOString();
-    const verdict = each.accepted ? "accepted" : `refused: ${each.why}`;
-    print(`${each.revision}  ${time}  ${each.operator}  ${verdict}`);
-  }
+/** Lines that only one of two texts has, with `-` or `+` before them. */
+function differences(before: string, after: string): string[] {
+  const old = before.split("\n");
+  const next = after.split("\n");
+  return [
+    ...old.filter((line) => !next.includes(line)).map((line) => `- ${line}`),
+    ...next.filter((line) => !old.includes(line)).map((line) => `+ ${line}`),
+  ];
 }
--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -8,20 +8,22 @@
 import { createServer } from "node:net";
 import { Writable } from "node:stream";
 import { setTimeout as delay } from "node:timers/promises";
-import { EntryProcess, HttpLog } from "../adapters/index.ts";
 import {
-  type Configuration,
-  configurationSchema,
-} from "../core/configuration/index.ts";
-import { Publisher } from "../operators/index.ts";
-import { type VmSettings, vmSettingsSchema } from "../settings/index.ts";
+  PlatformHeaders,
+  PlatformOrders,
+  PlatformStore,
+} from "../../platform/index.ts";
+import {
+  declarationSchema,
+  siteConfiguration,
+} from "../core/declaration/index.ts";
+import { EntryProcess } from "../runtime/entry_process.ts";
+import { type EntrySettings, entrySettingsSchema } from "../settings/index.ts";
 import {
   BackendService,
   backendServiceSchema,
-  LogService,
-  logServiceSchema,
-  VmListService,
-  vmListServiceSchema,
+  StoreService,
+  storeServiceSchema,
 } from "../stand_ins/index.ts";
 
 const LOOPBACK = "127.0.0.1";
@@ -29,17 +31,40 @@
 const LOWEST_PORT = 20_000;
 const HIGHEST_PORT = 32_000;
 const ENTRIES = 3;
-const KEYED_SERVERS = 3;
-const PLAIN_SERVERS = 2;
+const SERVERS = 3;
 const ZONES = ["larisa", "volos", "trikala"];
+const SITE = "thessalia";
+/** Partitions of a topic. */
+const PARTITIONS = 12;
 /** Time in which the system must be ready, in milliseconds. */
 const READY_TIMEOUT = 25_000;
 
+/** Host that the demo's routes are reached under. */
+export const DEMO_HOST = "co-operative.example";
+
+const DECLARATION = declarationSchema.parse({
+  base: {
+    cluster: "demo",
+    services: { apothiki: { keyed: true }, archeio: {} },
+    routes: {
+      stock: {
+        host: DEMO_HOST,
+        path: "/stock/",
+        to: "apothiki",
+        idempotent: true,
+      },
+      catalogue: { host: DEMO_HOST, path: "/catalogue/", to: "archeio" },
+    },
+  },
+  overlays: [{ site: SITE }],
+});
+
 /** See the module's comment. */
 export class Demo {
   private constructor(
+    readonly store: StoreService,
+    readonly servers: BackendService[],
     private readonly processes: EntryProcess[],
-    private readonly standIns: { close(): void }[],
     /** Where callers connect. */
     readonly entries: string[],
     /** Where operators ask. */
@@ -48,32 +73,23 @@
 
   /** Starts everything and resolves when it serves. */
   static async start(): Promise<Demo> {
-    const any = `${LOOPBACK}:0`;
-    const log = await LogService.start(logServiceSchema.parse({ listen: any }));
-    const vms = await VmListService.start(
-      vmListServiceSchema.parse({ listen: any }),
-    );
-    const backends = await startBackends();
-    const url = `http://${log.address}`;
-    await Publisher.create(HttpLog.create(url, "plumloft")).publish(
-      demoConfiguration(backends.map((each) => each.address)),
-      "demo",
-      0,
-      READY_TIMEOUT,
-    );
-    const settings = await Promise.all(
-      Array.from(
-        { length: ENTRIES },
-        (_, index) => entrySettings(index, url, `http://${vms.address}`),
-      ),
+    const store = await StoreService.start(
+      storeServiceSchema.parse({ listen: `${LOOPBACK}:0` }),
     );
+    const servers = await startServers(store.address);
+    await publish(store.address);
+    const settings: EntrySettings[] = [];
+    for (let i = 0; i < ENTRIES; i++) {
+      settings.push(await entrySettings(i, store.address));
+    }
     const processes: EntryProcess[] = [];
-    for (const each of settings) {
-      processes.push(await EntryProcess.start(each, discard()));
+    for (const [index, each] of settings.entries()) {
+      processes.push(await startEntry(each, index));
     }
     const demo = new Demo(
+      store,
+      servers,
       processes,
-      [log, vms, ...backends],
       settings.map((each) => each.listen),
       settings.map((each) => each.admin),
     );
@@ -85,101 +101,80 @@
   async stop(): Promise<void> {
     for (const process of this.processes) process.shutdown();
     await Promise.all(this.processes.map((process) => process.stopped));
-    for (const standIn of this.standIns) standIn.close();
+    for (const server of this.servers) server.close();
+    this.store.close();
   }
 
   async #ready(): Promise<void> {
     const end = Date.now() + READY_TIMEOUT;
-    while (!this.processes.every(isReady)) {
+    while (!this.processes.every(isServing)) {
       if (Date.now() > end) throw new Error("the demo did not become ready");
       await delay(20);
     }
   }
 }
 
-function isReady(process: EntryProcess): boolean {
-  const { view, leaseRemaining } = process.status();
-  const slots = Object.values(view.services).flat();
-  return leaseRemaining > 0 && slots.length > 0 &&
-    slots.every((slot) => slot.server !== null);
+/** Whether a process knows servers and where all keys are. */
+function isServing(process: EntryProcess): boolean {
+  const { isReady, servers, assignments } = process.status();
+  return isReady && servers.length === 2 * SERVERS &&
+    assignments.length > 0 &&
+    assignments.every(({ ranges, open }) => ranges > 0 && ranges === open);
 }
 
-function startBackends(): Promise<BackendService[]> {
-  const ids = [
-    ...Array.from({ length: KEYED_SERVERS }, (_, i) => `apothiki-${i + 1}`),
-    ...Array.from({ length: PLAIN_SERVERS }, (_, i) => `archeio-${i + 1}`),
-  ];
+function startServers(store: string): Promise<BackendService[]> {
+  const ids = [..."123"].flatMap((number) => [
+    { id: `apothiki-${number}`, service: "apothiki", keyed: true },
+    { id: `archeio-${number}`, service: "archeio", keyed: false },
+  ]);
   return Promise.all(
-    ids.map((id) =>
+    ids.map((each, index) =>
       BackendService.start(backendServiceSchema.parse({
-        id,
+        ...each,
+        availabilityZone: ZONES[index % ZONES.length],
         listen: `${LOOPBACK}:0`,
-        checks: { token: id.startsWith("apothiki"), lease: true },
+        store,
       }))
     ),
   );
 }
 
-function demoConfiguration(addresses: string[]): Configuration {
-  const servers = (name: string, from: string[]) =>
-    from.map((address, index) => ({
-      id: `${name}-${index + 1}`,
-      address,
-      availabilityZone: ZONES[index % ZONES.length],
-    }));
-  return configurationSchema.parse({
-    base: {
-      cluster: "demo",
-      services: {
-        apothiki: {
-          key: { header: "x-stock-key" },
-          checks: { token: true, lease: true, echo: true },
-        },
-        archeio: {},
-      },
-    },
-    overlays: [{
-      site: "thessalia",
-      availabilityZones: ZONES,
-      services: {
-        apothiki: {
-          backendServers: servers(
-            "apothiki",
-            addresses.slice(0, KEYED_SERVERS),
-          ),
-        },
-        archeio: {
-          backendServers: servers("archeio", addresses.slice(KEYED_SERVERS)),
-        },
-      },
-    }],
-  });
+async function publish(address: string): Promise<void> {
+  const store = PlatformStore.create(address, "demo", "demo", PARTITIONS);
+  const { end } = await store.readConfiguration();
+  await store.publish(siteConfiguration(DECLARATION, SITE, 1), end);
+  store.close();
 }
 
 async function entrySettings(
   index: number,
-  log: string,
-  vmList: string,
-): Promise<VmSettings> {
-  const [listen, admin, peer] = await Promise.all([
-    freeAddress(),
-    freeAddress(),
-    freeAddress(),
-  ]);
-  return vmSettingsSchema.parse({
-    cluster: "demo",
-    site: "thessalia",
+  store: string,
+): Promise<EntrySettings> {
+  return entrySettingsSchema.parse({
     vm: `entry-${index + 1}`,
     availabilityZone: ZONES[index],
-    listen,
-    admin,
-    peer,
-    log: { url: log },
-    vmList: { url: vmList },
-    drainDelay: 50,
+    listen: await freeAddress(),
+    readiness: await freeAddress(),
+    peer: await freeAddress(),
+    admin: await freeAddress(),
+    store: { address: store, partitions: PARTITIONS },
+    shutdownTimeoutSeconds: 1,
   });
 }
 
+function startEntry(
+  settings: EntrySettings,
+  seed: number,
+): Promise<EntryProcess> {
+  const { store, vm } = settings;
+  const platform = {
+    store: PlatformStore.create(store.address, vm, vm, store.partitions),
+    headers: PlatformHeaders.create(),
+    orders: PlatformOrders.create(),
+  };
+  return EntryProcess.start(settings, platform, discard(), seed);
+}
+
 /** An address of this machine that is free now. */
 async function freeAddress(): Promise<string> {
   const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
--- a/src/cli/demo_command.ts
+++ b/src/cli/demo_command.ts
@@ -5,9 +5,15 @@
  */
 import { request } from "undici";
 import type { Argv } from "yargs";
-import { Demo } from "./demo.ts";
+import { PlatformHeaders } from "../../platform/index.ts";
+import { Demo, DEMO_HOST } from "./demo.ts";
 import { EXIT } from "./exit_code.ts";
 
+/** Key of the demo's requests. */
+const KEY = 4_711;
+/** Milliseconds for which the demo's callers wait. */
+const TIMEOUT = 2_000;
+
 /** Adds the command to `yargs`. */
 export function addDemoCommand(yargs: Argv): Argv {
   return yargs.command(
@@ -26,14 +32,15 @@
 async function runDemo(): Promise<void> {
   const demo = await Demo.start();
   const [entry] = demo.entries;
+  const headers = Object.entries(callerHeaders("r-1", KEY))
+    .map(([name, value]) => `-H '${name}: ${value}'`).join(" ");
   process.stdout.write([
-    "plumloft demo: 3 entry VMs, 5 backend servers, log and VM list in one process",
+    "plumloft demo: 3 entry VMs, 6 backend servers and a store in one process",
     ...await sendBoth(demo),
     "",
     "send more with:",
-    `  curl -i -X PUT -H 'x-stock-key: hide-7' -d '12 sheets' http://${entry}/apothiki/stock`,
-    `  curl -i -H 'x-stock-key: hide-7' http://${entry}/apothiki/stock`,
-    `  curl -i http://${entry}/archeio/catalogue`,
+    `  curl -i -X PUT ${headers} -d '12 sheets' http://${entry}/stock/hide-7`,
+    `  curl -i ${headers} http://${entry}/stock/hide-7`,
     `  npm run --silent plumloft -- status --vm ${demo.admins[0]}`,
     "Ctrl-C ends it.",
     "",
@@ -61,40 +68,36 @@
 /** Sends a keyed and an un-keyed request and checks the answers. */
 async function sendBoth(demo: Demo): Promise<string[]> {
   const stored = "12 sheets";
-  const headers = { "x-stock-key": "hide-7" };
-  const stock = "/apothiki/stock";
-  const put = { method: "PUT" as const, headers, body: stored };
-  await expectAnswer(demo.entries[0], stock, put, stored);
-  const keyed = await expectAnswer(
-    demo.entries[1],
-    stock,
-    { method: "GET", headers },
-    stored,
-  );
-  const unkeyed = await expectAnswer(
-    demo.entries[2],
-    "/archeio/catalogue",
-    { method: "POST", body: "list" },
-    "list",
-  );
-  return [
-    `keyed request served by ${keyed}`,
-    `un-keyed request served by ${unkeyed}`,
-  ];
+  const put = { method: "PUT" as const, body: stored };
+  await expectAnswer(demo.entries[0], "/stock/hide-7", put, "d-1", stored);
+  const get = { method: "GET" as const };
+  await expectAnswer(demo.entries[1], "/stock/hide-7", get, "d-2", stored);
+  const post = { method: "POST" as const, body: "list" };
+  await expectAnswer(demo.entries[2], "/catalogue/all", post, "d-3", "list");
+  const runs = demo.servers.flatMap((each) => each.runs);
+  return runs.map((run) => `${run.requestId} ran on ${run.server}`);
 }
 
 async function expectAnswer(
   entry: string,
   path: string,
   options: NonNullable<Parameters<typeof request>[1]>,
+  id: string,
   expected: string,
-): Promise<string> {
-  const answer = await request(`http://${entry}${path}`, options);
+): Promise<void> {
+  const headers = callerHeaders(id, KEY);
+  const answer = await request(`http://${entry}${path}`, {
+    ...options,
+    headers,
+  });
   const text = await answer.body.text();
-  if (answer.statusCode === 200 && text === expected) {
-    return String(answer.headers["x-server"]);
-  }
+  if (answer.statusCode === 200 && text === expected) return;
   throw new Error(
     `${path} at ${entry}: expected 200 '${expected}', found ${answer.statusCode} '${text}'`,
   );
 }
+
+function callerHeaders(id: string, key: number): Record<string, string> {
+  const facts = { id, timeout: TIMEOUT, key };
+  return { host: DEMO_HOST, ...PlatformHeaders.create().forCaller(facts) };
+}
--- a/src/cli/load_command.ts
+++ b/src/cli/load_command.ts
@@ -5,12 +5,15 @@
  */
 import { createWriteStream } from "node:fs";
 import type { Argv } from "yargs";
+import { PlatformHeaders } from "../../platform/index.ts";
 import { isServed, type LoadPlan, runLoad } from "../load/index.ts";
 
 interface LoadOptions {
   target: string[];
   service: string;
-  "key-header"?: string;
+  host: string;
+  path: string;
+  timeout: number;
   keys: number;
   method: string;
   "body-size": number;
@@ -35,11 +38,14 @@
           describe: "entries, such as 127.0.0.1:8080",
         })
         .option("service", { type: "string", demandOption: true })
-        .option("key-header", {
-          type: "string",
-          describe: "header that carries the key",
+        .option("host", { type: "string", demandOption: true })
+        .option("path", { type: "string", demandOption: true })
+        .option("timeout", { type: "number", default: 2_000 })
+        .option("keys", {
+          type: "number",
+          default: 0,
+          describe: "number of different keys; 0 for none",
         })
-        .option("keys", { type: "number", default: 1_000 })
         .option("method", {
           choices: ["GET", "POST", "PUT"],
           default: "POST",
@@ -65,7 +71,10 @@
   const plan: LoadPlan = {
     targets: options.target,
     service: options.service,
-    keyHeader: options["key-header"] ?? null,
+    codec: PlatformHeaders.create(),
+    host: options.host,
+    path: options.path,
+    timeout: options.timeout,
     keys: options.keys,
     method: options.method as LoadPlan["method"],
     bodySize: options["body-size"],
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -3,19 +3,20 @@
  *
  * @module
  */
+import { randomBytes } from "node:crypto";
 import type { Argv } from "yargs";
-import { EntryProcess } from "../adapters/index.ts";
 import {
-  InvalidInput,
+  PlatformHeaders,
+  PlatformOrders,
+  PlatformStore,
+} from "../../platform/index.ts";
+import { EntryProcess } from "../runtime/entry_process.ts";
+import {
+  type EntrySettings,
+  entrySettingsSchema,
   readYamlFile,
-  type VmSettings,
-  vmSettingsSchema,
-  type YamlFile,
 } from "../settings/index.ts";
 
-/** Settings that name an address to listen at. */
-const LISTENERS = ["listen", "admin", "peer"] as const;
-
 /** Adds the command to `yargs`. */
 export function addServeCommand(yargs: Argv): Argv {
   return yargs.command(
@@ -25,49 +26,37 @@
       argv.option("settings", {
         type: "string",
         demandOption: true,
-        describe: "settings of the VM, in YAML",
+        describe: "settings of the process, in YAML",
       }),
     ({ settings }) => serve(settings),
   );
 }
 
-async function serve(settings: string): Promise<void> {
-  const file = readYamlFile(settings, vmSettingsSchema);
-  const entry = await start(file);
+async function serve(file: string): Promise<void> {
+  const settings = readYamlFile(file, entrySettingsSchema).value;
+  // A run of the process must not be taken for an earlier one.
+  const run = randomBytes(4);
+  const member = `${settings.vm}/${run.toString("hex")}`;
+  const { address, partitions } = settings.store;
+  const platform = {
+    store: PlatformStore.create(address, settings.vm, member, partitions),
+    headers: PlatformHeaders.create(),
+    orders: PlatformOrders.create(),
+  };
+  const entry = await EntryProcess.start(
+    settings,
+    platform,
+    process.stdout,
+    run.readUInt32BE(0),
+  );
   process.once("SIGTERM", () => entry.shutdown());
   process.once("SIGINT", () => entry.shutdown());
+  process.on("SIGHUP", () => entry.reloaded(isChanged(file, settings)));
   await entry.stopped;
-  if (entry.failure === null) return;
-  throw InvalidInput.create([{
-    file: settings,
-    line: file.lineOf(["vm"]),
-    path: "vm",
-    message: entry.failure,
-  }]);
-}
-
-async function start(file: YamlFile<VmSettings>): Promise<EntryProcess> {
-  try {
-    return await EntryProcess.start(file.value, process.stdout);
-  } catch (error) {
-    throw addressError(file, error as NodeJS.ErrnoException) ?? error;
-  }
 }
 
-/** What to mend when an address cannot be listened at. */
-function addressError(
-  { file, value, lineOf }: YamlFile<VmSettings>,
-  error: NodeJS.ErrnoException & { address?: string; port?: number },
-): InvalidInput | null {
-  const isKnown = error.code === "EADDRINUSE" || error.code === "EADDRNOTAVAIL";
-  if (!isKnown) return null;
-  const address = `${error.address}:${error.port}`;
-  const path = LISTENERS.find((name) => value[name] === address) ?? "listen";
-  return InvalidInput.create([{
-    file,
-    line: lineOf([path]),
-    path,
-    message:
-      `expected an address of this VM that is free, found ${address} (${error.code})`,
-  }]);
+/** Whether the settings differ from those that the process was started with. */
+function isChanged(file: string, settings: EntrySettings): boolean {
+  const now = readYamlFile(file, entrySettingsSchema).value;
+  return JSON.stringify(now) !== JSON.stringify(settings);
 }
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -1,13 +1,13 @@
 /**
- * `plumloft status`: what one VM sees.
+ * `plumloft status`: what one VM believes.
  *
  * @module
  */
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import type { Argv } from "yargs";
-import { errorText, StepError } from "../adapters/index.ts";
-import type { RouterStatus } from "../core/index.ts";
+import type { EntryStatus } from "../core/entry_status.ts";
+import { errorText, StepError } from "../errors/index.ts";
 
 /** Time between two looks, in milliseconds. */
 const WATCH_INTERVAL = 1_000;
@@ -22,7 +22,7 @@
 export function addStatusCommand(yargs: Argv): Argv {
   return yargs.command(
     "status",
-    "show what one VM sees",
+    "show what one VM believes",
     (argv) =>
       argv
         .option("vm", {
@@ -53,53 +53,46 @@
   } while (watch);
 }
 
-async function readStatus(vm: string): Promise<RouterStatus> {
+async function readStatus(vm: string): Promise<EntryStatus> {
   try {
     const { body } = await request(`http://${vm}/status`);
-    return await body.json() as RouterStatus;
+    return await body.json() as EntryStatus;
   } catch (error) {
     throw StepError.create("read status", vm, errorText(error), error as Error);
   }
 }
 
 /** The status as lines for people. */
-export function formatStatus(status: RouterStatus): string {
-  const { view, term } = status;
+export function formatStatus(status: EntryStatus): string {
+  const { configuration, term } = status;
   const lines = [
-    `VM ${status.vm} (incarnation ${status.incarnation})`,
-    `  configuration  revision ${status.revision}`,
-    `  log            ${
-      status.logReachable ? "reachable" : "out"
-    }, read up to ${status.ledgerNext - 1}`,
-    `  term           ${term.offset}, held by ${
-      status.holds ? "this VM" : term.vm || "nobody"
-    }`,
-    `  view           ${view.position.term}.${view.position.version}, ${view.membership.members.length} members, ${view.membership.witnesses.length} witnesses`,
-    `  view lease     ${
-      status.member
-        ? `${Math.round(status.leaseRemaining)} ms left`
-        : "not a member"
-    }`,
-    `  in flight      ${status.inFlight}`,
+    `configuration  version ${configuration.version}, ${configuration.routes} routes`,
+    `readiness      ${status.isReady ? "ready" : "not ready"}`,
+    `store          answered ${status.storeSilence} ms ago`,
+    `term           ${term.phase}, holder at ${
+      term.holder ?? "nowhere"
+    }, heard ${term.holderSilence} ms ago`,
+    `VMs            ${status.vms ?? "unknown"}`,
+    `pending        ${status.pending} requests`,
   ];
-  for (const [service, slots] of Object.entries(view.services)) {
-    const vacant = slots.filter((slot) => slot.server === null).length;
-    lines.push(`  ${service}: ${slots.length} slots, ${vacant} vacant`);
+  for (const each of status.assignments) {
+    lines.push(
+      `keys of ${each.service}: ${each.ranges} ranges, ${each.open} open, position ${each.term}.${each.version}`,
+    );
   }
   for (const server of status.servers) {
-    const state = server.lost
-      ? "lost"
-      : server.down
-      ? "down"
-      : server.leaving
-      ? "leaving"
+    const state = server.isDraining
+      ? "draining"
+      : server.isPaused
+      ? "paused"
       : "up";
-    const owned = (view.services[server.service] ?? [])
-      .filter((slot) => slot.server === server.id).length;
+    const latency = server.latency === null
+      ? "no answer yet"
+      : `${server.latency.toFixed(1)} ms`;
     lines.push(
-      `    ${server.id.padEnd(20)} ${
+      `  ${server.id.padEnd(20)} ${server.service.padEnd(16)} ${
         state.padEnd(8)
-      } ${server.inFlight} in flight, ${owned} slots`,
+      } ${server.inFlight} in flight, ${latency}`,
     );
   }
   return lines.join("\n");
--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -37,6 +37,11 @@
     return this.#configuration?.version ?? -1;
   }
 
+  /** Number of routes. */
+  get routeCount(): number {
+    return this.#configuration?.routes.length ?? 0;
+  }
+
   /** Limits of callers, or null before the first configuration. */
   get limits(): CallerLimits | null {
     return this.#configuration?.limits ?? null;
--- /dev/null
+++ b/src/core/catalog/catalog_test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { Catalog } from "./catalog.ts";
+import { type Configuration, configurationSchema } from "./configuration.ts";
+import { WeightedRotation } from "./weighted_rotation.ts";
+
+function configuration(version: number, prefixes: string[]): Configuration {
+  return configurationSchema.parse({
+    version,
+    services: [{ name: "stock", maximumConnections: 10, isKeyed: true }],
+    limits: {
+      maximumHeaderBytes: 1_000,
+      maximumBodyBytes: 1_000,
+      headerTimeout: 1_000,
+      idleTimeout: 1_000,
+    },
+    routes: prefixes.map((pathPrefix) => ({
+      name: `route ${pathPrefix}`,
+      host: "Shop.example",
+      pathPrefix,
+      isIdempotent: true,
+      destinations: [{ service: "stock", weight: 1 }],
+      timeout: 500,
+      targetLatency: 200,
+      maximumAttempts: 2,
+      priority: 0,
+    })),
+  });
+}
+
+test("catalog: the longest prefix of the host wins", (t) => {
+  const catalog = Catalog.create();
+  catalog.apply(configuration(1, ["/", "/a/", "/a/b/"]));
+  const find = (target: string, host = "shop.example") =>
+    catalog.route(host, target)?.name ?? "none";
+  t.snapshot({
+    root: find("/"),
+    file: find("/a"),
+    first: find("/a/x"),
+    second: find("/a/b/c/d"),
+    query: find("/a/x?next=/a/b/"),
+    otherHost: find("/a/", "other.example"),
+    noSlash: find("*"),
+  });
+});
+
+test("catalog: a version that is not newer changes nothing", (t) => {
+  const catalog = Catalog.create();
+  t.true(catalog.apply(configuration(5, ["/new/"])));
+  t.false(catalog.apply(configuration(4, ["/old/"])));
+  t.false(catalog.apply(configuration(5, ["/old/"])));
+  t.is(catalog.version, 5);
+  t.is(catalog.route("shop.example", "/old/x"), undefined);
+});
+
+test("rotation: every run of requests is divided by weight", (t) => {
+  const rotation = WeightedRotation.create([
+    { service: "a", weight: 90 },
+    { service: "b", weight: 10 },
+    { service: "c", weight: 0 },
+  ]);
+  const counts: Record<string, number> = { a: 0, b: 0, c: 0 };
+  for (let i = 1; i <= 1_000; i++) {
+    counts[rotation.next()] += 1;
+    t.true(Math.abs(counts.b - i / 10) <= 1);
+  }
+  t.deepEqual(counts, { a: 900, b: 100, c: 0 });
+});
--- a/src/core/configuration/index.ts
+++ b/src/core/declaration/index.ts
@@ -1,3 +1,3 @@
 export * from "./check.ts";
 export * from "./document.ts";
-export * from "./site_configuration.ts";
+export * from "./site.ts";
--- /dev/null
+++ b/src/core/declaration/site.ts
@@ -0,0 +1,51 @@
+/**
+ * What one site runs: the base file with the site's overlay laid over it.
+ *
+ * @module
+ */
+import type { Configuration } from "../catalog/index.ts";
+import type { Declaration, DeclaredRoute } from "./document.ts";
+
+/** The configuration of `site` under a version. */
+export function siteConfiguration(
+  { base, overlays }: Declaration,
+  site: string,
+  version: number,
+): Configuration {
+  const overlay = overlays.find((each) => each.site === site);
+  const services = Object.entries(base.services).map(([name, service]) => ({
+    name,
+    isKeyed: service.keyed,
+    maximumConnections: overlay?.services[name]?.connections ??
+      service.connections,
+  }));
+  const routes = Object.entries(base.routes).map(([name, route]) =>
+    siteRoute(name, { ...route, ...defined(overlay?.routes[name] ?? {}) })
+  );
+  return { version, limits: base.limits, services, routes };
+}
+
+function siteRoute(name: string, route: DeclaredRoute) {
+  const { to } = route;
+  return {
+    name,
+    host: route.host,
+    pathPrefix: route.path,
+    isIdempotent: route.idempotent,
+    destinations: typeof to === "string"
+      ? [{ service: to, weight: 1 }]
+      : Object.entries(to).map(([service, weight]) => ({ service, weight })),
+    timeout: route.timeout,
+    targetLatency: route.targetLatency,
+    maximumAttempts: route.attempts,
+    priority: route.priority,
+  };
+}
+
+/** The fields that have a value. */
+function defined<T extends object>(fields: T): Partial<T> {
+  const entries = Object.entries(fields).filter(([, value]) =>
+    value !== undefined
+  );
+  return Object.fromEntries(entries) as Partial<T>;
+}
--- /dev/null
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -0,0 +1,241 @@
+import test from "ava";
+import { Catalog, configurationSchema } from "../catalog/index.ts";
+import { Fleet } from "../fleet/index.ts";
+import { KeyDirectory } from "../keyspace/index.ts";
+import type { DispatchEffect } from "./dispatch_effect.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import type { AttemptOutcome } from "./request.ts";
+
+/** A dispatcher with a keyed and two other services, two servers each. */
+function createDispatcher() {
+  const catalog = Catalog.create();
+  const route = (name: string, isIdempotent: boolean, service: string) => ({
+    name,
+    host: "h.example",
+    pathPrefix: `/${name}/`,
+    isIdempotent,
+    destinations: [{ service, weight: 1 }],
+    timeout: 500,
+    targetLatency: 200,
+    maximumAttempts: 2,
+    priority: 0,
+  });
+  catalog.apply(configurationSchema.parse({
+    version: 1,
+    services: ["stock", "orders", "reads"].map((name) => ({
+      name,
+      maximumConnections: 10,
+      isKeyed: name === "stock",
+    })),
+    limits: {
+      maximumHeaderBytes: 1_000,
+      maximumBodyBytes: 1_000,
+      headerTimeout: 1_000,
+      idleTimeout: 1_000,
+    },
+    routes: [
+      route("lookup", true, "stock"),
+      route("order", false, "orders"),
+      route("read", true, "reads"),
+    ],
+  }));
+  const fleet = Fleet.create();
+  const servers = ["stock", "orders", "reads"].flatMap((service) =>
+    ["1", "2"].map((number) => ({
+      id: `${service}-${number}`,
+      service,
+      address: `${service}-${number}:1`,
+      availabilityZone: "a",
+      slots: 1,
+      isDraining: false,
+      warmUp: 0,
+    }))
+  );
+  fleet.apply(servers, [], 0);
+  const directory = KeyDirectory.create();
+  const assign = (version: number, isOpen: boolean) =>
+    directory.apply({
+      service: "stock",
+      term: 1,
+      version,
+      ranges: [{
+        first: 0,
+        last: 65_535,
+        server: "stock-1",
+        address: "stock-1:1",
+        isOpen,
+      }],
+    });
+  assign(1, true);
+  const dispatcher = Dispatcher.create({
+    catalog,
+    fleet,
+    directory,
+    availabilityZone: "a",
+    retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
+    vms: () => 8,
+    draw: () => 0,
+  });
+  let exchange = 0;
+  const arrive = (path: string, now: number, timeout = 1_000) => {
+    exchange += 1;
+    return dispatcher.arrive({
+      exchange,
+      id: `r-${exchange}`,
+      host: "h.example",
+      target: path,
+      timeout,
+      key: 7,
+    }, now);
+  };
+  return { dispatcher, fleet, servers, arrive, assign };
+}
+
+const ANSWERED: AttemptOutcome & { kind: "answered" } = {
+  kind: "answered",
+  status: 200,
+  isGenuine: true,
+  isNotRun: false,
+  server: null,
+  load: null,
+};
+const NOT_RUN = { ...ANSWERED, status: 503, isGenuine: false, isNotRun: true };
+const SPOILT = { ...ANSWERED, isGenuine: false };
+const LOST: AttemptOutcome = { kind: "failed", wasSent: true, cause: "reset" };
+const NOT_SENT: AttemptOutcome = {
+  kind: "failed",
+  wasSent: false,
+  cause: "refused",
+};
+
+/** What effects do, in short. */
+function brief(effects: readonly DispatchEffect[]): string[] {
+  return effects.flatMap((effect) => {
+    switch (effect.kind) {
+      case "attempt.start":
+        return [`start ${effect.server}, ${effect.remaining} ms left`];
+      case "attempt.cancel":
+        return ["cancel"];
+      case "request.deliver":
+        return ["deliver"];
+      case "request.refuse":
+        return [
+          `${effect.status}, ${effect.reason}, come back ${effect.retryAfter}`,
+        ];
+      case "note":
+        return [];
+    }
+  });
+}
+
+const OUTCOMES = { ANSWERED, NOT_RUN, SPOILT, LOST, NOT_SENT } as const;
+
+for (const path of ["/order/", "/read/", "/lookup/"]) {
+  test(`dispatch: what follows each outcome of ${path}`, (t) => {
+    const follow = (outcome: AttemptOutcome) => {
+      const { dispatcher, arrive } = createDispatcher();
+      arrive(path, 0);
+      const first = dispatcher.ended(1, outcome, 10);
+      return {
+        first: brief(first),
+        then: brief(dispatcher.advance(45)),
+        again: brief(dispatcher.ended(2, outcome, 50)),
+      };
+    };
+    t.snapshot(
+      Object.fromEntries(
+        Object.entries(OUTCOMES).map(([name, each]) => [name, follow(each)]),
+      ),
+    );
+  });
+}
+
+test("dispatch: work that may have run is answered 502 and never repeated", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  t.is(brief(arrive("/order/", 0)).length, 1);
+  t.deepEqual(brief(dispatcher.ended(1, LOST, 10)), [
+    "502, reset, come back null",
+  ]);
+  t.is(dispatcher.pending, 0);
+});
+
+test("dispatch: a request waits for room for a while, then is refused", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  for (let i = 0; i < 2; i++) arrive("/order/", 0);
+  t.deepEqual(brief(arrive("/order/", 0)), []);
+  t.deepEqual(brief(dispatcher.advance(43)), []);
+  t.snapshot(brief(dispatcher.advance(44)));
+});
+
+test("dispatch: room goes to the request that has waited", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  for (let i = 0; i < 3; i++) arrive("/order/", 0);
+  t.snapshot(brief(dispatcher.ended(1, ANSWERED, 20)));
+});
+
+test("dispatch: a key on the move is waited for", (t) => {
+  const { dispatcher, arrive, assign } = createDispatcher();
+  assign(2, false);
+  t.deepEqual(brief(arrive("/lookup/", 0)), []);
+  assign(3, true);
+  t.snapshot(brief(dispatcher.advance(20)));
+});
+
+test("dispatch: nothing goes to a server that is leaving", (t) => {
+  const { fleet, servers, arrive } = createDispatcher();
+  const leaving = servers.filter((each) => each.service === "reads")
+    .map((each) => ({ ...each, isDraining: each.id === "reads-1" }));
+  fleet.apply(leaving, [], 0);
+  for (let i = 0; i < 3; i++) {
+    const text = brief(arrive("/read/", i)).join();
+    t.false(text.includes("reads-1"), text);
+  }
+});
+
+test("dispatch: a silent server's idempotent request is tried elsewhere", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/read/", 0);
+  t.deepEqual(brief(dispatcher.advance(99)), []);
+  t.snapshot({
+    hedged: brief(dispatcher.advance(100)),
+    answered: brief(dispatcher.ended(2, ANSWERED, 150)),
+  });
+});
+
+test("dispatch: a caller that leaves ends its attempts", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/read/", 0);
+  t.deepEqual(brief(dispatcher.leave(1, 10)), ["cancel"]);
+  t.is(dispatcher.pending, 0);
+});
+
+test("dispatch: without an answer a request ends just after its deadline", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/order/", 0);
+  t.is(dispatcher.nextAt(), 560);
+  t.deepEqual(brief(dispatcher.advance(559)), []);
+  t.snapshot(brief(dispatcher.advance(560)));
+});
+
+test("dispatch: 404 only where a configuration is known", (t) => {
+  const { arrive } = createDispatcher();
+  t.snapshot(brief(arrive("/nowhere/", 0)));
+  const unconfigured = Dispatcher.create({
+    catalog: Catalog.create(),
+    fleet: Fleet.create(),
+    directory: KeyDirectory.create(),
+    availabilityZone: "a",
+    retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
+    vms: () => null,
+    draw: () => 0,
+  });
+  const arrival = {
+    exchange: 1,
+    id: "r",
+    host: "h",
+    target: "/",
+    timeout: 100,
+    key: null,
+  };
+  t.snapshot(brief(unconfigured.arrive(arrival, 0)));
+});
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -44,13 +44,15 @@
   readonly campaign: TermCampaign;
   readonly dispatcher: Dispatcher;
   readonly #loads = new Map<string, KeyLoad>();
-  readonly #followerLink = FollowerLink.create();
+  readonly followerLink = FollowerLink.create();
   readonly #holderLink = HolderLink.create();
   #announcedTerm = -1;
   #published = { term: 0, version: 0 };
   #vms: number | null = null;
   #storeAnsweredAt = -Infinity;
   #isStoreLost = true;
+  /** Steps towards the store that have failed since it answered. */
+  readonly #failingSteps = new Set<string>();
   #isReady = false;
   #shutdownAt: number | null = null;
   #isClosed = false;
@@ -69,7 +71,7 @@
       directory: this.directory,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
-      vms: () => this.#vms ?? this.campaign.members,
+      vms: () => this.vms,
       draw: uniformFloat64(options.seed),
     });
   }
@@ -79,6 +81,22 @@
     return new Entry(options);
   }
 
+  /** What the balancer's readiness check is told. */
+  get isReady(): boolean {
+    return this.#isReady;
+  }
+
+  /** Estimated number of VMs, or null. */
+  get vms(): number | null {
+    return this.#vms ?? this.campaign.members;
+  }
+
+  /** Time since the sending of the last call that the store answered, in
+   * milliseconds. */
+  storeSilence(now: number): number {
+    return now - this.#storeAnsweredAt;
+  }
+
   /** Takes one event. */
   step(event: EntryEvent): EntryEffect[] {
     this.#reduce(event);
@@ -125,13 +143,7 @@
       case "store.answered":
         return this.#storeAnswered(event.sentAt, now);
       case "store.failed":
-        this.#put({
-          kind: "note",
-          level: "warn",
-          decision: "store.call_failed",
-          detail: { step: event.step, cause: event.cause },
-        });
-        return;
+        return this.#storeFailed(event.step, event.cause);
       case "group.joined":
         return this.campaign.joined(event.membership, now);
       case "group.failed":
@@ -172,7 +184,7 @@
   /** Takes the steps that time alone brings. */
   #advance(now: number): void {
     this.#noteFleet(this.fleet.expire(now));
-    const silence = now - this.#storeAnsweredAt;
+    const silence = this.storeSilence(now);
     if (!this.#isStoreLost && silence > STORE_LOST_AFTER) {
       this.#isStoreLost = true;
       this.#note("store.lost", { silence: Math.round(silence) });
@@ -189,9 +201,23 @@
     this.#advanceShutdown(now);
   }
 
+  /** Notes the first failure of each step since the store answered last. */
+  #storeFailed(step: string, cause: string): void {
+    if (this.#failingSteps.has(step)) return;
+    this.#failingSteps.add(step);
+    this.#put({
+      kind: "note",
+      level: "warn",
+      decision: "store.call_failed",
+      detail: { step, cause },
+    });
+  }
+
   #storeAnswered(sentAt: number, now: number): void {
     this.#storeAnsweredAt = Math.max(this.#storeAnsweredAt, sentAt);
-    if (!this.#isStoreLost || now - sentAt > STORE_LOST_AFTER) return;
+    if (now - sentAt > STORE_LOST_AFTER) return;
+    this.#failingSteps.clear();
+    if (!this.#isStoreLost) return;
     this.#isStoreLost = false;
     this.fleet.regained(now);
     this.#note("store.regained", {});
@@ -213,7 +239,7 @@
   #follow(term: number, vm: string, address: string): void {
     if (term <= this.#announcedTerm) return;
     this.#announcedTerm = term;
-    this.#followerLink.follow(address);
+    this.followerLink.follow(address);
     this.#note("holder.announced", { term, vm, address });
   }
 
@@ -222,7 +248,7 @@
     if (message.kind === "keys.asked") {
       return this.#takeReport(address, message, now);
     }
-    if (address === this.#followerLink.holder) this.#followerLink.heard(now);
+    if (address === this.followerLink.holder) this.followerLink.heard(now);
     this.#vms = message.vms;
     if (message.kind === "holder.alive") return;
     this.#takeAssignments(
@@ -251,7 +277,7 @@
     if (holder === null) {
       if (this.catalog.keyedServices.length === 0) return;
       const { position } = this.directory;
-      return this.#put(...this.#followerLink.advance(now, position));
+      return this.#put(...this.followerLink.advance(now, position));
     }
     this.#vms = this.#holderLink.vms(now);
     const { term, version } = holder;
@@ -282,7 +308,7 @@
     for (const { service } of route?.destinations ?? []) {
       if (!this.catalog.service(service)?.isKeyed) continue;
       this.#load(service).record(arrival.key, now);
-      this.#followerLink.sample(service, arrival.key);
+      this.followerLink.sample(service, arrival.key);
     }
   }
 
--- /dev/null
+++ b/src/core/entry_status.ts
@@ -0,0 +1,75 @@
+/**
+ * What one entry process believes, for operators.
+ *
+ * @module
+ */
+import type { Entry } from "./entry.ts";
+
+/** See the module's comment. Ages are milliseconds. */
+export interface EntryStatus {
+  configuration: { version: number; routes: number };
+  isReady: boolean;
+  pending: number;
+  /** Estimated number of VMs, or null. */
+  vms: number | null;
+  /** Time since the store answered a call. */
+  storeSilence: number;
+  term: {
+    phase: string;
+    /** Address of the holder, or null. */
+    holder: string | null;
+    /** Time since the holder was heard. */
+    holderSilence: number;
+  };
+  servers: {
+    id: string;
+    service: string;
+    availabilityZone: string;
+    isDraining: boolean;
+    isPaused: boolean;
+    inFlight: number;
+    latency: number | null;
+  }[];
+  assignments: {
+    service: string;
+    term: number;
+    version: number;
+    ranges: number;
+    open: number;
+  }[];
+}
+
+/** The status of `entry` at `now`. */
+export function describeEntry(entry: Entry, now: number): EntryStatus {
+  return {
+    configuration: {
+      version: entry.catalog.version,
+      routes: entry.catalog.routeCount,
+    },
+    isReady: entry.isReady,
+    pending: entry.dispatcher.pending,
+    vms: entry.vms,
+    storeSilence: Math.round(entry.storeSilence(now)),
+    term: {
+      phase: entry.campaign.phase,
+      holder: entry.followerLink.holder,
+      holderSilence: Math.round(entry.followerLink.silence(now)),
+    },
+    servers: entry.fleet.all().map((server) => ({
+      id: server.id,
+      service: server.entry.service,
+      availabilityZone: server.entry.availabilityZone,
+      isDraining: server.entry.isDraining,
+      isPaused: server.isPaused(now),
+      inFlight: server.inFlight,
+      latency: server.latency,
+    })),
+    assignments: entry.directory.assignments.map((each) => ({
+      service: each.service,
+      term: each.term,
+      version: each.version,
+      ranges: each.ranges.length,
+      open: each.ranges.filter((range) => range.isOpen).length,
+    })),
+  };
+}
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -68,6 +68,11 @@
     return changes;
   }
 
+  /** All servers. */
+  all(): TrackedServer[] {
+    return [...this.#servers.values()];
+  }
+
   /** A server by id. */
   get(id: string): TrackedServer | undefined {
     return this.#servers.get(id);
--- a/src/core/keyspace/key_directory.ts
+++ b/src/core/keyspace/key_directory.ts
@@ -24,6 +24,11 @@
     return true;
   }
 
+  /** All assignments. */
+  get assignments(): Assignment[] {
+    return [...this.#assignments.values()];
+  }
+
   /** The oldest state among the services: what the holder may have to tell. */
   get position(): { term: number; version: number } {
     let oldest: Assignment | null = null;
--- /dev/null
+++ b/src/core/keyspace/placement_test.ts
@@ -0,0 +1,74 @@
+import test from "ava";
+import fc from "fast-check";
+import { KEY_COUNT, keyCount } from "./assignment.ts";
+import { type HeldRange, vacantRange } from "./held_range.ts";
+import { Placement } from "./placement.ts";
+
+function held(server: string, first: number, last: number): HeldRange {
+  const range = vacantRange({ first, last }, 0);
+  return { ...range, state: "held", server };
+}
+
+const EVEN = [
+  { id: "a", speed: 1 },
+  { id: "b", speed: 1 },
+  { id: "c", speed: 1 },
+];
+const RANGES = [
+  held("a", 0, 21_844),
+  held("b", 21_845, 43_689),
+  held("c", 43_690, KEY_COUNT - 1),
+];
+
+test("placement: pieces cover a range and none weighs too much", (t) => {
+  const keys = fc.array(fc.nat(KEY_COUNT - 1), { maxLength: 500 });
+  fc.assert(
+    fc.property(keys, (samples) => {
+      const sorted = [...samples].sort((a, b) => a - b);
+      const placement = Placement.create(sorted, EVEN);
+      const whole = { first: 100, last: 60_000 };
+      const pieces = placement.pieces(whole, 0.1);
+      const total = pieces.reduce((sum, each) => sum + keyCount(each), 0);
+      if (total !== keyCount(whole)) throw new Error("keys are missing");
+      for (const piece of pieces) {
+        const isHeavy = placement.weight(piece) > 0.1 + 1e-9;
+        if (isHeavy && keyCount(piece) > 1) throw new Error("too heavy");
+      }
+    }),
+    { numRuns: 200, seed: 2 },
+  );
+  t.pass();
+});
+
+test("placement: even load moves nothing, nor does chance", (t) => {
+  const samples = Array.from({ length: 90 }, (_, i) => i * 728);
+  t.deepEqual(Placement.create(samples, EVEN).moves(RANGES), []);
+  const uneven = [...samples, 5, 9_000, 12_000, 20_000].sort((a, b) => a - b);
+  t.deepEqual(Placement.create(uneven, EVEN).moves(RANGES), []);
+});
+
+test("placement: busy neighbours are divided", (t) => {
+  const busy = Array.from({ length: 300 }, (_, i) => 1_000 + i % 200);
+  const placement = Placement.create(busy.sort((a, b) => a - b), EVEN);
+  t.snapshot(
+    placement.moves(RANGES).map(({ piece, destination }) => ({
+      ...piece,
+      destination,
+    })),
+  );
+});
+
+test("placement: one busy key goes to a clearly faster server, or stays", (t) => {
+  const busy = Array.from({ length: 300 }, () => 1_000);
+  const ranges = [
+    held("a", 0, 999),
+    held("a", 1_000, 1_000),
+    held("b", 1_001, KEY_COUNT - 1),
+  ];
+  const two = (speed: number) => [{ id: "a", speed: 1 }, { id: "b", speed }];
+  const movesKey = (speed: number) =>
+    Placement.create(busy, two(speed)).moves(ranges)
+      .some(({ piece }) => piece.first === 1_000 && piece.last === 1_000);
+  t.false(movesKey(1));
+  t.true(movesKey(2));
+});
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -46,8 +46,9 @@
   assignments: Assignment[];
 }
 
-/** How a write to the record ended. */
-export type WriteOutcome = "done" | "refused" | "unknown";
+/** How a write to the record ended: it is done, a newer term or another writer
+ * was found, or it has to be sent again, which changes nothing if it was done. */
+export type WriteOutcome = "done" | "superseded" | "again";
 
 type Phase =
   | { kind: "follower" }
@@ -148,9 +149,9 @@
   /** A write of the holder was answered. */
   written(term: number, outcome: WriteOutcome, now: number): KeyspaceEffect[] {
     if (this.holder?.term !== term) return [];
-    // After a write without an answer the record has to be read again.
-    if (outcome !== "done") return this.#pause(now);
-    this.holder.written();
+    if (outcome === "superseded") return this.#pause(now);
+    if (outcome === "done") this.holder.written();
+    else this.holder.writeAgain(now);
     return [];
   }
 
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -19,7 +19,11 @@
 } from "./lease_timing.ts";
 import { type Candidate, type Move, Placement } from "./placement.ts";
 import { RangeTable } from "./range_table.ts";
-import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
+import type {
+  AssignmentWrite,
+  KeyspaceEffect,
+  OrderOutcome,
+} from "./keyspace_effect.ts";
 
 /** Tokens of one term: more than a holder gives out in years. */
 const TOKENS_OF_TERM = 2 ** 28;
@@ -44,6 +48,19 @@
 /** Ranges of a service above which none is split: each costs a renewal. */
 const RANGES_PER_SERVER = 6;
 
+/** Silence of the store above which no move for balance begins, in
+ * milliseconds: keys that were taken back could not be given out again. */
+const MOVE_SILENCE = 700;
+
+/** A write that the store has not confirmed. */
+interface PendingWrite {
+  effect: AssignmentWrite;
+  /** Revisions that it records, by service. */
+  revisions: Map<string, number>;
+  /** When to send it again; Infinity while it is in flight. */
+  sendAt: number;
+}
+
 /** An order that is in flight. */
 interface Order {
   table: RangeTable;
@@ -58,8 +75,8 @@
   readonly #tables = new Map<string, RangeTable>();
   readonly #orders = new Map<number, Order>();
   readonly #balancedAt = new Map<string, number>();
-  /** Revisions that the write in flight records, by service; null if none. */
-  #writing: Map<string, number> | null = null;
+  /** The write that is not confirmed yet, or null. */
+  #write: PendingWrite | null = null;
   #writeNumber = 0;
   #tokenNumber = 0;
   #effects: KeyspaceEffect[] = [];
@@ -128,18 +145,25 @@
       const hold = storeSilence > this.timing.storeSilence
         ? this.timing.longHold
         : this.timing.hold;
-      for (const service of services) this.#advanceService(service, now, hold);
+      for (const service of services) {
+        this.#advanceService(service, now, hold, storeSilence);
+      }
     }
     return this.#take();
   }
 
+  /** The write in flight got no answer that counts. */
+  writeAgain(now: number): void {
+    if (this.#write !== null) this.#write.sendAt = now + RETRY_PAUSE;
+  }
+
   /** The store confirmed the write in flight. */
   written(): void {
-    for (const [service, revision] of this.#writing ?? []) {
+    for (const [service, revision] of this.#write?.revisions ?? []) {
       const table = this.#tables.get(service);
       if (table !== undefined) table.recorded = revision;
     }
-    this.#writing = null;
+    this.#write = null;
   }
 
   /** An order ended. Returns false when a newer holder was found out. */
@@ -154,7 +178,12 @@
     return true;
   }
 
-  #advanceService(service: string, now: number, hold: number): void {
+  #advanceService(
+    service: string,
+    now: number,
+    hold: number,
+    storeSilence: number,
+  ): void {
     let table = this.#tables.get(service);
     if (table === undefined) {
       table = RangeTable.create(service);
@@ -164,8 +193,8 @@
       this.#advanceRange(table, range, now, hold);
     }
     this.#assignVacant(table, now);
-    this.#balance(table, now);
-    this.#write();
+    if (storeSilence <= MOVE_SILENCE) this.#balance(table, now);
+    this.#record(now);
   }
 
   #advanceRange(
@@ -427,23 +456,32 @@
     return false;
   }
 
-  /** Records all changes, one write at a time. */
-  #write(): void {
-    if (this.#writing !== null) return;
+  /** Records what has changed, one write at a time; one without an answer is
+   * repeated under its number, which the store carries out once. */
+  #record(now: number): void {
+    if (this.#write !== null) {
+      if (now < this.#write.sendAt) return;
+      this.#write.sendAt = Infinity;
+      this.#effects.push(this.#write.effect);
+      return;
+    }
     const dirty = [...this.#tables.values()].filter((each) => each.isDirty);
     if (dirty.length === 0) return;
-    this.#writing = new Map(
-      dirty.map((table) => [table.service, table.revision]),
-    );
     this.#writeNumber += 1;
-    this.#effects.push({
+    const effect: AssignmentWrite = {
       kind: "assignments.write",
       term: this.term,
       sequence: this.#writeNumber,
       assignments: dirty.map((table) =>
         table.snapshot(this.term, this.version)
       ),
-    });
+    };
+    this.#write = {
+      effect,
+      revisions: new Map(dirty.map((each) => [each.service, each.revision])),
+      sendAt: Infinity,
+    };
+    this.#effects.push(effect);
   }
 
   #nextToken(): number {
--- a/src/core/ledger/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export * from "./fold.ts";
-export * from "./reader.ts";
-export * from "./record.ts";
--- a/src/core/membership/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export * from "./liveness.ts";
-export * from "./member.ts";
-export * from "./quorum.ts";
--- a/src/load/caller_load.ts
+++ b/src/load/caller_load.ts
@@ -5,18 +5,26 @@
  */
 import { randomBytes, randomUUID } from "node:crypto";
 import { Pool } from "undici";
-import { OUTCOME, REQUEST_ID } from "../adapters/headers.ts";
+import type { HeaderCodec } from "../runtime/header_codec.ts";
+import { KEY_COUNT } from "../core/keyspace/index.ts";
 import { Latencies } from "../metrics/index.ts";
 import type { Call } from "./history.ts";
 
+/** Statuses that promise that a request has not run and never will. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+
 /** What callers do. */
 export interface LoadPlan {
   /** Entries as `host:port`; each caller keeps to one while it is ready. */
   targets: string[];
   service: string;
-  /** Header that carries the key, or null for a service without keys. */
-  keyHeader: string | null;
-  /** Number of different keys. */
+  /** How callers' headers are written. */
+  codec: HeaderCodec;
+  host: string;
+  path: string;
+  /** Milliseconds for which a caller waits. */
+  timeout: number;
+  /** Number of different keys; 0 for requests without one. */
   keys: number;
   method: "GET" | "POST" | "PUT";
   /** Bytes of each body. */
@@ -91,16 +99,19 @@
   number: number,
 ): Promise<Call> {
   const requestId = randomUUID();
-  const key = plan.keyHeader === null ? null : `key-${number % plan.keys}`;
+  const key = plan.keys === 0 ? null : spread(number, plan.keys);
   const hasBody = plan.method !== "GET";
   const body = hasBody ? `${requestId}:${filler(plan.bodySize)}` : null;
-  const headers: Record<string, string> = { [REQUEST_ID]: requestId };
-  if (key !== null) headers[plan.keyHeader!] = key;
+  const { timeout } = plan;
+  const headers = {
+    host: plan.host,
+    ...plan.codec.forCaller({ id: requestId, timeout, key }),
+  };
   const call: Call = {
     kind: "call",
     requestId,
     service: plan.service,
-    key,
+    key: key === null ? null : String(key),
     method: plan.method,
     target,
     startedAt: Date.now(),
@@ -112,14 +123,13 @@
   try {
     const answer = await pool.request({
       method: plan.method,
-      path: `/${plan.service}/${key ?? "any"}`,
+      path: plan.path,
       headers,
       body,
     });
     const text = await answer.body.text();
-    const outcome = answer.headers[OUTCOME];
     call.status = answer.statusCode;
-    if (outcome === "not-run" || outcome === "unknown") call.outcome = outcome;
+    if (answer.statusCode !== 200) call.outcome = outcomeOf(answer.statusCode);
     if (answer.statusCode === 200 && hasBody) call.matched = text === body;
   } catch {
     call.outcome = "unknown";
@@ -131,3 +141,13 @@
 function filler(size: number): string {
   return randomBytes(Math.ceil(size / 2)).toString("hex").slice(0, size);
 }
+
+/** What a status promises: these say that the request has not run. */
+function outcomeOf(status: number): Call["outcome"] {
+  return NOT_RUN_STATUSES.has(status) ? "not-run" : "unknown";
+}
+
+/** Spreads numbered keys evenly over all keys. */
+function spread(number: number, keys: number): number {
+  return Math.floor((number % keys) * KEY_COUNT / keys);
+}
--- a/src/load/evidence.ts
+++ b/src/load/evidence.ts
@@ -1,5 +1,5 @@
 /**
- * What is recorded of a run of the system or of its model, and how breaches of
+ * What is recorded of a run of the system, and how breaches of
  * what must always hold are found in it.
  *
  * @module
@@ -10,7 +10,7 @@
   at: number;
   server: string;
   service: string;
-  slot: number | null;
+  key: number | null;
   token: number | null;
   requestId: string;
 }
@@ -26,20 +26,10 @@
   reason: string;
 }
 
-/** A configuration that a VM put in force. */
-export interface AppliedRevision {
-  at: number;
-  vm: string;
-  /** Which start of the process. */
-  run: number;
-  revision: number;
-}
-
 /** Everything that was recorded. Times are milliseconds of one clock. */
 export interface Evidence {
   starts: WorkStart[];
   answers: FinalAnswer[];
-  revisions: AppliedRevision[];
 }
 
 /** Breaches of exclusive ownership: work under an older token after a newer. */
@@ -49,15 +39,15 @@
   const keyed = starts.filter((start) => start.token !== null)
     .sort((a, b) => a.at - b.at);
   for (const start of keyed) {
-    const slot = `${start.service}/${start.slot}`;
-    const last = newest.get(slot);
+    const key = `${start.service}/${start.key}`;
+    const last = newest.get(key);
     if (last === undefined || start.token! > last.token!) {
-      newest.set(slot, start);
+      newest.set(key, start);
       continue;
     }
     if (start.token === last.token && start.server === last.server) continue;
     faults.push(
-      `${slot}: ${start.server} started under token ${start.token} at ${
+      `${key}: ${start.server} started under token ${start.token} at ${
         start.at.toFixed(1)
       }, but ${last.server} had under ${last.token} at ${last.at.toFixed(1)}`,
     );
@@ -126,15 +116,3 @@
     .filter((answer) => answer.kind === "served" && !ran.has(answer.requestId))
     .map(({ requestId }) => `${requestId} was served but did not run`);
 }
-
-/** VMs that went back to an older configuration. */
-export function findReversions({ revisions }: Evidence): string[] {
-  const newest = new Map<string, number>();
-  const faults: string[] = [];
-  for (const { vm, revision } of revisions) {
-    const last = newest.get(vm) ?? 0;
-    if (revision < last) faults.push(`${vm} went from ${last} to ${revision}`);
-    newest.set(vm, Math.max(last, revision));
-  }
-  return faults;
-}
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,2 +1,1 @@
 export * from "./latencies.ts";
-export * from "./vm_metrics.ts";
--- a/src/operators/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export * from "./differences.ts";
-export * from "./publisher.ts";
--- /dev/null
+++ b/src/runtime/admin_server.ts
@@ -0,0 +1,60 @@
+/**
+ * Tells operators what the process counts and believes.
+ *
+ * @module
+ */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { EntryStatus } from "../core/entry_status.ts";
+import { parseAddress } from "../settings/address.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+
+/** See the module's comment. */
+export class AdminServer {
+  readonly #server: Server;
+
+  private constructor(
+    private readonly metrics: EntryMetrics,
+    private readonly readStatus: () => EntryStatus,
+  ) {
+    this.#server = createServer((request, response) => {
+      request.resume();
+      this.#answer(request.url ?? "/", response);
+    });
+  }
+
+  /** A server of `metrics` and of what `readStatus` returns. */
+  static create(
+    metrics: EntryMetrics,
+    readStatus: () => EntryStatus,
+  ): AdminServer {
+    return new AdminServer(metrics, readStatus);
+  }
+
+  /** Answers at `address`. Rejects when it cannot be had. */
+  listen(address: string): Promise<void> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #answer(path: string, response: ServerResponse): void {
+    if (path === "/metrics") {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(this.metrics.render());
+    } else if (path === "/status") {
+      response.writeHead(200, { "content-type": "application/json" });
+      response.end(JSON.stringify(this.readStatus()));
+    } else {
+      response.writeHead(404, { "content-type": "text/plain" });
+      response.end("expected /metrics or /status\n");
+    }
+  }
+}
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { Configuration } from "../core/catalog/index.ts";
 import type { Occurrence } from "../core/entry_event.ts";
 import type { Assignment, Records } from "../core/keyspace/index.ts";
 
@@ -27,6 +28,12 @@
   members: number | null;
 }
 
+/** The configuration that operators published last. */
+export interface PublishedConfiguration {
+  configuration: Configuration | null;
+  end: number;
+}
+
 /** See the module's comment. All calls reject with an error that carries step
  * and peer. */
 export abstract class ControlStore {
@@ -56,10 +63,14 @@
   ): Promise<void>;
   /** Tells all VMs that this one holds `term` and is reached at `address`. */
   abstract announceHolder(term: number, address: string): Promise<void>;
+  /** Reads the configuration in force, and where its record ends. */
+  abstract readConfiguration(): Promise<PublishedConfiguration>;
+  /** Publishes a configuration if its record still ends at `end`. */
+  abstract publish(configuration: Configuration, end: number): Promise<void>;
   /** Whether a read failed since its records are no longer kept. */
   abstract isExpired(error: unknown): boolean;
-  /** Whether a call was surely not carried out. */
-  abstract isRefusal(error: unknown): boolean;
+  /** Whether a condition of a call did not hold, so that it was not done. */
+  abstract isConflict(error: unknown): boolean;
   /** Ends all connections. */
   abstract close(): void;
 }
--- a/src/runtime/entry_loop.ts
+++ b/src/runtime/entry_loop.ts
@@ -8,7 +8,7 @@
 import type { Entry } from "../core/entry.ts";
 import type { EntryEffect } from "../core/entry_effect.ts";
 import type { EntryEvent, Occurrence } from "../core/entry_event.ts";
-import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 
 /** Name under which `most` listens. */
 const EVENT = "event";
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -5,8 +5,10 @@
  */
 import type { Writable } from "node:stream";
 import { Entry } from "../core/entry.ts";
+import { describeEntry, type EntryStatus } from "../core/entry_status.ts";
 import { Journal } from "../logging/index.ts";
 import type { EntrySettings } from "../settings/index.ts";
+import { AdminServer } from "./admin_server.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { CallerServer } from "./caller_server.ts";
 import type { ControlStore, Feed } from "./control_store.ts";
@@ -15,7 +17,7 @@
 import { EntryRunner } from "./entry_runner.ts";
 import { FeedFollower, type FeedPace } from "./feed_follower.ts";
 import type { HeaderCodec } from "./header_codec.ts";
-import { MetricsServer } from "./metrics_server.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import type { OrderSender } from "./order_sender.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
@@ -52,11 +54,12 @@
   /** Resolves when the process has stopped. */
   readonly stopped: Promise<void>;
   readonly #followers: FeedFollower[] = [];
+  readonly #entry: Entry;
   readonly #loop: EntryLoop;
   readonly #callers: CallerServer;
   readonly #backends: BackendPool;
   readonly #readiness = ReadinessServer.create();
-  readonly #metricsServer: MetricsServer;
+  readonly #admin: AdminServer;
   readonly #peers: PeerNetwork;
   readonly #journal: Journal;
   #resolveStopped: () => void = () => {};
@@ -70,7 +73,7 @@
     this.stopped = new Promise((resolve) => this.#resolveStopped = resolve);
     this.#journal = Journal.create(settings.vm, settings.logging.level, output);
     const shutdownTimeout = settings.shutdownTimeoutSeconds * SECOND;
-    const entry = Entry.create({
+    const entry = this.#entry = Entry.create({
       peerAddress: settings.peer,
       availabilityZone: settings.availabilityZone,
       leaseTiming: settings.leases,
@@ -83,7 +86,10 @@
     });
     this.#loop = EntryLoop.create(entry);
     const metrics = EntryMetrics.create(() => gauges(entry, this.#journal));
-    this.#metricsServer = MetricsServer.create(metrics);
+    this.#admin = AdminServer.create(
+      metrics,
+      () => this.status(),
+    );
     this.#callers = CallerServer.create(platform.headers, this.#loop, metrics);
     this.#backends = BackendPool.create(platform.headers, this.#loop);
     this.#peers = PeerNetwork.create(
@@ -122,6 +128,11 @@
     return process;
   }
 
+  /** What the process believes. */
+  status(): EntryStatus {
+    return describeEntry(this.#entry, monotonicNow());
+  }
+
   /** Stops once nothing is in flight. */
   shutdown(): void {
     this.#loop.push({ kind: "shutdown" });
@@ -136,7 +147,7 @@
     const { settings } = this;
     await this.#readiness.listen(settings.readiness);
     await this.#callers.listen(settings.listen);
-    await this.#metricsServer.listen(settings.admin);
+    await this.#admin.listen(settings.admin);
     await this.#peers.listen();
     this.#journal.write("info", "process.started", {
       zone: settings.availabilityZone,
@@ -172,7 +183,7 @@
     this.#callers.destroy();
     this.#backends.close();
     this.#readiness.close();
-    this.#metricsServer.close();
+    this.#admin.close();
     this.#peers.close();
     this.platform.orders.close();
     this.platform.store.close();
--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -6,7 +6,7 @@
  */
 import type { Journal } from "../logging/index.ts";
 import { errorText } from "../errors/index.ts";
-import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import type { ControlStore, Feed, StoreRead } from "./control_store.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
 
--- /dev/null
+++ b/src/runtime/frame_test.ts
@@ -0,0 +1,49 @@
+import test from "ava";
+import fc from "fast-check";
+import { encodeFrame, FrameDecoder, MAXIMUM_FRAME } from "./frame.ts";
+
+const count = fc.nat();
+
+const messages = fc.oneof(
+  fc.record({
+    kind: fc.constant("keys.asked"),
+    term: count,
+    version: count,
+    samples: fc.array(
+      fc.record({ service: fc.string(), keys: fc.array(count) }),
+    ),
+  }),
+  fc.record({ kind: fc.string(), value: fc.jsonValue({ maxDepth: 5 }) }),
+);
+
+test("frames: whatever is encoded comes out again, however it is cut", (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(messages, { maxLength: 20 }),
+      fc.integer({ min: 1, max: 64 }),
+      (values, size) => {
+        const bytes = Buffer.concat(values.map((each) => encodeFrame(each)));
+        const decoder = FrameDecoder.create();
+        const decoded: unknown[] = [];
+        for (let start = 0; start < bytes.length; start += size) {
+          decoded.push(...decoder.push(bytes.subarray(start, start + size)));
+        }
+        const plain = (value: unknown) => JSON.parse(JSON.stringify(value));
+        t.deepEqual(plain(decoded), plain(values));
+      },
+    ),
+    { numRuns: 300, seed: 5 },
+  );
+});
+
+test("frames: one that is over-long is refused before it is read", (t) => {
+  const header = Buffer.alloc(4);
+  header.writeUInt32BE(MAXIMUM_FRAME + 1, 0);
+  const error = t.throws(() => FrameDecoder.create().push(header));
+  t.snapshot(error?.message);
+});
+
+test("frames: garbage is refused", (t) => {
+  const garbage = Buffer.from([0, 0, 0, 2, 0xff, 0xff]);
+  t.throws(() => FrameDecoder.create().push(garbage));
+});
--- a/src/runtime/header_codec.ts
+++ b/src/runtime/header_codec.ts
@@ -31,6 +31,8 @@
 
 /** Translates between headers and what they mean. */
 export abstract class HeaderCodec {
+  /** Headers of a caller, for callers of our own. */
+  abstract forCaller(facts: CallerFacts): Record<string, string>;
   /** Reads a caller's headers. */
   abstract readCaller(headers: IncomingHttpHeaders): CallerFacts;
   /** Whether a caller's header of this lower-case name is not passed on. */
--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -13,7 +13,7 @@
 import { parseAddress } from "../settings/index.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
 import { encodeFrame, FrameDecoder, PROTOCOL } from "./frame.ts";
-import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import { errorText } from "../errors/index.ts";
 
 /** The first frame of a connection: who speaks. */
--- a/src/runtime/store_link.ts
+++ b/src/runtime/store_link.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { monotonicNow } from "../adapters/monotonic_clock.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import type {
   AssignmentWrite,
   GroupJoin,
@@ -120,7 +120,7 @@
       return "done";
     } catch (error) {
       this.#failed(step, error);
-      return this.store.isRefusal(error) ? "refused" : "unknown";
+      return this.store.isConflict(error) ? "superseded" : "again";
     }
   }
 
--- a/src/settings/configuration_files.ts
+++ b/src/settings/declaration_files.ts
@@ -8,34 +8,34 @@
 import {
   type Base,
   baseSchema,
-  checkConfiguration,
-  type Configuration,
+  checkDeclaration,
+  type Declaration,
   type Overlay,
   overlaySchema,
-} from "../core/configuration/index.ts";
+} from "../core/declaration/index.ts";
 import { InvalidInput } from "./invalid_input.ts";
 import { readYamlFile, type YamlFile } from "./yaml_file.ts";
 
-/** Name of the base file in a configuration folder. */
+/** Name of the base file in a folder of a declaration. */
 export const BASE_FILE = "base.yaml";
-/** Folder of the overlays within a configuration folder. */
+/** Folder of the overlays within a folder of a declaration. */
 export const OVERLAY_FOLDER = "sites";
 
 /**
  * Reads `base.yaml` and `sites/*.yaml` below `folder`. Throws
  * {@linkcode InvalidInput} that lists every fault.
  */
-export function readConfiguration(folder: string): Configuration {
+export function readDeclaration(folder: string): Declaration {
   const base = readYamlFile<Base>(join(folder, BASE_FILE), baseSchema);
   const overlays = overlayFiles(folder).map((file) =>
     readYamlFile<Overlay>(file, overlaySchema)
   );
-  const configuration = {
+  const declaration = {
     base: base.value,
     overlays: overlays.map((file) => file.value),
   };
-  const faults = checkConfiguration(configuration);
-  if (faults.length === 0) return configuration;
+  const faults = checkDeclaration(declaration);
+  if (faults.length === 0) return declaration;
   throw InvalidInput.create(faults.map((fault) => {
     const file: YamlFile<unknown> = overlays.findLast((each) =>
       each.value.site === fault.document
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,6 +1,5 @@
 export * from "./address.ts";
-export * from "./configuration_files.ts";
+export * from "./declaration_files.ts";
 export * from "./entry_settings.ts";
 export * from "./invalid_input.ts";
-export * from "./vm_settings.ts";
 export * from "./yaml_file.ts";
--- a/src/stand_ins/stand_in.ts
+++ b/src/stand_ins/stand_in.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { parseAddress } from "../settings/index.ts";
+import { parseAddress } from "../settings/address.ts";
 
 /** A stand-in: one HTTP server at an address of its own. */
 export abstract class StandIn {
--- /dev/null
+++ b/src/stand_ins/store_service.ts
@@ -0,0 +1,307 @@
+/**
+ * Stand-in of the platform's store: a log with keyed topics, conditional
+ * appends, producers with epochs, and groups that share partitions, with faults
+ * that are switched while it runs.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { z } from "zod";
+import { addressSchema } from "../settings/address.ts";
+import { readBytes, readJson, sendJson, StandIn } from "./stand_in.ts";
+import { frameRecord, REGISTRY_TOPIC } from "./wire.ts";
+
+/** Settings of the stand-in. Durations are milliseconds. */
+export const storeServiceSchema = z.strictObject({
+  listen: addressSchema,
+  partitions: z.number().int().positive().default(12),
+  /** Silence after which a backend server's entry is removed. */
+  entryLifetime: z.number().positive().default(2_600),
+});
+
+/** See {@linkcode storeServiceSchema}. */
+export type StoreServiceSettings = z.infer<typeof storeServiceSchema>;
+
+/** Faults of the stand-in; all are off at the start. */
+export const storeFaultsSchema = z.strictObject({
+  /** It answers nothing. */
+  outage: z.boolean().default(false),
+  /** It takes this much longer for each call, in milliseconds. */
+  delay: z.number().nonnegative().default(0),
+  /** Appends whose answer is lost after they took effect. */
+  loseAnswers: z.number().int().nonnegative().default(0),
+  /** Records that are kept besides the newest of each key. */
+  retention: z.number().int().nonnegative().default(10_000),
+});
+
+/** See {@linkcode storeFaultsSchema}. */
+export type StoreFaults = z.infer<typeof storeFaultsSchema>;
+
+/** Where the faults are switched. */
+export const FAULTS_PATH = "/stand-in/faults";
+/** Pause between looks for silent entries, in milliseconds. */
+const EXPIRY_INTERVAL = 300;
+/** Bytes of a record's length. */
+const LENGTH_BYTES = 4;
+
+interface Topic {
+  first: number;
+  records: Buffer[];
+  newest: Map<string, { value: Buffer; offset: number; at: number }>;
+  producers: Map<string, { epoch: number; sequence: number }>;
+  waiting: Set<() => void>;
+}
+
+interface Group {
+  generation: number;
+  members: Map<string, number>;
+}
+
+const joinSchema = z.object({
+  group: z.string(),
+  member: z.string(),
+  topics: z.array(z.string()),
+  timeToLive: z.number(),
+  generation: z.number(),
+});
+
+const leaveSchema = z.object({ group: z.string(), member: z.string() });
+
+/** See the module's comment. */
+export class StoreService extends StandIn {
+  readonly #topics = new Map<string, Topic>();
+  readonly #groups = new Map<string, Group>();
+  readonly #expiry: NodeJS.Timeout;
+  #faults: StoreFaults = storeFaultsSchema.parse({});
+
+  private constructor(private readonly settings: StoreServiceSettings) {
+    super();
+    this.#expiry = setInterval(() => this.#expire(), EXPIRY_INTERVAL);
+    this.#expiry.unref();
+  }
+
+  /** Starts the stand-in. */
+  static async start(settings: StoreServiceSettings): Promise<StoreService> {
+    const store = new StoreService(settings);
+    await store.listen(settings.listen);
+    return store;
+  }
+
+  override close(): void {
+    clearInterval(this.#expiry);
+    super.close();
+  }
+
+  /** Switches faults. */
+  set(faults: Partial<StoreFaults>): void {
+    this.#faults = { ...this.#faults, ...faults };
+  }
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://stand-in");
+    if (url.pathname === FAULTS_PATH) {
+      this.#faults = storeFaultsSchema.parse(await readJson(request));
+      return sendJson(response, 200, this.#faults);
+    }
+    const { outage, delay: pause } = this.#faults;
+    if (pause > 0) await delay(pause);
+    if (outage) return void request.socket.destroy();
+    const query = url.searchParams;
+    switch (url.pathname) {
+      case "/-/log-append":
+        return this.#append(query, await readBytes(request), response);
+      case "/-/log-read":
+        return await this.#read(query, response);
+      case "/-/log-newest":
+        return this.#newest(query, response);
+      case "/-/log-join":
+        return this.#join(joinSchema.parse(await readJson(request)), response);
+      case "/-/log-leave":
+        return this.#leave(
+          leaveSchema.parse(await readJson(request)),
+          response,
+        );
+      default:
+        return sendJson(response, 404, { error: "no such call" });
+    }
+  }
+
+  #append(
+    query: URLSearchParams,
+    body: Buffer,
+    response: ServerResponse,
+  ): void {
+    const topic = this.#topic(query.get("topic") ?? "");
+    const end = topic.first + topic.records.length;
+    const at = query.get("at");
+    if (at !== null && Number(at) !== end) {
+      return sendJson(response, 412, { end });
+    }
+    const refusal = this.#checkProducer(topic, query);
+    if (refusal !== null) return sendJson(response, 409, refusal);
+    for (const content of splitRecords(body)) this.#put(topic, content);
+    for (const wake of topic.waiting) wake();
+    if (this.#faults.loseAnswers > 0) {
+      this.#faults.loseAnswers -= 1;
+      return void response.socket?.destroy();
+    }
+    sendJson(response, 200, {
+      offset: end,
+      end: topic.first + topic.records.length,
+    });
+  }
+
+  /** Why a producer may not append, or null. */
+  #checkProducer(topic: Topic, query: URLSearchParams): object | null {
+    const name = query.get("producer");
+    if (name === null) return null;
+    const epoch = Number(query.get("epoch"));
+    const sequence = Number(query.get("sequence"));
+    const known = topic.producers.get(name);
+    if (known !== undefined && epoch < known.epoch) return { why: "fenced" };
+    const expected = known?.epoch === epoch ? known.sequence + 1 : sequence;
+    if (sequence !== expected) return { why: "seq", sequence: expected };
+    topic.producers.set(name, { epoch, sequence });
+    return null;
+  }
+
+  #put(topic: Topic, content: Buffer): void {
+    const offset = topic.first + topic.records.length;
+    topic.records.push(content);
+    const length = content.readUInt8(0);
+    const key = content.toString("utf8", 1, 1 + length);
+    const value = content.subarray(1 + length);
+    if (value.length === 0) topic.newest.delete(key);
+    else topic.newest.set(key, { value, offset, at: Date.now() });
+    const excess = topic.records.length - this.#faults.retention;
+    if (excess <= 0) return;
+    topic.records.splice(0, excess);
+    topic.first += excess;
+  }
+
+  async #read(query: URLSearchParams, response: ServerResponse): Promise<void> {
+    const topic = this.#topic(query.get("topic") ?? "");
+    const from = Number(query.get("from"));
+    const wait = Number(query.get("wait_ms") ?? 0);
+    if (from >= topic.first + topic.records.length && wait > 0) {
+      await this.#wait(topic, wait, response);
+    }
+    if (this.#faults.outage) return void response.socket?.destroy();
+    if (from < topic.first) {
+      return sendJson(response, 410, { first: topic.first });
+    }
+    const offsets = Buffer.alloc(16);
+    const end = topic.first + topic.records.length;
+    offsets.writeBigUInt64BE(BigInt(end), 0);
+    offsets.writeBigUInt64BE(BigInt(topic.first), 8);
+    const records = topic.records.slice(from - topic.first);
+    response.end(Buffer.concat([offsets, ...records.map(frame)]));
+  }
+
+  #wait(
+    topic: Topic,
+    milliseconds: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    return new Promise((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        topic.waiting.delete(end);
+        resolve();
+      };
+      const timer = setTimeout(end, milliseconds);
+      topic.waiting.add(end);
+      response.once("close", end);
+    });
+  }
+
+  #newest(query: URLSearchParams, response: ServerResponse): void {
+    const topic = this.#topic(query.get("topic") ?? "");
+    const items = [...topic.newest].map(([key, { value, offset }]) => ({
+      key,
+      value: value.toString("base64"),
+      offset,
+    }));
+    const end = topic.first + topic.records.length;
+    sendJson(response, 200, { items, has_more: false, end });
+  }
+
+  #join(
+    { group: name, member, topics, timeToLive }: z.infer<typeof joinSchema>,
+    response: ServerResponse,
+  ): void {
+    const group = this.#groups.get(name) ??
+      { generation: 0, members: new Map<string, number>() };
+    this.#groups.set(name, group);
+    const now = Date.now();
+    for (const [id, until] of group.members) {
+      if (until >= now) continue;
+      group.members.delete(id);
+      group.generation += 1;
+    }
+    if (!group.members.has(member)) group.generation += 1;
+    group.members.set(member, now + timeToLive);
+    const ids = [...group.members.keys()];
+    const parts: [string, number, number][] = [];
+    for (let part = 0; part < this.settings.partitions; part++) {
+      if (ids[part % ids.length] === member) parts.push([topics[0], part, 0]);
+    }
+    sendJson(response, 200, { generation: group.generation, parts });
+  }
+
+  #leave(
+    { group, member }: z.infer<typeof leaveSchema>,
+    response: ServerResponse,
+  ): void {
+    const known = this.#groups.get(group);
+    if (known?.members.delete(member)) known.generation += 1;
+    sendJson(response, 200, {});
+  }
+
+  /** Removes the entries of backend servers that have gone silent. */
+  #expire(): void {
+    const topic = this.#topics.get(REGISTRY_TOPIC);
+    if (topic === undefined) return;
+    const oldest = Date.now() - this.settings.entryLifetime;
+    for (const [key, { at }] of topic.newest) {
+      if (at < oldest) this.#put(topic, frameRecord(key, "").subarray(4));
+    }
+  }
+
+  #topic(name: string): Topic {
+    let topic = this.#topics.get(name);
+    if (topic === undefined) {
+      topic = {
+        first: 0,
+        records: [],
+        newest: new Map(),
+        producers: new Map(),
+        waiting: new Set(),
+      };
+      this.#topics.set(name, topic);
+    }
+    return topic;
+  }
+}
+
+function splitRecords(body: Buffer): Buffer[] {
+  const records: Buffer[] = [];
+  let position = 0;
+  while (position < body.length) {
+    const start = position + LENGTH_BYTES;
+    const end = start + body.readUInt32BE(position);
+    records.push(body.subarray(start, end));
+    position = end;
+  }
+  return records;
+}
+
+function frame(content: Buffer): Buffer {
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(content.length);
+  return Buffer.concat([length, content]);
+}
