A configuration that a peer has and this VM lacks is read at once

Messages between the term holder and the others now carry the version. Ruled out: waiting a second at a time (a call a second for each VM and topic).

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -17,11 +17,14 @@
   KeyDirectory,
   KeyLoad,
   TermCampaign,
+  type TermHolder,
 } from "./keyspace/index.ts";
 import {
+  type Bulletin,
   expandAssignment,
   FollowerLink,
   HolderLink,
+  type Knowledge,
   type PeerMessage,
 } from "./peers/index.ts";
 import { uniformFloat64 } from "./random.ts";
@@ -33,6 +36,8 @@
 /** The store counts as lost after this long without an answer, in
  * milliseconds: some calls of each second are missing by then. */
 const STORE_LOST_AFTER = 1_500;
+/** Pause between reads of a configuration that a peer has, in milliseconds. */
+const CONFIGURATION_PAUSE = 400;
 /** Pause between looks at a shutdown, in milliseconds. */
 const SHUTDOWN_INTERVAL = 50;
 
@@ -47,6 +52,7 @@
   readonly followerLink = FollowerLink.create();
   readonly #holderLink = HolderLink.create();
   #announcedTerm = -1;
+  #configurationFetchedAt = -Infinity;
   #published = { term: 0, version: 0 };
   #vms: number | null = null;
   #storeAnsweredAt = -Infinity;
@@ -245,6 +251,7 @@
 
   /** Takes a message of another VM. */
   #receive(address: string, message: PeerMessage, now: number): void {
+    this.#compareConfiguration(message.configuration, now);
     if (message.kind === "keys.asked") {
       return this.#takeReport(address, message, now);
     }
@@ -258,6 +265,19 @@
     );
   }
 
+  /** Reads the configuration when a peer has a newer one: the call that waits
+   * for news may have lost its answer without a sign. */
+  #compareConfiguration(version: number, now: number): void {
+    if (version <= this.catalog.version) return;
+    if (now - this.#configurationFetchedAt < CONFIGURATION_PAUSE) return;
+    this.#configurationFetchedAt = now;
+    this.#note("configuration.behind", {
+      version: this.catalog.version,
+      newest: version,
+    });
+    this.#put({ kind: "configuration.fetch" });
+  }
+
   #takeReport(
     address: string,
     message: PeerMessage & { kind: "keys.asked" },
@@ -268,16 +288,17 @@
     for (const { service, keys } of message.samples) {
       for (const key of keys) this.#load(service).record(key, now);
     }
-    this.#put(this.#holderLink.reported(address, message, holder, now));
+    const bulletin = this.#bulletin(holder);
+    this.#put(this.#holderLink.reported(address, message, bulletin, now));
   }
 
   /** Informs the others while this VM leads, else stays in touch with them. */
   #advanceLinks(now: number): void {
     const { holder } = this.campaign;
     if (holder === null) {
-      if (this.catalog.keyedServices.length === 0) return;
-      const { position } = this.directory;
-      return this.#put(...this.followerLink.advance(now, position));
+      const known = this.#knowledge(this.directory.position);
+      const isKeyed = this.catalog.keyedServices.length > 0;
+      return this.#put(...this.followerLink.advance(now, known, isKeyed));
     }
     this.#vms = this.#holderLink.vms(now);
     const { term, version } = holder;
@@ -285,7 +306,16 @@
     if (term === toldTerm && version === toldVersion) return;
     this.#published = { term, version };
     this.#takeAssignments(holder.assignments);
-    this.#put(...this.#holderLink.publish(holder, now));
+    this.#put(...this.#holderLink.publish(this.#bulletin(holder), now));
+  }
+
+  #bulletin(holder: TermHolder): Bulletin {
+    const knowledge = this.#knowledge(holder);
+    return { knowledge, assignments: holder.assignments };
+  }
+
+  #knowledge({ term, version }: { term: number; version: number }): Knowledge {
+    return { term, version, configuration: this.catalog.version };
   }
 
   #load(service: string): KeyLoad {
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -14,6 +14,8 @@
   | KeyspaceEffect
   | PeerSend
   | AssignmentFetch
+  /** A newer configuration than the one in force exists: read it now. */
+  | { kind: "configuration.fetch" }
   /** Callers are held to these limits from now on. */
   | { kind: "limits.apply"; limits: CallerLimits }
   /** The connections to a server that is gone are of no more use. */
--- /dev/null
+++ b/src/core/entry_test.ts
@@ -0,0 +1,92 @@
+import test from "ava";
+import { Entry } from "./entry.ts";
+import type { EntryEffect } from "./entry_effect.ts";
+import type { Occurrence } from "./entry_event.ts";
+import { leaseTimingSchema } from "./keyspace/index.ts";
+
+function createEntry(vm: string) {
+  const entry = Entry.create({
+    peerAddress: vm,
+    availabilityZone: "a",
+    leaseTiming: leaseTimingSchema.parse({}),
+    retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
+    shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
+    seed: 1,
+  });
+  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
+    entry.step({ ...occurrence, now });
+  return { entry, step };
+}
+
+function configured(version: number): Occurrence {
+  return {
+    kind: "configuration.read",
+    configuration: {
+      version,
+      routes: [],
+      services: [],
+      limits: {
+        maximumHeaderBytes: 1,
+        maximumBodyBytes: 1,
+        headerTimeout: 1,
+        idleTimeout: 1,
+      },
+    },
+  };
+}
+
+function told(configuration: number): Occurrence {
+  return {
+    kind: "peer.received",
+    address: "holder",
+    message: {
+      kind: "holder.alive",
+      term: 1,
+      version: 0,
+      configuration,
+      vms: 2,
+    },
+  };
+}
+
+const kinds = (effects: EntryEffect[]) => effects.map((each) => each.kind);
+
+test("entry: a configuration that only a peer has is fetched, not too often", (t) => {
+  const { step } = createEntry("vm-1");
+  step(0, configured(3));
+  t.false(kinds(step(10, told(3))).includes("configuration.fetch"));
+  t.true(kinds(step(20, told(5))).includes("configuration.fetch"));
+  t.false(kinds(step(30, told(5))).includes("configuration.fetch"));
+  t.true(kinds(step(500, told(5))).includes("configuration.fetch"));
+  step(510, configured(5));
+  t.false(kinds(step(1_000, told(5))).includes("configuration.fetch"));
+});
+
+test("entry: a shutdown leaves the group at once and stops when idle", (t) => {
+  const { step } = createEntry("vm-1");
+  step(0, configured(1));
+  t.snapshot({
+    asked: kinds(step(1_000, { kind: "shutdown" })),
+    soon: kinds(step(4_000, { kind: "timer" })),
+    late: kinds(step(4_600, { kind: "timer" })),
+    after: kinds(step(4_700, { kind: "timer" })),
+  });
+});
+
+test("entry: the first failure of each step is noted while the store is out", (t) => {
+  const { step } = createEntry("vm-1");
+  const failed = (step: string): Occurrence => ({
+    kind: "store.failed",
+    step,
+    cause: "no answer",
+  });
+  const notes = (effects: EntryEffect[]) =>
+    effects.flatMap((each) => each.kind === "note" ? [each.decision] : []);
+  t.snapshot({
+    first: notes(step(0, failed("join"))),
+    again: notes(step(10, failed("join"))),
+    other: notes(step(20, failed("read"))),
+    answered: notes(step(30, { kind: "store.answered", sentAt: 25 })),
+    next: notes(step(40, failed("join"))),
+  });
+});
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { PeerMessage, PeerSend } from "./peer_message.ts";
+import type { Knowledge, PeerMessage, PeerSend } from "./peer_message.ts";
 
 /** Pause between reports, in milliseconds: how late a busy key is noticed. */
 const REPORT_INTERVAL = 500;
@@ -23,12 +23,6 @@
   kind: "assignments.fetch";
 }
 
-/** Where the assignments stand that a process knows. */
-export interface Position {
-  term: number;
-  version: number;
-}
-
 /** See the module's comment. */
 export class FollowerLink {
   #holder: string | null = null;
@@ -73,27 +67,31 @@
     this.#samples.set(service, keys);
   }
 
-  /** Takes all steps that are due. */
-  advance(now: number, position: Position): (PeerSend | AssignmentFetch)[] {
+  /** Takes all steps that are due; `isKeyed` when assignments are needed. */
+  advance(
+    now: number,
+    known: Knowledge,
+    isKeyed: boolean,
+  ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     const isReportDue = now - this.#reportedAt >= REPORT_INTERVAL;
     if (this.#holder !== null && isReportDue) {
       this.#reportedAt = now;
-      const message = this.#report(position);
+      const message = this.#report(known);
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
     const isFetchDue = now - this.#fetchedAt >= FETCH_INTERVAL;
-    if (this.silence(now) >= HOLDER_SILENCE && isFetchDue) {
+    if (isKeyed && isFetchDue && this.silence(now) >= HOLDER_SILENCE) {
       this.#fetchedAt = now;
       effects.push({ kind: "assignments.fetch" });
     }
     return effects;
   }
 
-  #report({ term, version }: Position): PeerMessage {
+  #report(known: Knowledge): PeerMessage {
     const samples = [...this.#samples]
       .map(([service, keys]) => ({ service, keys }));
     this.#samples.clear();
-    return { kind: "keys.asked", term, version, samples };
+    return { kind: "keys.asked", ...known, samples };
   }
 }
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Assignment } from "../keyspace/index.ts";
-import type { PeerMessage, PeerSend } from "./peer_message.ts";
+import type { Knowledge, PeerMessage, PeerSend } from "./peer_message.ts";
 import { shareAssignment } from "./shared_assignment.ts";
 
 /** Silence after which a VM counts as gone, in milliseconds: several of its
@@ -13,8 +13,7 @@
 
 /** What the holder tells. */
 export interface Bulletin {
-  term: number;
-  version: number;
+  knowledge: Knowledge;
   assignments: readonly Assignment[];
 }
 
@@ -40,15 +39,16 @@
   /** A follower reported; it is told what it does not know. */
   reported(
     address: string,
-    known: { term: number; version: number },
+    known: Knowledge,
     bulletin: Bulletin,
     now: number,
   ): PeerSend {
     this.#heardAt.set(address, now);
-    const { term, version } = bulletin;
-    const isCurrent = known.term === term && known.version === version;
+    const { knowledge } = bulletin;
+    const isCurrent = known.term === knowledge.term &&
+      known.version === knowledge.version;
     const message: PeerMessage = isCurrent
-      ? { kind: "holder.alive", term, version, vms: this.vms(now) }
+      ? { kind: "holder.alive", ...knowledge, vms: this.vms(now) }
       : this.#tell(bulletin, now);
     return { kind: "peer.send", address, message };
   }
@@ -60,11 +60,10 @@
       .map((address) => ({ kind: "peer.send", address, message }));
   }
 
-  #tell({ term, version, assignments }: Bulletin, now: number): PeerMessage {
+  #tell({ knowledge, assignments }: Bulletin, now: number): PeerMessage {
     return {
       kind: "assignments.told",
-      term,
-      version,
+      ...knowledge,
       vms: this.vms(now),
       assignments: assignments.map(shareAssignment),
     };
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -7,13 +7,18 @@
 
 const count = z.number().int().nonnegative();
 
-/** The state of the assignments that a process knows. */
-const positionSchema = z.object({
+/** What a process knows: all messages carry it. */
+const knowledgeSchema = z.object({
+  /** Newest assignments: the term, and the number of the change within it. */
   term: count,
-  /** Number of the change within the term. */
   version: count,
+  /** Version of the configuration in force, or -1. */
+  configuration: z.number().int(),
 });
 
+/** See {@linkcode knowledgeSchema}. */
+export type Knowledge = z.infer<typeof knowledgeSchema>;
+
 /** One service's ranges, with servers by their index to save bytes. */
 const sharedAssignmentSchema = z.object({
   service: z.string(),
@@ -30,20 +35,20 @@
 export type SharedAssignment = z.infer<typeof sharedAssignmentSchema>;
 
 /** A follower tells the term holder what it was asked for lately. */
-const keysAskedSchema = positionSchema.extend({
+const keysAskedSchema = knowledgeSchema.extend({
   kind: z.literal("keys.asked"),
   samples: z.array(z.object({ service: z.string(), keys: z.array(count) })),
 });
 
 /** The holder confirms that a follower knows what there is. */
-const holderAliveSchema = positionSchema.extend({
+const holderAliveSchema = knowledgeSchema.extend({
   kind: z.literal("holder.alive"),
   /** Number of VMs that the holder hears, itself included. */
   vms: count,
 });
 
 /** The holder tells all assignments. */
-const assignmentsToldSchema = positionSchema.extend({
+const assignmentsToldSchema = knowledgeSchema.extend({
   kind: z.literal("assignments.told"),
   vms: count,
   assignments: z.array(sharedAssignmentSchema),
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -26,7 +26,7 @@
 /** Longest wait of a read for news that come seldom, in milliseconds: a call
  * costs more than the bytes, and one that dies in silence is noticed by the
  * short calls beside it. */
-const LONG_POLL = 20_000;
+const LONG_POLL = 10_000;
 /** Share of the drain time after which the registry is read again, so that one
  * slow answer still leaves time to turn away. */
 const REGISTRY_SHARE = 0.45;
@@ -55,6 +55,7 @@
   readonly stopped: Promise<void>;
   readonly #followers: FeedFollower[] = [];
   readonly #entry: Entry;
+  #configuration: FeedFollower | null = null;
   readonly #loop: EntryLoop;
   readonly #callers: CallerServer;
   readonly #backends: BackendPool;
@@ -112,6 +113,7 @@
       readiness: this.#readiness,
       metrics,
       journal: this.#journal,
+      refetchConfiguration: () => this.#configuration?.refresh(),
       stopped: () => this.#stop(),
     }));
   }
@@ -155,7 +157,10 @@
       store: settings.store.address,
     });
     const registryPause = settings.drainTime * REGISTRY_SHARE;
-    this.#follow("configuration", { wait: LONG_POLL, pause: 0 });
+    this.#configuration = this.#follow("configuration", {
+      wait: LONG_POLL,
+      pause: 0,
+    });
     this.#follow("holder", { wait: LONG_POLL, pause: 0 });
     this.#follow("servers", { wait: 0, pause: registryPause });
     this.#loop.push({ kind: "timer" });
@@ -164,11 +169,17 @@
   #follow(
     feed: Feed,
     pace: FeedPace,
-  ): void {
+  ): FeedFollower {
     const { store } = this.platform;
-    this.#followers.push(
-      FeedFollower.create(store, feed, pace, this.#loop, this.#journal),
+    const follower = FeedFollower.create(
+      store,
+      feed,
+      pace,
+      this.#loop,
+      this.#journal,
     );
+    this.#followers.push(follower);
+    return follower;
   }
 
   #storeLink(): StoreLink {
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -46,6 +46,8 @@
   readiness: ReadinessServer;
   metrics: EntryMetrics;
   journal: Journal;
+  /** Reads the configuration now. */
+  refetchConfiguration(): void;
   /** Called when the process has nothing left to do. */
   stopped(): void;
 }
@@ -72,6 +74,8 @@
         return this.#refuse(effect);
       case "note":
         return this.#note(effect);
+      case "configuration.fetch":
+        return this.adapters.refetchConfiguration();
       case "limits.apply":
         return callers.apply(effect.limits);
       case "connections.close":
--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -48,6 +48,16 @@
     return follower;
   }
 
+  /** Reads all that is current now, beside the call that waits for news. */
+  async refresh(): Promise<void> {
+    const sentAt = monotonicNow();
+    try {
+      this.#pass(await this.store.readAll(this.feed), sentAt);
+    } catch (error) {
+      this.#failed(error);
+    }
+  }
+
   /** Reads nothing more. */
   stop(): void {
     this.#isStopped = true;
@@ -74,18 +84,20 @@
       return true;
     } catch (error) {
       if (this.store.isExpired(error)) this.#next = null;
-      const step = `follow ${this.feed}`;
-      if (!this.#isStopped) {
-        this.sink.push({
-          kind: "store.failed",
-          step,
-          cause: errorText(error),
-        });
-      }
+      this.#failed(error);
       return false;
     }
   }
 
+  #failed(error: unknown): void {
+    if (this.#isStopped) return;
+    this.sink.push({
+      kind: "store.failed",
+      step: `follow ${this.feed}`,
+      cause: errorText(error),
+    });
+  }
+
   #pass(read: StoreRead, sentAt: number): void {
     this.sink.push({ kind: "store.answered", sentAt });
     for (const fault of read.faults) {
