--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,164 @@
+/**
+ * How the core's costs grow with servers and with ranges of keys, without
+ * sockets.
+ *
+ * @module
+ */
+import { Entry } from "../src/core/entry.ts";
+import type { EntryEffect } from "../src/core/entry_effect.ts";
+import type { Occurrence } from "../src/core/entry_event.ts";
+import { KEY_COUNT, leaseTimingSchema } from "../src/core/keyspace/index.ts";
+import { encodeFrame } from "../src/runtime/frame.ts";
+import { printFigure } from "./figure.ts";
+
+const SERVICE_SIZES = [10, 100, 800];
+const REQUESTS = 20_000;
+
+/** Measures the cost of a request for services of several sizes. */
+export function measureSlopes(): void {
+  for (const servers of SERVICE_SIZES) {
+    measureRequests(servers, false);
+    measureRequests(servers, true);
+  }
+  for (const ranges of [10, 100, 1_000, 5_000]) measureBulletin(ranges);
+}
+
+function measureRequests(servers: number, isKeyed: boolean): void {
+  const { entry, step } = createEntry(servers, isKeyed);
+  let now = 1_000;
+  const run = (count: number) => {
+    const begun = performance.now();
+    for (let exchange = 1; exchange <= count; exchange++) {
+      now += 1;
+      const effects = step(now, {
+        kind: "request.arrived",
+        arrival: {
+          exchange,
+          id: "r",
+          host: "h",
+          target: "/x/1",
+          timeout: 1_000,
+          key: exchange * 7_919 % KEY_COUNT,
+        },
+      });
+      for (const effect of effects) {
+        if (effect.kind !== "attempt.start") continue;
+        step(now, {
+          kind: "attempt.ended",
+          attempt: effect.attempt,
+          outcome: {
+            kind: "answered",
+            status: 200,
+            isGenuine: true,
+            isNotRun: false,
+            server: null,
+            load: null,
+          },
+        });
+      }
+    }
+    return 1_000 * (performance.now() - begun) / count;
+  };
+  run(REQUESTS / 4);
+  printFigure({
+    name: "core time for a request",
+    value: run(REQUESTS),
+    unit: "us",
+    conditions: {
+      servers,
+      keyed: String(isKeyed),
+      pending: entry.dispatcher.pending,
+    },
+  });
+}
+
+function measureBulletin(ranges: number): void {
+  const message = {
+    kind: "assignments.told",
+    term: 1,
+    version: 1,
+    configuration: 1,
+    vms: 8,
+    assignments: [{
+      service: "stock",
+      servers: Array.from({ length: ranges / 5 }, (_, i) => ({
+        id: `server-${i}`,
+        address: `10.0.0.${i}:8080`,
+      })),
+      ranges: Array.from(
+        { length: ranges },
+        (_, i) => [i * 13, i * 13 + 12, Math.floor(i / 5), true],
+      ),
+    }],
+  };
+  printFigure({
+    name: "size of a change of assignments",
+    value: encodeFrame(message).length,
+    unit: "bytes to each VM",
+    conditions: { ranges },
+  });
+}
+
+function createEntry(servers: number, isKeyed: boolean) {
+  const entry = Entry.create({
+    peerAddress: "vm",
+    availabilityZone: "a",
+    leaseTiming: leaseTimingSchema.parse({}),
+    retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
+    shutdown: { closeAfter: 1, stopAfter: 2 },
+    seed: 1,
+  });
+  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
+    entry.step({ ...occurrence, now });
+  step(0, {
+    kind: "configuration.read",
+    configuration: {
+      version: 1,
+      limits: {
+        maximumHeaderBytes: 1,
+        maximumBodyBytes: 1,
+        headerTimeout: 1,
+        idleTimeout: 1,
+      },
+      services: [{ name: "s", maximumConnections: 10, isKeyed }],
+      routes: [{
+        name: "r",
+        host: "h",
+        pathPrefix: "/x/",
+        isIdempotent: true,
+        destinations: [{ service: "s", weight: 1 }],
+        timeout: 1_000,
+        targetLatency: 500,
+        maximumAttempts: 2,
+        priority: 0,
+      }],
+    },
+  });
+  const entries = Array.from({ length: servers }, (_, i) => ({
+    id: `server-${i}`,
+    service: "s",
+    address: `10.0.0.1:${i}`,
+    availabilityZone: i % 2 === 0 ? "a" : "b",
+    slots: 3,
+    isDraining: false,
+    warmUp: 0,
+  }));
+  step(0, { kind: "servers.read", entries, removed: [], isWhole: true });
+  const size = KEY_COUNT / servers;
+  step(0, {
+    kind: "assignments.read",
+    assignments: [{
+      service: "s",
+      term: 1,
+      version: 1,
+      ranges: entries.map(({ id, address }, i) => ({
+        first: Math.round(i * size),
+        last: Math.round((i + 1) * size) - 1,
+        server: id,
+        address,
+        isOpen: true,
+      })),
+    }],
+  });
+  return { entry, step };
+}
