A request's story from its id: held-back lines, plumloft explain

Every decision about a request makes a line with its inputs; lines of requests that are served at once are dropped, those of a request that is refused, fails, is sent again or is late are written all. The test brings three failures about on processes and finds each cause by the id alone.

--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -23,6 +23,7 @@
   load: async () => (await import("./load_command.ts")).addLoadCommand,
   "check-history": async () =>
     (await import("./history_command.ts")).addHistoryCommand,
+  explain: async () => (await import("./explain_command.ts")).addExplainCommand,
   demo: async () => (await import("./demo_command.ts")).addDemoCommand,
 };
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -11,7 +11,7 @@
 import type { Catalog, Route } from "../catalog/index.ts";
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
 import type { KeyDirectory } from "../keyspace/index.ts";
-import type { DispatchEffect } from "./dispatch_effect.ts";
+import type { DispatchEffect, Note } from "./dispatch_effect.ts";
 import type {
   Attempt,
   AttemptOutcome,
@@ -175,9 +175,18 @@
       attempts: [],
       tried: [],
       mayHaveRun: false,
+      trace: [],
+      isNoteworthy: false,
     };
     this.#requests.set(arrival.exchange, request);
     this.#budget(service).request(now);
+    this.#trace(request, "request.routed", now, {
+      target: arrival.target,
+      timeout: arrival.timeout,
+      deadline: Math.round(timeout),
+      targetLatency: route.targetLatency,
+      idempotent: route.isIdempotent,
+    });
     return request;
   }
 
@@ -190,6 +199,12 @@
     } else if (now >= request.waitEnd || queue.length >= MAXIMUM_WAITING) {
       this.#refuse(request, placing.reason, now);
     } else {
+      const { reason } = placing;
+      this.#trace(request, "request.waits", now, {
+        reason,
+        ahead: queue.length,
+        until: Math.round(request.waitEnd - request.arrivedAt),
+      });
       enqueue(queue, request);
     }
   }
@@ -243,6 +258,16 @@
     request.attempts.push(attempt);
     if (!request.tried.includes(server.id)) request.tried.push(server.id);
     this.#byAttempt.set(number, request);
+    const { term, version } = this.context.directory.position;
+    this.#trace(request, "attempt.started", now, {
+      attempt: number,
+      server: server.id,
+      address: server.entry.address,
+      load: Number(server.load(now).toFixed(1)),
+      latency: server.latency === null ? null : Math.round(server.latency),
+      vms: this.context.vms(),
+      assignments: `${term}.${version}`,
+    });
     server.started(number, now);
     this.#effects.push({
       kind: "attempt.start",
@@ -289,6 +314,11 @@
       const detail = { server: attempt.server, status: outcome.status };
       this.#note("warn", "request.failed_at_server", request, now, detail);
     }
+    const isLate = now - request.arrivedAt > request.route.targetLatency;
+    if (isLate || request.isNoteworthy) {
+      const detail = { server: attempt.server, status: outcome.status, isLate };
+      this.#note("info", "request.delivered", request, now, detail);
+    }
     this.#finish(request, attempt.number);
     this.#effects.push({
       kind: "request.deliver",
@@ -558,14 +588,41 @@
     return budget;
   }
 
+  /** Writes a line about a request, after all that were held back. */
   #note(
-    level: "info" | "warn",
+    level: Note["level"],
     decision: string,
     request: PendingRequest,
     now: number,
-    detail: Record<string, string | number | boolean | null>,
+    detail: Note["detail"],
   ): void {
-    this.#effects.push({
+    this.#effects.push(...request.trace);
+    request.trace = [];
+    request.isNoteworthy = true;
+    this.#effects.push(this.#line(level, decision, request, now, detail));
+  }
+
+  /** Holds a line back until something happens to the request: most requests
+   * are served at once, and nobody asks about those. */
+  #trace(
+    request: PendingRequest,
+    decision: string,
+    now: number,
+    detail: Note["detail"],
+  ): void {
+    const line = this.#line("info", decision, request, now, detail);
+    if (request.isNoteworthy) this.#effects.push(line);
+    else request.trace.push(line);
+  }
+
+  #line(
+    level: Note["level"],
+    decision: string,
+    request: PendingRequest,
+    now: number,
+    detail: Note["detail"],
+  ): Note {
+    return {
       kind: "note",
       level,
       decision,
@@ -578,7 +635,7 @@
         version: this.context.catalog.version,
         ...detail,
       },
-    });
+    };
   }
 
   #take(): DispatchEffect[] {
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Route } from "../catalog/index.ts";
+import type { Note } from "./dispatch_effect.ts";
 import type { ReportedLoad } from "../fleet/index.ts";
 
 /** A request as its caller sent it; the body stays with the adapter. */
@@ -50,6 +51,10 @@
   tried: string[];
   /** Whether a server may have run it. */
   mayHaveRun: boolean;
+  /** Lines about it that are written only if something happens to it. */
+  trace: Note[];
+  /** Whether something has happened, so that all its lines are written. */
+  isNoteworthy: boolean;
 }
 
 /** How an attempt ended. */
--- /dev/null
+++ b/test/explain_test.ts
@@ -0,0 +1,79 @@
+import test from "ava";
+import { PlatformHeaders } from "../platform/index.ts";
+import { findStory } from "../src/logging/index.ts";
+import { type Call, isServed, runLoad } from "../src/load/index.ts";
+import { Deployment } from "./support/deployment.ts";
+
+/** Calls until `count` of them are not served; returns those. */
+async function failingCalls(
+  deployment: Deployment,
+  service: string,
+  keys: number,
+  callers: number,
+): Promise<Call[]> {
+  const { calls } = await runLoad({
+    targets: deployment.entries.map((entry) => entry.address),
+    codec: PlatformHeaders.create(),
+    host: deployment.host,
+    service,
+    path: `/${service}/x`,
+    timeout: 2_000,
+    keys,
+    method: "POST",
+    bodySize: 16,
+    requests: 3_000,
+    seconds: 4,
+    callers,
+    pause: 1,
+  });
+  return calls.filter((call) => !isServed(call));
+}
+
+function storyOf(deployment: Deployment, id: string) {
+  const lines = deployment.entries.flatMap((entry) =>
+    deployment.logOf(entry).map((line) => JSON.stringify(line))
+  );
+  return findStory(id, ["cut {short", ...lines, `foreign ${id} text`]);
+}
+
+test("explain: a lost answer, a key on the move and overload are told by id alone", async (t) => {
+  const deployment = await Deployment.start({ entries: 1, servers: 2 });
+  t.teardown(() => deployment.stop());
+  const server = (name: string) =>
+    deployment.servers.find((each) => each.name === name)!;
+
+  await deployment.setFaults(server("orders-1").address, { loseAnswers: 1 });
+  const [lost] = await failingCalls(deployment, "orders", 0, 2);
+  t.is(lost.status, 502);
+
+  server("stock-1").process.kill("SIGKILL");
+  const moved = (await failingCalls(deployment, "stock", 500, 4))
+    .find((call) => call.status === 503)!;
+
+  for (const name of ["orders-1", "orders-2"]) {
+    await deployment.setFaults(server(name).address, { work: 900 });
+  }
+  const refused = (await failingCalls(deployment, "orders", 0, 60))
+    .find((call) => call.status === 503)!;
+  await new Promise((next) => setTimeout(next, 200));
+
+  const stories = [lost, moved, refused].map(({ requestId }) =>
+    storyOf(deployment, requestId)
+  );
+  t.regex(stories[0].cause, /^502: orders-1 may have run it/);
+  t.regex(stories[1].cause, /^503 after \d+ ms, not run: /);
+  t.regex(stories[2].cause, /^503 after \d+ ms, not run: no server has room/);
+  for (const { lines } of stories) {
+    t.is(lines[0].decision, "request.routed");
+    t.not(lines[0].detail.version, undefined);
+  }
+  t.true(
+    stories[0].lines.some(({ decision, detail }) =>
+      decision === "attempt.started" && detail.server === "orders-1"
+    ),
+  );
+});
+
+test("explain: a request without lines is said to have none", (t) => {
+  t.snapshot(findStory("r-1", ["{}", '{"request":"r-10"}']));
+});
