A process that cannot reach the store asks its peers for all they know

A restarted VM during an outage knew no configuration and refused everything until the store was back. Failing first: path_test, an entry that starts while the store is out.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -102,6 +102,7 @@
 function createEntry(servers: number, isKeyed: boolean) {
   const entry = Entry.create({
     peerAddress: "vm",
+    seeds: [],
     availabilityZone: "a",
     leaseTiming: leaseTimingSchema.parse({}),
     retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -32,6 +32,11 @@
     return this.#configuration !== null;
   }
 
+  /** The configuration in force, or null. */
+  get configuration(): Configuration | null {
+    return this.#configuration;
+  }
+
   /** Version in force; -1 before the first. */
   get version(): number {
     return this.#configuration?.version ?? -1;
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { Catalog } from "./catalog/index.ts";
+import { Catalog, type Configuration } from "./catalog/index.ts";
 import { Dispatcher } from "./dispatch/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { EntryEvent } from "./entry_event.ts";
@@ -26,6 +26,7 @@
   HolderLink,
   type Knowledge,
   type PeerMessage,
+  StateRequest,
 } from "./peers/index.ts";
 import { uniformFloat64 } from "./random.ts";
 
@@ -41,6 +42,13 @@
 /** Pause between looks at a shutdown, in milliseconds. */
 const SHUTDOWN_INTERVAL = 50;
 
+/** Who holds a term, and where it is reached. */
+interface HolderAddress {
+  term: number;
+  vm: string;
+  address: string;
+}
+
 /** See the module's comment. */
 export class Entry {
   readonly catalog = Catalog.create();
@@ -51,7 +59,8 @@
   readonly #loads = new Map<string, KeyLoad>();
   readonly followerLink = FollowerLink.create();
   readonly #holderLink = HolderLink.create();
-  #announcedTerm = -1;
+  readonly #stateRequest: StateRequest;
+  #announced: HolderAddress | null = null;
   #configurationFetchedAt = -Infinity;
   #published = { term: 0, version: 0 };
   #vms: number | null = null;
@@ -71,6 +80,7 @@
       this.fleet,
       this.#loads,
     );
+    this.#stateRequest = StateRequest.create(options.seeds);
     this.dispatcher = Dispatcher.create({
       catalog: this.catalog,
       fleet: this.fleet,
@@ -126,13 +136,7 @@
       case "timer":
         return;
       case "configuration.read":
-        if (!this.catalog.apply(event.configuration)) return;
-        this.#note("configuration.applied", {
-          version: this.catalog.version,
-          routes: event.configuration.routes.length,
-        });
-        this.#put({ kind: "limits.apply", limits: event.configuration.limits });
-        return;
+        return this.#applyConfiguration(event.configuration);
       case "servers.read":
         this.#noteFleet(
           event.isWhole
@@ -187,6 +191,15 @@
     }
   }
 
+  #applyConfiguration(configuration: Configuration): void {
+    if (!this.catalog.apply(configuration)) return;
+    this.#note("configuration.applied", {
+      version: this.catalog.version,
+      routes: configuration.routes.length,
+    });
+    this.#put({ kind: "limits.apply", limits: configuration.limits });
+  }
+
   /** Takes the steps that time alone brings. */
   #advance(now: number): void {
     this.#noteFleet(this.fleet.expire(now));
@@ -243,8 +256,8 @@
   }
 
   #follow(term: number, vm: string, address: string): void {
-    if (term <= this.#announcedTerm) return;
-    this.#announcedTerm = term;
+    if (term <= (this.#announced?.term ?? -1)) return;
+    this.#announced = { term, vm, address };
     this.followerLink.follow(address);
     this.#note("holder.announced", { term, vm, address });
   }
@@ -255,6 +268,8 @@
     if (message.kind === "keys.asked") {
       return this.#takeReport(address, message, now);
     }
+    if (message.kind === "state.wanted") return this.#tellState(address);
+    if (message.kind === "state.told") return this.#takeState(message, now);
     if (address === this.followerLink.holder) this.followerLink.heard(now);
     this.#vms = message.vms;
     if (message.kind === "holder.alive") return;
@@ -265,6 +280,39 @@
     );
   }
 
+  /** Tells a VM that cannot reach the store what this one knows. */
+  #tellState(address: string): void {
+    const { configuration } = this.catalog;
+    if (configuration === null) return;
+    this.#put({
+      kind: "peer.send",
+      address,
+      message: {
+        kind: "state.told",
+        ...this.#knowledge(this.directory.position),
+        state: {
+          configuration,
+          servers: this.fleet.all().map((each) => each.entry),
+          assignments: this.directory.assignments,
+          holder: this.#announced,
+        },
+      },
+    });
+  }
+
+  /** Takes what another VM knows, for as long as the store does not answer. */
+  #takeState(
+    { state }: PeerMessage & { kind: "state.told" },
+    now: number,
+  ): void {
+    if (!this.#isStoreLost && this.catalog.isKnown) return;
+    const { configuration, servers, assignments, holder } = state;
+    this.#applyConfiguration(configuration);
+    this.#noteFleet(this.fleet.apply(servers, [], now));
+    this.#takeAssignments(assignments);
+    if (holder !== null) this.#follow(holder.term, holder.vm, holder.address);
+  }
+
   /** Reads the configuration when a peer has a newer one: the call that waits
    * for news may have lost its answer without a sign. */
   #compareConfiguration(version: number, now: number): void {
@@ -294,6 +342,13 @@
 
   /** Informs the others while this VM leads, else stays in touch with them. */
   #advanceLinks(now: number): void {
+    this.#put(...this.#stateRequest.advance(
+      now,
+      this.#knowledge(this.directory.position),
+      this.followerLink.holder,
+      !this.catalog.isKnown,
+      this.#isStoreLost,
+    ));
     const { holder } = this.campaign;
     if (holder === null) {
       const known = this.#knowledge(this.directory.position);
--- a/src/core/entry_options.ts
+++ b/src/core/entry_options.ts
@@ -19,6 +19,8 @@
 export interface EntryOptions {
   /** Address at which other VMs reach this one. */
   peerAddress: string;
+  /** Addresses of VMs to ask while the store cannot be reached. */
+  seeds: readonly string[];
   availabilityZone: string;
   leaseTiming: LeaseTiming;
   retryLimits: RetryLimits;
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -7,6 +7,7 @@
 function createEntry(vm: string) {
   const entry = Entry.create({
     peerAddress: vm,
+    seeds: [],
     availabilityZone: "a",
     leaseTiming: leaseTimingSchema.parse({}),
     retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -2,3 +2,4 @@
 export * from "./holder_link.ts";
 export * from "./peer_message.ts";
 export * from "./shared_assignment.ts";
+export * from "./state_request.ts";
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -4,6 +4,9 @@
  * @module
  */
 import { z } from "zod";
+import { configurationSchema } from "../catalog/index.ts";
+import { backendServerSchema } from "../fleet/index.ts";
+import { assignmentSchema } from "../keyspace/index.ts";
 
 const count = z.number().int().nonnegative();
 
@@ -54,11 +57,30 @@
   assignments: z.array(sharedAssignmentSchema),
 });
 
+/** A process that cannot reach the store asks for all that another one knows. */
+const stateWantedSchema = knowledgeSchema.extend({
+  kind: z.literal("state.wanted"),
+});
+
+/** All that a process knows. */
+const stateToldSchema = knowledgeSchema.extend({
+  kind: z.literal("state.told"),
+  state: z.object({
+    configuration: configurationSchema,
+    servers: z.array(backendServerSchema),
+    assignments: z.array(assignmentSchema),
+    holder: z.object({ term: count, vm: z.string(), address: z.string() })
+      .nullable(),
+  }),
+});
+
 /** Schema of {@linkcode PeerMessage}. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
   keysAskedSchema,
   holderAliveSchema,
   assignmentsToldSchema,
+  stateWantedSchema,
+  stateToldSchema,
 ]);
 
 /** See the module's comment. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -76,6 +76,7 @@
     const shutdownTimeout = settings.shutdownTimeoutSeconds * SECOND;
     const entry = this.#entry = Entry.create({
       peerAddress: settings.peer,
+      seeds: settings.seeds.filter((seed) => seed !== settings.peer),
       availabilityZone: settings.availabilityZone,
       leaseTiming: settings.leases,
       retryLimits: settings.retries,
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -19,6 +19,8 @@
   readiness: addressSchema,
   /** Where the other entry processes connect. */
   peer: addressSchema,
+  /** Peers to ask while the store cannot be reached; some may be gone. */
+  seeds: z.array(addressSchema).default([]),
   /** Where operators ask for metrics. */
   admin: addressSchema,
   store: z.object({
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -105,6 +105,7 @@
     const weakness = this.index === 0 ? firstTiming : otherTiming;
     return Entry.create({
       peerAddress: this.address,
+      seeds: [],
       availabilityZone: "a",
       leaseTiming: leaseTimingSchema.parse({ ...weakness }),
       retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
--- a/test/path_test.ts
+++ b/test/path_test.ts
@@ -125,6 +125,20 @@
   t.pass();
 });
 
+test("path: an entry that starts while the store is out serves by its peers' word", async (t) => {
+  const deployment = await Deployment.start({ entries: 2, servers: 2 });
+  t.teardown(() => deployment.stop());
+  await deployment.setFaults(deployment.store, { outage: true });
+  const late = deployment.startEntry("entry-3");
+  deployment.entries.push(late);
+  await deployment.until((status) => status.isReady);
+  const [lookups, orders] = plans(deployment, { requests: 100, callers: 2 });
+  for (const plan of [lookups, orders]) {
+    const { calls } = await runLoad({ ...plan, targets: [late.address] });
+    t.is(calls.filter((call) => !isServed(call)).length, 0);
+  }
+});
+
 test("path: an entry that is asked to stop cuts nobody off", async (t) => {
   const deployment = await Deployment.start({ entries: 2, servers: 2 });
   t.teardown(() => deployment.stop());
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -36,6 +36,8 @@
   /** Where callers or entries reach it. */
   address: string;
   admin: string;
+  /** Where other entries reach it. */
+  peer: string;
   log: string;
   runs: string;
   command: string[];
@@ -64,7 +66,7 @@
     const folder = mkdtempSync(join(tmpdir(), "plumloft-deployment-"));
     const store = loopbackAddress();
     const deployment = new Deployment(folder, await bundledProgram(), store);
-    deployment.#spawn("store", store, "", ["stand-in", "store"], {
+    deployment.#spawn("store", store, "", "", ["stand-in", "store"], {
       listen: store,
     });
     await deployment.#publish();
@@ -88,7 +90,7 @@
   /** Starts a backend server. */
   startServer(service: string, id: string): Member {
     const address = loopbackAddress();
-    return this.#spawn(id, address, "", ["stand-in", "backend"], {
+    return this.#spawn(id, address, "", "", ["stand-in", "backend"], {
       id,
       service,
       listen: address,
@@ -106,13 +108,14 @@
       { length: 4 },
       () => loopbackAddress(),
     );
-    return this.#spawn(vm, listen, admin, ["serve"], {
+    return this.#spawn(vm, listen, admin, peer, ["serve"], {
       vm,
       availabilityZone: "a",
       listen,
       readiness,
       peer,
       admin,
+      seeds: this.entries.map((entry) => entry.peer),
       store: { address: this.store, partitions: 12 },
       shutdownTimeoutSeconds: 3,
     });
@@ -184,6 +187,7 @@
     name: string,
     address: string,
     admin: string,
+    peer: string,
     command: string[],
     settings: object,
   ): Member {
@@ -197,7 +201,16 @@
     child.stdout.pipe(createWriteStream(log));
     this.#children.push(child);
     const runs = join(this.folder, `${name}.runs`);
-    return { name, process: child, address, admin, log, runs, command };
+    return {
+      name,
+      process: child,
+      address,
+      admin,
+      peer,
+      log,
+      runs,
+      command,
+    };
   }
 
   async #publish(): Promise<void> {
