--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -282,7 +282,7 @@
   #hedgeAt(request: PendingRequest, now: number): number {
     const { isIdempotent, targetLatency } = request.route;
     if (!isIdempotent || request.key !== null) return Infinity;
-    const usual = this.context.fleet.usualLatency(request.service);
+    const usual = this.context.fleet.usualLatency(request.service, now);
     return now + Math.max(HEDGE_FACTOR * usual, HEDGE_SHARE * targetLatency);
   }
 
@@ -415,7 +415,7 @@
 
   /** Whether an answer can still be expected before the deadline. */
   #isWorthwhile(request: PendingRequest, now: number): boolean {
-    const usual = this.context.fleet.usualLatency(request.service);
+    const usual = this.context.fleet.usualLatency(request.service, now);
     return request.deadline - now > usual / 2;
   }
 
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -12,6 +12,8 @@
 /** Requests that this VM alone may have at a server, in multiples of its part
  * of the server's slots: callers are spread unevenly over VMs. */
 const OWN_SHARE = 4;
+/** Servers that one choice looks at. */
+const SAMPLE_SIZE = 24;
 /** Number of VMs assumed until the group is known. */
 const ASSUMED_VMS = 8;
 /** How much more a server in another availability zone may seem to cost. Its
@@ -54,8 +56,8 @@
   context: ChoiceContext,
 ): TrackedServer | null {
   const { fleet, vms } = context;
-  const usual = fleet.usualLatency(service);
-  const usable = fleet.of(service).filter((server) =>
+  const usual = fleet.usualLatency(service, now);
+  const usable = sample(fleet.of(service), context.draw).filter((server) =>
     !server.entry.isDraining && !tried.includes(server.id)
   );
   const sound = usable.filter((server) =>
@@ -75,3 +77,16 @@
   }
   return best;
 }
+
+/** So many neighbours in the list from a random place on: a few choices are
+ * nearly as good as all, and cost the same whatever the number of servers. */
+function sample(
+  servers: readonly TrackedServer[],
+  draw: () => number,
+): readonly TrackedServer[] {
+  if (servers.length <= SAMPLE_SIZE) return servers;
+  const start = Math.floor(draw() * servers.length);
+  const end = start + SAMPLE_SIZE;
+  if (end <= servers.length) return servers.slice(start, end);
+  return [...servers.slice(start), ...servers.slice(0, end - servers.length)];
+}
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -14,6 +14,10 @@
  */
 const RETURN_TIME = 2_000;
 
+/** Time for which a mean over a service's servers is kept, in milliseconds:
+ * requests look at it several times each, and it changes slowly. */
+const MEAN_LIFETIME = 50;
+
 /** A change of the list of servers. */
 export interface FleetChange {
   kind: "joined" | "draining" | "removed";
@@ -26,6 +30,10 @@
   readonly #byService = new Map<string, TrackedServer[]>();
   /** Ids whose removal waits, and until when. */
   readonly #doubtful = new Map<string, number>();
+  readonly #usualLatencies = new Map<
+    string,
+    { latency: number; until: number }
+  >();
   #regainedAt = -Infinity;
 
   private constructor() {}
@@ -92,7 +100,16 @@
   }
 
   /** Mean of the known latencies of a service's servers, in milliseconds. */
-  usualLatency(service: string): number {
+  usualLatency(service: string, now: number): number {
+    const known = this.#usualLatencies.get(service);
+    if (known !== undefined && now < known.until) return known.latency;
+    const latency = this.#meanLatency(service);
+    const until = now + MEAN_LIFETIME;
+    this.#usualLatencies.set(service, { latency, until });
+    return latency;
+  }
+
+  #meanLatency(service: string): number {
     let sum = 0;
     let count = 0;
     for (const { latency } of this.of(service)) {
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -435,7 +435,7 @@
 
   /** Servers that may get keys, with their measured speeds. */
   #candidates(service: string, now: number): Candidate[] {
-    const usual = this.fleet.usualLatency(service);
+    const usual = this.fleet.usualLatency(service, now);
     const usable = this.fleet.of(service).filter((each) =>
       !each.entry.isDraining
     );
