--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -11,7 +11,7 @@
 import type { Catalog, Route } from "../catalog/index.ts";
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
 import type { KeyDirectory } from "../keyspace/index.ts";
-import type { DispatchEffect, Note } from "./dispatch_effect.ts";
+import type { DispatchEffect } from "./dispatch_effect.ts";
 import type {
   Attempt,
   AttemptOutcome,
@@ -19,7 +19,9 @@
   RequestArrival,
 } from "./request.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
+import { RequestLog } from "./request_log.ts";
 import { chooseServer, hasRoom } from "./server_choice.ts";
+import { WaitQueues } from "./wait_queues.ts";
 
 /** Share of the target latency for which a request waits for a server; later
  * its caller does better with a new attempt elsewhere. */
@@ -73,12 +75,18 @@
 export class Dispatcher {
   readonly #requests = new Map<number, PendingRequest>();
   readonly #byAttempt = new Map<number, PendingRequest>();
-  readonly #waiting = new Map<string, PendingRequest[]>();
+  readonly #waiting = WaitQueues.create();
   readonly #budgets = new Map<string, RetryBudget>();
+  readonly #log: RequestLog;
   #attemptCount = 0;
   #effects: DispatchEffect[] = [];
 
-  private constructor(private readonly context: DispatchContext) {}
+  private constructor(private readonly context: DispatchContext) {
+    this.#log = RequestLog.create(
+      () => context.catalog.version,
+      (...notes) => this.#effects.push(...notes),
+    );
+  }
 
   /** A dispatcher without requests. */
   static create(context: DispatchContext): Dispatcher {
@@ -110,7 +118,7 @@
   leave(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
     if (request === undefined) return [];
-    this.#note("info", "request.left", request, now, {});
+    this.#log.note("info", "request.left", request, now, {});
     this.#finish(request, null);
     this.#pump(request.service, now);
     return this.#take();
@@ -143,7 +151,7 @@
     for (const request of [...this.#requests.values()]) {
       this.#advanceRequest(request, now);
     }
-    for (const service of this.#waiting.keys()) this.#pump(service, now);
+    for (const service of this.#waiting.services()) this.#pump(service, now);
     return this.#take();
   }
 
@@ -180,7 +188,7 @@
     };
     this.#requests.set(arrival.exchange, request);
     this.#budget(service).request(now);
-    this.#trace(request, "request.routed", now, {
+    this.#log.trace("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
       deadline: Math.round(timeout),
@@ -192,7 +200,7 @@
 
   /** Sends a request, or lets it wait, or refuses it. */
   #dispatch(request: PendingRequest, now: number): void {
-    const queue = this.#queue(request.service);
+    const queue = this.#waiting.of(request.service);
     const placing = this.#place(request, now);
     if (placing.kind === "server") {
       this.#send(request, placing.server, now);
@@ -200,12 +208,12 @@
       this.#refuse(request, placing.reason, now);
     } else {
       const { reason } = placing;
-      this.#trace(request, "request.waits", now, {
+      this.#log.trace("request.waits", request, now, {
         reason,
         ahead: queue.length,
         until: Math.round(request.waitEnd - request.arrivedAt),
       });
-      enqueue(queue, request);
+      this.#waiting.add(request);
     }
   }
 
@@ -259,7 +267,7 @@
     if (!request.tried.includes(server.id)) request.tried.push(server.id);
     this.#byAttempt.set(number, request);
     const { term, version } = this.context.directory.position;
-    this.#trace(request, "attempt.started", now, {
+    this.#log.trace("attempt.started", request, now, {
       attempt: number,
       server: server.id,
       address: server.entry.address,
@@ -306,18 +314,18 @@
       request.mayHaveRun = true;
       if (this.#again(request, now)) {
         const detail = { server: attempt.server, status: outcome.status };
-        this.#note("info", "request.again", request, now, detail);
+        this.#log.note("info", "request.again", request, now, detail);
         return;
       }
     }
     if (isFailure) {
       const detail = { server: attempt.server, status: outcome.status };
-      this.#note("warn", "request.failed_at_server", request, now, detail);
+      this.#log.note("warn", "request.failed_at_server", request, now, detail);
     }
     const isLate = now - request.arrivedAt > request.route.targetLatency;
     if (isLate || request.isNoteworthy) {
       const detail = { server: attempt.server, status: outcome.status, isLate };
-      this.#note("info", "request.delivered", request, now, detail);
+      this.#log.note("info", "request.delivered", request, now, detail);
     }
     this.#finish(request, attempt.number);
     this.#effects.push({
@@ -341,7 +349,7 @@
     else if (outcome.status === 421) server?.cancelled(attempt.number);
     else server?.refused(attempt.number, now, outcome.load);
     const detail = { server: attempt.server, status: outcome.status };
-    this.#note("info", "attempt.not_run", request, now, detail);
+    this.#log.note("info", "attempt.not_run", request, now, detail);
     if (request.key !== null) {
       request.retryAt = now + KEY_PAUSE;
       request.tried = request.tried.filter((each) => each !== attempt.server);
@@ -365,7 +373,7 @@
       return;
     }
     const detail = { server: attempt.server, cause: outcome.cause };
-    this.#note("info", "attempt.not_sent", request, now, detail);
+    this.#log.note("info", "attempt.not_sent", request, now, detail);
     if (request.attempts.length > 0) return;
     if (request.mayHaveRun) {
       return this.#fail(request, 502, "not sent again", now);
@@ -388,11 +396,11 @@
   ): void {
     const detail = { server: attempt.server, cause };
     if (request.route.isIdempotent && this.#again(request, now)) {
-      this.#note("info", "request.again", request, now, detail);
+      this.#log.note("info", "request.again", request, now, detail);
       return;
     }
     if (request.attempts.length > 0) return;
-    this.#note("warn", "request.unknown", request, now, detail);
+    this.#log.note("warn", "request.unknown", request, now, detail);
     this.#fail(request, 502, cause, now);
   }
 
@@ -409,7 +417,7 @@
     if (placing.kind === "wait" && !mayWait) return false;
     if (!this.#withdraw(request, now)) return false;
     if (placing.kind === "server") this.#send(request, placing.server, now);
-    else enqueue(this.#queue(request.service), request);
+    else this.#waiting.add(request);
     return true;
   }
 
@@ -430,13 +438,13 @@
     if (request.attempts.length === 0) {
       const placing = this.#place(request, now);
       if (now >= request.waitEnd && placing.kind === "wait") {
-        this.#remove(request);
+        this.#waiting.remove(request);
         this.#giveUpWaiting(request, placing.reason, now);
       }
       return;
     }
     if (now >= request.deadline + DEADLINE_SLACK) {
-      this.#note("warn", "request.timed_out", request, now, {
+      this.#log.note("warn", "request.timed_out", request, now, {
         server: request.attempts[0].server,
       });
       this.#fail(request, 504, "no answer in time", now);
@@ -459,7 +467,7 @@
     if (!this.#isWorthwhile(request, now)) return;
     const placing = this.#place(request, now);
     if (placing.kind !== "server" || !this.#withdraw(request, now)) return;
-    this.#note("info", "request.hedged", request, now, {
+    this.#log.note("info", "request.hedged", request, now, {
       server: attempt.server,
       second: placing.server.id,
     });
@@ -478,8 +486,8 @@
 
   /** Sends waiting requests of a service, the most urgent first. */
   #pump(service: string, now: number): void {
-    const queue = this.#waiting.get(service);
-    if (queue === undefined || queue.length === 0) return;
+    const queue = this.#waiting.of(service);
+    if (queue.length === 0) return;
     let isFull = false;
     const rest: PendingRequest[] = [];
     for (const request of queue) {
@@ -496,13 +504,13 @@
         rest.push(request);
       }
     }
-    this.#waiting.set(service, rest);
+    this.#waiting.replace(service, rest);
   }
 
   #refuse(request: PendingRequest, reason: string, now: number): void {
     const left = request.arrivedAt + (request.arrival.timeout ?? 0) - now;
     const pause = Math.max(SHORTEST_RETRY_AFTER, left * RETRY_AFTER_SHARE);
-    this.#note("warn", "request.refused", request, now, { reason });
+    this.#log.note("warn", "request.refused", request, now, { reason });
     this.#finish(request, null);
     this.#effects.push({
       kind: "request.refuse",
@@ -520,7 +528,7 @@
     reason: string,
     now: number,
   ): void {
-    this.#note("warn", "request.failed", request, now, { status, reason });
+    this.#log.note("warn", "request.failed", request, now, { status, reason });
     this.#finish(request, null);
     this.#effects.push({
       kind: "request.refuse",
@@ -534,7 +542,7 @@
   /** Forgets a request; all attempts but `winner` are given up. */
   #finish(request: PendingRequest, winner: number | null): void {
     this.#requests.delete(request.arrival.exchange);
-    this.#remove(request);
+    this.#waiting.remove(request);
     for (const { number, server } of request.attempts) {
       this.#byAttempt.delete(number);
       if (number === winner) continue;
@@ -565,20 +573,6 @@
     });
   }
 
-  #queue(service: string): PendingRequest[] {
-    const queue = this.#waiting.get(service);
-    if (queue !== undefined) return queue;
-    const created: PendingRequest[] = [];
-    this.#waiting.set(service, created);
-    return created;
-  }
-
-  #remove(request: PendingRequest): void {
-    const queue = this.#queue(request.service);
-    const index = queue.indexOf(request);
-    if (index >= 0) queue.splice(index, 1);
-  }
-
   #budget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
@@ -588,68 +582,9 @@
     return budget;
   }
 
-  /** Writes a line about a request, after all that were held back. */
-  #note(
-    level: Note["level"],
-    decision: string,
-    request: PendingRequest,
-    now: number,
-    detail: Note["detail"],
-  ): void {
-    this.#effects.push(...request.trace);
-    request.trace = [];
-    request.isNoteworthy = true;
-    this.#effects.push(this.#line(level, decision, request, now, detail));
-  }
-
-  /** Holds a line back until something happens to the request: most requests
-   * are served at once, and nobody asks about those. */
-  #trace(
-    request: PendingRequest,
-    decision: string,
-    now: number,
-    detail: Note["detail"],
-  ): void {
-    const line = this.#line("info", decision, request, now, detail);
-    if (request.isNoteworthy) this.#effects.push(line);
-    else request.trace.push(line);
-  }
-
-  #line(
-    level: Note["level"],
-    decision: string,
-    request: PendingRequest,
-    now: number,
-    detail: Note["detail"],
-  ): Note {
-    return {
-      kind: "note",
-      level,
-      decision,
-      detail: {
-        request: request.arrival.id,
-        route: request.route.name,
-        service: request.service,
-        key: request.key,
-        age: Math.round(now - request.arrivedAt),
-        version: this.context.catalog.version,
-        ...detail,
-      },
-    };
-  }
-
   #take(): DispatchEffect[] {
     const effects = this.#effects;
     this.#effects = [];
     return effects;
   }
 }
-
-/** Puts a request behind those of the same or a more urgent priority. */
-function enqueue(queue: PendingRequest[], request: PendingRequest): void {
-  let index = queue.length;
-  while (
-    index > 0 && queue[index - 1].route.priority > request.route.priority
-  ) index -= 1;
-  queue.splice(index, 0, request);
-}
