A former holder that lives tells its successor how long its grants last

Cause: after an outage or a rebalance a server that did not answer the new holder kept its keys for the whole bound of 13 s, although the older holder was alive and knew better. The schedules for a holder without authority cut it off from peers as well, since it would yield otherwise.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -16,6 +16,7 @@
   type Assignment,
   KeyDirectory,
   KeyLoad,
+  type KeyspaceEffect,
   TermCampaign,
   type TermHolder,
 } from "./keyspace/index.ts";
@@ -165,8 +166,8 @@
           term: event.term,
           outcome: event.outcome,
         });
-        return this.#put(
-          ...this.campaign.claimed(event.term, event.outcome, now),
+        return this.#claimed(
+          this.campaign.claimed(event.term, event.outcome, now),
         );
       case "assignments.written":
         return this.#put(
@@ -191,6 +192,14 @@
     }
   }
 
+  #claimed(effects: KeyspaceEffect[]): void {
+    this.#put(...effects);
+    for (const effect of effects) {
+      if (effect.kind !== "holder.announce") continue;
+      this.#askFormerHolder(effect.term, effect.formerTerm);
+    }
+  }
+
   #applyConfiguration(configuration: Configuration): void {
     if (!this.catalog.apply(configuration)) return;
     this.#note("configuration.applied", {
@@ -268,6 +277,16 @@
     if (message.kind === "keys.asked") {
       return this.#takeReport(address, message, now);
     }
+    if (message.kind === "term.taken") {
+      return this.#yield(address, message, now);
+    }
+    if (message.kind === "term.yielded") {
+      const { holder } = this.campaign;
+      if (holder?.term === message.toTerm) {
+        holder.relieve(message.exposures, now);
+      }
+      return;
+    }
     if (message.kind === "state.wanted") return this.#tellState(address);
     if (message.kind === "state.told") return this.#takeState(message, now);
     if (address === this.followerLink.holder) this.followerLink.heard(now);
@@ -280,6 +299,37 @@
     );
   }
 
+  /** Asks the holder before, if it lives, what it has granted: without its word
+   * the worst has to be assumed of servers that do not answer. */
+  #askFormerHolder(term: number, formerTerm: number): void {
+    const former = this.#announced;
+    if (former === null || former.term !== formerTerm) return;
+    const { version } = this.directory.position;
+    const message: PeerMessage = {
+      kind: "term.taken",
+      ...this.#knowledge({ term, version }),
+      formerTerm,
+    };
+    this.#put({ kind: "peer.send", address: former.address, message });
+  }
+
+  #yield(
+    address: string,
+    { term, formerTerm }: PeerMessage & { kind: "term.taken" },
+    now: number,
+  ): void {
+    const exposures = this.campaign.yieldTo(term, formerTerm, now);
+    if (exposures === null) return;
+    this.#note("term.yielded", { term: formerTerm, toTerm: term });
+    const message: PeerMessage = {
+      kind: "term.yielded",
+      ...this.#knowledge(this.directory.position),
+      toTerm: term,
+      exposures: [...exposures],
+    };
+    this.#put({ kind: "peer.send", address, message });
+  }
+
   /** Tells a VM that cannot reach the store what this one knows. */
   #tellState(address: string): void {
     const { configuration } = this.catalog;
--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -40,6 +40,9 @@
   handover: string | null;
   /** When the last grant that the server answered runs out at the latest. */
   leaseEnd: number;
+  /** When the grants of older holders run out at the latest; of no account once
+   * the server has accepted a grant of this term. */
+  inheritedEnd: number;
   /** When grants that it did not answer run out at the latest. */
   doubtEnd: number;
   /** Hold time of the last grant that was sent. */
@@ -68,6 +71,7 @@
     isFenced: false,
     handover: null,
     leaseEnd: 0,
+    inheritedEnd: 0,
     doubtEnd: 0,
     hold: 0,
     dueAt: 0,
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -63,6 +63,8 @@
 export interface HolderAnnouncement {
   kind: "holder.announce";
   term: number;
+  /** The term before it. */
+  formerTerm: number;
 }
 
 /** Asks for what is recorded; the answer is the event `term.read`. */
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -48,7 +48,7 @@
       range.state = "held";
       range.server = each.server;
       range.address = each.address;
-      range.leaseEnd = predecessorEnd;
+      range.inheritedEnd = predecessorEnd;
       return range;
     });
     return new RangeTable(assignment.service, ranges);
@@ -122,6 +122,7 @@
       before.last = range.last;
       before.token = nextToken();
       before.leaseEnd = Math.max(before.leaseEnd, range.leaseEnd);
+      before.inheritedEnd = Math.max(before.inheritedEnd, range.inheritedEnd);
       before.doubtEnd = Math.max(before.doubtEnd, range.doubtEnd);
       before.isFenced = before.isFenced && range.isFenced;
       before.revision = Math.max(before.revision, range.revision);
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -11,6 +11,7 @@
  */
 import type { Fleet } from "../fleet/index.ts";
 import type { Assignment } from "./assignment.ts";
+import type { Exposure } from "./exposure.ts";
 import type { KeyLoad } from "./key_load.ts";
 import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 import type { LeaseTiming } from "./lease_timing.ts";
@@ -61,6 +62,8 @@
 /** See the module's comment. */
 export class TermCampaign {
   #phase: Phase = { kind: "follower" };
+  /** The newest holder that this VM was, also when it is none any more. */
+  #last: TermHolder | null = null;
   #generation = 0;
   #members: number | null = null;
   #authorityEnd = -Infinity;
@@ -133,17 +136,24 @@
   claimed(term: number, outcome: WriteOutcome, now: number): KeyspaceEffect[] {
     if (this.#phase.kind !== "claiming") return [];
     if (outcome !== "done") return this.#pause(now);
+    const { records } = this.#phase;
     const holder = TermHolder.create(
       term,
-      this.#phase.records.assignments,
+      records.assignments,
       this.timing,
       this.fleet,
       this.loads,
       () => this.#orderCount += 1,
       now,
     );
+    const former = this.#last;
+    if (former?.term === records.term) {
+      holder.relieve(former.exposures(now), now);
+    }
+    this.#last = holder;
     this.#phase = { kind: "leading", holder };
-    return [{ kind: "holder.announce", term }];
+    const formerTerm = records.term;
+    return [{ kind: "holder.announce", term, formerTerm }];
   }
 
   /** A write of the holder was answered. */
@@ -193,6 +203,24 @@
     return effects;
   }
 
+  /**
+   * Another VM has claimed `term`: this one gives no orders of older terms from
+   * here on. Returns until when servers may hold keys by its grants, or null
+   * when it was not the holder of `formerTerm`.
+   */
+  yieldTo(
+    term: number,
+    formerTerm: number,
+    now: number,
+  ): readonly Exposure[] | null {
+    const last = this.#last;
+    if (last === null || last.term !== formerTerm || term <= last.term) {
+      return null;
+    }
+    if (this.holder === last) this.#phase = { kind: "follower" };
+    return last.exposures(now);
+  }
+
   /** Gives the term up for good, since the process is about to stop. */
   retire(): KeyspaceEffect[] {
     this.#isRetired = true;
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -8,7 +8,8 @@
  * @module
  */
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
-import type { Assignment } from "./assignment.ts";
+import { type Assignment, coversAllKeys } from "./assignment.ts";
+import type { Exposure } from "./exposure.ts";
 import { type HeldRange, vacantRange } from "./held_range.ts";
 import type { KeyLoad } from "./key_load.ts";
 import {
@@ -126,6 +127,41 @@
     );
   }
 
+  /**
+   * Until when servers may hold keys by this holder's grants and by those that
+   * it took over. Only for a holder that gives no more orders.
+   */
+  exposures(now: number): Exposure[] {
+    return [...this.#tables.values()].flatMap(({ service, ranges }) =>
+      ranges.map((range) => {
+        const { first, last } = range;
+        const remaining = Math.max(0, this.#heldUntil(range) - now);
+        return { service, first, last, remaining };
+      })
+    );
+  }
+
+  /**
+   * Takes the word of the holder before, which gives no more orders, for how
+   * long servers may hold keys by its grants.
+   */
+  relieve(exposures: readonly Exposure[], now: number): void {
+    for (const table of this.#tables.values()) {
+      const own = exposures.filter((each) => each.service === table.service);
+      if (!coversAllKeys(own)) continue;
+      for (const range of table.ranges) {
+        if (range.isFenced) continue;
+        const remaining = own
+          .filter(({ first, last }) =>
+            first <= range.last && range.first <= last
+          )
+          .map((each) => each.remaining);
+        const end = now + Math.max(0, ...remaining);
+        range.inheritedEnd = Math.min(range.inheritedEnd, end);
+      }
+    }
+  }
+
   /** The ranges of a service, for operators. */
   ranges(service: string): readonly HeldRange[] {
     return this.#tables.get(service)?.ranges ?? [];
@@ -234,12 +270,24 @@
   }
 
   #isFree(range: HeldRange, now: number): boolean {
-    if (now >= Math.max(range.leaseEnd, range.doubtEnd)) return true;
+    if (now >= this.#heldUntil(range)) return true;
     // Another run at its address proves that the server has ended.
     return range.address !== null &&
       this.fleet.isReused(range.address, range.server!);
   }
 
+  /** Until when the server of a range may hold its keys at the latest. */
+  #heldUntil(range: HeldRange): number {
+    const order = range.order === null
+      ? undefined
+      : this.#orders.get(range.order);
+    const inFlight = order?.kind === "grant"
+      ? unansweredEnd(order.sentAt, order.hold, this.timing)
+      : 0;
+    const inherited = range.isFenced ? 0 : range.inheritedEnd;
+    return Math.max(range.leaseEnd, range.doubtEnd, inherited, inFlight);
+  }
+
   #close(table: RangeTable, range: HeldRange, now: number): void {
     const isLost = range.failures >= FAILURES_TO_LOSE;
     range.state = isLost ? "expiring" : "closing";
@@ -349,7 +397,7 @@
     }
     range.handover = outcome.handover;
     range.leaseEnd = 0;
-    if (range.doubtEnd > now) range.state = "expiring";
+    if (this.#heldUntil(range) > now) range.state = "expiring";
     else this.#vacate(table, range);
   }
 
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -6,7 +6,7 @@
 import { z } from "zod";
 import { configurationSchema } from "../catalog/index.ts";
 import { backendServerSchema } from "../fleet/index.ts";
-import { assignmentSchema } from "../keyspace/index.ts";
+import { assignmentSchema, exposureSchema } from "../keyspace/index.ts";
 
 const count = z.number().int().nonnegative();
 
@@ -74,6 +74,20 @@
   }),
 });
 
+/** A new term holder asks the one before what it has granted. */
+const termTakenSchema = knowledgeSchema.extend({
+  kind: z.literal("term.taken"),
+  formerTerm: count,
+});
+
+/** The former holder, which gives no more orders, tells. */
+const termYieldedSchema = knowledgeSchema.extend({
+  kind: z.literal("term.yielded"),
+  /** The term that it yields to. */
+  toTerm: count,
+  exposures: z.array(exposureSchema),
+});
+
 /** Schema of {@linkcode PeerMessage}. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
   keysAskedSchema,
@@ -81,6 +95,8 @@
   assignmentsToldSchema,
   stateWantedSchema,
   stateToldSchema,
+  termTakenSchema,
+  termYieldedSchema,
 ]);
 
 /** See the module's comment. */
--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -51,6 +51,32 @@
   t.not(findViolation(rivalries, 60, weakness), null);
 });
 
+test("a holder that lives tells its successor what it has granted", (t) => {
+  const options: WorldOptions = {
+    vms: 2,
+    servers: 3,
+    duration: 16_000,
+    seed: 5,
+    faults: [
+      { kind: "server.crash", at: 6_000, duration: 1, target: 1 },
+      { kind: "store.rebalance", at: 6_050, duration: 1, target: 0 },
+      { kind: "store.rebalance", at: 6_100, duration: 1, target: 0 },
+      { kind: "store.rebalance", at: 6_150, duration: 1, target: 0 },
+    ],
+  };
+  const cut: WorldOptions = {
+    ...options,
+    faults: [
+      ...options.faults,
+      { kind: "vm.cut_from_peers", at: 5_000, duration: 3_000, target: 0 },
+    ],
+  };
+  const told = World.play(options);
+  const untold = World.play(cut);
+  t.deepEqual([...told.violations, ...untold.violations], []);
+  t.true(told.held > untold.held + 0.05, `${told.held}, ${untold.held}`);
+});
+
 test("a record that is not kept is found out", (t) => {
   t.not(findViolation(worlds, 150, { isForgetful: true }), null);
 });
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -56,6 +56,7 @@
     fc.integer({ min: 100, max: 5_000 }),
   ).map(([at, duration, delay]): Fault[] => [
     { kind: "vm.cut_from_store", at, duration, target: 0 },
+    { kind: "vm.cut_from_peers", at, duration, target: 0 },
     ...[0, 1, 2, 3].map((target): Fault => (
       {
         kind: "server.secluded",
