--- a/src/core/keyspace/lease_timing.ts
+++ b/src/core/keyspace/lease_timing.ts
@@ -18,8 +18,12 @@
    * lost server are free soon; longer than a change of the holder takes. */
   hold: z.number().int().positive().default(2_200),
   /** Hold time once the store is silent: no key can move then, so holds only
-   * need to outlast the outage. The platform's maximum. */
-  longHold: z.number().int().positive().default(10_000),
+   * need to outlast the outage. Outages of 9 s are outlasted; longer holds
+   * would keep the keys of a server that a successor cannot reach as much
+   * longer, since it has to assume them. */
+  longHold: z.number().int().positive().default(7_000),
+  /** Longest hold that servers accept; the others are cut to it. */
+  maximumHold: z.number().int().positive().default(10_000),
   /** Pause between renewals of a grant. */
   renewal: z.number().int().positive().default(600),
   /** Time after the sending of a confirmed membership call for which the
@@ -34,6 +38,16 @@
 /** See {@linkcode leaseTimingSchema}. */
 export type LeaseTiming = z.infer<typeof leaseTimingSchema>;
 
+/** Timing whose holds are no longer than servers accept. */
+export function withinMaximum(timing: LeaseTiming): LeaseTiming {
+  const { hold, longHold, maximumHold } = timing;
+  return {
+    ...timing,
+    hold: Math.min(hold, maximumHold),
+    longHold: Math.min(longHold, maximumHold),
+  };
+}
+
 /** A server's clock may run this much slow, as a share (2 % by its contract). */
 const CLOCK_DRIFT = 0.02;
 /** Time that a grant may spend in buffers after its connection was reset, with
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -6,6 +6,7 @@
 import type { Writable } from "node:stream";
 import { Entry } from "../core/entry.ts";
 import { describeEntry, type EntryStatus } from "../core/entry_status.ts";
+import { withinMaximum } from "../core/keyspace/index.ts";
 import { Journal } from "../logging/index.ts";
 import type { EntrySettings } from "../settings/index.ts";
 import { AdminServer } from "./admin_server.ts";
@@ -78,7 +79,7 @@
       peerAddress: settings.peer,
       seeds: settings.seeds.filter((seed) => seed !== settings.peer),
       availabilityZone: settings.availabilityZone,
-      leaseTiming: settings.leases,
+      leaseTiming: withinMaximum(settings.leases),
       retryLimits: settings.retries,
       shutdown: {
         closeAfter: Math.min(CLOSE_AFTER, shutdownTimeout * CLOSE_SHARE),
