--- /dev/null
+++ b/src/runtime/caller_server_test.ts
@@ -0,0 +1,150 @@
+import { connect, type Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import { PlatformHeaders } from "../../platform/index.ts";
+import { loopbackAddress } from "../../test/support/loopback_address.ts";
+import type { Occurrence } from "../core/entry_event.ts";
+import { parseAddress } from "../settings/index.ts";
+import { CallerServer } from "./caller_server.ts";
+
+/** Longest time for something to happen, in milliseconds. */
+const PATIENCE = 5_000;
+
+/** A server whose occurrences are kept, and a connection to it. */
+async function start(t: ExecutionContext) {
+  const occurrences: Occurrence[] = [];
+  const server = CallerServer.create(
+    PlatformHeaders.create(),
+    { push: (each) => void occurrences.push(each) },
+    { answered: () => {} },
+  );
+  const address = loopbackAddress();
+  await server.listen(address);
+  server.apply({
+    maximumHeaderBytes: 400,
+    maximumBodyBytes: 10,
+    headerTimeout: 1_000,
+    idleTimeout: 5_000,
+  });
+  const { host, port } = parseAddress(address);
+  const socket = connect(port, host);
+  let text = "";
+  socket.on("data", (bytes) => text += bytes.toString("latin1"));
+  t.teardown(() => {
+    socket.destroy();
+    server.destroy();
+  });
+  const until = async (holds: () => boolean) => {
+    const end = Date.now() + PATIENCE;
+    while (!holds()) {
+      if (Date.now() > end) throw new Error(`waited in vain: ${text}`);
+      await new Promise((next) => setTimeout(next, 5));
+    }
+  };
+  const arrivals = () =>
+    occurrences.flatMap((each) =>
+      each.kind === "request.arrived" ? [each.arrival] : []
+    );
+  const answer = (exchange: number, body: string) =>
+    server.deliver(exchange, {
+      status: 200,
+      statusText: "OK",
+      headers: ["X-Server", "s"],
+      body: Buffer.from(body),
+    });
+  const read = () => text;
+  return { server, socket, occurrences, arrivals, answer, until, read };
+}
+
+function get(path: string, more = ""): string {
+  return `GET ${path} HTTP/1.1\r\nHost: h.example\r\n${more}\r\n`;
+}
+
+/** An answer without its date. */
+function withoutDate(text: string): string {
+  return text.replace(/Date: [^\r]*\r\n/g, "").replaceAll("\r\n", "\n");
+}
+
+/** Statuses of the answers in a text. */
+function statuses(text: string): string[] {
+  return [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map((match) => match[1]);
+}
+
+test("callers: a request is taken in with what it says", async (t) => {
+  const { socket, arrivals, until } = await start(t);
+  socket.write(
+    "POST /a/b?c=1 HTTP/1.1\r\nHost: h.example\r\nX-Plumloft-Request-Id: r-1\r\n" +
+      "X-Plumloft-Deadline-Ms: 700\r\nX-Plumloft-Shard-Key: 9\r\n" +
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+  );
+  await until(() => arrivals().length === 1);
+  t.snapshot(arrivals());
+});
+
+test("callers: pipelined requests are answered in their order", async (t) => {
+  const { socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1") + get("/2") + get("/3"));
+  await until(() => arrivals().length === 3);
+  answer(3, "three");
+  answer(1, "one");
+  answer(2, "two");
+  await until(() => read().includes("three"));
+  t.snapshot(withoutDate(read()));
+});
+
+test("callers: while draining the last answer of a connection closes it", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1") + get("/2"));
+  await until(() => arrivals().length === 2);
+  server.drain();
+  answer(1, "one");
+  answer(2, "two");
+  await until(() => socket.closed || socket.readableEnded);
+  t.is((read().match(/Connection: close/g) ?? []).length, 1);
+  t.true(read().indexOf("Connection: close") > read().indexOf("one"));
+});
+
+test("callers: what is over the limits is refused", async (t) => {
+  const large = await start(t);
+  large.socket.write(get("/", `X-Filler: ${"x".repeat(500)}\r\n`));
+  await large.until(() => large.socket.readableEnded);
+  const body = await start(t);
+  body.socket.write(
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world",
+  );
+  await body.until(() => statuses(body.read()).length === 1);
+  const garbage = await start(t);
+  garbage.socket.write("no request\r\n\r\n");
+  await garbage.until(() => garbage.socket.readableEnded);
+  t.deepEqual([large, body, garbage].map((each) => statuses(each.read())), [
+    ["431"],
+    ["413"],
+    ["400"],
+  ]);
+  t.is(large.arrivals().length + body.arrivals().length, 0);
+});
+
+test("callers: one that leaves is told of, once", async (t) => {
+  const { socket, occurrences, arrivals, answer, until } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  socket.destroy();
+  const left = () => occurrences.filter((each) => each.kind === "request.left");
+  await until(() => left().length === 1);
+  answer(1, "too late");
+  t.deepEqual(left(), [{ kind: "request.left", exchange: 1 }]);
+});
+
+test("callers: a request in two contradictory lengths is no request", async (t) => {
+  const { socket, arrivals, until, read } = await start(t);
+  socket.write(
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      "0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+  );
+  await until(() => isOver(socket));
+  t.deepEqual(statuses(read()), ["400"]);
+  t.false(arrivals().some(({ target }) => target === "/smuggled"));
+});
+
+function isOver(socket: Socket): boolean {
+  return socket.closed || socket.readableEnded;
+}
--- /dev/null
+++ b/test/platform_test.ts
@@ -0,0 +1,277 @@
+import { createServer, type Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import fc from "fast-check";
+import { PlatformHeaders, PlatformStore } from "../platform/index.ts";
+import {
+  decodeConfiguration,
+  encodeConfiguration,
+} from "../platform/configuration_codec.ts";
+import {
+  decodeKeyedRecord,
+  decodePage,
+  encodeKeyedRecord,
+} from "../platform/log_records.ts";
+import { decodeServer } from "../platform/registry_codec.ts";
+import { StoreClient } from "../platform/store_client.ts";
+import { StoreError } from "../platform/store_error.ts";
+import { readDeclaration } from "../src/settings/index.ts";
+import { siteConfiguration } from "../src/core/declaration/index.ts";
+import { StoreService, storeServiceSchema } from "../src/stand_ins/index.ts";
+
+const TOPIC = "keyed.test";
+
+async function startStore(t: ExecutionContext): Promise<StoreService> {
+  const settings = storeServiceSchema.parse({ listen: "127.0.0.1:0" });
+  const store = await StoreService.start(settings);
+  t.teardown(() => store.close());
+  return store;
+}
+
+function createClient(t: ExecutionContext, address: string): StoreClient {
+  const client = StoreClient.create(address);
+  t.teardown(() => client.close());
+  return client;
+}
+
+const record = (key: string, value: string) =>
+  encodeKeyedRecord({ key, value: Buffer.from(value) });
+
+/** How a call failed. */
+async function failureOf(call: Promise<unknown>): Promise<string> {
+  try {
+    await call;
+    return "none";
+  } catch (error) {
+    if (!(error instanceof StoreError)) throw error;
+    return error.failure;
+  }
+}
+
+test("records: what is framed is read again", (t) => {
+  const keyed = fc.record({
+    key: fc.string({ maxLength: 40 }),
+    value: fc.uint8Array({ minLength: 1, maxLength: 200 }),
+  });
+  fc.assert(
+    fc.property(fc.array(keyed, { maxLength: 10 }), (records) => {
+      const offsets = Buffer.alloc(16);
+      offsets.writeBigUInt64BE(77n);
+      const body = Buffer.concat([
+        offsets,
+        ...records.map(({ key, value }) =>
+          encodeKeyedRecord({ key, value: Buffer.from(value) })
+        ),
+      ]);
+      const page = decodePage(body);
+      t.is(page.end, 77);
+      const decoded = page.records.map(decodeKeyedRecord);
+      t.deepEqual(
+        decoded.map(({ key, value }) => [key, [...value!]]),
+        records.map(({ key, value }) => [key, [...value]]),
+      );
+    }),
+    { numRuns: 100, seed: 1 },
+  );
+});
+
+test("records: a page that is cut short is refused", (t) => {
+  const whole = Buffer.concat([Buffer.alloc(16), record("k", "value")]);
+  t.throws(() => decodePage(whole.subarray(0, whole.length - 1)));
+  t.throws(() => decodePage(Buffer.alloc(3)));
+});
+
+test("configuration: what operators declare comes out of the document again", (t) => {
+  for (
+    const [name, site] of [["co-operative", "thessalia"], [
+      "lektorat",
+      "osrednja",
+    ]]
+  ) {
+    const declaration = readDeclaration(`examples/${name}`);
+    const configuration = siteConfiguration(declaration, site, 12);
+    t.deepEqual(
+      decodeConfiguration(encodeConfiguration(configuration)),
+      configuration,
+    );
+  }
+});
+
+test("configuration: splits and unknown fields are taken, faults are not", (t) => {
+  const route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/a/",
+    kind: "safe",
+    timeout: 500,
+    targetLatency: 200,
+    maximumAttempts: 2,
+    priority: 0,
+    destinations: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }],
+  };
+  const document = (change: object) =>
+    Buffer.from(JSON.stringify({
+      version: 3,
+      colour: "red",
+      limits: {
+        maximumHeaderBytes: 1_000,
+        maximumBodyBytes: 1_000,
+        headerTimeout: 1_000,
+        idleTimeout: 1_000,
+      },
+      services: [{ name: "a", max_connections: 10, keyed: true, tls: false }],
+      routes: [{ ...route, ...change }],
+    }));
+  t.snapshot(decodeConfiguration(document({})));
+  t.throws(() => decodeConfiguration(document({ kind: "odd" })), { any: true });
+  t.throws(() => decodeConfiguration(document({ pathPrefix: "a" })), {
+    any: true,
+  });
+  t.throws(() => decodeConfiguration(document({ destinations: null })), {
+    any: true,
+  });
+  t.throws(() => decodeConfiguration(Buffer.from("{")), { any: true });
+});
+
+test("registry: an entry is decoded, a broken one refused", (t) => {
+  const entry = {
+    service: "a",
+    address: "10.0.0.1:80",
+    zone: "z",
+    slots: 3,
+    state: "draining",
+    sequence: 4,
+  };
+  t.snapshot(decodeServer("i-1", Buffer.from(JSON.stringify(entry))));
+  const broken = Buffer.from(JSON.stringify({ ...entry, slots: "many" }));
+  t.throws(() => decodeServer("i-1", broken), { any: true });
+});
+
+test("headers: what answers say", (t) => {
+  const codec = PlatformHeaders.create();
+  const read = (status: number, headers: Record<string, string>) =>
+    codec.readAnswer(status, headers, "r-1");
+  const own = { "x-plumloft-request-id": "r-1" };
+  t.snapshot({
+    genuine: read(200, {
+      ...own,
+      "x-plumloft-response-signature": "s",
+      "x-plumloft-server-load": "2,1,3",
+    }),
+    unsigned: read(200, own),
+    another: read(200, {
+      "x-plumloft-request-id": "r-2",
+      "x-plumloft-response-signature": "s",
+    }),
+    shed: read(503, { ...own, "x-plumloft-not-executed": "1" }),
+    misdirected: read(421, { "x-plumloft-instance-id": "i-2" }),
+    brokenLoad: read(200, { ...own, "x-plumloft-server-load": "2,x" }).load,
+  });
+  t.snapshot(codec.readCaller({
+    ...own,
+    "x-plumloft-deadline-ms": "500",
+    "x-plumloft-shard-key": "-3",
+  }));
+});
+
+test("store client: conditions, fences, repeats and lost answers", async (t) => {
+  const store = await startStore(t);
+  const client = createClient(t, store.address);
+  const append = (epoch: number, sequence: number, at?: number) =>
+    client.append(TOPIC, [record("k", `${epoch}.${sequence}`)], {
+      at,
+      producer: { name: "p", epoch, sequence },
+    });
+  t.is(await append(5, 0, 0), 1);
+  t.is(await failureOf(append(5, 1, 9)), "conflict");
+  t.is(await failureOf(append(4, 0)), "conflict");
+  store.set({ loseAnswers: 1 });
+  t.is(await failureOf(append(5, 1)), "unanswered");
+  t.is(await failureOf(append(5, 3)), "conflict");
+  t.is(await append(6, 0), 3);
+  const { items, end } = await client.newest(TOPIC);
+  t.deepEqual(items.map(({ value }) => value.toString()), ["6.0"]);
+  t.is(end, 3);
+});
+
+test("store client: reads wait for news and say what has expired", async (t) => {
+  const store = await startStore(t);
+  const client = createClient(t, store.address);
+  const waiting = client.read(TOPIC, 0, 2_000);
+  await client.append(TOPIC, [record("k", "1")], {});
+  t.is((await waiting).records.length, 1);
+  store.set({ retention: 1 });
+  await client.append(TOPIC, [record("k", "2"), record("k", "3")], {});
+  t.is(await failureOf(client.read(TOPIC, 0)), "expired");
+});
+
+test("store client: a waiting read is given up when the store is lost", async (t) => {
+  const store = await startStore(t);
+  const client = createClient(t, store.address);
+  await client.newest(TOPIC);
+  const waiting = failureOf(client.read(TOPIC, 0, 20_000));
+  store.set({ outage: true });
+  t.is(await failureOf(client.newest(TOPIC)), "unanswered");
+  t.is(await waiting, "unanswered");
+});
+
+test("store client: a store that takes calls and says nothing is unanswered", async (t) => {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => sockets.add(socket));
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const { port } = server.address() as { port: number };
+  const client = createClient(t, `127.0.0.1:${port}`);
+  const begun = performance.now();
+  t.is(await failureOf(client.newest(TOPIC)), "unanswered");
+  t.true(performance.now() - begun < 5_000);
+});
+
+test("store: records that do not decode are passed over and told", async (t) => {
+  const service = await startStore(t);
+  const client = createClient(t, service.address);
+  const store = PlatformStore.create(service.address, "vm", "vm", 12);
+  t.teardown(() => store.close());
+  const entry = {
+    service: "a",
+    address: "h:1",
+    zone: "z",
+    slots: 3,
+    state: "ready",
+  };
+  await client.append("keyed.servers", [
+    record("i-1", JSON.stringify(entry)),
+    record("i-2", "{broken"),
+  ], {});
+  const all = await store.readAll("servers");
+  t.snapshot({ occurrences: all.occurrences, faults: all.faults.length });
+  await client.append("keyed.servers", [
+    encodeKeyedRecord({ key: "i-1", value: null }),
+  ], {});
+  t.snapshot((await store.readOn("servers", all.next, 0)).occurrences);
+});
+
+test("store: of two operators who publish at once one is refused", async (t) => {
+  const service = await startStore(t);
+  const store = PlatformStore.create(service.address, "op", "op", 12);
+  t.teardown(() => store.close());
+  const declaration = readDeclaration("examples/lektorat");
+  const publish = async (version: number, end: number) => {
+    try {
+      await store.publish(
+        siteConfiguration(declaration, "osrednja", version),
+        end,
+      );
+      return "accepted";
+    } catch (error) {
+      return store.isConflict(error) ? "refused" : "failed";
+    }
+  };
+  const { configuration, end } = await store.readConfiguration();
+  t.is(configuration, null);
+  const results = await Promise.all([publish(1, end), publish(2, end)]);
+  t.deepEqual([...results].sort(), ["accepted", "refused"]);
+  t.not((await store.readConfiguration()).configuration, null);
+});
