A reload with broken settings changes nothing

Cause: a settings file that cannot be read at SIGHUP threw out of the signal's handler and ended the process. Failing first: path_test, broken at a reload.

--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -10,6 +10,7 @@
   PlatformOrders,
   PlatformStore,
 } from "../../platform/index.ts";
+import { errorText } from "../errors/index.ts";
 import { EntryProcess } from "../runtime/entry_process.ts";
 import {
   type EntrySettings,
@@ -51,12 +52,20 @@
   );
   process.once("SIGTERM", () => entry.shutdown());
   process.once("SIGINT", () => entry.shutdown());
-  process.on("SIGHUP", () => entry.reloaded(isChanged(file, settings)));
+  process.on("SIGHUP", () => reload(entry, file, settings));
   await entry.stopped;
 }
 
-/** Whether the settings differ from those that the process was started with. */
-function isChanged(file: string, settings: EntrySettings): boolean {
-  const now = readYamlFile(file, entrySettingsSchema).value;
-  return JSON.stringify(now) !== JSON.stringify(settings);
+/** Looks at the settings again; broken ones change nothing. */
+function reload(
+  entry: EntryProcess,
+  file: string,
+  settings: EntrySettings,
+): void {
+  try {
+    const now = readYamlFile(file, entrySettingsSchema).value;
+    entry.reloaded(JSON.stringify(now) !== JSON.stringify(settings));
+  } catch (error) {
+    entry.reloadFailed(errorText(error));
+  }
 }
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -147,6 +147,11 @@
     this.#journal.write("info", "settings.reloaded", { isChanged });
   }
 
+  /** Notes that the settings could not be read again. */
+  reloadFailed(cause: string): void {
+    this.#journal.write("warn", "settings.reload_failed", { cause });
+  }
+
   async #start(): Promise<void> {
     const { settings } = this;
     await this.#readiness.listen(settings.readiness);
--- a/test/path_test.ts
+++ b/test/path_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { writeFileSync } from "node:fs";
 import { setTimeout as delay } from "node:timers/promises";
 import {
   checkHistory,
@@ -143,3 +144,20 @@
   while (leaving.process.exitCode === null) await delay(50);
   t.is(leaving.process.exitCode, 0);
 });
+
+test("path: settings that are broken at a reload change nothing", async (t) => {
+  const deployment = await Deployment.start({ entries: 1, servers: 1 });
+  t.teardown(() => deployment.stop());
+  const [entry] = deployment.entries;
+  const reloads = () =>
+    deployment.logOf(entry).map(({ message }) => String(message))
+      .filter((message) => message.startsWith("settings."));
+  entry.process.kill("SIGHUP");
+  while (reloads().length < 1) await delay(20);
+  writeFileSync(entry.settingsFile, "vm: {");
+  entry.process.kill("SIGHUP");
+  while (reloads().length < 2) await delay(20);
+  t.deepEqual(reloads(), ["settings.reloaded", "settings.reload_failed"]);
+  const calls = await runAll(deployment, { requests: 50 });
+  t.is(calls.filter((call) => !isServed(call)).length, 0);
+});
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -40,7 +40,7 @@
   peer: string;
   log: string;
   runs: string;
-  command: string[];
+  settingsFile: string;
 }
 
 /** What is started. */
@@ -228,7 +228,7 @@
       peer,
       log,
       runs,
-      command,
+      settingsFile: file,
     };
   }
 
