Few retries while the number of VMs is unknown; one way to listen, one shape of orders

A VM that does not know how many share the retry budget took it for its own whole; now it takes the part of one in 64. Failing first: dispatcher_test, few retries.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -46,6 +46,9 @@
 const KEY_PAUSE = 30;
 /** Requests that may wait for one service at this VM; bounds memory. */
 const MAXIMUM_WAITING = 256;
+/** VMs that are assumed to share the retry budget while their number is
+ * unknown: rather too few retries than too many from all of them. */
+const UNKNOWN_VMS = 64;
 /** Longest time without an answer when neither caller nor route says one, in
  * milliseconds. */
 const DEFAULT_TIMEOUT = 30_000;
@@ -428,7 +431,7 @@
   }
 
   #withdraw(request: PendingRequest, now: number): boolean {
-    const vms = this.context.vms() ?? 1;
+    const vms = this.context.vms() ?? UNKNOWN_VMS;
     return this.#budget(request.service).withdraw(now, vms);
   }
 
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -7,7 +7,7 @@
 import type { AttemptOutcome } from "./request.ts";
 
 /** A dispatcher with a keyed and two other services, two servers each. */
-function createDispatcher() {
+function createDispatcher(vms: number | null = 8) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
     name,
@@ -73,7 +73,7 @@
     directory,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
-    vms: () => 8,
+    vms: () => vms,
     draw: () => 0,
   });
   let exchange = 0;
@@ -159,6 +159,12 @@
   t.is(dispatcher.pending, 0);
 });
 
+test("dispatch: few retries while the number of VMs is unknown", (t) => {
+  const { dispatcher, arrive } = createDispatcher(null);
+  arrive("/order/", 0);
+  t.snapshot(brief(dispatcher.ended(1, NOT_RUN, 10)));
+});
+
 test("dispatch: a request waits for room for a while, then is refused", (t) => {
   const { dispatcher, arrive } = createDispatcher();
   for (let i = 0; i < 2; i++) arrive("/order/", 0);
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Assignment } from "./assignment.ts";
+import type { Assignment, KeyRange } from "./assignment.ts";
 
 /** How an order to a backend server ended. */
 export type OrderOutcome =
@@ -13,31 +13,27 @@
   /** No usable answer: the order may still be carried out. */
   | { kind: "failed"; cause: string };
 
-/** Grants keys to a server, or renews the grant. */
-export interface GrantOrder {
-  kind: "order.grant";
+/** What every order to a server says; the answer is `order.ended`. */
+interface KeyOrder extends KeyRange {
+  /** Number of the order, unique in this process. */
   order: number;
   service: string;
   server: string;
   address: string;
-  first: number;
-  last: number;
   token: number;
+}
+
+/** Grants keys to a server, or renews the grant. */
+export interface GrantOrder extends KeyOrder {
+  kind: "order.grant";
   /** Milliseconds for which the server holds the keys. */
   hold: number;
   handover: string | null;
 }
 
 /** Takes keys back. */
-export interface ReleaseOrder {
+export interface ReleaseOrder extends KeyOrder {
   kind: "order.release";
-  order: number;
-  service: string;
-  server: string;
-  address: string;
-  first: number;
-  last: number;
-  token: number;
 }
 
 /** Keys begin to move for the sake of balance; for the log. */
--- a/src/runtime/admin_server.ts
+++ b/src/runtime/admin_server.ts
@@ -5,8 +5,8 @@
  */
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { EntryStatus } from "../core/entry_status.ts";
-import { parseAddress } from "../settings/address.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
+import { listenAt } from "./listen.ts";
 
 /** See the module's comment. */
 export class AdminServer {
@@ -32,11 +32,7 @@
 
   /** Answers at `address`. Rejects when it cannot be had. */
   listen(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return listenAt(this.#server, address);
   }
 
   /** Ends all connections. */
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -13,10 +13,10 @@
 import type { Duplex } from "node:stream";
 import type { CallerLimits } from "../core/catalog/index.ts";
 import type { Refusal } from "../core/dispatch/index.ts";
-import { parseAddress } from "../settings/address.ts";
 import type { OutgoingRequest, TakenAnswer } from "./backend_pool.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
 import type { HeaderCodec } from "./header_codec.ts";
+import { listenAt } from "./listen.ts";
 
 /** Largest headers that are read at all, in bytes; the configured limit is
  * looked at afterwards, since it may change while the server runs. */
@@ -76,11 +76,7 @@
 
   /** Accepts callers. Rejects when the address cannot be had. */
   listen(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: 1_024 }, () => resolve());
-    });
+    return listenAt(this.#server, address);
   }
 
   /** Holds callers to these limits. */
--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -15,6 +15,7 @@
 import { encodeFrame, FrameDecoder, PROTOCOL } from "./frame.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import { errorText } from "../errors/index.ts";
+import { listenAt } from "./listen.ts";
 
 /** The first frame of a connection: who speaks. */
 const helloSchema = z.object({
@@ -82,11 +83,7 @@
 
   /** Accepts peers. Rejects when the address is in use. */
   listen(): Promise<void> {
-    const { host, port } = parseAddress(this.identity.peerAddress);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return listenAt(this.#server, this.identity.peerAddress);
   }
 
   /** Sends a message, or drops it when the peer cannot be reached. */
--- a/src/runtime/readiness_server.ts
+++ b/src/runtime/readiness_server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createServer, type Server } from "node:http";
-import { parseAddress } from "../settings/address.ts";
+import { listenAt } from "./listen.ts";
 
 /** See the module's comment. */
 export class ReadinessServer {
@@ -26,11 +26,7 @@
 
   /** Answers at `address`. Rejects when it cannot be had. */
   listen(address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return listenAt(this.#server, address);
   }
 
   /** Changes what is told. */
--- a/test/path_test.ts
+++ b/test/path_test.ts
@@ -161,3 +161,19 @@
   const calls = await runAll(deployment, { requests: 50 });
   t.is(calls.filter((call) => !isServed(call)).length, 0);
 });
+
+test("path: a log that nobody reads stops no request", async (t) => {
+  const deployment = await Deployment.start({ entries: 1, servers: 1 });
+  t.teardown(() => deployment.stop());
+  const [entry] = deployment.entries;
+  const output = entry.process.stdout!;
+  output.unpipe();
+  output.pause();
+  // Each of these makes a line: many times what a pipe holds.
+  const unrouted = await runLoad(
+    deployment.plan("orders", { path: "/nowhere/", requests: 2_000 }),
+  );
+  t.true(unrouted.calls.every(({ status }) => status === 404));
+  const calls = await runAll(deployment, { requests: 100 });
+  t.is(calls.filter((call) => !isServed(call)).length, 0);
+});
