--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -87,7 +87,7 @@
 
   /** Estimated number of VMs, or null. */
   get vms(): number | null {
-    return this.peers.vms ?? this.campaign.members;
+    return this.peers.vms;
   }
 
   /** Time since the sending of the last call that the store answered, in
@@ -135,6 +135,7 @@
       case "store.failed":
         return this.#storeFailed(event.step, event.cause);
       case "group.joined":
+        this.peers.expectVms(event.membership.members, now);
         return this.campaign.joined(event.membership, now);
       case "group.failed":
         return this.campaign.joinFailed(now);
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -12,6 +12,7 @@
   HolderLink,
   type PeerMessage,
   StateRequest,
+  VmCount,
 } from "./peers/index.ts";
 
 /** Pause between reads of a configuration that a peer has, in milliseconds. */
@@ -27,7 +28,7 @@
   readonly #stateRequest: StateRequest;
   #configurationFetchedAt = -Infinity;
   #published = { term: 0, version: 0 };
-  #vms: number | null = null;
+  readonly #vms = VmCount.create();
 
   private constructor(
     private readonly beliefs: Beliefs,
@@ -50,9 +51,14 @@
     return new PeerExchange(beliefs, campaign, loads, emit, seeds);
   }
 
-  /** Number of VMs as the holder counts them, or null. */
+  /** Estimated number of VMs, or null. */
   get vms(): number | null {
-    return this.#vms;
+    return this.#vms.value;
+  }
+
+  /** The group's share lets so many VMs be expected, or null. */
+  expectVms(count: number | null, now: number): void {
+    if (count !== null) this.#vms.heard(count, now);
   }
 
   /** Another VM may have announced that it holds a term. */
@@ -126,7 +132,7 @@
 
   /** Tells all followers when something has changed. */
   #publish(holder: TermHolder, now: number): void {
-    this.#vms = this.#holderLink.vms(now);
+    this.#vms.heard(this.#holderLink.vms(now), now);
     const { term, version } = holder;
     const isTold = term === this.#published.term &&
       version === this.#published.version;
@@ -138,7 +144,7 @@
 
   #hear(address: string, vms: number, now: number): void {
     if (address === this.followerLink.holder) this.followerLink.heard(now);
-    this.#vms = vms;
+    this.#vms.heard(vms, now);
   }
 
   #takeReport(
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -3,3 +3,4 @@
 export * from "./peer_message.ts";
 export * from "./shared_assignment.ts";
 export * from "./state_request.ts";
+export * from "./vm_count.ts";
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -10,6 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { CallerLimits } from "../core/catalog/index.ts";
 import type { Refusal } from "../core/dispatch/index.ts";
@@ -46,6 +47,7 @@
 export class CallerServer {
   readonly #server: Server;
   readonly #exchanges = new Map<number, Exchange>();
+  readonly #sockets = new Set<Socket>();
   /** Exchanges on each connection that have no answer yet. */
   readonly #open = new WeakMap<Duplex, number>();
   #limits: CallerLimits | null = null;
@@ -63,6 +65,13 @@
       connectionsCheckingInterval: CHECK_INTERVAL,
     }, (request, response) => this.#take(request, response));
     this.#server.on("clientError", answerBadRequest);
+    this.#server.on("connection", (socket: Socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
+    // Node's own takes a connection for idle whose answer has just been ended,
+    // though another request waits behind it; `close` calls it as well.
+    this.#server.closeIdleConnections = () => this.#closeIdleConnections();
   }
 
   /** A server that does not listen yet. */
@@ -94,7 +103,12 @@
   /** Takes no new connections and closes idle ones. */
   close(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
+  }
+
+  #closeIdleConnections(): void {
+    for (const socket of this.#sockets) {
+      if ((this.#open.get(socket) ?? 0) === 0) socket.end();
+    }
   }
 
   /** Closes everything. */
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -148,3 +148,27 @@
 function isOver(socket: Socket): boolean {
   return socket.closed || socket.readableEnded;
 }
+
+test("callers: closing idle connections spares one that waits behind an answer", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1") + get("/2"));
+  await until(() => arrivals().length === 2);
+  server.drain();
+  answer(1, "one");
+  server.close();
+  await until(() => read().includes("one"));
+  answer(2, "two");
+  await until(() => isOver(socket));
+  t.deepEqual(statuses(read()), ["200", "200"]);
+});
+
+test("callers: an idle connection is closed", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  answer(1, "one");
+  await until(() => read().includes("one"));
+  server.close();
+  await until(() => isOver(socket));
+  t.pass();
+});
