--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -6,6 +6,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import {
   createWriteStream,
+  existsSync,
   mkdtempSync,
   readFileSync,
   writeFileSync,
@@ -264,6 +265,8 @@
   }
 }
 
+/** The lines of a file; none of one that was never written to. */
 function readLines(file: string): string[] {
+  if (!existsSync(file)) return [];
   return readFileSync(file, "utf8").split("\n").filter((line) => line !== "");
 }
