A request that crosses the close of its connection is not passed on

A VM that was asked to stop ended its idle connections 3.6 s later while other requests were in flight. The bytes of one more request lay unread on such a connection; they were read after the end, passed on to a server, and no answer could be sent.

Ruled out: the readiness check (two misses had long passed), and a request that was counted late: the connection had none when it was ended.

Now a connection that was ended, by the shutdown, by its last answer or by a rejection, takes no more requests; their callers send them again elsewhere, which is safe since nothing was passed on. Two tests over raw sockets; the first failed before.

--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -50,6 +50,10 @@
   readonly #sockets = new Set<Socket>();
   /** Exchanges on each connection that have no answer yet. */
   readonly #open = new WeakMap<Duplex, number>();
+  /** Connections on which no further answer can be sent. A request that crosses
+   * the end of its connection must not be passed on: its caller sends it again
+   * elsewhere. */
+  readonly #ended = new WeakSet<Duplex>();
   #limits: CallerLimits | null = null;
   #count = 0;
   #isDraining = false;
@@ -107,7 +111,9 @@
 
   #closeIdleConnections(): void {
     for (const socket of this.#sockets) {
-      if ((this.#open.get(socket) ?? 0) === 0) socket.end();
+      if ((this.#open.get(socket) ?? 0) > 0) continue;
+      this.#ended.add(socket);
+      socket.end();
     }
   }
 
@@ -155,7 +161,10 @@
     // A later request on the connection must still get its answer.
     const isLast = this.#isDraining && open === 0;
     const head = [...headers, "Content-Length", String(body.length)];
-    if (isLast) head.push("Connection", "close");
+    if (isLast) {
+      head.push("Connection", "close");
+      this.#ended.add(socket);
+    }
     if (statusText === "") response.writeHead(status, head);
     else response.writeHead(status, statusText, head);
     response.end(body);
@@ -164,6 +173,7 @@
 
   #take(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
+    if (this.#ended.has(socket)) return;
     this.#count += 1;
     const number = this.#count;
     this.#open.set(socket, (this.#open.get(socket) ?? 0) + 1);
@@ -196,7 +206,6 @@
     request.on("data", (chunk: Buffer) => {
       size += chunk.length;
       if (size > (this.#limits?.maximumBodyBytes ?? Infinity)) {
-        if (!this.#exchanges.has(number)) return;
         return this.#reject(number, 413, "body too large");
       }
       chunks.push(chunk);
@@ -234,7 +243,10 @@
 
   /** Answers a request that is not taken in and ends its connection. */
   #reject(number: number, status: number, reason: string): void {
-    this.#exchanges.get(number)?.response.setHeader("Connection", "close");
+    const exchange = this.#exchanges.get(number);
+    if (exchange === undefined) return;
+    this.#ended.add(exchange.socket);
+    exchange.response.setHeader("Connection", "close");
     this.refuse({
       kind: "request.refuse",
       exchange: number,
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -172,3 +172,28 @@
   await until(() => isOver(socket));
   t.pass();
 });
+
+test("callers: a request that crosses the close of its connection is not taken", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  answer(1, "one");
+  await until(() => read().includes("one"));
+  // Both in one turn of the loop: the bytes are there, and not read yet.
+  socket.write(get("/2"));
+  server.close();
+  await until(() => isOver(socket));
+  t.deepEqual(arrivals().map(({ target }) => target), ["/1"]);
+});
+
+test("callers: a request behind the last answer of its connection is not taken", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  server.drain();
+  answer(1, "one");
+  socket.write(get("/2"));
+  await until(() => isOver(socket));
+  t.deepEqual(statuses(read()), ["200"]);
+  t.deepEqual(arrivals().map(({ target }) => target), ["/1"]);
+});
