--- /dev/null
+++ b/src/core/dispatch/dispatch_context.ts
@@ -0,0 +1,22 @@
+/**
+ * What requests are dispatched upon.
+ *
+ * @module
+ */
+import type { Catalog } from "../catalog/index.ts";
+import type { Fleet } from "../fleet/index.ts";
+import type { KeyDirectory } from "../keyspace/index.ts";
+import type { RetryLimits } from "./retry_budget.ts";
+
+/** See the module's comment. */
+export interface DispatchContext {
+  catalog: Catalog;
+  fleet: Fleet;
+  directory: KeyDirectory;
+  availabilityZone: string;
+  retryLimits: RetryLimits;
+  /** Number of VMs, or null when unknown. */
+  vms(): number | null;
+  /** A number in [0, 1). */
+  draw(): number;
+}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -8,9 +8,9 @@
  *
  * @module
  */
-import type { Catalog, Route } from "../catalog/index.ts";
-import type { Fleet, TrackedServer } from "../fleet/index.ts";
-import type { KeyDirectory } from "../keyspace/index.ts";
+import type { Route } from "../catalog/index.ts";
+import type { TrackedServer } from "../fleet/index.ts";
+import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import type {
   Attempt,
@@ -18,9 +18,9 @@
   PendingRequest,
   RequestArrival,
 } from "./request.ts";
-import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { RequestLog } from "./request_log.ts";
-import { chooseServer, hasRoom } from "./server_choice.ts";
+import { RequestPlacing } from "./request_placing.ts";
+import { RetryPolicy } from "./retry_policy.ts";
 import { WaitQueues } from "./wait_queues.ts";
 
 /** Share of the target latency for which a request waits for a server; later
@@ -34,57 +34,31 @@
 /** Time after the deadline for which a server's own last answer is awaited, in
  * milliseconds: servers stop at the deadline and say so. */
 const DEADLINE_SLACK = 60;
-/** An attempt is doubled after this many usual latencies ... */
-const HEDGE_FACTOR = 3;
-/** ... and this share of the target latency. */
-const HEDGE_SHARE = 0.5;
-/** A draining server keeps its keys for this long in milliseconds while they
- * are moved; then nothing more is sent to it. */
-const DRAINING_KEYS_TIME = 700;
 /** Pause before a key is looked up again after its server refused, in
  * milliseconds. */
 const KEY_PAUSE = 30;
 /** Requests that may wait for one service at this VM; bounds memory. */
 const MAXIMUM_WAITING = 256;
-/** VMs that are assumed to share the retry budget while their number is
- * unknown: rather too few retries than too many from all of them. */
-const UNKNOWN_VMS = 64;
 /** Longest time without an answer when neither caller nor route says one, in
  * milliseconds. */
 const DEFAULT_TIMEOUT = 30_000;
 /** What callers are asked to wait for while nothing is configured, in ms. */
 const UNCONFIGURED_RETRY_AFTER = 250;
 
-/** What requests are dispatched upon. */
-export interface DispatchContext {
-  catalog: Catalog;
-  fleet: Fleet;
-  directory: KeyDirectory;
-  availabilityZone: string;
-  retryLimits: RetryLimits;
-  /** Number of VMs, or null when unknown. */
-  vms(): number | null;
-  /** A number in [0, 1). */
-  draw(): number;
-}
-
-/** Where a request can go now. */
-type Placing =
-  | { kind: "server"; server: TrackedServer }
-  /** Not now, maybe later. */
-  | { kind: "wait"; reason: string };
-
 /** See the module's comment. */
 export class Dispatcher {
   readonly #requests = new Map<number, PendingRequest>();
   readonly #byAttempt = new Map<number, PendingRequest>();
   readonly #waiting = WaitQueues.create();
-  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #placing: RequestPlacing;
+  readonly #retries: RetryPolicy;
   readonly #log: RequestLog;
   #attemptCount = 0;
   #effects: DispatchEffect[] = [];
 
   private constructor(private readonly context: DispatchContext) {
+    this.#placing = RequestPlacing.create(context);
+    this.#retries = RetryPolicy.create(context);
     this.#log = RequestLog.create(
       () => context.catalog.version,
       (...notes) => this.#effects.push(...notes),
@@ -190,7 +164,7 @@
       isNoteworthy: false,
     };
     this.#requests.set(arrival.exchange, request);
-    this.#budget(service).request(now);
+    this.#retries.count(service, now);
     this.#log.trace("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
@@ -204,7 +178,7 @@
   /** Sends a request, or lets it wait, or refuses it. */
   #dispatch(request: PendingRequest, now: number): void {
     const queue = this.#waiting.of(request.service);
-    const placing = this.#place(request, now);
+    const placing = this.#placing.place(request, now);
     if (placing.kind === "server") {
       this.#send(request, placing.server, now);
     } else if (now >= request.waitEnd || queue.length >= MAXIMUM_WAITING) {
@@ -220,43 +194,6 @@
     }
   }
 
-  #place(request: PendingRequest, now: number): Placing {
-    const { fleet, availabilityZone, draw } = this.context;
-    if (request.key !== null) {
-      return this.#placeKeyed(request, request.key, now);
-    }
-    const context = { fleet, availabilityZone, vms: this.context.vms(), draw };
-    const server = chooseServer(request.service, request.tried, now, context);
-    if (server !== null) return { kind: "server", server };
-    return { kind: "wait", reason: "no server has room" };
-  }
-
-  #placeKeyed(request: PendingRequest, key: number, now: number): Placing {
-    const { fleet, directory } = this.context;
-    if (now < request.retryAt) {
-      return { kind: "wait", reason: "the key's server refused" };
-    }
-    const range = directory.find(request.service, key);
-    if (range === undefined) {
-      return { kind: "wait", reason: "no assignment of keys is known" };
-    }
-    if (!range.isOpen || range.server === null) {
-      return { kind: "wait", reason: "the key is on the move" };
-    }
-    const server = fleet.get(range.server);
-    if (server === undefined) {
-      return { kind: "wait", reason: "the key's server is gone" };
-    }
-    const drainingSince = server.drainingSince ?? Infinity;
-    if (now > drainingSince + DRAINING_KEYS_TIME) {
-      return { kind: "wait", reason: "the key's server is leaving" };
-    }
-    if (hasRoom(server, now, this.context.vms())) {
-      return { kind: "server", server };
-    }
-    return { kind: "wait", reason: "the key's server has no room" };
-  }
-
   #send(request: PendingRequest, server: TrackedServer, now: number): void {
     this.#attemptCount += 1;
     const number = this.#attemptCount;
@@ -264,7 +201,7 @@
       number,
       server: server.id,
       startedAt: now,
-      hedgeAt: this.#hedgeAt(request, now),
+      hedgeAt: this.#retries.hedgeAt(request, now),
     };
     request.attempts.push(attempt);
     if (!request.tried.includes(server.id)) request.tried.push(server.id);
@@ -290,13 +227,6 @@
     });
   }
 
-  #hedgeAt(request: PendingRequest, now: number): number {
-    const { isIdempotent, targetLatency } = request.route;
-    if (!isIdempotent || request.key !== null) return Infinity;
-    const usual = this.context.fleet.usualLatency(request.service, now);
-    return now + Math.max(HEDGE_FACTOR * usual, HEDGE_SHARE * targetLatency);
-  }
-
   #attemptAnswered(
     request: PendingRequest,
     attempt: Attempt,
@@ -410,36 +340,21 @@
   /** Sends a request once more if that is allowed; it may have to wait. */
   #again(request: PendingRequest, now: number): boolean {
     if (request.attempts.length > 0) return true;
-    const { maximumAttempts } = request.route;
-    const isAllowed = request.key !== null
-      ? request.tried.length <= maximumAttempts
-      : request.tried.length < maximumAttempts;
-    if (!isAllowed || !this.#isWorthwhile(request, now)) return false;
-    const placing = this.#place(request, now);
+    if (!this.#retries.mayRepeat(request, now)) return false;
+    const placing = this.#placing.place(request, now);
     const mayWait = request.key !== null && now < request.waitEnd;
     if (placing.kind === "wait" && !mayWait) return false;
-    if (!this.#withdraw(request, now)) return false;
+    if (!this.#retries.withdraw(request, now)) return false;
     if (placing.kind === "server") this.#send(request, placing.server, now);
     else this.#waiting.add(request);
     return true;
   }
 
-  /** Whether an answer can still be expected before the deadline. */
-  #isWorthwhile(request: PendingRequest, now: number): boolean {
-    const usual = this.context.fleet.usualLatency(request.service, now);
-    return request.deadline - now > usual / 2;
-  }
-
-  #withdraw(request: PendingRequest, now: number): boolean {
-    const vms = this.context.vms() ?? UNKNOWN_VMS;
-    return this.#budget(request.service).withdraw(now, vms);
-  }
-
   #advanceRequest(request: PendingRequest, now: number): void {
     if (now < this.#dueAt(request)) return;
     if (now >= request.retryAt) request.retryAt = -Infinity;
     if (request.attempts.length === 0) {
-      const placing = this.#place(request, now);
+      const placing = this.#placing.place(request, now);
       if (now >= request.waitEnd && placing.kind === "wait") {
         this.#waiting.remove(request);
         this.#giveUpWaiting(request, placing.reason, now);
@@ -466,10 +381,11 @@
     const attempt = request.attempts[0];
     if (now < attempt.hedgeAt) return;
     attempt.hedgeAt = Infinity;
-    if (request.tried.length >= request.route.maximumAttempts) return;
-    if (!this.#isWorthwhile(request, now)) return;
-    const placing = this.#place(request, now);
-    if (placing.kind !== "server" || !this.#withdraw(request, now)) return;
+    if (!this.#retries.mayHedge(request, now)) return;
+    const placing = this.#placing.place(request, now);
+    if (placing.kind !== "server" || !this.#retries.withdraw(request, now)) {
+      return;
+    }
     this.#log.note("info", "request.hedged", request, now, {
       server: attempt.server,
       second: placing.server.id,
@@ -498,7 +414,7 @@
         rest.push(request);
         continue;
       }
-      const placing = this.#place(request, now);
+      const placing = this.#placing.place(request, now);
       if (placing.kind === "server") {
         request.retryAt = -Infinity;
         this.#send(request, placing.server, now);
@@ -576,15 +492,6 @@
     });
   }
 
-  #budget(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      budget = RetryBudget.create(this.context.retryLimits);
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-
   #take(): DispatchEffect[] {
     const effects = this.#effects;
     this.#effects = [];
