A peer connection that goes silent without a reset is replaced

Connections between VMs had no bound on silence: one that dies without a reset would have swallowed every report of a follower for good, and the follower would have gone on by reading the store each second. Now one on which a peer was sent something and has said nothing for 1.5 s is closed and made anew; the peers talk twice a second, so three answers are missing by then. A connection that neither side uses is closed after 10 s, so that the other end of a dead one goes too.

Ruled out: TCP keep-alive probes (seconds at the least on most systems, and the stack answers for a peer that hangs).

--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -39,6 +39,13 @@
 const CONNECT_TIMEOUT = 500;
 /** Pause before a peer that refused is tried again. */
 const RECONNECT_PAUSE = 100;
+/** Time without a word from a peer that was sent something, in milliseconds,
+ * after which its connection counts as dead though nothing reset it: the term
+ * holder and its followers talk twice a second. */
+const SILENCE = 1_500;
+/** Time after which a connection that neither side uses is closed, in
+ * milliseconds; one that died in silence leaves its other end behind. */
+const IDLE_TIMEOUT = 10_000;
 
 /** Counts of what went over the network. */
 export interface PeerTraffic {
@@ -55,6 +62,8 @@
   readonly #connections = new Map<string, Socket>();
   readonly #sockets = new Set<Socket>();
   readonly #refusedAt = new Map<string, number>();
+  /** When the first message was sent since the peer was heard last. */
+  readonly #unansweredSince = new Map<Socket, number>();
   #lastMessage: PeerMessage | null = null;
   #lastFrame: Buffer = Buffer.alloc(0);
   readonly traffic: PeerTraffic = {
@@ -88,7 +97,7 @@
 
   /** Sends a message, or drops it when the peer cannot be reached. */
   send(address: string, message: PeerMessage): void {
-    const socket = this.#connection(address);
+    const socket = this.#liveConnection(address);
     if (socket === null || socket.writableLength > MAXIMUM_PENDING) {
       this.traffic.dropped += 1;
       return;
@@ -96,9 +105,28 @@
     const frame = this.#encode(message);
     this.traffic.messagesSent += 1;
     this.traffic.bytesSent += frame.length;
+    if (!this.#unansweredSince.has(socket)) {
+      this.#unansweredSince.set(socket, monotonicNow());
+    }
     socket.write(frame);
   }
 
+  /** A connection on which the peer has not gone silent. */
+  #liveConnection(address: string): Socket | null {
+    const socket = this.#connection(address);
+    if (socket === null) return null;
+    const since = this.#unansweredSince.get(socket) ?? Infinity;
+    if (monotonicNow() - since <= SILENCE) return socket;
+    this.journal.write("warn", "peer.silent", {
+      step: "send to peer",
+      peer: address,
+      silence: Math.round(monotonicNow() - since),
+    });
+    this.#connections.delete(address);
+    socket.destroy();
+    return this.#connection(address);
+  }
+
   /** The frame of a message; one that goes to many is encoded once. */
   #encode(message: PeerMessage): Buffer {
     if (this.#lastMessage !== message) {
@@ -121,10 +149,7 @@
     if (monotonicNow() < refusedAt + RECONNECT_PAUSE) return null;
     const socket = new Socket();
     const { host, port } = parseAddress(address);
-    socket.setTimeout(CONNECT_TIMEOUT, () => {
-      if (socket.connecting) socket.destroy();
-    });
-    socket.on("connect", () => socket.setTimeout(0));
+    socket.setTimeout(CONNECT_TIMEOUT);
     socket.on("error", () => this.#refusedAt.set(address, monotonicNow()));
     socket.connect({ host, port });
     this.#attach(socket);
@@ -138,11 +163,18 @@
     let hello: Hello | null = null;
     this.#sockets.add(socket);
     socket.setNoDelay(true);
-    socket.on("close", () => this.#sockets.delete(socket));
+    if (!socket.connecting) socket.setTimeout(IDLE_TIMEOUT);
+    socket.on("connect", () => socket.setTimeout(IDLE_TIMEOUT));
+    socket.on("timeout", () => socket.destroy());
+    socket.on("close", () => {
+      this.#sockets.delete(socket);
+      this.#unansweredSince.delete(socket);
+    });
     socket.on("end", () => socket.destroy());
     socket.on("error", () => socket.destroy());
     socket.on("data", (bytes) => {
       this.traffic.bytesReceived += bytes.length;
+      this.#unansweredSince.delete(socket);
       try {
         for (const value of decoder.push(bytes)) {
           if (hello === null) {
--- /dev/null
+++ b/src/runtime/peer_network_test.ts
@@ -0,0 +1,70 @@
+import { createServer, type Socket } from "node:net";
+import { PassThrough } from "node:stream";
+import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
+import { loopbackAddress } from "../../test/support/loopback_address.ts";
+import type { Occurrence } from "../core/entry_event.ts";
+import type { PeerMessage } from "../core/peers/index.ts";
+import { Journal } from "../logging/index.ts";
+import { PeerNetwork } from "./peer_network.ts";
+
+const MESSAGE: PeerMessage = {
+  kind: "state.wanted",
+  term: 1,
+  version: 1,
+  configuration: 1,
+};
+
+/** A network whose received messages are kept. */
+function createNetwork(address: string) {
+  const received: Occurrence[] = [];
+  const network = PeerNetwork.create(
+    { vm: address, peerAddress: address },
+    { push: (each) => void received.push(each) },
+    Journal.create(address, "error", new PassThrough()),
+  );
+  return { network, received };
+}
+
+test("peers: both sides use the connection that one has opened", async (t) => {
+  const [a, b] = [loopbackAddress(), loopbackAddress()];
+  const first = createNetwork(a);
+  const second = createNetwork(b);
+  t.teardown(() => {
+    first.network.close();
+    second.network.close();
+  });
+  await second.network.listen();
+  while (second.received.length === 0) {
+    first.network.send(b, MESSAGE);
+    await delay(10);
+  }
+  // The first does not listen, so an answer has only that way.
+  while (first.received.length === 0) {
+    second.network.send(a, MESSAGE);
+    await delay(10);
+  }
+  t.pass();
+});
+
+test("peers: a connection that has gone silent is replaced", async (t) => {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.resume();
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const { network } = createNetwork(loopbackAddress());
+  t.teardown(() => {
+    network.close();
+    server.close();
+  });
+  const startedAt = Date.now();
+  while (sockets.length < 2) {
+    network.send(`127.0.0.1:${port}`, MESSAGE);
+    await delay(50);
+  }
+  t.true(Date.now() - startedAt >= 1_500);
+});
