The term holder reads the registry for all; the others go by its word

Change: the holder reads every 0.45 s, tells changes at once, and confirms to each report from when its knowledge is, by the clock of the VM that asked. A VM without such a word that is younger than 1.2 s reads the registry itself, so the loss of the holder, or a cut, costs no more than it did. Positions in the registry's log decide what follows on what; a property test loses, doubles and reorders the news. Removals that arrive while a VM takes the store for lost wait as those of its own reads do.

Ruled out: a few fixed readers in each zone (they would have to be chosen and watched; the holder is both already), and waiting reads (the registry changes with each heartbeat).

A VM that held the term no longer sends reports to itself.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -107,6 +107,7 @@
     leaseTiming: leaseTimingSchema.parse({}),
     retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
     shutdown: { closeAfter: 1, stopAfter: 2 },
+    registryTiming: { interval: 450, maximumAge: 1_200 },
     seed: 1,
   });
   const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
@@ -144,7 +145,8 @@
     isDraining: false,
     warmUp: 0,
   }));
-  step(0, { kind: "servers.read", entries, removed: [], isWhole: true });
+  const read = { entries, removed: [], isWhole: true, position: servers };
+  step(0, { kind: "servers.read", read, sentAt: 0 });
   const size = KEY_COUNT / servers;
   step(0, {
     kind: "assignments.read",
--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -9,6 +9,7 @@
 import { Fleet, type FleetChange } from "./fleet/index.ts";
 import { type Assignment, KeyDirectory } from "./keyspace/index.ts";
 import type { Knowledge } from "./peers/index.ts";
+import { RegistryReplica } from "./registry/index.ts";
 
 /** Who holds a term, and where it is reached. */
 export interface HolderAddress {
@@ -28,6 +29,7 @@
   readonly catalog = Catalog.create();
   readonly fleet = Fleet.create();
   readonly directory = KeyDirectory.create();
+  readonly registry = RegistryReplica.create();
   #holder: HolderAddress | null = null;
 
   private constructor(private readonly emit: Emit) {}
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -11,7 +11,7 @@
 import type { RequestArrival } from "./dispatch/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { EntryEvent } from "./entry_event.ts";
-import type { EntryOptions } from "./entry_options.ts";
+import type { EntryOptions, RegistryTiming } from "./entry_options.ts";
 import {
   KeyLoads,
   type KeyspaceEffect,
@@ -40,6 +40,7 @@
   readonly dispatcher: Dispatcher;
   readonly #loads = KeyLoads.create();
   readonly #shutdown: Shutdown;
+  readonly #registryTiming: RegistryTiming;
   /** Steps towards the store that have failed since it answered. */
   readonly #failingSteps = new Set<string>();
   #storeAnsweredAt = -Infinity;
@@ -61,6 +62,7 @@
       this.campaign,
       this.#loads,
       emit,
+      options.peerAddress,
       options.seeds,
     );
     this.dispatcher = Dispatcher.create({
@@ -73,6 +75,7 @@
       draw: uniformFloat64(options.seed),
     });
     this.#shutdown = Shutdown.create(options.shutdown);
+    this.#registryTiming = options.registryTiming;
   }
 
   /** The core of a process that knows nothing yet. */
@@ -110,7 +113,11 @@
     const isBusy = this.campaign.phase !== "follower";
     const pause = isBusy ? LEADING_INTERVAL : IDLE_INTERVAL;
     const stop = this.#shutdown.isStarted ? SHUTDOWN_INTERVAL : Infinity;
-    return Math.min(this.dispatcher.nextAt(), now + Math.min(pause, stop));
+    return Math.min(
+      this.dispatcher.nextAt(),
+      this.beliefs.registry.dueAt(this.#registryAge),
+      now + Math.min(pause, stop),
+    );
   }
 
   #reduce(event: EntryEvent): void {
@@ -122,6 +129,8 @@
         return this.beliefs.configure(event.configuration);
       case "servers.read":
         return this.#readServers(event);
+      case "servers.failed":
+        return this.beliefs.registry.failed(event.isExpired, now);
       case "assignments.read":
         return this.beliefs.assign(event.assignments);
       case "holder.announced":
@@ -178,6 +187,7 @@
       this.#isStoreLost = true;
       this.beliefs.note("store.lost", { silence: Math.round(silence) });
     }
+    this.#advanceRegistry(now);
     this.#advanceCampaign(
       catalog.keyedServices.map((each) => each.name),
       now,
@@ -188,6 +198,18 @@
     this.#put(...this.#shutdown.advance(this.dispatcher.pending, now));
   }
 
+  /** Reads the registry when what is known of it is too old. */
+  #advanceRegistry(now: number): void {
+    const fetch = this.beliefs.registry.fetch(now, this.#registryAge);
+    if (fetch !== null) this.#put(fetch);
+  }
+
+  /** How old knowledge of the registry may be here, in milliseconds. */
+  get #registryAge(): number {
+    const { interval, maximumAge } = this.#registryTiming;
+    return this.campaign.holder === null ? maximumAge : interval;
+  }
+
   #advanceCampaign(services: readonly string[], now: number): void {
     const from = this.campaign.phase;
     const silence = this.storeSilence(now);
@@ -197,8 +219,10 @@
   }
 
   #readServers(event: EntryEvent & { kind: "servers.read" }): void {
-    const { fleet } = this.beliefs;
-    const { entries, removed, isWhole, now } = event;
+    const { fleet, registry } = this.beliefs;
+    const { read, sentAt, now } = event;
+    const { entries, removed, isWhole } = read;
+    registry.read(read, sentAt);
     this.beliefs.changeServers(
       isWhole
         ? fleet.replace(entries, now)
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -7,6 +7,7 @@
 import type { DispatchEffect } from "./dispatch/index.ts";
 import type { KeyspaceEffect } from "./keyspace/index.ts";
 import type { AssignmentFetch, PeerSend } from "./peers/index.ts";
+import type { RegistryFetch } from "./registry/index.ts";
 
 /** See the module's comment. */
 export type EntryEffect =
@@ -14,6 +15,7 @@
   | KeyspaceEffect
   | PeerSend
   | AssignmentFetch
+  | RegistryFetch
   /** A newer configuration than the one in force exists: read it now. */
   | { kind: "configuration.fetch" }
   /** Callers are held to these limits from now on. */
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -6,7 +6,6 @@
  */
 import type { Configuration } from "./catalog/index.ts";
 import type { AttemptOutcome, RequestArrival } from "./dispatch/index.ts";
-import type { BackendServer } from "./fleet/index.ts";
 import type {
   Assignment,
   Membership,
@@ -15,19 +14,17 @@
   WriteOutcome,
 } from "./keyspace/index.ts";
 import type { PeerMessage } from "./peers/index.ts";
+import type { RegistryRead } from "./registry/index.ts";
 
 /** What happened, without its time. */
 export type Occurrence =
   /** A timer that the core asked for went off. */
   | { kind: "timer" }
   | { kind: "configuration.read"; configuration: Configuration }
-  | {
-    kind: "servers.read";
-    entries: BackendServer[];
-    removed: string[];
-    /** Whether `entries` is the whole list. */
-    isWhole: boolean;
-  }
+  /** A read of the registry that was sent at `sentAt` was answered. */
+  | { kind: "servers.read"; read: RegistryRead; sentAt: number }
+  /** It failed; with `isExpired` its records are no longer kept. */
+  | { kind: "servers.failed"; isExpired: boolean }
   | { kind: "assignments.read"; assignments: Assignment[] }
   /** A VM announced that it holds a term. */
   | { kind: "holder.announced"; term: number; vm: string; address: string }
--- a/src/core/entry_options.ts
+++ b/src/core/entry_options.ts
@@ -15,6 +15,15 @@
   stopAfter: number;
 }
 
+/** How old knowledge of the registry may be, in milliseconds. */
+export interface RegistryTiming {
+  /** Pause between the reads of the term holder. */
+  interval: number;
+  /** Age at which another VM no longer relies on the holder's word and reads
+   * itself: more than the holder's pause and a follower's report take. */
+  maximumAge: number;
+}
+
 /** See the module's comment. */
 export interface EntryOptions {
   /** Address at which other VMs reach this one. */
@@ -25,6 +34,7 @@
   leaseTiming: LeaseTiming;
   retryLimits: RetryLimits;
   shutdown: ShutdownTiming;
+  registryTiming: RegistryTiming;
   /** Seed of all random numbers. */
   seed: number;
 }
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -12,6 +12,7 @@
     leaseTiming: leaseTimingSchema.parse({}),
     retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
     shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
+    registryTiming: { interval: 450, maximumAge: 1_200 },
     seed: 1,
   });
   const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
@@ -46,6 +47,7 @@
       version: 0,
       configuration,
       vms: 2,
+      registry: null,
     },
   };
 }
@@ -91,3 +93,42 @@
     next: notes(step(40, failed("join"))),
   });
 });
+
+test("entry: the holder's word spares a read of the registry, and its silence brings one", (t) => {
+  const { step } = createEntry("vm-1");
+  const entries = [{
+    id: "i-1",
+    service: "s",
+    address: "h:1",
+    availabilityZone: "a",
+    slots: 3,
+    isDraining: false,
+    warmUp: 0,
+  }];
+  const read = { entries, removed: [], isWhole: true, position: 5 };
+  const fetches = (effects: EntryEffect[]) =>
+    effects.filter((each) => each.kind === "servers.fetch").length;
+  t.is(fetches(step(0, { kind: "timer" })), 1);
+  step(10, { kind: "store.answered", sentAt: 0 });
+  step(10, { kind: "servers.read", read, sentAt: 0 });
+  const word = (knownAt: number, removed: string[]): Occurrence => ({
+    kind: "peer.received",
+    address: "holder",
+    message: {
+      kind: "holder.alive",
+      term: 1,
+      version: 0,
+      configuration: 3,
+      vms: 2,
+      registry: { since: 5, position: 6, entries: [], removed, knownAt },
+    },
+  });
+  // Long enough after the store was first reached for removals to count.
+  for (const now of [1_000, 2_000, 3_000]) {
+    step(now, { kind: "store.answered", sentAt: now - 5 });
+  }
+  const effects = step(4_000, word(3_900, ["i-1"]));
+  t.true(kinds(effects).includes("connections.close"));
+  t.is(fetches(step(5_000, { kind: "timer" })), 0);
+  t.is(fetches(step(5_100, { kind: "timer" })), 1);
+});
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -14,6 +14,7 @@
   StateRequest,
   VmCount,
 } from "./peers/index.ts";
+import type { RegistryNews } from "./registry/index.ts";
 
 /** Pause between reads of a configuration that a peer has, in milliseconds. */
 const CONFIGURATION_PAUSE = 400;
@@ -28,6 +29,8 @@
   readonly #stateRequest: StateRequest;
   #configurationFetchedAt = -Infinity;
   #published = { term: 0, version: 0 };
+  /** Position up to which followers were told the registry, or null. */
+  #publishedPosition: number | null = null;
   readonly #vms = VmCount.create();
 
   private constructor(
@@ -35,20 +38,30 @@
     private readonly campaign: TermCampaign,
     private readonly loads: KeyLoads,
     private readonly emit: Emit,
+    private readonly ownAddress: string,
     seeds: readonly string[],
   ) {
     this.#stateRequest = StateRequest.create(seeds);
   }
 
-  /** An exchange of a process that has heard nobody; asks `seeds` at need. */
+  /** An exchange of the process at `ownAddress`, which has heard nobody; it asks
+   * `seeds` at need. */
   static create(
     beliefs: Beliefs,
     campaign: TermCampaign,
     loads: KeyLoads,
     emit: Emit,
+    ownAddress: string,
     seeds: readonly string[],
   ): PeerExchange {
-    return new PeerExchange(beliefs, campaign, loads, emit, seeds);
+    return new PeerExchange(
+      beliefs,
+      campaign,
+      loads,
+      emit,
+      ownAddress,
+      seeds,
+    );
   }
 
   /** Estimated number of VMs, or null. */
@@ -64,7 +77,8 @@
   /** Another VM may have announced that it holds a term. */
   follow(term: number, vm: string, address: string): void {
     const isNew = this.beliefs.followHolder({ term, vm, address });
-    if (isNew) this.followerLink.follow(address);
+    if (!isNew) return;
+    this.followerLink.follow(address === this.ownAddress ? null : address);
   }
 
   /** Takes a message; `isStoreLost` when the store does not answer here. */
@@ -79,8 +93,12 @@
       case "keys.asked":
         return this.#takeReport(address, message, now);
       case "holder.alive":
+        this.#takeRegistry(message.registry, isStoreLost, now);
         return this.#hear(address, message.vms, now);
+      case "servers.told":
+        return this.#takeRegistry(message.registry, isStoreLost, now);
       case "assignments.told":
+        this.#takeRegistry(message.registry, isStoreLost, now);
         this.#hear(address, message.vms, now);
         return this.beliefs.assign(
           message.assignments.map((each) =>
@@ -127,11 +145,13 @@
     if (holder !== null) return this.#publish(holder, now);
     const known = this.beliefs.knowledge();
     const isKeyed = catalog.keyedServices.length > 0;
-    this.emit(...this.followerLink.advance(now, known, isKeyed));
+    const { position } = this.beliefs.registry;
+    this.emit(...this.followerLink.advance(now, known, position, isKeyed));
   }
 
   /** Tells all followers when something has changed. */
   #publish(holder: TermHolder, now: number): void {
+    this.#publishRegistry(holder);
     this.#vms.heard(this.#holderLink.vms(now), now);
     const { term, version } = holder;
     const isTold = term === this.#published.term &&
@@ -142,6 +162,35 @@
     this.emit(...this.#holderLink.publish(this.#bulletin(holder), now));
   }
 
+  #publishRegistry(holder: TermHolder): void {
+    const { registry } = this.beliefs;
+    const since = this.#publishedPosition;
+    this.#publishedPosition = registry.position;
+    if (since === null || since === registry.position) return;
+    const news = registry.news(since, null);
+    if (news === null || news.entries.length + news.removed.length === 0) {
+      return;
+    }
+    const knowledge = this.beliefs.knowledge(holder);
+    this.emit(...this.#holderLink.publishRegistry(knowledge, news));
+  }
+
+  #takeRegistry(
+    news: RegistryNews | null,
+    isStoreLost: boolean,
+    now: number,
+  ): void {
+    const { registry, fleet } = this.beliefs;
+    const changes = news === null ? null : registry.take(news);
+    if (changes === null) return;
+    // The store may be back without this VM knowing yet: entries that lapsed
+    // in the outage are given the time to return.
+    if (isStoreLost && changes.removed.length > 0) fleet.regained(now);
+    this.beliefs.changeServers(
+      fleet.apply(changes.entries, changes.removed, now),
+    );
+  }
+
   #hear(address: string, vms: number, now: number): void {
     if (address === this.followerLink.holder) this.followerLink.heard(now);
     this.#vms.heard(vms, now);
@@ -157,8 +206,25 @@
     for (const { service, keys } of message.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
-    const bulletin = this.#bulletin(holder);
-    this.emit(this.#holderLink.reported(address, message, bulletin, now));
+    this.emit(this.#holderLink.reported(
+      address,
+      message,
+      this.#bulletin(holder),
+      this.#registryNews(message, now),
+      now,
+    ));
+  }
+
+  /** What the sender of a report does not know of the registry. */
+  #registryNews(
+    { position, sentAt }: MessageOf<"keys.asked">,
+    now: number,
+  ): RegistryNews | null {
+    const { registry } = this.beliefs;
+    if (position === null) return null;
+    // Older than this answer by the age of what is known here; the follower
+    // reckons from when it asked, since messages may be held up on their way.
+    return registry.news(position, sentAt - (now - registry.knownAt));
   }
 
   /** Tells a VM that cannot reach the store what this one knows. */
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -9,7 +9,8 @@
  */
 import type { Knowledge, PeerMessage, PeerSend } from "./peer_message.ts";
 
-/** Pause between reports, in milliseconds: how late a busy key is noticed. */
+/** Pause between reports, in milliseconds: how late a busy key is noticed, and
+ * how old the holder's word about the registry gets. */
 const REPORT_INTERVAL = 500;
 /** Silence of the holder after which the record is read, in milliseconds. */
 const HOLDER_SILENCE = 1_600;
@@ -48,8 +49,8 @@
     return this.#holder;
   }
 
-  /** Another VM holds the term now. */
-  follow(address: string): void {
+  /** Another VM holds the term now, or this one itself (null). */
+  follow(address: string | null): void {
     if (address === this.#holder) return;
     this.#holder = address;
     this.#reportedAt = -Infinity;
@@ -67,17 +68,19 @@
     this.#samples.set(service, keys);
   }
 
-  /** Takes all steps that are due; `isKeyed` when assignments are needed. */
+  /** Takes all steps that are due; `isKeyed` when assignments are needed,
+   * `position` is up to where the registry is known. */
   advance(
     now: number,
     known: Knowledge,
+    position: number | null,
     isKeyed: boolean,
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     const isReportDue = now - this.#reportedAt >= REPORT_INTERVAL;
     if (this.#holder !== null && isReportDue) {
       this.#reportedAt = now;
-      const message = this.#report(known);
+      const message = this.#report(known, position, now);
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
     const isFetchDue = now - this.#fetchedAt >= FETCH_INTERVAL;
@@ -88,10 +91,14 @@
     return effects;
   }
 
-  #report(known: Knowledge): PeerMessage {
+  #report(
+    known: Knowledge,
+    position: number | null,
+    now: number,
+  ): PeerMessage {
     const samples = [...this.#samples]
       .map(([service, keys]) => ({ service, keys }));
     this.#samples.clear();
-    return { kind: "keys.asked", ...known, samples };
+    return { kind: "keys.asked", ...known, samples, position, sentAt: now };
   }
 }
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Assignment } from "../keyspace/index.ts";
+import type { RegistryNews } from "../registry/index.ts";
 import type { Knowledge, PeerMessage, PeerSend } from "./peer_message.ts";
 import { shareAssignment } from "./shared_assignment.ts";
 
@@ -41,6 +42,7 @@
     address: string,
     known: Knowledge,
     bulletin: Bulletin,
+    registry: RegistryNews | null,
     now: number,
   ): PeerSend {
     this.#heardAt.set(address, now);
@@ -48,23 +50,36 @@
     const isCurrent = known.term === knowledge.term &&
       known.version === knowledge.version;
     const message: PeerMessage = isCurrent
-      ? { kind: "holder.alive", ...knowledge, vms: this.vms(now) }
-      : this.#tell(bulletin, now);
+      ? { kind: "holder.alive", ...knowledge, vms: this.vms(now), registry }
+      : this.#tell(bulletin, registry, now);
     return { kind: "peer.send", address, message };
   }
 
   /** Tells all followers. */
   publish(bulletin: Bulletin, now: number): PeerSend[] {
-    const message = this.#tell(bulletin, now);
+    return this.#sendToAll(this.#tell(bulletin, null, now));
+  }
+
+  /** Tells all followers what has changed in the registry. */
+  publishRegistry(knowledge: Knowledge, registry: RegistryNews): PeerSend[] {
+    return this.#sendToAll({ kind: "servers.told", ...knowledge, registry });
+  }
+
+  #sendToAll(message: PeerMessage): PeerSend[] {
     return [...this.#heardAt.keys()]
       .map((address) => ({ kind: "peer.send", address, message }));
   }
 
-  #tell({ knowledge, assignments }: Bulletin, now: number): PeerMessage {
+  #tell(
+    { knowledge, assignments }: Bulletin,
+    registry: RegistryNews | null,
+    now: number,
+  ): PeerMessage {
     return {
       kind: "assignments.told",
       ...knowledge,
       vms: this.vms(now),
+      registry,
       assignments: assignments.map(shareAssignment),
     };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -7,6 +7,7 @@
 import { configurationSchema } from "../catalog/index.ts";
 import { backendServerSchema } from "../fleet/index.ts";
 import { assignmentSchema, exposureSchema } from "../keyspace/index.ts";
+import { registryNewsSchema } from "../registry/index.ts";
 
 const count = z.number().int().nonnegative();
 
@@ -41,6 +42,10 @@
 const keysAskedSchema = knowledgeSchema.extend({
   kind: z.literal("keys.asked"),
   samples: z.array(z.object({ service: z.string(), keys: z.array(count) })),
+  /** Up to where it knows the registry, or null. */
+  position: count.nullable(),
+  /** When this was sent, by its own clock. */
+  sentAt: z.number(),
 });
 
 /** The holder confirms that a follower knows what there is. */
@@ -48,12 +53,21 @@
   kind: z.literal("holder.alive"),
   /** Number of VMs that the holder hears, itself included. */
   vms: count,
+  /** What the follower does not know of the registry, or null. */
+  registry: registryNewsSchema.nullable(),
+});
+
+/** The holder tells what has just changed in the registry. */
+const serversToldSchema = knowledgeSchema.extend({
+  kind: z.literal("servers.told"),
+  registry: registryNewsSchema,
 });
 
 /** The holder tells all assignments. */
 const assignmentsToldSchema = knowledgeSchema.extend({
   kind: z.literal("assignments.told"),
   vms: count,
+  registry: registryNewsSchema.nullable(),
   assignments: z.array(sharedAssignmentSchema),
 });
 
@@ -93,6 +107,7 @@
   keysAskedSchema,
   holderAliveSchema,
   assignmentsToldSchema,
+  serversToldSchema,
   stateWantedSchema,
   stateToldSchema,
   termTakenSchema,
--- /dev/null
+++ b/src/core/registry/registry_replica_test.ts
@@ -0,0 +1,157 @@
+import test from "ava";
+import fc from "fast-check";
+import type { BackendServer } from "../fleet/index.ts";
+import type { RegistryNews } from "./registry_news.ts";
+import type { RegistryRead } from "./registry_read.ts";
+import { type RegistryChanges, RegistryReplica } from "./registry_replica.ts";
+
+function server(id: string, isDraining = false): BackendServer {
+  return {
+    id,
+    service: "s",
+    address: `${id}:1`,
+    availabilityZone: "a",
+    slots: 3,
+    isDraining,
+    warmUp: 0,
+  };
+}
+
+function read(
+  position: number,
+  entries: BackendServer[],
+  removed: string[] = [],
+  isWhole = false,
+): RegistryRead {
+  return { entries, removed, isWhole, position };
+}
+
+/** A replica that read `servers` as the whole registry at time 0. */
+function replicaOf(position: number, servers: BackendServer[]) {
+  const replica = RegistryReplica.create();
+  replica.read(read(position, servers, [], true), 0);
+  return replica;
+}
+
+test("registry: news bring a follower to where the reader is", (t) => {
+  const reader = replicaOf(10, [server("a"), server("b")]);
+  const follower = replicaOf(10, [server("a"), server("b")]);
+  reader.read(read(14, [server("a", true), server("c")], ["b"]), 450);
+  const news = reader.news(follower.position!, 430)!;
+  t.snapshot({ news, taken: follower.take(news) });
+  t.is(follower.position, 14);
+  t.is(follower.knownAt, 430);
+});
+
+test("registry: heartbeats are no news", (t) => {
+  const reader = replicaOf(10, [server("a")]);
+  reader.read(read(12, [{ ...server("a"), warmUp: 900 }]), 450);
+  const news = reader.news(10, 440)!;
+  t.deepEqual(news.entries, []);
+  const follower = replicaOf(10, [server("a")]);
+  t.deepEqual(follower.take(news)?.entries, []);
+  t.is(follower.position, 12);
+});
+
+test("registry: news that do not follow on are not taken", (t) => {
+  const reader = replicaOf(10, [server("a")]);
+  const behind = replicaOf(8, []);
+  t.is(reader.news(behind.position!, 1), null);
+  reader.read(read(12, [server("b")]), 450);
+  t.is(behind.take(reader.news(10, 440)!), null);
+  t.is(behind.knownAt, 0);
+  t.is(RegistryReplica.create().take(reader.news(10, 440)!), null);
+});
+
+test("registry: it is read when no word is young enough, and again after a failure", (t) => {
+  const replica = RegistryReplica.create();
+  t.deepEqual(replica.fetch(0, 1_200), { kind: "servers.fetch", from: null });
+  t.is(replica.fetch(1, 1_200), null);
+  replica.read(read(10, [], [], true), 5);
+  t.is(replica.dueAt(1_200), 1_205);
+  const reader = replicaOf(10, []);
+  replica.take(reader.news(10, 800)!);
+  t.is(replica.fetch(1_999, 1_200), null);
+  t.deepEqual(replica.fetch(2_000, 1_200), { kind: "servers.fetch", from: 10 });
+  replica.failed(false, 2_010);
+  t.is(replica.dueAt(1_200), 2_260);
+  t.is(replica.fetch(2_260, 1_200)?.from, 10);
+  replica.failed(true, 2_300);
+  t.is(replica.fetch(2_550, 1_200)?.from, null);
+});
+
+/** A list as it stands after changes. */
+function applied(
+  view: Map<string, boolean>,
+  { entries, removed }: RegistryChanges,
+): void {
+  for (const id of removed) view.delete(id);
+  for (const { id, isDraining } of entries) view.set(id, isDraining);
+}
+
+test("registry: whatever is lost, doubled or late, a follower's list is that of its position", (t) => {
+  const id = fc.constantFrom("a", "b", "c", "d");
+  const action = fc.oneof(
+    fc.record({
+      kind: fc.constant("write" as const),
+      id,
+      state: fc.constantFrom("ready", "draining", "gone"),
+    }),
+    fc.record({ kind: fc.constant("read" as const) }),
+    fc.record({ kind: fc.constant("own" as const) }),
+    fc.record({ kind: fc.constant("tell" as const) }),
+    fc.record({ kind: fc.constant("deliver" as const), which: fc.nat(9) }),
+  );
+  fc.assert(
+    fc.property(fc.array(action, { maxLength: 120 }), (actions) => {
+      const log: { id: string; entry: BackendServer | null }[] = [];
+      const since = (position: number): RegistryRead => {
+        const newest = new Map(
+          log.slice(position).map(({ id, entry }) => [id, entry]),
+        );
+        return read(
+          log.length,
+          [...newest.values()].filter((each) => each !== null),
+          [...newest].filter(([, entry]) => entry === null)
+            .map(([name]) => name),
+        );
+      };
+      const reader = replicaOf(0, []);
+      const follower = replicaOf(0, []);
+      const view = new Map<string, boolean>();
+      const sent: RegistryNews[] = [];
+      for (const each of actions) {
+        if (each.kind === "write") {
+          const entry = each.state === "gone"
+            ? null
+            : server(each.id, each.state === "draining");
+          log.push({ id: each.id, entry });
+        } else if (each.kind === "read") {
+          reader.read(since(reader.position!), 0);
+        } else if (each.kind === "own") {
+          const own = since(follower.position!);
+          follower.read(own, 0);
+          applied(view, own);
+        } else if (each.kind === "tell") {
+          const news = reader.news(follower.position!, 0);
+          if (news !== null) sent.push(news);
+        } else if (sent.length > 0) {
+          const changes = follower.take(sent[each.which % sent.length]);
+          if (changes !== null) applied(view, changes);
+        }
+        const expected = new Map<string, boolean>();
+        for (const { id, entry } of log.slice(0, follower.position!)) {
+          if (entry === null) expected.delete(id);
+          else expected.set(id, entry.isDraining);
+        }
+        const text = (map: Map<string, boolean>) =>
+          JSON.stringify([...map].sort());
+        if (text(view) !== text(expected)) {
+          throw new Error(`${text(view)}, expected ${text(expected)}`);
+        }
+      }
+    }),
+    { numRuns: 300, seed: 5 },
+  );
+  t.pass();
+});
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -7,9 +7,10 @@
 import type { Configuration } from "../core/catalog/index.ts";
 import type { Occurrence } from "../core/entry_event.ts";
 import type { Assignment, Records } from "../core/keyspace/index.ts";
+import type { RegistryRead } from "../core/registry/index.ts";
 
 /** What is followed in the store. */
-export type Feed = "configuration" | "servers" | "holder";
+export type Feed = "configuration" | "holder";
 
 /** What a read brought. */
 export interface StoreRead {
@@ -20,6 +21,12 @@
   next: number;
 }
 
+/** What a read of the registry brought. */
+export interface ServersRead extends RegistryRead {
+  /** Records that did not decode and were passed over. */
+  faults: string[];
+}
+
 /** The answer to a membership call. */
 export interface GroupMembership {
   generation: number;
@@ -44,6 +51,8 @@
    * that long for the next record.
    */
   abstract readOn(feed: Feed, from: number, wait: number): Promise<StoreRead>;
+  /** Reads the registry from a position on, or the whole of it (null). */
+  abstract readServers(from: number | null): Promise<ServersRead>;
   /** Joins the group, or stays in it for `timeToLive` milliseconds. */
   abstract join(
     generation: number,
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -28,9 +28,12 @@
  * costs more than the bytes, and one that dies in silence is noticed by the
  * short calls beside it. */
 const LONG_POLL = 10_000;
-/** Share of the drain time after which the registry is read again, so that one
- * slow answer still leaves time to turn away. */
-const REGISTRY_SHARE = 0.45;
+/** Share of the drain time between two reads of the registry by the term holder,
+ * and the share after which another VM that has no younger word of it reads it
+ * itself: both leave time for one slow answer before nothing more may reach a
+ * server that is leaving. */
+const REGISTRY_INTERVAL_SHARE = 0.225;
+const REGISTRY_AGE_SHARE = 0.6;
 /** Time of a shutdown in which new connections still come, in milliseconds. */
 const CLOSE_AFTER = 3_600;
 /** The same as a share of a short shutdown. */
@@ -85,6 +88,10 @@
         closeAfter: Math.min(CLOSE_AFTER, shutdownTimeout * CLOSE_SHARE),
         stopAfter: shutdownTimeout - STOP_MARGIN,
       },
+      registryTiming: {
+        interval: settings.drainTime * REGISTRY_INTERVAL_SHARE,
+        maximumAge: settings.drainTime * REGISTRY_AGE_SHARE,
+      },
       seed,
     });
     this.#loop = EntryLoop.create(entry);
@@ -163,13 +170,11 @@
       listen: settings.listen,
       store: settings.store.address,
     });
-    const registryPause = settings.drainTime * REGISTRY_SHARE;
     this.#configuration = this.#follow("configuration", {
       wait: LONG_POLL,
       pause: 0,
     });
     this.#follow("holder", { wait: LONG_POLL, pause: 0 });
-    this.#follow("servers", { wait: 0, pause: registryPause });
     this.#loop.push({ kind: "timer" });
   }
 
@@ -192,7 +197,12 @@
   #storeLink(): StoreLink {
     const { memberTimeToLive, minimumTimeToLive } = this.settings.store;
     const timeToLive = Math.max(memberTimeToLive, minimumTimeToLive);
-    return StoreLink.create(this.platform.store, timeToLive, this.#loop);
+    return StoreLink.create(
+      this.platform.store,
+      timeToLive,
+      this.#loop,
+      this.#journal,
+    );
   }
 
   #stop(): void {
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -106,6 +106,8 @@
         return void store.announce(effect, this.adapters.peerAddress);
       case "assignments.fetch":
         return void store.fetch();
+      case "servers.fetch":
+        return void store.readServers(effect);
       case "peer.send":
         return this.adapters.peers.send(effect.address, effect.message);
       case "group.join":
--- a/src/runtime/store_link.ts
+++ b/src/runtime/store_link.ts
@@ -11,7 +11,9 @@
   TermClaim,
   WriteOutcome,
 } from "../core/keyspace/index.ts";
+import type { RegistryFetch } from "../core/registry/index.ts";
 import { errorText } from "../errors/index.ts";
+import type { Journal } from "../logging/index.ts";
 import type { ControlStore } from "./control_store.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
 
@@ -21,6 +23,7 @@
     private readonly store: ControlStore,
     private readonly timeToLive: number,
     private readonly sink: OccurrenceSink,
+    private readonly journal: Journal,
   ) {}
 
   /** Calls `store`; members of the group live `timeToLive` ms without a call. */
@@ -28,8 +31,9 @@
     store: ControlStore,
     timeToLive: number,
     sink: OccurrenceSink,
+    journal: Journal,
   ): StoreLink {
-    return new StoreLink(store, timeToLive, sink);
+    return new StoreLink(store, timeToLive, sink, journal);
   }
 
   /** Joins the group or stays in it. */
@@ -100,6 +104,26 @@
     }
   }
 
+  /** Reads the registry. */
+  async readServers({ from }: RegistryFetch): Promise<void> {
+    const sentAt = monotonicNow();
+    try {
+      const { faults, ...read } = await this.store.readServers(from);
+      for (const fault of faults) {
+        this.journal.write("warn", "record.skipped", {
+          feed: "servers",
+          fault,
+        });
+      }
+      this.sink.push({ kind: "store.answered", sentAt });
+      this.sink.push({ kind: "servers.read", read, sentAt });
+    } catch (error) {
+      this.#failed("read the registry", error);
+      const isExpired = this.store.isExpired(error);
+      this.sink.push({ kind: "servers.failed", isExpired });
+    }
+  }
+
   /** Records assignments. */
   async write({ term, sequence, assignments }: AssignmentWrite): Promise<void> {
     const outcome = await this.#write(
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -15,6 +15,7 @@
   type ReleaseOrder,
 } from "../../src/core/keyspace/index.ts";
 import { uniformFloat64 } from "../../src/core/random.ts";
+import type { RegistryRead } from "../../src/core/registry/index.ts";
 import { ModelServer, overlap } from "./model_server.ts";
 import { ModelStore } from "./model_store.ts";
 import { Timeline } from "./timeline.ts";
@@ -27,7 +28,7 @@
 const STORE_TIMEOUT = 700;
 /** Time between an order to release and the end of the work on the keys. */
 const WORK = 80;
-const REGISTRY_INTERVAL = 900;
+const HOLDER_INTERVAL = 900;
 const REQUEST_INTERVAL = 40;
 
 /** A fault that begins at `at` and lasts `duration` milliseconds. */
@@ -110,6 +111,7 @@
       leaseTiming: leaseTimingSchema.parse({ ...weakness }),
       retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
       shutdown: { closeAfter: 500, stopAfter: 1_000 },
+      registryTiming: { interval: 450, maximumAge: 1_200 },
       seed: seed + this.index + 100 * this.run,
     });
   }
@@ -129,6 +131,8 @@
   readonly #vms: Vm[] = [];
   readonly #servers: ModelServer[] = [];
   readonly #listed = new Map<string, BackendServer>();
+  /** Ids whose entries were written, in order: the registry's log. */
+  readonly #registry: string[] = [];
   readonly #active = new Map<string, number>();
   readonly #draw: () => number;
   readonly #report: WorldReport = {
@@ -179,27 +183,36 @@
         },
       },
     });
-    this.#readRegistry(vm, vm.run);
+    this.#readHolder(vm, vm.run);
   }
 
-  /** Reads the registry now and again, as long as the VM's run lasts. */
-  #readRegistry(vm: Vm, run: number): void {
+  /** Reads who holds the term now and again, as long as the VM's run lasts. */
+  #readHolder(vm: Vm, run: number): void {
     if (vm.run !== run) return;
-    if (this.#reachesStore(vm)) {
-      const sentAt = this.#time.now;
-      this.#push(vm, { kind: "store.answered", sentAt });
+    if (this.#reachesStore(vm) && this.#holder !== null) {
+      this.#push(vm, { kind: "holder.announced", ...this.#holder });
+    }
+    this.#time.after(HOLDER_INTERVAL, () => this.#readHolder(vm, run));
+  }
+
+  /** What the registry tells to a reader at `from`, or to a new one (null). */
+  #readRegistry(from: number | null): RegistryRead {
+    const position = this.#registry.length;
+    if (from === null) {
       const entries = [...this.#listed.values()];
-      this.#push(vm, {
-        kind: "servers.read",
-        entries,
-        removed: [],
-        isWhole: true,
-      });
-      if (this.#holder !== null) {
-        this.#push(vm, { kind: "holder.announced", ...this.#holder });
-      }
+      return { entries, removed: [], isWhole: true, position };
     }
-    this.#time.after(REGISTRY_INTERVAL, () => this.#readRegistry(vm, run));
+    const ids = new Set(this.#registry.slice(from));
+    const entries = [...ids].flatMap((id) => this.#listed.get(id) ?? []);
+    const removed = [...ids].filter((id) => !this.#listed.has(id));
+    return { entries, removed, isWhole: false, position };
+  }
+
+  /** Lists a server's entry, or removes it (null). */
+  #list(id: string, entry: BackendServer | null): void {
+    if (entry === null) this.#listed.delete(id);
+    else this.#listed.set(id, entry);
+    this.#registry.push(id);
   }
 
   /** Counts whether a random key is held, and samples it at a random VM. */
@@ -265,6 +278,15 @@
           () => this.#store.read(),
           (records) => ({ kind: "term.read", records }),
         );
+      case "servers.fetch":
+        return this.#call(
+          vm,
+          () => this.#readRegistry(effect.from),
+          (read, sentAt) =>
+            read === null
+              ? { kind: "servers.failed", isExpired: false }
+              : { kind: "servers.read", read, sentAt },
+        );
       case "assignments.fetch":
         return this.#call(
           vm,
@@ -433,17 +455,17 @@
         return this.#push(vm, { kind: "shutdown" });
       case "server.crash":
         server.isUp = false;
-        return this.#time.after(2_600, () => this.#listed.delete(server.id));
+        return this.#time.after(2_600, () => this.#list(server.id, null));
       case "server.cut":
         // Cut off from the store alone: it lives on and keeps what it holds.
-        return this.#time.after(2_600, () => this.#listed.delete(server.id));
+        return this.#time.after(2_600, () => this.#list(server.id, null));
       case "server.drain": {
         const entry = this.#listed.get(server.id);
         if (entry !== undefined) {
-          this.#listed.set(server.id, { ...entry, isDraining: true });
+          this.#list(server.id, { ...entry, isDraining: true });
         }
         return this.#time.after(4_000, () => {
-          this.#listed.delete(server.id);
+          this.#list(server.id, null);
           server.isUp = false;
         });
       }
@@ -470,7 +492,7 @@
     const number = this.#servers.length;
     const server = ModelServer.create(`server-${number}`, `address-${number}`);
     this.#servers.push(server);
-    this.#listed.set(server.id, {
+    this.#list(server.id, {
       id: server.id,
       service: SERVICE,
       address: server.address,
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -245,12 +245,12 @@
     record("i-1", JSON.stringify(entry)),
     record("i-2", "{broken"),
   ], {});
-  const all = await store.readAll("servers");
-  t.snapshot({ occurrences: all.occurrences, faults: all.faults.length });
+  const all = await store.readServers(null);
+  t.snapshot({ ...all, faults: all.faults.length });
   await client.append("keyed.servers", [
     encodeKeyedRecord({ key: "i-1", value: null }),
   ], {});
-  t.snapshot((await store.readOn("servers", all.next, 0)).occurrences);
+  t.snapshot(await store.readServers(all.position));
 });
 
 test("store: of two operators who publish at once one is refused", async (t) => {
