--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -126,6 +126,7 @@
   // Long enough after the store was first reached for removals to count.
   for (const now of [1_000, 2_000, 3_000]) {
     step(now, { kind: "store.answered", sentAt: now - 5 });
+    step(now, { kind: "servers.read", read, sentAt: now - 5 });
   }
   const effects = step(4_000, word(3_900, ["i-1"]));
   t.true(kinds(effects).includes("connections.close"));
