Keys that an outage meets on their way go back to the server that had them

Cause (a known red test): a range that was released waits for the record of its next server. When the store goes out in between, the keys waited until it was back, 4 to 12 s.

Change: after a release the holder first makes sure that the store answers, by a membership call that costs a tenth of another. Until then the old server is still the one on record, so the keys can go back to it without a write: after 120 ms without an answer they do, and no move for balance begins for 2 s. What is left is an outage that begins in the few milliseconds between that answer and the write.

Ruled out: recording both servers before the release. A successor would have to rule out two servers, and one that follows a killed holder could not, so a holder that is killed right after its write would cost its moves 10 s. Giving the keys back after the write was sent: the store may still carry it out.

Tests of whole systems start once every server has keys; the status of a VM says how many have.

--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -36,6 +36,8 @@
     version: number;
     ranges: number;
     open: number;
+    /** Servers that have keys. */
+    servers: number;
   }[];
 }
 
@@ -70,6 +72,7 @@
       version: each.version,
       ranges: each.ranges.length,
       open: each.ranges.filter((range) => range.isOpen).length,
+      servers: new Set(each.ranges.map((range) => range.server)).size,
     })),
   };
 }
--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -2,8 +2,10 @@
  * One range of keys as the term holder manages it.
  *
  * ```
- * vacant -> assigned -> held -> closing -> vacant
- *              |                   |
+ * vacant -> assigned -> held -> closing -> released -> vacant
+ *              |  ^                |          |
+ *              |  |                |          | (the store is silent: back to
+ *              |  +----------------|----------+  the server that had the keys)
  *              +---> expiring <----+      (no answer: wait for the lease)
  * ```
  *
@@ -21,6 +23,9 @@
   | "held"
   /** The keys are being taken back; requests are no longer sent there. */
   | "closing"
+  /** The server has given the keys back and is still the one on record; another
+   * can be recorded once the store is known to answer. */
+  | "released"
   /** The server did not answer; its lease has to run out. */
   | "expiring";
 
@@ -53,6 +58,8 @@
   failures: number;
   /** The order in flight, or null. */
   order: number | null;
+  /** When the server gave the keys back. */
+  releasedAt: number;
   /** Server that the keys are to go to next, or null. */
   destination: string | null;
   /** Change of the table that brought the range into its state. */
@@ -77,6 +84,7 @@
     dueAt: 0,
     failures: 0,
     order: null,
+    releasedAt: 0,
     destination: null,
     revision,
   };
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -179,7 +179,8 @@
     storeSilence: number,
   ): KeyspaceEffect[] {
     const effects: KeyspaceEffect[] = [];
-    if (!this.#isJoining && !this.#isRetired && now >= this.#joinDueAt) {
+    const isJoinDue = now >= this.#joinDueAt || this.holder?.isStoreWanted;
+    if (!this.#isJoining && !this.#isRetired && isJoinDue) {
       this.#isJoining = true;
       effects.push({ kind: "group.join", generation: this.#generation });
     }
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -49,6 +49,13 @@
 /** Ranges of a service above which none is split: each costs a renewal. */
 const RANGES_PER_SERVER = 6;
 
+/** Time that keys wait for a sign of the store before they go back to the server
+ * that had them, in milliseconds: the store answers in 4 ms as a rule. */
+const STORE_PATIENCE = 120;
+/** Time after keys went back for which no move for balance begins, in
+ * milliseconds: a store that is slow stays so for seconds, and each try makes
+ * keys wait. */
+const MOVE_PAUSE = 2_000;
 /** Silence of the store above which no move for balance begins, in
  * milliseconds: keys that were taken back could not be given out again. */
 const MOVE_SILENCE = 700;
@@ -79,6 +86,8 @@
   /** The write that is not confirmed yet, or null. */
   #write: PendingWrite | null = null;
   #writeNumber = 0;
+  /** Before this no move for balance begins. */
+  #movesFrom = -Infinity;
   #tokenNumber = 0;
   #effects: KeyspaceEffect[] = [];
 
@@ -120,6 +129,13 @@
     return changes;
   }
 
+  /** Whether keys wait for a sign that the store answers. */
+  get isStoreWanted(): boolean {
+    return [...this.#tables.values()].some(({ ranges }) =>
+      ranges.some(({ state }) => state === "released")
+    );
+  }
+
   /** All assignments as they stand. */
   get assignments(): Assignment[] {
     return [...this.#tables.values()].map((table) =>
@@ -226,10 +242,11 @@
       this.#tables.set(service, table);
     }
     for (const range of [...table.ranges]) {
-      this.#advanceRange(table, range, now, hold);
+      this.#advanceRange(table, range, now, hold, storeSilence);
     }
     this.#assignVacant(table, now);
-    if (storeSilence <= MOVE_SILENCE) this.#balance(table, now);
+    const mayMove = storeSilence <= MOVE_SILENCE && now >= this.#movesFrom;
+    if (mayMove) this.#balance(table, now);
     this.#record(now);
   }
 
@@ -238,6 +255,7 @@
     range: HeldRange,
     now: number,
     hold: number,
+    storeSilence: number,
   ): void {
     if (range.order !== null) return;
     switch (range.state) {
@@ -257,11 +275,39 @@
       case "closing":
         if (now >= range.dueAt) this.#takeBack(table, range, now, hold);
         return;
+      case "released":
+        return this.#passOn(table, range, now, hold, storeSilence);
       case "expiring":
         if (this.#isFree(range, now)) this.#vacate(table, range);
     }
   }
 
+  /**
+   * Frees the keys of a released range for another server, or gives them back.
+   * Once a write that names another server is on its way, only the store knows
+   * who is on record, and the keys would wait for the end of an outage; until
+   * then it is still the server that had them.
+   */
+  #passOn(
+    table: RangeTable,
+    range: HeldRange,
+    now: number,
+    hold: number,
+    storeSilence: number,
+  ): void {
+    const isStoreHeard = now - storeSilence >= range.releasedAt;
+    const server = this.fleet.get(range.server!);
+    const mayReturn = server !== undefined && !server.entry.isDraining;
+    if (isStoreHeard || !mayReturn) return this.#vacate(table, range);
+    if (now < range.releasedAt + STORE_PATIENCE) return;
+    range.destination = null;
+    this.#movesFrom = now + MOVE_PAUSE;
+    this.#give(table, range, range.server!, now);
+    // It is the server on record, so nothing has to be written first.
+    range.revision = Math.min(range.revision, table.recorded);
+    this.#grant(table, range, now, hold);
+  }
+
   /** Whether the server of a held range has failed or is leaving. */
   #mustLeave(range: HeldRange): boolean {
     if (range.failures >= FAILURES_TO_LOSE) return true;
@@ -390,15 +436,15 @@
   }
 
   #released(order: Order, outcome: OrderOutcome, now: number): void {
-    const { table, range } = order;
+    const { range } = order;
     if (outcome.kind !== "accepted") {
       range.state = "expiring";
       return;
     }
     range.handover = outcome.handover;
     range.leaseEnd = 0;
-    if (this.#heldUntil(range) > now) range.state = "expiring";
-    else this.#vacate(table, range);
+    range.releasedAt = now;
+    range.state = this.#heldUntil(range) > now ? "expiring" : "released";
   }
 
   /** Gives ranges without a server to the servers with most room. */
@@ -420,12 +466,13 @@
         const server = planned
           ? range.destination
           : placement.choose(loads, piece);
-        this.#assign(table, piece, server!, now);
+        this.#give(table, piece, server!, now);
       }
     }
   }
 
-  #assign(
+  /** Gives a range without a holder to a server, once that is recorded. */
+  #give(
     table: RangeTable,
     range: HeldRange,
     server: string,
--- /dev/null
+++ b/src/core/keyspace/term_holder_test.ts
@@ -0,0 +1,106 @@
+import test from "ava";
+import { Fleet } from "../fleet/index.ts";
+import { KEY_COUNT } from "./assignment.ts";
+import { KeyLoads } from "./key_load.ts";
+import type { KeyspaceEffect } from "./keyspace_effect.ts";
+import { leaseTimingSchema } from "./lease_timing.ts";
+import { TermHolder } from "./term_holder.ts";
+
+/** What an effect orders, of whom. */
+function brief(effect: KeyspaceEffect): string {
+  switch (effect.kind) {
+    case "order.grant":
+    case "order.release":
+      return `${effect.kind} ${effect.server} ${effect.first}..${effect.last}`;
+    case "keys.move":
+      return `${effect.kind} ${effect.from} to ${effect.to}`;
+    default:
+      return effect.kind;
+  }
+}
+
+/** A holder of two servers, of which `a` has all keys and is to give up half. */
+function createHolder() {
+  const fleet = Fleet.create();
+  const entries = ["a", "b"].map((id) => ({
+    id,
+    service: "s",
+    address: `${id}:1`,
+    availabilityZone: "z",
+    slots: 3,
+    isDraining: false,
+    warmUp: 0,
+  }));
+  fleet.apply(entries, [], 0);
+  const all = { first: 0, last: KEY_COUNT - 1 };
+  const recorded = [{
+    service: "s",
+    term: 1,
+    version: 1,
+    ranges: [{ ...all, server: "a", address: "a:1", isOpen: true }],
+  }];
+  const timing = leaseTimingSchema.parse({});
+  let orders = 0;
+  const holder = TermHolder.create(
+    2,
+    recorded,
+    timing,
+    fleet,
+    KeyLoads.create(),
+    () => orders += 1,
+    0,
+  );
+  const advance = (now: number, storeSilence: number) =>
+    holder.advance(["s"], now, Infinity, storeSilence);
+  const accept = (effects: KeyspaceEffect[], now: number) => {
+    for (const effect of effects) {
+      if (!("order" in effect)) continue;
+      holder.ordered(effect.order, { kind: "accepted", handover: "h" }, now);
+    }
+  };
+  /** Until the first release of a move is answered, at 400. */
+  const startMove = (): string[] => {
+    const effects: KeyspaceEffect[] = [];
+    for (const now of [0, 20, 350]) {
+      const some = advance(now, 0);
+      accept(some.filter(({ kind }) => kind === "order.grant"), now + 5);
+      effects.push(...some);
+    }
+    const release = advance(360, 0);
+    effects.push(...release);
+    accept(release, 400);
+    return effects.map(brief);
+  };
+  return { holder, fleet, advance, accept, startMove };
+}
+
+test("term holder: a move goes on once the store has answered after the release", (t) => {
+  const { holder, advance, startMove } = createHolder();
+  const before = startMove();
+  t.true(holder.isStoreWanted);
+  t.deepEqual(advance(402, 50), []);
+  t.snapshot({ before, after: advance(410, 5).map(brief) });
+  t.false(holder.isStoreWanted);
+});
+
+test("term holder: keys that an outage meets on their way go back to their server", (t) => {
+  const { advance, accept, startMove } = createHolder();
+  startMove();
+  t.deepEqual(advance(500, 200), []);
+  const back = advance(520, 220);
+  t.snapshot(back.map(brief));
+  accept(back, 525);
+  // No second try while the store may still be slow.
+  const kinds = [900, 1_300, 2_500].flatMap((now) =>
+    advance(now, 10).map(({ kind }) => kind)
+  );
+  t.false(kinds.includes("keys.move"));
+});
+
+test("term holder: keys do not go back to a server that is leaving", (t) => {
+  const { fleet, advance, startMove } = createHolder();
+  startMove();
+  const leaving = { ...fleet.get("a")!.entry, isDraining: true };
+  fleet.apply([leaving], [], 450);
+  t.snapshot(advance(520, 220).map(brief));
+});
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -82,7 +82,9 @@
     }
     await deployment.until((status) =>
       status.servers.length === 2 * options.servers &&
-      status.assignments.some(({ ranges, open }) => ranges === open)
+      status.assignments.some(({ ranges, open, servers }) =>
+        ranges === open && servers === options.servers
+      )
     );
     return deployment;
   }
