Assignments scale to many servers: changes are told alone, moves are weighed by the fair share

Change: a move has to bring 15 % of a fair share (with 8 to 11 servers the same as before), as many ranges as a quarter of the servers may be on the move, and a service is divided into two ranges for each of many servers. A property test cuts, joins and moves ranges and compares every boundary key.

--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -89,6 +89,22 @@
     }
   }
 
+  /** Takes changes of the assignments that build on the version `since`; those
+   * that do not follow on what is known here are asked for again. */
+  changeAssignments(changes: readonly Assignment[], since: number): void {
+    for (const change of changes) {
+      if (!this.directory.change(change, since)) continue;
+      if (change.ranges.length === 0) continue;
+      this.note("assignment.changed", {
+        service: change.service,
+        term: change.term,
+        version: change.version,
+        ranges: change.ranges.length,
+        open: change.ranges.filter((each) => each.isOpen).length,
+      });
+    }
+  }
+
   /** Takes the announcement of a term holder, if its term is newer. */
   followHolder({ term, vm, address }: HolderAddress): boolean {
     if (term <= (this.#holder?.term ?? -1)) return false;
--- a/src/core/keyspace/key_directory.ts
+++ b/src/core/keyspace/key_directory.ts
@@ -24,6 +24,18 @@
     return true;
   }
 
+  /**
+   * Takes changes of the version `since` of an assignment. False when another
+   * version is known, on which they do not build.
+   */
+  change(changes: Assignment, since: number): boolean {
+    const known = this.#assignments.get(changes.service);
+    if (known?.term !== changes.term || known.version !== since) return false;
+    const ranges = overlay(known.ranges, changes.ranges);
+    this.#assignments.set(changes.service, { ...changes, ranges });
+    return true;
+  }
+
   /** All assignments. */
   get assignments(): Assignment[] {
     return [...this.#assignments.values()];
@@ -54,6 +66,31 @@
   }
 }
 
+/** Ranges in which `changes` take the place of what `ranges` say of their keys;
+ * both are ascending. */
+function overlay(
+  ranges: readonly AssignedRange[],
+  changes: readonly AssignedRange[],
+): AssignedRange[] {
+  const result: AssignedRange[] = [];
+  let index = 0;
+  for (const range of ranges) {
+    let { first } = range;
+    while (index < changes.length && changes[index].first <= range.last) {
+      const change = changes[index];
+      if (first < change.first) {
+        result.push({ ...range, first, last: change.first - 1 });
+      }
+      first = change.last + 1;
+      if (change.last > range.last) break;
+      result.push(change);
+      index += 1;
+    }
+    if (first <= range.last) result.push({ ...range, first });
+  }
+  return result;
+}
+
 function isNewer(a: Assignment, b: Assignment): boolean {
   return a.term === b.term ? a.version > b.version : a.term > b.term;
 }
--- /dev/null
+++ b/src/core/keyspace/key_directory_test.ts
@@ -0,0 +1,63 @@
+import test from "ava";
+import fc from "fast-check";
+import { coversAllKeys, KEY_COUNT } from "./assignment.ts";
+import { KeyDirectory } from "./key_directory.ts";
+import { RangeTable } from "./range_table.ts";
+
+test("key directory: changes bring it to what the holder has, whatever was cut and joined", (t) => {
+  const action = fc.record({
+    kind: fc.constantFrom("cut", "state", "join", "publish"),
+    at: fc.nat(KEY_COUNT - 1),
+    size: fc.nat(20_000),
+    server: fc.constantFrom("a", "b", "c"),
+  });
+  fc.assert(
+    fc.property(fc.array(action, { maxLength: 60 }), (actions) => {
+      const table = RangeTable.create("s");
+      const directory = KeyDirectory.create();
+      let version = 0;
+      directory.apply(table.snapshot(1, version));
+      table.takeChanges(1, version);
+      for (const { kind, at, size, server } of actions) {
+        const range = table.ranges.find((each) => at <= each.last)!;
+        if (kind === "cut") {
+          const last = Math.min(range.last, at + size);
+          table.cut(range, { first: Math.max(at, range.first), last });
+        } else if (kind === "state") {
+          range.state = range.state === "held" ? "closing" : "held";
+          range.server = server;
+          table.changed(range);
+        } else if (kind === "join") {
+          table.joinNeighbours(0, () => 1);
+        } else {
+          const since = version;
+          version += 1;
+          t.true(directory.change(table.takeChanges(1, version), since));
+          const { ranges } = directory.assignments[0];
+          if (!coversAllKeys(ranges)) throw new Error("keys are missing");
+          for (const each of table.ranges) {
+            for (const key of [each.first, each.last]) {
+              const found = directory.find("s", key)!;
+              if (
+                found.server !== each.server ||
+                found.isOpen !== (each.state === "held")
+              ) throw new Error(`key ${key}: ${JSON.stringify(found)}`);
+            }
+          }
+        }
+      }
+    }),
+    { numRuns: 300, seed: 9 },
+  );
+});
+
+test("key directory: changes of another version are not taken", (t) => {
+  const table = RangeTable.create("s");
+  const directory = KeyDirectory.create();
+  const changes = table.takeChanges(1, 3);
+  t.false(directory.change(changes, 2));
+  directory.apply(table.snapshot(1, 1));
+  t.false(directory.change(changes, 2));
+  t.true(directory.change(changes, 1));
+  t.is(directory.position.version, 3);
+});
--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -23,8 +23,8 @@
 /** Share of its server's load below which the load of a new server must stay
  * for a piece that cannot be divided. */
 const CLEAR_GAIN = 0.8;
-/** Weight below which a move is not worth its orders. */
-const SMALLEST_MOVE = 0.015;
+/** Share of a server's fair share below which a move is not worth its orders. */
+const SMALLEST_MOVE_SHARE = 0.15;
 
 /** A server that may get keys. */
 export interface Candidate {
@@ -126,7 +126,9 @@
     for (const range of this.#heaviestFirst(ranges, loads)) {
       const server = range.server!;
       const excess = (loads.get(server)! - fair) * speeds.get(server)!;
-      if (loads.get(server)! < limit || excess < SMALLEST_MOVE) continue;
+      if (loads.get(server)! < limit || excess < SMALLEST_MOVE_SHARE * fair) {
+        continue;
+      }
       const move = this.#relieve(range, excess, fair, loads, speeds);
       if (move !== null) moves.push(move);
     }
@@ -155,7 +157,8 @@
     }
     if (receiver === null) return null;
     const room = (fair - loads.get(receiver)!) * speeds.get(receiver)!;
-    const amount = Math.max(SMALLEST_MOVE, Math.min(excess, room));
+    const smallest = SMALLEST_MOVE_SHARE * fair;
+    const amount = Math.max(smallest, Math.min(excess, room));
     const piece = this.#prefix(range, amount);
     const weight = this.weight(piece);
     // What cannot be divided would only move the overload.
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type AssignedRange,
   type Assignment,
   coversAllKeys,
   KEY_COUNT,
@@ -18,6 +19,8 @@
   revision = 0;
   /** Changes that the store has confirmed. */
   recorded = 0;
+  /** Changes that the other VMs were told. */
+  #published = 0;
 
   private constructor(
     readonly service: string,
@@ -75,18 +78,17 @@
 
   /** All ranges as others are told. */
   snapshot(term: number, version: number): Assignment {
-    return {
-      service: this.service,
-      term,
-      version,
-      ranges: this.ranges.map(({ first, last, server, address, state }) => ({
-        first,
-        last,
-        server,
-        address,
-        isOpen: state === "held",
-      })),
-    };
+    const ranges = this.ranges.map(describeRange);
+    return { service: this.service, term, version, ranges };
+  }
+
+  /** The ranges that have changed since this was asked last. */
+  takeChanges(term: number, version: number): Assignment {
+    const ranges = this.ranges
+      .filter((each) => each.revision > this.#published)
+      .map(describeRange);
+    this.#published = this.revision;
+    return { service: this.service, term, version, ranges };
   }
 
   /**
@@ -132,6 +134,12 @@
   }
 }
 
+function describeRange(
+  { first, last, server, address, state }: HeldRange,
+): AssignedRange {
+  return { first, last, server, address, isOpen: state === "held" };
+}
+
 function canJoin(a: HeldRange, b: HeldRange): boolean {
   const areHeld = a.state === "held" && b.state === "held";
   const areIdle = a.order === null && b.order === null;
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -43,11 +43,16 @@
 /** Bounds of the measured relative speed of a server. */
 const SLOWEST = 0.35;
 const FASTEST = 2;
-/** Ranges of one service that may be on the move at a time. Keys wait while
- * they move, for as long as the work that runs on them. */
-const MAXIMUM_MOVES = 6;
-/** Ranges of a service above which none is split: each costs a renewal. */
-const RANGES_PER_SERVER = 6;
+/** Ranges of one service that may be on the move at a time, at least, and as a
+ * share of its servers. Keys wait while they move, for as long as the work that
+ * runs on them. */
+const FEWEST_MOVES = 6;
+const MOVES_PER_SERVER = 0.25;
+/** Ranges of a service above which none is split: each costs a renewal. Few
+ * servers need several each to be even; of many, most need no more than two. */
+const RANGES_OF_FEW = 6;
+const RANGES_OF_MANY = 2;
+const SPARE_RANGES = 64;
 
 /** Time that keys wait for a sign of the store before they go back to the server
  * that had them, in milliseconds: the store answers in 4 ms as a rule. */
@@ -69,6 +74,12 @@
   sendAt: number;
 }
 
+/** Changes of the assignments after a version. */
+export interface AssignmentChanges {
+  since: number;
+  assignments: Assignment[];
+}
+
 /** An order that is in flight. */
 interface Order {
   table: RangeTable;
@@ -89,6 +100,7 @@
   /** Before this no move for balance begins. */
   #movesFrom = -Infinity;
   #tokenNumber = 0;
+  #publishedVersion = 0;
   #effects: KeyspaceEffect[] = [];
 
   private constructor(
@@ -178,6 +190,20 @@
     }
   }
 
+  /**
+   * What has changed since this was asked last, for VMs that know what it
+   * returned then: ranges that take the place of the same keys before.
+   */
+  takeChanges(): AssignmentChanges {
+    const since = this.#publishedVersion;
+    const { version } = this;
+    this.#publishedVersion = version;
+    const assignments = [...this.#tables.values()].map((table) =>
+      table.takeChanges(this.term, version)
+    );
+    return { since, assignments };
+  }
+
   /** The ranges of a service, for operators. */
   ranges(service: string): readonly HeldRange[] {
     return this.#tables.get(service)?.ranges ?? [];
@@ -492,13 +518,15 @@
     if (now < balancedAt + BALANCE_INTERVAL) return;
     this.#balancedAt.set(table.service, now);
     const moving = table.ranges.filter((each) => each.state !== "held").length;
-    if (moving >= MAXIMUM_MOVES) return;
+    const { length: servers } = this.fleet.of(table.service);
+    const most = Math.max(FEWEST_MOVES, Math.ceil(MOVES_PER_SERVER * servers));
+    if (moving >= most) return;
     table.joinNeighbours(now, () => this.#nextToken());
     const candidates = this.#candidates(table.service, now);
-    if (table.ranges.length > candidates.length * RANGES_PER_SERVER) return;
+    if (table.ranges.length > mostRanges(candidates.length)) return;
     const placement = this.#placement(table, candidates, now);
     const moves = placement.moves(table.ranges);
-    for (const move of moves.slice(0, MAXIMUM_MOVES - moving)) {
+    for (const move of moves.slice(0, most - moving)) {
       this.#move(table, move, now);
     }
   }
@@ -591,6 +619,14 @@
   }
 }
 
+/** Ranges that a service with so many servers may be divided into. */
+function mostRanges(servers: number): number {
+  return Math.min(
+    RANGES_OF_FEW * servers,
+    RANGES_OF_MANY * servers + SPARE_RANGES,
+  );
+}
+
 function relativeSpeed(server: TrackedServer, usual: number): number {
   if (server.latency === null || usual === 0) return 1;
   return Math.min(FASTEST, Math.max(SLOWEST, usual / server.latency));
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -29,6 +29,7 @@
   readonly #stateRequest: StateRequest;
   #configurationFetchedAt = -Infinity;
   #published = { term: 0, version: 0 };
+  #publishedAt = -Infinity;
   /** Position up to which followers were told the registry, or null. */
   #publishedPosition: number | null = null;
   readonly #vms = VmCount.create();
@@ -105,6 +106,14 @@
             expandAssignment(each, message.term, message.version)
           ),
         );
+      case "assignments.changed":
+        this.#hear(address, message.vms, now);
+        return this.beliefs.changeAssignments(
+          message.changes.map((each) =>
+            expandAssignment(each, message.term, message.version)
+          ),
+          message.since,
+        );
       case "state.wanted":
         return this.#tellState(address);
       case "state.told":
@@ -142,7 +151,7 @@
       isStoreLost,
     ));
     const { holder } = this.campaign;
-    if (holder !== null) return this.#publish(holder, now);
+    if (holder !== null) return this.#advanceHolder(holder, now);
     const known = this.beliefs.knowledge();
     const isKeyed = catalog.keyedServices.length > 0;
     const { position } = this.beliefs.registry;
@@ -150,19 +159,34 @@
   }
 
   /** Tells all followers when something has changed. */
-  #publish(holder: TermHolder, now: number): void {
-    this.#publishRegistry(holder);
+  #advanceHolder(holder: TermHolder, now: number): void {
+    this.#publishRegistry();
     this.#vms.heard(this.#holderLink.vms(now), now);
+    if (!this.#isPublished(holder)) this.beliefs.assign(holder.assignments);
+    const isDue = now >= this.#publishedAt + this.#holderLink.pause;
+    if (isDue) this.#publish(holder, now);
+  }
+
+  #isPublished({ term, version }: TermHolder): boolean {
+    return term === this.#published.term && version === this.#published.version;
+  }
+
+  #publish(holder: TermHolder, now: number): void {
+    if (this.#isPublished(holder)) return;
     const { term, version } = holder;
-    const isTold = term === this.#published.term &&
-      version === this.#published.version;
-    if (isTold) return;
+    const isNewTerm = term !== this.#published.term;
     this.#published = { term, version };
-    this.beliefs.assign(holder.assignments);
-    this.emit(...this.#holderLink.publish(this.#bulletin(holder), now));
+    this.#publishedAt = now;
+    const changes = holder.takeChanges();
+    const knowledge = this.beliefs.knowledge(this.#published);
+    this.emit(
+      ...isNewTerm
+        ? this.#holderLink.publish(this.#bulletin(holder), now)
+        : this.#holderLink.publishChanges(knowledge, changes, now),
+    );
   }
 
-  #publishRegistry(holder: TermHolder): void {
+  #publishRegistry(): void {
     const { registry } = this.beliefs;
     const since = this.#publishedPosition;
     this.#publishedPosition = registry.position;
@@ -171,7 +195,7 @@
     if (news === null || news.entries.length + news.removed.length === 0) {
       return;
     }
-    const knowledge = this.beliefs.knowledge(holder);
+    const knowledge = this.beliefs.knowledge(this.#published);
     this.emit(...this.#holderLink.publishRegistry(knowledge, news));
   }
 
@@ -203,6 +227,11 @@
   ): void {
     const { holder } = this.campaign;
     if (holder === null) return;
+    // Changes build on what was published, so all are told before one is.
+    const { term, version } = message;
+    const isBehind = term !== this.#published.term ||
+      version !== this.#published.version;
+    if (isBehind) this.#publish(holder, now);
     for (const { service, keys } of message.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
@@ -295,7 +324,7 @@
   }
 
   #bulletin(holder: TermHolder): Bulletin {
-    const knowledge = this.beliefs.knowledge(holder);
+    const knowledge = this.beliefs.knowledge(this.#published);
     return { knowledge, assignments: holder.assignments };
   }
 
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Assignment } from "../keyspace/index.ts";
+import type { Assignment, AssignmentChanges } from "../keyspace/index.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type { Knowledge, PeerMessage, PeerSend } from "./peer_message.ts";
 import { shareAssignment } from "./shared_assignment.ts";
@@ -12,6 +12,11 @@
  * reports are missing. */
 const FOLLOWER_SILENCE = 3_000;
 
+/** Messages with changes that a holder sends at most: with 10 followers it may
+ * publish every 7 ms, with 73 every 49 ms, well within the 110 ms or more that
+ * requests wait for keys on the move. */
+const MESSAGES_PER_MILLISECOND = 1.5;
+
 /** What the holder tells. */
 export interface Bulletin {
   knowledge: Knowledge;
@@ -55,11 +60,34 @@
     return { kind: "peer.send", address, message };
   }
 
-  /** Tells all followers. */
+  /**
+   * Pause between two publications, in milliseconds, so that the messages of a
+   * holder with many followers stay within what its VM can send.
+   */
+  get pause(): number {
+    return this.#heardAt.size / MESSAGES_PER_MILLISECOND;
+  }
+
+  /** Tells all followers everything. */
   publish(bulletin: Bulletin, now: number): PeerSend[] {
     return this.#sendToAll(this.#tell(bulletin, null, now));
   }
 
+  /** Tells all followers what has changed. */
+  publishChanges(
+    knowledge: Knowledge,
+    { since, assignments }: AssignmentChanges,
+    now: number,
+  ): PeerSend[] {
+    return this.#sendToAll({
+      kind: "assignments.changed",
+      ...knowledge,
+      vms: this.vms(now),
+      since,
+      changes: assignments.map(shareAssignment),
+    });
+  }
+
   /** Tells all followers what has changed in the registry. */
   publishRegistry(knowledge: Knowledge, registry: RegistryNews): PeerSend[] {
     return this.#sendToAll({ kind: "servers.told", ...knowledge, registry });
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -57,6 +57,16 @@
   registry: registryNewsSchema.nullable(),
 });
 
+/** The holder tells the ranges that have changed after a version. */
+const assignmentsChangedSchema = knowledgeSchema.extend({
+  kind: z.literal("assignments.changed"),
+  vms: count,
+  /** Version on which the changes build. */
+  since: count,
+  /** Every service, with the ranges that take the place of the same keys. */
+  changes: z.array(sharedAssignmentSchema),
+});
+
 /** The holder tells what has just changed in the registry. */
 const serversToldSchema = knowledgeSchema.extend({
   kind: z.literal("servers.told"),
@@ -107,6 +117,7 @@
   keysAskedSchema,
   holderAliveSchema,
   assignmentsToldSchema,
+  assignmentsChangedSchema,
   serversToldSchema,
   stateWantedSchema,
   stateToldSchema,
