Term holder: the writer of the record and the balance of keys get files of their own

Servers that left an order unanswered are gathered once for a decision instead of once for each server.

--- /dev/null
+++ b/src/core/keyspace/key_balance.ts
@@ -0,0 +1,105 @@
+/**
+ * When keys move for the balance of load, which servers may get keys, and how
+ * many ranges a service is divided into.
+ *
+ * @module
+ */
+import type { Fleet, TrackedServer } from "../fleet/index.ts";
+import type { KeyLoads } from "./key_load.ts";
+import { type Candidate, type Move, Placement } from "./placement.ts";
+import type { RangeTable } from "./range_table.ts";
+
+/** Pause between looks at the balance of load, in milliseconds. */
+const BALANCE_INTERVAL = 300;
+/** Bounds of the measured relative speed of a server. */
+const SLOWEST = 0.35;
+const FASTEST = 2;
+/** Ranges of one service that may be on the move at a time, at least, and as a
+ * share of its servers. Keys wait while they move, for as long as the work that
+ * runs on them. */
+const FEWEST_MOVES = 6;
+const MOVES_PER_SERVER = 0.25;
+/** Ranges of a service above which none is split: each costs a renewal. Few
+ * servers need several each to be even; of many, most need no more than two. */
+const RANGES_OF_FEW = 6;
+const RANGES_OF_MANY = 2;
+const SPARE_RANGES = 64;
+
+/** See the module's comment. */
+export class KeyBalance {
+  readonly #lookedAt = new Map<string, number>();
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly loads: KeyLoads,
+  ) {}
+
+  /** The balance of the servers of `fleet` under `loads`. */
+  static create(fleet: Fleet, loads: KeyLoads): KeyBalance {
+    return new KeyBalance(fleet, loads);
+  }
+
+  /** Whether a look at a service is due; notes that it is taken. */
+  takeTurn(service: string, now: number): boolean {
+    const lookedAt = this.#lookedAt.get(service) ?? 0;
+    if (now < lookedAt + BALANCE_INTERVAL) return false;
+    this.#lookedAt.set(service, now);
+    return true;
+  }
+
+  /** Moves that should begin now. */
+  moves(table: RangeTable, suspects: Set<string>, now: number): Move[] {
+    const moving = table.ranges.filter((each) => each.state !== "held").length;
+    const { length: servers } = this.fleet.of(table.service);
+    const most = Math.max(FEWEST_MOVES, Math.ceil(MOVES_PER_SERVER * servers));
+    if (moving >= most) return [];
+    const candidates = this.candidates(table.service, suspects, now);
+    if (table.ranges.length > mostRanges(candidates.length)) return [];
+    const placement = this.placement(table.service, candidates, now);
+    return placement.moves(table.ranges).slice(0, most - moving);
+  }
+
+  /** Weighs keys by the requests of the last seconds. */
+  placement(
+    service: string,
+    candidates: readonly Candidate[],
+    now: number,
+  ): Placement {
+    const samples = this.loads.of(service).sorted(now);
+    return Placement.create(samples, candidates);
+  }
+
+  /** Servers that may get keys, with their measured speeds; `suspects` only
+   * where there is no other. */
+  candidates(
+    service: string,
+    suspects: Set<string>,
+    now: number,
+  ): Candidate[] {
+    const usual = this.fleet.usualLatency(service, now);
+    const usable = this.fleet.of(service).filter((each) =>
+      !each.entry.isDraining
+    );
+    const sound = usable.filter((each) =>
+      !suspects.has(each.id) && !each.isPaused(now) &&
+      !each.isSilent(now, usual)
+    );
+    return (sound.length > 0 ? sound : usable).map((server) => ({
+      id: server.id,
+      speed: relativeSpeed(server, usual),
+    }));
+  }
+}
+
+/** Ranges that a service with so many servers may be divided into. */
+function mostRanges(servers: number): number {
+  return Math.min(
+    RANGES_OF_FEW * servers,
+    RANGES_OF_MANY * servers + SPARE_RANGES,
+  );
+}
+
+function relativeSpeed(server: TrackedServer, usual: number): number {
+  if (server.latency === null || usual === 0) return 1;
+  return Math.min(FASTEST, Math.max(SLOWEST, usual / server.latency));
+}
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -160,8 +160,8 @@
   written(term: number, outcome: WriteOutcome, now: number): KeyspaceEffect[] {
     if (this.holder?.term !== term) return [];
     if (outcome === "superseded") return this.#pause(now);
-    if (outcome === "done") this.holder.written();
-    else this.holder.writeAgain(now);
+    if (outcome === "done") this.holder.record.written();
+    else this.holder.record.writeAgain(now);
     return [];
   }
 
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -7,10 +7,11 @@
  *
  * @module
  */
-import type { Fleet, TrackedServer } from "../fleet/index.ts";
+import type { Fleet } from "../fleet/index.ts";
 import { type Assignment, coversAllKeys } from "./assignment.ts";
 import type { Exposure } from "./exposure.ts";
 import { type HeldRange, vacantRange } from "./held_range.ts";
+import { KeyBalance } from "./key_balance.ts";
 import type { KeyLoads } from "./key_load.ts";
 import {
   answeredEnd,
@@ -18,13 +19,10 @@
   predecessorEnd,
   unansweredEnd,
 } from "./lease_timing.ts";
-import { type Candidate, type Move, Placement } from "./placement.ts";
+import type { Move } from "./placement.ts";
+import { RecordWriter } from "./record_writer.ts";
 import { RangeTable } from "./range_table.ts";
-import type {
-  AssignmentWrite,
-  KeyspaceEffect,
-  OrderOutcome,
-} from "./keyspace_effect.ts";
+import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 
 /** Tokens of one term: more than a holder gives out in years. */
 const TOKENS_OF_TERM = 2 ** 28;
@@ -35,25 +33,9 @@
 /** Time that the news of closed keys takes to the other VMs, in milliseconds:
  * requests sent meanwhile would only be refused by the server. */
 const NEWS_TIME = 5;
-/** Pause between looks at the balance of load, in milliseconds. */
-const BALANCE_INTERVAL = 300;
 /** Share of a fair server's work that a piece of a lost server's keys makes at
  * most, so that they are spread. */
 const PIECE_SHARE = 0.5;
-/** Bounds of the measured relative speed of a server. */
-const SLOWEST = 0.35;
-const FASTEST = 2;
-/** Ranges of one service that may be on the move at a time, at least, and as a
- * share of its servers. Keys wait while they move, for as long as the work that
- * runs on them. */
-const FEWEST_MOVES = 6;
-const MOVES_PER_SERVER = 0.25;
-/** Ranges of a service above which none is split: each costs a renewal. Few
- * servers need several each to be even; of many, most need no more than two. */
-const RANGES_OF_FEW = 6;
-const RANGES_OF_MANY = 2;
-const SPARE_RANGES = 64;
-
 /** Time that keys wait for a sign of the store before they go back to the server
  * that had them, in milliseconds: the store answers in 4 ms as a rule. */
 const STORE_PATIENCE = 120;
@@ -65,15 +47,6 @@
  * milliseconds: keys that were taken back could not be given out again. */
 const MOVE_SILENCE = 700;
 
-/** A write that the store has not confirmed. */
-interface PendingWrite {
-  effect: AssignmentWrite;
-  /** Revisions that it records, by service. */
-  revisions: Map<string, number>;
-  /** When to send it again; Infinity while it is in flight. */
-  sendAt: number;
-}
-
 /** Changes of the assignments after a version. */
 export interface AssignmentChanges {
   since: number;
@@ -91,12 +64,11 @@
 
 /** See the module's comment. */
 export class TermHolder {
+  /** The record of this term. */
+  readonly record: RecordWriter;
   readonly #tables = new Map<string, RangeTable>();
   readonly #orders = new Map<number, Order>();
-  readonly #balancedAt = new Map<string, number>();
-  /** The write that is not confirmed yet, or null. */
-  #write: PendingWrite | null = null;
-  #writeNumber = 0;
+  readonly #balance: KeyBalance;
   /** Before this no move for balance begins. */
   #movesFrom = -Infinity;
   #tokenNumber = 0;
@@ -107,9 +79,12 @@
     readonly term: number,
     private readonly timing: LeaseTiming,
     private readonly fleet: Fleet,
-    private readonly loads: KeyLoads,
+    loads: KeyLoads,
     private readonly nextOrder: () => number,
-  ) {}
+  ) {
+    this.record = RecordWriter.create(term);
+    this.#balance = KeyBalance.create(fleet, loads);
+  }
 
   /**
    * Continues from what is recorded. All orders of older terms were fenced off
@@ -143,14 +118,14 @@
 
   /** Whether keys wait for a sign that the store answers. */
   get isStoreWanted(): boolean {
-    return [...this.#tables.values()].some(({ ranges }) =>
+    return this.#allTables.some(({ ranges }) =>
       ranges.some(({ state }) => state === "released")
     );
   }
 
   /** All assignments as they stand. */
   get assignments(): Assignment[] {
-    return [...this.#tables.values()].map((table) =>
+    return this.#allTables.map((table) =>
       table.snapshot(this.term, this.version)
     );
   }
@@ -160,7 +135,7 @@
    * it took over. Only for a holder that gives no more orders.
    */
   exposures(now: number): Exposure[] {
-    return [...this.#tables.values()].flatMap(({ service, ranges }) =>
+    return this.#allTables.flatMap(({ service, ranges }) =>
       ranges.map((range) => {
         const { first, last } = range;
         const remaining = Math.max(0, this.#heldUntil(range) - now);
@@ -198,7 +173,7 @@
     const since = this.#publishedVersion;
     const { version } = this;
     this.#publishedVersion = version;
-    const assignments = [...this.#tables.values()].map((table) =>
+    const assignments = this.#allTables.map((table) =>
       table.takeChanges(this.term, version)
     );
     return { since, assignments };
@@ -230,20 +205,6 @@
     return this.#take();
   }
 
-  /** The write in flight got no answer that counts. */
-  writeAgain(now: number): void {
-    if (this.#write !== null) this.#write.sendAt = now + RETRY_PAUSE;
-  }
-
-  /** The store confirmed the write in flight. */
-  written(): void {
-    for (const [service, revision] of this.#write?.revisions ?? []) {
-      const table = this.#tables.get(service);
-      if (table !== undefined) table.recorded = revision;
-    }
-    this.#write = null;
-  }
-
   /** An order ended. Returns false when a newer holder was found out. */
   ordered(id: number, outcome: OrderOutcome, now: number): boolean {
     const order = this.#orders.get(id);
@@ -272,8 +233,12 @@
     }
     this.#assignVacant(table, now);
     const mayMove = storeSilence <= MOVE_SILENCE && now >= this.#movesFrom;
-    if (mayMove) this.#balance(table, now);
-    this.#record(now);
+    if (mayMove && this.#balance.takeTurn(service, now)) {
+      this.#startMoves(table, now);
+    }
+    const { version } = this;
+    const write = this.record.advance(this.#allTables, version, now);
+    if (write !== null) this.#effects.push(write);
   }
 
   #advanceRange(
@@ -477,9 +442,10 @@
   #assignVacant(table: RangeTable, now: number): void {
     const vacant = table.ranges.filter((each) => each.state === "vacant");
     if (vacant.length === 0) return;
-    const candidates = this.#candidates(table.service, now);
+    const { service } = table;
+    const candidates = this.#balance.candidates(service, this.#suspects, now);
     if (candidates.length === 0) return;
-    const placement = this.#placement(table, candidates, now);
+    const placement = this.#balance.placement(service, candidates, now);
     const loads = placement.loads(table.ranges);
     const most = PIECE_SHARE / candidates.length;
     for (const range of vacant) {
@@ -513,24 +479,28 @@
     table.changed(range);
   }
 
-  #balance(table: RangeTable, now: number): void {
-    const balancedAt = this.#balancedAt.get(table.service) ?? 0;
-    if (now < balancedAt + BALANCE_INTERVAL) return;
-    this.#balancedAt.set(table.service, now);
-    const moving = table.ranges.filter((each) => each.state !== "held").length;
-    const { length: servers } = this.fleet.of(table.service);
-    const most = Math.max(FEWEST_MOVES, Math.ceil(MOVES_PER_SERVER * servers));
-    if (moving >= most) return;
+  #startMoves(table: RangeTable, now: number): void {
     table.joinNeighbours(now, () => this.#nextToken());
-    const candidates = this.#candidates(table.service, now);
-    if (table.ranges.length > mostRanges(candidates.length)) return;
-    const placement = this.#placement(table, candidates, now);
-    const moves = placement.moves(table.ranges);
-    for (const move of moves.slice(0, most - moving)) {
+    for (const move of this.#balance.moves(table, this.#suspects, now)) {
       this.#move(table, move, now);
     }
   }
 
+  /** Servers that have left an order unanswered. */
+  get #suspects(): Set<string> {
+    const suspects = new Set<string>();
+    for (const { ranges } of this.#allTables) {
+      for (const { server, failures } of ranges) {
+        if (server !== null && failures > 0) suspects.add(server);
+      }
+    }
+    return suspects;
+  }
+
+  get #allTables(): RangeTable[] {
+    return [...this.#tables.values()];
+  }
+
   #move(table: RangeTable, { range, piece, destination }: Move, now: number) {
     const moving = table.cut(range, piece);
     moving.destination = destination;
@@ -547,66 +517,6 @@
     });
   }
 
-  #placement(
-    table: RangeTable,
-    candidates: readonly Candidate[],
-    now: number,
-  ): Placement {
-    const samples = this.loads.of(table.service).sorted(now);
-    return Placement.create(samples, candidates);
-  }
-
-  /** Servers that may get keys, with their measured speeds. */
-  #candidates(service: string, now: number): Candidate[] {
-    const usual = this.fleet.usualLatency(service, now);
-    const usable = this.fleet.of(service).filter((each) =>
-      !each.entry.isDraining
-    );
-    const sound = usable.filter((each) => !this.#isSuspect(each, now, usual));
-    return (sound.length > 0 ? sound : usable).map((server) => ({
-      id: server.id,
-      speed: relativeSpeed(server, usual),
-    }));
-  }
-
-  #isSuspect(server: TrackedServer, now: number, usual: number): boolean {
-    if (server.isPaused(now) || server.isSilent(now, usual)) return true;
-    for (const table of this.#tables.values()) {
-      for (const range of table.ranges) {
-        if (range.server === server.id && range.failures > 0) return true;
-      }
-    }
-    return false;
-  }
-
-  /** Records what has changed, one write at a time; one without an answer is
-   * repeated under its number, which the store carries out once. */
-  #record(now: number): void {
-    if (this.#write !== null) {
-      if (now < this.#write.sendAt) return;
-      this.#write.sendAt = Infinity;
-      this.#effects.push(this.#write.effect);
-      return;
-    }
-    const dirty = [...this.#tables.values()].filter((each) => each.isDirty);
-    if (dirty.length === 0) return;
-    this.#writeNumber += 1;
-    const effect: AssignmentWrite = {
-      kind: "assignments.write",
-      term: this.term,
-      sequence: this.#writeNumber,
-      assignments: dirty.map((table) =>
-        table.snapshot(this.term, this.version)
-      ),
-    };
-    this.#write = {
-      effect,
-      revisions: new Map(dirty.map((each) => [each.service, each.revision])),
-      sendAt: Infinity,
-    };
-    this.#effects.push(effect);
-  }
-
   #nextToken(): number {
     this.#tokenNumber += 1;
     return this.term * TOKENS_OF_TERM + this.#tokenNumber;
@@ -618,16 +528,3 @@
     return effects;
   }
 }
-
-/** Ranges that a service with so many servers may be divided into. */
-function mostRanges(servers: number): number {
-  return Math.min(
-    RANGES_OF_FEW * servers,
-    RANGES_OF_MANY * servers + SPARE_RANGES,
-  );
-}
-
-function relativeSpeed(server: TrackedServer, usual: number): number {
-  if (server.latency === null || usual === 0) return 1;
-  return Math.min(FASTEST, Math.max(SLOWEST, usual / server.latency));
-}
