Keys that become busy at once are spread in one look

A look at the balance moved at most one fair share off each range, so 12 shares took 12 looks, 0.3 s apart, and as long again at each change.

Change: a look goes on with what is left of a range until its server has no excess.

Ruled out: shorter pauses between looks (each sorts all samples, and a move begins for less evidence).

--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -33,9 +33,8 @@
   speed: number;
 }
 
-/** Keys that should go to another server. */
+/** Keys of one server that should go to another. */
 export interface Move {
-  range: HeldRange;
   piece: KeyRange;
   destination: string;
 }
@@ -100,9 +99,7 @@
     while (rest !== null && this.weight(rest) > most && keyCount(rest) > 1) {
       const piece = this.#prefix(rest, most);
       pieces.push(piece);
-      rest = piece.last < rest.last
-        ? { first: piece.last + 1, last: rest.last }
-        : null;
+      rest = after(rest, piece);
     }
     if (rest !== null) pieces.push(rest);
     return pieces;
@@ -123,14 +120,19 @@
     const fair = total / totalSpeed;
     const limit = Math.max(fair * OVERLOAD, fair + this.#scatter(fair));
     const moves: Move[] = [];
-    for (const range of this.#heaviestFirst(ranges, loads)) {
-      const server = range.server!;
-      const excess = (loads.get(server)! - fair) * speeds.get(server)!;
-      if (loads.get(server)! < limit || excess < SMALLEST_MOVE_SHARE * fair) {
-        continue;
+    for (const { first, last, server } of this.#heaviestFirst(ranges, loads)) {
+      const from = server!;
+      let rest: KeyRange | null = { first, last };
+      // Each move brings at most one fair share, and keys that have become busy
+      // may make several.
+      while (rest !== null && loads.get(from)! >= limit) {
+        const excess = (loads.get(from)! - fair) * speeds.get(from)!;
+        if (excess < SMALLEST_MOVE_SHARE * fair) break;
+        const move = this.#relieve(from, rest, excess, fair, loads, speeds);
+        if (move === null) break;
+        moves.push(move);
+        rest = after(rest, move.piece);
       }
-      const move = this.#relieve(range, excess, fair, loads, speeds);
-      if (move !== null) moves.push(move);
     }
     return moves;
   }
@@ -144,7 +146,8 @@
 
   /** Takes up to `excess` off the front of `range` for the idlest server. */
   #relieve(
-    range: HeldRange,
+    from: string,
+    range: KeyRange,
     excess: number,
     fair: number,
     loads: Map<string, number>,
@@ -152,7 +155,7 @@
   ): Move | null {
     let receiver: string | null = null;
     for (const [id, load] of loads) {
-      if (id === range.server) continue;
+      if (id === from) continue;
       if (receiver === null || load < loads.get(receiver)!) receiver = id;
     }
     if (receiver === null) return null;
@@ -162,11 +165,10 @@
     const piece = this.#prefix(range, amount);
     const weight = this.weight(piece);
     // What cannot be divided would only move the overload.
-    if (weight > 2 * amount) return this.#improve(range, piece, loads, speeds);
-    const from = range.server!;
+    if (weight > 2 * amount) return this.#improve(from, piece, loads, speeds);
     loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
     loads.set(receiver, loads.get(receiver)! + weight / speeds.get(receiver)!);
-    return { range, piece, destination: receiver };
+    return { piece, destination: receiver };
   }
 
   /**
@@ -174,12 +176,11 @@
    * it would be done clearly sooner: to the fastest server, as a rule.
    */
   #improve(
-    range: HeldRange,
+    from: string,
     piece: KeyRange,
     loads: Map<string, number>,
     speeds: Map<string, number>,
   ): Move | null {
-    const from = range.server!;
     const weight = this.weight(piece);
     let destination: string | null = null;
     let lowest = loads.get(from)! * CLEAR_GAIN;
@@ -192,7 +193,7 @@
     if (destination === null) return null;
     loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
     loads.set(destination, lowest);
-    return { range, piece, destination };
+    return { piece, destination };
   }
 
   #heaviestFirst(
@@ -224,3 +225,9 @@
     return { first: range.first, last: low };
   }
 }
+
+/** What is left of a range behind a piece of it, or null. */
+function after(range: KeyRange, piece: KeyRange): KeyRange | null {
+  if (piece.last >= range.last) return null;
+  return { first: piece.last + 1, last: range.last };
+}
--- a/src/core/keyspace/placement_test.ts
+++ b/src/core/keyspace/placement_test.ts
@@ -72,3 +72,36 @@
   t.false(movesKey(1));
   t.true(movesKey(2));
 });
+
+test("placement: keys that become busy at once are spread in one look", (t) => {
+  const servers = Array.from({ length: 10 }, (_, i) => ({
+    id: `s${i}`,
+    speed: 1,
+  }));
+  const size = KEY_COUNT / servers.length;
+  const ranges = servers.map(({ id }, i) =>
+    held(id, Math.round(i * size), Math.round((i + 1) * size) - 1)
+  );
+  // Two thirds of all requests ask for 200 neighbours of the first server.
+  const samples = Array.from(
+    { length: 900 },
+    (_, i) => i % 3 === 0 ? i * 72 : 3_000 + i % 200,
+  ).sort((a, b) => a - b);
+  const placement = Placement.create(samples, servers);
+  const moves = placement.moves(ranges);
+  const loads = new Map(servers.map(({ id }) => [id, 0]));
+  for (const range of ranges) {
+    const own = moves.filter(({ piece }) =>
+      range.first <= piece.first && piece.last <= range.last
+    );
+    let left = placement.weight(range);
+    for (const { piece, destination } of own) {
+      const weight = placement.weight(piece);
+      left -= weight;
+      loads.set(destination, loads.get(destination)! + weight);
+    }
+    loads.set(range.server!, loads.get(range.server!)! + left);
+  }
+  const heaviest = Math.max(...loads.values());
+  t.true(heaviest < 0.2, `${heaviest}`);
+});
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -501,7 +501,8 @@
     return [...this.#tables.values()];
   }
 
-  #move(table: RangeTable, { range, piece, destination }: Move, now: number) {
+  #move(table: RangeTable, { piece, destination }: Move, now: number) {
+    const range = table.ranges.find(({ last }) => piece.first <= last)!;
     const moving = table.cut(range, piece);
     moving.destination = destination;
     moving.state = "closing";
