A VM may fill a server's slots while it knows its load; quicker terms after a restart

Change: the cap holds where the server's load is not known; within 0.3 s of a stated load one VM may fill the slots, as far as the stated load leaves them.

--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -9,8 +9,9 @@
  * the requests that it runs at a time: one set runs, one waits, so that no slot
  * idles between two requests and the server's own queue never fills. */
 const LOAD_PER_SLOT = 2;
-/** Requests that this VM alone may have at a server, in multiples of its part
- * of the server's slots: callers are spread unevenly over VMs. */
+/** Requests that this VM alone may have at a server whose load it does not know,
+ * in multiples of its part of the server's slots: callers are spread unevenly
+ * over VMs. Where the server has just stated its load, it may fill its slots. */
 const OWN_SHARE = 4;
 /** Servers that one choice looks at. */
 const SAMPLE_SIZE = 24;
@@ -39,8 +40,9 @@
   vms: number | null,
 ): boolean {
   const { slots } = server.entry;
-  const part = slots * OWN_SHARE / (vms ?? ASSUMED_VMS);
-  if (server.inFlight >= Math.max(1, Math.ceil(part))) return false;
+  const part = Math.ceil(slots * OWN_SHARE / (vms ?? ASSUMED_VMS));
+  const most = server.isLoadKnown(now) ? Math.max(part, slots) : part;
+  if (server.inFlight >= most) return false;
   return server.load(now) < slots * LOAD_PER_SLOT;
 }
 
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -125,6 +125,11 @@
     return false;
   }
 
+  /** Whether it has stated its load within the time that such a word holds. */
+  isLoadKnown(now: number): boolean {
+    return now - this.#loadAt <= LOAD_LIFETIME;
+  }
+
   /** Requests that it probably has, of this VM and of others. */
   load(now: number): number {
     const age = Math.max(0, now - this.#loadAt);
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -22,7 +22,10 @@
 export const JOIN_INTERVAL = 350;
 /** Time for which the election must stand before a term is claimed, in
  * milliseconds: many members that join at once move it around. */
-const SETTLE_TIME = 300;
+const SETTLE_TIME = 200;
+/** The same pause while this VM is elected and waits for that: after all VMs
+ * were killed no key is held until a term is claimed. */
+const SETTLING_INTERVAL = 100;
 /** Pause after a claim that failed, in milliseconds. */
 const CLAIM_PAUSE = 200;
 
@@ -105,7 +108,10 @@
   /** A membership call was answered. */
   joined(membership: Membership, now: number): void {
     this.#isJoining = false;
-    this.#joinDueAt = membership.sentAt + JOIN_INTERVAL;
+    this.#joinDueAt = membership.sentAt +
+      (membership.isElected && this.holder === null
+        ? SETTLING_INTERVAL
+        : JOIN_INTERVAL);
     this.#generation = Math.max(this.#generation, membership.generation);
     this.#members = membership.members ?? this.#members;
     if (this.#isRetired) return;
