A log that nobody reads any more ends nothing; callers that left a busy VM are not served

- When the reader of standard output had gone, the next write ended the process (EPIPE).
Found by the fault soak when its own process ended.
Lines are dropped and counted now, as for a slow reader.
A process whose loop was late by 150 ms or more in the last second lets one more round of reads pass before it passes a request on.

Ruled out for the second: the deadline that callers state (it counts from the moment of reading, and nothing says when the request was sent).

--- a/src/logging/batched_transport.ts
+++ b/src/logging/batched_transport.ts
@@ -1,7 +1,8 @@
 /**
  * Joins log lines and writes many at once: a write for each line would cost more
  * than the line. The buffer is bounded; what does not fit is dropped and
- * counted, since a slow reader of logs must not stop requests.
+ * counted, since a slow reader of logs must not stop requests, nor one that is
+ * gone.
  *
  * @module
  */
@@ -22,9 +23,12 @@
   #lines = "";
   #timer: NodeJS.Timeout | null = null;
   #dropped = 0;
+  #isBroken = false;
 
   private constructor(private readonly output: Writable) {
     super();
+    // Whoever read the log is gone; requests go on without it.
+    output.on("error", () => this.#isBroken = true);
   }
 
   /** Writes to `output`. */
@@ -32,13 +36,14 @@
     return new BatchedTransport(output);
   }
 
-  /** Lines that were dropped because the output was too slow. */
+  /** Lines that were dropped because the output was too slow or broken. */
   get dropped(): number {
     return this.#dropped;
   }
 
   override log(info: Record<symbol, string>, next: () => void): void {
-    if (this.output.writableLength > MAXIMUM_PENDING) {
+    const isFull = this.output.writableLength > MAXIMUM_PENDING;
+    if (isFull || this.#isBroken) {
       this.#dropped += 1;
     } else {
       this.#lines += `${info[MESSAGE]}\n`;
--- a/src/logging/journal.ts
+++ b/src/logging/journal.ts
@@ -51,7 +51,7 @@
     );
   }
 
-  /** Lines that were dropped because the output was too slow. */
+  /** Lines that were dropped because the output was too slow or broken. */
   get dropped(): number {
     return this.transport.dropped;
   }
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -18,6 +18,7 @@
 import type { OccurrenceSink } from "./entry_loop.ts";
 import type { HeaderCodec } from "./header_codec.ts";
 import { listenAt } from "./listen.ts";
+import { LoopLag } from "./loop_lag.ts";
 
 /** Largest headers that are read at all, in bytes; the configured limit is
  * looked at afterwards, since it may change while the server runs. */
@@ -46,6 +47,7 @@
 /** See the module's comment. */
 export class CallerServer {
   readonly #server: Server;
+  readonly #lag = LoopLag.create();
   readonly #exchanges = new Map<number, Exchange>();
   readonly #sockets = new Set<Socket>();
   /** Exchanges on each connection that have no answer yet. */
@@ -119,6 +121,7 @@
 
   /** Closes everything. */
   destroy(): void {
+    this.#lag.stop();
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -219,7 +222,19 @@
     request.on("error", () => {});
   }
 
+  /**
+   * While the process is behind, the end of a caller's connection may lie unread
+   * behind its request: another turn of the loop reads it before the request is
+   * passed on to a server that nobody waits for any more.
+   */
   #arrived(number: number, exchange: Exchange, request: IncomingMessage): void {
+    if (!this.#lag.isBehind) return this.#pass(number, exchange, request);
+    afterNextRead(() => {
+      if (this.#exchanges.has(number)) this.#pass(number, exchange, request);
+    });
+  }
+
+  #pass(number: number, exchange: Exchange, request: IncomingMessage): void {
     const facts = this.codec.readCaller(request.headers);
     exchange.outgoing.id = facts.id;
     this.sink.push({
@@ -263,6 +278,13 @@
   }
 }
 
+/** Calls back once everything that lies unread on connections was read. */
+function afterNextRead(callback: () => void): void {
+  // The loop reads between two rounds of these; an end that comes with bytes is
+  // read one round after them.
+  setImmediate(() => setImmediate(() => setImmediate(callback)));
+}
+
 /** Answers bytes that are no request. */
 function answerBadRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
   if (!socket.writable || error.code === "ECONNRESET") {
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -197,3 +197,18 @@
   t.deepEqual(statuses(read()), ["200"]);
   t.deepEqual(arrivals().map(({ target }) => target), ["/1"]);
 });
+
+test("callers: one that left while the process was busy is not served", async (t) => {
+  const { server, socket, arrivals, answer, until } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  answer(1, "one");
+  await until(() => socket.bytesRead > 0);
+  socket.write(get("/2"));
+  socket.end();
+  const busyUntil = Date.now() + 500;
+  while (Date.now() < busyUntil);
+  await new Promise((next) => setTimeout(next, 100));
+  t.deepEqual(arrivals().map(({ target }) => target), ["/1"]);
+  server.close();
+});
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -27,6 +27,9 @@
   service: z.string().min(1),
   availabilityZone: z.string().default("a"),
   listen: addressSchema,
+  /** Address under which it registers itself, if it is reached through
+   * something else. */
+  advertised: addressSchema.optional(),
   /** Address of the store. */
   store: addressSchema,
   keyed: z.boolean().default(false),
@@ -53,6 +56,8 @@
   loseAnswers: z.number().int().nonnegative().default(0),
   /** Answers that name another request. */
   crossed: z.number().int().nonnegative().default(0),
+  /** It says that it is about to leave. */
+  draining: z.boolean().default(false),
   /** Time that a request takes instead of the one in the settings. */
   work: z.number().nonnegative().nullable().default(null),
 });
@@ -115,6 +120,7 @@
   /** Switches faults. */
   set(faults: Partial<BackendFaults>): void {
     this.#faults = { ...this.#faults, ...faults };
+    if (this.#faults.draining && !this.#isDraining) void this.drain();
   }
 
   /** Says that it is about to leave. */
@@ -280,7 +286,7 @@
     this.#sequence += 1;
     const entry = {
       service,
-      address: this.address,
+      address: this.settings.advertised ?? this.address,
       zone: availabilityZone,
       slots,
       state: this.#isDraining ? "draining" : "ready",
