--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -34,6 +34,10 @@
 export interface Member {
   name: string;
   process: ChildProcess;
+  /** Words of the command before its settings. */
+  command: string[];
+  /** Where the balancer asks. */
+  readiness: string;
   /** Where callers or entries reach it. */
   address: string;
   admin: string;
@@ -48,6 +52,9 @@
 export interface DeploymentOptions {
   entries: number;
   servers: number;
+  /** Address by which the process `from` reaches the one at `to`, which is
+   * named `name`; the address itself if absent. */
+  link?: (from: string, name: string, to: string) => string;
 }
 
 /** See the module's comment. */
@@ -56,20 +63,26 @@
   readonly servers: Member[] = [];
 
   private constructor(
-    private readonly folder: string,
+    readonly folder: string,
     private readonly program: string,
     readonly store: string,
+    private readonly link: (from: string, name: string, to: string) => string,
   ) {}
 
   /** Starts a system with the services `stock`, keyed, and `orders`. */
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const folder = mkdtempSync(join(tmpdir(), "plumloft-deployment-"));
     const store = loopbackAddress();
-    const deployment = new Deployment(folder, await bundledProgram(), store);
-    deployment.#spawn("store", store, "", "", ["stand-in", "store"], {
+    const deployment = new Deployment(
+      folder,
+      await bundledProgram(),
+      store,
+      options.link ?? ((_from, _name, to) => to),
+    );
+    deployment.#spawn("store", { address: store }, ["stand-in", "store"], {
       listen: store,
     });
-    await deployment.#publish();
+    await deployment.publish(1);
     for (let i = 1; i <= options.servers; i++) {
       for (const service of ["stock", "orders"]) {
         deployment.servers.push(
@@ -89,13 +102,17 @@
     return deployment;
   }
 
-  /** Starts a backend server. */
-  startServer(service: string, id: string): Member {
-    const address = loopbackAddress();
-    return this.#spawn(id, address, "", "", ["stand-in", "backend"], {
+  /** Starts a backend server, at the address of an earlier one if given. */
+  startServer(
+    service: string,
+    id: string,
+    address: string = loopbackAddress(),
+  ): Member {
+    return this.#spawn(id, { address }, ["stand-in", "backend"], {
       id,
       service,
       listen: address,
+      advertised: this.link("entries", id, address),
       store: this.store,
       keyed: service === "stock",
       work: 5,
@@ -110,7 +127,8 @@
       { length: 4 },
       () => loopbackAddress(),
     );
-    return this.#spawn(vm, listen, admin, peer, ["serve"], {
+    const addresses = { address: listen, readiness, peer, admin };
+    return this.#spawn(vm, addresses, ["serve"], {
       vm,
       availabilityZone: "a",
       listen,
@@ -118,7 +136,7 @@
       peer,
       admin,
       seeds: this.entries.map((entry) => entry.peer),
-      store: { address: this.store, partitions: 12 },
+      store: { address: this.link(vm, "store", this.store), partitions: 12 },
       shutdownTimeoutSeconds: 3,
     });
   }
@@ -207,35 +225,45 @@
 
   #spawn(
     name: string,
-    address: string,
-    admin: string,
-    peer: string,
+    addresses: Partial<Member> & { address: string },
     command: string[],
     settings: object,
   ): Member {
     const file = join(this.folder, `${name}.yaml`);
     const log = join(this.folder, `${name}.log`);
     writeFileSync(file, stringify(settings));
-    const args = [this.program, ...command, "--settings", file];
-    const child = spawn(process.execPath, args, {
-      stdio: ["ignore", "pipe", "inherit"],
-    });
-    child.stdout.pipe(createWriteStream(log));
-    this.#children.push(child);
-    const runs = join(this.folder, `${name}.runs`);
     return {
       name,
-      process: child,
-      address,
-      admin,
-      peer,
+      process: this.#start(command, file, log),
+      command,
+      readiness: "",
+      admin: "",
+      peer: "",
+      ...addresses,
       log,
-      runs,
+      runs: join(this.folder, `${name}.runs`),
       settingsFile: file,
     };
   }
 
-  async #publish(): Promise<void> {
+  #start(command: string[], settingsFile: string, log: string): ChildProcess {
+    const args = [this.program, ...command, "--settings", settingsFile];
+    const child = spawn(process.execPath, args, {
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    child.stdout.pipe(createWriteStream(log, { flags: "a" }));
+    this.#children.push(child);
+    return child;
+  }
+
+  /** Starts a member again that has ended, with the settings that it had. */
+  restart(member: Member): void {
+    const { command, settingsFile, log } = member;
+    member.process = this.#start(command, settingsFile, log);
+  }
+
+  /** Publishes the configuration as a version. */
+  async publish(version: number): Promise<void> {
     const declaration = declarationSchema.parse({
       base: {
         cluster: "test",
@@ -257,7 +285,10 @@
     while (true) {
       try {
         const read = await store.readConfiguration();
-        await store.publish(siteConfiguration(declaration, "", 1), read.end);
+        await store.publish(
+          siteConfiguration(declaration, "", version),
+          read.end,
+        );
         return store.close();
       } catch (error) {
         if (Date.now() > end) throw error;
