A server that has joined gets keys although no other carries too much

Change: when nobody is overloaded, servers at their fair share or above give up to a quarter of a fair share each to one below 0.3 of it, until it has 0.75. A test with 3 and with 11 servers failed before.

Ruled out: a lower mark for overload (moves for chance alone).

--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -26,6 +26,14 @@
 /** Share of a server's fair share below which a move is not worth its orders. */
 const SMALLEST_MOVE_SHARE = 0.15;
 
+/** Share of its fair share below which a server counts as idle: it has just
+ * joined, and no other need carry too much for it to get keys. */
+const IDLE_SHARE = 0.3;
+/** What one server gives an idle one at most in a look, and what the idle one
+ * is brought to, as shares of a fair share. */
+const GIFT_SHARE = 0.25;
+const FED_SHARE = 0.75;
+
 /** A server that may get keys. */
 export interface Candidate {
   id: string;
@@ -134,6 +142,40 @@
         rest = after(rest, move.piece);
       }
     }
+    return moves.length > 0
+      ? moves
+      : this.#feedIdle(ranges, fair, loads, speeds);
+  }
+
+  /** Moves a little from each of the busiest servers to those that are idle. */
+  #feedIdle(
+    ranges: readonly HeldRange[],
+    fair: number,
+    loads: Map<string, number>,
+    speeds: Map<string, number>,
+  ): Move[] {
+    const idle = [...loads].filter(([, load]) => load < IDLE_SHARE * fair)
+      .map(([id]) => id);
+    if (idle.length === 0) return [];
+    const moves: Move[] = [];
+    const donors = this.#heaviestFirst(ranges, loads).sort((a, b) =>
+      loads.get(b.server!)! - loads.get(a.server!)!
+    );
+    const used = new Set<string>();
+    for (const range of donors) {
+      const from = range.server!;
+      const destination = idle.find((id) => loads.get(id)! < FED_SHARE * fair);
+      if (destination === undefined) break;
+      if (used.has(from) || loads.get(from)! < fair) continue;
+      const gift = GIFT_SHARE * fair * speeds.get(from)!;
+      const piece = this.#prefix(range, gift);
+      const weight = this.weight(piece);
+      if (weight === 0 || weight > 2 * gift) continue;
+      used.add(from);
+      shift(loads, from, -weight / speeds.get(from)!);
+      shift(loads, destination, weight / speeds.get(destination)!);
+      moves.push({ piece, destination });
+    }
     return moves;
   }
 
@@ -166,8 +208,8 @@
     const weight = this.weight(piece);
     // What cannot be divided would only move the overload.
     if (weight > 2 * amount) return this.#improve(from, piece, loads, speeds);
-    loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
-    loads.set(receiver, loads.get(receiver)! + weight / speeds.get(receiver)!);
+    shift(loads, from, -weight / speeds.get(from)!);
+    shift(loads, receiver, weight / speeds.get(receiver)!);
     return { piece, destination: receiver };
   }
 
@@ -191,7 +233,7 @@
       destination = id;
     }
     if (destination === null) return null;
-    loads.set(from, loads.get(from)! - weight / speeds.get(from)!);
+    shift(loads, from, -weight / speeds.get(from)!);
     loads.set(destination, lowest);
     return { piece, destination };
   }
@@ -226,6 +268,10 @@
   }
 }
 
+function shift(loads: Map<string, number>, id: string, change: number): void {
+  loads.set(id, loads.get(id)! + change);
+}
+
 /** What is left of a range behind a piece of it, or null. */
 function after(range: KeyRange, piece: KeyRange): KeyRange | null {
   if (piece.last >= range.last) return null;
--- a/src/core/keyspace/placement_test.ts
+++ b/src/core/keyspace/placement_test.ts
@@ -105,3 +105,25 @@
   const heaviest = Math.max(...loads.values());
   t.true(heaviest < 0.2, `${heaviest}`);
 });
+
+test("placement: a server that has joined gets keys although nobody carries too much", (t) => {
+  for (const count of [3, 11]) {
+    const servers = Array.from({ length: count + 1 }, (_, i) => ({
+      id: `s${i}`,
+      speed: 1,
+    }));
+    const size = KEY_COUNT / count;
+    const ranges = servers.slice(0, count).map(({ id }, i) =>
+      held(id, Math.round(i * size), Math.round((i + 1) * size) - 1)
+    );
+    const placement = Placement.create([], servers);
+    const moves = placement.moves(ranges);
+    const given = moves.reduce(
+      (sum, { piece }) => sum + placement.weight(piece),
+      0,
+    );
+    t.true(moves.every(({ destination }) => destination === `s${count}`));
+    t.true(given > 0.5 / (count + 1), `${count}: ${given}`);
+    t.true(given < 1 / (count + 1) + 0.01, `${count}: ${given}`);
+  }
+});
