--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,11 +1,13 @@
 /**
  * The fault soak: `npm run soak -- --seed N --seeds COUNT --minutes M`. Plays
  * seeds one after the other until either is used up; prints one line for each,
- * with what it broke, and keeps the logs of those.
+ * with what it broke and where its logs are. `--weaken second_try` or `no_wait`
+ * plays a weak copy of the program, which must be found out.
  *
  * @module
  */
 import { parseArgs } from "node:util";
+import { type Weakness, WEAKNESSES } from "../support/bundled_program.ts";
 import { planOf } from "./soak_plan.ts";
 import { SoakRun } from "./soak_run.ts";
 
@@ -18,16 +20,25 @@
     seed: { type: "string", default: "1" },
     seeds: { type: "string", default: "1000" },
     minutes: { type: "string", default: "5" },
+    weaken: { type: "string" },
   },
 });
 
+function weaknessNamed(name: string | undefined): Weakness | null {
+  if (name === undefined) return null;
+  if (name in WEAKNESSES) return name as Weakness;
+  const names = Object.keys(WEAKNESSES).join(", ");
+  throw new RangeError(`--weaken: expected one of ${names}, found: ${name}`);
+}
+
 async function soak(): Promise<void> {
+  const weakness = weaknessNamed(values.weaken);
   const first = Number(values.seed);
   const end = Date.now() + Number(values.minutes) * MINUTE;
   let broken = 0;
   let seed = first;
   while (seed < first + Number(values.seeds) && Date.now() < end) {
-    const report = await SoakRun.play(planOf(seed, LENGTH));
+    const report = await SoakRun.play(planOf(seed, LENGTH), weakness);
     if (report.breaches.length > 0) broken += 1;
     console.log(JSON.stringify(report));
     seed += 1;
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -13,6 +13,7 @@
   type Run,
   runLoad,
 } from "../../src/load/index.ts";
+import type { Weakness } from "../support/bundled_program.ts";
 import { Deployment, type Member } from "../support/deployment.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import type { SoakFault, SoakPlan } from "./soak_plan.ts";
@@ -52,11 +53,18 @@
   #serverCount = 0;
   #isOver = false;
 
-  private constructor(private readonly plan: SoakPlan) {}
+  private constructor(
+    private readonly plan: SoakPlan,
+    private readonly weakness: Weakness | null,
+  ) {}
 
-  /** Plays a plan to its end; stops every process that it started. */
-  static async play(plan: SoakPlan): Promise<SoakReport> {
-    const run = new SoakRun(plan);
+  /** Plays a plan to its end; stops every process that it started. With a
+   * `weakness` a weak copy of the program is played. */
+  static async play(
+    plan: SoakPlan,
+    weakness: Weakness | null = null,
+  ): Promise<SoakReport> {
+    const run = new SoakRun(plan, weakness);
     const stop = () => run.#stop();
     process.once("exit", stop);
     try {
@@ -73,6 +81,7 @@
       entries: plan.entries,
       servers: plan.servers,
       link: (from, name, to) => this.#link(`${from}>${name}`, to),
+      weakness: this.weakness,
     });
     const deployment = this.#deployment;
     this.#serverCount = deployment.servers.length;
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -23,7 +23,7 @@
 } from "../../src/core/declaration/index.ts";
 import type { EntryStatus } from "../../src/core/entry_status.ts";
 import { type LoadPlan, type Run, runSchema } from "../../src/load/index.ts";
-import { bundledProgram } from "./bundled_program.ts";
+import { bundledProgram, type Weakness } from "./bundled_program.ts";
 import { loopbackAddress } from "./loopback_address.ts";
 
 /** Time in which a process must do what is waited for, in milliseconds. */
@@ -55,6 +55,8 @@
   /** Address by which the process `from` reaches the one at `to`, which is
    * named `name`; the address itself if absent. */
   link?: (from: string, name: string, to: string) => string;
+  /** What is wrong with the program, to see whether checks find it. */
+  weakness?: Weakness | null;
 }
 
 /** See the module's comment. */
@@ -75,7 +77,7 @@
     const store = loopbackAddress();
     const deployment = new Deployment(
       folder,
-      await bundledProgram(),
+      await bundledProgram(options.weakness ?? null),
       store,
       options.link ?? ((_from, _name, to) => to),
     );
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { build, type BuildOptions } from "esbuild";
+import { build, type BuildOptions, type Plugin } from "esbuild";
 
 /** Inside the executable, Node's own `require` warns of what libraries look up. */
 const BANNER = `
@@ -25,10 +25,14 @@
   logLevel: "error",
 };
 
-/** Writes the bundle of `src/main.ts` to `file`. */
-export async function bundle(file: string): Promise<void> {
+/** Writes the bundle of `src/main.ts` to `file`; `plugins` may change sources. */
+export async function bundle(
+  file: string,
+  plugins: Plugin[] = [],
+): Promise<void> {
   await build({
     ...OPTIONS,
+    plugins,
     entryPoints: ["src/main.ts"],
     outfile: file,
     // CommonJS has no import.meta; yargs asks for its URL.
