Registry and assignments: late reads and new services

Two faults found by reading the change as a newcomer, each with a test that failed before:

- A VM's own read of the registry that was answered before, but arrived after, the holder's news of a removal brought the removed server back until it was read again.
A read whose position is behind what is known is dropped.
Its first changes are the whole of it, and are taken as such.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -222,7 +222,7 @@
     const { fleet, registry } = this.beliefs;
     const { read, sentAt, now } = event;
     const { entries, removed, isWhole } = read;
-    registry.read(read, sentAt);
+    if (!registry.read(read, sentAt)) return;
     this.beliefs.changeServers(
       isWhole
         ? fleet.replace(entries, now)
--- a/src/core/keyspace/key_directory.ts
+++ b/src/core/keyspace/key_directory.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import type { AssignedRange, Assignment } from "./assignment.ts";
+import {
+  type AssignedRange,
+  type Assignment,
+  coversAllKeys,
+} from "./assignment.ts";
 
 /** See the module's comment. */
 export class KeyDirectory {
@@ -26,10 +30,14 @@
 
   /**
    * Takes changes of the version `since` of an assignment. False when another
-   * version is known, on which they do not build.
+   * version is known, on which they do not build. Of a service that is new here
+   * they have to be the whole.
    */
   change(changes: Assignment, since: number): boolean {
     const known = this.#assignments.get(changes.service);
+    if (known === undefined && coversAllKeys(changes.ranges)) {
+      return this.apply(changes);
+    }
     if (known?.term !== changes.term || known.version !== since) return false;
     const ranges = overlay(known.ranges, changes.ranges);
     this.#assignments.set(changes.service, { ...changes, ranges });
--- a/src/core/keyspace/key_directory_test.ts
+++ b/src/core/keyspace/key_directory_test.ts
@@ -54,6 +54,7 @@
 test("key directory: changes of another version are not taken", (t) => {
   const table = RangeTable.create("s");
   const directory = KeyDirectory.create();
+  table.takeChanges(1, 1);
   const changes = table.takeChanges(1, 3);
   t.false(directory.change(changes, 2));
   directory.apply(table.snapshot(1, 1));
@@ -61,3 +62,10 @@
   t.true(directory.change(changes, 1));
   t.is(directory.position.version, 3);
 });
+
+test("key directory: a service that is new comes whole with the changes", (t) => {
+  const table = RangeTable.create("s");
+  const directory = KeyDirectory.create();
+  t.true(directory.change(table.takeChanges(1, 3), 2));
+  t.true(coversAllKeys(directory.assignments[0].ranges));
+});
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -19,8 +19,8 @@
   revision = 0;
   /** Changes that the store has confirmed. */
   recorded = 0;
-  /** Changes that the other VMs were told. */
-  #published = 0;
+  /** Changes that the other VMs were told; none, not even the first state. */
+  #published = -1;
 
   private constructor(
     readonly service: string,
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -79,12 +79,15 @@
     return { kind: "servers.fetch", from: this.#position };
   }
 
-  /** Takes a read that was sent at `sentAt`. */
-  read(read: RegistryRead, sentAt: number): void {
+  /** Takes a read that was sent at `sentAt`; false when news have overtaken it,
+   * so that what it says is older than what is known. */
+  read(read: RegistryRead, sentAt: number): boolean {
     this.#isReading = false;
+    this.#knownAt = Math.max(this.#knownAt, sentAt);
+    if (read.position < (this.#position ?? 0)) return false;
     if (read.isWhole) this.#reset(read);
     else this.#add(read, read.position);
-    this.#knownAt = Math.max(this.#knownAt, sentAt);
+    return true;
   }
 
   /** A read failed; with `isExpired` its records are no longer kept. */
--- a/src/core/registry/registry_replica_test.ts
+++ b/src/core/registry/registry_replica_test.ts
@@ -80,6 +80,19 @@
   t.is(replica.fetch(2_550, 1_200)?.from, null);
 });
 
+test("registry: a read that news have overtaken brings nothing back", (t) => {
+  const follower = replicaOf(10, [server("a")]);
+  const reader = replicaOf(10, [server("a")]);
+  // The read is answered before the removal is written, and arrives after it.
+  const late = read(11, [server("a", true)]);
+  reader.read(read(12, [], ["a"]), 100);
+  follower.take(reader.news(10, 90)!);
+  t.false(follower.read(late, 80));
+  t.is(follower.position, 12);
+  t.is(follower.news(12, null)?.position, 12);
+  t.true(follower.read(read(13, []), 200));
+});
+
 /** A list as it stands after changes. */
 function applied(
   view: Map<string, boolean>,
