--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -161,6 +161,7 @@
     position: number,
     touched: readonly string[] | null,
   ): void {
+    if (position === this.#position) return;
     const changed = [
       ...entries.filter((entry) => this.#put(entry)).map(({ id }) => id),
       ...removed.filter((id) => this.#servers.delete(id)),
