--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -50,6 +50,7 @@
   readonly #faulty = new Set<Member>();
   #deployment!: Deployment;
   #version = 1;
+  #published: Promise<void> = Promise.resolve();
   #serverCount = 0;
   #isOver = false;
 
@@ -173,9 +174,7 @@
           () => this.#strikeServer(server, action, fault),
         );
       case "configuration":
-        this.#version += 1;
-        // The operator's call fails while the store does; the next one counts.
-        return this.#deployment.publish(this.#version).catch(() => {});
+        return this.#publish();
       case "store":
         return this.#strikeStore(store, action, fault.duration);
       default:
@@ -183,6 +182,15 @@
     }
   }
 
+  /** One version after the other, as the platform's operators do it. */
+  #publish(): Promise<void> {
+    this.#published = this.#published.then(async () => {
+      await this.#deployment.publish(this.#version + 1);
+      this.#version += 1;
+    });
+    return this.#published;
+  }
+
   /** One fault at a time at each process: a paused one cannot be asked. */
   async #once(member: Member, act: () => Promise<void>): Promise<void> {
     if (this.#faulty.has(member)) return;
