A caller that pipelines without end is let go at the close

A VM asked to stop closes idle connections after 3.6 s, and others end with their last answer; a caller that always sends the next request before an answer has none, so requests that came 4.1 s after SIGTERM were passed on and cut off by the end of the process at 5.75 s.

Now a connection takes no more requests from the close on; the last answer that is due ends it, and what was sent behind it goes to other VMs. The test failed before.

--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -106,15 +106,20 @@
     this.#isDraining = true;
   }
 
-  /** Takes no new connections and closes idle ones. */
+  /**
+   * Takes no new connections or requests: idle connections are closed, the
+   * others end with the answers that are due. A caller that always sends the
+   * next request before an answer would otherwise never be let go.
+   */
   close(): void {
+    this.#isDraining = true;
+    for (const socket of this.#sockets) this.#ended.add(socket);
     this.#server.close();
   }
 
   #closeIdleConnections(): void {
     for (const socket of this.#sockets) {
       if ((this.#open.get(socket) ?? 0) > 0) continue;
-      this.#ended.add(socket);
       socket.end();
     }
   }
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -212,3 +212,18 @@
   t.deepEqual(arrivals().map(({ target }) => target), ["/1"]);
   server.close();
 });
+
+test("callers: one that always sends before its answer is let go at the close", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  server.drain();
+  server.close();
+  socket.write(get("/2"));
+  await new Promise((next) => setTimeout(next, 50));
+  answer(1, "one");
+  await until(() => isOver(socket));
+  t.deepEqual(statuses(read()), ["200"]);
+  t.true(read().toLowerCase().includes("connection: close"));
+  t.deepEqual(arrivals().map(({ target }) => target), ["/1"]);
+});
