--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -35,12 +35,13 @@
 
 async function serve(file: string): Promise<void> {
   const settings = readYamlFile(file, entrySettingsSchema).value;
-  // A run of the process must not be taken for an earlier one.
   const run = randomBytes(4);
-  const member = `${settings.vm}/${run.toString("hex")}`;
   const { address } = settings.store;
   const platform = {
-    store: PlatformStore.create(address, settings.vm, member),
+    // Whoever listens at the peer address is the only process there, so a new
+    // run may go on as the member that its predecessor was: after a loss of all
+    // VMs nobody waits until the store has forgotten the old members.
+    store: PlatformStore.create(address, settings.vm, settings.peer),
     headers: PlatformHeaders.create(),
     orders: PlatformOrders.create(),
   };
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -13,6 +13,13 @@
  * in multiples of its part of the server's slots: callers are spread unevenly
  * over VMs. Where the server has just stated its load, it may fill its slots. */
 const OWN_SHARE = 4;
+/** The same as a share of the slots, unless the server has just refused: of 91
+ * VMs most hear of a server too seldom to know its load, and one request of each
+ * would leave a server with busy keys idle beside VMs that refuse callers. */
+const UNKNOWN_SHARE = 0.5;
+/** Time for which a refusal counts as just given, in milliseconds: about as long
+ * as the work that filled the server. */
+const REFUSAL_LIFETIME = 500;
 /** Servers that one choice looks at. */
 const SAMPLE_SIZE = 24;
 /** Number of VMs assumed until the group is known. */
@@ -40,12 +47,23 @@
   vms: number | null,
 ): boolean {
   const { slots } = server.entry;
-  const part = Math.ceil(slots * OWN_SHARE / (vms ?? ASSUMED_VMS));
-  const most = server.isLoadKnown(now) ? Math.max(part, slots) : part;
-  if (server.inFlight >= most) return false;
+  if (server.inFlight >= mostOfOwn(server, now, vms)) return false;
   return server.load(now) < slots * LOAD_PER_SLOT;
 }
 
+/** Requests that this VM may have at a server. */
+function mostOfOwn(
+  server: TrackedServer,
+  now: number,
+  vms: number | null,
+): number {
+  const { slots } = server.entry;
+  const part = Math.ceil(slots * OWN_SHARE / (vms ?? ASSUMED_VMS));
+  if (server.isLoadKnown(now)) return Math.max(part, slots);
+  if (now - server.refusedAt < REFUSAL_LIFETIME) return part;
+  return Math.max(part, Math.ceil(slots * UNKNOWN_SHARE));
+}
+
 /**
  * The server where an answer is expected first, among those with room that were
  * not tried. Servers that failed or are silent come last. Null when none has
--- a/src/core/dispatch/server_choice_test.ts
+++ b/src/core/dispatch/server_choice_test.ts
@@ -30,3 +30,30 @@
   );
   t.is(room(idle, 600), 2);
 });
+
+test("room: many VMs that hear of a server seldom may each have a few requests there", (t) => {
+  const create = () =>
+    TrackedServer.create({
+      id: "i",
+      service: "s",
+      address: "h:1",
+      availabilityZone: "a",
+      slots: 6,
+      isDraining: false,
+      warmUp: 0,
+    });
+  const fill = (server: TrackedServer, from: number, now: number) => {
+    let count = 0;
+    while (hasRoom(server, now, 91)) {
+      server.started(from + count, now);
+      count += 1;
+    }
+    return count;
+  };
+  t.is(fill(create(), 0, 10_000), 3);
+  const refusing = create();
+  refusing.started(0, 0);
+  refusing.refused(0, 5, null);
+  t.is(fill(refusing, 1, 400), 1);
+  t.is(fill(refusing, 10, 1_000), 2);
+});
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { BackendServer } from "./backend_server.ts";
-import { TrackedServer } from "./tracked_server.ts";
+import { type LatencySamples, TrackedServer } from "./tracked_server.ts";
 
 /**
  * Time after the registry is back within which entries that lapsed during its
@@ -18,6 +18,11 @@
  * requests look at it several times each, and it changes slowly. */
 const MEAN_LIFETIME = 50;
 
+/** Answer times of one server, by its id. */
+export interface ServerSamples extends LatencySamples {
+  server: string;
+}
+
 /** A change of the list of servers. */
 export interface FleetChange {
   kind: "joined" | "draining" | "removed";
@@ -91,6 +96,21 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** What this VM has measured of a service's servers since it was asked last. */
+  takeSamples(service: string): ServerSamples[] {
+    return this.of(service).flatMap((server) => {
+      const samples = server.takeSamples();
+      return samples === null ? [] : [{ server: server.id, ...samples }];
+    });
+  }
+
+  /** Takes in what another VM has measured. */
+  observe(samples: readonly ServerSamples[]): void {
+    for (const { server, ...each } of samples) {
+      this.#servers.get(server)?.observe(each);
+    }
+  }
+
   /** Whether another run of a server is listed at `address`. */
   isReused(address: string, id: string): boolean {
     for (const server of this.#servers.values()) {
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -25,13 +25,25 @@
 const SILENCE_FACTOR = 4;
 const SHORTEST_SILENCE = 250;
 
+/** Answer times that some VM has measured of a server. */
+export interface LatencySamples {
+  /** Mean, in milliseconds. */
+  mean: number;
+  count: number;
+}
+
 /** See the module's comment. */
 export class TrackedServer {
   /** When it was first seen draining, or null. */
   drainingSince: number | null = null;
   /** Requests of this VM that it has. */
   inFlight = 0;
+  /** When it last refused a request, or answered it with a failure. */
+  refusedAt = -Infinity;
   #latency: number | null = null;
+  /** Sum and number of own samples since they were taken last. */
+  #sampleSum = 0;
+  #sampleCount = 0;
   #acceptance = 1;
   #failures = 0;
   #pausedUntil = 0;
@@ -85,15 +97,34 @@
     if (startedAt === undefined) return;
     if (load !== null && load.waiting > 0 && this.#latency !== null) return;
     const sample = now - startedAt;
+    this.#sampleSum += sample;
+    this.#sampleCount += 1;
+    this.observe({ mean: sample, count: 1 });
+  }
+
+  /** Takes in answer times that this VM or another has measured. */
+  observe({ mean, count }: LatencySamples): void {
+    const weight = 1 - (1 - SAMPLE_WEIGHT) ** count;
     this.#latency = this.#latency === null
-      ? sample
-      : mix(this.#latency, sample);
+      ? mean
+      : this.#latency + weight * (mean - this.#latency);
+  }
+
+  /** This VM's own samples since this was asked last, or null. */
+  takeSamples(): LatencySamples | null {
+    const count = this.#sampleCount;
+    if (count === 0) return null;
+    const mean = this.#sampleSum / count;
+    this.#sampleSum = 0;
+    this.#sampleCount = 0;
+    return { mean, count };
   }
 
   /** It refused a request, or answered it with a failure. */
   refused(attempt: number, now: number, load: ReportedLoad | null): void {
     this.#end(attempt);
     this.#heard(now, load);
+    this.refusedAt = now;
     this.#acceptance = mix(this.#acceptance, 0);
   }
 
--- a/src/core/keyspace/key_load.ts
+++ b/src/core/keyspace/key_load.ts
@@ -10,7 +10,18 @@
  * keys that become busy within seconds. */
 const WINDOW = 3_000;
 /** Requests kept for each service; bounds memory and the time of a look. */
-const MAXIMUM_SAMPLES = 2_000;
+const MAXIMUM_SAMPLES = 4_000;
+/** Age up to which requests are looked at for a surge, in milliseconds: what
+ * moves are made by in a second, instead of by the whole window in three. */
+const RECENT = 700;
+/** Samples in that time below which nothing is called a surge. */
+const FEWEST_RECENT = 100;
+/** Numbers of keys that lie in one bin of the comparison, as a power of two:
+ * busy keys are often close together. */
+const BIN_BITS = 8;
+/** Standard deviations by which a bin must exceed what the time before lets
+ * expect: with 256 bins and five looks a second, chance does so once in hours. */
+const SURGE_SIGNIFICANCE = 6;
 
 /** Recent keys of one service. */
 export class KeyLoad {
@@ -31,11 +42,33 @@
     if (this.#keys.length > MAXIMUM_SAMPLES) this.#drop(MAXIMUM_SAMPLES / 2);
   }
 
-  /** The keys of the window in ascending order, each as often as asked for. */
+  /**
+   * The keys of the window in ascending order, each as often as asked for. While
+   * some keys are asked for much more than before, only the newest requests
+   * count: a server that is flooded now should not wait for the mean of seconds.
+   */
   sorted(now: number): number[] {
     const old = this.#times.findIndex((time) => time > now - WINDOW);
     this.#drop(old < 0 ? this.#times.length : old);
-    return [...this.#keys].sort((a, b) => a - b);
+    const recent = this.#times.findIndex((time) => time > now - RECENT);
+    const isSurging = recent >= 0 && this.#isSurging(recent);
+    const keys = isSurging ? this.#keys.slice(recent) : [...this.#keys];
+    return keys.sort((a, b) => a - b);
+  }
+
+  /** Whether some bin has far more requests from index `recent` on than the
+   * requests before let expect. */
+  #isSurging(recent: number): boolean {
+    const count = this.#keys.length - recent;
+    if (count < FEWEST_RECENT || recent < count) return false;
+    const before = countByBin(this.#keys.slice(0, recent));
+    const scale = count / recent;
+    for (const [bin, found] of countByBin(this.#keys.slice(recent))) {
+      const expected = Math.max(1, (before.get(bin) ?? 0) * scale);
+      const deviation = Math.sqrt(expected);
+      if (found > expected + SURGE_SIGNIFICANCE * deviation) return true;
+    }
+    return false;
   }
 
   #drop(count: number): void {
@@ -44,6 +77,15 @@
   }
 }
 
+function countByBin(keys: readonly number[]): Map<number, number> {
+  const counts = new Map<number, number>();
+  for (const key of keys) {
+    const bin = key >> BIN_BITS;
+    counts.set(bin, (counts.get(bin) ?? 0) + 1);
+  }
+  return counts;
+}
+
 /** The loads of all services. */
 export class KeyLoads {
   readonly #loads = new Map<string, KeyLoad>();
--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -47,6 +47,12 @@
   destination: string;
 }
 
+/** Keys of one server, and where they should go, or null for nowhere. */
+interface Proposal {
+  piece: KeyRange;
+  destination: string | null;
+}
+
 /** Weighs ranges for one decision. */
 export class Placement {
   private constructor(
@@ -136,10 +142,18 @@
       while (rest !== null && loads.get(from)! >= limit) {
         const excess = (loads.get(from)! - fair) * speeds.get(from)!;
         if (excess < SMALLEST_MOVE_SHARE * fair) break;
-        const move = this.#relieve(from, rest, excess, fair, loads, speeds);
-        if (move === null) break;
-        moves.push(move);
-        rest = after(rest, move.piece);
+        const { piece, destination } = this.#relieve(
+          from,
+          rest,
+          excess,
+          fair,
+          loads,
+          speeds,
+        );
+        // A key that is best left where it is has the server to itself: the keys
+        // beside it go.
+        if (destination !== null) moves.push({ piece, destination });
+        rest = after(rest, piece);
       }
     }
     return moves.length > 0
@@ -194,20 +208,18 @@
     fair: number,
     loads: Map<string, number>,
     speeds: Map<string, number>,
-  ): Move | null {
-    let receiver: string | null = null;
-    for (const [id, load] of loads) {
-      if (id === from) continue;
-      if (receiver === null || load < loads.get(receiver)!) receiver = id;
-    }
-    if (receiver === null) return null;
+  ): Proposal {
+    const receiver = idlest(loads, from);
     const room = (fair - loads.get(receiver)!) * speeds.get(receiver)!;
     const smallest = SMALLEST_MOVE_SHARE * fair;
     const amount = Math.max(smallest, Math.min(excess, room));
     const piece = this.#prefix(range, amount);
     const weight = this.weight(piece);
     // What cannot be divided would only move the overload.
-    if (weight > 2 * amount) return this.#improve(from, piece, loads, speeds);
+    if (weight > 2 * amount) {
+      const destination = this.#improve(from, piece, loads, speeds);
+      return { piece, destination };
+    }
     shift(loads, from, -weight / speeds.get(from)!);
     shift(loads, receiver, weight / speeds.get(receiver)!);
     return { piece, destination: receiver };
@@ -222,7 +234,7 @@
     piece: KeyRange,
     loads: Map<string, number>,
     speeds: Map<string, number>,
-  ): Move | null {
+  ): string | null {
     const weight = this.weight(piece);
     let destination: string | null = null;
     let lowest = loads.get(from)! * CLEAR_GAIN;
@@ -235,7 +247,7 @@
     if (destination === null) return null;
     shift(loads, from, -weight / speeds.get(from)!);
     loads.set(destination, lowest);
-    return { piece, destination };
+    return destination;
   }
 
   #heaviestFirst(
@@ -268,6 +280,16 @@
   }
 }
 
+/** The server with the least load but `from`; there are two or more. */
+function idlest(loads: Map<string, number>, from: string): string {
+  let idlest: string | null = null;
+  for (const [id, load] of loads) {
+    if (id === from) continue;
+    if (idlest === null || load < loads.get(idlest)!) idlest = id;
+  }
+  return idlest!;
+}
+
 function shift(loads: Map<string, number>, id: string, change: number): void {
   loads.set(id, loads.get(id)! + change);
 }
--- a/src/core/keyspace/placement_test.ts
+++ b/src/core/keyspace/placement_test.ts
@@ -127,3 +127,18 @@
     t.true(given < 1 / (count + 1) + 0.01, `${count}: ${given}`);
   }
 });
+
+test("placement: a busy key that is best left has its server to itself", (t) => {
+  // Server a is the fastest and holds the busy key in front of a wide range.
+  const busy = Array.from({ length: 800 }, () => 0);
+  const others = Array.from({ length: 300 }, (_, i) => 1 + i * 218);
+  const samples = [...busy, ...others].sort((a, b) => a - b);
+  const servers = [
+    { id: "a", speed: 1.5 },
+    { id: "b", speed: 1 },
+    { id: "c", speed: 1 },
+  ];
+  const moves = Placement.create(samples, servers).moves(RANGES);
+  t.false(moves.some(({ piece }) => piece.first === 0));
+  t.true(moves.some(({ piece }) => piece.first === 1));
+});
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -23,8 +23,8 @@
  * which the store takes a silent member out. */
 export const JOIN_INTERVAL = 350;
 /** The same pause of an observer, whose calls only tell whether the store
- * answers. */
-const OBSERVER_INTERVAL = 700;
+ * answers: shorter than the silence after which it counts as lost. */
+const OBSERVER_INTERVAL = 1_000;
 /** Time after its start for which a VM waits to hear who held the term last,
  * in milliseconds: the store's record is read in about ten. */
 const FIRST_LOOK = 60;
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Beliefs, Emit, HolderAddress } from "./beliefs.ts";
+import type { ServerSamples } from "./fleet/index.ts";
 import type { KeyLoads, TermCampaign } from "./keyspace/index.ts";
 import {
   expandAssignment,
@@ -73,7 +74,8 @@
     const isNew = this.beliefs.followHolder(holder);
     if (!isNew) return;
     const { address, fitness } = holder;
-    this.followerLink.follow(address === this.ownAddress ? null : address);
+    const isOwn = address === this.ownAddress;
+    this.followerLink.follow(isOwn ? null : address, now);
     this.campaign.hearFitness(fitness, now);
   }
 
@@ -152,7 +154,17 @@
     const known = this.beliefs.knowledge();
     const mayFetch = catalog.keyedServices.length > 0 && !isStoreFailing;
     const { position } = this.beliefs.registry;
-    this.emit(...this.followerLink.advance(now, known, position, mayFetch));
+    const latencies = this.#takeLatencies(now);
+    this.emit(
+      ...this.followerLink.advance(now, known, position, latencies, mayFetch),
+    );
+  }
+
+  /** What a report that is due tells of the servers that hold keys. */
+  #takeLatencies(now: number): ServerSamples[] {
+    const { catalog, fleet } = this.beliefs;
+    if (!this.followerLink.isReportDue(now)) return [];
+    return catalog.keyedServices.flatMap(({ name }) => fleet.takeSamples(name));
   }
 
   #takeRegistry(
@@ -174,6 +186,7 @@
   #hear(address: string, { vms, fittest }: HolderWord, now: number): void {
     if (address === this.followerLink.holder) this.followerLink.heard(now);
     this.#vms.heard(vms, now);
+    this.followerLink.expect(vms);
     this.campaign.hearFitness(fittest, now);
   }
 
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -7,13 +7,20 @@
  *
  * @module
  */
+import type { ServerSamples } from "../fleet/index.ts";
 import type { KeyReport, Knowledge, PeerSend } from "./peer_message.ts";
 
-/** Pause between reports, in milliseconds: how late a busy key is noticed, and
- * how old the holder's word about the registry gets. */
-const REPORT_INTERVAL = 500;
+/** Pause between reports, in milliseconds, for each VM that the holder hears,
+ * and its bounds: how late a busy key is noticed, and how old the holder's word
+ * about the registry gets. It takes so many reports a second at most. */
+const REPORT_INTERVAL_OF_VM = 25;
+const SHORTEST_REPORT_INTERVAL = 250;
+const LONGEST_REPORT_INTERVAL = 500;
 /** Silence of the holder after which the record is read, in milliseconds. */
 const HOLDER_SILENCE = 1_600;
+/** The same for a holder that has not been heard at all: after a loss of all VMs
+ * the announced one is gone, and the record says where the keys were. */
+const FIRST_SILENCE = 200;
 /** Pause between reads of the record, in milliseconds: each is paid for. */
 const FETCH_INTERVAL = 1_000;
 /** Keys of one report for each service; a sample of more is as good. */
@@ -28,7 +35,9 @@
 export class FollowerLink {
   #holder: string | null = null;
   #heardAt = -Infinity;
+  #followsSince = -Infinity;
   #reportedAt = -Infinity;
+  #reportInterval = LONGEST_REPORT_INTERVAL;
   #fetchedAt = -Infinity;
   readonly #samples = new Map<string, number[]>();
 
@@ -50,10 +59,11 @@
   }
 
   /** Another VM holds the term now, or this one itself (null). */
-  follow(address: string | null): void {
+  follow(address: string | null, now: number): void {
     if (address === this.#holder) return;
     this.#holder = address;
     this.#reportedAt = -Infinity;
+    this.#followsSince = now;
   }
 
   /** The holder was heard. */
@@ -61,6 +71,19 @@
     this.#heardAt = now;
   }
 
+  /** The holder hears so many VMs. */
+  expect(vms: number): void {
+    this.#reportInterval = Math.min(
+      LONGEST_REPORT_INTERVAL,
+      Math.max(SHORTEST_REPORT_INTERVAL, vms * REPORT_INTERVAL_OF_VM),
+    );
+  }
+
+  /** Whether a report to the holder is due. */
+  isReportDue(now: number): boolean {
+    return now - this.#reportedAt >= this.#reportInterval;
+  }
+
   /** A key was asked for. */
   sample(service: string, key: number): void {
     const keys = this.#samples.get(service) ?? [];
@@ -69,31 +92,42 @@
   }
 
   /** Takes all steps that are due; `position` is up to where the registry is
-   * known, `mayFetch` when assignments are needed and the store answers. */
+   * known, `latencies` what was measured since the last report, `mayFetch` when assignments are needed and the store answers. */
   advance(
     now: number,
     known: Knowledge,
     position: number | null,
+    latencies: readonly ServerSamples[],
     mayFetch: boolean,
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
-    const isReportDue = now - this.#reportedAt >= REPORT_INTERVAL;
-    if (this.#holder !== null && isReportDue) {
+    if (this.#holder !== null && this.isReportDue(now)) {
       this.#reportedAt = now;
-      const message = this.#report(known, position, now);
+      const message = this.#report(known, position, latencies, now);
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
     const isFetchDue = now - this.#fetchedAt >= FETCH_INTERVAL;
-    if (mayFetch && isFetchDue && this.silence(now) >= HOLDER_SILENCE) {
+    if (mayFetch && isFetchDue && this.#isHolderSilent(now)) {
       this.#fetchedAt = now;
       effects.push({ kind: "assignments.fetch" });
     }
     return effects;
   }
 
+  /** Whether a holder was announced that does not answer. */
+  #isHolderSilent(now: number): boolean {
+    const isUnheard = this.#heardAt < this.#followsSince;
+    const since = isUnheard ? this.#followsSince : this.#heardAt;
+    const patience = this.#heardAt === -Infinity
+      ? FIRST_SILENCE
+      : HOLDER_SILENCE;
+    return since > -Infinity && now - since >= patience;
+  }
+
   #report(
     known: Knowledge,
     position: number | null,
+    latencies: readonly ServerSamples[],
     now: number,
   ): KeyReport {
     const samples = [...this.#samples]
@@ -104,6 +138,7 @@
       kind: "keys.asked",
       ...known,
       samples,
+      latencies: [...latencies],
       position,
       sentAt: now,
       fitness,
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -53,6 +53,11 @@
 const keysAskedSchema = knowledgeSchema.extend({
   kind: z.literal("keys.asked"),
   samples: z.array(z.object({ service: z.string(), keys: z.array(count) })),
+  /** Answer times of the servers that hold keys, measured since the report
+   * before: the mean in milliseconds, and of how many answers. */
+  latencies: z.array(
+    z.object({ server: z.string(), mean: z.number(), count }),
+  ),
   /** Up to where it knows the registry, or null. */
   position: count.nullable(),
   /** When this was sent, by its own clock. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -27,7 +27,7 @@
 /** Longest wait of a read for news that come seldom, in milliseconds: a call
  * costs more than the bytes. One that dies in silence is noticed by the short
  * calls beside it, and peers tell each other the version of the configuration. */
-const LONG_POLL = 20_000;
+const LONG_POLL = 29_000;
 /** Share of the drain time between two reads of the registry by the term holder,
  * and the share after which another VM that has no younger word of it reads it
  * itself: both leave time for one slow answer before nothing more may reach a
