--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -19,13 +19,17 @@
   RequestArrival,
 } from "./request.ts";
 import { RequestLog } from "./request_log.ts";
-import { RequestPlacing } from "./request_placing.ts";
+import { type Placing, RequestPlacing } from "./request_placing.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitQueues } from "./wait_queues.ts";
 
 /** Share of the target latency for which a request waits for a server; later
  * its caller does better with a new attempt elsewhere. */
 const WAIT_SHARE = 0.22;
+/** The same while its key is on the move, which takes as long as the work that
+ * runs on it: an answer within the target is still likely, and a caller that is
+ * sent away comes back too late for that. */
+const BRIEF_WAIT_SHARE = 0.6;
 /** Share of the time left after which a refused caller should come back: the
  * longest that callers honour is a third. */
 const RETRY_AFTER_SHARE = 0.3;
@@ -156,6 +160,9 @@
       arrivedAt: now,
       deadline: now + timeout,
       waitEnd: now + Math.min(WAIT_SHARE * route.targetLatency, timeout),
+      briefWaitEnd: now +
+        Math.min(BRIEF_WAIT_SHARE * route.targetLatency, timeout),
+      lookedAt: now,
       retryAt: -Infinity,
       attempts: [],
       tried: [],
@@ -181,14 +188,16 @@
     const placing = this.#placing.place(request, now);
     if (placing.kind === "server") {
       this.#send(request, placing.server, now);
-    } else if (now >= request.waitEnd || queue.length >= MAXIMUM_WAITING) {
+    } else if (
+      now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
+    ) {
       this.#refuse(request, placing.reason, now);
     } else {
       const { reason } = placing;
       this.#log.trace("request.waits", request, now, {
         reason,
         ahead: queue.length,
-        until: Math.round(request.waitEnd - request.arrivedAt),
+        until: Math.round(waitEndOf(request, placing) - request.arrivedAt),
       });
       this.#waiting.add(request);
     }
@@ -342,8 +351,10 @@
     if (request.attempts.length > 0) return true;
     if (!this.#retries.mayRepeat(request, now)) return false;
     const placing = this.#placing.place(request, now);
-    const mayWait = request.key !== null && now < request.waitEnd;
-    if (placing.kind === "wait" && !mayWait) return false;
+    if (placing.kind === "wait") {
+      const mayWait = now < waitEndOf(request, placing);
+      if (request.key === null || !mayWait) return false;
+    }
     if (!this.#retries.withdraw(request, now)) return false;
     if (placing.kind === "server") this.#send(request, placing.server, now);
     else this.#waiting.add(request);
@@ -352,10 +363,12 @@
 
   #advanceRequest(request: PendingRequest, now: number): void {
     if (now < this.#dueAt(request)) return;
+    request.lookedAt = now;
     if (now >= request.retryAt) request.retryAt = -Infinity;
     if (request.attempts.length === 0) {
       const placing = this.#placing.place(request, now);
-      if (now >= request.waitEnd && placing.kind === "wait") {
+      if (placing.kind === "server") return;
+      if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
         this.#giveUpWaiting(request, placing.reason, now);
       }
@@ -396,8 +409,9 @@
 
   #dueAt(request: PendingRequest): number {
     if (request.attempts.length === 0) {
-      const { retryAt, waitEnd } = request;
-      return retryAt === -Infinity ? waitEnd : Math.min(waitEnd, retryAt);
+      const { retryAt, waitEnd, briefWaitEnd, lookedAt } = request;
+      const end = lookedAt < waitEnd ? waitEnd : briefWaitEnd;
+      return retryAt === -Infinity ? end : Math.min(end, retryAt);
     }
     const hedgeAt = Math.min(...request.attempts.map((each) => each.hedgeAt));
     return Math.min(request.deadline + DEADLINE_SLACK, hedgeAt);
@@ -498,3 +512,13 @@
     return effects;
   }
 }
+
+/** Until when a request may wait, by what it waits for. */
+function waitEndOf(
+  { waitEnd, briefWaitEnd }: PendingRequest,
+  { isBrief, from }: Placing & { kind: "wait" },
+): number {
+  // What is known not to come in time is not waited for.
+  if (from > waitEnd) return -Infinity;
+  return isBrief ? Math.max(waitEnd, briefWaitEnd) : waitEnd;
+}
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -43,6 +43,10 @@
   deadline: number;
   /** Until when it may wait for a server. */
   waitEnd: number;
+  /** The same while its key is on the move. */
+  briefWaitEnd: number;
+  /** When its waiting was looked at last. */
+  lookedAt: number;
   /** Before this it is not sent again; -Infinity when nothing speaks against. */
   retryAt: number;
   /** Attempts in flight. */
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -7,7 +7,7 @@
 import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import { chooseServer, hasRoom } from "./server_choice.ts";
+import { chooseServer, fullUntil, hasRoom } from "./server_choice.ts";
 
 /** A draining server keeps its keys for this long in milliseconds while they
  * are moved; then nothing more is sent to it. */
@@ -16,8 +16,19 @@
 /** Where a request can go now. */
 export type Placing =
   | { kind: "server"; server: TrackedServer }
-  /** Not now, maybe later. */
-  | { kind: "wait"; reason: string };
+  /** Not now, maybe later; `isBrief` when it is known to change soon, `from` is
+   * the earliest time if there is one. */
+  | { kind: "wait"; reason: string; isBrief: boolean; from: number };
+
+/** A wait for room, or for a server that is lost: nobody knows how long. */
+function waitForLong(reason: string): Placing {
+  return { kind: "wait", reason, isBrief: false, from: -Infinity };
+}
+
+/** A wait for keys that are on their way from one server to another. */
+function waitBriefly(reason: string): Placing {
+  return { kind: "wait", reason, isBrief: true, from: -Infinity };
+}
 
 /** See the module's comment. */
 export class RequestPlacing {
@@ -37,32 +48,36 @@
     const context = { fleet, availabilityZone, vms: this.context.vms(), draw };
     const server = chooseServer(request.service, request.tried, now, context);
     if (server !== null) return { kind: "server", server };
-    return { kind: "wait", reason: "no server has room" };
+    return waitForLong("no server has room");
   }
 
   #placeKeyed(request: PendingRequest, key: number, now: number): Placing {
     const { fleet, directory } = this.context;
     if (now < request.retryAt) {
-      return { kind: "wait", reason: "the key's server refused" };
+      return waitBriefly("the key's server refused");
     }
     const range = directory.find(request.service, key);
     if (range === undefined) {
-      return { kind: "wait", reason: "no assignment of keys is known" };
+      return waitForLong("no assignment of keys is known");
     }
     if (!range.isOpen || range.server === null) {
-      return { kind: "wait", reason: "the key is on the move" };
+      return waitBriefly("the key is on the move");
     }
     const server = fleet.get(range.server);
     if (server === undefined) {
-      return { kind: "wait", reason: "the key's server is gone" };
+      return waitForLong("the key's server is gone");
     }
     const drainingSince = server.drainingSince ?? Infinity;
     if (now > drainingSince + DRAINING_KEYS_TIME) {
-      return { kind: "wait", reason: "the key's server is leaving" };
-    }
-    if (hasRoom(server, now, this.context.vms())) {
-      return { kind: "server", server };
+      return waitBriefly("the key's server is leaving");
     }
-    return { kind: "wait", reason: "the key's server has no room" };
+    const vms = this.context.vms();
+    if (hasRoom(server, now, vms)) return { kind: "server", server };
+    return {
+      kind: "wait",
+      reason: "the key's server has no room",
+      isBrief: false,
+      from: fullUntil(server, vms),
+    };
   }
 }
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -46,9 +46,16 @@
   now: number,
   vms: number | null,
 ): boolean {
-  const { slots } = server.entry;
+  const limit = server.entry.slots * LOAD_PER_SLOT;
+  if (now < fullUntil(server, vms)) return false;
   if (server.inFlight >= mostOfOwn(server, now, vms)) return false;
-  return server.load(now) < slots * LOAD_PER_SLOT;
+  return server.load(now) < limit;
+}
+
+/** Until when a server that was full has probably no room for this VM. */
+export function fullUntil(server: TrackedServer, vms: number | null): number {
+  const limit = server.entry.slots * LOAD_PER_SLOT;
+  return server.fullUntil(limit, vms ?? ASSUMED_VMS);
 }
 
 /** Requests that this VM may have at a server. */
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -31,8 +31,8 @@
 /** Time for which the election must stand before a term is claimed, in
  * milliseconds: many members that join at once move it around. */
 const SETTLE_TIME = 200;
-/** The same pause while this VM is elected and waits for that: after all VMs
- * were killed no key is held until a term is claimed. */
+/** The same pause while this VM is elected and waits for that, and while members
+ * come and go: after all VMs were killed no key is held until a term is claimed. */
 const SETTLING_INTERVAL = 100;
 /** Pause after a claim that failed, in milliseconds. */
 const CLAIM_PAUSE = 200;
@@ -275,10 +275,13 @@
     return isElected ? [{ kind: "group.leave", group: former }] : [];
   }
 
-  #joinInterval({ isElected, group }: Membership): number {
+  /** The store passes the place on only after the member that had it has called
+   * again, so calls come fast while the group changes. */
+  #joinInterval({ isElected, group, generation }: Membership): number {
     if (group === "observers") return OBSERVER_INTERVAL;
+    const isChanging = generation !== this.#generation;
     const isSettling = isElected && this.holder === null;
-    return isSettling ? SETTLING_INTERVAL : JOIN_INTERVAL;
+    return isSettling || isChanging ? SETTLING_INTERVAL : JOIN_INTERVAL;
   }
 
   #settle(generation: number, now: number): void {
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -20,7 +20,7 @@
 const HOLDER_SILENCE = 1_600;
 /** The same for a holder that has not been heard at all: after a loss of all VMs
  * the announced one is gone, and the record says where the keys were. */
-const FIRST_SILENCE = 200;
+const FIRST_SILENCE = 60;
 /** Pause between reads of the record, in milliseconds: each is paid for. */
 const FETCH_INTERVAL = 1_000;
 /** Keys of one report for each service; a sample of more is as good. */
--- /dev/null
+++ b/src/core/term_publication_test.ts
@@ -0,0 +1,113 @@
+import test from "ava";
+import { Beliefs } from "./beliefs.ts";
+import type { EntryEffect } from "./entry_effect.ts";
+import {
+  KeyLoads,
+  leaseTimingSchema,
+  TermCampaign,
+  TermHolder,
+} from "./keyspace/index.ts";
+import type { KeyReport } from "./peers/index.ts";
+import { TermPublication } from "./term_publication.ts";
+
+/** A publication of a holder with 40 servers, and what it sends. */
+function createPublication() {
+  const effects: EntryEffect[] = [];
+  const beliefs = Beliefs.create((...some) => effects.push(...some));
+  const loads = KeyLoads.create();
+  const timing = leaseTimingSchema.parse({});
+  const { fleet } = beliefs;
+  const campaign = TermCampaign.create(timing, fleet, loads, 1);
+  const servers = Array.from({ length: 40 }, (_, i) => ({
+    id: `i-${i}`,
+    service: "s",
+    address: `h:${i}`,
+    availabilityZone: "a",
+    slots: 6,
+    isDraining: false,
+    warmUp: 0,
+  }));
+  fleet.apply(servers, [], 0);
+  let orders = 0;
+  const next = () => orders += 1;
+  const holder = TermHolder.create(1, [], timing, fleet, loads, next, 0);
+  const publication = TermPublication.create(
+    beliefs,
+    campaign,
+    loads,
+    (...some) => effects.push(...some),
+  );
+  const report = (version: number): KeyReport => ({
+    kind: "keys.asked",
+    term: version === 0 ? 0 : 1,
+    version,
+    configuration: 1,
+    samples: [],
+    latencies: [],
+    position: null,
+    sentAt: 0,
+    fitness: 1,
+  });
+  /** Messages to the follower since this was asked last, by kind. */
+  const sent = () =>
+    effects.splice(0).flatMap((each) =>
+      each.kind === "peer.send" && each.message.kind !== "holder.alive"
+        ? [each.message]
+        : []
+    );
+  /** Lets the holder work until `now`; all its orders and writes succeed. */
+  const work = (now: number) => {
+    for (const effect of holder.advance(["s"], now, Infinity, 0)) {
+      if (effect.kind === "assignments.write") holder.record.written();
+      else if ("order" in effect) {
+        holder.ordered(effect.order, { kind: "accepted", handover: null }, now);
+      }
+    }
+  };
+  return { publication, holder, report, sent, work };
+}
+
+test("publication: a new follower is told all, one that keeps up nothing twice", (t) => {
+  const { publication, holder, report, sent, work } = createPublication();
+  work(0);
+  publication.advance(holder, 0);
+  publication.reported(holder, "f", report(0), 10);
+  t.deepEqual(sent().map(({ kind }) => kind), ["assignments.told"]);
+  work(20);
+  publication.advance(holder, 20);
+  t.deepEqual(sent().map(({ kind }) => kind), ["assignments.changed"]);
+  publication.reported(holder, "f", report(holder.version), 30);
+  t.deepEqual(sent(), []);
+});
+
+test("publication: a follower that crosses a change or missed it is told just that", (t) => {
+  const { publication, holder, report, sent, work } = createPublication();
+  work(0);
+  publication.advance(holder, 0);
+  const before = holder.version;
+  publication.reported(holder, "f", report(before), 10);
+  work(20);
+  publication.advance(holder, 20);
+  sent();
+  publication.reported(holder, "f", report(before), 50);
+  t.deepEqual(sent(), [], "the change is on its way");
+  publication.reported(holder, "f", report(before), 500);
+  const [message] = sent();
+  t.is(message.kind, "assignments.changed");
+  if (message.kind === "assignments.changed") t.is(message.since, before);
+});
+
+test("publication: reports between two publications wait for the next", (t) => {
+  const { publication, holder, report, sent, work } = createPublication();
+  for (let i = 0; i < 90; i++) {
+    publication.reported(holder, `f-${i}`, report(0), 0);
+  }
+  publication.advance(holder, 0);
+  sent();
+  work(10);
+  publication.reported(holder, "f-0", report(0), 20);
+  t.deepEqual(sent(), []);
+  work(30);
+  publication.advance(holder, 100);
+  t.true(sent().length >= 90);
+});
--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -102,3 +102,36 @@
   });
   t.deepEqual(violations, []);
 });
+
+test("the term goes to the fittest VM once and stays there", (t) => {
+  const report = World.play({
+    vms: 4,
+    servers: 4,
+    faults: [],
+    duration: 20_000,
+    seed: 3,
+    fitness: [0.5, 0.5, 4, 0.5],
+  });
+  t.deepEqual(report.violations, []);
+  t.is(report.holders.at(-1), "vm-2");
+  t.true(report.holders.length <= 2, report.holders.join());
+  t.true(report.held > 0.8, `${report.held}`);
+});
+
+test("a small VM holds the term while no fitter one lives, and passes it back", (t) => {
+  const report = World.play({
+    vms: 3,
+    servers: 4,
+    faults: [
+      { kind: "vm.kill", at: 8_000, duration: 16_000, target: 1 },
+    ],
+    duration: 25_000,
+    seed: 4,
+    fitness: [0.5, 4, 0.5],
+  });
+  t.deepEqual(report.violations, []);
+  const since = report.holders.indexOf("vm-1");
+  t.is(report.holders.at(-1), "vm-1");
+  t.true(report.holders.slice(since + 1, -1).every((each) => each !== "vm-1"));
+  t.true(report.holders.length >= since + 3, report.holders.join());
+});
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -80,6 +80,8 @@
   violations: string[];
   grants: number;
   moves: number;
+  /** VMs that announced a term, in order. */
+  holders: string[];
   /** Share of the requests whose key was held by an open server's grant. */
   held: number;
 }
@@ -144,6 +146,7 @@
     violations: [],
     grants: 0,
     moves: 0,
+    holders: [],
     held: 0,
   };
   #asked = 0;
@@ -336,6 +339,7 @@
           if (term <= (this.#holder?.term ?? 0)) return;
           const { id, address } = vm;
           this.#holder = { term, vm: id, address, fitness };
+          this.#report.holders.push(address);
         }, () => null);
       case "peer.send":
         return this.#sendPeer(vm, effect.address, {
