--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -32,6 +32,9 @@
 /** Longest time without paid calls to the store after one has failed, in
  * milliseconds: refused calls are paid for too, and an outage lasts seconds. */
 const CALL_PAUSE = 2_000;
+/** Silence of the term holder after which an observer follows the store's feeds
+ * itself, in milliseconds: two of its answers are missing. */
+const FEEDS_PATIENCE = 1_200;
 /** Pause between looks at a shutdown, in milliseconds. */
 const SHUTDOWN_INTERVAL = 50;
 
@@ -51,6 +54,7 @@
   #callFailedAt = -Infinity;
   #isStoreLost = true;
   #isReady = false;
+  #areFeedsOn = true;
   #effects: EntryEffect[] = [];
 
   private constructor(options: EntryOptions) {
@@ -199,6 +203,7 @@
       catalog.keyedServices.map((each) => each.name),
       now,
     );
+    this.#updateFeeds(now);
     this.peers.advance(
       this.#isStoreLost,
       this.#isStoreFailing(now),
@@ -294,6 +299,19 @@
     }
   }
 
+  /**
+   * Leaves the store's feeds to the term holder while this VM only observes and
+   * hears it: waiting reads and their news were two thirds of the calls of 91
+   * VMs.
+   */
+  #updateFeeds(now: number): void {
+    const isTold = this.campaign.isObserver && this.beliefs.catalog.isKnown &&
+      this.peers.followerLink.silence(now) < FEEDS_PATIENCE;
+    if (isTold !== this.#areFeedsOn) return;
+    this.#areFeedsOn = !isTold;
+    this.#put({ kind: "feeds.follow", isOn: !isTold });
+  }
+
   #updateReadiness(): void {
     const isKnown = this.beliefs.catalog.isKnown;
     const isReady = isKnown && !this.#shutdown.isStarted;
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -30,7 +30,7 @@
 const FIRST_LOOK = 60;
 /** Time for which the election must stand before a term is claimed, in
  * milliseconds: many members that join at once move it around. */
-const SETTLE_TIME = 200;
+const SETTLE_TIME = 60;
 /** The same pause while this VM is elected and waits for that, and while members
  * come and go: after all VMs were killed no key is held until a term is claimed. */
 const SETTLING_INTERVAL = 100;
@@ -120,6 +120,11 @@
     return this.#phase.kind === "leading" ? this.#phase.holder : null;
   }
 
+  /** Whether this VM stands by for fitter ones. */
+  get isObserver(): boolean {
+    return this.#group === "observers";
+  }
+
   /** What this VM is doing about the term, for operators. */
   get phase(): Phase["kind"] {
     return this.#phase.kind;
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -17,6 +17,9 @@
 import type { RegistryNews } from "./registry/index.ts";
 import { TermPublication } from "./term_publication.ts";
 
+/** Time for which a newer configuration is left to arrive by itself, in
+ * milliseconds: from the store, or with the holder's next answer. */
+const CONFIGURATION_PATIENCE = 600;
 /** Pause between reads of a configuration that a peer has, in milliseconds. */
 const CONFIGURATION_PAUSE = 400;
 
@@ -29,6 +32,8 @@
   readonly #publication: TermPublication;
   readonly #stateRequest: StateRequest;
   #configurationFetchedAt = -Infinity;
+  /** Since when a peer is known to have a newer configuration. */
+  #behindSince = Infinity;
   readonly #vms = VmCount.create();
 
   private constructor(
@@ -93,6 +98,8 @@
       case "holder.alive":
         this.#takeRegistry(message.registry, isStoreLost, now);
         return this.#hear(address, message, now);
+      case "configuration.told":
+        return this.beliefs.configure(message.told);
       case "servers.told":
         return this.#takeRegistry(message.registry, isStoreLost, now);
       case "assignments.told":
@@ -256,11 +263,16 @@
     if (holder?.term === toTerm) holder.relieve(exposures, now);
   }
 
-  /** Reads the configuration when a peer has a newer one: the call that waits
-   * for news may have lost its answer without a sign. */
+  /** Reads the configuration when a peer has a newer one for a while: the call
+   * that waits for news may have lost its answer without a sign. */
   #compareConfiguration(newest: number, now: number): void {
     const { version } = this.beliefs.catalog;
-    if (newest <= version) return;
+    if (newest <= version) {
+      this.#behindSince = Infinity;
+      return;
+    }
+    this.#behindSince = Math.min(this.#behindSince, now);
+    if (now - this.#behindSince < CONFIGURATION_PATIENCE) return;
     if (now - this.#configurationFetchedAt < CONFIGURATION_PAUSE) return;
     this.#configurationFetchedAt = now;
     this.beliefs.note("configuration.behind", { version, newest });
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Configuration } from "../catalog/index.ts";
 import type { Assignment, AssignmentChanges } from "../keyspace/index.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type {
@@ -70,6 +71,20 @@
     return { kind: "peer.send", address, message };
   }
 
+  /** Tells a follower the configuration in force. */
+  tellConfiguration(
+    address: string,
+    knowledge: Knowledge,
+    told: Configuration,
+  ): PeerSend {
+    const message: PeerMessage = {
+      kind: "configuration.told",
+      ...knowledge,
+      told,
+    };
+    return { kind: "peer.send", address, message };
+  }
+
   /** Tells a follower everything. */
   tell(address: string, bulletin: Bulletin): PeerSend {
     return { kind: "peer.send", address, message: assignmentsTold(bulletin) };
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -97,6 +97,12 @@
   assignments: z.array(sharedAssignmentSchema),
 });
 
+/** The holder tells a follower that lacks it the configuration in force. */
+const configurationToldSchema = knowledgeSchema.extend({
+  kind: z.literal("configuration.told"),
+  told: configurationSchema,
+});
+
 /** A process that cannot reach the store asks for all that another one knows. */
 const stateWantedSchema = knowledgeSchema.extend({
   kind: z.literal("state.wanted"),
@@ -139,6 +145,7 @@
   assignmentsToldSchema,
   assignmentsChangedSchema,
   serversToldSchema,
+  configurationToldSchema,
   stateWantedSchema,
   stateToldSchema,
   termTakenSchema,
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -40,6 +40,8 @@
   #marks: Mark[] = [];
   /** Position up to which followers were told the registry, or null. */
   #publishedPosition: number | null = null;
+  /** Version of the configuration, and since when it is known here. */
+  #configuration = { version: -1, since: -Infinity };
   /** Reports that came while changes waited to be published. */
   readonly #owed = new Map<string, KeyReport>();
 
@@ -89,10 +91,25 @@
     this.emit(
       this.#link.confirm(address, this.#word(now), this.#news(report, now)),
     );
+    this.#tellConfiguration(address, report, now);
     if (this.#isPublished(holder)) this.#catchUp(holder, address, report, now);
     else this.#owed.set(address, report);
   }
 
+  /** Tells a follower the configuration if it lacks it for longer than a read of
+   * its own takes: most VMs leave the store's feeds to the holder. */
+  #tellConfiguration(address: string, report: KeyReport, now: number): void {
+    const { configuration, version } = this.beliefs.catalog;
+    if (version !== this.#configuration.version) {
+      this.#configuration = { version, since: now };
+    }
+    const isSettled = now - this.#configuration.since > IN_FLIGHT;
+    if (configuration === null || report.configuration >= version) return;
+    if (!isSettled) return;
+    const knowledge = this.beliefs.knowledge(this.#published);
+    this.emit(this.#link.tellConfiguration(address, knowledge, configuration));
+  }
+
   /** Tells a follower what it has missed, if anything. */
   #catchUp(
     holder: TermHolder,
