--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -295,7 +295,7 @@
     for (const { service } of catalog.route(host, target)?.destinations ?? []) {
       if (!catalog.service(service)?.isKeyed) continue;
       this.#loads.of(service).record(key, now);
-      this.peers.followerLink.sample(service, key);
+      this.peers.keyAsked(service, key);
     }
   }
 
--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -59,6 +59,8 @@
   failures: number;
   /** The order in flight, or null. */
   order: number | null;
+  /** When requests for the keys began to wait, or 0 while they do not. */
+  closedAt: number;
   /** When the server gave the keys back. */
   releasedAt: number;
   /** Server that the keys are to go to next, or null. */
@@ -85,6 +87,7 @@
     dueAt: 0,
     failures: 0,
     order: null,
+    closedAt: 0,
     releasedAt: 0,
     destination: null,
     revision,
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -46,6 +46,17 @@
   to: string;
 }
 
+/** Keys are held by another server; for the log. */
+export interface MovedNote {
+  kind: "keys.moved";
+  service: string;
+  first: number;
+  last: number;
+  to: string;
+  /** Milliseconds for which nobody could be asked for them. */
+  took: number;
+}
+
 /** Records assignments; the answer is the event `assignments.written`. */
 export interface AssignmentWrite {
   kind: "assignments.write";
@@ -100,6 +111,7 @@
   | GrantOrder
   | ReleaseOrder
   | MoveNote
+  | MovedNote
   | AssignmentWrite
   | TermRead
   | TermClaim
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -348,6 +348,7 @@
     const isLost = range.failures >= FAILURES_TO_LOSE;
     range.state = isLost ? "expiring" : "closing";
     range.dueAt = now + NEWS_TIME;
+    range.closedAt = now;
     table.changed(range);
   }
 
@@ -355,6 +356,7 @@
     const vacant = vacantRange(range, 0);
     vacant.handover = range.handover;
     vacant.destination = range.destination;
+    vacant.closedAt = range.closedAt;
     Object.assign(range, vacant);
     table.changed(range);
   }
@@ -434,6 +436,20 @@
     range.state = "held";
     range.destination = null;
     table.changed(range);
+    this.#noteMoved(table, range, now);
+  }
+
+  #noteMoved(table: RangeTable, range: HeldRange, now: number): void {
+    if (range.closedAt === 0) return;
+    this.#effects.push({
+      kind: "keys.moved",
+      service: table.service,
+      first: range.first,
+      last: range.last,
+      to: range.server!,
+      took: Math.round(now - range.closedAt),
+    });
+    range.closedAt = 0;
   }
 
   #failed({ range, sentAt, hold }: Order, now: number): void {
@@ -528,6 +544,7 @@
     moving.destination = destination;
     moving.state = "closing";
     moving.dueAt = now + NEWS_TIME;
+    moving.closedAt = now;
     table.changed(moving);
     this.#effects.push({
       kind: "keys.move",
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -31,6 +31,7 @@
   readonly followerLink: FollowerLink;
   readonly #publication: TermPublication;
   readonly #stateRequest: StateRequest;
+  #areKeysAsked = false;
   #configurationFetchedAt = -Infinity;
   /** Since when a peer is known to have a newer configuration. */
   #behindSince = Infinity;
@@ -74,6 +75,12 @@
     return this.#vms.value;
   }
 
+  /** A caller asked for a key: from here on assignments are needed. */
+  keyAsked(service: string, key: number): void {
+    this.#areKeysAsked = true;
+    this.followerLink.sample(service, key);
+  }
+
   /** Another VM may have announced that it holds a term. */
   follow(holder: HolderAddress, now: number): void {
     const isNew = this.beliefs.followHolder(holder);
@@ -159,7 +166,7 @@
       return this.#publication.advance(holder, now);
     }
     const known = this.beliefs.knowledge();
-    const mayFetch = catalog.keyedServices.length > 0 && !isStoreFailing;
+    const mayFetch = this.#areKeysAsked && !isStoreFailing;
     const { position } = this.beliefs.registry;
     const latencies = this.#takeLatencies(now);
     this.emit(
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -28,6 +28,9 @@
  * costs more than the bytes. One that dies in silence is noticed by the short
  * calls beside it, and peers tell each other the version of the configuration. */
 const LONG_POLL = 29_000;
+/** Least time between two reads of a feed, in milliseconds: news often come with
+ * the word of a term holder, after which an observer need not read on. */
+const FEED_PAUSE = 300;
 /** Share of the drain time between two reads of the registry by the term holder,
  * and the share after which another VM that has no younger word of it reads it
  * itself: both leave time for one slow answer before nothing more may reach a
@@ -177,11 +180,9 @@
       listen: settings.listen,
       store: settings.store.address,
     });
-    this.#configuration = this.#follow("configuration", {
-      wait: LONG_POLL,
-      pause: 0,
-    });
-    this.#follow("holder", { wait: LONG_POLL, pause: 0 });
+    const pace = { wait: LONG_POLL, pause: FEED_PAUSE };
+    this.#configuration = this.#follow("configuration", pace);
+    this.#follow("holder", pace);
     this.#loop.push({ kind: "timer" });
   }
 
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -12,6 +12,8 @@
 } from "../core/dispatch/index.ts";
 import type {
   GrantOrder,
+  MovedNote,
+  MoveNote,
   OrderOutcome,
   ReleaseOrder,
 } from "../core/keyspace/index.ts";
@@ -64,7 +66,7 @@
   }
 
   handle(effect: EntryEffect): void {
-    const { store, callers, backends, readiness, journal } = this.adapters;
+    const { store, callers, backends, readiness } = this.adapters;
     switch (effect.kind) {
       case "attempt.start":
         return this.#start(effect);
@@ -96,10 +98,11 @@
       case "order.grant":
       case "order.release":
         return void this.#order(effect);
-      case "keys.move": {
-        const { kind, ...detail } = effect;
-        return journal.write("info", kind, detail);
-      }
+      case "keys.moved":
+        this.adapters.metrics.observe("key_move_milliseconds", effect.took);
+        return this.#writeMove(effect);
+      case "keys.move":
+        return this.#writeMove(effect);
       case "assignments.write":
         return void store.write(effect);
       case "term.read":
@@ -144,6 +147,10 @@
     this.adapters.journal.write(level, decision, detail);
   }
 
+  #writeMove({ kind, ...detail }: MoveNote | MovedNote): void {
+    this.adapters.journal.write("info", kind, detail);
+  }
+
   async #order(order: GrantOrder | ReleaseOrder): Promise<void> {
     const { orders, orderTimeouts, sink, metrics } = this.adapters;
     const startedAt = performance.now();
