--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -10,7 +10,7 @@
 import { Dispatcher } from "./dispatch/index.ts";
 import type { RequestArrival } from "./dispatch/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
-import { type EntryEvent, MEMBERSHIP_STEP } from "./entry_event.ts";
+import type { EntryEvent } from "./entry_event.ts";
 import type { EntryOptions, RegistryTiming } from "./entry_options.ts";
 import {
   KeyLoads,
@@ -21,17 +21,12 @@
 import { PeerExchange } from "./peer_exchange.ts";
 import { uniformFloat64 } from "./random.ts";
 import { Shutdown } from "./shutdown.ts";
+import { StoreHealth } from "./store_health.ts";
 
 /** Pause between looks at the ranges while this VM leads, in milliseconds. */
 const LEADING_INTERVAL = 50;
 /** Pause between looks at anything else, in milliseconds. */
 const IDLE_INTERVAL = 250;
-/** The store counts as lost after this long without an answer, in
- * milliseconds: some calls of each second are missing by then. */
-const STORE_LOST_AFTER = 1_500;
-/** Longest time without paid calls to the store after one has failed, in
- * milliseconds: refused calls are paid for too, and an outage lasts seconds. */
-const CALL_PAUSE = 2_000;
 /** Silence of the term holder after which an observer follows the store's feeds
  * itself, in milliseconds: two of its answers are missing. */
 const FEEDS_PATIENCE = 1_200;
@@ -47,12 +42,7 @@
   readonly #loads = KeyLoads.create();
   readonly #shutdown: Shutdown;
   readonly #registryTiming: RegistryTiming;
-  /** Steps towards the store that have failed since it answered. */
-  readonly #failingSteps = new Set<string>();
-  #storeAnsweredAt = -Infinity;
-  /** When a paid call failed, if none was answered since. */
-  #callFailedAt = -Infinity;
-  #isStoreLost = true;
+  readonly #store = StoreHealth.create();
   #isReady = false;
   #areFeedsOn = true;
   #effects: EntryEffect[] = [];
@@ -106,7 +96,7 @@
   /** Time since the sending of the last call that the store answered, in
    * milliseconds. */
   storeSilence(now: number): number {
-    return now - this.#storeAnsweredAt;
+    return this.#store.silence(now);
   }
 
   /** Takes one event. */
@@ -125,9 +115,10 @@
     const stop = this.#shutdown.isStarted ? SHUTDOWN_INTERVAL : Infinity;
     return Math.min(
       this.dispatcher.nextAt(),
-      this.#isStoreFailing(now)
-        ? this.#callFailedAt + CALL_PAUSE
-        : this.beliefs.registry.dueAt(this.#registryAge),
+      Math.max(
+        this.#store.callableAt,
+        this.beliefs.registry.dueAt(this.#registryAge),
+      ),
       now + Math.min(pause, stop),
     );
   }
@@ -149,7 +140,7 @@
         return this.peers.follow(event.holder, now);
       case "peer.received": {
         const { address, message } = event;
-        return this.peers.receive(address, message, this.#isStoreLost, now);
+        return this.peers.receive(address, message, this.#store.isLost, now);
       }
       case "store.answered":
         return this.#storeAnswered(event.sentAt, now);
@@ -193,10 +184,9 @@
   #advance(now: number): void {
     const { catalog, fleet } = this.beliefs;
     this.beliefs.changeServers(fleet.expire(now));
-    const silence = this.storeSilence(now);
-    if (!this.#isStoreLost && silence > STORE_LOST_AFTER) {
-      this.#isStoreLost = true;
-      this.beliefs.note("store.lost", { silence: Math.round(silence) });
+    if (this.#store.advance(now)) {
+      const silence = Math.round(this.storeSilence(now));
+      this.beliefs.note("store.lost", { silence });
     }
     this.#advanceRegistry(now);
     this.#advanceCampaign(
@@ -204,28 +194,15 @@
       now,
     );
     this.#updateFeeds(now);
-    this.peers.advance(
-      this.#isStoreLost,
-      this.#isStoreFailing(now),
-      now,
-    );
+    this.peers.advance(this.#store, now);
     this.#put(...this.dispatcher.advance(now));
     this.#updateReadiness();
     this.#put(...this.#shutdown.advance(this.dispatcher.pending, now));
   }
 
-  /**
-   * Whether a paid call to the store has failed just now and none was answered
-   * since. No further one is made then: the membership calls, which cost a
-   * tenth, find out when it answers again.
-   */
-  #isStoreFailing(now: number): boolean {
-    return now - this.#callFailedAt < CALL_PAUSE;
-  }
-
   /** Reads the registry when what is known of it is too old. */
   #advanceRegistry(now: number): void {
-    if (this.#isStoreFailing(now)) return;
+    if (this.#store.isFailing(now)) return;
     const fetch = this.beliefs.registry.fetch(now, this.#registryAge);
     if (fetch !== null) this.#put(fetch);
   }
@@ -265,21 +242,14 @@
   }
 
   #storeAnswered(sentAt: number, now: number): void {
-    this.#storeAnsweredAt = Math.max(this.#storeAnsweredAt, sentAt);
-    if (now - sentAt > STORE_LOST_AFTER) return;
-    this.#failingSteps.clear();
-    this.#callFailedAt = -Infinity;
-    if (!this.#isStoreLost) return;
-    this.#isStoreLost = false;
+    if (!this.#store.answered(sentAt, now)) return;
     this.beliefs.fleet.regained(now);
     this.beliefs.note("store.regained", {});
   }
 
   /** Notes the first failure of each step since the store answered last. */
   #storeFailed(step: string, cause: string, now: number): void {
-    if (step !== MEMBERSHIP_STEP) this.#callFailedAt = now;
-    if (this.#failingSteps.has(step)) return;
-    this.#failingSteps.add(step);
+    if (!this.#store.failed(step, now)) return;
     this.#put({
       kind: "note",
       level: "warn",
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -15,6 +15,7 @@
   VmCount,
 } from "./peers/index.ts";
 import type { RegistryNews } from "./registry/index.ts";
+import type { StoreHealth } from "./store_health.ts";
 import { TermPublication } from "./term_publication.ts";
 
 /** Time for which a newer configuration is left to arrive by itself, in
@@ -150,15 +151,15 @@
     });
   }
 
-  /** Takes all steps that are due; `isStoreFailing` while its last call failed. */
-  advance(isStoreLost: boolean, isStoreFailing: boolean, now: number): void {
+  /** Takes all steps that are due. */
+  advance(store: StoreHealth, now: number): void {
     const { catalog } = this.beliefs;
     this.emit(...this.#stateRequest.advance(
       now,
       this.beliefs.knowledge(),
       this.followerLink.holder,
       !catalog.isKnown,
-      isStoreLost,
+      store.isLost,
     ));
     const { holder } = this.campaign;
     if (holder !== null) {
@@ -166,7 +167,7 @@
       return this.#publication.advance(holder, now);
     }
     const known = this.beliefs.knowledge();
-    const mayFetch = this.#areKeysAsked && !isStoreFailing;
+    const mayFetch = this.#areKeysAsked && !store.isFailing(now);
     const { position } = this.beliefs.registry;
     const latencies = this.#takeLatencies(now);
     this.emit(
