--- /dev/null
+++ b/src/core/keyspace/order_book.ts
@@ -0,0 +1,120 @@
+/**
+ * Orders of a term holder to backend servers: makes them, and knows which are in
+ * flight and until when a server may hold keys by them.
+ *
+ * @module
+ */
+import type { HeldRange } from "./held_range.ts";
+import type { GrantOrder, ReleaseOrder } from "./keyspace_effect.ts";
+import { type LeaseTiming, unansweredEnd } from "./lease_timing.ts";
+import type { RangeTable } from "./range_table.ts";
+
+/** Tokens of one term: more than a holder gives out in years. */
+const TOKENS_OF_TERM = 2 ** 28;
+
+/** An order that is in flight. */
+export interface PendingOrder {
+  table: RangeTable;
+  range: HeldRange;
+  kind: "grant" | "release";
+  sentAt: number;
+  /** Hold time of a grant, in milliseconds. */
+  hold: number;
+}
+
+/** See the module's comment. */
+export class OrderBook {
+  readonly #pending = new Map<number, PendingOrder>();
+  #tokenNumber = 0;
+
+  private constructor(
+    private readonly term: number,
+    private readonly timing: LeaseTiming,
+    private readonly nextOrder: () => number,
+  ) {}
+
+  /** The book of a term in which nothing was ordered; `nextOrder` numbers orders
+   * of all terms of this process. */
+  static create(
+    term: number,
+    timing: LeaseTiming,
+    nextOrder: () => number,
+  ): OrderBook {
+    return new OrderBook(term, timing, nextOrder);
+  }
+
+  /** A token above all that this term and older ones gave out. */
+  nextToken(): number {
+    this.#tokenNumber += 1;
+    return this.term * TOKENS_OF_TERM + this.#tokenNumber;
+  }
+
+  /** Grants a range, whose server and address are known, or renews the grant. */
+  grant(
+    table: RangeTable,
+    range: HeldRange,
+    hold: number,
+    now: number,
+  ): GrantOrder {
+    range.hold = hold;
+    return {
+      kind: "order.grant",
+      order: this.#add(table, range, "grant", hold, now),
+      service: table.service,
+      server: range.server!,
+      address: range.address!,
+      first: range.first,
+      last: range.last,
+      token: range.token,
+      hold,
+      handover: range.handover,
+    };
+  }
+
+  /** Takes a range back. */
+  release(table: RangeTable, range: HeldRange, now: number): ReleaseOrder {
+    return {
+      kind: "order.release",
+      order: this.#add(table, range, "release", 0, now),
+      service: table.service,
+      server: range.server!,
+      address: range.address!,
+      first: range.first,
+      last: range.last,
+      token: this.nextToken(),
+    };
+  }
+
+  /** An order ended; undefined for one of another term. */
+  end(id: number): PendingOrder | undefined {
+    const order = this.#pending.get(id);
+    if (order === undefined) return undefined;
+    this.#pending.delete(id);
+    order.range.order = null;
+    return order;
+  }
+
+  /** Until when the server of a range may hold its keys at the latest. */
+  heldUntil(
+    { order: id, leaseEnd, doubtEnd, inheritedEnd }: HeldRange,
+  ): number {
+    const order = id === null ? undefined : this.#pending.get(id);
+    const inFlight = order?.kind === "grant"
+      ? unansweredEnd(order.sentAt, order.hold, this.timing)
+      : 0;
+    return Math.max(leaseEnd, doubtEnd, inheritedEnd, inFlight);
+  }
+
+  #add(
+    table: RangeTable,
+    range: HeldRange,
+    kind: PendingOrder["kind"],
+    hold: number,
+    now: number,
+  ): number {
+    const id = this.nextOrder();
+    range.order = id;
+    this.#pending.set(id, { table, range, kind, sentAt: now, hold });
+    return id;
+  }
+}
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -19,13 +19,12 @@
   predecessorEnd,
   unansweredEnd,
 } from "./lease_timing.ts";
+import { OrderBook, type PendingOrder } from "./order_book.ts";
 import type { Move } from "./placement.ts";
 import { RecordWriter } from "./record_writer.ts";
 import { RangeTable } from "./range_table.ts";
 import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 
-/** Tokens of one term: more than a holder gives out in years. */
-const TOKENS_OF_TERM = 2 ** 28;
 /** Unanswered orders in a row after which a server counts as lost. */
 const FAILURES_TO_LOSE = 2;
 /** Pause before an unanswered order is sent again, in milliseconds. */
@@ -47,37 +46,15 @@
  * milliseconds: keys that were taken back could not be given out again. */
 const MOVE_SILENCE = 700;
 
-/** Published versions from which changes can be told: some seconds of a busy
- * holder. */
-const MAXIMUM_PUBLISHED = 256;
-
-/** Changes of the assignments after a version. */
-export interface AssignmentChanges {
-  since: number;
-  assignments: Assignment[];
-}
-
-/** An order that is in flight. */
-interface Order {
-  table: RangeTable;
-  range: HeldRange;
-  kind: "grant" | "release";
-  sentAt: number;
-  hold: number;
-}
-
 /** See the module's comment. */
 export class TermHolder {
   /** The record of this term. */
   readonly record: RecordWriter;
   readonly #tables = new Map<string, RangeTable>();
-  readonly #orders = new Map<number, Order>();
+  readonly #orders: OrderBook;
   readonly #balance: KeyBalance;
   /** Before this no move for balance begins. */
   #movesFrom = -Infinity;
-  #tokenNumber = 0;
-  /** How far each table had changed at the versions that were published. */
-  #published = new Map<number, ReadonlyMap<string, number>>();
   #effects: KeyspaceEffect[] = [];
 
   private constructor(
@@ -85,8 +62,9 @@
     private readonly timing: LeaseTiming,
     private readonly fleet: Fleet,
     loads: KeyLoads,
-    private readonly nextOrder: () => number,
+    nextOrder: () => number,
   ) {
+    this.#orders = OrderBook.create(term, timing, nextOrder);
     this.record = RecordWriter.create(term);
     this.#balance = KeyBalance.create(fleet, loads);
   }
@@ -108,7 +86,9 @@
     const end = predecessorEnd(now, timing);
     for (const assignment of recorded) {
       const table = RangeTable.resume(assignment, end);
-      for (const range of table.ranges) range.token = holder.#nextToken();
+      for (const range of table.ranges) {
+        range.token = holder.#orders.nextToken();
+      }
       holder.#tables.set(assignment.service, table);
     }
     return holder;
@@ -143,7 +123,7 @@
     return this.#allTables.flatMap(({ service, ranges }) =>
       ranges.map((range) => {
         const { first, last } = range;
-        const remaining = Math.max(0, this.#heldUntil(range) - now);
+        const remaining = Math.max(0, this.#orders.heldUntil(range) - now);
         return { service, first, last, remaining };
       })
     );
@@ -169,33 +149,22 @@
     }
   }
 
-  /** Others are told the current version. */
-  published(): void {
-    const revisions = this.#allTables.map((table) =>
-      [table.service, table.revision] as const
+  /** How far each table has changed. */
+  get revisions(): ReadonlyMap<string, number> {
+    return new Map(
+      this.#allTables.map(({ service, revision }) => [service, revision]),
     );
-    this.#published.set(this.version, new Map(revisions));
-    if (this.#published.size <= MAXIMUM_PUBLISHED) return;
-    const [oldest] = this.#published.keys();
-    this.#published.delete(oldest);
   }
 
   /**
-   * What has changed since a version that was published, for VMs that know it:
-   * ranges that take the place of the same keys before. Of a version that is
-   * not kept all ranges.
+   * What has changed since the tables stood at `revisions`: ranges that take the
+   * place of the same keys before; of a table that was not there all ranges.
    */
-  changesSince(since: number): AssignmentChanges {
-    const revisions = this.#published.get(since);
+  changesSince(revisions: ReadonlyMap<string, number>): Assignment[] {
     const { version } = this;
-    const assignments = this.#allTables.map((table) =>
-      table.changesSince(
-        revisions?.get(table.service) ?? -1,
-        this.term,
-        version,
-      )
+    return this.#allTables.map((table) =>
+      table.changesSince(revisions.get(table.service) ?? -1, this.term, version)
     );
-    return { since, assignments };
   }
 
   /** The ranges of a service, for operators. */
@@ -226,10 +195,8 @@
 
   /** An order ended. Returns false when a newer holder was found out. */
   ordered(id: number, outcome: OrderOutcome, now: number): boolean {
-    const order = this.#orders.get(id);
+    const order = this.#orders.end(id);
     if (order === undefined) return true;
-    this.#orders.delete(id);
-    order.range.order = null;
     if (outcome.kind === "superseded") return false;
     if (order.kind === "grant") this.#granted(order, outcome, now);
     else this.#released(order, outcome, now);
@@ -326,24 +293,12 @@
   }
 
   #isFree(range: HeldRange, now: number): boolean {
-    if (now >= this.#heldUntil(range)) return true;
+    if (now >= this.#orders.heldUntil(range)) return true;
     // Another run at its address proves that the server has ended.
     return range.address !== null &&
       this.fleet.isReused(range.address, range.server!);
   }
 
-  /** Until when the server of a range may hold its keys at the latest. */
-  #heldUntil(range: HeldRange): number {
-    const order = range.order === null
-      ? undefined
-      : this.#orders.get(range.order);
-    const inFlight = order?.kind === "grant"
-      ? unansweredEnd(order.sentAt, order.hold, this.timing)
-      : 0;
-    const { leaseEnd, doubtEnd, inheritedEnd } = range;
-    return Math.max(leaseEnd, doubtEnd, inheritedEnd, inFlight);
-  }
-
   #close(table: RangeTable, range: HeldRange, now: number): void {
     const isLost = range.failures >= FAILURES_TO_LOSE;
     range.state = isLost ? "expiring" : "closing";
@@ -369,17 +324,7 @@
     hold: number,
   ): void {
     if (!range.isFenced) return this.#grant(table, range, now, hold);
-    const id = this.#order(table, range, "release", now, 0);
-    this.#effects.push({
-      kind: "order.release",
-      order: id,
-      service: table.service,
-      server: range.server!,
-      address: range.address!,
-      first: range.first,
-      last: range.last,
-      token: this.#nextToken(),
-    });
+    this.#effects.push(this.#orders.release(table, range, now));
   }
 
   #grant(
@@ -394,36 +339,10 @@
       range.state = "expiring";
       return;
     }
-    const id = this.#order(table, range, "grant", now, hold);
-    range.hold = hold;
-    this.#effects.push({
-      kind: "order.grant",
-      order: id,
-      service: table.service,
-      server: range.server!,
-      address: range.address,
-      first: range.first,
-      last: range.last,
-      token: range.token,
-      hold,
-      handover: range.handover,
-    });
-  }
-
-  #order(
-    table: RangeTable,
-    range: HeldRange,
-    kind: Order["kind"],
-    now: number,
-    hold: number,
-  ): number {
-    const id = this.nextOrder();
-    range.order = id;
-    this.#orders.set(id, { table, range, kind, sentAt: now, hold });
-    return id;
+    this.#effects.push(this.#orders.grant(table, range, hold, now));
   }
 
-  #granted(order: Order, outcome: OrderOutcome, now: number): void {
+  #granted(order: PendingOrder, outcome: OrderOutcome, now: number): void {
     const { table, range } = order;
     if (outcome.kind === "failed") return this.#failed(order, now);
     range.failures = 0;
@@ -452,7 +371,7 @@
     range.closedAt = 0;
   }
 
-  #failed({ range, sentAt, hold }: Order, now: number): void {
+  #failed({ range, sentAt, hold }: PendingOrder, now: number): void {
     const end = unansweredEnd(sentAt, hold, this.timing);
     range.doubtEnd = Math.max(range.doubtEnd, end);
     range.failures += 1;
@@ -461,7 +380,7 @@
     if (isLost && range.state !== "held") range.state = "expiring";
   }
 
-  #released(order: Order, outcome: OrderOutcome, now: number): void {
+  #released(order: PendingOrder, outcome: OrderOutcome, now: number): void {
     const { range } = order;
     if (outcome.kind !== "accepted") {
       range.state = "expiring";
@@ -472,7 +391,7 @@
     // It is released only once fenced, so no older grant can follow.
     range.inheritedEnd = 0;
     range.releasedAt = now;
-    range.state = this.#heldUntil(range) > now ? "expiring" : "released";
+    range.state = this.#orders.heldUntil(range) > now ? "expiring" : "released";
   }
 
   /** Gives ranges without a server to the servers with most room. */
@@ -510,14 +429,14 @@
     range.state = "assigned";
     range.server = server;
     range.address = this.fleet.get(server)?.entry.address ?? null;
-    range.token = this.#nextToken();
+    range.token = this.#orders.nextToken();
     range.isFenced = false;
     range.dueAt = now;
     table.changed(range);
   }
 
   #startMoves(table: RangeTable, now: number): void {
-    table.joinNeighbours(now, () => this.#nextToken());
+    table.joinNeighbours(now, () => this.#orders.nextToken());
     for (const move of this.#balance.moves(table, this.#suspects, now)) {
       this.#move(table, move, now);
     }
@@ -556,11 +475,6 @@
     });
   }
 
-  #nextToken(): number {
-    this.#tokenNumber += 1;
-    return this.term * TOKENS_OF_TERM + this.#tokenNumber;
-  }
-
   #take(): KeyspaceEffect[] {
     const effects = this.#effects;
     this.#effects = [];
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Configuration } from "../catalog/index.ts";
-import type { Assignment, AssignmentChanges } from "../keyspace/index.ts";
+import type { Assignment } from "../keyspace/index.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type {
   HolderWord,
@@ -29,6 +29,12 @@
   assignments: readonly Assignment[];
 }
 
+/** What has changed of the assignments after a version. */
+export interface AssignmentChanges {
+  since: number;
+  assignments: readonly Assignment[];
+}
+
 /** See the module's comment. */
 export class HolderLink {
   readonly #heardAt = new Map<string, number>();
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -11,6 +11,7 @@
 import type { Beliefs, Emit } from "./beliefs.ts";
 import type { KeyLoads, TermCampaign, TermHolder } from "./keyspace/index.ts";
 import {
+  type AssignmentChanges,
   type Bulletin,
   HolderLink,
   type HolderWord,
@@ -29,6 +30,8 @@
 interface Mark {
   version: number;
   publishedAt: number;
+  /** How far each table had changed. */
+  revisions: ReadonlyMap<string, number>;
 }
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
@@ -126,7 +129,7 @@
     if (index < 0 || next === undefined) {
       this.emit(this.#link.tell(address, this.#bulletin(holder, now)));
     } else if (now - next.publishedAt > IN_FLIGHT) {
-      const changes = holder.changesSince(version);
+      const changes = this.#changesSince(holder, this.#marks[index]);
       this.emit(this.#link.tellChanges(address, this.#word(now), changes));
     }
   }
@@ -138,19 +141,19 @@
   #publish(holder: TermHolder, now: number): void {
     if (this.#isPublished(holder)) return;
     const { term, version } = holder;
-    const since = this.#published.version;
     const isNewTerm = term !== this.#published.term;
+    const last = isNewTerm ? undefined : this.#marks.at(-1);
     this.#published = { term, version };
     this.#publishedAt = now;
-    if (isNewTerm) {
+    if (last === undefined) {
       this.#marks = [];
       this.emit(...this.#link.publish(this.#bulletin(holder, now)));
     } else {
-      const changes = holder.changesSince(since);
+      const changes = this.#changesSince(holder, last);
       this.emit(...this.#link.publishChanges(this.#word(now), changes));
     }
-    holder.published();
-    this.#marks.push({ version, publishedAt: now });
+    const { revisions } = holder;
+    this.#marks.push({ version, publishedAt: now, revisions });
     if (this.#marks.length > MAXIMUM_MARKS) this.#marks.shift();
     for (const [address, report] of this.#owed) {
       this.#catchUp(holder, address, report, now);
@@ -158,6 +161,13 @@
     this.#owed.clear();
   }
 
+  #changesSince(
+    holder: TermHolder,
+    { version, revisions }: Mark,
+  ): AssignmentChanges {
+    return { since: version, assignments: holder.changesSince(revisions) };
+  }
+
   #publishRegistry(): void {
     const { registry } = this.beliefs;
     const since = this.#publishedPosition;
