--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -105,9 +105,9 @@
   }
 
   /** Takes in what another VM has measured. */
-  observe(samples: readonly ServerSamples[]): void {
+  observe(samples: readonly ServerSamples[], now: number): void {
     for (const { server, ...each } of samples) {
-      this.#servers.get(server)?.observe(each);
+      this.#servers.get(server)?.observe(each, now);
     }
   }
 
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -25,10 +25,11 @@
 const SILENCE_FACTOR = 4;
 const SHORTEST_SILENCE = 250;
 
-/** Answer times that some VM has measured of a server. */
+/** Answer times that some VM has measured of a server that answered it. */
 export interface LatencySamples {
   /** Mean, in milliseconds. */
   mean: number;
+  /** Answers measured; 0 where all of them had waited there first. */
   count: number;
 }
 
@@ -44,6 +45,9 @@
   /** Sum and number of own samples since they were taken last. */
   #sampleSum = 0;
   #sampleCount = 0;
+  #hasAnswered = false;
+  /** When some VM is known to have had a word of it. */
+  aliveAt = -Infinity;
   #acceptance = 1;
   #failures = 0;
   #pausedUntil = 0;
@@ -99,22 +103,28 @@
     const sample = now - startedAt;
     this.#sampleSum += sample;
     this.#sampleCount += 1;
-    this.observe({ mean: sample, count: 1 });
+    this.#measure({ mean: sample, count: 1 });
   }
 
-  /** Takes in answer times that this VM or another has measured. */
-  observe({ mean, count }: LatencySamples): void {
+  /** Takes in what another VM has measured of its answers. */
+  observe(samples: LatencySamples, now: number): void {
+    this.aliveAt = now;
+    if (samples.count > 0) this.#measure(samples);
+  }
+
+  #measure({ mean, count }: LatencySamples): void {
     const weight = 1 - (1 - SAMPLE_WEIGHT) ** count;
     this.#latency = this.#latency === null
       ? mean
       : this.#latency + weight * (mean - this.#latency);
   }
 
-  /** This VM's own samples since this was asked last, or null. */
+  /** This VM's own samples since this was asked last; null without an answer. */
   takeSamples(): LatencySamples | null {
+    if (!this.#hasAnswered) return null;
+    this.#hasAnswered = false;
     const count = this.#sampleCount;
-    if (count === 0) return null;
-    const mean = this.#sampleSum / count;
+    const mean = count === 0 ? 0 : this.#sampleSum / count;
     this.#sampleSum = 0;
     this.#sampleCount = 0;
     return { mean, count };
@@ -180,6 +190,8 @@
 
   #heard(now: number, load: ReportedLoad | null): void {
     this.#lastAnswerAt = now;
+    this.aliveAt = now;
+    this.#hasAnswered = true;
     if (load === null) return;
     this.#othersLoad = Math.max(
       0,
--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -57,6 +57,8 @@
   dueAt: number;
   /** Orders in a row that got no answer. */
   failures: number;
+  /** When the first of them failed. */
+  failingSince: number;
   /** The order in flight, or null. */
   order: number | null;
   /** When requests for the keys began to wait, or 0 while they do not. */
@@ -86,6 +88,7 @@
     hold: 0,
     dueAt: 0,
     failures: 0,
+    failingSince: 0,
     order: null,
     closedAt: 0,
     releasedAt: 0,
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -244,7 +244,7 @@
         }
         return;
       case "held":
-        if (this.#mustLeave(range)) this.#close(table, range, now);
+        if (this.#mustLeave(range, now)) this.#close(table, range, now);
         else if (now >= range.dueAt || range.hold < hold) {
           this.#grant(table, range, now, hold);
         }
@@ -286,12 +286,23 @@
   }
 
   /** Whether the server of a held range has failed or is leaving. */
-  #mustLeave(range: HeldRange): boolean {
-    if (range.failures >= FAILURES_TO_LOSE) return true;
+  #mustLeave(range: HeldRange, now: number): boolean {
+    if (this.#isLost(range, now)) return true;
     const server = this.fleet.get(range.server!);
     return server === undefined || server.entry.isDraining;
   }
 
+  /**
+   * Whether the server of a range has left orders unanswered. One that is full
+   * lets orders wait like requests; as long as some VM gets answers from it, its
+   * keys stay where they are while its lease runs.
+   */
+  #isLost(range: HeldRange, now: number): boolean {
+    if (range.failures < FAILURES_TO_LOSE) return false;
+    const aliveAt = this.fleet.get(range.server!)?.aliveAt ?? -Infinity;
+    return aliveAt < range.failingSince || now >= range.leaseEnd;
+  }
+
   #isFree(range: HeldRange, now: number): boolean {
     if (now >= this.#orders.heldUntil(range)) return true;
     // Another run at its address proves that the server has ended.
@@ -300,7 +311,7 @@
   }
 
   #close(table: RangeTable, range: HeldRange, now: number): void {
-    const isLost = range.failures >= FAILURES_TO_LOSE;
+    const isLost = this.#isLost(range, now);
     range.state = isLost ? "expiring" : "closing";
     range.dueAt = now + NEWS_TIME;
     range.closedAt = now;
@@ -374,6 +385,7 @@
   #failed({ range, sentAt, hold }: PendingOrder, now: number): void {
     const end = unansweredEnd(sentAt, hold, this.timing);
     range.doubtEnd = Math.max(range.doubtEnd, end);
+    if (range.failures === 0) range.failingSince = now;
     range.failures += 1;
     range.dueAt = now + RETRY_PAUSE;
     const isLost = range.failures >= FAILURES_TO_LOSE;
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -104,3 +104,50 @@
   fleet.apply([leaving], [], 450);
   t.snapshot(advance(520, 220).map(brief));
 });
+
+/** Until `end`, with every order of server a unanswered for 500 ms each. */
+function leaveUnanswered(
+  { holder, advance }: ReturnType<typeof createHolder>,
+  end: number,
+  look: (now: number) => void,
+): string[] {
+  const states: string[] = [];
+  const open: { order: number; at: number }[] = [];
+  for (let now = 0; now <= end; now += 50) {
+    look(now);
+    // The store's silence keeps keys from being moved for balance.
+    for (const effect of advance(now, 800)) {
+      if (!("order" in effect)) continue;
+      if (effect.server === "a" && now > 0) {
+        open.push({ order: effect.order, at: now + 500 });
+      } else {
+        const outcome = { kind: "accepted", handover: null } as const;
+        holder.ordered(effect.order, outcome, now + 5);
+      }
+    }
+    while (open.length > 0 && open[0].at <= now) {
+      const { order } = open.shift()!;
+      holder.ordered(order, { kind: "failed", cause: "no answer" }, now);
+    }
+    states.push(holder.ranges("s")[0].state);
+  }
+  return states;
+}
+
+test("term holder: a server that answers nobody loses its keys after two orders", (t) => {
+  const world = createHolder();
+  const states = leaveUnanswered(world, 2_000, () => {});
+  t.true(states.includes("expiring"));
+});
+
+test("term holder: a full server that answers callers keeps its keys while its lease runs", (t) => {
+  const world = createHolder();
+  const server = world.fleet.get("a")!;
+  const samples = { mean: 100, count: 1 };
+  const states = leaveUnanswered(
+    world,
+    2_000,
+    (now) => server.observe(samples, now),
+  );
+  t.false(states.includes("expiring"));
+});
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -88,7 +88,7 @@
     for (const { service, keys } of report.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
-    this.beliefs.fleet.observe(report.latencies);
+    this.beliefs.fleet.observe(report.latencies, now);
     this.campaign.hearFitness(report.fitness, now);
     this.#link.heard(address, now);
     this.emit(
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -95,7 +95,7 @@
     const timer = setTimeout(() => {
       isTimedOut = true;
       giveUp(request);
-      this.#dropIdle();
+      this.#dropIdle(host, port);
     }, timeout);
     request.end(body);
     return takeAnswer(request)
@@ -111,13 +111,14 @@
   }
 
   /**
-   * Ends connections that no call uses: where one has gone silent the others
-   * may have too, and each would cost a timeout.
+   * Ends connections to an address that no call uses: where one has gone silent
+   * the others may have too, and each would cost a timeout. Those to other
+   * addresses stay: a busy server makes a new connection wait, so that one
+   * server's silence would let calls to all others time out as well.
    */
-  #dropIdle(): void {
-    for (const sockets of Object.values(this.#agent.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+  #dropIdle(host: string, port: number): void {
+    const name = this.#agent.getName({ host, port });
+    for (const socket of this.#agent.freeSockets[name] ?? []) socket.destroy();
   }
 }
 
--- a/src/runtime/http_client_test.ts
+++ b/src/runtime/http_client_test.ts
@@ -107,3 +107,13 @@
   });
   t.deepEqual(await Promise.all(ends), ["ECONNRESET"]);
 });
+
+test("http client: a call that timed out leaves connections to other addresses", async (t) => {
+  const sound = await startServer(t, () => "yes");
+  const silent = await startServer(t, () => null);
+  const client = createClient(t);
+  await client.send(sound.address, CALL);
+  await t.throwsAsync(client.send(silent.address, CALL));
+  await client.send(sound.address, CALL);
+  t.is(sound.connections.size, 1);
+});
