--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -18,6 +18,7 @@
   PendingRequest,
   RequestArrival,
 } from "./request.ts";
+import { OwnAnswers } from "./own_answers.ts";
 import { RequestLog } from "./request_log.ts";
 import { type Placing, RequestPlacing } from "./request_placing.ts";
 import { RetryPolicy } from "./retry_policy.ts";
@@ -30,11 +31,6 @@
  * runs on it: an answer within the target is still likely, and a caller that is
  * sent away comes back too late for that. */
 const BRIEF_WAIT_SHARE = 0.6;
-/** Share of the time left after which a refused caller should come back: the
- * longest that callers honour is a third. */
-const RETRY_AFTER_SHARE = 0.3;
-/** Shortest pause that a refused caller is asked for, in milliseconds. */
-const SHORTEST_RETRY_AFTER = 20;
 /** Time after the deadline for which a server's own last answer is awaited, in
  * milliseconds: servers stop at the deadline and say so. */
 const DEADLINE_SLACK = 60;
@@ -46,9 +42,6 @@
 /** Longest time without an answer when neither caller nor route says one, in
  * milliseconds. */
 const DEFAULT_TIMEOUT = 30_000;
-/** What callers are asked to wait for while nothing is configured, in ms. */
-const UNCONFIGURED_RETRY_AFTER = 250;
-
 /** See the module's comment. */
 export class Dispatcher {
   readonly #requests = new Map<number, PendingRequest>();
@@ -57,6 +50,7 @@
   readonly #placing: RequestPlacing;
   readonly #retries: RetryPolicy;
   readonly #log: RequestLog;
+  readonly #answers: OwnAnswers;
   #attemptCount = 0;
   #effects: DispatchEffect[] = [];
 
@@ -67,6 +61,7 @@
       () => context.catalog.version,
       (...notes) => this.#effects.push(...notes),
     );
+    this.#answers = OwnAnswers.create(context, this.#log);
   }
 
   /** A dispatcher without requests. */
@@ -83,14 +78,11 @@
   arrive(arrival: RequestArrival, now: number): DispatchEffect[] {
     const { catalog } = this.context;
     const route = catalog.route(arrival.host, arrival.target);
-    if (route !== undefined) {
+    if (route === undefined) {
+      this.#effects.push(...this.#answers.unrouted(arrival));
+    } else {
       const request = this.#admit(arrival, route, now);
       this.#dispatch(request, now);
-    } else if (catalog.isKnown) {
-      this.#answerUnrouted(arrival, 404, null, "no route");
-    } else {
-      const pause = UNCONFIGURED_RETRY_AFTER;
-      this.#answerUnrouted(arrival, 503, pause, "no configuration yet");
     }
     return this.#take();
   }
@@ -441,17 +433,9 @@
   }
 
   #refuse(request: PendingRequest, reason: string, now: number): void {
-    const left = request.arrivedAt + (request.arrival.timeout ?? 0) - now;
-    const pause = Math.max(SHORTEST_RETRY_AFTER, left * RETRY_AFTER_SHARE);
-    this.#log.note("warn", "request.refused", request, now, { reason });
+    const refusal = this.#answers.refusal(request, reason, now);
     this.#finish(request, null);
-    this.#effects.push({
-      kind: "request.refuse",
-      exchange: request.arrival.exchange,
-      status: 503,
-      retryAfter: pause,
-      reason,
-    });
+    this.#effects.push(refusal);
   }
 
   /** Ends a request that may have run without an answer of a server. */
@@ -461,15 +445,9 @@
     reason: string,
     now: number,
   ): void {
-    this.#log.note("warn", "request.failed", request, now, { status, reason });
+    const failure = this.#answers.failure(request, status, reason, now);
     this.#finish(request, null);
-    this.#effects.push({
-      kind: "request.refuse",
-      exchange: request.arrival.exchange,
-      status,
-      retryAfter: null,
-      reason,
-    });
+    this.#effects.push(failure);
   }
 
   /** Forgets a request; all attempts but `winner` are given up. */
@@ -484,28 +462,6 @@
     }
   }
 
-  #answerUnrouted(
-    { exchange, id, host, target }: RequestArrival,
-    status: number,
-    retryAfter: number | null,
-    reason: string,
-  ): void {
-    const { version } = this.context.catalog;
-    this.#effects.push({
-      kind: "note",
-      level: "warn",
-      decision: "request.unrouted",
-      detail: { request: id, host, target, status, version, reason },
-    });
-    this.#effects.push({
-      kind: "request.refuse",
-      exchange,
-      status,
-      retryAfter,
-      reason,
-    });
-  }
-
   #take(): DispatchEffect[] {
     const effects = this.#effects;
     this.#effects = [];
--- /dev/null
+++ b/src/core/dispatch/own_answers.ts
@@ -0,0 +1,83 @@
+/**
+ * Answers that plumloft gives itself: refusals, which say that a request has not
+ * run and when to come back, and failures of requests that may have run.
+ *
+ * @module
+ */
+import type { DispatchContext } from "./dispatch_context.ts";
+import type { DispatchEffect } from "./dispatch_effect.ts";
+import type { PendingRequest, RequestArrival } from "./request.ts";
+import type { RequestLog } from "./request_log.ts";
+
+/** Share of the time left after which a refused caller should come back: the
+ * longest that callers honour is a third. */
+const RETRY_AFTER_SHARE = 0.3;
+/** Shortest pause that a refused caller is asked for, in milliseconds. */
+const SHORTEST_RETRY_AFTER = 20;
+/** What callers are asked to wait for while nothing is configured, in ms. */
+const UNCONFIGURED_RETRY_AFTER = 250;
+
+/** See the module's comment. Each method gives the effects of one answer. */
+export class OwnAnswers {
+  private constructor(
+    private readonly context: DispatchContext,
+    private readonly log: RequestLog,
+  ) {}
+
+  /** Answers with lines in `log`. */
+  static create(context: DispatchContext, log: RequestLog): OwnAnswers {
+    return new OwnAnswers(context, log);
+  }
+
+  /** A request that has not run and will not. */
+  refusal(
+    request: PendingRequest,
+    reason: string,
+    now: number,
+  ): DispatchEffect {
+    const left = request.arrivedAt + (request.arrival.timeout ?? 0) - now;
+    const retryAfter = Math.max(SHORTEST_RETRY_AFTER, left * RETRY_AFTER_SHARE);
+    this.log.note("warn", "request.refused", request, now, { reason });
+    return {
+      kind: "request.refuse",
+      exchange: request.arrival.exchange,
+      status: 503,
+      retryAfter,
+      reason,
+    };
+  }
+
+  /** A request that may have run and has no answer of a server. */
+  failure(
+    request: PendingRequest,
+    status: 502 | 504,
+    reason: string,
+    now: number,
+  ): DispatchEffect {
+    this.log.note("warn", "request.failed", request, now, { status, reason });
+    return {
+      kind: "request.refuse",
+      exchange: request.arrival.exchange,
+      status,
+      retryAfter: null,
+      reason,
+    };
+  }
+
+  /** A request for which the configuration has no route, or there is none. */
+  unrouted({ exchange, id, host, target }: RequestArrival): DispatchEffect[] {
+    const { isKnown, version } = this.context.catalog;
+    const status = isKnown ? 404 : 503;
+    const reason = isKnown ? "no route" : "no configuration yet";
+    const retryAfter = isKnown ? null : UNCONFIGURED_RETRY_AFTER;
+    return [
+      {
+        kind: "note",
+        level: "warn",
+        decision: "request.unrouted",
+        detail: { request: id, host, target, status, version, reason },
+      },
+      { kind: "request.refuse", exchange, status, retryAfter, reason },
+    ];
+  }
+}
--- a/src/core/keyspace/key_balance.ts
+++ b/src/core/keyspace/key_balance.ts
@@ -20,9 +20,10 @@
 const FEWEST_MOVES = 6;
 const MOVES_PER_SERVER = 0.25;
 /** Ranges of a service above which none is split: each costs a renewal. Few
- * servers need several each to be even; of many, most need no more than two. */
+ * servers need several each to be even; of many, most need no more than three.
+ * At the limit no move begins, however uneven the load is. */
 const RANGES_OF_FEW = 6;
-const RANGES_OF_MANY = 2;
+const RANGES_OF_MANY = 3;
 const SPARE_RANGES = 64;
 
 /** See the module's comment. */
