--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -33,6 +33,7 @@
 export class Fleet {
   readonly #servers = new Map<string, TrackedServer>();
   readonly #byService = new Map<string, TrackedServer[]>();
+  readonly #joinedAt = new Map<string, number>();
   /** Ids whose removal waits, and until when. */
   readonly #doubtful = new Map<string, number>();
   readonly #usualLatencies = new Map<
@@ -111,6 +112,11 @@
     }
   }
 
+  /** When a server of a service was listed last that was not before. */
+  joinedAt(service: string): number {
+    return this.#joinedAt.get(service) ?? -Infinity;
+  }
+
   /** Whether another run of a server is listed at `address`. */
   isReused(address: string, id: string): boolean {
     for (const server of this.#servers.values()) {
@@ -159,6 +165,7 @@
     const server = TrackedServer.create(entry);
     server.update(entry, now);
     this.#servers.set(entry.id, server);
+    this.#joinedAt.set(entry.service, now);
     const others = this.#byService.get(entry.service) ?? [];
     this.#byService.set(entry.service, [...others, server]);
   }
--- a/src/core/keyspace/key_balance.ts
+++ b/src/core/keyspace/key_balance.ts
@@ -11,6 +11,10 @@
 
 /** Pause between looks at the balance of load, in milliseconds. */
 const BALANCE_INTERVAL = 300;
+/** Time without a new server after which keys are given out for the first time,
+ * in milliseconds: two reads of the registry without news. Without it keys moved
+ * 1.2 times over before the first request. */
+const FIRST_PAUSE = 950;
 /** Bounds of the measured relative speed of a server. */
 const SLOWEST = 0.35;
 const FASTEST = 2;
@@ -48,6 +52,16 @@
     return true;
   }
 
+  /**
+   * Whether keys that nobody ever held may be given out: at a first start servers
+   * join one after the other for seconds, and those that come early would get all
+   * keys, most of which would then move. Not while callers wait for them.
+   */
+  mayBegin(service: string, now: number): boolean {
+    const isSettled = now - this.fleet.joinedAt(service) >= FIRST_PAUSE;
+    return isSettled || !this.loads.of(service).isEmpty;
+  }
+
   /** Moves that should begin now. */
   moves(table: RangeTable, suspects: Set<string>, now: number): Move[] {
     const moving = table.ranges.filter((each) => each.state !== "held").length;
--- a/src/core/keyspace/key_load.ts
+++ b/src/core/keyspace/key_load.ts
@@ -35,6 +35,11 @@
     return new KeyLoad();
   }
 
+  /** Whether nothing was asked for lately. */
+  get isEmpty(): boolean {
+    return this.#keys.length === 0;
+  }
+
   /** A request for `key` arrived. */
   record(key: number, now: number): void {
     this.#keys.push(key);
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -63,6 +63,13 @@
     );
   }
 
+  /** Whether no key was ever given to a server. */
+  get isNew(): boolean {
+    return this.ranges.every(({ state, revision }) =>
+      state === "vacant" && revision === 0
+    );
+  }
+
   /** Notes that `range` has changed in a way that others have to know. */
   changed(range: HeldRange): void {
     this.revision += 1;
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -411,6 +411,7 @@
     const vacant = table.ranges.filter((each) => each.state === "vacant");
     if (vacant.length === 0) return;
     const { service } = table;
+    if (table.isNew && !this.#balance.mayBegin(service, now)) return;
     const candidates = this.#balance.candidates(service, this.#suspects, now);
     if (candidates.length === 0) return;
     const placement = this.#balance.placement(service, candidates, now);
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -151,3 +151,35 @@
   );
   t.false(states.includes("expiring"));
 });
+
+test("term holder: keys are given out for the first time once no more servers come", (t) => {
+  const entry = (id: string) => ({
+    id,
+    service: "s",
+    address: `${id}:1`,
+    availabilityZone: "z",
+    slots: 3,
+    isDraining: false,
+    warmUp: 0,
+  });
+  const begin = () => {
+    const fleet = Fleet.create();
+    const loads = KeyLoads.create();
+    const timing = leaseTimingSchema.parse({});
+    const next = () => 1;
+    const holder = TermHolder.create(1, [], timing, fleet, loads, next, 0);
+    const isBegun = (now: number) =>
+      holder.advance(["s"], now, Infinity, 0).length > 0;
+    return { fleet, loads, isBegun };
+  };
+  const quiet = begin();
+  quiet.fleet.apply([entry("a")], [], 0);
+  t.false(quiet.isBegun(500));
+  quiet.fleet.apply([entry("b")], [], 600);
+  t.false(quiet.isBegun(1_400));
+  t.true(quiet.isBegun(1_600));
+  const asked = begin();
+  asked.fleet.apply([entry("a")], [], 0);
+  asked.loads.of("s").record(7, 100);
+  t.true(asked.isBegun(110));
+});
