--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -27,9 +27,6 @@
 const LEADING_INTERVAL = 50;
 /** Pause between looks at anything else, in milliseconds. */
 const IDLE_INTERVAL = 250;
-/** Silence of the term holder after which an observer follows the store's feeds
- * itself, in milliseconds: two of its answers are missing. */
-const FEEDS_PATIENCE = 1_200;
 /** Pause between looks at a shutdown, in milliseconds. */
 const SHUTDOWN_INTERVAL = 50;
 
@@ -44,7 +41,6 @@
   readonly #registryTiming: RegistryTiming;
   readonly #store = StoreHealth.create();
   #isReady = false;
-  #areFeedsOn = true;
   #effects: EntryEffect[] = [];
 
   private constructor(options: EntryOptions) {
@@ -193,7 +189,6 @@
       catalog.keyedServices.map((each) => each.name),
       now,
     );
-    this.#updateFeeds(now);
     this.peers.advance(this.#store, now);
     this.#put(...this.dispatcher.advance(now));
     this.#updateReadiness();
@@ -269,19 +264,6 @@
     }
   }
 
-  /**
-   * Leaves the store's feeds to the term holder while this VM only observes and
-   * hears it: waiting reads and their news were two thirds of the calls of 91
-   * VMs.
-   */
-  #updateFeeds(now: number): void {
-    const isTold = this.campaign.isObserver && this.beliefs.catalog.isKnown &&
-      this.peers.followerLink.silence(now) < FEEDS_PATIENCE;
-    if (isTold !== this.#areFeedsOn) return;
-    this.#areFeedsOn = !isTold;
-    this.#put({ kind: "feeds.follow", isOn: !isTold });
-  }
-
   #updateReadiness(): void {
     const isKnown = this.beliefs.catalog.isKnown;
     const isReady = isKnown && !this.#shutdown.isStarted;
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -120,11 +120,6 @@
     return this.#phase.kind === "leading" ? this.#phase.holder : null;
   }
 
-  /** Whether this VM stands by for fitter ones. */
-  get isObserver(): boolean {
-    return this.#group === "observers";
-  }
-
   /** What this VM is doing about the term, for operators. */
   get phase(): Phase["kind"] {
     return this.#phase.kind;
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -100,7 +100,7 @@
   }
 
   /** Tells a follower the configuration if it lacks it for longer than a read of
-   * its own takes: most VMs leave the store's feeds to the holder. */
+   * its own takes: the call that waits for news may have lost its answer. */
   #tellConfiguration(address: string, report: KeyReport, now: number): void {
     const { configuration, version } = this.beliefs.catalog;
     if (version !== this.#configuration.version) {
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -28,9 +28,6 @@
  * costs more than the bytes. One that dies in silence is noticed by the short
  * calls beside it, and peers tell each other the version of the configuration. */
 const LONG_POLL = 29_000;
-/** Least time between two reads of a feed, in milliseconds: news often come with
- * the word of a term holder, after which an observer need not read on. */
-const FEED_PAUSE = 300;
 /** Share of the drain time between two reads of the registry by the term holder,
  * and the share after which another VM that has no younger word of it reads it
  * itself: both leave time for one slow answer before nothing more may reach a
@@ -129,9 +126,6 @@
       readiness: this.#readiness,
       metrics,
       journal: this.#journal,
-      followFeeds: (isOn) => {
-        for (const follower of this.#followers) follower.turn(isOn);
-      },
       refetchConfiguration: () => this.#configuration?.refresh(),
       stopped: () => this.#stop(),
     }));
@@ -180,7 +174,7 @@
       listen: settings.listen,
       store: settings.store.address,
     });
-    const pace = { wait: LONG_POLL, pause: FEED_PAUSE };
+    const pace = { wait: LONG_POLL, pause: 0 };
     this.#configuration = this.#follow("configuration", pace);
     this.#follow("holder", pace);
     this.#loop.push({ kind: "timer" });
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -48,8 +48,6 @@
   readiness: ReadinessServer;
   metrics: EntryMetrics;
   journal: Journal;
-  /** Follows the store's feeds, or leaves them. */
-  followFeeds(isOn: boolean): void;
   /** Reads the configuration now. */
   refetchConfiguration(): void;
   /** Called when the process has nothing left to do. */
@@ -80,8 +78,6 @@
         return this.#note(effect);
       case "configuration.fetch":
         return this.adapters.refetchConfiguration();
-      case "feeds.follow":
-        return this.adapters.followFeeds(effect.isOn);
       case "limits.apply":
         return callers.apply(effect.limits);
       case "connections.close":
--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -30,9 +30,6 @@
 export class FeedFollower {
   #next: number | null = null;
   #isStopped = false;
-  /** Lets a follower that was turned off go on; null while it is on. */
-  #resume: (() => void) | null = null;
-  #isOn = true;
 
   private constructor(
     private readonly store: ControlStore,
@@ -65,22 +62,13 @@
     }
   }
 
-  /** Reads on, or makes no further call until it is turned on again. */
-  turn(isOn: boolean): void {
-    this.#isOn = isOn;
-    if (isOn) this.#resume?.();
-  }
-
   /** Reads nothing more. */
   stop(): void {
     this.#isStopped = true;
-    this.#resume?.();
   }
 
   async #follow(): Promise<void> {
     while (!this.#isStopped) {
-      if (!this.#isOn) await this.#turnedOn();
-      if (this.#isStopped) return;
       const startedAt = monotonicNow();
       const isDone = await this.#read(startedAt);
       const pause = isDone ? this.pace.pause : RETRY_PAUSE;
@@ -90,11 +78,6 @@
     }
   }
 
-  async #turnedOn(): Promise<void> {
-    await new Promise<void>((resolve) => this.#resume = resolve);
-    this.#resume = null;
-  }
-
   async #read(sentAt: number): Promise<boolean> {
     try {
       const read = this.#next === null
