--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -21,6 +21,7 @@
 import { OwnAnswers } from "./own_answers.ts";
 import { RequestLog } from "./request_log.ts";
 import { type Placing, RequestPlacing } from "./request_placing.ts";
+import { RetryAdvice } from "./retry_advice.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitQueues } from "./wait_queues.ts";
 
@@ -51,17 +52,19 @@
   readonly #retries: RetryPolicy;
   readonly #log: RequestLog;
   readonly #answers: OwnAnswers;
+  readonly #advice: RetryAdvice;
   #attemptCount = 0;
   #effects: DispatchEffect[] = [];
 
   private constructor(private readonly context: DispatchContext) {
     this.#placing = RequestPlacing.create(context);
     this.#retries = RetryPolicy.create(context);
+    this.#advice = RetryAdvice.create(context);
     this.#log = RequestLog.create(
       () => context.catalog.version,
       (...notes) => this.#effects.push(...notes),
     );
-    this.#answers = OwnAnswers.create(context, this.#log);
+    this.#answers = OwnAnswers.create(context, this.#log, this.#advice);
   }
 
   /** A dispatcher without requests. */
@@ -164,6 +167,7 @@
     };
     this.#requests.set(arrival.exchange, request);
     this.#retries.count(service, now);
+    this.#advice.arrived(route, arrival.timeout);
     this.#log.trace("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -196,6 +196,21 @@
   t.is(dispatcher.pending, 0);
 });
 
+test("dispatch: a first attempt that is refused early comes back within the target, a second one later", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  const retryAfter = (effects: readonly DispatchEffect[]) =>
+    effects.flatMap((each) =>
+      each.kind === "request.refuse" ? [each.retryAfter] : []
+    );
+  arrive("/order/", 0, 1_000);
+  // 200 ms are the target, 20 have passed.
+  t.deepEqual(retryAfter(dispatcher.ended(1, NOT_RUN, 20)), []);
+  t.deepEqual(retryAfter(dispatcher.ended(2, NOT_RUN, 30)), [85]);
+  arrive("/order/", 200, 800);
+  dispatcher.ended(3, NOT_RUN, 220);
+  t.deepEqual(retryAfter(dispatcher.ended(4, NOT_RUN, 230)), [231]);
+});
+
 test("dispatch: nothing goes to a server that is leaving", (t) => {
   const { fleet, servers, arrive } = createDispatcher();
   const leaving = servers.filter((each) => each.service === "reads")
--- a/src/core/dispatch/own_answers.ts
+++ b/src/core/dispatch/own_answers.ts
@@ -8,12 +8,8 @@
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import type { PendingRequest, RequestArrival } from "./request.ts";
 import type { RequestLog } from "./request_log.ts";
+import type { RetryAdvice } from "./retry_advice.ts";
 
-/** Share of the time left after which a refused caller should come back: the
- * longest that callers honour is a third. */
-const RETRY_AFTER_SHARE = 0.3;
-/** Shortest pause that a refused caller is asked for, in milliseconds. */
-const SHORTEST_RETRY_AFTER = 20;
 /** What callers are asked to wait for while nothing is configured, in ms. */
 const UNCONFIGURED_RETRY_AFTER = 250;
 
@@ -22,11 +18,16 @@
   private constructor(
     private readonly context: DispatchContext,
     private readonly log: RequestLog,
+    private readonly advice: RetryAdvice,
   ) {}
 
-  /** Answers with lines in `log`. */
-  static create(context: DispatchContext, log: RequestLog): OwnAnswers {
-    return new OwnAnswers(context, log);
+  /** Answers with lines in `log`; `advice` says when to come back. */
+  static create(
+    context: DispatchContext,
+    log: RequestLog,
+    advice: RetryAdvice,
+  ): OwnAnswers {
+    return new OwnAnswers(context, log, advice);
   }
 
   /** A request that has not run and will not. */
@@ -35,9 +36,9 @@
     reason: string,
     now: number,
   ): DispatchEffect {
-    const left = request.arrivedAt + (request.arrival.timeout ?? 0) - now;
-    const retryAfter = Math.max(SHORTEST_RETRY_AFTER, left * RETRY_AFTER_SHARE);
-    this.log.note("warn", "request.refused", request, now, { reason });
+    const retryAfter = this.advice.pause(request, now);
+    const detail = { reason, retryAfter: Math.round(retryAfter) };
+    this.log.note("warn", "request.refused", request, now, detail);
     return {
       kind: "request.refuse",
       exchange: request.arrival.exchange,
