--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -20,7 +20,7 @@
 import type { HeaderCodec } from "./header_codec.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import type { OrderSender } from "./order_sender.ts";
-import { PeerNetwork } from "./peer_network.ts";
+import { PeerNetwork, type PeerTraffic } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { StoreLink } from "./store_link.ts";
 
@@ -99,7 +99,9 @@
       seed,
     });
     this.#loop = EntryLoop.create(entry);
-    const metrics = EntryMetrics.create(() => gauges(entry, this.#journal));
+    const metrics = EntryMetrics.create(() =>
+      gauges(entry, this.#journal, this.#peers.traffic)
+    );
     this.#admin = AdminServer.create(
       metrics,
       () => this.status(),
@@ -224,7 +226,14 @@
 }
 
 /** Beliefs of the core and the state of the process, for metrics. */
-function gauges(entry: Entry, journal: Journal): Record<string, number> {
+function gauges(
+  entry: Entry,
+  journal: Journal,
+  traffic: PeerTraffic,
+): Record<string, number> {
+  const bytesByKind = [...traffic.bytesByKind].map(([kind, bytes]) =>
+    [`peer_bytes_sent_total{kind="${kind}"}`, bytes] as const
+  );
   const { user, system } = process.cpuUsage();
   return {
     configuration_version: entry.beliefs.catalog.version,
@@ -234,5 +243,8 @@
     log_lines_dropped: journal.dropped,
     processor_seconds: (user + system) / 1e6,
     memory_bytes: process.memoryUsage.rss(),
+    peer_bytes_received_total: traffic.bytesReceived,
+    peer_messages_dropped_total: traffic.dropped,
+    ...Object.fromEntries(bytesByKind),
   };
 }
--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -53,6 +53,8 @@
   bytesSent: number;
   bytesReceived: number;
   dropped: number;
+  /** Bytes sent, by kind of message. */
+  bytesByKind: Map<string, number>;
 }
 
 /** See the module's comment. */
@@ -71,6 +73,7 @@
     bytesSent: 0,
     bytesReceived: 0,
     dropped: 0,
+    bytesByKind: new Map(),
   };
 
   private constructor(
@@ -105,6 +108,9 @@
     const frame = this.#encode(message);
     this.traffic.messagesSent += 1;
     this.traffic.bytesSent += frame.length;
+    const { bytesByKind } = this.traffic;
+    const before = bytesByKind.get(message.kind) ?? 0;
+    bytesByKind.set(message.kind, before + frame.length);
     if (!this.#unansweredSince.has(socket)) {
       this.#unansweredSince.set(socket, monotonicNow());
     }
