--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -16,7 +16,7 @@
   term: number;
   vm: string;
   address: string;
-  /** How fit its VM is for the place. */
+  /** Fitness of the fittest VM that it hears of, itself included. */
   fitness: number;
 }
 
--- a/src/core/keyspace/candidacy.ts
+++ b/src/core/keyspace/candidacy.ts
@@ -32,9 +32,10 @@
  * not worth a change of the term. */
 const CLEARLY_FITTER = 1.5;
 /** Time after which a fitter VM that is not heard of any more counts as gone, in
- * milliseconds: longer than the fit VMs take to elect one of themselves, which
- * is the store's time for a silent member (1 s) and the claim. */
-const ABSENCE = 2_000;
+ * milliseconds: twice what the fit VMs take to elect one of themselves, which is
+ * the store's time for a silent member (1.3 s) and the claim. With 2 s small VMs
+ * came forward while they did so, and won by their number. */
+const ABSENCE = 3_000;
 /** Time that a holder goes on after it has heard of a fitter VM, in
  * milliseconds: the other VMs stand by meanwhile, so that none of them wins. */
 const HANDOVER_PAUSE = 1_500;
--- a/src/core/keyspace/candidacy_test.ts
+++ b/src/core/keyspace/candidacy_test.ts
@@ -21,8 +21,8 @@
   t.true(candidacy.isStanding(0, false));
   candidacy.hear(LARGE, 100);
   t.false(candidacy.isStanding(110, false));
-  t.false(candidacy.isStanding(2_100, false));
-  t.true(candidacy.isStanding(2_101, false));
+  t.false(candidacy.isStanding(3_100, false));
+  t.true(candidacy.isStanding(3_101, false));
 });
 
 test("candidacy: a holder gives the place up after the others stood by", (t) => {
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -72,7 +72,7 @@
   term: number;
   /** The term before it. */
   formerTerm: number;
-  /** How fit the holder is for the place. */
+  /** Fitness of the fittest VM that the holder hears of, itself included. */
   fitness: number;
 }
 
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -178,7 +178,9 @@
     this.#last = holder;
     this.#phase = { kind: "leading", holder };
     const formerTerm = records.term;
-    const { fitness } = this;
+    // VMs that start and read it stand by for a fitter one that this VM stands in
+    // for.
+    const fitness = this.fittest(now);
     return [{ kind: "holder.announce", term, formerTerm, fitness }];
   }
 
@@ -260,19 +262,21 @@
     return [{ kind: "group.leave", group: this.#group }];
   }
 
-  /** Joins the group that this VM belongs to now; one that holds the term leaves
-   * the electorate at once, any other simply stops calling. */
+  /** Joins the group that this VM belongs to now. It leaves the electorate with a
+   * call: the store could still elect a member that has only fallen silent. */
   #chooseGroup(now: number): KeyspaceEffect[] {
     const isElected = this.#phase.kind !== "follower";
     const isStanding = this.candidacy.isStanding(now, isElected);
     const group = isStanding ? "electorate" : "observers";
     if (group === this.#group) return [];
     const former = this.#group;
+    const hasJoined = this.#generation > 0;
     this.#group = group;
     this.#generation = 0;
     this.#joinDueAt = now;
     this.#phase = { kind: "follower" };
-    return isElected ? [{ kind: "group.leave", group: former }] : [];
+    const mustLeave = former === "electorate" && hasJoined;
+    return mustLeave ? [{ kind: "group.leave", group: former }] : [];
   }
 
   /** The store passes the place on only after the member that had it has called
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -69,8 +69,8 @@
     sequence: number,
     assignments: readonly Assignment[],
   ): Promise<void>;
-  /** Tells all VMs that this one, of this fitness, holds `term` and is reached at
-   * `address`. */
+  /** Tells all VMs that this one holds `term` and is reached at `address`;
+   * `fitness` is that of the fittest VM it hears of. */
   abstract announceHolder(
     term: number,
     address: string,
