--- /dev/null
+++ b/src/runtime/raw_callers_test.ts
@@ -0,0 +1,121 @@
+import { connect } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import { PlatformHeaders } from "../../platform/index.ts";
+import { loopbackAddress } from "../../test/support/loopback_address.ts";
+import type { Occurrence } from "../core/entry_event.ts";
+import { parseAddress } from "../settings/index.ts";
+import { CallerServer } from "./caller_server.ts";
+
+/** Longest time for something to happen, in milliseconds. */
+const PATIENCE = 3_000;
+/** Time in which a caller must send its headers here, in milliseconds. */
+const HEADER_TIMEOUT = 300;
+
+/**
+ * What a caller that sends `text` and nothing more gets: statuses of answers, the
+ * paths that were taken in as requests, and whether its connection was ended.
+ */
+async function send(t: ExecutionContext, text: string) {
+  const occurrences: Occurrence[] = [];
+  const server = CallerServer.create(
+    PlatformHeaders.create(),
+    { push: (each) => void occurrences.push(each) },
+    { answered: () => {} },
+  );
+  const address = loopbackAddress();
+  await server.listen(address);
+  server.apply({
+    maximumHeaderBytes: 16_000,
+    maximumBodyBytes: 1_000,
+    headerTimeout: HEADER_TIMEOUT,
+    idleTimeout: HEADER_TIMEOUT,
+  });
+  const { host, port } = parseAddress(address);
+  const socket = connect(port, host);
+  let answers = "";
+  socket.on("data", (bytes) => answers += bytes.toString("latin1"));
+  socket.on("error", () => {});
+  t.teardown(() => {
+    socket.destroy();
+    server.destroy();
+  });
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  socket.write(text, "latin1");
+  const isEnded = await Promise.race([
+    closed.then(() => true),
+    new Promise<boolean>((resolve) =>
+      setTimeout(() => resolve(false), PATIENCE)
+    ),
+  ]);
+  const paths = occurrences.flatMap((each) =>
+    each.kind === "request.arrived" ? [each.arrival.target] : []
+  );
+  const statuses = [...answers.matchAll(/HTTP\/1\.1 (\d+)/g)]
+    .map((match) => match[1]);
+  return { paths, statuses, isEnded };
+}
+
+function get(path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: h.example\r\n\r\n`;
+}
+
+function post(headers: string, body: string): string {
+  return `POST /a HTTP/1.1\r\nHost: h.example\r\n${headers}\r\n\r\n${body}`;
+}
+
+test("raw callers: half a request line, then silence, is let go", async (t) => {
+  const { paths, isEnded } = await send(t, "GET /a HT");
+  t.deepEqual(paths, []);
+  t.true(isEnded);
+});
+
+test("raw callers: of two pipelined requests the malformed second is none", async (t) => {
+  const { paths } = await send(t, `${get("/1")}GE T /2\r\n\r\n`);
+  t.deepEqual(paths, ["/1"]);
+});
+
+test("raw callers: a chunked body that is cut within a chunk is no request", async (t) => {
+  const { paths, isEnded } = await send(
+    t,
+    post("Transfer-Encoding: chunked", "ff\r\nhalf"),
+  );
+  t.deepEqual(paths, []);
+  t.false(isEnded, "its time to send is not over");
+});
+
+test("raw callers: two lengths that differ are refused", async (t) => {
+  const { paths, statuses, isEnded } = await send(
+    t,
+    post("Content-Length: 2\r\nContent-Length: 30", "ok"),
+  );
+  t.deepEqual({ paths, statuses }, { paths: [], statuses: ["400"] });
+  t.true(isEnded);
+});
+
+test("raw callers: a length beside chunks is refused", async (t) => {
+  const { paths, statuses, isEnded } = await send(
+    t,
+    post(
+      "Content-Length: 4\r\nTransfer-Encoding: chunked",
+      `0\r\n\r\n${get("/smuggled")}`,
+    ),
+  );
+  t.deepEqual({ paths, statuses }, { paths: [], statuses: ["400"] });
+  t.true(isEnded);
+});
+
+test("raw callers: 100 KB of headers are refused", async (t) => {
+  const filler = `X-Filler: ${"x".repeat(100_000)}`;
+  const { paths, statuses, isEnded } = await send(t, post(filler, ""));
+  t.deepEqual({ paths, statuses }, { paths: [], statuses: ["431"] });
+  t.true(isEnded);
+});
+
+test("raw callers: bare line feeds smuggle nothing", async (t) => {
+  const { paths } = await send(
+    t,
+    "GET /1 HTTP/1.1\nHost: h.example\nX-A: b\n\nGET /2 HTTP/1.1\n\n",
+  );
+  t.true(paths.every((path) => path === "/1" || path === "/2"));
+  t.true(paths.length <= 2);
+});
