--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -28,6 +28,10 @@
  * costs more than the bytes. One that dies in silence is noticed by the short
  * calls beside it, and peers tell each other the version of the configuration. */
 const LONG_POLL = 29_000;
+/** The same for the configuration just after a read has failed: with the store's
+ * timeout a lost answer is noticed within 1.5 s, and a configuration must be in
+ * force 2 s after it was acknowledged. */
+const UNSURE_WAIT = 500;
 /** Share of the drain time between two reads of the registry by the term holder,
  * and the share after which another VM that has no younger word of it reads it
  * itself: both leave time for one slow answer before nothing more may reach a
@@ -176,8 +180,11 @@
       listen: settings.listen,
       store: settings.store.address,
     });
-    const pace = { wait: LONG_POLL, pause: 0 };
-    this.#configuration = this.#follow("configuration", pace);
+    const pace = { wait: LONG_POLL, unsureWait: LONG_POLL, pause: 0 };
+    this.#configuration = this.#follow("configuration", {
+      ...pace,
+      unsureWait: UNSURE_WAIT,
+    });
     this.#follow("holder", pace);
     this.#loop.push({ kind: "timer" });
   }
--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -17,11 +17,18 @@
  * made 7,500 calls in 25 s while the store turned a third of 91 VMs away. */
 const LONGEST_WAIT = 3_000;
 
+/** Time after a failed read for which reads wait shortly, in milliseconds: a store
+ * that has just come back may lose the answer to a call that waits without a
+ * sign, which is noticed only when the call times out. */
+const UNSURE_TIME = 1_500;
+
 /** How a feed is followed. */
 export interface FeedPace {
   /** Time for which a read waits for the next record, in milliseconds: for
    * feeds that change seldom, where news has to come at once. */
   wait: number;
+  /** The same just after a read has failed. */
+  unsureWait: number;
   /** Pause between reads, in milliseconds: for feeds that always change. */
   pause: number;
 }
@@ -30,6 +37,7 @@
 export class FeedFollower {
   #next: number | null = null;
   #isStopped = false;
+  #failedAt = -Infinity;
 
   private constructor(
     private readonly store: ControlStore,
@@ -82,7 +90,7 @@
     try {
       const read = this.#next === null
         ? await this.store.readAll(this.feed)
-        : await this.store.readOn(this.feed, this.#next, this.pace.wait);
+        : await this.store.readOn(this.feed, this.#next, this.#wait(sentAt));
       if (this.#isStopped) return true;
       this.#next = read.next;
       this.#pass(read, sentAt);
@@ -94,8 +102,15 @@
     }
   }
 
+  /** How long a read that begins now may wait for news. */
+  #wait(now: number): number {
+    const isUnsure = now - this.#failedAt < UNSURE_TIME;
+    return isUnsure ? this.pace.unsureWait : this.pace.wait;
+  }
+
   #failed(error: unknown): void {
     if (this.#isStopped) return;
+    this.#failedAt = monotonicNow();
     this.sink.push({
       kind: "store.failed",
       step: `follow ${this.feed}`,
