--- a/src/core/keyspace/key_load.ts
+++ b/src/core/keyspace/key_load.ts
@@ -11,8 +11,8 @@
 const WINDOW = 3_000;
 /** Requests kept for each service; bounds memory and the time of a look. */
 const MAXIMUM_SAMPLES = 4_000;
-/** Age up to which requests are looked at for a surge, in milliseconds: what
- * moves are made by in a second, instead of by the whole window in three. */
+/** Age up to which requests are compared with those before, in milliseconds: a
+ * busy key was moved 0.5 s after it became busy, 1 to 2 s by the whole window. */
 const RECENT = 700;
 /** Samples in that time below which nothing is called a surge. */
 const FEWEST_RECENT = 100;
@@ -20,7 +20,7 @@
  * busy keys are often close together. */
 const BIN_BITS = 8;
 /** Standard deviations by which a bin must exceed what the time before lets
- * expect: with 256 bins and five looks a second, chance does so once in hours. */
+ * expect: with 256 bins and three looks a second, chance does so once in hours. */
 const SURGE_SIGNIFICANCE = 6;
 
 /** Recent keys of one service. */
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -80,8 +80,11 @@
     this.#samples.set(service, keys);
   }
 
-  /** Takes all steps that are due; `position` is up to where the registry is
-   * known, `latencies` what was measured since the last report, `mayFetch` when assignments are needed and the store answers. */
+  /**
+   * Takes all steps that are due. `position` is up to where the registry is
+   * known, `latencies` what was measured since the last report; `mayFetch` when
+   * assignments are needed and the store answers.
+   */
   advance(
     now: number,
     known: Knowledge,
