--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -1,42 +1,22 @@
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
-import { PlatformHeaders } from "../../platform/index.ts";
-import { loopbackAddress } from "../../test/support/loopback_address.ts";
-import type { Occurrence } from "../core/entry_event.ts";
-import { parseAddress } from "../settings/index.ts";
-import { CallerServer } from "./caller_server.ts";
+import { connectCaller } from "../../test/support/caller_connection.ts";
 
 /** Longest time for something to happen, in milliseconds. */
 const PATIENCE = 5_000;
 
 /** A server whose occurrences are kept, and a connection to it. */
 async function start(t: ExecutionContext) {
-  const occurrences: Occurrence[] = [];
-  const server = CallerServer.create(
-    PlatformHeaders.create(),
-    { push: (each) => void occurrences.push(each) },
-    { answered: () => {} },
-  );
-  const address = loopbackAddress();
-  await server.listen(address);
-  server.apply({
+  const { server, socket, occurrences, read } = await connectCaller(t, {
     maximumHeaderBytes: 400,
     maximumBodyBytes: 10,
     headerTimeout: 1_000,
     idleTimeout: 5_000,
   });
-  const { host, port } = parseAddress(address);
-  const socket = connect(port, host);
-  let text = "";
-  socket.on("data", (bytes) => text += bytes.toString("latin1"));
-  t.teardown(() => {
-    socket.destroy();
-    server.destroy();
-  });
   const until = async (holds: () => boolean) => {
     const end = Date.now() + PATIENCE;
     while (!holds()) {
-      if (Date.now() > end) throw new Error(`waited in vain: ${text}`);
+      if (Date.now() > end) throw new Error(`waited in vain: ${read()}`);
       await new Promise((next) => setTimeout(next, 5));
     }
   };
@@ -51,7 +31,6 @@
       headers: ["X-Server", "s"],
       body: Buffer.from(body),
     });
-  const read = () => text;
   return { server, socket, occurrences, arrivals, answer, until, read };
 }
 
--- a/src/runtime/raw_callers_test.ts
+++ b/src/runtime/raw_callers_test.ts
@@ -1,10 +1,5 @@
-import { connect } from "node:net";
 import test, { type ExecutionContext } from "ava";
-import { PlatformHeaders } from "../../platform/index.ts";
-import { loopbackAddress } from "../../test/support/loopback_address.ts";
-import type { Occurrence } from "../core/entry_event.ts";
-import { parseAddress } from "../settings/index.ts";
-import { CallerServer } from "./caller_server.ts";
+import { connectCaller } from "../../test/support/caller_connection.ts";
 
 /** Longest time for something to happen, in milliseconds. */
 const PATIENCE = 3_000;
@@ -16,29 +11,13 @@
  * paths that were taken in as requests, and whether its connection was ended.
  */
 async function send(t: ExecutionContext, text: string) {
-  const occurrences: Occurrence[] = [];
-  const server = CallerServer.create(
-    PlatformHeaders.create(),
-    { push: (each) => void occurrences.push(each) },
-    { answered: () => {} },
-  );
-  const address = loopbackAddress();
-  await server.listen(address);
-  server.apply({
+  const { socket, occurrences, read } = await connectCaller(t, {
     maximumHeaderBytes: 16_000,
     maximumBodyBytes: 1_000,
     headerTimeout: HEADER_TIMEOUT,
     idleTimeout: HEADER_TIMEOUT,
   });
-  const { host, port } = parseAddress(address);
-  const socket = connect(port, host);
-  let answers = "";
-  socket.on("data", (bytes) => answers += bytes.toString("latin1"));
   socket.on("error", () => {});
-  t.teardown(() => {
-    socket.destroy();
-    server.destroy();
-  });
   const closed = new Promise((resolve) => socket.once("close", resolve));
   socket.write(text, "latin1");
   const isEnded = await Promise.race([
@@ -50,7 +29,7 @@
   const paths = occurrences.flatMap((each) =>
     each.kind === "request.arrived" ? [each.arrival.target] : []
   );
-  const statuses = [...answers.matchAll(/HTTP\/1\.1 (\d+)/g)]
+  const statuses = [...read().matchAll(/HTTP\/1\.1 (\d+)/g)]
     .map((match) => match[1]);
   return { paths, statuses, isEnded };
 }
--- /dev/null
+++ b/test/support/caller_connection.ts
@@ -0,0 +1,48 @@
+/**
+ * A server of callers without an entry behind it, and one connection to it.
+ *
+ * @module
+ */
+import { connect, type Socket } from "node:net";
+import type { ExecutionContext } from "ava";
+import { PlatformHeaders } from "../../platform/index.ts";
+import type { CallerLimits } from "../../src/core/catalog/index.ts";
+import type { Occurrence } from "../../src/core/entry_event.ts";
+import { CallerServer } from "../../src/runtime/caller_server.ts";
+import { parseAddress } from "../../src/settings/index.ts";
+import { loopbackAddress } from "./loopback_address.ts";
+
+/** See the module's comment. */
+export interface CallerConnection {
+  server: CallerServer;
+  socket: Socket;
+  /** What the server told its loop. */
+  occurrences: Occurrence[];
+  /** What was received on the connection so far. */
+  read(): string;
+}
+
+/** Starts a server that holds callers to `limits`; the test's end stops it. */
+export async function connectCaller(
+  t: ExecutionContext,
+  limits: CallerLimits,
+): Promise<CallerConnection> {
+  const occurrences: Occurrence[] = [];
+  const server = CallerServer.create(
+    PlatformHeaders.create(),
+    { push: (each) => void occurrences.push(each) },
+    { answered: () => {} },
+  );
+  const address = loopbackAddress();
+  await server.listen(address);
+  server.apply(limits);
+  const { host, port } = parseAddress(address);
+  const socket = connect(port, host);
+  let text = "";
+  socket.on("data", (bytes) => text += bytes.toString("latin1"));
+  t.teardown(() => {
+    socket.destroy();
+    server.destroy();
+  });
+  return { server, socket, occurrences, read: () => text };
+}
