--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -90,6 +90,11 @@
     return this.#take();
   }
 
+  /** A request arrived that this VM does not take any more. */
+  turnAway(arrival: RequestArrival): DispatchEffect[] {
+    return this.#answers.turnedAway(arrival);
+  }
+
   /** A caller left without waiting for its answer. */
   leave(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
--- a/src/core/dispatch/own_answers.ts
+++ b/src/core/dispatch/own_answers.ts
@@ -10,6 +10,8 @@
 import type { RequestLog } from "./request_log.ts";
 import type { RetryAdvice } from "./retry_advice.ts";
 
+/** What callers of a VM that stops are asked to wait for, in ms. */
+const STOPPING_RETRY_AFTER = 20;
 /** What callers are asked to wait for while nothing is configured, in ms. */
 const UNCONFIGURED_RETRY_AFTER = 250;
 
@@ -65,6 +67,26 @@
     };
   }
 
+  /** A request that came while this VM stops; another one can take it at once. */
+  turnedAway({ exchange, id, host, target }: RequestArrival): DispatchEffect[] {
+    const reason = "this VM is stopping";
+    return [
+      {
+        kind: "note",
+        level: "warn",
+        decision: "request.turned_away",
+        detail: { request: id, host, target, reason },
+      },
+      {
+        kind: "request.refuse",
+        exchange,
+        status: 503,
+        retryAfter: STOPPING_RETRY_AFTER,
+        reason,
+      },
+    ];
+  }
+
   /** A request for which the configuration has no route, or there is none. */
   unrouted({ exchange, id, host, target }: RequestArrival): DispatchEffect[] {
     const { isKnown, version } = this.context.catalog;
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -163,6 +163,9 @@
           ...this.campaign.ordered(event.order, event.outcome, now),
         );
       case "request.arrived":
+        if (this.#shutdown.isTurningAway(now)) {
+          return this.#put(...this.dispatcher.turnAway(event.arrival));
+        }
         this.#countKey(event.arrival, now);
         return this.#put(...this.dispatcher.arrive(event.arrival, now));
       case "request.left":
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -139,3 +139,23 @@
   t.is(fetches(step(5_000, { kind: "timer" })), 0);
   t.is(fetches(step(5_100, { kind: "timer" })), 1);
 });
+
+test("entry: requests that come late in a shutdown are turned away, others not", (t) => {
+  const { step } = createEntry("vm-1");
+  step(0, configured(1));
+  step(1_000, { kind: "shutdown" });
+  const decisionAt = (now: number) =>
+    step(now, {
+      kind: "request.arrived",
+      arrival: {
+        exchange: now,
+        id: "r",
+        host: "h",
+        target: "/",
+        timeout: 5_000,
+        key: null,
+      },
+    }).flatMap((each) => each.kind === "note" ? [each.decision] : []);
+  t.true(decisionAt(3_870).includes("request.unrouted"));
+  t.deepEqual(decisionAt(3_880), ["request.turned_away"]);
+});
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -7,6 +7,11 @@
 import type { EntryEffect } from "./entry_effect.ts";
 import type { ShutdownTiming } from "./entry_options.ts";
 
+/** Share of the time before the close after which new requests are turned away:
+ * what is taken later and runs for long would be cut off at the end by force. By
+ * then the balancer has turned to other VMs. */
+const TURN_AWAY_SHARE = 0.8;
+
 /** See the module's comment. */
 export class Shutdown {
   #startedAt: number | null = null;
@@ -25,6 +30,12 @@
     return this.#startedAt !== null;
   }
 
+  /** Whether requests that come now are turned away. */
+  isTurningAway(now: number): boolean {
+    if (this.#startedAt === null) return false;
+    return now - this.#startedAt >= this.timing.closeAfter * TURN_AWAY_SHARE;
+  }
+
   /** It is asked for; false when it was before. */
   start(now: number): boolean {
     if (this.#startedAt !== null) return false;
