Sight: what callers' side has in hand at the close and at the stop

No line told whether a shutdown cut anything: shutdown.finished counts the core's requests only. callers.closing and process.stopped now carry connections, requests without an answer, answers that are not sent, and requests that were left unread on a connection that was ending. Two lines a shutdown.

--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -44,6 +44,17 @@
   answered(status: number, isOwn: boolean, milliseconds: number): void;
 }
 
+/** What the callers' side has in hand. */
+export interface CallerCounts {
+  connections: number;
+  /** Requests without an answer, also those that are still being read. */
+  unanswered: number;
+  /** Answers that the operating system has not taken whole. */
+  unsent: number;
+  /** Requests that were left unread since their connection was ending. */
+  notTaken: number;
+}
+
 /** See the module's comment. */
 export class CallerServer {
   readonly #server: Server;
@@ -57,7 +68,9 @@
    * elsewhere. */
   readonly #ended = new WeakSet<Duplex>();
   #limits: CallerLimits | null = null;
+  readonly #unsent = new Set<ServerResponse>();
   #count = 0;
+  #notTaken = 0;
   #isDraining = false;
 
   private constructor(
@@ -124,6 +137,16 @@
     }
   }
 
+  /** What is in hand now. */
+  get counts(): CallerCounts {
+    return {
+      connections: this.#sockets.size,
+      unanswered: this.#exchanges.size,
+      unsent: this.#unsent.size,
+      notTaken: this.#notTaken,
+    };
+  }
+
   /** Closes everything. */
   destroy(): void {
     this.#lag.stop();
@@ -175,13 +198,17 @@
     }
     if (statusText === "") response.writeHead(status, head);
     else response.writeHead(status, statusText, head);
+    this.#unsent.add(response);
     response.end(body);
     this.observer.answered(status, isOwn, performance.now() - arrivedAt);
   }
 
   #take(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
-    if (this.#ended.has(socket)) return;
+    if (this.#ended.has(socket)) {
+      this.#notTaken += 1;
+      return;
+    }
     this.#count += 1;
     const number = this.#count;
     this.#open.set(socket, (this.#open.get(socket) ?? 0) + 1);
@@ -277,6 +304,7 @@
   }
 
   #left(number: number, response: ServerResponse): void {
+    this.#unsent.delete(response);
     if (response.writableFinished) return;
     if (!this.#exchanges.delete(number)) return;
     this.sink.push({ kind: "request.left", exchange: number });
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -219,6 +219,8 @@
   #stop(): void {
     this.#loop.stop();
     for (const follower of this.#followers) follower.stop();
+    // What is in hand here is cut.
+    const { counts } = this.#callers;
     this.#callers.destroy();
     this.#backends.close();
     this.#readiness.close();
@@ -226,7 +228,7 @@
     this.#peers.close();
     this.platform.orders.close();
     this.platform.store.close();
-    this.#journal.write("info", "process.stopped", {});
+    this.#journal.write("info", "process.stopped", { ...counts });
     this.#journal.flush();
     this.#resolveStopped();
   }
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -88,7 +88,7 @@
         readiness.set(false);
         return callers.drain();
       case "callers.close":
-        return callers.close();
+        return this.#close();
       case "process.stop":
         return this.adapters.stopped();
       case "order.grant":
@@ -138,6 +138,13 @@
     this.adapters.callers.refuse(effect);
   }
 
+  /** What the close meets tells a request that it cuts from one that it meets. */
+  #close(): void {
+    const { callers, journal } = this.adapters;
+    journal.write("info", "callers.closing", { ...callers.counts });
+    callers.close();
+  }
+
   #note({ level, decision, detail }: Note): void {
     this.adapters.metrics.count("decisions_total", `decision="${decision}"`);
     this.adapters.journal.write(level, decision, detail);
