--- /dev/null
+++ b/test/support/entry_in_process.ts
@@ -0,0 +1,75 @@
+/**
+ * An entry process inside the test's, with nothing behind it: its store does not
+ * answer and it has no configuration, so it answers each request itself.
+ *
+ * @module
+ */
+import { connect, type Socket } from "node:net";
+import { PassThrough } from "node:stream";
+import type { ExecutionContext } from "ava";
+import {
+  PlatformHeaders,
+  PlatformOrders,
+  PlatformStore,
+} from "../../platform/index.ts";
+import { EntryProcess } from "../../src/runtime/entry_process.ts";
+import { entrySettingsSchema, parseAddress } from "../../src/settings/index.ts";
+import { loopbackAddress } from "./loopback_address.ts";
+
+/** See the module's comment. */
+export interface EntryInProcess {
+  entry: EntryProcess;
+  /** A new caller. */
+  connect(): Socket;
+  /** Metrics as text. */
+  metrics(): Promise<string>;
+  /** Log lines so far. */
+  log(): Record<string, unknown>[];
+}
+
+/** Starts one that is ended by force this long after it was asked to stop. */
+export async function startEntryInProcess(
+  t: ExecutionContext,
+  shutdownTimeoutSeconds: number,
+): Promise<EntryInProcess> {
+  const [listen, readiness, peer, admin, store] = Array.from(
+    { length: 5 },
+    () => loopbackAddress(),
+  );
+  const settings = entrySettingsSchema.parse({
+    vm: "vm-1",
+    availabilityZone: "a",
+    listen,
+    readiness,
+    peer,
+    admin,
+    store: { address: store },
+    shutdownTimeoutSeconds,
+  });
+  const output = new PassThrough();
+  let lines = "";
+  output.on("data", (chunk) => lines += String(chunk));
+  const platform = {
+    store: PlatformStore.create(store, "vm-1", peer),
+    headers: PlatformHeaders.create(),
+    orders: PlatformOrders.create(),
+  };
+  const entry = await EntryProcess.start(settings, platform, output, 1);
+  t.teardown(() => {
+    entry.shutdown();
+    return entry.stopped;
+  });
+  const { host, port } = parseAddress(listen);
+  return {
+    entry,
+    connect: () => {
+      const socket = connect(port, host);
+      t.teardown(() => socket.destroy());
+      return socket;
+    },
+    metrics: async () => (await fetch(`http://${admin}/metrics`)).text(),
+    log: () =>
+      lines.split("\n").filter((line) => line !== "")
+        .map((line) => JSON.parse(line)),
+  };
+}
