A second SIGTERM does not kill a process that stops

The listener was taken off by the first signal, and the system's default for the second one ends the process at once, with all that is in flight. The shutdown ignores being asked again. SIGINT keeps its second meaning, for terminals.

path_test 'cuts nobody off' fails before and passes after (9.8 s).

--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -51,7 +51,8 @@
     process.stdout,
     run.readUInt32BE(0),
   );
-  process.once("SIGTERM", () => entry.shutdown());
+  // Each time: without a listener a second one would kill the process.
+  process.on("SIGTERM", () => entry.shutdown());
   process.once("SIGINT", () => entry.shutdown());
   process.on("SIGHUP", () => reload(entry, file, settings));
   await entry.stopped;
