Fleet: a run of a server is named by its id and its incarnation

Cause: the code took an id for one run of a server, which holds no longer: a server may start again under its id, and tells its start in the field born at the top level of its entry.

BackendServer.incarnation is decoded once, from born: absent gives 0, since servers that take a new id at each start do not send it and none of them could be used otherwise; anything there that is no whole number of 0 or more makes the entry name no server. FleetChange tells "restarted", and news of the registry pass a changed incarnation on. The stand-in registers its start. What is kept by id is unchanged as yet.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -139,6 +139,7 @@
   });
   const entries = Array.from({ length: servers }, (_, i) => ({
     id: `server-${i}`,
+    incarnation: 0,
     service: "s",
     address: `10.0.0.1:${i}`,
     availabilityZone: i % 2 === 0 ? "a" : "b",
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -43,6 +43,7 @@
   const servers = ["stock", "orders", "reads"].flatMap((service) =>
     ["1", "2"].map((number) => ({
       id: `${service}-${number}`,
+      incarnation: 0,
       service,
       address: `${service}-${number}:1`,
       availabilityZone: "a",
--- a/src/core/dispatch/server_choice_test.ts
+++ b/src/core/dispatch/server_choice_test.ts
@@ -7,6 +7,7 @@
 function room(load: ReportedLoad | null, now: number): number {
   const server = TrackedServer.create({
     id: "i",
+    incarnation: 0,
     service: "s",
     address: "h:1",
     availabilityZone: "a",
@@ -35,6 +36,7 @@
   const create = () =>
     TrackedServer.create({
       id: "i",
+      incarnation: 0,
       service: "s",
       address: "h:1",
       availabilityZone: "a",
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -103,6 +103,7 @@
   const { step } = createEntry("vm-1");
   const entries = [{
     id: "i-1",
+    incarnation: 0,
     service: "s",
     address: "h:1",
     availabilityZone: "a",
--- a/src/core/fleet/backend_server.ts
+++ b/src/core/fleet/backend_server.ts
@@ -5,10 +5,14 @@
  */
 import * as z from "zod";
 
-/** One run of a backend server process, as it registered itself. */
+/** A run of a backend server process, as it registered itself. */
 export const backendServerSchema = z.object({
-  /** Names one run: a restarted server has another id. */
+  /** Names the server, which keeps it when it is restarted; a run of it is
+   * named by id and incarnation. */
   id: z.string().min(1),
+  /** When this run started, in Unix milliseconds by the server's clock; 0 where
+   * that is not told. Only equality says something: clocks step back. */
+  incarnation: z.number().int().nonnegative(),
   service: z.string().min(1),
   address: z.string().min(1),
   availabilityZone: z.string(),
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -25,7 +25,8 @@
 
 /** A change of the list of servers. */
 export interface FleetChange {
-  kind: "joined" | "draining" | "removed";
+  /** `restarted`: its id is listed with another incarnation than before. */
+  kind: "joined" | "restarted" | "draining" | "removed";
   server: BackendServer;
 }
 
@@ -154,8 +155,11 @@
       changes.push({ kind: "joined", server: entry });
       return;
     }
-    const wasDraining = known.entry.isDraining;
+    const { incarnation, isDraining: wasDraining } = known.entry;
     known.update(entry, now);
+    if (entry.incarnation !== incarnation) {
+      changes.push({ kind: "restarted", server: entry });
+    }
     if (entry.isDraining && !wasDraining) {
       changes.push({ kind: "draining", server: entry });
     }
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -5,6 +5,7 @@
 function entry(id: string, change: Partial<BackendServer> = {}): BackendServer {
   return {
     id,
+    incarnation: 0,
     service: "stock",
     address: `${id}:1`,
     availabilityZone: "a",
@@ -30,6 +31,16 @@
   });
 });
 
+test("fleet: a run that takes the id of another is told once", (t) => {
+  const fleet = Fleet.create();
+  fleet.apply([entry("a", { incarnation: 100 })], [], 0);
+  const restarted = entry("a", { incarnation: 200 });
+  t.deepEqual(fleet.apply([restarted], [], 1), [
+    { kind: "restarted", server: restarted },
+  ]);
+  t.deepEqual(fleet.apply([restarted], [], 2), []);
+});
+
 test("fleet: what lapsed in an outage may come back for two seconds", (t) => {
   const fleet = Fleet.create();
   fleet.apply([entry("a"), entry("b")], [], 0);
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -75,7 +75,7 @@
     return this.#latency;
   }
 
-  /** Takes a newer entry of the same run. */
+  /** Takes a newer entry. */
   update(entry: BackendServer, now: number): void {
     this.entry = entry;
     if (entry.isDraining) this.drainingSince ??= now;
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -24,6 +24,7 @@
   const fleet = Fleet.create();
   const entries = ["a", "b"].map((id) => ({
     id,
+    incarnation: 0,
     service: "s",
     address: `${id}:1`,
     availabilityZone: "z",
@@ -155,6 +156,7 @@
 test("term holder: keys are given out for the first time once no more servers come", (t) => {
   const entry = (id: string) => ({
     id,
+    incarnation: 0,
     service: "s",
     address: `${id}:1`,
     availabilityZone: "z",
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -182,7 +182,8 @@
 /** Whether two entries of a server say the same; how long it stays slow after
  * its start changes with every heartbeat and is told once. */
 function isSame(a: BackendServer, b: BackendServer): boolean {
-  return a.service === b.service && a.address === b.address &&
+  return a.incarnation === b.incarnation && a.service === b.service &&
+    a.address === b.address &&
     a.availabilityZone === b.availabilityZone && a.slots === b.slots &&
     a.isDraining === b.isDraining;
 }
--- a/src/core/registry/registry_replica_test.ts
+++ b/src/core/registry/registry_replica_test.ts
@@ -8,6 +8,7 @@
 function server(id: string, isDraining = false): BackendServer {
   return {
     id,
+    incarnation: 0,
     service: "s",
     address: `${id}:1`,
     availabilityZone: "a",
@@ -33,6 +34,14 @@
   return replica;
 }
 
+test("registry: a server that starts again under its id is news", (t) => {
+  const reader = RegistryReplica.create();
+  reader.read(read(10, [server("a")], [], true), 0);
+  const restarted = { ...server("a"), incarnation: 5 };
+  reader.read(read(11, [restarted]), 100);
+  t.deepEqual(reader.news(10, null)?.entries, [restarted]);
+});
+
 test("registry: news bring a follower to where the reader is", (t) => {
   const reader = replicaOf(10, [server("a"), server("b")]);
   const follower = replicaOf(10, [server("a"), server("b")]);
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -20,6 +20,7 @@
   const campaign = TermCampaign.create(timing, fleet, loads, 1);
   const servers = Array.from({ length: 40 }, (_, i) => ({
     id: `i-${i}`,
+    incarnation: 0,
     service: "s",
     address: `h:${i}`,
     availabilityZone: "a",
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -22,7 +22,7 @@
 
 /** Settings of the stand-in. Durations are milliseconds. */
 export const backendServiceSchema = z.strictObject({
-  /** Names one run of the server. */
+  /** Names the server; a process that starts again may keep it. */
   id: z.string().min(1),
   service: z.string().min(1),
   availabilityZone: z.string().default("a"),
@@ -82,6 +82,7 @@
 
 /** See the module's comment. */
 export class BackendService extends StandIn {
+  readonly #startedAt = Date.now();
   readonly #queue: WorkQueue;
   readonly #state = new Map<string, Buffer>();
   readonly #seen: { from: number; target: number; token: number }[] = [];
@@ -285,6 +286,7 @@
     const { id, service, availabilityZone, slots, store } = this.settings;
     this.#sequence += 1;
     const entry = {
+      born: this.#startedAt,
       service,
       address: this.settings.advertised ?? this.address,
       zone: availabilityZone,
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -515,6 +515,7 @@
     this.#servers.push(server);
     this.#list(server.id, {
       id: server.id,
+      incarnation: 0,
       service: SERVICE,
       address: server.address,
       availabilityZone: "a",
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -146,6 +146,25 @@
   t.throws(() => decodeServer("i-1", broken), { any: true });
 });
 
+test("registry: an entry tells which run of its server it is from, or nothing", (t) => {
+  const decode = (change: object) => {
+    const entry = {
+      service: "a",
+      address: "10.0.0.1:80",
+      zone: "z",
+      slots: 3,
+      state: "ready",
+      ...change,
+    };
+    return decodeServer("i-1", Buffer.from(JSON.stringify(entry))).incarnation;
+  };
+  t.is(decode({ born: 1_790_000_000_000 }), 1_790_000_000_000);
+  t.is(decode({}), 0);
+  for (const born of [1.5, -1, "1790000000000", null, [], {}, true]) {
+    t.throws(() => decode({ born }), { any: true }, String(born));
+  }
+});
+
 test("headers: what answers say", (t) => {
   const codec = PlatformHeaders.create();
   const read = (status: number, headers: Record<string, string>) =>
