Key leases: orders name their server and bear a token of their own

Cause of two servers with one token: a renewal bore the token of the grant before it and named no server. The next run at the server's address, which knows no token, took the renewal as a grant.

- Every grant has a new token, renewals too.
`HeldRange.token` is gone: nothing reads it any more.
- Every order names its server (the platform's header for requests holds for orders as well).
Another server answers 421: the outcome "misdirected".
What the server that was meant held ended with it and orders to it are refused, so all its keys are free at once.
Its entry stays listed for a while; it gets no keys under the same incarnation.
- `Fleet.isReused` stays as proof that a server has ended, which is sound now that the next server refuses the orders to it.
An entry that is older than the server's own says nothing: the model found a server that came back after another had its address for a third of a second.
- A server that starts again under its id: its ranges are renewed when the new incarnation is listed, and keys that wait for a lease go back to it.
- A run that starts again has seen no token, so "released once fenced" does not keep out a former holder that still sends.
Keys are not asked back from a live server until the former holder's orders have ended (`olderOrdersEnd`: authority, order timeout and 300 ms), unless it has told (`ordersRemaining`) that none is left; then at once, as before.

The unit tests of moves now start with a holder whose predecessor has told so: without, no move begins in the first 2.8 s by design, which a test of its own states.

--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -9,6 +9,8 @@
  *              +---> expiring <----+      (no answer: wait for the lease)
  * ```
  *
+ * Any state is followed by `vacant` when another server is found at the address.
+ *
  * @module
  */
 import type { KeyRange } from "./assignment.ts";
@@ -36,8 +38,9 @@
   server: string | null;
   /** Address of that server, kept for when it is no longer listed. */
   address: string | null;
-  /** Fencing token of its grant. */
-  token: number;
+  /** Incarnation under which the server was listed when it was last granted the
+   * keys; 0 where it is not known. */
+  incarnation: number;
   /** Whether it has accepted a grant of this term, which makes it refuse those
    * of older holders. */
   isFenced: boolean;
@@ -49,6 +52,9 @@
    * term does not shorten them: a server keeps the longest hold it was given
    * until it releases the keys. */
   inheritedEnd: number;
+  /** Until when orders of older holders may reach the server. They are refused
+   * by a run that has seen a newer token, and not by the next run. */
+  olderOrdersEnd: number;
   /** When grants that it did not answer run out at the latest. */
   doubtEnd: number;
   /** Hold time of the last grant that was sent. */
@@ -79,11 +85,12 @@
     state: "vacant",
     server: null,
     address: null,
-    token: 0,
+    incarnation: 0,
     isFenced: false,
     handover: null,
     leaseEnd: 0,
     inheritedEnd: 0,
+    olderOrdersEnd: 0,
     doubtEnd: 0,
     hold: 0,
     dueAt: 0,
--- a/src/core/keyspace/key_directory_test.ts
+++ b/src/core/keyspace/key_directory_test.ts
@@ -28,7 +28,7 @@
           range.server = server;
           table.changed(range);
         } else if (kind === "join") {
-          table.joinNeighbours(0, () => 1);
+          table.joinNeighbours(0);
         } else {
           const since = version;
           version += 1;
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -10,16 +10,26 @@
   | { kind: "accepted"; handover: string | null }
   /** The server has seen a higher token on some of the keys. */
   | { kind: "superseded" }
+  /** Another server listens at the address and refused it: the one that was
+   * meant has ended. */
+  | { kind: "misdirected" }
   /** No usable answer: the order may still be carried out. */
   | { kind: "failed"; cause: string };
 
-/** What every order to a server says; the answer is `order.ended`. */
+/**
+ * What every order to a server says; the answer is `order.ended`. A server's
+ * process may end at any moment and another one listen at its address, which
+ * knows nothing of what was ordered before. So each order names the server that
+ * it is meant for, and bears a token of its own.
+ */
 interface KeyOrder extends KeyRange {
   /** Number of the order, unique in this process. */
   order: number;
   service: string;
+  /** The only server that may carry it out. */
   server: string;
   address: string;
+  /** Above those of all orders before it. */
   token: number;
 }
 
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -6,7 +6,7 @@
  */
 import type { HeldRange } from "./held_range.ts";
 import type { GrantOrder, ReleaseOrder } from "./keyspace_effect.ts";
-import { type LeaseTiming, unansweredEnd } from "./lease_timing.ts";
+import { type LeaseTiming, orderEnd, unansweredEnd } from "./lease_timing.ts";
 import type { RangeTable } from "./range_table.ts";
 
 /** Tokens of one term: more than a holder gives out in years. */
@@ -20,6 +20,8 @@
   sentAt: number;
   /** Hold time of a grant, in milliseconds. */
   hold: number;
+  /** Where it was sent. */
+  address: string;
 }
 
 /** See the module's comment. */
@@ -44,12 +46,17 @@
   }
 
   /** A token above all that this term and older ones gave out. */
-  nextToken(): number {
+  #nextToken(): number {
     this.#tokenNumber += 1;
     return this.term * TOKENS_OF_TERM + this.#tokenNumber;
   }
 
-  /** Grants a range, whose server and address are known, or renews the grant. */
+  /**
+   * Grants a range, whose server and address are known, or renews the grant. A
+   * renewal has a new token too: the run of the server that it was meant for may
+   * have ended, and to the next run it is the first grant. With the token before,
+   * two runs would have the same keys with one token.
+   */
   grant(
     table: RangeTable,
     range: HeldRange,
@@ -65,7 +72,7 @@
       address: range.address!,
       first: range.first,
       last: range.last,
-      token: range.token,
+      token: this.#nextToken(),
       hold,
       handover: range.handover,
     };
@@ -81,7 +88,7 @@
       address: range.address!,
       first: range.first,
       last: range.last,
-      token: this.nextToken(),
+      token: this.#nextToken(),
     };
   }
 
@@ -105,6 +112,13 @@
     return Math.max(leaseEnd, doubtEnd, inheritedEnd, inFlight);
   }
 
+  /** Until when orders may reach the server of a range, if none follows. */
+  orderedUntil({ order: id, olderOrdersEnd }: HeldRange): number {
+    const order = id === null ? undefined : this.#pending.get(id);
+    if (order === undefined) return olderOrdersEnd;
+    return Math.max(olderOrdersEnd, orderEnd(order.sentAt, this.timing));
+  }
+
   #add(
     table: RangeTable,
     range: HeldRange,
@@ -114,7 +128,8 @@
   ): number {
     const id = this.nextOrder();
     range.order = id;
-    this.#pending.set(id, { table, range, kind, sentAt: now, hold });
+    const address = range.address!;
+    this.#pending.set(id, { table, range, kind, sentAt: now, hold, address });
     return id;
   }
 }
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -34,11 +34,12 @@
   /**
    * Continues what an older holder recorded. Its servers are to be granted
    * their keys anew; one that does not answer may hold them until
-   * `predecessorEnd`.
+   * `predecessorEnd`. The older holder's orders end at `olderOrdersEnd`.
    */
   static resume(
     assignment: Assignment,
     predecessorEnd: number,
+    olderOrdersEnd: number,
   ): RangeTable {
     if (!coversAllKeys(assignment.ranges)) {
       throw new RangeError(`ranges of ${assignment.service} have gaps`);
@@ -50,6 +51,7 @@
       range.server = each.server;
       range.address = each.address;
       range.inheritedEnd = predecessorEnd;
+      range.olderOrdersEnd = olderOrdersEnd;
       return range;
     });
     return new RangeTable(assignment.service, ranges);
@@ -113,11 +115,8 @@
     return middle;
   }
 
-  /**
-   * Joins neighbours that one server holds, so that one order renews them. The
-   * joined range needs a new token, which `nextToken` gives.
-   */
-  joinNeighbours(now: number, nextToken: () => number): void {
+  /** Joins neighbours that one server holds, so that one order renews them. */
+  joinNeighbours(now: number): void {
     const joined: HeldRange[] = [];
     for (const range of this.ranges) {
       const before = joined.at(-1);
@@ -126,9 +125,12 @@
         continue;
       }
       before.last = range.last;
-      before.token = nextToken();
       before.leaseEnd = Math.max(before.leaseEnd, range.leaseEnd);
       before.inheritedEnd = Math.max(before.inheritedEnd, range.inheritedEnd);
+      before.olderOrdersEnd = Math.max(
+        before.olderOrdersEnd,
+        range.olderOrdersEnd,
+      );
       before.doubtEnd = Math.max(before.doubtEnd, range.doubtEnd);
       before.isFenced = before.isFenced && range.isFenced;
       before.revision = Math.max(before.revision, range.revision);
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -16,6 +16,7 @@
 import {
   answeredEnd,
   type LeaseTiming,
+  olderOrdersEnd,
   predecessorEnd,
   unansweredEnd,
 } from "./lease_timing.ts";
@@ -53,6 +54,9 @@
   readonly #tables = new Map<string, RangeTable>();
   readonly #orders: OrderBook;
   readonly #balance: KeyBalance;
+  /** Servers that have ended, with the incarnation under which each was listed
+   * then: entries of servers that are gone stay for a while. */
+  readonly #ended = new Map<string, number>();
   /** Before this no move for balance begins. */
   #movesFrom = -Infinity;
   #effects: KeyspaceEffect[] = [];
@@ -84,11 +88,9 @@
   ): TermHolder {
     const holder = new TermHolder(term, timing, fleet, loads, nextOrder);
     const end = predecessorEnd(now, timing);
+    const ordersEnd = olderOrdersEnd(now, timing);
     for (const assignment of recorded) {
-      const table = RangeTable.resume(assignment, end);
-      for (const range of table.ranges) {
-        range.token = holder.#orders.nextToken();
-      }
+      const table = RangeTable.resume(assignment, end, ordersEnd);
       holder.#tables.set(assignment.service, table);
     }
     return holder;
@@ -124,7 +126,9 @@
       ranges.map((range) => {
         const { first, last } = range;
         const remaining = Math.max(0, this.#orders.heldUntil(range) - now);
-        return { service, first, last, remaining };
+        const ordersEnd = this.#orders.orderedUntil(range);
+        const ordersRemaining = Math.max(0, ordersEnd - now);
+        return { service, first, last, remaining, ordersRemaining };
       })
     );
   }
@@ -138,13 +142,15 @@
       const own = exposures.filter((each) => each.service === table.service);
       if (!coversAllKeys(own)) continue;
       for (const range of table.ranges) {
-        const remaining = own
-          .filter(({ first, last }) =>
-            first <= range.last && range.first <= last
-          )
-          .map((each) => each.remaining);
-        const end = now + Math.max(0, ...remaining);
+        const known = own.filter(({ first, last }) =>
+          first <= range.last && range.first <= last
+        );
+        const holds = known.map((each) => each.remaining);
+        const end = now + Math.max(0, ...holds);
         range.inheritedEnd = Math.min(range.inheritedEnd, end);
+        const orders = known.map((each) => each.ordersRemaining ?? Infinity);
+        const ordersEnd = now + Math.max(0, ...orders);
+        range.olderOrdersEnd = Math.min(range.olderOrdersEnd, ordersEnd);
       }
     }
   }
@@ -198,7 +204,8 @@
     const order = this.#orders.end(id);
     if (order === undefined) return true;
     if (outcome.kind === "superseded") return false;
-    if (order.kind === "grant") this.#granted(order, outcome, now);
+    if (outcome.kind === "misdirected") this.#misdirected(order, now);
+    else if (order.kind === "grant") this.#granted(order, outcome, now);
     else this.#released(order, outcome, now);
     return true;
   }
@@ -245,7 +252,9 @@
         return;
       case "held":
         if (this.#mustLeave(range, now)) this.#close(table, range, now);
-        else if (now >= range.dueAt || range.hold < hold) {
+        else if (
+          now >= range.dueAt || range.hold < hold || this.#isRestarted(range)
+        ) {
           this.#grant(table, range, now, hold);
         }
         return;
@@ -255,7 +264,12 @@
       case "released":
         return this.#passOn(table, range, now, hold, storeSilence);
       case "expiring":
-        if (this.#isFree(range, now)) this.#vacate(table, range);
+        if (now >= this.#orders.heldUntil(range)) this.#vacate(table, range);
+        else if (this.#isReplaced(range)) {
+          this.#vacateAllOf(table, range.server!, now);
+        } else if (this.#isRestarted(range)) {
+          this.#giveBack(table, range, now, hold);
+        }
     }
   }
 
@@ -277,17 +291,34 @@
     const mayReturn = server !== undefined && !server.entry.isDraining;
     if (isStoreHeard || !mayReturn) return this.#vacate(table, range);
     if (now < range.releasedAt + STORE_PATIENCE) return;
-    range.destination = null;
     this.#movesFrom = now + MOVE_PAUSE;
+    this.#giveBack(table, range, now, hold);
+  }
+
+  /** Gives keys to the server that is on record for them, so that nothing has to
+   * be written first. */
+  #giveBack(
+    table: RangeTable,
+    range: HeldRange,
+    now: number,
+    hold: number,
+  ): void {
+    range.destination = null;
+    range.failures = 0;
     this.#give(table, range, range.server!, now);
-    // It is the server on record, so nothing has to be written first.
     range.revision = Math.min(range.revision, table.recorded);
     this.#grant(table, range, now, hold);
   }
 
-  /** Whether the server of a held range has failed or is leaving. */
+  /**
+   * Whether the server of a held range has failed or is leaving. It is not asked
+   * for the keys while orders of older holders may reach it: if it starts again
+   * after it gave them back, it could take them by such an order while another
+   * server has them.
+   */
   #mustLeave(range: HeldRange, now: number): boolean {
     if (this.#isLost(range, now)) return true;
+    if (now < range.olderOrdersEnd) return false;
     const server = this.fleet.get(range.server!);
     return server === undefined || server.entry.isDraining;
   }
@@ -303,11 +334,26 @@
     return aliveAt < range.failingSince || now >= range.leaseEnd;
   }
 
-  #isFree(range: HeldRange, now: number): boolean {
-    if (now >= this.#orders.heldUntil(range)) return true;
-    // Another run at its address proves that the server has ended.
-    return range.address !== null &&
-      this.fleet.isReused(range.address, range.server!);
+  /** Whether another server is listed at the address, which proves that the one
+   * before has ended, and refuses the orders that are meant for that one. */
+  #isReplaced({ address, server }: HeldRange): boolean {
+    return address !== null && this.fleet.isReused(address, server!);
+  }
+
+  /** Whether the server has started again since it was last granted the keys. It
+   * holds and knows nothing then, and no other server can have the keys. */
+  #isRestarted({ server, incarnation }: HeldRange): boolean {
+    const entry = this.fleet.get(server!)?.entry;
+    if (entry === undefined || entry.isDraining || incarnation === 0) {
+      return false;
+    }
+    const current = this.#incarnation(server!);
+    return current !== 0 && current !== incarnation;
+  }
+
+  /** Incarnation of a server as listed; 0 where it is not known. */
+  #incarnation(server: string): number {
+    return this.fleet.get(server)?.entry.incarnation ?? 0;
   }
 
   #close(table: RangeTable, range: HeldRange, now: number): void {
@@ -346,6 +392,7 @@
   ): void {
     const address = this.fleet.get(range.server!)?.entry.address;
     range.address = address ?? range.address;
+    range.incarnation = this.#incarnation(range.server!);
     if (range.address === null) {
       range.state = "expiring";
       return;
@@ -382,6 +429,27 @@
     range.closedAt = 0;
   }
 
+  /** Another server listens at the address of the one that was meant. What that
+   * one held ended with it, and orders to it are refused, so the keys are free. */
+  #misdirected(order: PendingOrder, now: number): void {
+    const { table, range, address } = order;
+    const entry = this.fleet.get(range.server!)?.entry;
+    const hasMoved = entry !== undefined && entry.address !== address;
+    if (hasMoved) return this.#failed(order, now);
+    this.#vacateAllOf(table, range.server!, now);
+  }
+
+  /** Frees all keys of a server that has ended, but for those of which an answer
+   * is still to come. */
+  #vacateAllOf(table: RangeTable, server: string, now: number): void {
+    this.#ended.set(server, this.#incarnation(server));
+    for (const range of table.ranges) {
+      if (range.server !== server || range.order !== null) continue;
+      if (range.closedAt === 0) range.closedAt = now;
+      this.#vacate(table, range);
+    }
+  }
+
   #failed({ range, sentAt, hold }: PendingOrder, now: number): void {
     const end = unansweredEnd(sentAt, hold, this.timing);
     range.doubtEnd = Math.max(range.doubtEnd, end);
@@ -412,7 +480,9 @@
     if (vacant.length === 0) return;
     const { service } = table;
     if (table.isNew && !this.#balance.mayBegin(service, now)) return;
-    const candidates = this.#balance.candidates(service, this.#suspects, now);
+    const candidates = this.#balance
+      .candidates(service, this.#suspects, now)
+      .filter(({ id }) => !this.#hasEnded(id));
     if (candidates.length === 0) return;
     const placement = this.#balance.placement(service, candidates, now);
     const loads = placement.loads(table.ranges);
@@ -442,22 +512,28 @@
     range.state = "assigned";
     range.server = server;
     range.address = this.fleet.get(server)?.entry.address ?? null;
-    range.token = this.#orders.nextToken();
     range.isFenced = false;
     range.dueAt = now;
     table.changed(range);
   }
 
   #startMoves(table: RangeTable, now: number): void {
-    table.joinNeighbours(now, () => this.#orders.nextToken());
+    table.joinNeighbours(now);
     for (const move of this.#balance.moves(table, this.#suspects, now)) {
       this.#move(table, move, now);
     }
   }
 
-  /** Servers that have left an order unanswered. */
+  /** Whether a server that is listed is known to have ended. */
+  #hasEnded(server: string): boolean {
+    return this.#ended.get(server) === this.#incarnation(server);
+  }
+
+  /** Servers that have left an order unanswered or have ended. */
   get #suspects(): Set<string> {
-    const suspects = new Set<string>();
+    const suspects = new Set(
+      [...this.#ended.keys()].filter((id) => this.#hasEnded(id)),
+    );
     for (const { ranges } of this.#allTables) {
       for (const { server, failures } of ranges) {
         if (server !== null && failures > 0) suspects.add(server);
@@ -472,6 +548,7 @@
 
   #move(table: RangeTable, { piece, destination }: Move, now: number) {
     const range = table.ranges.find(({ last }) => piece.first <= last)!;
+    if (now < range.olderOrdersEnd) return;
     const moving = table.cut(range, piece);
     moving.destination = destination;
     moving.state = "closing";
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -59,8 +59,14 @@
       holder.ordered(effect.order, { kind: "accepted", handover: "h" }, now);
     }
   };
+  /** The holder before has told that none of its grants or orders is left. */
+  const relieve = () => {
+    const none = { remaining: 0, ordersRemaining: 0 };
+    holder.relieve([{ service: "s", ...all, ...none }], 0);
+  };
   /** Until the first release of a move is answered, at 400. */
   const startMove = (): string[] => {
+    relieve();
     const effects: KeyspaceEffect[] = [];
     for (const now of [0, 20, 350]) {
       const some = advance(now, 0);
@@ -72,7 +78,7 @@
     accept(release, 400);
     return effects.map(brief);
   };
-  return { holder, fleet, advance, accept, startMove };
+  return { holder, fleet, advance, accept, relieve, startMove };
 }
 
 test("term holder: a move goes on once the store has answered after the release", (t) => {
@@ -185,3 +191,87 @@
   asked.loads.of("s").record(7, 100);
   t.true(asked.isBegun(110));
 });
+
+test("term holder: each renewal has a token of its own, above those before", (t) => {
+  const { advance, accept } = createHolder();
+  const tokens: number[] = [];
+  for (let now = 0; now < 3_000; now += 50) {
+    const effects = advance(now, 800);
+    for (const effect of effects) {
+      if ("token" in effect) tokens.push(effect.token);
+    }
+    accept(effects, now + 5);
+  }
+  t.true(tokens.length >= 5, `${tokens.length}`);
+  t.deepEqual(tokens, [...new Set(tokens)].sort((a, b) => a - b));
+});
+
+test("term holder: keys of a server whose address another has taken are free at once", (t) => {
+  const { holder, advance } = createHolder();
+  const [grant] = advance(0, 0);
+  if (!("order" in grant)) throw new Error("no order");
+  holder.ordered(grant.order, { kind: "misdirected" }, 5);
+  t.is(holder.ranges("s")[0].state, "vacant");
+  // Its entry is still listed, and it gets nothing more.
+  t.deepEqual(advance(10, 0).map(({ kind }) => kind), ["assignments.write"]);
+  t.true(holder.ranges("s").every(({ server }) => server === "b"));
+});
+
+test("term holder: a server that is listed at a new address may live", (t) => {
+  const { holder, fleet, advance } = createHolder();
+  const [grant] = advance(0, 0);
+  if (!("order" in grant)) throw new Error("no order");
+  fleet.apply([{ ...fleet.get("a")!.entry, address: "a:2" }], [], 3);
+  holder.ordered(grant.order, { kind: "misdirected" }, 5);
+  t.is(holder.ranges("s")[0].server, "a");
+});
+
+test("term holder: a server that has started again is granted its keys at once", (t) => {
+  const { fleet, advance, accept } = createHolder();
+  accept(advance(0, 800), 5);
+  const restart = (incarnation: number, now: number) =>
+    fleet.apply([{ ...fleet.get("a")!.entry, incarnation }], [], now);
+  // The first incarnation that is told says nothing of a restart.
+  restart(7, 10);
+  t.deepEqual(advance(20, 800), []);
+  accept(advance(610, 800), 615);
+  restart(9, 620);
+  const renewal = advance(630, 800);
+  t.deepEqual(renewal.map(brief), [`order.grant a 0..${KEY_COUNT - 1}`]);
+  accept(renewal, 635);
+  t.deepEqual(advance(640, 800), []);
+});
+
+test("term holder: keys that wait for a lease go back to a server that has started again", (t) => {
+  const { holder, fleet, advance } = createHolder();
+  const entry = { ...fleet.get("a")!.entry, incarnation: 7 };
+  fleet.apply([entry], [], 0);
+  for (const now of [0, 700]) {
+    const [grant] = advance(now, 800);
+    if (!("order" in grant)) throw new Error("no order");
+    const failed = { kind: "failed", cause: "no answer" } as const;
+    holder.ordered(grant.order, failed, now + 500);
+  }
+  advance(1_210, 800);
+  t.is(holder.ranges("s")[0].state, "expiring");
+  t.deepEqual(advance(1_250, 800), []);
+  fleet.apply([{ ...entry, incarnation: 9 }], [], 1_300);
+  const back = advance(1_310, 800);
+  t.deepEqual(back.map(brief), [`order.grant a 0..${KEY_COUNT - 1}`]);
+});
+
+test("term holder: no keys are taken back while orders of older holders may come", (t) => {
+  const { fleet, advance, accept } = createHolder();
+  const leaving = { ...fleet.get("a")!.entry, isDraining: true };
+  fleet.apply([leaving], [], 0);
+  const releasedAt: number[] = [];
+  for (let now = 0; now < 4_000; now += 50) {
+    const effects = advance(now, 0);
+    if (effects.some(({ kind }) => kind === "order.release")) {
+      releasedAt.push(now);
+    }
+    accept(effects, now + 5);
+  }
+  // An authority of 2,000 ms, a timeout of 500 ms and 300 ms on the way.
+  t.true(releasedAt.length > 0 && releasedAt[0] >= 2_800, releasedAt.join());
+});
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -31,6 +31,8 @@
   method: "GET" | "POST";
   /** Path and query. */
   path: string;
+  /** Headers besides those of the body. */
+  headers?: Readonly<Record<string, string>>;
   body?: Buffer | string;
   /** Time for the whole answer, in milliseconds. */
   timeout: number;
@@ -79,7 +81,10 @@
    * that bytes still on their way are not delivered later.
    */
   send(address: string, call: HttpCall): Promise<HttpAnswer> {
-    const { method, path, body, timeout, signal } = call;
+    const { method, path, headers, body, timeout, signal } = call;
+    const type = body === undefined
+      ? {}
+      : { "content-type": contentType(body) };
     const { host, port } = parseAddress(address);
     const request = httpRequest({
       host,
@@ -87,7 +92,7 @@
       method,
       path,
       agent: this.#agent,
-      headers: body === undefined ? {} : { "content-type": contentType(body) },
+      headers: { ...headers, ...type },
       signal,
     });
     limitConnecting(request, this.options.connectTimeout);
--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -146,3 +146,11 @@
 test("another run of a server takes keys only with a higher token", (t) => {
   t.is(findViolation(restarts, 150, {}), null);
 });
+
+test("renewals with the token of the grant before are found out", (t) => {
+  t.not(findViolation(restarts, 60, { areTokensReused: true }), null);
+});
+
+test("orders that name no server are found out", (t) => {
+  t.not(findViolation(restarts, 150, { areOrdersNameless: true }), null);
+});
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -18,6 +18,8 @@
   "server.cut",
   "server.join",
   "server.secluded",
+  "server.restart",
+  "server.replaced",
   "store.down",
   "store.loses_answers",
   "store.rebalance",
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -94,6 +94,8 @@
   isForgetful?: boolean;
   /** Whether orders name no server, so that any run at the address takes them. */
   areOrdersNameless?: boolean;
+  /** Whether a renewal has the token of the grant that it renews. */
+  areTokensReused?: boolean;
 }
 
 /** What a run brought. */
@@ -163,6 +165,8 @@
   /** Ids whose entries were written, in order: the registry's log. */
   readonly #registry: string[] = [];
   readonly #active = new Map<string, number>();
+  /** Tokens of first grants, for a copy that renews with them. */
+  readonly #firstTokens = new Map<string, number>();
   readonly #draw: () => number;
   readonly #report: WorldReport = {
     violations: [],
@@ -172,6 +176,7 @@
     held: 0,
   };
   #asked = 0;
+  #replacements = 0;
   #heldCount = 0;
   #holder: HolderAddress | null = null;
 
@@ -436,6 +441,7 @@
           outcome: known,
         });
       });
+    this.#weaken(order);
     if (isCut) return end(null, ORDER_TIMEOUT);
     const server = this.#runAt(order.address);
     if (server?.isUp) return this.#deliver(server, order, end);
@@ -447,6 +453,19 @@
     });
   }
 
+  /** Gives a renewal the token of the grant before it, if the options say so. */
+  #weaken(order: GrantOrder | ReleaseOrder): void {
+    if (!this.options.areTokensReused) return;
+    const { server, first, last } = order;
+    const term = Math.floor(order.token / 2 ** 28);
+    const name = `${term} ${server} ${first}..${last}`;
+    if (order.kind === "order.release") this.#firstTokens.delete(name);
+    else {
+      order.token = this.#firstTokens.get(name) ?? order.token;
+      this.#firstTokens.set(name, order.token);
+    }
+  }
+
   /** The newest run that listens, or listened, at an address. */
   #runAt(address: string): ModelServer | undefined {
     return this.#servers.findLast((each) => each.address === address);
@@ -482,7 +501,7 @@
   ): OrderOutcome | null {
     if (!server.isUp) return null;
     if (server.id !== order.server && !this.options.areOrdersNameless) {
-      return { kind: "failed", cause: "status 421" };
+      return { kind: "misdirected" };
     }
     const accepted: OrderOutcome = { kind: "accepted", handover: "h" };
     if (order.kind === "order.release") {
@@ -570,7 +589,8 @@
         return this.#replace(server, server.id, duration);
       case "server.replaced":
         this.#time.after(ENTRY_LIFETIME, () => this.#unlist(server));
-        return this.#replace(server, `run-${this.#servers.length}`, duration);
+        this.#replacements += 1;
+        return this.#replace(server, `run-${this.#replacements}`, duration);
       case "store.rebalance":
         return this.#store.rebalance(this.#draw);
     }
@@ -604,6 +624,9 @@
     this.#time.after(duration % MAXIMUM_DOWNTIME, () => {
       const former = this.#runAt(server.address)!;
       former.isUp = false;
+      if (former !== server) {
+        this.#time.after(ENTRY_LIFETIME, () => this.#unlist(former));
+      }
       const { now } = this.#time;
       const next = ModelServer.create(id, server.address, now);
       this.#servers.push(next);
