--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { restarts, rivalries, worlds } from "./schedule.ts";
+import { estrangements, restarts, rivalries, worlds } from "./schedule.ts";
 import { World, type WorldOptions } from "./world.ts";
 
 const SEED = 7;
@@ -154,3 +154,11 @@
 test("orders that name no server are found out", (t) => {
   t.not(findViolation(restarts, 150, { areOrdersNameless: true }), null);
 });
+
+// The schedules of restarts broke in 6 of 3,000, all alike: a holder that hears
+// neither store nor peers keeps its authority for 2 s, and its successor is elected
+// after 1.3 s. A server that the successor has granted its keys starts again under
+// its id, and the first order that the new run gets is one of the former holder.
+test("a former holder gives no keys to a server that has started again", (t) => {
+  t.is(findViolation(estrangements, 200, {}), null);
+});
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -126,3 +126,32 @@
   duration: fc.constant(26_000),
   seed: fc.nat(),
 });
+
+/** Worlds in which a holder loses store and peers, and servers start again while
+ * it still has authority and its successor gives orders. */
+export const estrangements: fc.Arbitrary<WorldOptions> = fc.record({
+  vms: fc.integer({ min: 2, max: 3 }),
+  servers: fc.integer({ min: 1, max: 4 }),
+  faults: fc.tuple(
+    fc.integer({ min: 4_000, max: 8_000 }),
+    fc.integer({ min: 0, max: 1 }),
+    fc.array(
+      fc.record({
+        after: fc.integer({ min: 1_000, max: 2_800 }),
+        duration: fc.integer({ min: 0, max: 250 }),
+        target: fc.nat(15),
+      }),
+      { minLength: 2, maxLength: 8 },
+    ),
+  ).map(([at, target, restarts]): Fault[] => [
+    { kind: "vm.cut_from_store", at, duration: 4_000, target },
+    { kind: "vm.cut_from_peers", at, duration: 4_000, target },
+    ...restarts.map(({ after, ...each }): Fault => ({
+      kind: "server.restart",
+      at: at + after,
+      ...each,
+    })),
+  ]),
+  duration: fc.constant(16_000),
+  seed: fc.nat(),
+});
