--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -22,7 +22,7 @@
 
 /** Settings of the stand-in. Durations are milliseconds. */
 export const backendServiceSchema = z.strictObject({
-  /** Names one run of the server. */
+  /** Names the server; a process that starts again may keep it. */
   id: z.string().min(1),
   service: z.string().min(1),
   availabilityZone: z.string().default("a"),
@@ -82,6 +82,7 @@
 
 /** See the module's comment. */
 export class BackendService extends StandIn {
+  readonly #startedAt = Date.now();
   readonly #queue: WorkQueue;
   readonly #state = new Map<string, Buffer>();
   readonly #seen: { from: number; target: number; token: number }[] = [];
@@ -138,6 +139,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const isOrder = request.url === "/-/grant" || request.url === "/-/release";
+    if (isOrder && this.#isMisdirected(request)) return refuse(response, 421);
     switch (request.url) {
       case "/-/grant":
         return this.#grant(
@@ -195,10 +198,8 @@
     const id = String(request.headers[HEADER.requestId] ?? "");
     response.setHeader(HEADER.requestId, id);
     response.setHeader(HEADER.server, this.settings.id);
-    const expected = request.headers[HEADER.expectedServer];
     const holding = this.#holding(request);
-    const isMisdirected = expected !== undefined &&
-      expected !== this.settings.id;
+    const isMisdirected = this.#isMisdirected(request);
     if (isMisdirected || (this.settings.keyed && holding === undefined)) {
       return refuse(response, 421);
     }
@@ -216,6 +217,12 @@
     }
   }
 
+  /** Whether the call is meant for another run. */
+  #isMisdirected(request: IncomingMessage): boolean {
+    const expected = request.headers[HEADER.expectedServer];
+    return expected !== undefined && expected !== this.settings.id;
+  }
+
   #holding(request: IncomingMessage): Holding | undefined {
     const key = Number(request.headers[HEADER.key]);
     const now = Date.now();
@@ -285,6 +292,7 @@
     const { id, service, availabilityZone, slots, store } = this.settings;
     this.#sequence += 1;
     const entry = {
+      born: this.#startedAt,
       service,
       address: this.settings.advertised ?? this.address,
       zone: availabilityZone,
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -18,6 +18,8 @@
   "server.cut",
   "server.join",
   "server.secluded",
+  "server.restart",
+  "server.replaced",
   "store.down",
   "store.loses_answers",
   "store.rebalance",
@@ -70,3 +72,86 @@
   duration: fc.constant(DURATION),
   seed: fc.nat(),
 });
+
+/** Faults that cross the restart of a server. */
+const CROSSING: Fault["kind"][] = [
+  "vm.freeze",
+  "vm.kill",
+  "vm.cut_from_store",
+  "vm.cut_from_servers",
+  "server.crash",
+  "server.drain",
+  "server.cut",
+  "server.join",
+  "server.secluded",
+  "store.down",
+  "store.loses_answers",
+  "store.rebalance",
+  "orders.late",
+  "orders.lost",
+];
+
+const crossing = fc.record({
+  kind: fc.constantFrom(...CROSSING),
+  at: fc.integer({ min: 3_000, max: 20_000 }),
+  duration: fc.integer({ min: 300, max: 6_000 }),
+  target: fc.nat(15),
+});
+
+const restart = fc.record({
+  kind: fc.constantFrom<Fault["kind"]>("server.restart", "server.replaced"),
+  at: fc.integer({ min: 3_000, max: 22_000 }),
+  duration: fc.integer({ min: 0, max: 6_000 }),
+  target: fc.nat(15),
+});
+
+/** A holder that goes on for as long as it may while others elect another. */
+const estrangement = fc.integer({ min: 4_000, max: 16_000 }).map(
+  (at): Fault[] => [
+    { kind: "vm.cut_from_store", at, duration: 3_000, target: 0 },
+    { kind: "vm.cut_from_peers", at, duration: 3_000, target: 0 },
+  ],
+);
+
+/** Worlds in which servers start again, under their id or another, at any moment
+ * of a grant, a renewal, a release, a change of term and a silence. */
+export const restarts: fc.Arbitrary<WorldOptions> = fc.record({
+  vms: fc.integer({ min: 1, max: 3 }),
+  servers: fc.integer({ min: 1, max: 4 }),
+  faults: fc.tuple(
+    fc.array(restart, { minLength: 1, maxLength: 12 }),
+    fc.array(crossing, { maxLength: 6 }),
+    fc.option(estrangement, { nil: [] }),
+  ).map((faults) => faults.flat()),
+  duration: fc.constant(26_000),
+  seed: fc.nat(),
+});
+
+/** Worlds in which a holder loses store and peers, and servers start again while
+ * it still has authority and its successor gives orders. */
+export const estrangements: fc.Arbitrary<WorldOptions> = fc.record({
+  vms: fc.integer({ min: 2, max: 3 }),
+  servers: fc.integer({ min: 1, max: 4 }),
+  faults: fc.tuple(
+    fc.integer({ min: 4_000, max: 8_000 }),
+    fc.integer({ min: 0, max: 1 }),
+    fc.array(
+      fc.record({
+        after: fc.integer({ min: 1_000, max: 2_800 }),
+        duration: fc.integer({ min: 0, max: 250 }),
+        target: fc.nat(15),
+      }),
+      { minLength: 2, maxLength: 8 },
+    ),
+  ).map(([at, target, restarts]): Fault[] => [
+    { kind: "vm.cut_from_store", at, duration: 4_000, target },
+    { kind: "vm.cut_from_peers", at, duration: 4_000, target },
+    ...restarts.map(({ after, ...each }): Fault => ({
+      kind: "server.restart",
+      at: at + after,
+      ...each,
+    })),
+  ]),
+  duration: fc.constant(16_000),
+  seed: fc.nat(),
+});
