--- /dev/null
+++ b/src/core/peer_exchange_test.ts
@@ -0,0 +1,175 @@
+/**
+ * A VM slept for 4.4 s, in which the term passed on twice. It woke with the
+ * assignments of the older term, and its first report went over a connection
+ * that had died; until the next one, 500 ms later, it sent 44 requests to a
+ * server that no longer held their keys. Each was answered 421, and nobody took
+ * that for news. Its log showed one term in all of these attempts, and the first
+ * message of the new holder just after the second report.
+ */
+import test from "ava";
+import { configurationSchema } from "./catalog/index.ts";
+import { Entry } from "./entry.ts";
+import type { EntryEffect } from "./entry_effect.ts";
+import type { Occurrence } from "./entry_event.ts";
+import { leaseTimingSchema } from "./keyspace/index.ts";
+
+const HOLDER = "holder:1";
+
+/** A VM that follows a holder and knows all keys of `s` at `i-1`. */
+function createFollower() {
+  const entry = Entry.create({
+    peerAddress: "vm:1",
+    seeds: [],
+    availabilityZone: "a",
+    leaseTiming: leaseTimingSchema.parse({}),
+    fitness: 1,
+    retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 1_000 },
+    shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
+    registryTiming: { interval: 450, maximumAge: 60_000 },
+    seed: 1,
+  });
+  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
+    entry.step({ ...occurrence, now });
+  step(0, {
+    kind: "configuration.read",
+    configuration: configurationSchema.parse({
+      version: 1,
+      services: [{ name: "s", maximumConnections: 10, isKeyed: true }],
+      limits: {
+        maximumHeaderBytes: 1_000,
+        maximumBodyBytes: 1_000,
+        headerTimeout: 1_000,
+        idleTimeout: 1_000,
+      },
+      routes: [{
+        name: "r",
+        host: "h",
+        pathPrefix: "/",
+        isIdempotent: true,
+        destinations: [{ service: "s", weight: 1 }],
+        timeout: 1_000,
+        targetLatency: 500,
+        maximumAttempts: 2,
+        priority: 0,
+      }],
+    }),
+  });
+  const server = {
+    id: "i-1",
+    service: "s",
+    address: "h:1",
+    availabilityZone: "a",
+    slots: 50,
+    isDraining: false,
+    warmUp: 0,
+  };
+  step(0, {
+    kind: "servers.read",
+    read: { entries: [server], removed: [], isWhole: true, position: 5 },
+    sentAt: 0,
+  });
+  const word = { term: 1, version: 1, configuration: 1, vms: 2, fittest: 1 };
+  step(0, {
+    kind: "peer.received",
+    address: HOLDER,
+    message: {
+      kind: "assignments.told",
+      ...word,
+      assignments: [{
+        service: "s",
+        servers: [{ id: "i-1", address: "h:1" }],
+        ranges: [[0, 65_535, 0, true]],
+      }],
+    },
+  });
+  step(0, {
+    kind: "holder.announced",
+    holder: { term: 1, vm: "v", address: HOLDER, fitness: 1 },
+  });
+  /** Sends a request on key 7; the number of its attempt. */
+  let exchange = 0;
+  const send = (now: number): number => {
+    exchange += 1;
+    const effects = step(now, {
+      kind: "request.arrived",
+      arrival: {
+        exchange,
+        id: `r-${exchange}`,
+        host: "h",
+        target: "/",
+        timeout: 1_000,
+        key: 7,
+      },
+    });
+    const start = effects.find((each) => each.kind === "attempt.start");
+    if (start === undefined) throw new Error("the request was not sent");
+    return start.attempt;
+  };
+  const refuse = (now: number, attempt: number): EntryEffect[] =>
+    step(now, {
+      kind: "attempt.ended",
+      attempt,
+      outcome: {
+        kind: "answered",
+        status: 421,
+        isGenuine: false,
+        isNotRun: true,
+        server: "i-1",
+        load: null,
+      },
+    });
+  const answer = (now: number, answersTo: number): EntryEffect[] =>
+    step(now, {
+      kind: "peer.received",
+      address: HOLDER,
+      message: { kind: "holder.alive", ...word, registry: null, answersTo },
+    });
+  /** Lets timers go off until `end`; when reports were sent. */
+  const reportTimes = (from: number, end: number): number[] => {
+    const times: number[] = [];
+    for (let now = from; now <= end; now += 10) {
+      if (reports(step(now, { kind: "timer" })) > 0) times.push(now);
+    }
+    return times;
+  };
+  return { entry, step, send, refuse, answer, reportTimes };
+}
+
+function reports(effects: readonly EntryEffect[]): number {
+  return effects.filter((each) =>
+    each.kind === "peer.send" && each.address === HOLDER &&
+    each.message.kind === "keys.asked"
+  ).length;
+}
+
+test("peer exchange: a 421 of a key's server is reported at once", (t) => {
+  const { send, refuse, answer } = createFollower();
+  const attempts = [100, 110, 111].map(send);
+  answer(101, 0);
+  t.is(reports(refuse(120, attempts[0])), 1);
+  t.is(reports(refuse(130, attempts[1])), 0, "the same news");
+  answer(140, 120);
+  t.is(reports(refuse(150, attempts[2])), 0, "not twice within 60 ms");
+});
+
+test("peer exchange: while such a report is not answered it is sent again, ever less often", (t) => {
+  const { entry, send, refuse, answer, reportTimes } = createFollower();
+  const attempt = send(100);
+  t.is(reports(refuse(120, attempt)), 1);
+  t.true(entry.nextAt(120) <= 180, "a timer is asked for");
+  t.deepEqual(reportTimes(130, 1_200), [180, 300, 540, 1_040]);
+  // The answer to an older report says nothing of this one.
+  answer(1_210, 0);
+  t.deepEqual(reportTimes(1_220, 1_600), [1_540]);
+  answer(1_610, 1_540);
+  t.deepEqual(reportTimes(1_620, 2_539), [2_040]);
+});
+
+test("peer exchange: a VM that slept reports until it is answered", (t) => {
+  const { answer, reportTimes } = createFollower();
+  t.deepEqual(reportTimes(250, 1_100), [500, 1_000]);
+  answer(1_110, 1_000);
+  t.deepEqual(reportTimes(5_400, 5_600), [5_400, 5_460, 5_580]);
+  answer(5_610, 5_460);
+  t.deepEqual(reportTimes(5_620, 6_200), [6_080]);
+});
