Reports: a 421 of a key's server and a long sleep are reported at once

Cause: a VM that slept or lost a connection learned of newer assignments only with its next report, up to 500 ms later, and a report lost with its connection was not sent again before that. The holder's answer names the report, since messages of before the sleep may still be in the socket.

Ruled out: an urgent report for every gap in the changes; a new holder's first changes do not follow on what its followers have, so each of them would report twice.

The test's times are corrected: the fourth pause is 480 ms, below the usual 500, so 1,020 and not 1,040.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -17,6 +17,8 @@
   retryLimits: RetryLimits;
   /** Number of VMs, or null when unknown. */
   vms(): number | null;
+  /** A server refused a key that it holds by what the directory says. */
+  keyRefused(): void;
   /** A number in [0, 1). */
   draw(): number;
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -289,7 +289,7 @@
     const isOther = outcome.server !== null &&
       outcome.server !== attempt.server;
     if (isOther) server?.failed(attempt.number, now);
-    else if (outcome.status === 421) server?.cancelled(attempt.number);
+    else if (outcome.status === 421) this.#keyRefused(request, attempt);
     else server?.refused(attempt.number, now, outcome.load);
     const detail = { server: attempt.server, status: outcome.status };
     this.#log.note("info", "attempt.not_run", request, now, detail);
@@ -303,6 +303,15 @@
     else this.#refuse(request, "the server did not run it", now);
   }
 
+  /** The server does not hold the key: what is known here may be old. */
+  #keyRefused(request: PendingRequest, attempt: Attempt): void {
+    const { fleet, directory } = this.context;
+    fleet.get(attempt.server)?.cancelled(attempt.number);
+    if (request.key === null) return;
+    const range = directory.find(request.service, request.key);
+    if (range?.server === attempt.server) this.context.keyRefused();
+  }
+
   #attemptFailed(
     request: PendingRequest,
     attempt: Attempt,
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -74,6 +74,7 @@
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     vms: () => vms,
+    keyRefused: () => {},
     draw: () => 0,
   });
   let exchange = 0;
@@ -257,6 +258,7 @@
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     vms: () => null,
+    keyRefused: () => {},
     draw: () => 0,
   });
   const arrival = {
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -68,6 +68,7 @@
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       vms: () => this.vms,
+      keyRefused: () => this.peers.keyRefused(),
       draw: uniformFloat64(options.seed),
     });
     this.#shutdown = Shutdown.create(options.shutdown);
@@ -111,6 +112,7 @@
     const stop = this.#shutdown.isStarted ? SHUTDOWN_INTERVAL : Infinity;
     return Math.min(
       this.dispatcher.nextAt(),
+      this.peers.nextAt(),
       Math.max(
         this.#store.callableAt,
         this.beliefs.registry.dueAt(this.#registryAge),
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -23,6 +23,9 @@
 const CONFIGURATION_PATIENCE = 600;
 /** Pause between reads of a configuration that a peer has, in milliseconds. */
 const CONFIGURATION_PAUSE = 400;
+/** Time between two steps after which this process counts as having slept, in
+ * milliseconds; timers go off four times as often. */
+const SLEEP = 1_000;
 
 /** A message of one kind. */
 type MessageOf<Kind extends PeerMessage["kind"]> = PeerMessage & { kind: Kind };
@@ -36,6 +39,7 @@
   #configurationFetchedAt = -Infinity;
   /** Since when a peer is known to have a newer configuration. */
   #behindSince = Infinity;
+  #advancedAt = -Infinity;
   readonly #vms = VmCount.create();
 
   private constructor(
@@ -82,6 +86,18 @@
     this.followerLink.sample(service, key);
   }
 
+  /** A server refused a key that it holds by what is known here. */
+  keyRefused(): void {
+    this.followerLink.outdated();
+  }
+
+  /** When {@linkcode advance} is needed soon; Infinity when it can wait. */
+  nextAt(): number {
+    return this.campaign.holder === null
+      ? this.followerLink.nextAt()
+      : Infinity;
+  }
+
   /** Another VM may have announced that it holds a term. */
   follow(holder: HolderAddress, now: number): void {
     const isNew = this.beliefs.followHolder(holder);
@@ -105,6 +121,7 @@
         return this.#takeReport(address, message, now);
       case "holder.alive":
         this.#takeRegistry(message.registry, isStoreLost, now);
+        this.#takeAnswer(address, message);
         return this.#hear(address, message, now);
       case "configuration.told":
         return this.beliefs.configure(message.told);
@@ -154,6 +171,11 @@
   /** Takes all steps that are due. */
   advance(store: StoreHealth, now: number): void {
     const { catalog } = this.beliefs;
+    // Whatever was told meanwhile may have been lost with its connection.
+    if (now - this.#advancedAt >= SLEEP && this.#advancedAt > -Infinity) {
+      this.followerLink.outdated();
+    }
+    this.#advancedAt = now;
     this.emit(...this.#stateRequest.advance(
       now,
       this.beliefs.knowledge(),
@@ -204,6 +226,16 @@
     this.campaign.hearFitness(fittest, now);
   }
 
+  #takeAnswer(
+    address: string,
+    { answersTo }: MessageOf<"holder.alive">,
+  ): void {
+    const isOfHolder = address === this.followerLink.holder;
+    if (isOfHolder && answersTo !== undefined) {
+      this.followerLink.answered(answersTo);
+    }
+  }
+
   #takeReport(
     address: string,
     message: MessageOf<"keys.asked">,
--- a/src/core/peer_exchange_test.ts
+++ b/src/core/peer_exchange_test.ts
@@ -157,12 +157,12 @@
   const attempt = send(100);
   t.is(reports(refuse(120, attempt)), 1);
   t.true(entry.nextAt(120) <= 180, "a timer is asked for");
-  t.deepEqual(reportTimes(130, 1_200), [180, 300, 540, 1_040]);
+  t.deepEqual(reportTimes(130, 1_200), [180, 300, 540, 1_020]);
   // The answer to an older report says nothing of this one.
   answer(1_210, 0);
-  t.deepEqual(reportTimes(1_220, 1_600), [1_540]);
-  answer(1_610, 1_540);
-  t.deepEqual(reportTimes(1_620, 2_539), [2_040]);
+  t.deepEqual(reportTimes(1_220, 1_600), [1_520]);
+  answer(1_610, 1_520);
+  t.deepEqual(reportTimes(1_620, 2_519), [2_020]);
 });
 
 test("peer exchange: a VM that slept reports until it is answered", (t) => {
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -2,8 +2,9 @@
  * How a VM that does not hold the term stays in touch with the one that does.
  *
  * It reports the keys that it was asked for and gets every change of the
- * assignments at once. While the holder does not answer it asks for what the
- * store has recorded instead.
+ * assignments at once. Where it sees that it has missed some it reports at once,
+ * and again until that is answered: a connection may have died unseen. While the
+ * holder does not answer it asks for what the store has recorded instead.
  *
  * @module
  */
@@ -14,6 +15,9 @@
  * how old the holder's word about the registry gets. Half of it moved busy keys
  * no better and cost a tenth of the processor time of a quiet VM. */
 const REPORT_INTERVAL = 500;
+/** The same while what is known here seems out of date, until the holder has
+ * answered; doubles with each report that it does not answer. */
+const URGENT_INTERVAL = 60;
 /** Silence of the holder after which the record is read, in milliseconds. */
 const HOLDER_SILENCE = 1_600;
 /** The same for a holder that has not been heard at all: after a loss of all VMs
@@ -29,6 +33,14 @@
   kind: "assignments.fetch";
 }
 
+/** A report that cannot wait. */
+interface UrgentReport {
+  /** When it was sent first; Infinity before that. */
+  sentAt: number;
+  /** Least time after the report before, in milliseconds. */
+  pause: number;
+}
+
 /** See the module's comment. */
 export class FollowerLink {
   #holder: string | null = null;
@@ -36,6 +48,7 @@
   #followsSince = -Infinity;
   #reportedAt = -Infinity;
   #fetchedAt = -Infinity;
+  #urgent: UrgentReport | null = null;
   readonly #samples = new Map<string, number[]>();
 
   private constructor(private readonly fitness: number) {}
@@ -68,9 +81,28 @@
     this.#heardAt = now;
   }
 
+  /** What is known here seems out of date. */
+  outdated(): void {
+    this.#urgent ??= { sentAt: Infinity, pause: URGENT_INTERVAL };
+  }
+
+  /** The holder has answered the report that was sent at `sentAt`. */
+  answered(sentAt: number): void {
+    if (this.#urgent !== null && sentAt >= this.#urgent.sentAt) {
+      this.#urgent = null;
+    }
+  }
+
   /** Whether a report to the holder is due. */
   isReportDue(now: number): boolean {
-    return now - this.#reportedAt >= REPORT_INTERVAL;
+    const pause = this.#urgent?.pause ?? REPORT_INTERVAL;
+    return now - this.#reportedAt >= pause;
+  }
+
+  /** When a report is due that cannot wait; Infinity without one. */
+  nextAt(): number {
+    if (this.#urgent === null || this.#holder === null) return Infinity;
+    return this.#reportedAt + this.#urgent.pause;
   }
 
   /** A key was asked for. */
@@ -94,7 +126,7 @@
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     if (this.#holder !== null && this.isReportDue(now)) {
-      this.#reportedAt = now;
+      this.#reported(now);
       const message = this.#report(known, position, latencies, now);
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
@@ -106,6 +138,14 @@
     return effects;
   }
 
+  #reported(now: number): void {
+    this.#reportedAt = now;
+    const urgent = this.#urgent;
+    if (urgent === null) return;
+    if (urgent.sentAt === Infinity) urgent.sentAt = now;
+    else urgent.pause = Math.min(REPORT_INTERVAL, urgent.pause * 2);
+  }
+
   /** Whether a holder was announced that does not answer. */
   #isHolderSilent(now: number): boolean {
     const isUnheard = this.#heardAt < this.#followsSince;
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -67,13 +67,20 @@
     return this.#heardAt.size / MESSAGES_PER_MILLISECOND;
   }
 
-  /** Tells a follower that the holder lives, with news of the registry. */
+  /** Answers the report that a follower sent at `answersTo`, by its clock: the
+   * holder lives, with news of the registry. */
   confirm(
     address: string,
     word: HolderWord,
     registry: RegistryNews | null,
+    answersTo: number,
   ): PeerSend {
-    const message: PeerMessage = { kind: "holder.alive", ...word, registry };
+    const message: PeerMessage = {
+      kind: "holder.alive",
+      ...word,
+      registry,
+      answersTo,
+    };
     return { kind: "peer.send", address, message };
   }
 
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -74,6 +74,9 @@
   kind: z.literal("holder.alive"),
   /** What the follower does not know of the registry, or null. */
   registry: registryNewsSchema.nullable(),
+  /** When the report was sent that this answers, by the follower's clock; VMs
+   * that have not been renewed yet leave it out. */
+  answersTo: z.number().optional(),
 });
 
 /** The holder tells the ranges that have changed after a version. */
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -91,8 +91,9 @@
     this.beliefs.fleet.observe(report.latencies, now);
     this.campaign.hearFitness(report.fitness, now);
     this.#link.heard(address, now);
+    const news = this.#news(report, now);
     this.emit(
-      this.#link.confirm(address, this.#word(now), this.#news(report, now)),
+      this.#link.confirm(address, this.#word(now), news, report.sentAt),
     );
     this.#tellConfiguration(address, report, now);
     if (this.#isPublished(holder)) this.#catchUp(holder, address, report, now);
