Dispatch: a server that refuses a key is asked ever less often, within the budget

Cause: after a 421 a request was sent to the same server again 30 ms later, with the same assignments, as long as its wait and the budget lasted, and each other request on the range found out for itself. The list of tried servers was emptied by each 421 and held each server once, so it bounded nothing for keys.

Now a refused range is in doubt until it is told anew: one request at a time asks its server again, after 30, 60, 120 and then each 240 ms, the others wait and are refused (not run) when their wait ends. A request refused once more waits twice as long before it goes to the same server; to another server it goes at once. The budget is taken where a request is sent (#send), for every arrival after its first; before it was taken when a request began to wait, also for those that were never sent. A connection that was not made is no arrival.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -10,6 +10,7 @@
  */
 import type { Route } from "../catalog/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
+import type { AssignedRange } from "../keyspace/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import type {
@@ -21,6 +22,7 @@
 import { OwnAnswers } from "./own_answers.ts";
 import { RequestLog } from "./request_log.ts";
 import { type Placing, RequestPlacing } from "./request_placing.ts";
+import { RefusedRanges } from "./refused_ranges.ts";
 import { RetryAdvice } from "./retry_advice.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitQueues } from "./wait_queues.ts";
@@ -35,19 +37,26 @@
 /** Time after the deadline for which a server's own last answer is awaited, in
  * milliseconds: servers stop at the deadline and say so. */
 const DEADLINE_SLACK = 60;
-/** Pause before a key is looked up again after its server refused, in
- * milliseconds. */
+/** Pause before a request is sent to its key's server again that did not run it,
+ * in milliseconds; doubles each time. */
 const KEY_PAUSE = 30;
 /** Requests that may wait for one service at this VM; bounds memory. */
 const MAXIMUM_WAITING = 256;
 /** Longest time without an answer when neither caller nor route says one, in
  * milliseconds. */
 const DEFAULT_TIMEOUT = 30_000;
+/** Why a request is given up that could be sent once more. */
+const OVER_BUDGET = "the retry budget is used up";
+
+/** A placing that lets a request wait. */
+type Wait = Placing & { kind: "wait" };
+
 /** See the module's comment. */
 export class Dispatcher {
   readonly #requests = new Map<number, PendingRequest>();
   readonly #byAttempt = new Map<number, PendingRequest>();
   readonly #waiting = WaitQueues.create();
+  readonly #refusedRanges = RefusedRanges.create();
   readonly #placing: RequestPlacing;
   readonly #retries: RetryPolicy;
   readonly #log: RequestLog;
@@ -57,7 +66,7 @@
   #effects: DispatchEffect[] = [];
 
   private constructor(private readonly context: DispatchContext) {
-    this.#placing = RequestPlacing.create(context);
+    this.#placing = RequestPlacing.create(context, this.#refusedRanges);
     this.#retries = RetryPolicy.create(context);
     this.#advice = RetryAdvice.create(context);
     this.#log = RequestLog.create(
@@ -163,9 +172,11 @@
       briefWaitEnd: now +
         Math.min(BRIEF_WAIT_SHARE * route.targetLatency, timeout),
       lookedAt: now,
-      retryAt: -Infinity,
+      lookAt: Infinity,
+      refusal: null,
       attempts: [],
       tried: [],
+      arrivals: 0,
       mayHaveRun: false,
       trace: [],
       isNoteworthy: false,
@@ -188,11 +199,13 @@
     const queue = this.#waiting.of(request.service);
     const placing = this.#placing.place(request, now);
     if (placing.kind === "server") {
-      this.#send(request, placing.server, now);
+      if (!this.#send(request, placing.server, now)) {
+        this.#giveUpWaiting(request, OVER_BUDGET, now);
+      }
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
-      this.#refuse(request, placing.reason, now);
+      this.#giveUpWaiting(request, placing.reason, now);
     } else {
       const { reason } = placing;
       this.#log.trace("request.waits", request, now, {
@@ -200,21 +213,41 @@
         ahead: queue.length,
         until: Math.round(waitEndOf(request, placing) - request.arrivedAt),
       });
-      this.#waiting.add(request);
+      this.#await(request, placing);
+    }
+  }
+
+  /** Lets a request wait for what `placing` says. */
+  #await(request: PendingRequest, { until }: Wait): void {
+    request.lookAt = until;
+    this.#waiting.add(request);
+  }
+
+  /** Sends a request; false when it has arrived somewhere before and the budget
+   * for that is used up. Nothing reaches a server but by this way. */
+  #send(request: PendingRequest, server: TrackedServer, now: number): boolean {
+    if (request.arrivals > 0 && !this.#retries.withdraw(request, now)) {
+      return false;
     }
+    this.#start(request, server, now);
+    return true;
   }
 
-  #send(request: PendingRequest, server: TrackedServer, now: number): void {
+  #start(request: PendingRequest, server: TrackedServer, now: number): void {
     this.#attemptCount += 1;
     const number = this.#attemptCount;
+    const range = this.#rangeOf(request);
+    if (range !== null) this.#refusedRanges.asked(range, now);
     const attempt: Attempt = {
       number,
       server: server.id,
       startedAt: now,
+      range,
       hedgeAt: this.#retries.hedgeAt(request, now),
     };
     request.attempts.push(attempt);
-    if (!request.tried.includes(server.id)) request.tried.push(server.id);
+    request.tried.push(server.id);
+    request.arrivals += 1;
     this.#byAttempt.set(number, request);
     const { term, version } = this.context.directory.position;
     this.#log.trace("attempt.started", request, now, {
@@ -237,6 +270,12 @@
     });
   }
 
+  /** What is known of the range of a request's key, or null. */
+  #rangeOf({ service, key }: PendingRequest): AssignedRange | null {
+    if (key === null) return null;
+    return this.context.directory.find(service, key) ?? null;
+  }
+
   #attemptAnswered(
     request: PendingRequest,
     attempt: Attempt,
@@ -250,6 +289,7 @@
       this.#afterUnknown(request, attempt, "spoilt answer", now);
       return;
     }
+    if (attempt.range !== null) this.#refusedRanges.served(attempt.range);
     const isFailure = outcome.status >= 500;
     if (isFailure) server?.refused(attempt.number, now, outcome.load);
     else server?.answered(attempt.number, now, outcome.load);
@@ -289,14 +329,11 @@
     const isOther = outcome.server !== null &&
       outcome.server !== attempt.server;
     if (isOther) server?.failed(attempt.number, now);
-    else if (outcome.status === 421) this.#keyRefused(request, attempt);
+    else if (outcome.status === 421) this.#keyRefused(request, attempt, now);
     else server?.refused(attempt.number, now, outcome.load);
     const detail = { server: attempt.server, status: outcome.status };
     this.#log.note("info", "attempt.not_run", request, now, detail);
-    if (request.key !== null) {
-      request.retryAt = now + KEY_PAUSE;
-      request.tried = request.tried.filter((each) => each !== attempt.server);
-    }
+    if (request.key !== null) this.#forgetTry(request, attempt, now);
     if (this.#again(request, now)) return;
     if (request.attempts.length > 0) return;
     if (request.mayHaveRun) this.#fail(request, 502, "not run again", now);
@@ -304,12 +341,25 @@
   }
 
   /** The server does not hold the key: what is known here may be old. */
-  #keyRefused(request: PendingRequest, attempt: Attempt): void {
-    const { fleet, directory } = this.context;
-    fleet.get(attempt.server)?.cancelled(attempt.number);
-    if (request.key === null) return;
-    const range = directory.find(request.service, request.key);
-    if (range?.server === attempt.server) this.context.keyRefused();
+  #keyRefused(request: PendingRequest, attempt: Attempt, now: number): void {
+    this.context.fleet.get(attempt.server)?.cancelled(attempt.number);
+    const { range, startedAt } = attempt;
+    if (range !== null) this.#refusedRanges.refused(range, startedAt, now);
+    if (this.#rangeOf(request)?.server === attempt.server) {
+      this.context.keyRefused();
+    }
+  }
+
+  /** The key's server did not run a request: it may have it again, but later,
+   * since a key has no other server. */
+  #forgetTry(request: PendingRequest, attempt: Attempt, now: number): void {
+    const { server } = attempt;
+    const index = request.tried.indexOf(server);
+    if (index >= 0) request.tried.splice(index, 1);
+    const { refusal } = request;
+    const count = refusal?.server === server ? refusal.count + 1 : 1;
+    const until = now + KEY_PAUSE * 2 ** (count - 1);
+    request.refusal = { server, count, until };
   }
 
   #attemptFailed(
@@ -326,12 +376,13 @@
     }
     const detail = { server: attempt.server, cause: outcome.cause };
     this.#log.note("info", "attempt.not_sent", request, now, detail);
+    request.arrivals -= 1;
     if (request.attempts.length > 0) return;
     if (request.mayHaveRun) {
       return this.#fail(request, 502, "not sent again", now);
     }
-    // Nothing reached a server, so this is no retry.
-    if (request.key !== null) request.retryAt = now + KEY_PAUSE;
+    // Nothing reached a server, so this was no arrival.
+    if (request.key !== null) this.#forgetTry(request, attempt, now);
     request.waitEnd = Math.max(request.waitEnd, now + 1);
     if (request.tried.length >= request.route.maximumAttempts) {
       return this.#refuse(request, outcome.cause, now);
@@ -361,20 +412,19 @@
     if (request.attempts.length > 0) return true;
     if (!this.#retries.mayRepeat(request, now)) return false;
     const placing = this.#placing.place(request, now);
-    if (placing.kind === "wait") {
-      const mayWait = now < waitEndOf(request, placing);
-      if (request.key === null || !mayWait) return false;
+    if (placing.kind === "server") {
+      return this.#send(request, placing.server, now);
     }
-    if (!this.#retries.withdraw(request, now)) return false;
-    if (placing.kind === "server") this.#send(request, placing.server, now);
-    else this.#waiting.add(request);
+    const mayWait = now < waitEndOf(request, placing);
+    if (request.key === null || !mayWait) return false;
+    if (!this.#retries.mayWithdraw(request, now)) return false;
+    this.#await(request, placing);
     return true;
   }
 
   #advanceRequest(request: PendingRequest, now: number): void {
     if (now < this.#dueAt(request)) return;
     request.lookedAt = now;
-    if (now >= request.retryAt) request.retryAt = -Infinity;
     if (request.attempts.length === 0) {
       const placing = this.#placing.place(request, now);
       if (placing.kind === "server") return;
@@ -406,22 +456,20 @@
     attempt.hedgeAt = Infinity;
     if (!this.#retries.mayHedge(request, now)) return;
     const placing = this.#placing.place(request, now);
-    if (placing.kind !== "server" || !this.#retries.withdraw(request, now)) {
-      return;
-    }
+    if (placing.kind !== "server") return;
+    if (!this.#send(request, placing.server, now)) return;
     this.#log.note("info", "request.hedged", request, now, {
       server: attempt.server,
       second: placing.server.id,
     });
-    this.#send(request, placing.server, now);
     for (const each of request.attempts) each.hedgeAt = Infinity;
   }
 
   #dueAt(request: PendingRequest): number {
     if (request.attempts.length === 0) {
-      const { retryAt, waitEnd, briefWaitEnd, lookedAt } = request;
+      const { lookAt, waitEnd, briefWaitEnd, lookedAt } = request;
       const end = lookedAt < waitEnd ? waitEnd : briefWaitEnd;
-      return retryAt === -Infinity ? end : Math.min(end, retryAt);
+      return Math.min(end, lookAt);
     }
     const hedgeAt = Math.min(...request.attempts.map((each) => each.hedgeAt));
     return Math.min(request.deadline + DEADLINE_SLACK, hedgeAt);
@@ -433,17 +481,18 @@
     if (queue.length === 0) return;
     let isFull = false;
     const rest: PendingRequest[] = [];
-    for (const request of queue) {
+    for (const request of [...queue]) {
       if (isFull && request.key === null) {
         rest.push(request);
         continue;
       }
       const placing = this.#placing.place(request, now);
       if (placing.kind === "server") {
-        request.retryAt = -Infinity;
-        this.#send(request, placing.server, now);
+        if (this.#send(request, placing.server, now)) continue;
+        this.#giveUpWaiting(request, OVER_BUDGET, now);
       } else {
         isFull = isFull || request.tried.length === 0;
+        request.lookAt = placing.until;
         rest.push(request);
       }
     }
@@ -490,7 +539,7 @@
 /** Until when a request may wait, by what it waits for. */
 function waitEndOf(
   { waitEnd, briefWaitEnd }: PendingRequest,
-  { isBrief }: Placing & { kind: "wait" },
+  { isBrief }: Wait,
 ): number {
   return isBrief ? Math.max(waitEnd, briefWaitEnd) : waitEnd;
 }
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -6,6 +6,7 @@
 import type { Route } from "../catalog/index.ts";
 import type { Note } from "./dispatch_effect.ts";
 import type { ReportedLoad } from "../fleet/index.ts";
+import type { AssignedRange } from "../keyspace/index.ts";
 
 /** A request as its caller sent it; the body stays with the adapter. */
 export interface RequestArrival {
@@ -27,10 +28,21 @@
   number: number;
   server: string;
   startedAt: number;
+  /** The range of its key as it was known then, or null without a key. */
+  range: AssignedRange | null;
   /** When another server is tried beside this one; Infinity for never. */
   hedgeAt: number;
 }
 
+/** A key's server did not run a request. */
+export interface KeyRefusal {
+  server: string;
+  /** How often in a row the request was not run. */
+  count: number;
+  /** Before this the request is not sent to the same server again. */
+  until: number;
+}
+
 /** A request that has no final answer yet. */
 export interface PendingRequest {
   arrival: RequestArrival;
@@ -47,12 +59,17 @@
   briefWaitEnd: number;
   /** When its waiting was looked at last. */
   lookedAt: number;
-  /** Before this it is not sent again; -Infinity when nothing speaks against. */
-  retryAt: number;
+  /** When it has to be looked at again while it waits; Infinity for never. */
+  lookAt: number;
+  /** The key's server that did not run it last, or null. */
+  refusal: KeyRefusal | null;
   /** Attempts in flight. */
   attempts: Attempt[];
-  /** Servers that it was sent to. */
+  /** Servers that it was sent to and that have not stated that they did not run
+   * it: one entry for each attempt, unless its key can go nowhere else. */
   tried: string[];
+  /** Attempts that arrived at a server, or may have. */
+  arrivals: number;
   /** Whether a server may have run it. */
   mayHaveRun: boolean;
   /** Lines about it that are written only if something happens to it. */
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -6,6 +6,7 @@
  */
 import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
+import type { RefusedRanges } from "./refused_ranges.ts";
 import type { PendingRequest } from "./request.ts";
 import { chooseServer, hasRoom } from "./server_choice.ts";
 
@@ -16,26 +17,33 @@
 /** Where a request can go now. */
 export type Placing =
   | { kind: "server"; server: TrackedServer }
-  /** Not now, maybe later; `isBrief` when it is known to change soon. */
-  | { kind: "wait"; reason: string; isBrief: boolean };
+  /** Not now, maybe later; `isBrief` when it is known to change soon, `until`
+   * when time alone changes it (Infinity otherwise). */
+  | { kind: "wait"; reason: string; isBrief: boolean; until: number };
 
 /** A wait for room, or for a server that is lost: nobody knows how long. */
 function waitForLong(reason: string): Placing {
-  return { kind: "wait", reason, isBrief: false };
+  return { kind: "wait", reason, isBrief: false, until: Infinity };
 }
 
 /** A wait for keys that are on their way from one server to another. */
-function waitBriefly(reason: string): Placing {
-  return { kind: "wait", reason, isBrief: true };
+function waitBriefly(reason: string, until = Infinity): Placing {
+  return { kind: "wait", reason, isBrief: true, until };
 }
 
 /** See the module's comment. */
 export class RequestPlacing {
-  private constructor(private readonly context: DispatchContext) {}
+  private constructor(
+    private readonly context: DispatchContext,
+    private readonly refusedRanges: RefusedRanges,
+  ) {}
 
-  /** Placing upon what `context` knows. */
-  static create(context: DispatchContext): RequestPlacing {
-    return new RequestPlacing(context);
+  /** Placing upon what `context` knows, but for ranges that were refused. */
+  static create(
+    context: DispatchContext,
+    refusedRanges: RefusedRanges,
+  ): RequestPlacing {
+    return new RequestPlacing(context, refusedRanges);
   }
 
   /** Where `request` can go now. */
@@ -52,9 +60,6 @@
 
   #placeKeyed(request: PendingRequest, key: number, now: number): Placing {
     const { fleet, directory } = this.context;
-    if (now < request.retryAt) {
-      return waitBriefly("the key's server refused");
-    }
     const range = directory.find(request.service, key);
     if (range === undefined) {
       return waitForLong("no assignment of keys is known");
@@ -62,6 +67,11 @@
     if (!range.isOpen || range.server === null) {
       return waitBriefly("the key is on the move");
     }
+    const until = Math.max(
+      this.refusedRanges.until(range),
+      request.refusal?.server === range.server ? request.refusal.until : 0,
+    );
+    if (now < until) return waitBriefly("the key's server refused", until);
     const server = fleet.get(range.server);
     if (server === undefined) {
       return waitForLong("the key's server is gone");
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -35,7 +35,7 @@
   /** Whether attempts and time are left for one more sending. */
   mayRepeat(request: PendingRequest, now: number): boolean {
     const { maximumAttempts } = request.route;
-    // A key's server may be asked again: it is still one server.
+    // A key's server may be asked once more: it is still one server.
     const isAllowed = request.key !== null
       ? request.tried.length <= maximumAttempts
       : request.tried.length < maximumAttempts;
@@ -57,6 +57,12 @@
     return now + Math.max(HEDGE_FACTOR * usual, HEDGE_SHARE * targetLatency);
   }
 
+  /** Whether one retry is left of this VM's part of the budget. */
+  mayWithdraw(request: PendingRequest, now: number): boolean {
+    const vms = this.context.vms() ?? UNKNOWN_VMS;
+    return this.#budget(request.service).left(now, vms) >= 1;
+  }
+
   /** Takes one retry from this VM's part of the budget, if it is left. */
   withdraw(request: PendingRequest, now: number): boolean {
     const vms = this.context.vms() ?? UNKNOWN_VMS;
