--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -46,11 +46,14 @@
 export class RetryBudget {
   readonly #buckets: Bucket[] = [];
 
-  private constructor(private readonly limits: RetryLimits) {}
+  private constructor(
+    private readonly limits: RetryLimits,
+    readonly startedAt: number,
+  ) {}
 
-  /** A budget of a service without requests. */
-  static create(limits: RetryLimits): RetryBudget {
-    return new RetryBudget(limits);
+  /** A budget without requests, of a process that started at `startedAt`. */
+  static create(limits: RetryLimits, startedAt = -Infinity): RetryBudget {
+    return new RetryBudget(limits, startedAt);
   }
 
   /** A request for the service arrived. */
