Retry budget: a VM that restarts has little of its minimum at first

Cause: a VM that restarts has forgotten what it took in the window, and had its part of the minimum anew. In its first window a VM now has a quarter of the part, in proportion to its age, beside three quarters of the ratio of its own requests; the safety margin of the others pays for it, however often VMs restart.

Left: the part by ratio is not cut at a start. It can be exceeded only if all requests of a window come before a restart, all retries just before it, and as much again just after.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -15,6 +15,8 @@
   directory: KeyDirectory;
   availabilityZone: string;
   retryLimits: RetryLimits;
+  /** When this process started. */
+  startedAt(): number;
   /** Number of VMs, or null when unknown. */
   vms(): number | null;
   /** A server refused a key that it holds by what the directory says. */
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -24,6 +24,10 @@
 /** Share of the budget that is used: VMs count requests at slightly different
  * times, and their number is an estimate. */
 const SAFETY = 0.75;
+/** Share of its part of the minimum that a VM may use up in its first window,
+ * in proportion to its age: what it took before it restarted is forgotten and
+ * still counts, and with the rest a part restarted ever so often stays whole. */
+const START_SHARE = 1 - SAFETY;
 
 /** Milliseconds in a second. */
 const SECOND = 1_000;
@@ -48,7 +52,7 @@
 
   private constructor(
     private readonly limits: RetryLimits,
-    readonly startedAt: number,
+    private readonly startedAt: number,
   ) {}
 
   /** A budget without requests, of a process that started at `startedAt`. */
@@ -78,8 +82,14 @@
       requests += each.requests;
       retries += each.retries;
     }
-    const { ratio, minimum } = this.limits;
-    return SAFETY * (ratio * requests + minimum / Math.max(1, vms)) - retries;
+    const part = this.limits.minimum / Math.max(1, vms);
+    return SAFETY * this.limits.ratio * requests +
+      this.#minimumShare(now) * part - retries;
+  }
+
+  #minimumShare(now: number): number {
+    const age = (now - this.startedAt) / (this.limits.windowSeconds * SECOND);
+    return age < 1 ? START_SHARE * age : SAFETY;
   }
 
   #bucket(now: number): Bucket {
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -78,7 +78,10 @@
   #budget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = RetryBudget.create(this.context.retryLimits);
+      budget = RetryBudget.create(
+        this.context.retryLimits,
+        this.context.startedAt(),
+      );
       this.#budgets.set(service, budget);
     }
     return budget;
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -41,6 +41,8 @@
   readonly #registryTiming: RegistryTiming;
   readonly #store = StoreHealth.create();
   #isReady = false;
+  /** Time of the first event. */
+  #startedAt = Infinity;
   #effects: EntryEffect[] = [];
 
   private constructor(options: EntryOptions) {
@@ -67,6 +69,7 @@
       directory,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
+      startedAt: () => this.#startedAt,
       vms: () => this.vms,
       keyRefused: () => this.peers.keyRefused(),
       draw: uniformFloat64(options.seed),
@@ -98,6 +101,7 @@
 
   /** Takes one event. */
   step(event: EntryEvent): EntryEffect[] {
+    this.#startedAt = Math.min(this.#startedAt, event.now);
     this.#reduce(event);
     this.#advance(event.now);
     const effects = this.#effects;
