--- a/src/core/dispatch/retry_budget_test.ts
+++ b/src/core/dispatch/retry_budget_test.ts
@@ -70,6 +70,7 @@
   restarts: readonly { at: number; vm: number }[],
   weights: readonly number[],
   perSecond: number,
+  assumedVms = 8,
 ): Day {
   const vms = 8;
   const budgets = Array.from(
@@ -91,7 +92,7 @@
         budget.request(now);
         day.requests.push(now);
       }
-      while (budget.withdraw(now, vms)) day.retries.push(now);
+      while (budget.withdraw(now, assumedVms)) day.retries.push(now);
     }
   }
   return day;
@@ -126,6 +127,15 @@
   t.true(day.retries.length > 0.5 * 0.2 * day.requests.length);
 });
 
+test("budget: a count of VMs that is a quarter too low or far too high gives no more", (t) => {
+  for (const assumed of [6, 8, 64]) {
+    for (const perSecond of [1, 10, 100]) {
+      const most = excess(play([], EVEN, perSecond, assumed));
+      t.true(most <= 0, `${assumed} VMs, ${perSecond}/s: ${most} too many`);
+    }
+  }
+});
+
 test("budget: a VM that has just started has some of its part at once", (t) => {
   const budget = RetryBudget.create(LIMITS, 0);
   for (let i = 0; i < 20; i++) budget.request(100);
