--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,10 +1,6 @@
 /**
- * The life of requests: which server gets one and when, what may be sent again,
- * and what a caller is told.
- *
- * Once a byte may have reached a server, only that server's own statement makes
- * a request "not run". All else may have run, and non-idempotent work is then
- * never sent again.
+ * The life of requests: which server gets one and when, how long one waits, and
+ * what a caller is told. What follows an outcome is said by `outcome_review.ts`.
  *
  * @module
  */
@@ -19,6 +15,7 @@
   PendingRequest,
   RequestArrival,
 } from "./request.ts";
+import { OutcomeReview, type Sequel } from "./outcome_review.ts";
 import { OwnAnswers } from "./own_answers.ts";
 import { RequestLog } from "./request_log.ts";
 import { type Placing, RequestPlacing } from "./request_placing.ts";
@@ -37,9 +34,6 @@
 /** Time after the deadline for which a server's own last answer is awaited, in
  * milliseconds: servers stop at the deadline and say so. */
 const DEADLINE_SLACK = 60;
-/** Pause before a request is sent to its key's server again that did not run it,
- * in milliseconds; doubles each time. */
-const KEY_PAUSE = 30;
 /** Requests that may wait for one service at this VM; bounds memory. */
 const MAXIMUM_WAITING = 256;
 /** Longest time without an answer when neither caller nor route says one, in
@@ -60,6 +54,7 @@
   readonly #placing: RequestPlacing;
   readonly #retries: RetryPolicy;
   readonly #log: RequestLog;
+  readonly #outcomes: OutcomeReview;
   readonly #answers: OwnAnswers;
   readonly #advice: RetryAdvice;
   #attemptCount = 0;
@@ -74,6 +69,11 @@
       (...notes) => this.#effects.push(...notes),
     );
     this.#answers = OwnAnswers.create(context, this.#log, this.#advice);
+    this.#outcomes = OutcomeReview.create(
+      context,
+      this.#refusedRanges,
+      this.#log,
+    );
   }
 
   /** A dispatcher without requests. */
@@ -125,13 +125,8 @@
     this.#byAttempt.delete(number);
     const attempt = request.attempts.find((each) => each.number === number)!;
     request.attempts = request.attempts.filter((each) => each !== attempt);
-    if (outcome.kind === "failed") {
-      this.#attemptFailed(request, attempt, outcome, now);
-    } else if (outcome.isNotRun) {
-      this.#attemptRefused(request, attempt, outcome, now);
-    } else {
-      this.#attemptAnswered(request, attempt, outcome, now);
-    }
+    const sequel = this.#outcomes.follow(request, attempt, outcome, now);
+    this.#continue(request, attempt, sequel, now);
     this.#pump(request.service, now);
     return this.#take();
   }
@@ -276,135 +271,61 @@
     return this.context.directory.find(service, key) ?? null;
   }
 
-  #attemptAnswered(
+  /** Does what follows an outcome; while another attempt of the request runs,
+   * that one decides about any end but an answer. */
+  #continue(
     request: PendingRequest,
     attempt: Attempt,
-    outcome: AttemptOutcome & { kind: "answered" },
+    sequel: Sequel,
     now: number,
   ): void {
-    const server = this.context.fleet.get(attempt.server);
-    if (!outcome.isGenuine) {
-      server?.failed(attempt.number, now);
-      request.mayHaveRun = true;
-      this.#afterUnknown(request, attempt, "spoilt answer", now);
-      return;
+    if (sequel.kind === "deliver") {
+      return this.#deliver(request, attempt, sequel.status, now);
     }
-    if (attempt.range !== null) this.#refusedRanges.served(attempt.range);
-    const isFailure = outcome.status >= 500;
-    if (isFailure) server?.refused(attempt.number, now, outcome.load);
-    else server?.answered(attempt.number, now, outcome.load);
-    if (isFailure && request.route.isIdempotent) {
-      request.mayHaveRun = true;
-      if (this.#again(request, now)) {
-        const detail = { server: attempt.server, status: outcome.status };
-        this.#log.note("info", "request.again", request, now, detail);
-        return;
+    if (sequel.kind === "again") {
+      const { detail, otherwise } = sequel;
+      if (!this.#again(request, now)) {
+        return this.#continue(request, attempt, otherwise, now);
       }
+      if (detail === null) return;
+      return this.#log.note("info", "request.again", request, now, detail);
     }
-    if (isFailure) {
-      const detail = { server: attempt.server, status: outcome.status };
-      this.#log.note("warn", "request.failed_at_server", request, now, detail);
-    }
-    const isLate = now - request.arrivedAt > request.route.targetLatency;
-    if (isLate || request.isNoteworthy) {
-      const detail = { server: attempt.server, status: outcome.status, isLate };
-      this.#log.note("info", "request.delivered", request, now, detail);
-    }
-    this.#finish(request, attempt.number);
-    this.#effects.push({
-      kind: "request.deliver",
-      exchange: request.arrival.exchange,
-      attempt: attempt.number,
-    });
-  }
-
-  /** The server stated that it did not run the request. */
-  #attemptRefused(
-    request: PendingRequest,
-    attempt: Attempt,
-    outcome: AttemptOutcome & { kind: "answered" },
-    now: number,
-  ): void {
-    const server = this.context.fleet.get(attempt.server);
-    const isOther = outcome.server !== null &&
-      outcome.server !== attempt.server;
-    if (isOther) server?.failed(attempt.number, now);
-    else if (outcome.status === 421) this.#keyRefused(request, attempt, now);
-    else server?.refused(attempt.number, now, outcome.load);
-    const detail = { server: attempt.server, status: outcome.status };
-    this.#log.note("info", "attempt.not_run", request, now, detail);
-    if (request.key !== null) this.#forgetTry(request, attempt, now);
-    if (this.#again(request, now)) return;
     if (request.attempts.length > 0) return;
-    if (request.mayHaveRun) this.#fail(request, 502, "not run again", now);
-    else this.#refuse(request, "the server did not run it", now);
-  }
-
-  /** The server does not hold the key: what is known here may be old. */
-  #keyRefused(request: PendingRequest, attempt: Attempt, now: number): void {
-    this.context.fleet.get(attempt.server)?.cancelled(attempt.number);
-    const { range, startedAt } = attempt;
-    if (range !== null) this.#refusedRanges.refused(range, startedAt, now);
-    if (this.#rangeOf(request)?.server === attempt.server) {
-      this.context.keyRefused();
+    switch (sequel.kind) {
+      case "dispatch":
+        request.waitEnd = Math.max(request.waitEnd, now + 1);
+        return this.#dispatch(request, now);
+      case "refuse":
+        return this.#refuse(request, sequel.reason, now);
+      case "fail": {
+        const { reason, detail } = sequel;
+        if (detail !== null) {
+          this.#log.note("warn", "request.unknown", request, now, detail);
+        }
+        return this.#fail(request, 502, reason, now);
+      }
     }
   }
 
-  /** The key's server did not run a request: it may have it again, but later,
-   * since a key has no other server. */
-  #forgetTry(request: PendingRequest, attempt: Attempt, now: number): void {
-    const { server } = attempt;
-    const index = request.tried.indexOf(server);
-    if (index >= 0) request.tried.splice(index, 1);
-    const { refusal } = request;
-    const count = refusal?.server === server ? refusal.count + 1 : 1;
-    const until = now + KEY_PAUSE * 2 ** (count - 1);
-    request.refusal = { server, count, until };
-  }
-
-  #attemptFailed(
+  #deliver(
     request: PendingRequest,
     attempt: Attempt,
-    outcome: AttemptOutcome & { kind: "failed" },
+    status: number,
     now: number,
   ): void {
-    this.context.fleet.get(attempt.server)?.failed(attempt.number, now);
-    if (outcome.wasSent) {
-      request.mayHaveRun = true;
-      this.#afterUnknown(request, attempt, outcome.cause, now);
-      return;
-    }
-    const detail = { server: attempt.server, cause: outcome.cause };
-    this.#log.note("info", "attempt.not_sent", request, now, detail);
-    request.arrivals -= 1;
-    if (request.attempts.length > 0) return;
-    if (request.mayHaveRun) {
-      return this.#fail(request, 502, "not sent again", now);
-    }
-    // Nothing reached a server, so this was no arrival.
-    if (request.key !== null) this.#forgetTry(request, attempt, now);
-    request.waitEnd = Math.max(request.waitEnd, now + 1);
-    if (request.tried.length >= request.route.maximumAttempts) {
-      return this.#refuse(request, outcome.cause, now);
+    const { server, number } = attempt;
+    if (status >= 500) {
+      const detail = { server, status };
+      this.#log.note("warn", "request.failed_at_server", request, now, detail);
     }
-    this.#dispatch(request, now);
-  }
-
-  /** The request may have run, and its answer is lost. */
-  #afterUnknown(
-    request: PendingRequest,
-    attempt: Attempt,
-    cause: string,
-    now: number,
-  ): void {
-    const detail = { server: attempt.server, cause };
-    if (request.route.isIdempotent && this.#again(request, now)) {
-      this.#log.note("info", "request.again", request, now, detail);
-      return;
+    const isLate = now - request.arrivedAt > request.route.targetLatency;
+    if (isLate || request.isNoteworthy) {
+      const detail = { server, status, isLate };
+      this.#log.note("info", "request.delivered", request, now, detail);
     }
-    if (request.attempts.length > 0) return;
-    this.#log.note("warn", "request.unknown", request, now, detail);
-    this.#fail(request, 502, cause, now);
+    this.#finish(request, number);
+    const { exchange } = request.arrival;
+    this.#effects.push({ kind: "request.deliver", exchange, attempt: number });
   }
 
   /** Sends a request once more if that is allowed; it may have to wait. */
--- /dev/null
+++ b/src/core/dispatch/outcome_review.ts
@@ -0,0 +1,174 @@
+/**
+ * What follows the outcome of an attempt: what it says of the server, of the key
+ * and of the request, and which end the request has unless it is sent again.
+ *
+ * Once a byte may have reached a server, only that server's own statement makes
+ * a request "not run". All else may have run, and non-idempotent work is then
+ * never sent again.
+ *
+ * @module
+ */
+import type { DispatchContext } from "./dispatch_context.ts";
+import type { Note } from "./dispatch_effect.ts";
+import type { RefusedRanges } from "./refused_ranges.ts";
+import type { Attempt, AttemptOutcome, PendingRequest } from "./request.ts";
+import type { RequestLog } from "./request_log.ts";
+
+/** Pause before a request is sent to its key's server again that did not run it,
+ * in milliseconds; doubles each time. */
+const KEY_PAUSE = 30;
+
+/** An answer of a server. */
+type Answer = AttemptOutcome & { kind: "answered" };
+
+/** What follows the outcome of an attempt. */
+export type Sequel =
+  /** The caller gets the answer. */
+  | { kind: "deliver"; status: number }
+  /** It is sent again, with this in the log, or else that follows. */
+  | { kind: "again"; detail: Note["detail"] | null; otherwise: Sequel }
+  /** It goes elsewhere as if it had just come: no server got it. */
+  | { kind: "dispatch" }
+  /** It has not run and will not. */
+  | { kind: "refuse"; reason: string }
+  /** It may have run and has no answer; with this in the log, if anything. */
+  | { kind: "fail"; reason: string; detail: Note["detail"] | null };
+
+/** See the module's comment. */
+export class OutcomeReview {
+  private constructor(
+    private readonly context: DispatchContext,
+    private readonly refusedRanges: RefusedRanges,
+    private readonly log: RequestLog,
+  ) {}
+
+  /** A review that notes in `log`, and in `refusedRanges` which were refused. */
+  static create(
+    context: DispatchContext,
+    refusedRanges: RefusedRanges,
+    log: RequestLog,
+  ): OutcomeReview {
+    return new OutcomeReview(context, refusedRanges, log);
+  }
+
+  /** Takes in how an attempt of a request ended; says what follows. */
+  follow(
+    request: PendingRequest,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+    now: number,
+  ): Sequel {
+    if (outcome.kind === "failed") {
+      return this.#failed(request, attempt, outcome, now);
+    }
+    return outcome.isNotRun
+      ? this.#refused(request, attempt, outcome, now)
+      : this.#answered(request, attempt, outcome, now);
+  }
+
+  #answered(
+    request: PendingRequest,
+    attempt: Attempt,
+    { status, isGenuine, load }: Answer,
+    now: number,
+  ): Sequel {
+    const server = this.context.fleet.get(attempt.server);
+    if (!isGenuine) {
+      server?.failed(attempt.number, now);
+      return mayHaveRun(request, attempt, "spoilt answer");
+    }
+    if (attempt.range !== null) this.refusedRanges.served(attempt.range);
+    const deliver: Sequel = { kind: "deliver", status };
+    if (status < 500) {
+      server?.answered(attempt.number, now, load);
+      return deliver;
+    }
+    server?.refused(attempt.number, now, load);
+    if (!request.route.isIdempotent) return deliver;
+    request.mayHaveRun = true;
+    const detail = { server: attempt.server, status };
+    return { kind: "again", detail, otherwise: deliver };
+  }
+
+  /** The server stated that it did not run the request. */
+  #refused(
+    request: PendingRequest,
+    attempt: Attempt,
+    { status, server: answering, load }: Answer,
+    now: number,
+  ): Sequel {
+    const server = this.context.fleet.get(attempt.server);
+    const isOther = answering !== null && answering !== attempt.server;
+    if (isOther) server?.failed(attempt.number, now);
+    else if (status === 421) this.#keyRefused(request, attempt, now);
+    else server?.refused(attempt.number, now, load);
+    const detail = { server: attempt.server, status };
+    this.log.note("info", "attempt.not_run", request, now, detail);
+    if (request.key !== null) forgetTry(request, attempt, now);
+    const otherwise: Sequel = request.mayHaveRun
+      ? { kind: "fail", reason: "not run again", detail: null }
+      : { kind: "refuse", reason: "the server did not run it" };
+    return { kind: "again", detail: null, otherwise };
+  }
+
+  /** The server does not hold the key: what is known here may be old. */
+  #keyRefused(request: PendingRequest, attempt: Attempt, now: number): void {
+    const { fleet, directory } = this.context;
+    fleet.get(attempt.server)?.cancelled(attempt.number);
+    const { range, startedAt } = attempt;
+    if (request.key === null || range === null) return;
+    this.refusedRanges.refused(range, startedAt, now);
+    const known = directory.find(request.service, request.key);
+    if (known?.server === attempt.server) this.context.keyRefused();
+  }
+
+  #failed(
+    request: PendingRequest,
+    attempt: Attempt,
+    { wasSent, cause }: AttemptOutcome & { kind: "failed" },
+    now: number,
+  ): Sequel {
+    this.context.fleet.get(attempt.server)?.failed(attempt.number, now);
+    if (wasSent) return mayHaveRun(request, attempt, cause);
+    const detail = { server: attempt.server, cause };
+    this.log.note("info", "attempt.not_sent", request, now, detail);
+    // Nothing reached a server, so this was no arrival.
+    request.arrivals -= 1;
+    if (request.mayHaveRun) {
+      return { kind: "fail", reason: "not sent again", detail: null };
+    }
+    if (request.key !== null) forgetTry(request, attempt, now);
+    return request.tried.length >= request.route.maximumAttempts
+      ? { kind: "refuse", reason: cause }
+      : { kind: "dispatch" };
+  }
+}
+
+/** The request may have run, and its answer is lost. */
+function mayHaveRun(
+  request: PendingRequest,
+  { server }: Attempt,
+  cause: string,
+): Sequel {
+  request.mayHaveRun = true;
+  const detail = { server, cause };
+  const fail: Sequel = { kind: "fail", reason: cause, detail };
+  return request.route.isIdempotent
+    ? { kind: "again", detail, otherwise: fail }
+    : fail;
+}
+
+/** The key's server did not run a request: it may have it again, but later,
+ * since a key has no other server. */
+function forgetTry(
+  request: PendingRequest,
+  { server }: Attempt,
+  now: number,
+): void {
+  const index = request.tried.indexOf(server);
+  if (index >= 0) request.tried.splice(index, 1);
+  const { refusal } = request;
+  const count = refusal?.server === server ? refusal.count + 1 : 1;
+  const until = now + KEY_PAUSE * 2 ** (count - 1);
+  request.refusal = { server, count, until };
+}
