Test: the retry budget whatever follows what

A property over random outcomes, moves of keys and gaps: arrivals beyond the first of each request keep to this VM's part.

--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import fc from "fast-check";
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
 import { KeyDirectory } from "../keyspace/index.ts";
@@ -250,6 +251,82 @@
   t.true(beyondFirst <= 7, `${beyondFirst}`);
 });
 
+test("dispatch: whatever follows what, arrivals beyond each request's first keep to this VM's part of the budget", (t) => {
+  const outcomes = {
+    ANSWERED,
+    NOT_RUN,
+    NO_HOLDER,
+    SPOILT,
+    LOST,
+    NOT_SENT,
+    FAILED: { ...ANSWERED, status: 500 },
+  };
+  const names = Object.keys(outcomes) as (keyof typeof outcomes)[];
+  const step = fc.record({
+    gap: fc.integer({ min: 0, max: 60 }),
+    path: fc.constantFrom("/order/", "/read/", "/lookup/"),
+    outcomes: fc.array(fc.constantFrom(...names), { maxLength: 4 }),
+    server: fc.constantFrom(null, "stock-1", "stock-2"),
+  });
+  const steps = fc.array(step, { minLength: 100, maxLength: 400 });
+  let most = 0;
+  fc.assert(
+    fc.property(steps, (plan) => {
+      const { dispatcher, arrive, assign } = createDispatcher();
+      const requests: { at: number; service: string }[] = [];
+      const starts = new Map<number, { at: number; exchange: number }>();
+      const running: number[] = [];
+      const take = (effects: readonly DispatchEffect[], at: number) => {
+        for (const effect of effects) {
+          if (effect.kind !== "attempt.start") continue;
+          const { attempt, exchange } = effect;
+          starts.set(attempt, { at, exchange });
+          running.push(attempt);
+        }
+      };
+      let now = 0;
+      let version = 1;
+      for (const { gap, path, outcomes: ends, server } of plan) {
+        now += gap;
+        take(dispatcher.advance(now), now);
+        if (server !== null) assign(version += 1, true, server);
+        requests.push({ at: now, service: path });
+        take(arrive(path, now), now);
+        for (const name of ends) {
+          const attempt = running.shift();
+          if (attempt === undefined) break;
+          if (name === "NOT_SENT") starts.delete(attempt);
+          take(dispatcher.ended(attempt, outcomes[name], now), now);
+        }
+      }
+      const seen = new Set<number>();
+      const repeats: { at: number; service: string }[] = [];
+      for (const { at, exchange } of starts.values()) {
+        const { service } = requests[exchange - 1];
+        if (seen.has(exchange)) repeats.push({ at, service });
+        seen.add(exchange);
+      }
+      const within = (
+        list: { at: number; service: string }[],
+        end: { at: number; service: string },
+      ) =>
+        list.filter((each) =>
+          each.service === end.service && each.at > end.at - 10_000 &&
+          each.at <= end.at
+        ).length;
+      for (const each of repeats) {
+        const taken = within(repeats, each);
+        const allowed = 0.2 * within(requests, each) + 50 / 8;
+        most = Math.max(most, taken);
+        if (taken > allowed) throw new Error(`${taken} of ${allowed}`);
+      }
+    }),
+    { numRuns: 100, seed: 5 },
+  );
+  // The property is not kept for want of repeats.
+  t.true(most > 10, `${most}`);
+});
+
 test("dispatch: work that may have run is answered 502 and never repeated", (t) => {
   const { dispatcher, arrive } = createDispatcher();
   t.is(brief(arrive("/order/", 0)).length, 1);
