--- a/src/core/peer_exchange_test.ts
+++ b/src/core/peer_exchange_test.ts
@@ -56,6 +56,7 @@
   });
   const server = {
     id: "i-1",
+    incarnation: 0,
     service: "s",
     address: "h:1",
     availabilityZone: "a",
