Tests, failing: what is kept by a server's id outlives the run it is from

Six tests fail: a server that is listed with another incarnation keeps the draining, load, latency, acceptance, failures, pause, silence and attempts of its older run; outcomes of attempts at the older run count for the new one; its connections stay; and requests that run at a server whose entry goes are cut.

--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -99,6 +99,28 @@
   });
 });
 
+test("entry: connections to the older run of a server are dropped", (t) => {
+  const { step } = createEntry("vm-1");
+  const list = (position: number, incarnation: number) => {
+    const entries = [{
+      id: "i-1",
+      incarnation,
+      service: "s",
+      address: "h:1",
+      availabilityZone: "a",
+      slots: 3,
+      isDraining: false,
+      warmUp: 0,
+    }];
+    const read = { entries, removed: [], isWhole: true, position };
+    return step(position, { kind: "servers.read", read, sentAt: position })
+      .filter((each) => each.kind === "connections.close");
+  };
+  t.deepEqual(list(1, 100), []);
+  t.deepEqual(list(2, 100), []);
+  t.deepEqual(list(3, 200), [{ kind: "connections.close", server: "i-1" }]);
+});
+
 test("entry: the holder's word spares a read of the registry, and its silence brings one", (t) => {
   const { step } = createEntry("vm-1");
   const entries = [{
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -41,6 +41,75 @@
   t.deepEqual(fleet.apply([restarted], [], 2), []);
 });
 
+/** A server whose older run was seen to be slow, silent, full, failing and
+ * draining, and that was then listed with another incarnation. */
+function restartedFleet(): Fleet {
+  const fleet = Fleet.create();
+  fleet.apply([entry("a", { incarnation: 100 })], [], 0);
+  const older = fleet.get("a")!;
+  for (let attempt = 1; attempt <= 6; attempt++) older.started(attempt, 0);
+  older.answered(1, 800, { running: 3, waiting: 9, slots: 3 });
+  older.refused(2, 810, null);
+  older.failed(3, 820);
+  older.failed(4, 830);
+  const leaving = entry("a", { incarnation: 100, isDraining: true });
+  fleet.apply([leaving], [], 840);
+  fleet.apply([entry("a", { incarnation: 200, warmUp: 900 })], [], 850);
+  return fleet;
+}
+
+/** What is known of the server of {@linkcode restartedFleet}. */
+function describe(fleet: Fleet) {
+  const server = fleet.get("a")!;
+  return {
+    incarnation: server.entry.incarnation,
+    warmUp: server.entry.warmUp,
+    isDraining: server.entry.isDraining,
+    drainingSince: server.drainingSince,
+    inFlight: server.inFlight,
+    load: server.load(860),
+    isLoadKnown: server.isLoadKnown(860),
+    latency: server.latency,
+    cost: server.cost(860, 10),
+    isPaused: server.isPaused(860),
+    isSilent: server.isSilent(5_000, 10),
+    aliveAt: server.aliveAt,
+    refusedAt: server.refusedAt,
+    samples: fleet.takeSamples("stock"),
+    listed: fleet.of("stock").map(({ id }) => id),
+  };
+}
+
+test("fleet: a new run starts with nothing that was seen of the older run", (t) => {
+  t.snapshot(describe(restartedFleet()));
+});
+
+test("fleet: attempts at the older run say nothing of the new one", (t) => {
+  const fleet = restartedFleet();
+  const before = describe(fleet);
+  const server = fleet.get("a")!;
+  server.failed(5, 851);
+  server.failed(6, 852);
+  server.answered(1, 853, { running: 3, waiting: 9, slots: 3 });
+  server.refused(2, 854, { running: 3, waiting: 9, slots: 3 });
+  server.cancelled(3);
+  t.deepEqual(describe(fleet), before);
+});
+
+test("fleet: what takes the place of the older run counts as a server that joined", (t) => {
+  const fleet = restartedFleet();
+  t.is(fleet.joinedAt("stock"), 850);
+  fleet.apply([entry("a", { incarnation: 200 })], [], 900);
+  t.is(fleet.joinedAt("stock"), 850);
+});
+
+test("fleet: the service of the older run is left by a new one that names another", (t) => {
+  const fleet = restartedFleet();
+  fleet.apply([entry("a", { incarnation: 300, service: "orders" })], [], 900);
+  t.deepEqual(fleet.of("stock"), []);
+  t.deepEqual(fleet.of("orders").map(({ id }) => id), ["a"]);
+});
+
 test("fleet: what lapsed in an outage may come back for two seconds", (t) => {
   const fleet = Fleet.create();
   fleet.apply([entry("a"), entry("b")], [], 0);
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { PlatformHeaders } from "../../platform/index.ts";
 import type { Occurrence } from "../core/entry_event.ts";
@@ -63,7 +64,8 @@
     }, outgoing);
     return new Promise((resolve, reject) => {
       waiting.push(resolve);
-      setTimeout(() => reject(new Error("no outcome")), PATIENCE).unref();
+      const late = () => reject(new Error("no outcome"));
+      setTimeout(late, PATIENCE).unref();
     });
   };
   return { pool, send, outcomes };
@@ -95,6 +97,30 @@
   while (performance.now() < until);
 }
 
+test("pool: a server that is forgotten keeps no connection, and cuts none in use", async (t) => {
+  const held: Socket[] = [];
+  const { server, address } = await listen(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const answer = head(id, ["Content-Length: 2"]) + "ok";
+    if (id === "slow") held.push(socket);
+    else socket.write(answer);
+  });
+  let connections = 0;
+  server.on("connection", () => connections += 1);
+  const { pool, send } = createPool(t, address);
+  // Outcomes are handed over in the order in which attempts end.
+  const firstEnd = send("slow");
+  while (held.length === 0) await delay(1);
+  const secondEnd = send("a");
+  t.is(outcomeKind(await firstEnd), "genuine");
+  pool.forget("server-1");
+  held[0].write(head("slow", ["Content-Length: 2"]) + "ok");
+  t.is(outcomeKind(await secondEnd), "genuine");
+  t.is(connections, 2);
+  t.is(outcomeKind(await send("b")), "genuine");
+  t.is(connections, 3);
+});
+
 const SCRIPTS: Record<
   string,
   (socket: Socket, request: string, ordinal: number) => void
@@ -138,7 +164,7 @@
   });
   const { send } = createPool(t, address);
   t.is(outcomeKind(await send("a")), "genuine");
-  await new Promise((next) => setTimeout(next, 100));
+  await delay(100);
   t.is(outcomeKind(await send("b")), "genuine");
   t.is(sockets.size, 2);
 });
