Fleet: another run of a server starts with nothing that was seen of the older

Cause: all that a VM keeps of a server is kept under its id, which stood for one run. Asked one by one: draining seen, latency, acceptance, failures and pauses, silence, stated load, attempts in flight, signs of life, refusals, own samples and warm-up belong to a run, so a changed incarnation makes a new tracked server. Outcomes of attempts that it was not told of are ignored; a failure of the older run no longer pauses the new one. joinedAt counts a restart, as it did when a restarted server had another id; it delays nothing but first grants.

Connections: idle ones are dropped, those in use end with their answer, for a restart as for a removal. The word comes up to a heartbeat late, when requests may already run at the new run, and a server whose entry is removed without draining goes on serving. Destroying the agent cut both, which ended work that must not be repeated with 502. Ruled out: telling connections of the two runs apart by time, since the clocks differ.

--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -65,7 +65,7 @@
   /** Takes changes of the list of servers. */
   changeServers(changes: readonly FleetChange[]): void {
     for (const { kind, server } of changes) {
-      if (kind === "removed") {
+      if (kind === "removed" || kind === "restarted") {
         this.emit({ kind: "connections.close", server: server.id });
       }
       this.note(`server.${kind}`, {
@@ -73,6 +73,7 @@
         service: server.service,
         address: server.address,
         zone: server.availabilityZone,
+        incarnation: server.incarnation,
       });
     }
   }
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -20,7 +20,8 @@
   | { kind: "configuration.fetch" }
   /** Callers are held to these limits from now on. */
   | { kind: "limits.apply"; limits: CallerLimits }
-  /** The connections to a server that is gone are of no more use. */
+  /** The idle connections to a server, or to its older run, that is gone are of
+   * no more use; those in use end with their answer. */
   | { kind: "connections.close"; server: string }
   /** What the balancer's readiness check is told. */
   | { kind: "readiness.set"; isReady: boolean }
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -113,7 +113,8 @@
     }
   }
 
-  /** When a server of a service was listed last that was not before. */
+  /** When a server of a service was listed last that was not before; one that
+   * has started again counts, since it holds nothing. */
   joinedAt(service: string): number {
     return this.#joinedAt.get(service) ?? -Infinity;
   }
@@ -155,11 +156,21 @@
       changes.push({ kind: "joined", server: entry });
       return;
     }
-    const { incarnation, isDraining: wasDraining } = known.entry;
-    known.update(entry, now);
-    if (entry.incarnation !== incarnation) {
+    if (entry.incarnation !== known.entry.incarnation) {
+      // Nothing that was seen of the older run holds for this one.
+      this.#forget(known);
+      this.#add(entry, now);
       changes.push({ kind: "restarted", server: entry });
+      return;
+    }
+    if (entry.service !== known.entry.service) {
+      this.#remove(entry.id, changes);
+      this.#add(entry, now);
+      changes.push({ kind: "joined", server: entry });
+      return;
     }
+    const wasDraining = known.entry.isDraining;
+    known.update(entry, now);
     if (entry.isDraining && !wasDraining) {
       changes.push({ kind: "draining", server: entry });
     }
@@ -174,6 +185,13 @@
     this.#byService.set(entry.service, [...others, server]);
   }
 
+  #forget({ id, entry: { service } }: TrackedServer): void {
+    this.#servers.delete(id);
+    const others = this.of(service).filter((each) => each.id !== id);
+    if (others.length > 0) this.#byService.set(service, others);
+    else this.#byService.delete(service);
+  }
+
   #withdraw(id: string, now: number, changes: FleetChange[]): void {
     const until = this.#regainedAt + RETURN_TIME;
     if (until <= now) return this.#remove(id, changes);
@@ -184,10 +202,7 @@
     this.#doubtful.delete(id);
     const server = this.#servers.get(id);
     if (server === undefined) return;
-    this.#servers.delete(id);
-    const { service } = server.entry;
-    const others = this.of(service).filter((each) => each.id !== id);
-    this.#byService.set(service, others);
+    this.#forget(server);
     changes.push({ kind: "removed", server: server.entry });
   }
 }
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -33,7 +33,11 @@
   count: number;
 }
 
-/** See the module's comment. */
+/**
+ * See the module's comment. All of it belongs to one run of the server: another
+ * run gets a tracked server of its own, and an outcome of an attempt that this
+ * one was not told of is one of the older run and counts for nothing.
+ */
 export class TrackedServer {
   /** When it was first seen draining, or null. */
   drainingSince: number | null = null;
@@ -75,7 +79,7 @@
     return this.#latency;
   }
 
-  /** Takes a newer entry. */
+  /** Takes a newer entry of the same run. */
   update(entry: BackendServer, now: number): void {
     this.entry = entry;
     if (entry.isDraining) this.drainingSince ??= now;
@@ -95,10 +99,10 @@
   /** It answered a request that it had run. */
   answered(attempt: number, now: number, load: ReportedLoad | null): void {
     const startedAt = this.#end(attempt);
+    if (startedAt === null) return;
     this.#heard(now, load);
     this.#failures = 0;
     this.#acceptance = mix(this.#acceptance, 1);
-    if (startedAt === undefined) return;
     if (load !== null && load.waiting > 0 && this.#latency !== null) return;
     const sample = now - startedAt;
     this.#sampleSum += sample;
@@ -132,7 +136,7 @@
 
   /** It refused a request, or answered it with a failure. */
   refused(attempt: number, now: number, load: ReportedLoad | null): void {
-    this.#end(attempt);
+    if (this.#end(attempt) === null) return;
     this.#heard(now, load);
     this.refusedAt = now;
     this.#acceptance = mix(this.#acceptance, 0);
@@ -140,7 +144,7 @@
 
   /** A request to it failed: no answer, or one that cannot be used. */
   failed(attempt: number, now: number): void {
-    this.#end(attempt);
+    if (this.#end(attempt) === null) return;
     this.#acceptance = mix(this.#acceptance, 0);
     this.#failures += 1;
     if (this.#failures < FAILURES_TO_PAUSE) return;
@@ -200,9 +204,10 @@
     this.#loadAt = now;
   }
 
-  #end(attempt: number): number | undefined {
+  /** When an attempt that has ended began; null when it was not begun here. */
+  #end(attempt: number): number | null {
     const startedAt = this.#startedAt.get(attempt);
-    if (startedAt === undefined) return undefined;
+    if (startedAt === undefined) return null;
     this.#startedAt.delete(attempt);
     this.inFlight -= 1;
     return startedAt;
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -62,7 +62,18 @@
  * due: they belong to no request.
  */
 class WatchfulAgent extends Agent {
+  #isRetired = false;
+
+  /** Drops idle connections, and those in use once their answer is whole. */
+  retire(): void {
+    this.#isRetired = true;
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
+    if (this.#isRetired) return false;
     // Node's types leave out that it says whether the socket is kept.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (isKept) socket.on("data", dropSocket);
@@ -89,7 +100,7 @@
 
 /** See the module's comment. */
 export class BackendPool {
-  readonly #agents = new Map<string, Agent>();
+  readonly #agents = new Map<string, WatchfulAgent>();
   readonly #attempts = new Map<number, RunningAttempt>();
 
   private constructor(
@@ -138,18 +149,24 @@
     return answer;
   }
 
-  /** Forgets the connections of a server that is gone. */
+  /**
+   * Forgets the connections of a server that is gone, or whose run is another
+   * now. Requests that it has are left there: the word of it comes a heartbeat
+   * late, so the new run may have them already, and a server that leaves ends
+   * its work after its entry is removed.
+   */
   forget(server: string): void {
-    this.#agents.get(server)?.destroy();
+    this.#agents.get(server)?.retire();
     this.#agents.delete(server);
   }
 
   /** Ends all connections. */
   close(): void {
     for (const agent of this.#agents.values()) agent.destroy();
+    for (const { request } of this.#attempts.values()) request.destroy();
   }
 
-  #agent(server: string): Agent {
+  #agent(server: string): WatchfulAgent {
     let agent = this.#agents.get(server);
     if (agent === undefined) {
       agent = new WatchfulAgent({
