Tests, failing: words of an older run that come after the newer one

Two fail by what they show: a peer's word without a position turns a server back into its older run, and samples of a follower that knows the older run count for the new one. Two tests and the property over what is late, lost or doubled now tell runs apart and pass as they stand: positions of the registry already order reads and the holder's word.

--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -121,6 +121,47 @@
   t.deepEqual(list(3, 200), [{ kind: "connections.close", server: "i-1" }]);
 });
 
+test("entry: a peer's word without a position does not change which run is meant", (t) => {
+  const { entry, step } = createEntry("vm-1");
+  const state = (servers: [id: string, incarnation: number][]): Occurrence => {
+    const read = configured(1);
+    if (read.kind !== "configuration.read") throw new Error("unexpected");
+    return {
+      kind: "peer.received",
+      address: "vm-2",
+      message: {
+        kind: "state.told",
+        term: 0,
+        version: 0,
+        configuration: 1,
+        state: {
+          configuration: read.configuration,
+          servers: servers.map(([id, incarnation]) => ({
+            id,
+            incarnation,
+            service: "s",
+            address: `${id}:1`,
+            availabilityZone: "a",
+            slots: 3,
+            isDraining: false,
+            warmUp: 0,
+          })),
+          assignments: [],
+          holder: null,
+        },
+      },
+    };
+  };
+  step(0, state([["i-1", 200]]));
+  // The store stays silent, so peers go on being believed.
+  step(60_000, { kind: "timer" });
+  step(60_010, state([["i-1", 100], ["i-2", 300]]));
+  const runs = entry.beliefs.fleet.all().map((each) =>
+    `${each.id} ${each.entry.incarnation}`
+  );
+  t.deepEqual(runs, ["i-1 200", "i-2 300"]);
+});
+
 test("entry: the holder's word spares a read of the registry, and its silence brings one", (t) => {
   const { step } = createEntry("vm-1");
   const entries = [{
--- a/src/core/registry/registry_replica_test.ts
+++ b/src/core/registry/registry_replica_test.ts
@@ -5,10 +5,14 @@
 import type { RegistryRead } from "./registry_read.ts";
 import { type RegistryChanges, RegistryReplica } from "./registry_replica.ts";
 
-function server(id: string, isDraining = false): BackendServer {
+function server(
+  id: string,
+  isDraining = false,
+  incarnation = 0,
+): BackendServer {
   return {
     id,
-    incarnation: 0,
+    incarnation,
     service: "s",
     address: `${id}:1`,
     availabilityZone: "a",
@@ -37,7 +41,7 @@
 test("registry: a server that starts again under its id is news", (t) => {
   const reader = RegistryReplica.create();
   reader.read(read(10, [server("a")], [], true), 0);
-  const restarted = { ...server("a"), incarnation: 5 };
+  const restarted = server("a", false, 5);
   reader.read(read(11, [restarted]), 100);
   t.deepEqual(reader.news(10, null)?.entries, [restarted]);
 });
@@ -113,13 +117,56 @@
   t.deepEqual(follower.take(news)?.entries, [server("a")]);
 });
 
-/** A list as it stands after changes. */
+test("registry: the older run does not come back by what is late", (t) => {
+  const older = server("a", false, 100);
+  const newer = server("a", false, 200);
+  const reader = replicaOf(10, [older]);
+  const follower = replicaOf(10, [older]);
+  const lateNews = reader.news(10, 90)!;
+  reader.read(read(12, [newer]), 100);
+  t.deepEqual(follower.take(reader.news(10, 90)!)?.entries, [newer]);
+  t.deepEqual(follower.take(lateNews)?.entries, []);
+  t.false(follower.read(read(11, [older]), 80));
+  t.false(follower.read(read(11, [older], [], true), 80));
+  for (const each of [reader, follower]) {
+    t.deepEqual(each.news(10, null)?.entries, [newer]);
+  }
+});
+
+test("registry: of two runs the one that is listed later counts, also when its clock stepped back", (t) => {
+  const reader = replicaOf(10, [server("a", false, 200)]);
+  const newer = server("a", false, 100);
+  reader.read(read(11, [newer]), 100);
+  t.deepEqual(reader.news(10, null)?.entries, [newer]);
+});
+
+test("registry: it is known from which position on a run is listed", (t) => {
+  const replica = replicaOf(10, [server("a", false, 100)]);
+  replica.read(read(12, [server("a", true, 100), server("b")]), 100);
+  t.is(replica.runSince("a"), 10);
+  t.is(replica.runSince("b"), 12);
+  replica.read(read(14, [server("a", false, 200)]), 200);
+  t.is(replica.runSince("a"), 14);
+  const all = [server("a", false, 200), server("b", false, 1)];
+  replica.read(read(16, all, [], true), 300);
+  t.is(replica.runSince("a"), 14);
+  t.is(replica.runSince("b"), 16);
+  replica.read(read(18, [], ["a"]), 400);
+  t.is(replica.runSince("a"), 0);
+});
+
+/** A list as it stands after changes: of each server the run, and whether it
+ * drains. */
 function applied(
-  view: Map<string, boolean>,
+  view: Map<string, string>,
   { entries, removed }: RegistryChanges,
 ): void {
   for (const id of removed) view.delete(id);
-  for (const { id, isDraining } of entries) view.set(id, isDraining);
+  for (const entry of entries) view.set(entry.id, stateOf(entry));
+}
+
+function stateOf({ incarnation, isDraining }: BackendServer): string {
+  return `${incarnation} ${isDraining}`;
 }
 
 test("registry: whatever is lost, doubled or late, a follower's list is that of its position", (t) => {
@@ -129,6 +176,7 @@
       kind: fc.constant("write" as const),
       id,
       state: fc.constantFrom("ready", "draining", "gone"),
+      incarnation: fc.nat(2),
     }),
     fc.record({ kind: fc.constant("read" as const) }),
     fc.record({ kind: fc.constant("own" as const) }),
@@ -153,13 +201,13 @@
         };
         const reader = replicaOf(0, []);
         const follower = replicaOf(0, []);
-        const view = new Map<string, boolean>();
+        const view = new Map<string, string>();
         const sent: RegistryNews[] = [];
         for (const each of actions) {
           if (each.kind === "write") {
             const entry = each.state === "gone"
               ? null
-              : server(each.id, each.state === "draining");
+              : server(each.id, each.state === "draining", each.incarnation);
             log.push({ id: each.id, entry });
           } else if (each.kind === "read") {
             reader.read(since(reader.position!), 0);
@@ -175,12 +223,12 @@
             const changes = follower.take(news);
             if (changes !== null) applied(view, changes);
           }
-          const expected = new Map<string, boolean>();
+          const expected = new Map<string, string>();
           for (const { id, entry } of log.slice(0, follower.position!)) {
             if (entry === null) expected.delete(id);
-            else expected.set(id, entry.isDraining);
+            else expected.set(id, stateOf(entry));
           }
-          const text = (map: Map<string, boolean>) =>
+          const text = (map: Map<string, string>) =>
             JSON.stringify([...map].sort());
           if (text(view) !== text(expected)) {
             throw new Error(`${text(view)}, expected ${text(expected)}`);
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Beliefs } from "./beliefs.ts";
 import type { EntryEffect } from "./entry_effect.ts";
+import type { BackendServer } from "./fleet/index.ts";
 import {
   KeyLoads,
   leaseTimingSchema,
@@ -98,6 +99,32 @@
   if (message.kind === "assignments.changed") t.is(message.since, before);
 });
 
+test("publication: what a follower measured of the older run says nothing of the new one", (t) => {
+  const { beliefs, publication, holder, report } = createPublication();
+  const { fleet, registry } = beliefs;
+  const older = fleet.get("i-0")!.entry;
+  const restarted = { ...older, incarnation: 100 };
+  const list = (position: number, entry: BackendServer) => {
+    const entries = [entry];
+    registry.read({ entries, removed: [], isWhole: false, position }, 0);
+    fleet.apply(entries, [], 0);
+  };
+  list(5, older);
+  list(7, restarted);
+  const measured = (position: number | null) =>
+    publication.reported(holder, "f", {
+      ...report(0),
+      latencies: [{ server: "i-0", mean: 900, count: 3 }],
+      position,
+    }, 10);
+  measured(6);
+  measured(null);
+  t.is(fleet.get("i-0")!.latency, null);
+  t.is(fleet.get("i-0")!.aliveAt, -Infinity);
+  measured(7);
+  t.is(fleet.get("i-0")!.latency, 900);
+});
+
 test("publication: reports between two publications wait for the next", (t) => {
   const { publication, holder, report, sent, work } = createPublication();
   for (let i = 0; i < 90; i++) {
