Fleet: the registry's order tells which run of a server is meant

What orders two runs is the position at which they are listed, not the start that they tell, since a clock may step back; equality of the incarnation tells the same run. Reads and the holder's word carry positions and were ordered by them already. Two words were not:

- state.told has no position.
A server that is listed stays the run that it is; others are taken.
A wrong step back would forget what the newer run holds, a late step forward is made up for by the next read or word of the holder.
- Samples of a follower are taken only when its position, which the report carries, reaches the one at which the holder first knew the run (RegistryReplica.runSince).
Ruled out: the incarnation beside each sample, about 20 bytes a server in every report.

Left: an entry that an ended run wrote and that reaches the log after one of the newer run counts for up to one heartbeat, at every VM; then the newer run is listed again. Whoever holds the term treats both as restarts, which costs time and gives nothing away twice. Remembering ended runs was ruled out: a VM that knows only the newer run would take it for the ended one.

--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -67,6 +67,19 @@
     return changes;
   }
 
+  /**
+   * Takes entries that another VM knows, by a word without a position in the
+   * registry. Such a word cannot tell which of two runs is the newer, so a
+   * server that is listed stays the run that it is: a wrong step back would
+   * forget what the newer run holds, while one that is late is made up for by
+   * the next read.
+   */
+  learn(entries: readonly BackendServer[], now: number): FleetChange[] {
+    const isOfSameRun = ({ id, incarnation }: BackendServer) =>
+      (this.get(id)?.entry.incarnation ?? incarnation) === incarnation;
+    return this.apply(entries.filter(isOfSameRun), [], now);
+  }
+
   /** Takes a whole list: servers that it does not hold are removed. */
   replace(entries: readonly BackendServer[], now: number): FleetChange[] {
     const listed = new Set(entries.map((entry) => entry.id));
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -241,7 +241,7 @@
     if (!isStoreLost && beliefs.catalog.isKnown) return;
     const { configuration, servers, assignments, holder } = state;
     beliefs.configure(configuration);
-    beliefs.changeServers(beliefs.fleet.apply(servers, [], now));
+    beliefs.changeServers(beliefs.fleet.learn(servers, now));
     beliefs.assign(assignments);
     if (holder !== null) this.follow(holder, now);
   }
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -5,7 +5,9 @@
  * changed. Another VM reads it only when it has no word that is young enough:
  * with eight VMs that is a quarter of the calls to the store, and with more the
  * number of reads no longer grows with them. Positions decide what follows on
- * what, so news that are late, doubled or out of order do no harm.
+ * what, so news that are late, doubled or out of order do no harm. They also
+ * order the runs of a server: the one that is listed later is the newer, since
+ * the clock that dates an incarnation may step back.
  *
  * ```ts
  * replica.read(read, sentAt);
@@ -50,6 +52,8 @@
   #isReading = false;
   #retryAt = -Infinity;
   readonly #servers = new Map<string, BackendServer>();
+  /** By id: the position at which the run that is listed was first known. */
+  readonly #runSince = new Map<string, number>();
   /** Oldest first; the last is where this VM stands. */
   #boundaries: Boundary[] = [];
 
@@ -70,6 +74,13 @@
     return this.#knownAt;
   }
 
+  /** Position from which on the run of a server that is listed now is known;
+   * what a VM at an older position says of the server may be of another run. 0
+   * for a server that is not listed. */
+  runSince(id: string): number {
+    return this.#runSince.get(id) ?? 0;
+  }
+
   /** When the next read is due if nothing older than `maximumAge` will do. */
   dueAt(maximumAge: number): number {
     if (this.#isReading) return Infinity;
@@ -150,8 +161,11 @@
   }
 
   #reset({ entries, position }: RegistryRead): void {
-    this.#servers.clear();
-    for (const entry of entries) this.#servers.set(entry.id, entry);
+    const listed = new Set(entries.map(({ id }) => id));
+    for (const id of this.#servers.keys()) {
+      if (!listed.has(id)) this.#delete(id);
+    }
+    for (const entry of entries) this.#put(entry, position);
     this.#boundaries = [{ position, touched: null, changed: [] }];
     this.#position = position;
   }
@@ -163,8 +177,10 @@
   ): void {
     if (position === this.#position) return;
     const changed = [
-      ...entries.filter((entry) => this.#put(entry)).map(({ id }) => id),
-      ...removed.filter((id) => this.#servers.delete(id)),
+      ...entries.filter((entry) => this.#put(entry, position)).map(({ id }) =>
+        id
+      ),
+      ...removed.filter((id) => this.#delete(id)),
     ];
     this.#boundaries.push({ position, touched, changed });
     if (this.#boundaries.length > MAXIMUM_BOUNDARIES) this.#boundaries.shift();
@@ -172,11 +188,20 @@
   }
 
   /** Keeps an entry; false when it says nothing new. */
-  #put(entry: BackendServer): boolean {
+  #put(entry: BackendServer, position: number): boolean {
     const known = this.#servers.get(entry.id);
     this.#servers.set(entry.id, entry);
+    if (known?.incarnation !== entry.incarnation) {
+      this.#runSince.set(entry.id, position);
+    }
     return known === undefined || !isSame(known, entry);
   }
+
+  /** Forgets an entry; false when there is none. */
+  #delete(id: string): boolean {
+    this.#runSince.delete(id);
+    return this.#servers.delete(id);
+  }
 }
 
 /** Whether two entries of a server say the same; how long it stays slow after
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Beliefs, Emit } from "./beliefs.ts";
+import type { ServerSamples } from "./fleet/index.ts";
 import type { KeyLoads, TermCampaign, TermHolder } from "./keyspace/index.ts";
 import {
   type AssignmentChanges,
@@ -88,7 +89,7 @@
     for (const { service, keys } of report.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
-    this.beliefs.fleet.observe(report.latencies, now);
+    this.#observe(report, now);
     this.campaign.hearFitness(report.fitness, now);
     this.#link.heard(address, now);
     this.emit(
@@ -99,6 +100,15 @@
     else this.#owed.set(address, report);
   }
 
+  /** Takes what a follower measured of the runs that are listed here; by its
+   * position it may know an older run of some server. */
+  #observe({ latencies, position }: KeyReport, now: number): void {
+    const { fleet, registry } = this.beliefs;
+    const isOfSameRun = ({ server }: ServerSamples) =>
+      registry.runSince(server) <= (position ?? 0);
+    fleet.observe(latencies.filter(isOfSameRun), now);
+  }
+
   /** Tells a follower the configuration if it lacks it for longer than a read of
    * its own takes: the call that waits for news may have lost its answer. */
   #tellConfiguration(address: string, report: KeyReport, now: number): void {
