Test: a run of a server that drains stays so; fails

A heartbeat that was written before the server said that it is leaving, and reaches the registry behind it, lists it as ready: requests and keys went to it again.

--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -110,6 +110,19 @@
   t.deepEqual(fleet.of("orders").map(({ id }) => id), ["a"]);
 });
 
+test("fleet: a run that was seen draining does not take work again", (t) => {
+  // A heartbeat of before that reaches the registry late lists it as ready.
+  const fleet = Fleet.create();
+  const leaving = entry("a", { incarnation: 100, isDraining: true });
+  fleet.apply([leaving], [], 0);
+  fleet.apply([entry("a", { incarnation: 100 })], [], 10);
+  t.true(fleet.get("a")!.entry.isDraining);
+  t.is(fleet.get("a")!.drainingSince, 0);
+  fleet.apply([entry("a", { incarnation: 200 })], [], 20);
+  t.false(fleet.get("a")!.entry.isDraining);
+  t.is(fleet.get("a")!.drainingSince, null);
+});
+
 test("fleet: what lapsed in an outage may come back for two seconds", (t) => {
   const fleet = Fleet.create();
   fleet.apply([entry("a"), entry("b")], [], 0);
