--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -192,8 +192,11 @@
       return;
     }
     const wasDraining = known.entry.isDraining;
-    known.update(entry, now);
-    if (entry.isDraining && !wasDraining) {
+    // No run goes back from draining: an entry that says so is an old heartbeat
+    // that came late, and what is sent there would reach a server that leaves.
+    const isDraining = entry.isDraining || wasDraining;
+    known.update({ ...entry, isDraining }, now);
+    if (isDraining && !wasDraining) {
       changes.push({ kind: "draining", server: entry });
     }
   }
