Key leases: a former holder opens no connections

Cause: a holder that hears neither store nor peers has authority for 2 s, its successor is elected after 1.3 s. A run of a server that started after the successor claimed its term may have seen no token, and took an order of the former holder.

A connection ends with the run it was opened to, so an order on a kept connection reaches no run that started later. Orders may open a connection only while no other VM can have claimed a term: the last membership call was confirmed and sent at most 0.7 s ago (the store waits longer for a silent member), and a call that has no answer yet is younger than half the time for which an election must stand. Otherwise an order without a kept connection is withheld, and sent after the next confirmed call.

What it costs: in a silence of the store a server whose connection broke is not granted its keys anew before the holder's authority ends; it was in the first 2 s. With a store that answers nothing is withheld for longer than a membership call.

Weighed and left: a successor that waits until its predecessor's authority has ended (0.7 s without renewals after each loss of a holder, while holds run out 1.6 to 2.2 s after it), and an authority shorter than 1.3 s (the long hold that outlasts outages is given from 1.1 s of silence on).

A copy that opens connections always is found out.

--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -67,6 +67,8 @@
   failingSince: number;
   /** The order in flight, or null. */
   order: number | null;
+  /** Whether the last order was withheld, for lack of a connection. */
+  isUnconnected: boolean;
   /** When requests for the keys began to wait, or 0 while they do not. */
   closedAt: number;
   /** When the server gave the keys back. */
@@ -97,6 +99,7 @@
     failures: 0,
     failingSince: 0,
     order: null,
+    isUnconnected: false,
     closedAt: 0,
     releasedAt: 0,
     destination: null,
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -13,6 +13,8 @@
   /** Another server listens at the address and refused it: the one that was
    * meant has ended. */
   | { kind: "misdirected" }
+  /** It was not sent: there was no connection, and none was to be opened. */
+  | { kind: "withheld" }
   /** No usable answer: the order may still be carried out. */
   | { kind: "failed"; cause: string };
 
@@ -31,6 +33,13 @@
   address: string;
   /** Above those of all orders before it. */
   token: number;
+  /**
+   * Whether a connection may be opened for it. A connection ends with the run
+   * of the server that it was opened to, so an order on a kept one reaches no
+   * run that started later. A run that started after another holder has claimed
+   * the next term may have seen no token, and would take an order of this one.
+   */
+  mayConnect: boolean;
 }
 
 /** Grants keys to a server, or renews the grant. */
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -28,6 +28,8 @@
 export class OrderBook {
   readonly #pending = new Map<number, PendingOrder>();
   #tokenNumber = 0;
+  /** Whether connections may be opened for orders. */
+  mayConnect = false;
 
   private constructor(
     private readonly term: number,
@@ -73,6 +75,7 @@
       first: range.first,
       last: range.last,
       token: this.#nextToken(),
+      mayConnect: this.mayConnect,
       hold,
       handover: range.handover,
     };
@@ -89,9 +92,15 @@
       first: range.first,
       last: range.last,
       token: this.#nextToken(),
+      mayConnect: this.mayConnect,
     };
   }
 
+  /** Whether an order to the server of a range would only be withheld again. */
+  mustWait({ isUnconnected }: HeldRange): boolean {
+    return isUnconnected && !this.mayConnect;
+  }
+
   /** An order ended; undefined for one of another term. */
   end(id: number): PendingOrder | undefined {
     const order = this.#pending.get(id);
@@ -128,6 +137,7 @@
   ): number {
     const id = this.nextOrder();
     range.order = id;
+    range.isUnconnected = false;
     const address = range.address!;
     this.#pending.set(id, { table, range, kind, sentAt: now, hold, address });
     return id;
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -34,6 +34,13 @@
 /** The same pause while this VM is elected and waits for that, and while members
  * come and go: after all VMs were killed no key is held until a term is claimed. */
 const SETTLING_INTERVAL = 100;
+/** Age of the last confirmed membership call up to which the store cannot have
+ * taken this VM for silent, in milliseconds. */
+const CERTAIN_TIME = 2 * JOIN_INTERVAL;
+/** Time after the sending of a membership call by which no other VM can have
+ * claimed a term because of it, in milliseconds: half the time for which an
+ * election must stand. */
+const CERTAIN_CALL_TIME = SETTLE_TIME / 2;
 /** Pause after a claim that failed, in milliseconds. */
 const CLAIM_PAUSE = 200;
 
@@ -78,6 +85,10 @@
   #generation = 0;
   #startedAt: number | null = null;
   #authorityEnd = -Infinity;
+  /** When the last confirmed membership call was sent. */
+  #confirmedAt = -Infinity;
+  /** When the first one was sent that has got no answer since, or null. */
+  #unansweredSince: number | null = null;
   #joinDueAt = -Infinity;
   #isJoining = false;
   #isRetired = false;
@@ -137,6 +148,8 @@
       return;
     }
     this.#authorityEnd = membership.sentAt + this.timing.authority;
+    this.#confirmedAt = membership.sentAt;
+    this.#unansweredSince = null;
     this.#settle(membership.generation, now);
   }
 
@@ -214,6 +227,7 @@
     const isJoinDue = now >= this.#joinDueAt || this.holder?.isStoreWanted;
     if (!this.#isJoining && !this.#isRetired && isJoinDue) {
       this.#isJoining = true;
+      this.#unansweredSince ??= now;
       const group = this.#group;
       effects.push({ kind: "group.join", group, generation: this.#generation });
     }
@@ -231,6 +245,7 @@
           now,
           this.#authorityEnd,
           storeSilence,
+          this.#isUncontested(now),
         ),
       );
     }
@@ -262,6 +277,16 @@
     return [{ kind: "group.leave", group: this.#group }];
   }
 
+  /**
+   * Whether no other VM can have claimed a term by now. The store passes the
+   * place on when its member calls, leaves or falls silent; a call without an
+   * answer may have done it.
+   */
+  #isUncontested(now: number): boolean {
+    const callEnd = (this.#unansweredSince ?? now) + CERTAIN_CALL_TIME;
+    return now < this.#confirmedAt + CERTAIN_TIME && now < callEnd;
+  }
+
   /** Joins the group that this VM belongs to now. It leaves the electorate with a
    * call: the store could still elect a member that has only fallen silent. */
   #chooseGroup(now: number): KeyspaceEffect[] {
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -180,14 +180,17 @@
 
   /**
    * Takes all steps that are due. `authorityEnd` is until when orders may be
-   * sent, `storeSilence` for how long the store has not answered.
+   * sent, `storeSilence` for how long the store has not answered, `mayConnect`
+   * whether no other VM can have claimed a term by now.
    */
   advance(
     services: readonly string[],
     now: number,
     authorityEnd: number,
     storeSilence: number,
+    mayConnect: boolean,
   ): KeyspaceEffect[] {
+    this.#orders.mayConnect = mayConnect;
     if (now < authorityEnd) {
       const hold = storeSilence > this.timing.storeSilence
         ? this.timing.longHold
@@ -204,7 +207,8 @@
     const order = this.#orders.end(id);
     if (order === undefined) return true;
     if (outcome.kind === "superseded") return false;
-    if (outcome.kind === "misdirected") this.#misdirected(order, now);
+    if (outcome.kind === "withheld") this.#withheld(order, now);
+    else if (outcome.kind === "misdirected") this.#misdirected(order, now);
     else if (order.kind === "grant") this.#granted(order, outcome, now);
     else this.#released(order, outcome, now);
     return true;
@@ -381,6 +385,7 @@
     hold: number,
   ): void {
     if (!range.isFenced) return this.#grant(table, range, now, hold);
+    if (this.#orders.mustWait(range)) return;
     this.#effects.push(this.#orders.release(table, range, now));
   }
 
@@ -390,6 +395,7 @@
     now: number,
     hold: number,
   ): void {
+    if (this.#orders.mustWait(range)) return;
     const address = this.fleet.get(range.server!)?.entry.address;
     range.address = address ?? range.address;
     range.incarnation = this.#incarnation(range.server!);
@@ -429,6 +435,12 @@
     range.closedAt = 0;
   }
 
+  /** It is sent once a connection may be opened for it. */
+  #withheld({ range }: PendingOrder, now: number): void {
+    range.isUnconnected = true;
+    range.dueAt = now;
+  }
+
   /** Another server listens at the address of the one that was meant. What that
    * one held ended with it, and orders to it are refused, so the keys are free. */
   #misdirected(order: PendingOrder, now: number): void {
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -52,7 +52,7 @@
     0,
   );
   const advance = (now: number, storeSilence: number) =>
-    holder.advance(["s"], now, Infinity, storeSilence);
+    holder.advance(["s"], now, Infinity, storeSilence, true);
   const accept = (effects: KeyspaceEffect[], now: number) => {
     for (const effect of effects) {
       if (!("order" in effect)) continue;
@@ -177,7 +177,7 @@
     const next = () => 1;
     const holder = TermHolder.create(1, [], timing, fleet, loads, next, 0);
     const isBegun = (now: number) =>
-      holder.advance(["s"], now, Infinity, 0).length > 0;
+      holder.advance(["s"], now, Infinity, 0, true).length > 0;
     return { fleet, loads, isBegun };
   };
   const quiet = begin();
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -58,7 +58,7 @@
     );
   /** Lets the holder work until `now`; all its orders and writes succeed. */
   const work = (now: number) => {
-    for (const effect of holder.advance(["s"], now, Infinity, 0)) {
+    for (const effect of holder.advance(["s"], now, Infinity, 0, true)) {
       if (effect.kind === "assignments.write") holder.record.written();
       else if ("order" in effect) {
         holder.ordered(effect.order, { kind: "accepted", handover: null }, now);
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -38,6 +38,21 @@
   timeout: number;
   /** Gives the call up; its connection is reset. */
   signal?: AbortSignal;
+  /** Whether a connection may be opened for it; true if left out. Without one
+   * it is not sent and rejects with a {@linkcode ConnectionLackError}. */
+  mayConnect?: boolean;
+}
+
+/** Raised when a call that may not open a connection finds none. */
+export class ConnectionLackError extends Error {
+  private constructor() {
+    super("no connection");
+  }
+
+  /** An error of one call. */
+  static create(): ConnectionLackError {
+    return new ConnectionLackError();
+  }
 }
 
 /** An answer, whole. */
@@ -96,6 +111,7 @@
       signal,
     });
     limitConnecting(request, this.options.connectTimeout);
+    if (call.mayConnect === false) refuseConnecting(request);
     let isTimedOut = false;
     const timer = setTimeout(() => {
       isTimedOut = true;
@@ -137,6 +153,13 @@
   request.destroy();
 }
 
+/** Ends a request that would open a connection, before anything is sent. */
+function refuseConnecting(request: ClientRequest): void {
+  request.once("socket", (socket) => {
+    if (socket.connecting) request.destroy(ConnectionLackError.create());
+  });
+}
+
 /** Ends a request whose connection is not made within `timeout` milliseconds. */
 export function limitConnecting(request: ClientRequest, timeout: number): void {
   request.once("socket", (socket) => {
--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -162,3 +162,8 @@
 test("a former holder gives no keys to a server that has started again", (t) => {
   t.is(findViolation(estrangements, 200, {}), null);
 });
+
+test("a holder that opens connections when another may lead is found out", (t) => {
+  const weakness = { isConnectingAlways: true };
+  t.not(findViolation(estrangements, 200, weakness), null);
+});
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -96,6 +96,8 @@
   areOrdersNameless?: boolean;
   /** Whether a renewal has the token of the grant that it renews. */
   areTokensReused?: boolean;
+  /** Whether connections are opened for all orders. */
+  isConnectingAlways?: boolean;
 }
 
 /** What a run brought. */
@@ -114,6 +116,8 @@
   run = 0;
   isUp = true;
   frozenUntil = -1;
+  /** Runs of servers to which connections are kept, by address. */
+  readonly connections = new Map<string, ModelServer>();
   timerAt = Infinity;
   constructor(
     readonly index: number,
@@ -150,6 +154,7 @@
     this.run += 1;
     this.entry = this.create();
     this.isUp = true;
+    this.connections.clear();
     this.timerAt = Infinity;
   }
 }
@@ -435,6 +440,7 @@
       this.#time.after(delay, () => {
         if (vm.run !== run) return;
         const known = outcome ?? { kind: "failed", cause: "no answer" };
+        if (outcome === null) vm.connections.delete(order.address);
         this.#push(vm, {
           kind: "order.ended",
           order: order.order,
@@ -443,12 +449,21 @@
       });
     this.#weaken(order);
     if (isCut) return end(null, ORDER_TIMEOUT);
+    const kept = vm.connections.get(order.address);
+    if (kept?.isUp) return this.#deliver(kept, order, end);
+    if (!order.mayConnect && !this.options.isConnectingAlways) {
+      return end({ kind: "withheld" }, 1);
+    }
+    const connect = (server: ModelServer) => {
+      vm.connections.set(order.address, server);
+      this.#deliver(server, order, end);
+    };
     const server = this.#runAt(order.address);
-    if (server?.isUp) return this.#deliver(server, order, end);
+    if (server?.isUp) return connect(server);
     const wait = (order.order * 37) % CONNECT_TIMEOUT;
     this.#time.after(wait, () => {
       const next = this.#runAt(order.address);
-      if (next?.isUp) return this.#deliver(next, order, end);
+      if (next?.isUp) return connect(next);
       end(null, sentAt + ORDER_TIMEOUT - this.#time.now);
     });
   }
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -325,7 +325,14 @@
   const orders = PlatformOrders.create();
   t.teardown(() => orders.close());
   const { address } = server;
-  const keys = { order: 1, service: "stock", first: 0, last: 9, address };
+  const keys = {
+    order: 1,
+    service: "stock",
+    first: 0,
+    last: 9,
+    address,
+    mayConnect: true,
+  };
   const grant = { ...keys, kind: "order.grant", token: 5 } as const;
   const more = { hold: 1_000, handover: null };
   const release = { ...keys, kind: "order.release", token: 4 } as const;
@@ -338,3 +345,36 @@
   }
   t.deepEqual(kinds, ["misdirected", "misdirected", "accepted", "accepted"]);
 });
+
+test("orders: one that may open no connection goes over a kept one or not at all", async (t) => {
+  const store = await startStore(t);
+  const settings = backendServiceSchema.parse({
+    id: "server",
+    service: "stock",
+    listen: "127.0.0.1:0",
+    store: store.address,
+    keyed: true,
+  });
+  const server = await BackendService.start(settings);
+  t.teardown(() => server.close());
+  const orders = PlatformOrders.create();
+  t.teardown(() => orders.close());
+  const kinds: string[] = [];
+  for (const mayConnect of [false, true, false]) {
+    const outcome = await orders.grant({
+      kind: "order.grant",
+      order: 1,
+      service: "stock",
+      server: "server",
+      address: server.address,
+      first: 0,
+      last: 9,
+      token: 1,
+      mayConnect,
+      hold: 1_000,
+      handover: null,
+    }, 500);
+    kinds.push(outcome.kind);
+  }
+  t.deepEqual(kinds, ["withheld", "accepted", "accepted"]);
+});
