--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -454,6 +454,9 @@
   /** Frees all keys of a server that has ended, but for those of which an answer
    * is still to come. */
   #vacateAllOf(table: RangeTable, server: string, now: number): void {
+    for (const id of this.#ended.keys()) {
+      if (this.fleet.get(id) === undefined) this.#ended.delete(id);
+    }
     this.#ended.set(server, this.#incarnation(server));
     for (const range of table.ranges) {
       if (range.server !== server || range.order !== null) continue;
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -275,3 +275,23 @@
   // An authority of 2,000 ms, a timeout of 500 ms and 300 ms on the way.
   t.true(releasedAt.length > 0 && releasedAt[0] >= 2_800, releasedAt.join());
 });
+
+test("term holder: an entry older than the server's is no proof that it has ended", (t) => {
+  const { holder, fleet, advance } = createHolder();
+  const a = fleet.get("a")!.entry;
+  const fail = (now: number) => {
+    const [grant] = advance(now, 800);
+    if (!("order" in grant)) throw new Error("no order");
+    const failed = { kind: "failed", cause: "no answer" } as const;
+    holder.ordered(grant.order, failed, now + 500);
+  };
+  fleet.apply([{ ...a, incarnation: 5 }], [], 0);
+  for (const now of [0, 700]) fail(now);
+  advance(1_210, 800);
+  fleet.apply([{ ...a, id: "older", incarnation: 4 }], [], 1_300);
+  advance(1_310, 800);
+  t.is(holder.ranges("s")[0].state, "expiring");
+  fleet.apply([{ ...a, id: "newer", incarnation: 6 }], [], 1_400);
+  advance(1_410, 800);
+  t.true(holder.ranges("s").every(({ server }) => server !== "a"));
+});
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -38,12 +38,13 @@
   timeout: number;
   /** Gives the call up; its connection is reset. */
   signal?: AbortSignal;
-  /** Whether a connection may be opened for it; true if left out. Without one
-   * it is not sent and rejects with a {@linkcode ConnectionLackError}. */
-  mayConnect?: boolean;
+  /** Time from now up to which a connection may be opened for it, in
+   * milliseconds; unbounded if left out. One that gets none is not sent and
+   * rejects with a {@linkcode ConnectionLackError}. */
+  connectWithin?: number;
 }
 
-/** Raised when a call that may not open a connection finds none. */
+/** Raised when a call that may open no connection any more finds none. */
 export class ConnectionLackError extends Error {
   private constructor() {
     super("no connection");
@@ -111,7 +112,7 @@
       signal,
     });
     limitConnecting(request, this.options.connectTimeout);
-    if (call.mayConnect === false) refuseConnecting(request);
+    refuseConnecting(request, call.connectWithin ?? Infinity);
     let isTimedOut = false;
     const timer = setTimeout(() => {
       isTimedOut = true;
@@ -153,10 +154,13 @@
   request.destroy();
 }
 
-/** Ends a request that would open a connection, before anything is sent. */
-function refuseConnecting(request: ClientRequest): void {
+/** Ends a request that would open a connection once `time` milliseconds have
+ * passed, before anything is sent. */
+function refuseConnecting(request: ClientRequest, time: number): void {
+  const startedAt = performance.now();
   request.once("socket", (socket) => {
-    if (socket.connecting) request.destroy(ConnectionLackError.create());
+    if (!socket.connecting || performance.now() - startedAt < time) return;
+    request.destroy(ConnectionLackError.create());
   });
 }
 
--- a/src/runtime/http_client_test.ts
+++ b/src/runtime/http_client_test.ts
@@ -117,3 +117,24 @@
   await client.send(sound.address, CALL);
   t.is(sound.connections.size, 1);
 });
+
+test("http client: a call opens no connection after its time for that", async (t) => {
+  const { address, connections } = await startServer(
+    t,
+    (path) => path === "/silent" ? null : "text",
+  );
+  const client = HttpClient.create({ ...OPTIONS, connections: 1 });
+  t.teardown(() => client.close());
+  const none = client.send(address, { ...CALL, connectWithin: 0 });
+  await t.throwsAsync(none, { message: "no connection" });
+  const silent = client.send(address, { ...CALL, path: "/silent" });
+  // It waits for the connection of the call before, which is reset.
+  const late = { ...CALL, timeout: 1_000, connectWithin: 50 };
+  const waiting = client.send(address, late);
+  await t.throwsAsync(silent, { message: "no answer" });
+  await t.throwsAsync(waiting, { message: "no connection" });
+  t.is(connections.size, 1);
+  await client.send(address, { ...CALL, connectWithin: 50 });
+  const kept = client.send(address, { ...CALL, connectWithin: 0 });
+  await t.notThrowsAsync(kept);
+});
