--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -38,6 +38,22 @@
   timeout: number;
   /** Gives the call up; its connection is reset. */
   signal?: AbortSignal;
+  /** Time from now up to which a connection may be opened for it, in
+   * milliseconds; unbounded if left out. One that gets none is not sent and
+   * rejects with a {@linkcode ConnectionLackError}. */
+  connectWithin?: number;
+}
+
+/** Raised when a call that may open no connection any more finds none. */
+export class ConnectionLackError extends Error {
+  private constructor() {
+    super("no connection");
+  }
+
+  /** An error of one call. */
+  static create(): ConnectionLackError {
+    return new ConnectionLackError();
+  }
 }
 
 /** An answer, whole. */
@@ -96,6 +112,7 @@
       signal,
     });
     limitConnecting(request, this.options.connectTimeout);
+    refuseConnecting(request, call.connectWithin ?? Infinity);
     let isTimedOut = false;
     const timer = setTimeout(() => {
       isTimedOut = true;
@@ -137,6 +154,16 @@
   request.destroy();
 }
 
+/** Ends a request that would open a connection once `time` milliseconds have
+ * passed, before anything is sent. */
+function refuseConnecting(request: ClientRequest, time: number): void {
+  const startedAt = performance.now();
+  request.once("socket", (socket) => {
+    if (!socket.connecting || performance.now() - startedAt < time) return;
+    request.destroy(ConnectionLackError.create());
+  });
+}
+
 /** Ends a request whose connection is not made within `timeout` milliseconds. */
 export function limitConnecting(request: ClientRequest, timeout: number): void {
   request.once("socket", (socket) => {
