--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -259,3 +259,47 @@
   server.close();
   t.deepEqual(occurrences.at(-1), { kind: "callers.closed" });
 });
+
+/** Keeps the process from reading anything, in milliseconds. */
+function stall(milliseconds: number): void {
+  const end = Date.now() + milliseconds;
+  while (Date.now() < end);
+}
+
+// Seen: a VM with more than twice its load was half a second behind and sent
+// requests on whose callers had given up before: sent at 7.389 s with 102 ms to
+// wait, at its server at 8.005 s. The time that a request has left was counted
+// from when it was read; its bytes had lain unread since long before.
+test("callers: one whose time was over before it was read is refused", async (t) => {
+  const { server, socket, arrivals, answer, until, read } = await start(t);
+  socket.write(get("/1"));
+  await until(() => arrivals().length === 1);
+  answer(1, "one");
+  await until(() => read().includes("one"));
+  socket.write(
+    get("/2", "X-Plumloft-Deadline-Ms: 100\r\n") +
+      get("/3", "X-Plumloft-Deadline-Ms: 2000\r\n") + get("/4"),
+  );
+  stall(500);
+  await until(() => arrivals().length === 3);
+  const [, third, fourth] = arrivals();
+  t.is(third.target, "/3");
+  t.true(third.timeout! > 1_000 && third.timeout! < 1_700, `${third.timeout}`);
+  t.is(fourth.timeout, null);
+  answer(third.exchange, "three");
+  await until(() => statuses(read()).length === 3);
+  t.deepEqual(statuses(read()), ["200", "503", "200"]);
+  t.is(server.counts.late, 1);
+});
+
+test("callers: one that leaves is told of though an answer to it is stuck", async (t) => {
+  const { socket, occurrences, arrivals, answer, until } = await start(t);
+  const left = () => occurrences.filter(({ kind }) => kind === "request.left");
+  socket.pause();
+  socket.write(get("/1") + get("/2"));
+  await until(() => arrivals().length === 2);
+  answer(1, "x".repeat(LARGE));
+  socket.end();
+  await until(() => left().length > 0);
+  t.deepEqual(left(), [{ kind: "request.left", exchange: 2 }]);
+});
