--- a/src/runtime/entry_process_test.ts
+++ b/src/runtime/entry_process_test.ts
@@ -68,8 +68,10 @@
 });
 
 // Seen: a read that its caller sent 3.601 s after SIGTERM, on a connection kept
-// from before, ran at its server and got no answer. The connection was closed
-// at that moment, and its bytes, unread until then, were still passed on.
+// from before, ran at its server and got no answer. Its bytes lay unread on a
+// connection that was closed in that moment, and were still passed on while other
+// requests kept the process. caller_server_test ("crosses the close") shows that
+// turn of the loop; this is the whole process with nothing else in flight.
 test.serial("stop: a request that meets the close is answered or never taken", async (t) => {
   const { entry, connect, log } = await startEntryInProcess(t, TIMEOUT);
   let texts = "";
