A caller that asks for a tunnel and leaves is let go

Node takes its own listeners off such a connection, so nobody ended this side after the caller had; a request before it kept the connection for ever. The test failed before.

--- a/src/runtime/caller_connection.ts
+++ b/src/runtime/caller_connection.ts
@@ -112,6 +112,8 @@
 
   #left(): void {
     this.#isEnding = true;
+    // Node does it too, unless it has handed the connection over as a tunnel.
+    this.socket.end();
     for (const { lost } of this.#due) lost();
   }
 
--- a/src/runtime/caller_order_test.ts
+++ b/src/runtime/caller_order_test.ts
@@ -193,3 +193,14 @@
   const left = occurrences.filter((each) => each.kind === "request.left");
   t.is(left.length, 3);
 });
+
+test("order: a caller that asks for a tunnel and leaves is let go", async (t) => {
+  const { server, socket, occurrences, taken } = await start(t);
+  socket.write(`${get("/1")}CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n`);
+  await taken("/1");
+  await pause(PAUSE);
+  socket.end();
+  await pause(4 * PAUSE);
+  t.is(occurrences.filter(({ kind }) => kind === "request.left").length, 1);
+  t.is(server.counts.connections, 0);
+});
