--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -19,14 +19,15 @@
 import type { OccurrenceSink } from "./entry_loop.ts";
 import type { HeaderCodec } from "./header_codec.ts";
 import { listenAt } from "./listen.ts";
-import { LoopLag } from "./loop_lag.ts";
+import { afterNextRead, LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
+import { readBody } from "./request_body.ts";
 import {
   BAD_REQUEST,
   BODY_TOO_LARGE,
   EXPECTATION_FAILED,
-  HEADERS_TOO_LARGE,
-  NO_HOST,
+  headerFault,
+  isMetExpectation,
   NO_TUNNEL,
   PARSER_FAULTS,
   rawAnswer,
@@ -263,33 +264,17 @@
     };
     this.#exchanges.set(number, exchange);
     connection.add(number, response, () => this.#left(number));
-    const fault = this.#headerFault(request);
+    const fault = headerFault(request, this.#limits);
     if (fault !== null) return this.#reject(number, fault);
     if (!isMetExpectation(request)) this.#say(number, EXPECTATION_FAILED);
-    this.#readBody(number, exchange, request);
-  }
-
-  #readBody(
-    number: number,
-    exchange: Exchange,
-    request: IncomingMessage,
-  ): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > (this.#limits?.maximumBodyBytes ?? Infinity)) {
-        return this.#reject(number, BODY_TOO_LARGE);
-      }
-      chunks.push(chunk);
-    });
-    request.once("end", () => {
-      if (!this.#exchanges.has(number)) return;
-      exchange.outgoing.body = Buffer.concat(chunks);
-      this.#arrived(number, exchange, request);
+    readBody(request, () => this.#limits?.maximumBodyBytes ?? Infinity, {
+      tooLarge: () => this.#reject(number, BODY_TOO_LARGE),
+      whole: (body) => {
+        if (!this.#exchanges.has(number)) return;
+        exchange.outgoing.body = body;
+        this.#arrived(number, exchange);
+      },
     });
-    // A body that breaks off ends the response, which reports the caller gone.
-    request.on("error", () => {});
   }
 
   /**
@@ -297,26 +282,20 @@
    * behind its request: another turn of the loop reads it before the request is
    * passed on to a server that nobody waits for any more.
    */
-  #arrived(number: number, exchange: Exchange, request: IncomingMessage): void {
+  #arrived(number: number, exchange: Exchange): void {
     const cameAt = monotonicNow() - this.#lag.lateness;
-    if (!this.#lag.isBehind) {
-      return this.#pass(number, exchange, request, cameAt);
-    }
+    if (!this.#lag.isBehind) return this.#pass(number, exchange, cameAt);
     afterNextRead(() => {
       if (!this.#exchanges.has(number)) return;
-      this.#pass(number, exchange, request, cameAt);
+      this.#pass(number, exchange, cameAt);
     });
   }
 
   /** Passes a request on with the time that its caller still waits, which counts
    * from when its bytes came: servers would work for callers that have left. */
-  #pass(
-    number: number,
-    exchange: Exchange,
-    request: IncomingMessage,
-    cameAt: number,
-  ): void {
-    const { timeout, ...facts } = this.codec.readCaller(request.headers);
+  #pass(number: number, exchange: Exchange, cameAt: number): void {
+    const { headers } = exchange.request;
+    const { timeout, ...facts } = this.codec.readCaller(headers);
     const age = Math.round(monotonicNow() - cameAt);
     const isOld = timeout !== null && age > SHORT_AGE;
     const remaining = isOld ? timeout - age : timeout;
@@ -329,7 +308,7 @@
       kind: "request.arrived",
       arrival: {
         exchange: number,
-        host: request.headers.host ?? "",
+        host: headers.host ?? "",
         target: exchange.outgoing.target,
         timeout: remaining,
         ...facts,
@@ -337,16 +316,6 @@
     });
   }
 
-  /** What is wrong with the headers, or null. */
-  #headerFault(request: IncomingMessage): RequestFault | null {
-    const { rawHeaders, url, headers, httpVersion } = request;
-    if (httpVersion === "1.1" && headers.host === undefined) return NO_HOST;
-    if (this.#limits === null) return null;
-    let size = (url ?? "").length;
-    for (const text of rawHeaders) size += text.length;
-    return size > this.#limits.maximumHeaderBytes ? HEADERS_TOO_LARGE : null;
-  }
-
   /** Answers a request that is not taken in and ends its connection. */
   #reject(number: number, fault: RequestFault): void {
     this.#exchanges.get(number)?.connection.end();
@@ -396,16 +365,3 @@
     this.sink.push({ kind: "request.left", exchange: number });
   }
 }
-
-/** Whether what a request expects of us is what we do. */
-function isMetExpectation({ headers }: IncomingMessage): boolean {
-  const { expect } = headers;
-  return expect === undefined || /(?:^|\W)100-continue(?:$|\W)/i.test(expect);
-}
-
-/** Calls back once everything that lies unread on connections was read. */
-function afterNextRead(callback: () => void): void {
-  // The loop reads between two rounds of these; an end that comes with bytes is
-  // read one round after them.
-  setImmediate(() => setImmediate(() => setImmediate(callback)));
-}
--- a/src/runtime/loop_lag.ts
+++ b/src/runtime/loop_lag.ts
@@ -61,3 +61,10 @@
     setImmediate(() => this.#unreadSince = null);
   }
 }
+
+/** Calls back once everything that lies unread on connections was read. */
+export function afterNextRead(callback: () => void): void {
+  // The loop reads between two rounds of these; an end that comes with bytes is
+  // read one round after them.
+  setImmediate(() => setImmediate(() => setImmediate(callback)));
+}
--- a/src/runtime/request_fault.ts
+++ b/src/runtime/request_fault.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { STATUS_CODES } from "node:http";
+import { type IncomingMessage, STATUS_CODES } from "node:http";
+import type { CallerLimits } from "../core/catalog/index.ts";
 
 /** A fault of a request that is not taken in. */
 export interface RequestFault {
@@ -31,3 +32,22 @@
   return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
     "Connection: close\r\nContent-Length: 0\r\n\r\n";
 }
+
+/** What is wrong with the headers of a request, or null; limits are null while
+ * there is no configuration. */
+export function headerFault(
+  { rawHeaders, url, headers, httpVersion }: IncomingMessage,
+  limits: CallerLimits | null,
+): RequestFault | null {
+  if (httpVersion === "1.1" && headers.host === undefined) return NO_HOST;
+  if (limits === null) return null;
+  let size = (url ?? "").length;
+  for (const text of rawHeaders) size += text.length;
+  return size > limits.maximumHeaderBytes ? HEADERS_TOO_LARGE : null;
+}
+
+/** Whether what a request expects of us is what we do. */
+export function isMetExpectation({ headers }: IncomingMessage): boolean {
+  const { expect } = headers;
+  return expect === undefined || /(?:^|\W)100-continue(?:$|\W)/i.test(expect);
+}
