Tests, failing: entries and records of other writers

By what the code does: a record of an assignment that cannot be read makes the read of all throw, so that no VM can ever claim the term (the read is repeated for as long as the record stands); megabytes are parsed; a holder is announced at no address; entries that leave a server's service, or its start, are taken for it at once.

--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -1,7 +1,9 @@
 import { createServer, type Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
+import { encode } from "cbor-x";
 import fc from "fast-check";
 import { PlatformHeaders, PlatformStore } from "../platform/index.ts";
+import { decodeHolder, decodeRecords } from "../platform/assignment_codec.ts";
 import {
   decodeConfiguration,
   encodeConfiguration,
@@ -15,6 +17,15 @@
 import { StoreClient } from "../platform/store_client.ts";
 import { StoreError } from "../platform/store_error.ts";
 import { readDeclaration } from "../src/settings/index.ts";
+import { Fleet } from "../src/core/fleet/index.ts";
+import {
+  coversAllKeys,
+  KEY_COUNT,
+  KeyLoads,
+  leaseTimingSchema,
+  predecessorEnd,
+  TermHolder,
+} from "../src/core/keyspace/index.ts";
 import { siteConfiguration } from "../src/core/declaration/index.ts";
 import { StoreService, storeServiceSchema } from "../src/stand_ins/index.ts";
 
@@ -276,6 +287,275 @@
   t.snapshot(await store.readServers(all.position));
 });
 
+/** Values that other writers may leave: bytes, texts and values that are none of
+ * ours, and ours with a field gone, of another type or out of bounds. */
+function hostileValue(
+  good: object,
+  encode: (value: unknown) => Buffer,
+): fc.Arbitrary<Buffer> {
+  const field = fc.constantFrom(...Object.keys(good));
+  const odd = fc.oneof(
+    fc.jsonValue(),
+    fc.double(),
+    fc.constantFrom(0, -1, 1.5, 1e12, 2 ** 60, "", "x".repeat(300), "h:99999"),
+  );
+  const text = (value: string) => Buffer.from(value);
+  const whole = encode(good);
+  return fc.oneof(
+    fc.uint8Array({ maxLength: 64 }).map((bytes) => Buffer.from(bytes)),
+    fc.json().map(text),
+    fc.jsonValue().map(encode),
+    fc.constantFrom("[", '{"a":', '"', "1e999", "null").map((piece) =>
+      text(piece.repeat(14_000))
+    ),
+    fc.constant(Buffer.alloc(70_000, "7")),
+    fc.constant(Buffer.from([0x9a, 0xff, 0xff, 0xff, 0xff])),
+    field.map((name) => encode({ ...good, [name]: undefined })),
+    fc.tuple(field, odd).map(([name, value]) =>
+      encode({ ...good, [name]: value })
+    ),
+    fc.nat(whole.length - 1).map((length) => whole.subarray(0, length)),
+    fc.tuple(fc.nat(whole.length - 1), fc.nat(255)).map(([at, byte]) => {
+      const bytes = Buffer.from(whole);
+      bytes[at] = byte;
+      return bytes;
+    }),
+  );
+}
+
+/** Frames a record whose key may be any bytes. */
+function rawRecord(key: Uint8Array, value: Buffer): Buffer {
+  const content = Buffer.concat([Buffer.from([key.length]), key, value]);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(content.length);
+  return Buffer.concat([length, content]);
+}
+
+const jsonOf = (value: unknown) => Buffer.from(JSON.stringify(value));
+const cborOf = (value: unknown) => Buffer.from(encode(value));
+
+const GOOD_ENTRY = {
+  born: 1_790_000_000_000,
+  service: "a",
+  address: "10.0.0.1:80",
+  zone: "z",
+  slots: 3,
+  state: "ready",
+  sequence: 4,
+  warmupLeft: 900,
+};
+
+/** A store with `records` in a topic, and where the topic ended before. */
+async function storeWith(
+  t: ExecutionContext,
+  topic: string,
+  records: readonly Buffer[],
+) {
+  const service = await startStore(t);
+  const client = createClient(t, service.address);
+  const store = PlatformStore.create(service.address, "vm", "vm");
+  t.teardown(() => store.close());
+  await client.append(topic, records, {});
+  return { store, client };
+}
+
+test("hostile entries: each names no server or one that can be used, the others hold", async (t) => {
+  const { store, client } = await storeWith(t, "keyed.servers", []);
+  const hostile = fc.record({
+    key: fc.oneof(
+      fc.constantFrom("h-1", "h-2", "", " ", "a\nb", "\u00e9", "h".repeat(255))
+        .map((key) => Buffer.from(key)),
+      fc.uint8Array({ maxLength: 8 }).map((key) => Buffer.from(key)),
+    ),
+    value: hostileValue(GOOD_ENTRY, jsonOf),
+  });
+  let position = 0;
+  await fc.assert(
+    fc.asyncProperty(fc.array(hostile, { maxLength: 6 }), async (some) => {
+      const good = ["g-1", "g-2"].map((key) =>
+        rawRecord(Buffer.from(key), jsonOf(GOOD_ENTRY))
+      );
+      const bad = some.map(({ key, value }) => rawRecord(key, value));
+      await client.append(
+        "keyed.servers",
+        [good[0], ...bad, good[1]],
+        {},
+      );
+      for (const from of [position, null]) {
+        const read = await store.readServers(from);
+        const ids = read.entries.map(({ id }) => id);
+        t.true(ids.includes("g-1") && ids.includes("g-2"));
+        for (const { id, address, slots } of read.entries) {
+          t.regex(id, /^[\x21-\x7e]+$/);
+          t.regex(address, /^[\w.-]+:[1-9]\d*$/);
+          t.true(Number.isInteger(slots) && slots >= 1 && slots <= 4_096);
+        }
+        for (const { reason } of read.faults) t.true(reason.length <= 160);
+        position = read.position;
+      }
+    }),
+    { numRuns: 150, seed: 3 },
+  );
+});
+
+test("hostile configurations and holders: none ends a read, and good ones are taken", async (t) => {
+  const limits = {
+    maximumHeaderBytes: 1,
+    maximumBodyBytes: 1,
+    headerTimeout: 1,
+    idleTimeout: 1,
+  };
+  const configuration = { version: 4, routes: [], services: [], limits };
+  const holder = { term: 3, vm: "vm", address: "10.0.0.1:80", fitness: 1 };
+  const feeds = [
+    {
+      feed: "configuration" as const,
+      topic: "keyed.op",
+      key: "config",
+      good: jsonOf(configuration),
+      hostile: hostileValue(configuration, jsonOf),
+    },
+    {
+      feed: "holder" as const,
+      topic: "keyed.holder",
+      key: "holder",
+      good: cborOf(holder),
+      hostile: hostileValue(holder, cborOf),
+    },
+  ];
+  for (const { feed, topic, key, good, hostile } of feeds) {
+    const { store, client } = await storeWith(t, topic, []);
+    let next = 0;
+    await fc.assert(
+      fc.asyncProperty(hostile, fc.boolean(), async (value, isOwnKey) => {
+        const name = Buffer.from(isOwnKey ? key : "other");
+        const records = [
+          rawRecord(Buffer.from([0xff, 0xfe]), value),
+          rawRecord(name, value),
+        ];
+        if (!isOwnKey) records.push(rawRecord(Buffer.from(key), good));
+        await client.append(topic, records, {});
+        for (
+          const read of [
+            await store.readOn(feed, next, 0),
+            await store.readAll(feed),
+          ]
+        ) {
+          if (!isOwnKey) t.is(read.occurrences.length, 1);
+          for (const each of read.occurrences) {
+            if (each.kind !== "holder.announced") continue;
+            t.regex(each.holder.address, /^[\w.-]+:[1-9]\d*$/);
+            t.true(each.holder.term <= 2 ** 48);
+          }
+          next = read.next;
+        }
+      }),
+      { numRuns: 150, seed: 4 },
+    );
+  }
+});
+
+const ALL_KEYS = { first: 0, last: KEY_COUNT - 1 };
+const GOOD_ASSIGNMENT = {
+  service: "g",
+  term: 7,
+  version: 2,
+  ranges: [{ ...ALL_KEYS, server: "i-1", address: "h:1", isOpen: true }],
+};
+
+test("hostile assignments: one that cannot be read may be held in whole, the others hold", async (t) => {
+  const good = rawRecord(Buffer.from("service/g"), cborOf(GOOD_ASSIGNMENT));
+  const term = rawRecord(Buffer.from("term"), cborOf({ term: 9, vm: "v" }));
+  const { store, client } = await storeWith(t, "keyed.ownership", [good, term]);
+  const own = { ...GOOD_ASSIGNMENT, service: "h" };
+  await fc.assert(
+    fc.asyncProperty(hostileValue(own, cborOf), async (value) => {
+      const key = Buffer.from("service/h");
+      await client.append("keyed.ownership", [rawRecord(key, value)], {});
+      const { records, isTermKnown, faults } = await store.readRecords();
+      t.true(isTermKnown);
+      t.true(records.term >= 9 && records.term <= 2 ** 48);
+      const byService = new Map(
+        records.assignments.map((each) => [each.service, each]),
+      );
+      t.deepEqual(byService.get("g"), GOOD_ASSIGNMENT);
+      if (value.length === 0) return;
+      const other = byService.get("h")!;
+      t.true(coversAllKeys(other.ranges));
+      if (faults.length === 0) return;
+      t.deepEqual(other.ranges, [
+        { ...ALL_KEYS, server: "", address: null, isOpen: false },
+      ]);
+      t.is(other.term, 0);
+    }),
+    { numRuns: 150, seed: 5 },
+  );
+});
+
+test("hostile records: one of megabytes is not parsed", (t) => {
+  const long = Buffer.alloc(5_000_000, "[");
+  t.throws(() => decodeServer("i-1", long), { message: /bytes/ });
+  t.throws(() => decodeConfiguration(long), { message: /bytes/ });
+  t.throws(() => decodeHolder(long), { message: /bytes/ });
+  const items = [{ key: "service/s", value: long }];
+  const [fault] = decodeRecords(items, 1).faults;
+  t.regex(fault.reason, /bytes/);
+});
+
+test("hostile terms: no term is claimed upon one that cannot be read", async (t) => {
+  const good = rawRecord(Buffer.from("service/g"), cborOf(GOOD_ASSIGNMENT));
+  const { store, client } = await storeWith(t, "keyed.ownership", [good]);
+  const term = { term: 9, vm: "v" };
+  await fc.assert(
+    fc.asyncProperty(hostileValue(term, cborOf), async (value) => {
+      const record = rawRecord(Buffer.from("term"), value);
+      await client.append("keyed.ownership", [record], {});
+      const { records, isTermKnown, faults } = await store.readRecords();
+      t.deepEqual(records.assignments, [GOOD_ASSIGNMENT]);
+      t.is(isTermKnown, faults.length === 0);
+    }),
+    { numRuns: 150, seed: 6 },
+  );
+});
+
+test("hostile assignments: keys of a service whose record is lost are given out once all older grants have ended", async (t) => {
+  const broken = rawRecord(Buffer.from("service/s"), Buffer.from("{"));
+  const { store } = await storeWith(t, "keyed.ownership", [broken]);
+  const { records } = await store.readRecords();
+  const timing = leaseTimingSchema.parse({});
+  const fleet = Fleet.create();
+  fleet.apply(
+    [decodeServer("i-1", jsonOf({ ...GOOD_ENTRY, service: "s" }))],
+    [],
+    0,
+  );
+  let orders = 0;
+  const holder = TermHolder.create(
+    5,
+    records.assignments,
+    timing,
+    fleet,
+    KeyLoads.create(),
+    () => orders += 1,
+    0,
+  );
+  const grants: number[] = [];
+  const released: number[] = [];
+  for (let now = 0; now < 30_000; now += 50) {
+    for (const effect of holder.advance(["s"], now, Infinity, 0)) {
+      if (effect.kind === "assignments.write") holder.record.written();
+      if (effect.kind === "order.release") released.push(now);
+      if (effect.kind !== "order.grant") continue;
+      grants.push(now);
+      const outcome = { kind: "accepted" as const, handover: null };
+      holder.ordered(effect.order, outcome, now);
+    }
+  }
+  t.true(grants.length > 0);
+  t.true(grants[0] >= predecessorEnd(0, timing), String(grants[0]));
+  t.deepEqual(released, []);
+});
+
 test("store: of two operators who publish at once one is refused", async (t) => {
   const service = await startStore(t);
   const store = PlatformStore.create(service.address, "op", "op");
