Registry: entries of other writers name no server, and the others hold

Cause: entries were held to a loose schema (any address, any number of slots, any bytes as text), one broken record of an assignment made the read of all of them throw, and every read wrote a line for every record that does not decode.

A server in use whose entry cannot be read, or is not of it (another service, or no start where it told one), is used for 1.5 s more: heartbeat and read. A read and the holder's word pass "unreadable" on, so followers agree. Ruled out: removal at once, which refuses requests for another writer's sake; never, since a VM that starts then cannot know the server.

A term record that cannot be read still stops claims, since a claim of a claimed term may pass for its repeat, but no longer counts as a failure of the store.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -147,7 +147,13 @@
     isDraining: false,
     warmUp: 0,
   }));
-  const read = { entries, removed: [], isWhole: true, position: servers };
+  const read = {
+    entries,
+    removed: [],
+    unreadable: [],
+    isWhole: true,
+    position: servers,
+  };
   step(0, { kind: "servers.read", read, sentAt: 0 });
   const size = KEY_COUNT / servers;
   step(0, {
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -222,12 +222,12 @@
   #readServers(event: EntryEvent & { kind: "servers.read" }): void {
     const { fleet, registry } = this.beliefs;
     const { read, sentAt, now } = event;
-    const { entries, removed, isWhole } = read;
+    const { entries, removed, unreadable, isWhole } = read;
     if (!registry.read(read, sentAt)) return;
     this.beliefs.changeServers(
       isWhole
-        ? fleet.replace(entries, now)
-        : fleet.apply(entries, removed, now),
+        ? fleet.replace(entries, now, unreadable)
+        : fleet.apply(entries, removed, now, unreadable),
     );
   }
 
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -112,7 +112,13 @@
       isDraining: false,
       warmUp: 0,
     }];
-    const read = { entries, removed: [], isWhole: true, position };
+    const read = {
+      entries,
+      removed: [],
+      unreadable: [],
+      isWhole: true,
+      position,
+    };
     return step(position, { kind: "servers.read", read, sentAt: position })
       .filter((each) => each.kind === "connections.close");
   };
@@ -174,7 +180,13 @@
     isDraining: false,
     warmUp: 0,
   }];
-  const read = { entries, removed: [], isWhole: true, position: 5 };
+  const read = {
+    entries,
+    removed: [],
+    unreadable: [],
+    isWhole: true,
+    position: 5,
+  };
   const fetches = (effects: EntryEffect[]) =>
     effects.filter((each) => each.kind === "servers.fetch").length;
   t.is(fetches(step(0, { kind: "timer" })), 1);
@@ -190,7 +202,14 @@
       configuration: 3,
       vms: 2,
       fittest: 1,
-      registry: { since: 5, position: 6, entries: [], removed, knownAt },
+      registry: {
+        since: 5,
+        position: 6,
+        entries: [],
+        removed,
+        unreadable: [],
+        knownAt,
+      },
     },
   });
   // Long enough after the store was first reached for removals to count.
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -14,6 +14,14 @@
  */
 const RETURN_TIME = 2_000;
 
+/**
+ * Time for which a server whose entry cannot be read any more is still used, in
+ * milliseconds: one heartbeat, with which a living server writes its entry anew,
+ * and one read of the registry. Another writer then costs no request, and a
+ * server that has ended is found out by its failures as before.
+ */
+const UNREADABLE_TIME = 1_500;
+
 /** Time for which a mean over a service's servers is kept, in milliseconds:
  * requests look at it several times each, and it changes slowly. */
 const MEAN_LIFETIME = 50;
@@ -55,13 +63,16 @@
     this.#regainedAt = now;
   }
 
-  /** Takes new or changed entries and removals. */
+  /** Takes new or changed entries, removals, and servers whose entry cannot be
+   * read any more. */
   apply(
     entries: readonly BackendServer[],
     removed: readonly string[],
     now: number,
+    unreadable: readonly string[] = [],
   ): FleetChange[] {
     const changes: FleetChange[] = [];
+    for (const id of unreadable) this.#doubt(id, now);
     for (const id of removed) this.#withdraw(id, now, changes);
     for (const entry of entries) this.#put(entry, now, changes);
     return changes;
@@ -81,10 +92,17 @@
   }
 
   /** Takes a whole list: servers that it does not hold are removed. */
-  replace(entries: readonly BackendServer[], now: number): FleetChange[] {
-    const listed = new Set(entries.map((entry) => entry.id));
+  replace(
+    entries: readonly BackendServer[],
+    now: number,
+    unreadable: readonly string[] = [],
+  ): FleetChange[] {
+    const listed = new Set([
+      ...entries.map((entry) => entry.id),
+      ...unreadable,
+    ]);
     const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
-    return this.apply(entries, missing, now);
+    return this.apply(entries, missing, now, unreadable);
   }
 
   /** Carries out removals whose time has come. */
@@ -162,13 +180,14 @@
   }
 
   #put(entry: BackendServer, now: number, changes: FleetChange[]): void {
-    this.#doubtful.delete(entry.id);
     const known = this.#servers.get(entry.id);
     if (known === undefined) {
       this.#add(entry, now);
       changes.push({ kind: "joined", server: entry });
       return;
     }
+    if (!mayBeOf(known.entry, entry)) return this.#doubt(entry.id, now);
+    this.#doubtful.delete(entry.id);
     if (entry.incarnation !== known.entry.incarnation) {
       // Nothing that was seen of the older run holds for this one.
       this.#forget(known);
@@ -176,12 +195,6 @@
       changes.push({ kind: "restarted", server: entry });
       return;
     }
-    if (entry.service !== known.entry.service) {
-      this.#remove(entry.id, changes);
-      this.#add(entry, now);
-      changes.push({ kind: "joined", server: entry });
-      return;
-    }
     const wasDraining = known.entry.isDraining;
     known.update(entry, now);
     if (entry.isDraining && !wasDraining) {
@@ -211,6 +224,13 @@
     if (this.#servers.has(id)) this.#doubtful.set(id, until);
   }
 
+  /** The newest entry of a server names none to use: it goes, unless a good one
+   * comes in time. */
+  #doubt(id: string, now: number): void {
+    if (!this.#servers.has(id) || this.#doubtful.has(id)) return;
+    this.#doubtful.set(id, now + UNREADABLE_TIME);
+  }
+
   #remove(id: string, changes: FleetChange[]): void {
     this.#doubtful.delete(id);
     const server = this.#servers.get(id);
@@ -219,3 +239,13 @@
     changes.push({ kind: "removed", server: server.entry });
   }
 }
+
+/**
+ * Whether `next` may be an entry of the server that wrote `known`. A server keeps
+ * its service, and one that tells its incarnation always does: an entry without
+ * is another writer's.
+ */
+function mayBeOf(known: BackendServer, next: BackendServer): boolean {
+  const isTold = next.incarnation !== 0 || known.incarnation === 0;
+  return isTold && next.service === known.service;
+}
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -194,7 +194,7 @@
     // in the outage are given the time to return.
     if (isStoreLost && changes.removed.length > 0) fleet.regained(now);
     this.beliefs.changeServers(
-      fleet.apply(changes.entries, changes.removed, now),
+      fleet.apply(changes.entries, changes.removed, now, changes.unreadable),
     );
   }
 
--- a/src/core/registry/registry_news.ts
+++ b/src/core/registry/registry_news.ts
@@ -16,6 +16,8 @@
   position,
   entries: z.array(backendServerSchema),
   removed: z.array(z.string()),
+  /** Servers whose entry cannot be read any more. */
+  unreadable: z.array(z.string()).default([]),
   /** When the registry stood so at the latest, by the clock of the VM that is
    * told, in milliseconds; null where that VM did not ask. */
   knownAt: z.number().nullable(),
--- a/src/core/registry/registry_read.ts
+++ b/src/core/registry/registry_read.ts
@@ -11,6 +11,9 @@
   entries: BackendServer[];
   /** Ids whose entries were removed. */
   removed: string[];
+  /** Ids whose entries cannot be read; what else such a server is, is not
+   * known. */
+  unreadable: string[];
   /** Whether `entries` is the whole list. */
   isWhole: boolean;
   /** Where the registry ended, to read on from. */
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -28,6 +28,12 @@
  * reads the registry itself. */
 const MAXIMUM_BOUNDARIES = 64;
 
+const NO_CHANGES: RegistryChanges = {
+  entries: [],
+  removed: [],
+  unreadable: [],
+};
+
 /** A position at which this VM knew the whole registry. */
 interface Boundary {
   position: number;
@@ -43,6 +49,8 @@
 export interface RegistryChanges {
   entries: BackendServer[];
   removed: string[];
+  /** Servers whose entry cannot be read any more. */
+  unreadable: string[];
 }
 
 /** See the module's comment. Times are those of this VM's clock. */
@@ -54,6 +62,8 @@
   readonly #servers = new Map<string, BackendServer>();
   /** By id: the position at which the run that is listed was first known. */
   readonly #runSince = new Map<string, number>();
+  /** Servers that were listed, and whose newest entry cannot be read. */
+  readonly #unreadable = new Set<string>();
   /** Oldest first; the last is where this VM stands. */
   #boundaries: Boundary[] = [];
 
@@ -104,7 +114,8 @@
       this.#reset(read);
       return true;
     }
-    const ids = [...read.entries.map(({ id }) => id), ...read.removed];
+    const { entries, removed, unreadable } = read;
+    const ids = [...entries.map(({ id }) => id), ...removed, ...unreadable];
     this.#advance(read, read.position, ids);
     return true;
   }
@@ -122,7 +133,7 @@
     if (news.knownAt !== null) {
       this.#knownAt = Math.max(this.#knownAt, news.knownAt);
     }
-    if (news.position <= this.#position) return { entries: [], removed: [] };
+    if (news.position <= this.#position) return NO_CHANGES;
     this.#advance(news, news.position, null);
     return news;
   }
@@ -138,12 +149,14 @@
     if (ids === null) return null;
     const entries: BackendServer[] = [];
     const removed: string[] = [];
+    const unreadable: string[] = [];
     for (const id of ids) {
       const server = this.#servers.get(id);
-      if (server === undefined) removed.push(id);
-      else entries.push(server);
+      if (server !== undefined) entries.push(server);
+      else if (this.#unreadable.has(id)) unreadable.push(id);
+      else removed.push(id);
     }
-    return { since, position, entries, removed, knownAt };
+    return { since, position, entries, removed, unreadable, knownAt };
   }
 
   #changedSince(since: number): Set<string> | null {
@@ -160,8 +173,13 @@
     return ids;
   }
 
-  #reset({ entries, position }: RegistryRead): void {
+  #reset({ entries, unreadable, position }: RegistryRead): void {
     const listed = new Set(entries.map(({ id }) => id));
+    const doubted = new Set(unreadable);
+    for (const id of this.#unreadable) {
+      if (!doubted.has(id)) this.#unreadable.delete(id);
+    }
+    for (const id of doubted) this.#doubt(id);
     for (const id of this.#servers.keys()) {
       if (!listed.has(id)) this.#delete(id);
     }
@@ -171,7 +189,7 @@
   }
 
   #advance(
-    { entries, removed }: RegistryChanges,
+    { entries, removed, unreadable }: RegistryChanges,
     position: number,
     touched: readonly string[] | null,
   ): void {
@@ -181,6 +199,7 @@
         id
       ),
       ...removed.filter((id) => this.#delete(id)),
+      ...unreadable.filter((id) => this.#doubt(id)),
     ];
     this.#boundaries.push({ position, touched, changed });
     if (this.#boundaries.length > MAXIMUM_BOUNDARIES) this.#boundaries.shift();
@@ -191,16 +210,27 @@
   #put(entry: BackendServer, position: number): boolean {
     const known = this.#servers.get(entry.id);
     this.#servers.set(entry.id, entry);
+    this.#unreadable.delete(entry.id);
     if (known?.incarnation !== entry.incarnation) {
       this.#runSince.set(entry.id, position);
     }
     return known === undefined || !isSame(known, entry);
   }
 
-  /** Forgets an entry; false when there is none. */
+  /** Forgets a server; false when none is known. */
   #delete(id: string): boolean {
     this.#runSince.delete(id);
-    return this.#servers.delete(id);
+    const wasUnreadable = this.#unreadable.delete(id);
+    return this.#servers.delete(id) || wasUnreadable;
+  }
+
+  /** The entry of a server cannot be read any more; false when none is listed.
+   * Ids that never were are not kept, however many are written. */
+  #doubt(id: string): boolean {
+    if (!this.#servers.delete(id)) return false;
+    this.#runSince.delete(id);
+    this.#unreadable.add(id);
+    return true;
   }
 }
 
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -106,7 +106,13 @@
   const restarted = { ...older, incarnation: 100 };
   const list = (position: number, entry: BackendServer) => {
     const entries = [entry];
-    registry.read({ entries, removed: [], isWhole: false, position }, 0);
+    registry.read({
+      entries,
+      removed: [],
+      unreadable: [],
+      isWhole: false,
+      position,
+    }, 0);
     fleet.apply(entries, [], 0);
   };
   list(5, older);
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -12,19 +12,37 @@
 /** What is followed in the store. */
 export type Feed = "configuration" | "holder";
 
+/** A record that did not decode. */
+export interface RecordFault {
+  /** Its key; empty where that cannot be read either. */
+  key: string;
+  reason: string;
+}
+
+/** How the records of a read decoded. */
+export interface DecodedRead {
+  faults: RecordFault[];
+  /** Keys of the records that decoded or were removed. */
+  sound: string[];
+  /** Whether the read holds all that is current. */
+  isWhole: boolean;
+}
+
 /** What a read brought. */
-export interface StoreRead {
+export interface StoreRead extends DecodedRead {
   occurrences: Occurrence[];
-  /** Records that did not decode and were passed over. */
-  faults: string[];
   /** Position to read on from. */
   next: number;
 }
 
 /** What a read of the registry brought. */
-export interface ServersRead extends RegistryRead {
-  /** Records that did not decode and were passed over. */
-  faults: string[];
+export interface ServersRead extends RegistryRead, DecodedRead {}
+
+/** What term holders have recorded. */
+export interface RecordsRead extends DecodedRead {
+  records: Records;
+  /** Whether `records` names the newest term, so that the next may be claimed. */
+  isTermKnown: boolean;
 }
 
 /** The answer to a membership call. */
@@ -59,8 +77,9 @@
   ): Promise<GroupMembership>;
   /** Leaves a group at once. */
   abstract leave(group: Group): Promise<void>;
-  /** Reads all that term holders have recorded. */
-  abstract readRecords(): Promise<Records>;
+  /** Reads all that term holders have recorded; assignments that do not decode
+   * stand in `records` as ones that give all keys to servers unknown. */
+  abstract readRecords(): Promise<RecordsRead>;
   /** Claims a term if the record ends at `end` and no newer one was claimed. */
   abstract claimTerm(term: number, end: number): Promise<void>;
   /** Records assignments; refused when a newer term was claimed. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -71,6 +71,7 @@
   readonly #admin: AdminServer;
   readonly #peers: PeerNetwork;
   readonly #journal: Journal;
+  readonly #metrics: EntryMetrics;
   #resolveStopped: () => void = () => {};
 
   private constructor(
@@ -103,7 +104,7 @@
       seed,
     });
     this.#loop = EntryLoop.create(entry);
-    const metrics = EntryMetrics.create(() =>
+    const metrics = this.#metrics = EntryMetrics.create(() =>
       gauges(entry, this.#journal, this.#peers.traffic)
     );
     this.#admin = AdminServer.create(
@@ -200,6 +201,7 @@
       pace,
       this.#loop,
       this.#journal,
+      this.#metrics,
     );
     this.#followers.push(follower);
     return follower;
@@ -213,6 +215,7 @@
       timeToLive,
       this.#loop,
       this.#journal,
+      this.#metrics,
     );
   }
 
--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -9,6 +9,8 @@
 import { monotonicNow } from "./monotonic_clock.ts";
 import type { ControlStore, Feed, StoreRead } from "./control_store.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+import { RecordFaults } from "./record_faults.ts";
 
 /** Pause after a read that failed, in milliseconds. */
 const RETRY_PAUSE = 250;
@@ -44,7 +46,7 @@
     private readonly feed: Feed,
     private readonly pace: FeedPace,
     private readonly sink: OccurrenceSink,
-    private readonly journal: Journal,
+    private readonly faults: RecordFaults,
   ) {}
 
   /** Starts to follow `feed`. */
@@ -54,8 +56,10 @@
     pace: FeedPace,
     sink: OccurrenceSink,
     journal: Journal,
+    metrics: EntryMetrics,
   ): FeedFollower {
-    const follower = new FeedFollower(store, feed, pace, sink, journal);
+    const faults = RecordFaults.create(feed, journal, metrics);
+    const follower = new FeedFollower(store, feed, pace, sink, faults);
     void follower.#follow();
     return follower;
   }
@@ -120,9 +124,7 @@
 
   #pass(read: StoreRead, sentAt: number): void {
     this.sink.push({ kind: "store.answered", sentAt });
-    for (const fault of read.faults) {
-      this.journal.write("warn", "record.skipped", { feed: this.feed, fault });
-    }
+    this.faults.take(read);
     for (const occurrence of read.occurrences) this.sink.push(occurrence);
   }
 }
--- a/src/runtime/feed_follower_test.ts
+++ b/src/runtime/feed_follower_test.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import { Journal } from "../logging/index.ts";
 import type { ControlStore, StoreRead } from "./control_store.ts";
+import { EntryMetrics } from "./entry_metrics.ts";
 import { FeedFollower } from "./feed_follower.ts";
 
 /** Longest wait of a read here, in milliseconds. */
@@ -11,7 +12,13 @@
  * say in turn; then no more. */
 function follow(answers: readonly ("news" | "failure")[]) {
   const waits: number[] = [];
-  const read: StoreRead = { occurrences: [], faults: [], next: 1 };
+  const read: StoreRead = {
+    occurrences: [],
+    faults: [],
+    sound: [],
+    isWhole: false,
+    next: 1,
+  };
   let count = 0;
   const store = {
     readAll: () => Promise.resolve(read),
@@ -33,6 +40,7 @@
     { wait: WAIT, unsureWait: 500, pause: 0 },
     { push: () => {} },
     Journal.create("vm", "error", output),
+    EntryMetrics.create(() => ({})),
   );
   return { follower, waits };
 }
--- a/src/runtime/store_link.ts
+++ b/src/runtime/store_link.ts
@@ -16,8 +16,10 @@
 import type { RegistryFetch } from "../core/registry/index.ts";
 import { errorText } from "../errors/index.ts";
 import type { Journal } from "../logging/index.ts";
-import type { ControlStore } from "./control_store.ts";
+import type { ControlStore, RecordsRead } from "./control_store.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
+import type { EntryMetrics } from "./entry_metrics.ts";
+import { RecordFaults } from "./record_faults.ts";
 
 /** See the module's comment. */
 export class StoreLink {
@@ -25,7 +27,8 @@
     private readonly store: ControlStore,
     private readonly timeToLive: number,
     private readonly sink: OccurrenceSink,
-    private readonly journal: Journal,
+    private readonly registryFaults: RecordFaults,
+    private readonly recordFaults: RecordFaults,
   ) {}
 
   /** Calls `store`; members of the group live `timeToLive` ms without a call. */
@@ -34,8 +37,15 @@
     timeToLive: number,
     sink: OccurrenceSink,
     journal: Journal,
+    metrics: EntryMetrics,
   ): StoreLink {
-    return new StoreLink(store, timeToLive, sink, journal);
+    return new StoreLink(
+      store,
+      timeToLive,
+      sink,
+      RecordFaults.create("servers", journal, metrics),
+      RecordFaults.create("ownership", journal, metrics),
+    );
   }
 
   /** Joins a group or stays in it. */
@@ -71,9 +81,12 @@
   async readRecords(): Promise<void> {
     const sentAt = monotonicNow();
     try {
-      const records = await this.store.readRecords();
+      const { records, isTermKnown } = await this.#readRecords();
       this.sink.push({ kind: "store.answered", sentAt });
-      this.sink.push({ kind: "term.read", records });
+      this.sink.push({
+        kind: "term.read",
+        records: isTermKnown ? records : null,
+      });
     } catch (error) {
       this.#failed("read assignments", error);
       this.sink.push({ kind: "term.read", records: null });
@@ -105,7 +118,8 @@
   async fetch(): Promise<void> {
     const sentAt = monotonicNow();
     try {
-      const { assignments } = await this.store.readRecords();
+      const { records } = await this.#readRecords();
+      const { assignments } = records;
       this.sink.push({ kind: "store.answered", sentAt });
       this.sink.push({ kind: "assignments.read", assignments });
     } catch (error) {
@@ -117,13 +131,8 @@
   async readServers({ from }: RegistryFetch): Promise<void> {
     const sentAt = monotonicNow();
     try {
-      const { faults, ...read } = await this.store.readServers(from);
-      for (const fault of faults) {
-        this.journal.write("warn", "record.skipped", {
-          feed: "servers",
-          fault,
-        });
-      }
+      const read = await this.store.readServers(from);
+      this.registryFaults.take(read);
       this.sink.push({ kind: "store.answered", sentAt });
       this.sink.push({ kind: "servers.read", read, sentAt });
     } catch (error) {
@@ -142,6 +151,12 @@
     this.sink.push({ kind: "assignments.written", term, outcome });
   }
 
+  async #readRecords(): Promise<RecordsRead> {
+    const read = await this.store.readRecords();
+    this.recordFaults.take(read);
+    return read;
+  }
+
   async #write(
     step: string,
     call: () => Promise<void>,
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -208,12 +208,12 @@
     const position = this.#registry.length;
     if (from === null) {
       const entries = [...this.#listed.values()];
-      return { entries, removed: [], isWhole: true, position };
+      return { entries, removed: [], unreadable: [], isWhole: true, position };
     }
     const ids = new Set(this.#registry.slice(from));
     const entries = [...ids].flatMap((id) => this.#listed.get(id) ?? []);
     const removed = [...ids].filter((id) => !this.#listed.has(id));
-    return { entries, removed, isWhole: false, position };
+    return { entries, removed, unreadable: [], isWhole: false, position };
   }
 
   /** Lists a server's entry, or removes it (null). */
