--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -19,6 +19,7 @@
   "entry.kill",
   "entry.pause",
   "server.kill",
+  "server.restart",
   "server.pause",
   "server.slow",
   "server.loses_answers",
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -251,6 +251,11 @@
     }
     server.process.kill("SIGKILL");
     await delay(action === "drain" ? 0 : duration / 4);
+    if (action === "restart") {
+      // Another run under the same id, at the same address; it holds nothing.
+      while (server.process.signalCode === null) await delay(20);
+      return deployment.restart(server);
+    }
     this.#serverCount += 1;
     const service = server.name.split("-")[0];
     const id = `${service}-${this.#serverCount}`;
