Term holder: all assignments go to a follower once in 0.9 s at most

Cause: each report of a follower that lacks the term was answered with all assignments, ten kilobytes with 299 ranges. A process that has started anew is told at once: its clock begins again.

--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -23,6 +23,11 @@
 /** Time that a published change may need to reach a follower, in milliseconds:
  * a report that crosses it is answered as if it had arrived. */
 const IN_FLIGHT = 120;
+/** Time after which a follower that still lacks everything is told it again, in
+ * milliseconds. All assignments are by far the largest message; sent again with
+ * each report, while the first one waits for the holder's link, they keep that
+ * full. A connection that died costs a follower this long. */
+const WHOLE_PAUSE = 900;
 /** Published versions that are kept as places from which a follower can be told
  * what has changed: some seconds of a busy holder. */
 const MAXIMUM_MARKS = 256;
@@ -35,6 +40,14 @@
   revisions: ReadonlyMap<string, number>;
 }
 
+/** A follower was told all assignments. */
+interface Told {
+  at: number;
+  /** When it sent the report that this answered, by its own clock; -Infinity if
+   * it had not asked. */
+  sentAt: number;
+}
+
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class TermPublication {
   readonly #link = HolderLink.create();
@@ -46,6 +59,8 @@
   #publishedPosition: number | null = null;
   /** Version of the configuration, and since when it is known here. */
   #configuration = { version: -1, since: -Infinity };
+  /** Since when each follower has been told all assignments of this term. */
+  readonly #told = new Map<string, Told>();
   /** Reports that came while changes waited to be published. */
   readonly #owed = new Map<string, KeyReport>();
 
@@ -128,9 +143,10 @@
   #catchUp(
     holder: TermHolder,
     address: string,
-    { term, version }: KeyReport,
+    report: KeyReport,
     now: number,
   ): void {
+    const { term, version } = report;
     const isOfTerm = term === this.#published.term;
     if (isOfTerm && version === this.#published.version) return;
     const index = isOfTerm
@@ -138,13 +154,28 @@
       : -1;
     const next = this.#marks[index + 1];
     if (index < 0 || next === undefined) {
-      this.emit(this.#link.tell(address, this.#bulletin(holder, now)));
+      this.#tellAll(holder, address, report, now);
     } else if (now - next.publishedAt > IN_FLIGHT) {
       const changes = this.#changesSince(holder, this.#marks[index]);
       this.emit(this.#link.tellChanges(address, this.#word(now), changes));
     }
   }
 
+  /** Tells a follower everything, unless that is on its way already; a process
+   * that has started anew, whose clock begins again, has not got it. */
+  #tellAll(
+    holder: TermHolder,
+    address: string,
+    { sentAt }: KeyReport,
+    now: number,
+  ): void {
+    const told = this.#told.get(address);
+    const isSame = told !== undefined && sentAt >= told.sentAt;
+    if (isSame && now - told.at < WHOLE_PAUSE) return;
+    this.#told.set(address, { at: now, sentAt });
+    this.emit(this.#link.tell(address, this.#bulletin(holder, now)));
+  }
+
   #isPublished({ term, version }: TermHolder): boolean {
     return term === this.#published.term && version === this.#published.version;
   }
@@ -157,6 +188,7 @@
     this.#published = { term, version };
     this.#publishedAt = now;
     if (last === undefined) {
+      this.#told.clear();
       this.#marks = [];
       this.emit(...this.#link.publish(this.#bulletin(holder, now)));
     } else {
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -146,6 +146,20 @@
   t.deepEqual(told, [10, 910, 1_810]);
 });
 
+test("publication: a follower that has started anew is told all at once", (t) => {
+  const { publication, holder, report, sent, work } = createPublication();
+  work(0);
+  publication.advance(holder, 0);
+  const reported = (sentAt: number, now: number) => {
+    publication.reported(holder, "f", { ...report(0), sentAt }, now);
+    return sent().length;
+  };
+  t.is(reported(5_000, 10), 1);
+  t.is(reported(5_060, 70), 0);
+  t.is(reported(400, 600), 1);
+  t.is(reported(460, 660), 0);
+});
+
 test("publication: whoever lacks a new term is told of it at once", (t) => {
   const { publication, holder, report, sent, work } = createPublication();
   work(0);
