Ownership: entries of other writers, in the model; known red to be listed

Failing on purpose. The model lists, for a while, a copy of a server's entry under another id and with a service that nobody has configured. Cause: Fleet.isReused takes any entry at the address for the proof that the server has ended.

--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -1,6 +1,12 @@
 import test from "ava";
 import fc from "fast-check";
-import { estrangements, restarts, rivalries, worlds } from "./schedule.ts";
+import {
+  estrangements,
+  forgeries,
+  restarts,
+  rivalries,
+  worlds,
+} from "./schedule.ts";
 import { World, type WorldOptions } from "./world.ts";
 
 const SEED = 7;
@@ -162,3 +168,9 @@
 test("a former holder gives no keys to a server that has started again", (t) => {
   t.is(findViolation(estrangements, 200, {}), null);
 });
+
+// An entry that another writer has left names no server, so it does not prove
+// either that the server at its address has ended.
+test("an entry of another writer frees no keys of the server at its address", (t) => {
+  t.is(findViolation(forgeries, 150, {}), null);
+});
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -155,3 +155,23 @@
   duration: fc.constant(16_000),
   seed: fc.nat(),
 });
+
+/** Worlds in which orders are lost and the registry holds entries of others. */
+export const forgeries: fc.Arbitrary<WorldOptions> = fc.record({
+  vms: fc.integer({ min: 1, max: 3 }),
+  servers: fc.integer({ min: 2, max: 4 }),
+  faults: fc.tuple(
+    fc.array(
+      fc.record({
+        kind: fc.constant<Fault["kind"]>("registry.copied"),
+        at: fc.integer({ min: 3_000, max: 20_000 }),
+        duration: fc.integer({ min: 1_000, max: 20_000 }),
+        target: fc.nat(15),
+      }),
+      { minLength: 1, maxLength: 3 },
+    ),
+    fc.array(crossing, { maxLength: 6 }),
+  ).map((faults) => faults.flat()),
+  duration: fc.constant(26_000),
+  seed: fc.nat(),
+});
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -67,6 +67,9 @@
     | "server.replaced"
     /** All VMs but the first are cut off from it. */
     | "server.secluded"
+    /** Another writer lists an entry with its address, of no service that is
+     * configured. */
+    | "registry.copied"
     | "store.down"
     | "store.loses_answers"
     | "store.rebalance"
@@ -177,6 +180,7 @@
   };
   #asked = 0;
   #replacements = 0;
+  #copies = 0;
   #heldCount = 0;
   #holder: HolderAddress | null = null;
 
@@ -594,11 +598,23 @@
         this.#time.after(ENTRY_LIFETIME, () => this.#unlist(server));
         this.#replacements += 1;
         return this.#replace(server, `run-${this.#replacements}`, duration);
+      case "registry.copied":
+        return this.#copy(server, duration);
       case "store.rebalance":
         return this.#store.rebalance(this.#draw);
     }
   }
 
+  /** Lists a copy of a server's entry that is not its own, for a while. */
+  #copy(server: ModelServer, duration: number): void {
+    const entry = this.#listed.get(server.id);
+    if (entry === undefined) return;
+    this.#copies += 1;
+    const id = `copy-${this.#copies}`;
+    this.#list(id, { ...entry, id, service: "not configured" });
+    this.#time.after(duration, () => this.#list(id, null));
+  }
+
   #faultName(kind: Fault["kind"], vm: Vm, server: ModelServer): string {
     if (kind.startsWith("vm.")) return `${kind}/${vm.index}`;
     return kind === "server.secluded" ? `${kind}/${server.address}` : kind;
