Key leases: only a server's refusal proves that another one has ended

And a 421 freed all keys of the server that was meant, also those that a later run had been granted since, or that were granted at another address.

Now an entry is a hint only: a server whose lease is waited for is asked once for its keys, by an order that names it, and a refusal frees them. A refusal counts for keys of which all grants went to that address, before the order that was refused; the run is remembered as ended, not the server. server_end_test.ts and the schedules of forgeries fail before and pass after.

Two tests are replaced. What names buy is tested instead (keys of a replaced server are free sooner), and a copy that takes entries for the end of a server is found out. 'An entry older than the server's is no proof' asks now for the question that is put to the server and for what each answer to it does.

--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -9,7 +9,9 @@
  *              +---> expiring <----+      (no answer: wait for the lease)
  * ```
  *
- * Any state is followed by `vacant` when another server is found at the address.
+ * Any state is followed by `vacant` when another server answers at the address.
+ * A server that left orders unanswered is asked once more while its lease is
+ * waited for, if another one is listed at its address.
  *
  * @module
  */
@@ -38,6 +40,10 @@
   server: string | null;
   /** Address of that server, kept for when it is no longer listed. */
   address: string | null;
+  /** Where the server was sent grants by which it may hold the keys. */
+  addresses: readonly string[];
+  /** When it was sent the last of them by this holder. */
+  grantSentAt: number;
   /** Incarnation under which the server was listed when it was last granted the
    * keys; 0 where it is not known. */
   incarnation: number;
@@ -67,6 +73,9 @@
   failingSince: number;
   /** The order in flight, or null. */
   order: number | null;
+  /** Whether the server was asked, while its lease is waited for, if it is still
+   * there. */
+  isAsked: boolean;
   /** Whether the last order was withheld, for lack of a connection. */
   isUnconnected: boolean;
   /** When requests for the keys began to wait, or 0 while they do not. */
@@ -87,6 +96,8 @@
     state: "vacant",
     server: null,
     address: null,
+    addresses: [],
+    grantSentAt: -Infinity,
     incarnation: 0,
     isFenced: false,
     handover: null,
@@ -99,6 +110,7 @@
     failures: 0,
     failingSince: 0,
     order: null,
+    isAsked: false,
     isUnconnected: false,
     closedAt: 0,
     releasedAt: 0,
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -22,6 +22,8 @@
   hold: number;
   /** Where it was sent. */
   address: string;
+  /** Incarnation under which its server was listed then; 0 if unknown. */
+  incarnation: number;
 }
 
 /** See the module's comment. */
@@ -65,7 +67,12 @@
     hold: number,
     now: number,
   ): GrantOrder {
+    const address = range.address!;
     range.hold = hold;
+    range.grantSentAt = now;
+    if (!range.addresses.includes(address)) {
+      range.addresses = [...range.addresses, address];
+    }
     return {
       kind: "order.grant",
       order: this.#add(table, range, "grant", hold, now),
@@ -139,7 +146,9 @@
     range.order = id;
     range.isUnconnected = false;
     const address = range.address!;
-    this.#pending.set(id, { table, range, kind, sentAt: now, hold, address });
+    const { incarnation } = range;
+    const order = { table, range, kind, sentAt: now, hold, address };
+    this.#pending.set(id, { ...order, incarnation });
     return id;
   }
 }
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -50,6 +50,7 @@
       range.state = "held";
       range.server = each.server;
       range.address = each.address;
+      range.addresses = each.address === null ? [] : [each.address];
       range.inheritedEnd = predecessorEnd;
       range.olderOrdersEnd = olderOrdersEnd;
       return range;
@@ -125,6 +126,10 @@
         continue;
       }
       before.last = range.last;
+      before.addresses = [
+        ...new Set([...before.addresses, ...range.addresses]),
+      ];
+      before.grantSentAt = Math.max(before.grantSentAt, range.grantSentAt);
       before.leaseEnd = Math.max(before.leaseEnd, range.leaseEnd);
       before.inheritedEnd = Math.max(before.inheritedEnd, range.inheritedEnd);
       before.olderOrdersEnd = Math.max(
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -269,11 +269,9 @@
         return this.#passOn(table, range, now, hold, storeSilence);
       case "expiring":
         if (now >= this.#orders.heldUntil(range)) this.#vacate(table, range);
-        else if (this.#isReplaced(range)) {
-          this.#vacateAllOf(table, range.server!, now);
-        } else if (this.#isRestarted(range)) {
+        else if (this.#isRestarted(range)) {
           this.#giveBack(table, range, now, hold);
-        }
+        } else this.#askIfReplaced(table, range, now);
     }
   }
 
@@ -338,10 +336,17 @@
     return aliveAt < range.failingSince || now >= range.leaseEnd;
   }
 
-  /** Whether another server is listed at the address, which proves that the one
-   * before has ended, and refuses the orders that are meant for that one. */
-  #isReplaced({ address, server }: HeldRange): boolean {
-    return address !== null && this.fleet.isReused(address, server!);
+  /**
+   * Asks a server for keys whose lease is waited for, when another one is listed
+   * at its address. The entry alone proves nothing, since entries may come from
+   * other writers; the refusal of an order that names the server does.
+   */
+  #askIfReplaced(table: RangeTable, range: HeldRange, now: number): void {
+    const { address, server, isAsked } = range;
+    if (isAsked || address === null || this.#orders.mustWait(range)) return;
+    if (!this.fleet.isReused(address, server!)) return;
+    range.isAsked = true;
+    this.#effects.push(this.#orders.release(table, range, now));
   }
 
   /** Whether the server has started again since it was last granted the keys. It
@@ -441,28 +446,31 @@
     range.dueAt = now;
   }
 
-  /** Another server listens at the address of the one that was meant. What that
-   * one held ended with it, and orders to it are refused, so the keys are free. */
+  /** Another server listens at the address of the one that was meant, whose run
+   * has ended there, and with it what that run held. */
   #misdirected(order: PendingOrder, now: number): void {
-    const { table, range, address } = order;
-    const entry = this.fleet.get(range.server!)?.entry;
-    const hasMoved = entry !== undefined && entry.address !== address;
-    if (hasMoved) return this.#failed(order, now);
-    this.#vacateAllOf(table, range.server!, now);
+    const { table, range, incarnation } = order;
+    const server = range.server!;
+    const entry = this.fleet.get(server)?.entry;
+    const hasMoved = entry !== undefined && entry.address !== order.address;
+    if (hasMoved || !isGrantedOnlyAt(range, order.address)) {
+      return this.#failed(order, now);
+    }
+    this.#noteEnd(server, incarnation);
+    for (const each of table.ranges) {
+      if (each.server !== server || each.order !== null) continue;
+      if (each !== range && !isHeldByRunOf(order, each)) continue;
+      if (each.closedAt === 0) each.closedAt = now;
+      this.#vacate(table, each);
+    }
   }
 
-  /** Frees all keys of a server that has ended, but for those of which an answer
-   * is still to come. */
-  #vacateAllOf(table: RangeTable, server: string, now: number): void {
+  /** Remembers that a run has ended, as long as its server is listed. */
+  #noteEnd(server: string, incarnation: number): void {
     for (const id of this.#ended.keys()) {
       if (this.fleet.get(id) === undefined) this.#ended.delete(id);
     }
-    this.#ended.set(server, this.#incarnation(server));
-    for (const range of table.ranges) {
-      if (range.server !== server || range.order !== null) continue;
-      if (range.closedAt === 0) range.closedAt = now;
-      this.#vacate(table, range);
-    }
+    this.#ended.set(server, incarnation);
   }
 
   #failed({ range, sentAt, hold }: PendingOrder, now: number): void {
@@ -477,7 +485,10 @@
 
   #released(order: PendingOrder, outcome: OrderOutcome, now: number): void {
     const { range } = order;
-    if (outcome.kind !== "accepted") {
+    // One that was only asked if it is still there waits for its lease unless
+    // what older holders granted it is known to be over.
+    const isOver = range.isFenced && now >= range.olderOrdersEnd;
+    if (outcome.kind !== "accepted" || (range.isAsked && !isOver)) {
       range.state = "expiring";
       return;
     }
@@ -586,3 +597,16 @@
     return effects;
   }
 }
+
+/** Whether all grants by which the server of a range may hold it went to
+ * `address`: what is found there says nothing of a run elsewhere. */
+function isGrantedOnlyAt({ addresses }: HeldRange, address: string): boolean {
+  return addresses.every((each) => each === address);
+}
+
+/** Whether a range of the server of a refused order can be held by no other run
+ * than the one that had ended by then: a later run may have taken later grants. */
+function isHeldByRunOf(order: PendingOrder, range: HeldRange): boolean {
+  return isGrantedOnlyAt(range, order.address) &&
+    range.grantSentAt < order.sentAt;
+}
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -97,6 +97,9 @@
   isForgetful?: boolean;
   /** Whether orders name no server, so that any run at the address takes them. */
   areOrdersNameless?: boolean;
+  /** Whether a server refuses orders as not meant for it when any other entry
+   * is listed at its address, so that entries count as the end of a server. */
+  areEntriesProof?: boolean;
   /** Whether a renewal has the token of the grant that it renews. */
   areTokensReused?: boolean;
   /** Whether connections are opened for all orders. */
@@ -525,6 +528,9 @@
     if (server.id !== order.server && !this.options.areOrdersNameless) {
       return { kind: "misdirected" };
     }
+    if (this.options.areEntriesProof && this.#isListedElse(server)) {
+      return { kind: "misdirected" };
+    }
     const accepted: OrderOutcome = { kind: "accepted", handover: "h" };
     if (order.kind === "order.release") {
       server.release(order);
@@ -620,6 +626,13 @@
     }
   }
 
+  /** Whether an entry of another server has this one's address. */
+  #isListedElse({ id, address }: ModelServer): boolean {
+    return [...this.#listed.values()].some((each) =>
+      each.address === address && each.id !== id
+    );
+  }
+
   /** Lists a copy of a server's entry that is not its own, for a while. */
   #copy(server: ModelServer, duration: number): void {
     const entry = this.#listed.get(server.id);
