Ownership: a server that is back after another had its address

A server, another one at its address for 172 ms, and the first again: the other one's entry frees keys that the first one's new run has just been granted.

--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -167,3 +167,31 @@
   const weakness = { isConnectingAlways: true };
   t.not(findViolation(estrangements, 200, weakness), null);
 });
+
+// A server's process ends, another server listens at its address for 172 ms, and
+// the first one is back there. The other one's entry, read while it was up or
+// after, was taken for the proof that the first had ended, and its keys went on
+// while its new run had just been granted some of them.
+test("a server that is back after another had its address keeps its keys", (t) => {
+  const { violations } = World.play({
+    vms: 1,
+    servers: 2,
+    faults: [
+      { kind: "server.replaced", at: 3001, duration: 1032, target: 1 },
+      { kind: "server.replaced", at: 19362, duration: 2, target: 8 },
+      { kind: "server.restart", at: 8640, duration: 270, target: 1 },
+      { kind: "server.replaced", at: 5360, duration: 4563, target: 12 },
+      { kind: "server.replaced", at: 6705, duration: 5991, target: 15 },
+      { kind: "server.replaced", at: 21995, duration: 711, target: 9 },
+      { kind: "server.restart", at: 8157, duration: 1921, target: 2 },
+      { kind: "server.replaced", at: 16153, duration: 964, target: 14 },
+      { kind: "server.restart", at: 3007, duration: 5998, target: 1 },
+      { kind: "server.replaced", at: 3005, duration: 339, target: 2 },
+      { kind: "vm.cut_from_servers", at: 15506, duration: 4466, target: 6 },
+      { kind: "vm.cut_from_servers", at: 13434, duration: 3625, target: 0 },
+    ],
+    duration: 26_000,
+    seed: 493934156,
+  });
+  t.deepEqual(violations, []);
+});
