Key leases: an entry at a server's address is asked about, not believed

Cause: `Fleet.isReused` was taken as proof that a server had ended. The entry of another server there says only that this one was there once: it may have been there before, or the server may be back after it, with a grant that its own entry does not tell yet.

The entry now makes the holder ask: a release that names the server goes to the address. Another server refuses it, which is the proof; the server itself answers and is given its keys again; silence changes nothing. It costs one order, where waiting for the lease costs seconds. A refusal frees the server's other keys only where no order has ended since it was asked for: one of those may have reached a run that is back.

--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -118,21 +118,13 @@
     return this.#joinedAt.get(service) ?? -Infinity;
   }
 
-  /**
-   * Whether another server has taken `address` after the server `id` had it. One
-   * that was listed before that server, or started before its newest run, says
-   * nothing: entries of servers that are gone stay for a while.
-   */
+  /** Whether another server than `id` is listed at `address`. It may have been
+   * there before: entries of servers that are gone stay for a while. */
   isReused(address: string, id: string): boolean {
-    const since = this.get(id)?.entry.incarnation ?? 0;
-    let isReused = false;
-    for (const { id: other, entry } of this.#servers.values()) {
-      if (other === id) isReused = false;
-      else if (entry.address === address && entry.incarnation >= since) {
-        isReused = true;
-      }
+    for (const server of this.#servers.values()) {
+      if (server.entry.address === address && server.id !== id) return true;
     }
-    return isReused;
+    return false;
   }
 
   /** Mean of the known latencies of a service's servers, in milliseconds. */
--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -67,6 +67,8 @@
   failingSince: number;
   /** The order in flight, or null. */
   order: number | null;
+  /** When the last order to the server ended. */
+  orderEndedAt: number;
   /** Whether the last order was withheld, for lack of a connection. */
   isUnconnected: boolean;
   /** When requests for the keys began to wait, or 0 while they do not. */
@@ -99,6 +101,7 @@
     failures: 0,
     failingSince: 0,
     order: null,
+    orderEndedAt: 0,
     isUnconnected: false,
     closedAt: 0,
     releasedAt: 0,
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -102,11 +102,12 @@
   }
 
   /** An order ended; undefined for one of another term. */
-  end(id: number): PendingOrder | undefined {
+  end(id: number, now: number): PendingOrder | undefined {
     const order = this.#pending.get(id);
     if (order === undefined) return undefined;
     this.#pending.delete(id);
     order.range.order = null;
+    order.range.orderEndedAt = now;
     return order;
   }
 
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -131,6 +131,7 @@
         before.olderOrdersEnd,
         range.olderOrdersEnd,
       );
+      before.orderEndedAt = Math.max(before.orderEndedAt, range.orderEndedAt);
       before.doubtEnd = Math.max(before.doubtEnd, range.doubtEnd);
       before.isFenced = before.isFenced && range.isFenced;
       before.revision = Math.max(before.revision, range.revision);
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -204,7 +204,7 @@
 
   /** An order ended. Returns false when a newer holder was found out. */
   ordered(id: number, outcome: OrderOutcome, now: number): boolean {
-    const order = this.#orders.end(id);
+    const order = this.#orders.end(id, now);
     if (order === undefined) return true;
     if (outcome.kind === "superseded") return false;
     if (outcome.kind === "withheld") this.#withheld(order, now);
@@ -269,10 +269,10 @@
         return this.#passOn(table, range, now, hold, storeSilence);
       case "expiring":
         if (now >= this.#orders.heldUntil(range)) this.#vacate(table, range);
-        else if (this.#isReplaced(range)) {
-          this.#vacateAllOf(table, range.server!, now);
-        } else if (this.#isRestarted(range)) {
+        else if (this.#isRestarted(range)) {
           this.#giveBack(table, range, now, hold);
+        } else if (now >= range.dueAt && this.#isReplaced(range)) {
+          this.#probe(table, range, now);
         }
     }
   }
@@ -299,19 +299,24 @@
     this.#giveBack(table, range, now, hold);
   }
 
-  /** Gives keys to the server that is on record for them, so that nothing has to
-   * be written first. */
+  /** Grants keys again to the server that is on record for them. */
   #giveBack(
     table: RangeTable,
     range: HeldRange,
     now: number,
     hold: number,
   ): void {
+    this.#return(table, range, now);
+    this.#grant(table, range, now, hold);
+  }
+
+  /** Assigns keys to the server that is on record for them, so that nothing has
+   * to be written first. */
+  #return(table: RangeTable, range: HeldRange, now: number): void {
     range.destination = null;
     range.failures = 0;
     this.#give(table, range, range.server!, now);
     range.revision = Math.min(range.revision, table.recorded);
-    this.#grant(table, range, now, hold);
   }
 
   /**
@@ -338,8 +343,28 @@
     return aliveAt < range.failingSince || now >= range.leaseEnd;
   }
 
-  /** Whether another server is listed at the address, which proves that the one
-   * before has ended, and refuses the orders that are meant for that one. */
+  /**
+   * Asks whether the server of keys that wait for a lease still listens at its
+   * address. Only the answer proves something: the other server that is listed
+   * there may have been there before, and may have ended too. It is a release,
+   * which gives nobody keys.
+   */
+  #probe(table: RangeTable, range: HeldRange, now: number): void {
+    if (this.#orders.mustWait(range)) return;
+    this.#effects.push(this.#orders.release(table, range, now));
+  }
+
+  /** The server itself has answered, and is given its keys again, or nobody. */
+  #probed(
+    { table, range }: PendingOrder,
+    outcome: OrderOutcome,
+    now: number,
+  ): void {
+    range.dueAt = now + RETRY_PAUSE;
+    if (outcome.kind === "accepted") this.#return(table, range, now);
+  }
+
+  /** Whether another server is listed at the address. */
   #isReplaced({ address, server }: HeldRange): boolean {
     return address !== null && this.fleet.isReused(address, server!);
   }
@@ -444,22 +469,30 @@
   /** Another server listens at the address of the one that was meant. What that
    * one held ended with it, and orders to it are refused, so the keys are free. */
   #misdirected(order: PendingOrder, now: number): void {
-    const { table, range, address } = order;
+    const { range, address } = order;
     const entry = this.fleet.get(range.server!)?.entry;
     const hasMoved = entry !== undefined && entry.address !== address;
     if (hasMoved) return this.#failed(order, now);
-    this.#vacateAllOf(table, range.server!, now);
+    this.#vacateAllOf(order, range.server!, now);
   }
 
-  /** Frees all keys of a server that has ended, but for those of which an answer
-   * is still to come. */
-  #vacateAllOf(table: RangeTable, server: string, now: number): void {
+  /**
+   * Frees all keys of a server that had ended when an order to it was refused,
+   * but for those that were ordered since: the server may be back, and another
+   * order have reached it.
+   */
+  #vacateAllOf(
+    { table, range: asked, sentAt }: PendingOrder,
+    server: string,
+    now: number,
+  ): void {
     for (const id of this.#ended.keys()) {
       if (this.fleet.get(id) === undefined) this.#ended.delete(id);
     }
     this.#ended.set(server, this.#incarnation(server));
     for (const range of table.ranges) {
       if (range.server !== server || range.order !== null) continue;
+      if (range !== asked && range.orderEndedAt > sentAt) continue;
       if (range.closedAt === 0) range.closedAt = now;
       this.#vacate(table, range);
     }
@@ -477,6 +510,7 @@
 
   #released(order: PendingOrder, outcome: OrderOutcome, now: number): void {
     const { range } = order;
+    if (range.state === "expiring") return this.#probed(order, outcome, now);
     if (outcome.kind !== "accepted") {
       range.state = "expiring";
       return;
