--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -42,8 +42,6 @@
   address: string | null;
   /** Where the server was sent grants by which it may hold the keys. */
   addresses: readonly string[];
-  /** When it was sent the last of them by this holder. */
-  grantSentAt: number;
   /** Incarnation under which the server was listed when it was last granted the
    * keys; 0 where it is not known. */
   incarnation: number;
@@ -73,9 +71,8 @@
   failingSince: number;
   /** The order in flight, or null. */
   order: number | null;
-  /** Whether the server was asked, while its lease is waited for, if it is still
-   * there. */
-  isAsked: boolean;
+  /** When the last order to the server ended. */
+  orderEndedAt: number;
   /** Whether the last order was withheld, for lack of a connection. */
   isUnconnected: boolean;
   /** When requests for the keys began to wait, or 0 while they do not. */
@@ -97,7 +94,6 @@
     server: null,
     address: null,
     addresses: [],
-    grantSentAt: -Infinity,
     incarnation: 0,
     isFenced: false,
     handover: null,
@@ -110,7 +106,7 @@
     failures: 0,
     failingSince: 0,
     order: null,
-    isAsked: false,
+    orderEndedAt: 0,
     isUnconnected: false,
     closedAt: 0,
     releasedAt: 0,
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -69,7 +69,6 @@
   ): GrantOrder {
     const address = range.address!;
     range.hold = hold;
-    range.grantSentAt = now;
     if (!range.addresses.includes(address)) {
       range.addresses = [...range.addresses, address];
     }
@@ -109,11 +108,12 @@
   }
 
   /** An order ended; undefined for one of another term. */
-  end(id: number): PendingOrder | undefined {
+  end(id: number, now: number): PendingOrder | undefined {
     const order = this.#pending.get(id);
     if (order === undefined) return undefined;
     this.#pending.delete(id);
     order.range.order = null;
+    order.range.orderEndedAt = now;
     return order;
   }
 
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -129,13 +129,13 @@
       before.addresses = [
         ...new Set([...before.addresses, ...range.addresses]),
       ];
-      before.grantSentAt = Math.max(before.grantSentAt, range.grantSentAt);
       before.leaseEnd = Math.max(before.leaseEnd, range.leaseEnd);
       before.inheritedEnd = Math.max(before.inheritedEnd, range.inheritedEnd);
       before.olderOrdersEnd = Math.max(
         before.olderOrdersEnd,
         range.olderOrdersEnd,
       );
+      before.orderEndedAt = Math.max(before.orderEndedAt, range.orderEndedAt);
       before.doubtEnd = Math.max(before.doubtEnd, range.doubtEnd);
       before.isFenced = before.isFenced && range.isFenced;
       before.revision = Math.max(before.revision, range.revision);
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -204,7 +204,7 @@
 
   /** An order ended. Returns false when a newer holder was found out. */
   ordered(id: number, outcome: OrderOutcome, now: number): boolean {
-    const order = this.#orders.end(id);
+    const order = this.#orders.end(id, now);
     if (order === undefined) return true;
     if (outcome.kind === "superseded") return false;
     if (outcome.kind === "withheld") this.#withheld(order, now);
@@ -271,7 +271,9 @@
         if (now >= this.#orders.heldUntil(range)) this.#vacate(table, range);
         else if (this.#isRestarted(range)) {
           this.#giveBack(table, range, now, hold);
-        } else this.#askIfReplaced(table, range, now);
+        } else if (now >= range.dueAt && this.#isReplaced(range)) {
+          this.#probe(table, range, now);
+        }
     }
   }
 
@@ -297,19 +299,24 @@
     this.#giveBack(table, range, now, hold);
   }
 
-  /** Gives keys to the server that is on record for them, so that nothing has to
-   * be written first. */
+  /** Grants keys again to the server that is on record for them. */
   #giveBack(
     table: RangeTable,
     range: HeldRange,
     now: number,
     hold: number,
   ): void {
+    this.#return(table, range, now);
+    this.#grant(table, range, now, hold);
+  }
+
+  /** Assigns keys to the server that is on record for them, so that nothing has
+   * to be written first. */
+  #return(table: RangeTable, range: HeldRange, now: number): void {
     range.destination = null;
     range.failures = 0;
     this.#give(table, range, range.server!, now);
     range.revision = Math.min(range.revision, table.recorded);
-    this.#grant(table, range, now, hold);
   }
 
   /**
@@ -337,18 +344,31 @@
   }
 
   /**
-   * Asks a server for keys whose lease is waited for, when another one is listed
-   * at its address. The entry alone proves nothing, since entries may come from
-   * other writers; the refusal of an order that names the server does.
+   * Asks whether the server of keys that wait for a lease still listens at its
+   * address. Only the answer proves something: the other server that is listed
+   * there may have been there before, and may have ended too. It is a release,
+   * which gives nobody keys.
    */
-  #askIfReplaced(table: RangeTable, range: HeldRange, now: number): void {
-    const { address, server, isAsked } = range;
-    if (isAsked || address === null || this.#orders.mustWait(range)) return;
-    if (!this.fleet.isReused(address, server!)) return;
-    range.isAsked = true;
+  #probe(table: RangeTable, range: HeldRange, now: number): void {
+    if (this.#orders.mustWait(range)) return;
     this.#effects.push(this.#orders.release(table, range, now));
   }
 
+  /** The server itself has answered, and is given its keys again, or nobody. */
+  #probed(
+    { table, range }: PendingOrder,
+    outcome: OrderOutcome,
+    now: number,
+  ): void {
+    range.dueAt = now + RETRY_PAUSE;
+    if (outcome.kind === "accepted") this.#return(table, range, now);
+  }
+
+  /** Whether another server is listed at the address. */
+  #isReplaced({ address, server }: HeldRange): boolean {
+    return address !== null && this.fleet.isReused(address, server!);
+  }
+
   /** Whether the server has started again since it was last granted the keys. It
    * holds and knows nothing then, and no other server can have the keys. */
   #isRestarted({ server, incarnation }: HeldRange): boolean {
@@ -449,17 +469,20 @@
   /** Another server listens at the address of the one that was meant, whose run
    * has ended there, and with it what that run held. */
   #misdirected(order: PendingOrder, now: number): void {
-    const { table, range, incarnation } = order;
+    const { table, range, address, sentAt, incarnation } = order;
     const server = range.server!;
     const entry = this.fleet.get(server)?.entry;
-    const hasMoved = entry !== undefined && entry.address !== order.address;
-    if (hasMoved || !isGrantedOnlyAt(range, order.address)) {
+    const hasMoved = entry !== undefined && entry.address !== address;
+    if (hasMoved || !isGrantedOnlyAt(range, address)) {
       return this.#failed(order, now);
     }
     this.#noteEnd(server, incarnation);
     for (const each of table.ranges) {
       if (each.server !== server || each.order !== null) continue;
-      if (each !== range && !isHeldByRunOf(order, each)) continue;
+      // A later run may have taken what was ordered since.
+      const isOlder = each.orderEndedAt <= sentAt;
+      const isOfRun = isOlder && isGrantedOnlyAt(each, address);
+      if (each !== range && !isOfRun) continue;
       if (each.closedAt === 0) each.closedAt = now;
       this.#vacate(table, each);
     }
@@ -485,10 +508,8 @@
 
   #released(order: PendingOrder, outcome: OrderOutcome, now: number): void {
     const { range } = order;
-    // One that was only asked if it is still there waits for its lease unless
-    // what older holders granted it is known to be over.
-    const isOver = range.isFenced && now >= range.olderOrdersEnd;
-    if (outcome.kind !== "accepted" || (range.isAsked && !isOver)) {
+    if (range.state === "expiring") return this.#probed(order, outcome, now);
+    if (outcome.kind !== "accepted") {
       range.state = "expiring";
       return;
     }
@@ -603,10 +624,3 @@
 function isGrantedOnlyAt({ addresses }: HeldRange, address: string): boolean {
   return addresses.every((each) => each === address);
 }
-
-/** Whether a range of the server of a refused order can be held by no other run
- * than the one that had ended by then: a later run may have taken later grants. */
-function isHeldByRunOf(order: PendingOrder, range: HeldRange): boolean {
-  return isGrantedOnlyAt(range, order.address) &&
-    range.grantSentAt < order.sentAt;
-}
