--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -27,6 +27,8 @@
 /** Longest time for which an idle connection is kept, in milliseconds; less
  * where the server names a shorter one. */
 const IDLE_TIMEOUT = 8_000;
+/** Statuses below this are none (RFC 9110, 15). */
+const LOWEST_STATUS = 100;
 /** Headers that concern one connection only (RFC 9110, 7.6.1). */
 const HOP_BY_HOP = new Set([
   "connection",
@@ -115,6 +117,20 @@
 
   /** Sends a request; ends with one `attempt.ended`, unless it is cancelled. */
   send(start: AttemptStart, outgoing: OutgoingRequest): void {
+    try {
+      this.#open(start, outgoing);
+    } catch (error) {
+      // Node throws for what it cannot send, as an entry of the registry may say
+      // anything; a throw from here would end the process.
+      this.sink.push({
+        kind: "attempt.ended",
+        attempt: start.attempt,
+        outcome: { kind: "failed", wasSent: false, cause: errorText(error) },
+      });
+    }
+  }
+
+  #open(start: AttemptStart, outgoing: OutgoingRequest): void {
     const separator = start.address.lastIndexOf(":");
     const request = httpRequest({
       host: start.address.slice(0, separator),
@@ -229,6 +245,9 @@
     outgoing: OutgoingRequest,
   ): void {
     const status = response.statusCode ?? 0;
+    if (status < LOWEST_STATUS) {
+      return this.#fail(attempt, running, true, `status ${status}`);
+    }
     const facts = this.codec.readAnswer(status, response.headers, outgoing.id);
     const chunks: Buffer[] = [];
     response.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -265,7 +284,7 @@
     if (this.#attempts.get(attempt) !== running) return;
     running.answer = {
       status: response.statusCode ?? 0,
-      statusText: response.statusMessage ?? "",
+      statusText: printable(response.statusMessage),
       headers: withoutHopByHop(response.rawHeaders),
       body,
     };
@@ -323,6 +342,11 @@
   });
 }
 
+/** A status text as Node sends it on, or none. */
+function printable(text = ""): string {
+  return /^[\t\x20-\x7e\x80-\xff]*$/.test(text) ? text : "";
+}
+
 function withoutHopByHop(headers: readonly string[]): string[] {
   const kept: string[] = [];
   for (let i = 0; i < headers.length; i += 2) {
