--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -45,16 +45,21 @@
     headers: PlatformHeaders.create(),
     orders: PlatformOrders.create(),
   };
-  const entry = await EntryProcess.start(
+  const starting = EntryProcess.start(
     settings,
     platform,
     process.stdout,
     run.readUInt32BE(0),
   );
-  // Each time: without a listener a second one would kill the process.
-  process.on("SIGTERM", () => entry.shutdown());
-  process.once("SIGINT", () => entry.shutdown());
-  process.on("SIGHUP", () => reload(entry, file, settings));
+  // Before anything else can come: without a listener a signal kills a process
+  // that accepts connections already. A start that fails is told below.
+  const started = (act: (entry: EntryProcess) => void) => () =>
+    void starting.then(act, () => {});
+  // Each time: a second one would kill the process as well.
+  process.on("SIGTERM", started((entry) => entry.shutdown()));
+  process.once("SIGINT", started((entry) => entry.shutdown()));
+  process.on("SIGHUP", started((entry) => reload(entry, file, settings)));
+  const entry = await starting;
   await entry.stopped;
 }
 
