--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -50,6 +50,10 @@
 /** Milliseconds in a second, the unit of `Retry-After`. */
 const SECOND = 1_000;
 
+/** Errors of a connection whose caller has ended it, in the middle of a request
+ * or not. */
+const HAS_LEFT = new Set(["ECONNRESET", "HPE_INVALID_EOF_STATE"]);
+
 /** One exchange with a caller. */
 interface Exchange {
   request: IncomingMessage;
@@ -337,7 +341,7 @@
    * one of them. */
   #fault(error: NodeJS.ErrnoException, socket: Duplex): void {
     const connection = this.#connections.get(socket);
-    if (connection === undefined || error.code === "ECONNRESET") {
+    if (connection === undefined || HAS_LEFT.has(error.code ?? "")) {
       socket.destroy();
       return;
     }
