Requests that wait are refused before a shutdown ends

shutdown_waiting_test: red before, green after; src/core and dispatch tests as before. 250 ms before the stop, since a refusal has to reach its caller.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -104,6 +104,16 @@
     return this.#answers.turnedAway(arrival);
   }
 
+  /** Gives up all requests that wait for a server. */
+  stopWaiting(reason: string, now: number): DispatchEffect[] {
+    for (const request of [...this.#requests.values()]) {
+      if (request.attempts.length > 0) continue;
+      this.#waiting.remove(request);
+      this.#giveUpWaiting(request, reason, now);
+    }
+    return this.#take();
+  }
+
   /** A caller left without waiting for its answer. */
   leave(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -202,6 +202,9 @@
     );
     this.peers.advance(this.#store, now);
     this.#put(...this.dispatcher.advance(now));
+    if (this.#shutdown.isEnding(now)) {
+      this.#put(...this.dispatcher.stopWaiting("this VM is stopping", now));
+    }
     this.#updateReadiness();
     this.#put(...this.#shutdown.advance(this.dispatcher.pending, now));
   }
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -13,6 +13,10 @@
  * then the balancer has turned to other VMs. */
 const TURN_AWAY_SHARE = 0.8;
 
+/** Time before the end in which nothing waits any more, in milliseconds: what
+ * callers are told instead has to reach them. */
+const PARTING_TIME = 250;
+
 /** See the module's comment. */
 export class Shutdown {
   #startedAt: number | null = null;
@@ -38,6 +42,13 @@
     return now - this.#startedAt >= this.timing.closeAfter * TURN_AWAY_SHARE;
   }
 
+  /** Whether its time is all but over: what has not been sent by now would be cut
+   * with its connection, and has run nowhere. */
+  isEnding(now: number): boolean {
+    if (this.#startedAt === null) return false;
+    return now - this.#startedAt >= this.timing.stopAfter - PARTING_TIME;
+  }
+
   /** It is asked for; false when it was before. */
   start(now: number): boolean {
     if (this.#startedAt !== null) return false;
