--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -168,6 +168,75 @@
   t.deepEqual(runs, ["i-1 200", "i-2 300"]);
 });
 
+/**
+ * Seen: a VM went on listing a server that had ended half a minute before, and
+ * sent requests to it. It had slept through the removal; when it woke, the term
+ * holder's news took the server off its list, and a peer that did not know of the
+ * removal yet put it back by telling all that it knew. News say only what changes,
+ * so nothing ever took it off again.
+ */
+for (const isFirst of [true, false]) {
+  const order = isFirst ? "before" : "after";
+  test(`entry: a server that has ended goes, though a peer tells of it ${order} the news`, (t) => {
+    const { entry, step } = createEntry("vm-1");
+    const servers = [{
+      id: "i-1",
+      incarnation: 5,
+      service: "s",
+      address: "h:1",
+      availabilityZone: "a",
+      slots: 3,
+      isDraining: false,
+      warmUp: 0,
+    }];
+    const configuration = configured(1);
+    if (configuration.kind !== "configuration.read") return t.fail();
+    const knowledge = { term: 0, version: 0, configuration: 1 };
+    const state: Occurrence = {
+      kind: "peer.received",
+      address: "vm-2",
+      message: {
+        ...knowledge,
+        kind: "state.told",
+        state: { ...configuration, servers, assignments: [], holder: null },
+      },
+    };
+    const news = (since: number, removed: string[]): Occurrence => ({
+      kind: "peer.received",
+      address: "vm-3",
+      message: {
+        ...knowledge,
+        kind: "servers.told",
+        registry: {
+          since,
+          position: 6,
+          entries: [],
+          removed,
+          unreadable: [],
+          knownAt: null,
+        },
+      },
+    });
+    step(0, configuration);
+    const read = {
+      entries: servers,
+      removed: [],
+      unreadable: [],
+      isWhole: true,
+      position: 5,
+    };
+    step(10, { kind: "servers.read", read, sentAt: 0 });
+    step(60_000, { kind: "timer" });
+    const told = [state, news(5, ["i-1"])];
+    for (const each of isFirst ? told : told.reverse()) step(60_010, each);
+    step(60_500, news(6, []));
+    step(63_000, state);
+    step(63_500, news(6, []));
+    step(66_000, { kind: "timer" });
+    t.deepEqual(entry.beliefs.fleet.all().map(({ id }) => id), []);
+  });
+}
+
 test("entry: the holder's word spares a read of the registry, and its silence brings one", (t) => {
   const { step } = createEntry("vm-1");
   const entries = [{
