Fleet: what only a peer told of a server is confirmed by the registry, or goes

Cause: state.told carries no position. A VM that had slept took a removal by the holder's news and, in the same moment, the server's entry by the word of a peer that did not know of the removal yet. The registry's replica had consumed the removal; news and reads tell changes only, so the server stayed listed, with requests sent to its dead address, until a whole read.

A peer's word no longer clears a doubt, and a server that only such words list is withdrawn with the next read or news of the registry that does not list it. While the store is out and no news come it is used as before. Ruled out: taking no servers by such words once the registry is known, since a VM cut off from the store would then not learn of new ones.

Not from restarts under the same id, nor new: the older code put it back too.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -229,6 +229,7 @@
         ? fleet.replace(entries, now, unreadable)
         : fleet.apply(entries, removed, now, unreadable),
     );
+    fleet.confirm((id) => registry.isListed(id), now);
   }
 
   #claimed(effects: KeyspaceEffect[]): void {
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -43,6 +43,8 @@
   readonly #servers = new Map<string, TrackedServer>();
   readonly #byService = new Map<string, TrackedServer[]>();
   readonly #joinedAt = new Map<string, number>();
+  /** Ids that only words without a position have listed. */
+  readonly #unconfirmed = new Set<string>();
   /** Ids whose removal waits, and until when. */
   readonly #doubtful = new Map<string, number>();
   readonly #usualLatencies = new Map<
@@ -83,12 +85,28 @@
    * registry. Such a word cannot tell which of two runs is the newer, so a
    * server that is listed stays the run that it is: a wrong step back would
    * forget what the newer run holds, while one that is late is made up for by
-   * the next read.
+   * the next read. Nor can it tell whether a server has been removed since: one
+   * that is doubted stays so, and one that is not listed has to be confirmed.
    */
   learn(entries: readonly BackendServer[], now: number): FleetChange[] {
     const isOfSameRun = ({ id, incarnation }: BackendServer) =>
       (this.get(id)?.entry.incarnation ?? incarnation) === incarnation;
-    return this.apply(entries.filter(isOfSameRun), [], now);
+    const usable = entries.filter((entry) =>
+      isOfSameRun(entry) && !this.#doubtful.has(entry.id)
+    );
+    for (const { id } of usable) {
+      if (!this.#servers.has(id)) this.#unconfirmed.add(id);
+    }
+    return this.apply(usable, [], now);
+  }
+
+  /** The registry is known again, by a position: a server that only other VMs
+   * told of and that is not listed there goes, unless an entry of it comes. */
+  confirm(isListed: (id: string) => boolean, now: number): void {
+    for (const id of this.#unconfirmed) {
+      if (!isListed(id)) this.#doubt(id, now);
+    }
+    this.#unconfirmed.clear();
   }
 
   /** Takes a whole list: servers that it does not hold are removed. */
@@ -213,6 +231,7 @@
 
   #forget({ id, entry: { service } }: TrackedServer): void {
     this.#servers.delete(id);
+    this.#unconfirmed.delete(id);
     const others = this.of(service).filter((each) => each.id !== id);
     if (others.length > 0) this.#byService.set(service, others);
     else this.#byService.delete(service);
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -196,6 +196,7 @@
     this.beliefs.changeServers(
       fleet.apply(changes.entries, changes.removed, now, changes.unreadable),
     );
+    fleet.confirm((id) => registry.isListed(id), now);
   }
 
   #hear(address: string, { vms, fittest }: HolderWord, now: number): void {
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -84,6 +84,11 @@
     return this.#knownAt;
   }
 
+  /** Whether a server is listed. */
+  isListed(id: string): boolean {
+    return this.#servers.has(id);
+  }
+
   /** Position from which on the run of a server that is listed now is known;
    * what a VM at an older position says of the server may be of another run. 0
    * for a server that is not listed. */
