Key leases: keys are taken back at once after a change of term again

`olderOrdersEnd` goes: for 2.8 s after a change of term that the former holder did not speak to, keys were not asked back from a server that was leaving. Since a former holder opens no connections, its orders reach no run that started after it was replaced, and runs that were there are fenced before they are asked for keys; the bound protected nothing more.

--- a/src/core/keyspace/exposure.ts
+++ b/src/core/keyspace/exposure.ts
@@ -1,7 +1,6 @@
 /**
- * Until when servers may hold keys by the grants of one holder, and until when
- * its orders may reach them: what its successor would otherwise have to assume
- * the worst of.
+ * Until when servers may hold keys by the grants of one holder: what its
+ * successor would otherwise have to assume the worst of.
  *
  * @module
  */
@@ -14,9 +13,6 @@
   /** Milliseconds from now until no server can hold the keys any more, if no
    * grant follows; 0 when none can now. */
   remaining: z.number().nonnegative(),
-  /** Milliseconds from now until no order of this holder or of older ones can
-   * reach a server any more; unknown if left out. */
-  ordersRemaining: z.number().nonnegative().optional(),
 });
 
 /** See {@linkcode exposureSchema}. */
--- a/src/core/keyspace/held_range.ts
+++ b/src/core/keyspace/held_range.ts
@@ -52,9 +52,6 @@
    * term does not shorten them: a server keeps the longest hold it was given
    * until it releases the keys. */
   inheritedEnd: number;
-  /** Until when orders of older holders may reach the server. They are refused
-   * by a run that has seen a newer token, and not by the next run. */
-  olderOrdersEnd: number;
   /** When grants that it did not answer run out at the latest. */
   doubtEnd: number;
   /** Hold time of the last grant that was sent. */
@@ -94,7 +91,6 @@
     handover: null,
     leaseEnd: 0,
     inheritedEnd: 0,
-    olderOrdersEnd: 0,
     doubtEnd: 0,
     hold: 0,
     dueAt: 0,
--- a/src/core/keyspace/lease_timing.ts
+++ b/src/core/keyspace/lease_timing.ts
@@ -69,16 +69,6 @@
   return answeredAt + hold * (1 + CLOCK_DRIFT) + DELIVERY_SLACK;
 }
 
-/** When the last order of a holder that was fenced at `fencedAt` is given up. */
-export function olderOrdersEnd(fencedAt: number, timing: LeaseTiming): number {
-  return orderEnd(fencedAt + timing.authority, timing);
-}
-
-/** When an order that was sent at `sentAt` is given up at last. */
-export function orderEnd(sentAt: number, timing: LeaseTiming): number {
-  return sentAt + timing.orderTimeout + DELIVERY_SLACK;
-}
-
 /** When the last grant of a holder that was fenced at `fencedAt` runs out. */
 export function predecessorEnd(fencedAt: number, timing: LeaseTiming): number {
   return unansweredEnd(fencedAt + timing.authority, timing.longHold, timing);
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -6,7 +6,7 @@
  */
 import type { HeldRange } from "./held_range.ts";
 import type { GrantOrder, ReleaseOrder } from "./keyspace_effect.ts";
-import { type LeaseTiming, orderEnd, unansweredEnd } from "./lease_timing.ts";
+import { type LeaseTiming, unansweredEnd } from "./lease_timing.ts";
 import type { RangeTable } from "./range_table.ts";
 
 /** Tokens of one term: more than a holder gives out in years. */
@@ -122,13 +122,6 @@
     return Math.max(leaseEnd, doubtEnd, inheritedEnd, inFlight);
   }
 
-  /** Until when orders may reach the server of a range, if none follows. */
-  orderedUntil({ order: id, olderOrdersEnd }: HeldRange): number {
-    const order = id === null ? undefined : this.#pending.get(id);
-    if (order === undefined) return olderOrdersEnd;
-    return Math.max(olderOrdersEnd, orderEnd(order.sentAt, this.timing));
-  }
-
   #add(
     table: RangeTable,
     range: HeldRange,
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -34,12 +34,11 @@
   /**
    * Continues what an older holder recorded. Its servers are to be granted
    * their keys anew; one that does not answer may hold them until
-   * `predecessorEnd`. The older holder's orders end at `olderOrdersEnd`.
+   * `predecessorEnd`.
    */
   static resume(
     assignment: Assignment,
     predecessorEnd: number,
-    olderOrdersEnd: number,
   ): RangeTable {
     if (!coversAllKeys(assignment.ranges)) {
       throw new RangeError(`ranges of ${assignment.service} have gaps`);
@@ -51,7 +50,6 @@
       range.server = each.server;
       range.address = each.address;
       range.inheritedEnd = predecessorEnd;
-      range.olderOrdersEnd = olderOrdersEnd;
       return range;
     });
     return new RangeTable(assignment.service, ranges);
@@ -127,10 +125,6 @@
       before.last = range.last;
       before.leaseEnd = Math.max(before.leaseEnd, range.leaseEnd);
       before.inheritedEnd = Math.max(before.inheritedEnd, range.inheritedEnd);
-      before.olderOrdersEnd = Math.max(
-        before.olderOrdersEnd,
-        range.olderOrdersEnd,
-      );
       before.orderEndedAt = Math.max(before.orderEndedAt, range.orderEndedAt);
       before.doubtEnd = Math.max(before.doubtEnd, range.doubtEnd);
       before.isFenced = before.isFenced && range.isFenced;
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -16,7 +16,6 @@
 import {
   answeredEnd,
   type LeaseTiming,
-  olderOrdersEnd,
   predecessorEnd,
   unansweredEnd,
 } from "./lease_timing.ts";
@@ -88,9 +87,8 @@
   ): TermHolder {
     const holder = new TermHolder(term, timing, fleet, loads, nextOrder);
     const end = predecessorEnd(now, timing);
-    const ordersEnd = olderOrdersEnd(now, timing);
     for (const assignment of recorded) {
-      const table = RangeTable.resume(assignment, end, ordersEnd);
+      const table = RangeTable.resume(assignment, end);
       holder.#tables.set(assignment.service, table);
     }
     return holder;
@@ -126,9 +124,7 @@
       ranges.map((range) => {
         const { first, last } = range;
         const remaining = Math.max(0, this.#orders.heldUntil(range) - now);
-        const ordersEnd = this.#orders.orderedUntil(range);
-        const ordersRemaining = Math.max(0, ordersEnd - now);
-        return { service, first, last, remaining, ordersRemaining };
+        return { service, first, last, remaining };
       })
     );
   }
@@ -142,15 +138,13 @@
       const own = exposures.filter((each) => each.service === table.service);
       if (!coversAllKeys(own)) continue;
       for (const range of table.ranges) {
-        const known = own.filter(({ first, last }) =>
-          first <= range.last && range.first <= last
-        );
-        const holds = known.map((each) => each.remaining);
-        const end = now + Math.max(0, ...holds);
+        const remaining = own
+          .filter(({ first, last }) =>
+            first <= range.last && range.first <= last
+          )
+          .map((each) => each.remaining);
+        const end = now + Math.max(0, ...remaining);
         range.inheritedEnd = Math.min(range.inheritedEnd, end);
-        const orders = known.map((each) => each.ordersRemaining ?? Infinity);
-        const ordersEnd = now + Math.max(0, ...orders);
-        range.olderOrdersEnd = Math.min(range.olderOrdersEnd, ordersEnd);
       }
     }
   }
@@ -319,15 +313,9 @@
     range.revision = Math.min(range.revision, table.recorded);
   }
 
-  /**
-   * Whether the server of a held range has failed or is leaving. It is not asked
-   * for the keys while orders of older holders may reach it: if it starts again
-   * after it gave them back, it could take them by such an order while another
-   * server has them.
-   */
+  /** Whether the server of a held range has failed or is leaving. */
   #mustLeave(range: HeldRange, now: number): boolean {
     if (this.#isLost(range, now)) return true;
-    if (now < range.olderOrdersEnd) return false;
     const server = this.fleet.get(range.server!);
     return server === undefined || server.entry.isDraining;
   }
@@ -517,7 +505,8 @@
     }
     range.handover = outcome.handover;
     range.leaseEnd = 0;
-    // It is released only once fenced, so no older grant can follow.
+    // It is released only once fenced, so no older grant can follow, and a run
+    // that starts later has no connection to an older holder.
     range.inheritedEnd = 0;
     range.releasedAt = now;
     range.state = this.#orders.heldUntil(range) > now ? "expiring" : "released";
@@ -597,7 +586,6 @@
 
   #move(table: RangeTable, { piece, destination }: Move, now: number) {
     const range = table.ranges.find(({ last }) => piece.first <= last)!;
-    if (now < range.olderOrdersEnd) return;
     const moving = table.cut(range, piece);
     moving.destination = destination;
     moving.state = "closing";
