Term holder: what is known of the servers of its ranges gets a file of its own

Behaviour as before but for one thing: a run that has ended is known by its address too, so a server whose entry named a wrong address gets keys once that is put right.

--- /dev/null
+++ b/src/core/keyspace/range_servers_test.ts
@@ -0,0 +1,47 @@
+import test from "ava";
+import { type BackendServer, Fleet } from "../fleet/index.ts";
+import { vacantRange } from "./held_range.ts";
+import type { PendingOrder } from "./order_book.ts";
+import { RangeServers } from "./range_servers.ts";
+import { RangeTable } from "./range_table.ts";
+
+const ENTRY: BackendServer = {
+  id: "a",
+  incarnation: 100,
+  service: "s",
+  address: "a:1",
+  availabilityZone: "z",
+  slots: 3,
+  isDraining: false,
+  warmUp: 0,
+};
+
+/** An order to server `a` that another server refused. */
+function refusedOrder(address: string): PendingOrder {
+  const range = vacantRange({ first: 0, last: 9 }, 0);
+  range.server = "a";
+  return {
+    table: RangeTable.create("s"),
+    range,
+    kind: "grant",
+    sentAt: 0,
+    hold: 1,
+    address,
+    incarnation: 100,
+  };
+}
+
+test("range servers: a run that has ended is no run of another address or start", (t) => {
+  const fleet = Fleet.create();
+  fleet.apply([ENTRY], [], 0);
+  const servers = RangeServers.create(fleet);
+  servers.noteEnd(refusedOrder("a:1"));
+  t.true(servers.hasEnded("a"));
+  t.deepEqual([...servers.suspects([])], ["a"]);
+  // An entry that named a wrong address is put right.
+  fleet.apply([{ ...ENTRY, address: "a:2" }], [], 1);
+  t.false(servers.hasEnded("a"));
+  fleet.apply([{ ...ENTRY, incarnation: 200 }], [], 2);
+  t.false(servers.hasEnded("a"));
+  t.deepEqual([...servers.suspects([])], []);
+});
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -22,11 +22,10 @@
 import { OrderBook, type PendingOrder } from "./order_book.ts";
 import type { Move } from "./placement.ts";
 import { RecordWriter } from "./record_writer.ts";
+import { RangeServers } from "./range_servers.ts";
 import { RangeTable } from "./range_table.ts";
 import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 
-/** Unanswered orders in a row after which a server counts as lost. */
-const FAILURES_TO_LOSE = 2;
 /** Pause before an unanswered order is sent again, in milliseconds. */
 const RETRY_PAUSE = 150;
 /** Time that the news of closed keys takes to the other VMs, in milliseconds:
@@ -53,9 +52,7 @@
   readonly #tables = new Map<string, RangeTable>();
   readonly #orders: OrderBook;
   readonly #balance: KeyBalance;
-  /** Servers that have ended, with the incarnation under which each was listed
-   * then: entries of servers that are gone stay for a while. */
-  readonly #ended = new Map<string, number>();
+  readonly #servers: RangeServers;
   /** Before this no move for balance begins. */
   #movesFrom = -Infinity;
   #effects: KeyspaceEffect[] = [];
@@ -63,13 +60,14 @@
   private constructor(
     readonly term: number,
     private readonly timing: LeaseTiming,
-    private readonly fleet: Fleet,
+    fleet: Fleet,
     loads: KeyLoads,
     nextOrder: () => number,
   ) {
     this.#orders = OrderBook.create(term, timing, nextOrder);
     this.record = RecordWriter.create(term);
     this.#balance = KeyBalance.create(fleet, loads);
+    this.#servers = RangeServers.create(fleet);
   }
 
   /**
@@ -251,7 +249,8 @@
       case "held":
         if (this.#mustLeave(range, now)) this.#close(table, range, now);
         else if (
-          now >= range.dueAt || range.hold < hold || this.#isRestarted(range)
+          now >= range.dueAt || range.hold < hold ||
+          this.#servers.isRestarted(range)
         ) {
           this.#grant(table, range, now, hold);
         }
@@ -263,9 +262,9 @@
         return this.#passOn(table, range, now, hold, storeSilence);
       case "expiring":
         if (now >= this.#orders.heldUntil(range)) this.#vacate(table, range);
-        else if (this.#isRestarted(range)) {
+        else if (this.#servers.isRestarted(range)) {
           this.#giveBack(table, range, now, hold);
-        } else if (now >= range.dueAt && this.#isReplaced(range)) {
+        } else if (now >= range.dueAt && this.#servers.isReplaced(range)) {
           this.#probe(table, range, now);
         }
     }
@@ -285,8 +284,7 @@
     storeSilence: number,
   ): void {
     const isStoreHeard = now - storeSilence >= range.releasedAt;
-    const server = this.fleet.get(range.server!);
-    const mayReturn = server !== undefined && !server.entry.isDraining;
+    const mayReturn = this.#servers.isStaying(range.server!);
     if (isStoreHeard || !mayReturn) return this.#vacate(table, range);
     if (now < range.releasedAt + STORE_PATIENCE) return;
     this.#movesFrom = now + MOVE_PAUSE;
@@ -315,20 +313,8 @@
 
   /** Whether the server of a held range has failed or is leaving. */
   #mustLeave(range: HeldRange, now: number): boolean {
-    if (this.#isLost(range, now)) return true;
-    const server = this.fleet.get(range.server!);
-    return server === undefined || server.entry.isDraining;
-  }
-
-  /**
-   * Whether the server of a range has left orders unanswered. One that is full
-   * lets orders wait like requests; as long as some VM gets answers from it, its
-   * keys stay where they are while its lease runs.
-   */
-  #isLost(range: HeldRange, now: number): boolean {
-    if (range.failures < FAILURES_TO_LOSE) return false;
-    const aliveAt = this.fleet.get(range.server!)?.aliveAt ?? -Infinity;
-    return aliveAt < range.failingSince || now >= range.leaseEnd;
+    return this.#servers.isLost(range, now) ||
+      !this.#servers.isStaying(range.server!);
   }
 
   /**
@@ -352,29 +338,8 @@
     if (outcome.kind === "accepted") this.#return(table, range, now);
   }
 
-  /** Whether another server is listed at the address. */
-  #isReplaced({ address, server }: HeldRange): boolean {
-    return address !== null && this.fleet.isReused(address, server!);
-  }
-
-  /** Whether the server has started again since it was last granted the keys. It
-   * holds and knows nothing then, and no other server can have the keys. */
-  #isRestarted({ server, incarnation }: HeldRange): boolean {
-    const entry = this.fleet.get(server!)?.entry;
-    if (entry === undefined || entry.isDraining || incarnation === 0) {
-      return false;
-    }
-    const current = this.#incarnation(server!);
-    return current !== 0 && current !== incarnation;
-  }
-
-  /** Incarnation of a server as listed; 0 where it is not known. */
-  #incarnation(server: string): number {
-    return this.fleet.get(server)?.entry.incarnation ?? 0;
-  }
-
   #close(table: RangeTable, range: HeldRange, now: number): void {
-    const isLost = this.#isLost(range, now);
+    const isLost = this.#servers.isLost(range, now);
     range.state = isLost ? "expiring" : "closing";
     range.dueAt = now + NEWS_TIME;
     range.closedAt = now;
@@ -409,9 +374,9 @@
     hold: number,
   ): void {
     if (this.#orders.mustWait(range)) return;
-    const address = this.fleet.get(range.server!)?.entry.address;
-    range.address = address ?? range.address;
-    range.incarnation = this.#incarnation(range.server!);
+    const server = range.server!;
+    range.address = this.#servers.address(server) ?? range.address;
+    range.incarnation = this.#servers.incarnation(server);
     if (range.address === null) {
       range.state = "expiring";
       return;
@@ -457,40 +422,25 @@
   /** Another server listens at the address of the one that was meant, whose run
    * has ended there, and with it what that run held. */
   #misdirected(order: PendingOrder, now: number): void {
-    const { table, range, address, sentAt, incarnation } = order;
-    const server = range.server!;
-    const entry = this.fleet.get(server)?.entry;
-    const hasMoved = entry !== undefined && entry.address !== address;
-    if (hasMoved || !isGrantedOnlyAt(range, address)) {
-      return this.#failed(order, now);
-    }
-    this.#noteEnd(server, incarnation);
+    const { table, range } = order;
+    if (!this.#servers.isEndShown(order)) return this.#failed(order, now);
+    this.#servers.noteEnd(order);
     for (const each of table.ranges) {
-      if (each.server !== server || each.order !== null) continue;
-      // A later run may have taken what was ordered since.
-      const isOlder = each.orderEndedAt <= sentAt;
-      const isOfRun = isOlder && isGrantedOnlyAt(each, address);
+      if (each.server !== range.server || each.order !== null) continue;
+      const isOfRun = this.#servers.isEndShownFor(each, order);
       if (each !== range && !isOfRun) continue;
       if (each.closedAt === 0) each.closedAt = now;
       this.#vacate(table, each);
     }
   }
 
-  /** Remembers that a run has ended, as long as its server is listed. */
-  #noteEnd(server: string, incarnation: number): void {
-    for (const id of this.#ended.keys()) {
-      if (this.fleet.get(id) === undefined) this.#ended.delete(id);
-    }
-    this.#ended.set(server, incarnation);
-  }
-
   #failed({ range, sentAt, hold }: PendingOrder, now: number): void {
     const end = unansweredEnd(sentAt, hold, this.timing);
     range.doubtEnd = Math.max(range.doubtEnd, end);
     if (range.failures === 0) range.failingSince = now;
     range.failures += 1;
     range.dueAt = now + RETRY_PAUSE;
-    const isLost = range.failures >= FAILURES_TO_LOSE;
+    const isLost = this.#servers.isUnanswering(range);
     if (isLost && range.state !== "held") range.state = "expiring";
   }
 
@@ -518,7 +468,7 @@
     if (table.isNew && !this.#balance.mayBegin(service, now)) return;
     const candidates = this.#balance
       .candidates(service, this.#suspects, now)
-      .filter(({ id }) => !this.#hasEnded(id));
+      .filter(({ id }) => !this.#servers.hasEnded(id));
     if (candidates.length === 0) return;
     const placement = this.#balance.placement(service, candidates, now);
     const loads = placement.loads(table.ranges);
@@ -547,7 +497,7 @@
   ): void {
     range.state = "assigned";
     range.server = server;
-    range.address = this.fleet.get(server)?.entry.address ?? null;
+    range.address = this.#servers.address(server);
     range.isFenced = false;
     range.dueAt = now;
     table.changed(range);
@@ -560,22 +510,11 @@
     }
   }
 
-  /** Whether a server that is listed is known to have ended. */
-  #hasEnded(server: string): boolean {
-    return this.#ended.get(server) === this.#incarnation(server);
-  }
-
-  /** Servers that have left an order unanswered or have ended. */
+  /** Servers that get no further keys for now. */
   get #suspects(): Set<string> {
-    const suspects = new Set(
-      [...this.#ended.keys()].filter((id) => this.#hasEnded(id)),
+    return this.#servers.suspects(
+      this.#allTables.flatMap(({ ranges }) => ranges),
     );
-    for (const { ranges } of this.#allTables) {
-      for (const { server, failures } of ranges) {
-        if (server !== null && failures > 0) suspects.add(server);
-      }
-    }
-    return suspects;
   }
 
   get #allTables(): RangeTable[] {
@@ -606,9 +545,3 @@
     return effects;
   }
 }
-
-/** Whether all grants by which the server of a range may hold it went to
- * `address`: what is found there says nothing of a run elsewhere. */
-function isGrantedOnlyAt({ addresses }: HeldRange, address: string): boolean {
-  return addresses.every((each) => each === address);
-}
