Callers: a request that is refused since its time was over leaves a line in the log

Only a counter told of it; each decision on a request has a line with its id, and what decided it: how long its caller would wait, and its age when it was read.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -176,6 +176,16 @@
         }
         this.#countKey(event.arrival, now);
         return this.#put(...this.dispatcher.arrive(event.arrival, now));
+      case "request.late": {
+        const { id: request, timeout, age } = event;
+        const detail = { request, timeout, age };
+        return this.#put({
+          kind: "note",
+          level: "warn",
+          decision: "request.read_late",
+          detail,
+        });
+      }
       case "request.left":
         return this.#put(...this.dispatcher.leave(event.exchange, now));
       case "attempt.ended":
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -45,6 +45,8 @@
   | { kind: "assignments.written"; term: number; outcome: WriteOutcome }
   | { kind: "order.ended"; order: number; outcome: OrderOutcome }
   | { kind: "request.arrived"; arrival: RequestArrival }
+  /** A request was refused whose caller's time was over when it was read. */
+  | { kind: "request.late"; id: string; timeout: number; age: number }
   | { kind: "request.left"; exchange: number }
   /** After the close: all that was due to callers was sent. */
   | { kind: "callers.closed" }
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -307,6 +307,7 @@
     const remaining = isOld ? timeout - age : timeout;
     if (isOld && timeout <= age) {
       this.#late += 1;
+      this.sink.push({ kind: "request.late", id: facts.id, timeout, age });
       return this.#say(number, READ_TOO_LATE);
     }
     exchange.outgoing.id = facts.id;
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -284,13 +284,17 @@
 // wait, at its server at 8.005 s. The time that a request has left was counted
 // from when it was read; its bytes had lain unread since long before.
 test.serial("callers: one whose time was over before it was read is refused", async (t) => {
-  const { server, socket, arrivals, answer, until, read } = await start(t);
+  const { server, socket, occurrences, arrivals, answer, until, read } =
+    await start(t);
   socket.write(get("/1"));
   await until(() => arrivals().length === 1);
   answer(1, "one");
   await until(() => read().includes("one"));
   socket.write(
-    get("/2", "X-Plumloft-Deadline-Ms: 100\r\n") +
+    get(
+      "/2",
+      "X-Plumloft-Request-Id: r-2\r\nX-Plumloft-Deadline-Ms: 100\r\n",
+    ) +
       get("/3", "X-Plumloft-Deadline-Ms: 2000\r\n") + get("/4"),
   );
   stall(500);
@@ -303,6 +307,11 @@
   await until(() => statuses(read()).length === 3);
   t.deepEqual(statuses(read()), ["200", "503", "200"]);
   t.is(server.counts.late, 1);
+  const late = occurrences.flatMap((each) =>
+    each.kind === "request.late" ? [each] : []
+  );
+  t.deepEqual(late.map(({ id, timeout }) => [id, timeout]), [["r-2", 100]]);
+  t.true(late[0].age >= 100, `${late[0].age}`);
 });
 
 test("callers: one that leaves is told of though an answer to it is stuck", async (t) => {
