--- a/src/logging/story.ts
+++ b/src/logging/story.ts
@@ -93,4 +93,7 @@
   "request.left": ({ age }) => `the caller left after ${age} ms`,
   "request.unrouted": ({ status, reason, version }) =>
     `${status}: ${reason} (configuration version ${version})`,
+  "request.turned_away": ({ reason }) => `503 at once, not run: ${reason}`,
+  "request.read_late": ({ timeout, age }) =>
+    `503, not run: read ${age} ms after it came, when its caller's ${timeout} ms were over`,
 };
