--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -4,11 +4,9 @@
  *
  * @module
  */
-import { Entry } from "../src/core/entry.ts";
-import type { EntryEffect } from "../src/core/entry_effect.ts";
-import type { Occurrence } from "../src/core/entry_event.ts";
-import { KEY_COUNT, leaseTimingSchema } from "../src/core/keyspace/index.ts";
+import { KEY_COUNT } from "../src/core/keyspace/index.ts";
 import { encodeFrame } from "../src/runtime/frame.ts";
+import { createSteppedEntry } from "../test/support/stepped_entry.ts";
 import { printFigure } from "./figure.ts";
 
 const SERVICE_SIZES = [10, 100, 800];
@@ -100,19 +98,9 @@
 }
 
 function createEntry(servers: number, isKeyed: boolean) {
-  const entry = Entry.create({
-    peerAddress: "vm",
-    seeds: [],
-    availabilityZone: "a",
-    leaseTiming: leaseTimingSchema.parse({}),
-    fitness: 1,
-    retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
+  const { entry, step } = createSteppedEntry({
     shutdown: { closeAfter: 1, stopAfter: 2 },
-    registryTiming: { interval: 450, maximumAge: 1_200 },
-    seed: 1,
   });
-  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
-    entry.step({ ...occurrence, now });
   step(0, {
     kind: "configuration.read",
     configuration: {
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -1,25 +1,7 @@
 import test from "ava";
-import { Entry } from "./entry.ts";
+import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { Occurrence } from "./entry_event.ts";
-import { leaseTimingSchema } from "./keyspace/index.ts";
-
-function createEntry(vm: string) {
-  const entry = Entry.create({
-    peerAddress: vm,
-    seeds: [],
-    availabilityZone: "a",
-    leaseTiming: leaseTimingSchema.parse({}),
-    fitness: 1,
-    retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
-    shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
-    registryTiming: { interval: 450, maximumAge: 1_200 },
-    seed: 1,
-  });
-  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
-    entry.step({ ...occurrence, now });
-  return { entry, step };
-}
 
 function configured(version: number): Occurrence {
   return {
@@ -57,7 +39,7 @@
 const kinds = (effects: EntryEffect[]) => effects.map((each) => each.kind);
 
 test("entry: a configuration that only a peer has is fetched, not too often", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   step(0, configured(3));
   t.false(kinds(step(10, told(3))).includes("configuration.fetch"));
   // It is left to arrive by itself for a while, then fetched.
@@ -71,7 +53,7 @@
 });
 
 test("entry: a shutdown leaves the group at once and stops when idle", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   step(0, configured(1));
   t.snapshot({
     asked: kinds(step(1_000, { kind: "shutdown" })),
@@ -84,7 +66,7 @@
 });
 
 test("entry: a shutdown ends at its time whatever callers are still sent", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   step(0, configured(1));
   step(1_000, { kind: "shutdown" });
   step(4_600, { kind: "timer" });
@@ -93,7 +75,7 @@
 });
 
 test("entry: the first failure of each step is noted while the store is out", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   const failed = (step: string): Occurrence => ({
     kind: "store.failed",
     step,
@@ -111,7 +93,7 @@
 });
 
 test("entry: connections to the older run of a server are dropped", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   const list = (position: number, incarnation: number) => {
     const entries = [{
       id: "i-1",
@@ -139,7 +121,7 @@
 });
 
 test("entry: a peer's word without a position does not change which run is meant", (t) => {
-  const { entry, step } = createEntry("vm-1");
+  const { entry, step } = createSteppedEntry();
   const state = (servers: [id: string, incarnation: number][]): Occurrence => {
     const read = configured(1);
     if (read.kind !== "configuration.read") throw new Error("unexpected");
@@ -189,7 +171,7 @@
 for (const isFirst of [true, false]) {
   const order = isFirst ? "before" : "after";
   test(`entry: a server that has ended goes, though a peer tells of it ${order} the news`, (t) => {
-    const { entry, step } = createEntry("vm-1");
+    const { entry, step } = createSteppedEntry();
     const servers = [{
       id: "i-1",
       incarnation: 5,
@@ -249,7 +231,7 @@
 }
 
 test("entry: the holder's word spares a read of the registry, and its silence brings one", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   const entries = [{
     id: "i-1",
     incarnation: 0,
@@ -304,7 +286,7 @@
 });
 
 test("entry: requests that come late in a shutdown are turned away, others not", (t) => {
-  const { step } = createEntry("vm-1");
+  const { step } = createSteppedEntry();
   step(0, configured(1));
   step(1_000, { kind: "shutdown" });
   const decisionAt = (now: number) =>
--- a/src/core/peer_exchange_test.ts
+++ b/src/core/peer_exchange_test.ts
@@ -7,29 +7,18 @@
  * message of the new holder just after the second report.
  */
 import test from "ava";
+import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import { configurationSchema } from "./catalog/index.ts";
-import { Entry } from "./entry.ts";
 import type { EntryEffect } from "./entry_effect.ts";
-import type { Occurrence } from "./entry_event.ts";
-import { leaseTimingSchema } from "./keyspace/index.ts";
 
 const HOLDER = "holder:1";
 
 /** A VM that follows a holder and knows all keys of `s` at `i-1`. */
 function createFollower() {
-  const entry = Entry.create({
-    peerAddress: "vm:1",
-    seeds: [],
-    availabilityZone: "a",
-    leaseTiming: leaseTimingSchema.parse({}),
-    fitness: 1,
+  const { entry, step } = createSteppedEntry({
     retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 1_000 },
-    shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
     registryTiming: { interval: 450, maximumAge: 60_000 },
-    seed: 1,
   });
-  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
-    entry.step({ ...occurrence, now });
   step(0, {
     kind: "configuration.read",
     configuration: configurationSchema.parse({
--- a/src/core/shutdown_waiting_test.ts
+++ b/src/core/shutdown_waiting_test.ts
@@ -6,10 +6,7 @@
  * @module
  */
 import test from "ava";
-import { Entry } from "./entry.ts";
-import type { EntryEffect } from "./entry_effect.ts";
-import type { Occurrence } from "./entry_event.ts";
-import { leaseTimingSchema } from "./keyspace/index.ts";
+import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 
 /** A request waits for up to 0.6 of this, in milliseconds: longer than the
  * process lives on. */
@@ -23,19 +20,7 @@
 
 /** A process that knows a keyed service, whose keys nobody holds. */
 function createEntry() {
-  const entry = Entry.create({
-    peerAddress: "vm-1",
-    seeds: [],
-    availabilityZone: "a",
-    leaseTiming: leaseTimingSchema.parse({}),
-    fitness: 1,
-    retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
-    shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
-    registryTiming: { interval: 450, maximumAge: 1_200 },
-    seed: 1,
-  });
-  const step = (now: number, occurrence: Occurrence): EntryEffect[] =>
-    entry.step({ ...occurrence, now });
+  const { step } = createSteppedEntry();
   step(0, {
     kind: "configuration.read",
     configuration: {
