Busy keys: the term holder tells which share of a key's requests has room; the rest is refused at once

Cause: with 195 VMs each has a request for one busy key every few seconds and never hears that its server is full. Now the holder, which hears the keys that all VMs are asked for, tells the share that its server can do, and the load of servers that stated a full one.

The model of ownership has callers and queues for it.

--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -7,7 +7,7 @@
 import { Catalog, type Configuration } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import { Fleet, type FleetChange } from "./fleet/index.ts";
-import { type Assignment, KeyDirectory } from "./keyspace/index.ts";
+import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
 import type { HolderAddress, Knowledge } from "./peers/index.ts";
 import { RegistryReplica } from "./registry/index.ts";
 
@@ -22,6 +22,7 @@
   readonly catalog = Catalog.create();
   readonly fleet = Fleet.create();
   readonly directory = KeyDirectory.create();
+  readonly keyLimits = KeyLimits.create();
   readonly registry = RegistryReplica.create();
   #holder: HolderAddress | null = null;
 
--- /dev/null
+++ b/src/core/crowding_watch.ts
@@ -0,0 +1,70 @@
+/**
+ * Which servers that hold keys cannot do all that is asked of them, as the term
+ * holder sees it from the reports of all VMs. A VM that sends one request in some
+ * seconds to a server does not know that the server is full.
+ *
+ * @module
+ */
+import type { Beliefs } from "./beliefs.ts";
+import {
+  DEMAND_WINDOW,
+  type KeyLoads,
+  limitsOf,
+  type TermHolder,
+} from "./keyspace/index.ts";
+import type { Crowding } from "./peers/index.ts";
+
+/** Pause between looks, in milliseconds: half of that between two reports. */
+const INTERVAL = 250;
+/** Requests from which on a server's load is told, in multiples of its slots. One
+ * that has no more will have room by the time the others hear of it. */
+const TOLD_LOAD = 2;
+/** Most servers that are told of in one answer; bounds its size. */
+const MOST_LOADS = 64;
+
+/** See the module's comment. Times are milliseconds of this VM's clock. */
+export class CrowdingWatch {
+  #current: Crowding = { limits: [], loads: [] };
+  #lookedAt = -Infinity;
+
+  private constructor(
+    private readonly beliefs: Beliefs,
+    private readonly loads: KeyLoads,
+  ) {}
+
+  /** A watch that has seen nothing. */
+  static create(beliefs: Beliefs, loads: KeyLoads): CrowdingWatch {
+    return new CrowdingWatch(beliefs, loads);
+  }
+
+  /** What was seen at the last look. */
+  get current(): Crowding {
+    return this.#current;
+  }
+
+  /** Looks again if it is time to; this VM goes by what it sees too. */
+  advance(holder: TermHolder, now: number): void {
+    if (now - this.#lookedAt < INTERVAL) return;
+    this.#lookedAt = now;
+    const { catalog, fleet, keyLimits } = this.beliefs;
+    const services = catalog.keyedServices.map(({ name }) => name);
+    const limits = services.flatMap((service) => {
+      const keys = this.loads.of(service).newest(DEMAND_WINDOW, now);
+      const ranges = holder.ranges(service);
+      return limitsOf(service, ranges, keys, DEMAND_WINDOW, fleet, now);
+    });
+    const loads = services.flatMap((service) => this.#fullServers(service, now))
+      .slice(0, MOST_LOADS);
+    this.#current = { limits, loads };
+    keyLimits.take(limits, now);
+  }
+
+  #fullServers(service: string, now: number): Crowding["loads"] {
+    return this.beliefs.fleet.of(service).flatMap((server) => {
+      const stated = server.statedLoad(now);
+      const least = server.entry.slots * TOLD_LOAD;
+      if (stated === null || stated.requests < least) return [];
+      return [{ server: server.id, ...stated }];
+    });
+  }
+}
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -5,7 +5,7 @@
  */
 import type { Catalog } from "../catalog/index.ts";
 import type { Fleet } from "../fleet/index.ts";
-import type { KeyDirectory } from "../keyspace/index.ts";
+import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
@@ -13,6 +13,7 @@
   catalog: Catalog;
   fleet: Fleet;
   directory: KeyDirectory;
+  keyLimits: KeyLimits;
   availabilityZone: string;
   retryLimits: RetryLimits;
   /** When this process started. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -179,6 +179,8 @@
       lookedAt: now,
       lookAt: Infinity,
       refusal: null,
+      chance: this.context.draw(),
+      isCrowdedOut: false,
       attempts: [],
       tried: [],
       arrivals: 0,
@@ -207,6 +209,8 @@
       if (!this.#send(request, placing.server, now)) {
         this.#giveUpWaiting(request, OVER_BUDGET, now);
       }
+    } else if (placing.kind === "refuse") {
+      this.#crowdOut(request, placing.reason, now);
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
@@ -346,6 +350,7 @@
     if (placing.kind === "server") {
       return this.#send(request, placing.server, now);
     }
+    if (placing.kind === "refuse") return false;
     const mayWait = now < waitEndOf(request, placing);
     if (request.key === null || !mayWait) return false;
     if (!this.#retries.mayWithdraw(request, now)) return false;
@@ -359,6 +364,10 @@
     if (request.attempts.length === 0) {
       const placing = this.#placing.place(request, now);
       if (placing.kind === "server") return;
+      if (placing.kind === "refuse") {
+        this.#waiting.remove(request);
+        return this.#crowdOut(request, placing.reason, now);
+      }
       if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
         this.#giveUpWaiting(request, placing.reason, now);
@@ -375,6 +384,12 @@
     this.#hedge(request, now);
   }
 
+  /** Refuses a request at once for which its key's server has no room. */
+  #crowdOut(request: PendingRequest, reason: string, now: number): void {
+    request.isCrowdedOut = true;
+    this.#giveUpWaiting(request, reason, now);
+  }
+
   #giveUpWaiting(request: PendingRequest, reason: string, now: number): void {
     if (request.mayHaveRun) this.#fail(request, 502, reason, now);
     else this.#refuse(request, reason, now);
@@ -421,6 +436,8 @@
       if (placing.kind === "server") {
         if (this.#send(request, placing.server, now)) continue;
         this.#giveUpWaiting(request, OVER_BUDGET, now);
+      } else if (placing.kind === "refuse") {
+        this.#crowdOut(request, placing.reason, now);
       } else {
         isFull = isFull || request.tried.length === 0;
         request.lookAt = placing.until;
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -2,13 +2,13 @@
 import fc from "fast-check";
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
-import { KeyDirectory } from "../keyspace/index.ts";
+import { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
 
 /** A dispatcher with a keyed and two other services, two servers each. */
-function createDispatcher(vms: number | null = 8) {
+function createDispatcher(vms: number | null = 8, draw = () => 0) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
     name,
@@ -69,16 +69,18 @@
       }],
     });
   assign(1, true);
+  const keyLimits = KeyLimits.create();
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
     directory,
+    keyLimits,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
     vms: () => vms,
     keyRefused: () => {},
-    draw: () => 0,
+    draw,
   });
   let exchange = 0;
   const arrive = (path: string, now: number, timeout = 1_000) => {
@@ -92,7 +94,7 @@
       key: 7,
     }, now);
   };
-  return { dispatcher, fleet, servers, arrive, assign };
+  return { dispatcher, fleet, servers, arrive, assign, keyLimits };
 }
 
 const ANSWERED: AttemptOutcome & { kind: "answered" } = {
@@ -432,6 +434,7 @@
     catalog: Catalog.create(),
     fleet: Fleet.create(),
     directory: KeyDirectory.create(),
+    keyLimits: KeyLimits.create(),
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
@@ -449,3 +452,29 @@
   };
   t.snapshot(brief(unconfigured.arrive(arrival, 0)));
 });
+
+test("dispatch: what a key's server has no room for is refused at once, to come back late", (t) => {
+  const { arrive, keyLimits } = createDispatcher(200, () => 0.5);
+  const limit = { service: "stock", first: 0, last: 65_535 };
+  keyLimits.take([{ ...limit, share: 0.4 }], 0);
+  const [refusal] = brief(arrive("/lookup/", 10));
+  // A third of the time left at most, less the spread of returns.
+  t.is(
+    refusal,
+    "503, the key is asked for more than its server can do, come back 255",
+  );
+  keyLimits.take([{ ...limit, share: 0.6 }], 20);
+  t.deepEqual(brief(arrive("/lookup/", 30)), ["start stock-1, 500 ms left"]);
+  // Another service's requests go where they went.
+  t.is(brief(arrive("/read/", 40)).length, 1);
+});
+
+test("dispatch: what this VM hears of a server's load goes before the limits on its keys", (t) => {
+  const { dispatcher, arrive, keyLimits } = createDispatcher(200, () => 0.5);
+  arrive("/lookup/", 0);
+  const load = { running: 0, waiting: 0, slots: 1 };
+  dispatcher.ended(1, { ...ANSWERED, load }, 50);
+  const limit = { service: "stock", first: 0, last: 65_535, share: 0.1 };
+  keyLimits.take([limit], 60);
+  t.deepEqual(brief(arrive("/lookup/", 100)), ["start stock-1, 500 ms left"]);
+});
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -63,6 +63,12 @@
   lookAt: number;
   /** The key's server that did not run it last, or null. */
   refusal: KeyRefusal | null;
+  /** A number in [0, 1) that decides whether it is among those that have room
+   * where only a share has. */
+  chance: number;
+  /** Whether it was refused since its key is asked for more than its server can
+   * do: that does not pass within the target. */
+  isCrowdedOut: boolean;
   /** Attempts in flight. */
   attempts: Attempt[];
   /** Servers that it was sent to and that have not stated that they did not run
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -17,6 +17,8 @@
 /** Where a request can go now. */
 export type Placing =
   | { kind: "server"; server: TrackedServer }
+  /** Not here, and no sooner for waiting. */
+  | { kind: "refuse"; reason: string }
   /** Not now, maybe later; `isBrief` when it is known to change soon, `until`
    * when time alone changes it (Infinity otherwise). */
   | { kind: "wait"; reason: string; isBrief: boolean; until: number };
@@ -58,6 +60,18 @@
     return waitForLong("no server has room");
   }
 
+  /** Whether the key's server has no room for this share of its requests. Where
+   * it has just stated its load here, that says more. */
+  #isCrowdedOut(
+    { service, chance }: PendingRequest,
+    key: number,
+    server: TrackedServer,
+    now: number,
+  ): boolean {
+    if (server.isLoadKnown(now)) return false;
+    return chance >= this.context.keyLimits.share(service, key, now);
+  }
+
   #placeKeyed(request: PendingRequest, key: number, now: number): Placing {
     const { fleet, directory } = this.context;
     const range = directory.find(request.service, key);
@@ -80,6 +94,10 @@
     if (now > drainingSince + DRAINING_KEYS_TIME) {
       return waitBriefly("the key's server is leaving");
     }
+    if (this.#isCrowdedOut(request, key, server, now)) {
+      const reason = "the key is asked for more than its server can do";
+      return { kind: "refuse", reason };
+    }
     if (hasRoom(server, now, this.context.vms())) {
       return { kind: "server", server };
     }
--- a/src/core/dispatch/retry_advice.ts
+++ b/src/core/dispatch/retry_advice.ts
@@ -60,7 +60,8 @@
 
   /** Milliseconds after which the caller of a refused request should come back. */
   pause(request: PendingRequest, now: number): number {
-    const pause = this.#isFirst(request)
+    const mayBeInTime = this.#isFirst(request) && !request.isCrowdedOut;
+    const pause = mayBeInTime
       ? this.#earlyPause(request, now) ?? latePause(request, now)
       : latePause(request, now);
     const spread = 1 - SPREAD * this.context.draw();
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -49,7 +49,7 @@
   private constructor(options: EntryOptions) {
     const emit = (...effects: EntryEffect[]) => this.#put(...effects);
     this.beliefs = Beliefs.create(emit);
-    const { catalog, fleet, directory } = this.beliefs;
+    const { catalog, fleet, directory, keyLimits } = this.beliefs;
     this.campaign = TermCampaign.create(
       options.leaseTiming,
       fleet,
@@ -69,6 +69,7 @@
       catalog,
       fleet,
       directory,
+      keyLimits,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { BackendServer } from "./backend_server.ts";
-import { type LatencySamples, TrackedServer } from "./tracked_server.ts";
+import {
+  type LatencySamples,
+  type StatedLoad,
+  TrackedServer,
+} from "./tracked_server.ts";
 
 /**
  * Time after the registry is back within which entries that lapsed during its
@@ -31,6 +35,11 @@
   server: string;
 }
 
+/** Load that a server stated, by its id. */
+export interface ServerLoad extends StatedLoad {
+  server: string;
+}
+
 /** A change of the list of servers. */
 export interface FleetChange {
   /** `restarted`: its id is listed with another incarnation than before. */
@@ -148,9 +157,9 @@
   }
 
   /** What this VM has measured of a service's servers since it was asked last. */
-  takeSamples(service: string): ServerSamples[] {
+  takeSamples(service: string, now: number): ServerSamples[] {
     return this.of(service).flatMap((server) => {
-      const samples = server.takeSamples();
+      const samples = server.takeSamples(now);
       return samples === null ? [] : [{ server: server.id, ...samples }];
     });
   }
@@ -162,6 +171,13 @@
     }
   }
 
+  /** Takes in what other VMs were told of servers' load. */
+  hearLoads(loads: readonly ServerLoad[], now: number): void {
+    for (const { server, ...load } of loads) {
+      this.#servers.get(server)?.hearLoad(load, now);
+    }
+  }
+
   /** When a server of a service was listed last that was not before; one that
    * has started again counts, since it holds nothing. */
   joinedAt(service: string): number {
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -75,7 +75,7 @@
     isSilent: server.isSilent(5_000, 10),
     aliveAt: server.aliveAt,
     refusedAt: server.refusedAt,
-    samples: fleet.takeSamples("stock"),
+    samples: fleet.takeSamples("stock", 860),
     listed: fleet.of("stock").map(({ id }) => id),
   };
 }
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -12,6 +12,9 @@
 /** Time for which a reported load counts in full, in milliseconds; others'
  * requests last about as long. */
 const LOAD_LIFETIME = 300;
+/** Time for which a load that a server stated to another VM says something, in
+ * milliseconds: it comes by way of the term holder, half a second each way. */
+const STATED_LIFETIME = 2_000;
 /** First pause after failures in a row, in milliseconds; doubles with each. */
 const FIRST_PAUSE = 300;
 /** Longest such pause: a server that recovers is tried again within it. */
@@ -25,12 +28,22 @@
 const SILENCE_FACTOR = 4;
 const SHORTEST_SILENCE = 250;
 
+/** Load that a server has stated to some VM. */
+export interface StatedLoad {
+  /** Requests that it had. */
+  requests: number;
+  /** Milliseconds since. */
+  age: number;
+}
+
 /** Answer times that some VM has measured of a server that answered it. */
 export interface LatencySamples {
   /** Mean, in milliseconds. */
   mean: number;
   /** Answers measured; 0 where all of them had waited there first. */
   count: number;
+  /** The load that it stated with the last answer, if it tells it. */
+  load?: StatedLoad;
 }
 
 /**
@@ -57,6 +70,9 @@
   #pausedUntil = 0;
   #othersLoad = 0;
   #loadAt = -Infinity;
+  /** Requests that it had when it last stated its load to any VM, and when. */
+  #statedRequests = 0;
+  #statedAt = -Infinity;
   #lastAnswerAt = -Infinity;
   readonly #startedAt = new Map<number, number>();
 
@@ -113,9 +129,24 @@
   /** Takes in what another VM has measured of its answers. */
   observe(samples: LatencySamples, now: number): void {
     this.aliveAt = now;
+    if (samples.load !== undefined) this.hearLoad(samples.load, now);
     if (samples.count > 0) this.#measure(samples);
   }
 
+  /** Some VM was told its load. */
+  hearLoad({ requests, age }: StatedLoad, now: number): void {
+    if (now - age <= this.#statedAt) return;
+    this.#statedRequests = requests;
+    this.#statedAt = now - age;
+  }
+
+  /** The load that it last stated to any VM; null when that was long ago. */
+  statedLoad(now: number): StatedLoad | null {
+    const age = now - this.#statedAt;
+    if (age > STATED_LIFETIME) return null;
+    return { requests: this.#statedRequests, age };
+  }
+
   #measure({ mean, count }: LatencySamples): void {
     const weight = 1 - (1 - SAMPLE_WEIGHT) ** count;
     this.#latency = this.#latency === null
@@ -124,14 +155,17 @@
   }
 
   /** This VM's own samples since this was asked last; null without an answer. */
-  takeSamples(): LatencySamples | null {
+  takeSamples(now: number): LatencySamples | null {
     if (!this.#hasAnswered) return null;
     this.#hasAnswered = false;
     const count = this.#sampleCount;
     const mean = count === 0 ? 0 : this.#sampleSum / count;
     this.#sampleSum = 0;
     this.#sampleCount = 0;
-    return { mean, count };
+    // What it stated to others comes from them.
+    const isOwn = this.#statedAt === this.#loadAt;
+    const load = isOwn ? this.statedLoad(now) : null;
+    return load === null ? { mean, count } : { mean, count, load };
   }
 
   /** It refused a request, or answered it with a failure. */
@@ -179,7 +213,16 @@
   load(now: number): number {
     const age = Math.max(0, now - this.#loadAt);
     const others = this.#othersLoad * Math.exp(-age / LOAD_LIFETIME);
-    return this.inFlight + others;
+    return Math.max(this.inFlight + others, this.#backlog(now));
+  }
+
+  /** Requests that it still has of those that it stated to another VM, if it has
+   * worked on them since and all VMs have left it alone, as they do a full one. */
+  #backlog(now: number): number {
+    const age = now - this.#statedAt;
+    const isOwn = this.#statedAt <= this.#loadAt;
+    if (isOwn || age > STATED_LIFETIME || this.#latency === null) return 0;
+    return this.#statedRequests - age * this.entry.slots / this.#latency;
   }
 
   /**
@@ -202,6 +245,8 @@
       load.running + load.waiting - this.inFlight,
     );
     this.#loadAt = now;
+    this.#statedRequests = load.running + load.waiting;
+    this.#statedAt = now;
   }
 
   /** When an attempt that has ended began; null when it was not begun here. */
--- a/src/core/keyspace/index.ts
+++ b/src/core/keyspace/index.ts
@@ -3,6 +3,7 @@
 export * from "./exposure.ts";
 export * from "./held_range.ts";
 export * from "./key_directory.ts";
+export * from "./key_limits.ts";
 export * from "./key_load.ts";
 export * from "./keyspace_effect.ts";
 export * from "./lease_timing.ts";
--- a/src/core/keyspace/key_load.ts
+++ b/src/core/keyspace/key_load.ts
@@ -61,6 +61,14 @@
     return keys.sort((a, b) => a - b);
   }
 
+  /** The keys of the last `window` milliseconds in ascending order, each as often
+   * as asked for. */
+  newest(window: number, now: number): number[] {
+    const first = this.#times.findIndex((time) => time > now - window);
+    if (first < 0) return [];
+    return this.#keys.slice(first).sort((a, b) => a - b);
+  }
+
   /** Whether some bin has far more requests from index `recent` on than the
    * requests before let expect. */
   #isSurging(recent: number): boolean {
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -134,6 +134,7 @@
       case "holder.alive":
         this.#takeAnswer(address, message, now);
         this.#takeRegistry(message.registry, now);
+        this.#takeCrowding(address, message, now);
         return this.#hear(address, message, now);
       case "configuration.told":
         return this.beliefs.configure(message.told);
@@ -223,7 +224,9 @@
   #takeLatencies(now: number): ServerSamples[] {
     const { catalog, fleet } = this.beliefs;
     if (!this.followerLink.isReportDue(now)) return [];
-    return catalog.keyedServices.flatMap(({ name }) => fleet.takeSamples(name));
+    return catalog.keyedServices.flatMap(({ name }) =>
+      fleet.takeSamples(name, now)
+    );
   }
 
   #takeRegistry(news: RegistryNews | null, now: number): void {
@@ -259,6 +262,17 @@
     this.beliefs.storeRegained(now);
   }
 
+  /** Takes what the holder tells of servers that cannot do all that is asked. */
+  #takeCrowding(
+    address: string,
+    { limits = [], loads = [] }: MessageOf<"holder.alive">,
+    now: number,
+  ): void {
+    if (address !== this.followerLink.holder) return;
+    this.beliefs.keyLimits.take(limits, now);
+    this.beliefs.fleet.hearLoads(loads, now);
+  }
+
   #takeReport(
     address: string,
     message: MessageOf<"keys.asked">,
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Configuration } from "../catalog/index.ts";
-import type { Assignment } from "../keyspace/index.ts";
+import type { ServerLoad } from "../fleet/index.ts";
+import type { Assignment, KeyLimit } from "../keyspace/index.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type {
   HolderAddress,
@@ -30,6 +31,12 @@
   assignments: readonly Assignment[];
 }
 
+/** Servers that hold keys and cannot do all that is asked of them. */
+export interface Crowding {
+  limits: readonly KeyLimit[];
+  loads: readonly ServerLoad[];
+}
+
 /** What has changed of the assignments after a version. */
 export interface AssignmentChanges {
   since: number;
@@ -69,11 +76,12 @@
   }
 
   /** Answers the report that a follower sent at `answersTo`, by its clock: the
-   * holder lives, with news of the registry. */
+   * holder lives, with news of the registry and of crowded servers. */
   confirm(
     address: string,
     word: HolderWord,
     registry: RegistryNews | null,
+    { limits, loads }: Crowding,
     answersTo: number,
   ): PeerSend {
     const message: PeerMessage = {
@@ -81,6 +89,8 @@
       ...word,
       registry,
       answersTo,
+      ...(limits.length > 0 ? { limits: [...limits] } : {}),
+      ...(loads.length > 0 ? { loads: [...loads] } : {}),
     };
     return { kind: "peer.send", address, message };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -6,7 +6,11 @@
 import * as z from "zod";
 import { configurationSchema } from "../catalog/index.ts";
 import { backendServerSchema } from "../fleet/index.ts";
-import { assignmentSchema, exposureSchema } from "../keyspace/index.ts";
+import {
+  assignmentSchema,
+  exposureSchema,
+  keyLimitSchema,
+} from "../keyspace/index.ts";
 import { registryNewsSchema } from "../registry/index.ts";
 
 const count = z.number().int().nonnegative();
@@ -64,6 +68,14 @@
 /** See {@linkcode sharedAssignmentSchema}. */
 export type SharedAssignment = z.infer<typeof sharedAssignmentSchema>;
 
+/** Load that a server stated some time ago. */
+const statedLoadSchema = z.object({
+  /** Requests that it had. */
+  requests: count,
+  /** Milliseconds since. */
+  age: z.number().nonnegative(),
+});
+
 /** A follower tells the term holder what it was asked for lately. */
 const keysAskedSchema = knowledgeSchema.extend({
   kind: z.literal("keys.asked"),
@@ -71,7 +83,13 @@
   /** Answer times of the servers that hold keys, measured since the report
    * before: the mean in milliseconds, and of how many answers. */
   latencies: z.array(
-    z.object({ server: z.string(), mean: z.number(), count }),
+    z.object({
+      server: z.string(),
+      mean: z.number(),
+      count,
+      /** The load that it stated with the last of them. */
+      load: statedLoadSchema.optional(),
+    }),
   ),
   /** Up to where it knows the registry, or null. */
   position: count.nullable(),
@@ -95,6 +113,10 @@
   /** When the report was sent that this answers, by the follower's clock; VMs
    * that have not been renewed yet leave it out. */
   answersTo: z.number().optional(),
+  /** All limits on requests for keys; none where they are left out. */
+  limits: z.array(keyLimitSchema).optional(),
+  /** Load of servers that hold keys and have no room, as they stated it. */
+  loads: z.array(statedLoadSchema.extend({ server: z.string() })).optional(),
 });
 
 /** The holder tells the ranges that have changed after a version. */
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Beliefs, Emit } from "./beliefs.ts";
+import { CrowdingWatch } from "./crowding_watch.ts";
 import type { ServerSamples } from "./fleet/index.ts";
 import type { KeyLoads, TermCampaign, TermHolder } from "./keyspace/index.ts";
 import {
@@ -54,6 +55,7 @@
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class TermPublication {
   readonly #link = HolderLink.create();
+  readonly #crowding: CrowdingWatch;
   #published = { term: 0, version: 0 };
   #publishedAt = -Infinity;
   /** Versions of this term, oldest first. */
@@ -73,7 +75,9 @@
     private readonly loads: KeyLoads,
     private readonly store: StoreHealth,
     private readonly emit: Emit,
-  ) {}
+  ) {
+    this.#crowding = CrowdingWatch.create(beliefs, loads);
+  }
 
   /** A publication that has told nobody anything. */
   static create(
@@ -102,6 +106,7 @@
   /** Tells all followers what has changed. */
   advance(holder: TermHolder, now: number): void {
     this.#publishRegistry();
+    this.#crowding.advance(holder, now);
     if (!this.#isPublished(holder)) this.beliefs.assign(holder.assignments);
     const isDue = now >= this.#publishedAt + this.#link.pause;
     if (isDue) this.#publish(holder, now);
@@ -122,7 +127,13 @@
     this.#link.heard(address, now);
     const news = this.#news(report, now);
     this.emit(
-      this.#link.confirm(address, this.#word(now), news, report.sentAt),
+      this.#link.confirm(
+        address,
+        this.#word(now),
+        news,
+        this.#crowding.current,
+        report.sentAt,
+      ),
     );
     this.#tellConfiguration(address, report, now);
     if (this.#isPublished(holder)) this.#catchUp(holder, address, report, now);
--- /dev/null
+++ b/test/ownership/request_load.ts
@@ -0,0 +1,373 @@
+/**
+ * Keyed requests under virtual time: callers that come back once after a failure,
+ * and servers with slots, a short queue and resets when both are full.
+ *
+ * @module
+ */
+import type {
+  AttemptOutcome,
+  AttemptStart,
+  Refusal,
+  RequestArrival,
+} from "../../src/core/dispatch/index.ts";
+import type { Configuration } from "../../src/core/catalog/index.ts";
+import type { Timeline } from "./timeline.ts";
+
+/** One way between a caller and a VM, and between a VM and a server, in ms. */
+const CALLER_HOP = 8;
+const SERVER_HOP = 1;
+/** Spread of the logarithm of the work: its standard deviation is 0.8 of the mean. */
+const WORK_SIGMA = 0.7;
+/** Longest time that callers stay away when asked to, as a share of what is left. */
+const LONGEST_PAUSE_SHARE = 1 / 3;
+
+/** Keyed requests of a service, and its servers. */
+export interface LoadOptions {
+  /** When requests come, in milliseconds, and how many a second over all VMs. */
+  from: number;
+  until: number;
+  rate: number;
+  /** The key of a request, by a number in [0, 1) twice. */
+  keyOf(draw: () => number, now: number): number;
+  /** Mean work of a request at a server of speed 1, in milliseconds. */
+  work: number;
+  /** Speeds of the servers, in turn. */
+  speeds: readonly number[];
+  slots: number;
+  queue: number;
+  /** Time within which an answer is wanted, and after which none is, in ms. */
+  target: number;
+  timeout: number;
+}
+
+/** How requests for a key ended, by the first attempt's caller. */
+export interface LoadCounts {
+  inTime: number;
+  late: number;
+  refused: number;
+  failed: number;
+  /** Attempts that callers made. */
+  attempts: number;
+  /** Longest time after which an attempt was refused, in milliseconds. */
+  longestRefusal: number;
+  /** Sum of the times that refused attempts were held, in milliseconds. */
+  refusalTime: number;
+  refusals: number;
+}
+
+/** What a load does to the processes around it. */
+export interface LoadPeers {
+  /** VMs that take requests now, by index. */
+  vms(): number[];
+  arrive(vm: number, arrival: RequestArrival): void;
+  end(vm: number, attempt: number, outcome: AttemptOutcome): void;
+  /** Whether the server named holds a key now; null when it is not there. */
+  holds(server: string, address: string, key: number): boolean | null;
+}
+
+/** A caller, over all its attempts. */
+interface Caller {
+  key: number;
+  startedAt: number;
+  attempts: number;
+}
+
+interface Exchange {
+  caller: Caller;
+  vm: number;
+  startedAt: number;
+}
+
+interface Work {
+  vm: number;
+  attempt: number;
+  deadline: number;
+  isRunning: boolean;
+  isEnded: boolean;
+}
+
+/** Slots and queue of one server. */
+class Slots {
+  running = 0;
+  readonly waiting: Work[] = [];
+  constructor(readonly speed: number) {}
+}
+
+/** See the module's comment. */
+export class RequestLoad {
+  readonly #exchanges = new Map<number, Exchange>();
+  readonly #works = new Map<string, Work>();
+  readonly #servers = new Map<string, Slots>();
+  readonly #counts = new Map<number, LoadCounts>();
+  #exchangeCount = 0;
+  /** Requests that a server's full queue reset, and that it did not hold. */
+  resets = 0;
+  misplaced = 0;
+  arrivals = 0;
+  /** How each caller's request ended. */
+  readonly ends: (Caller & { name: string; took: number })[] = [];
+
+  private constructor(
+    private readonly options: LoadOptions,
+    private readonly time: Timeline,
+    private readonly draw: () => number,
+    private readonly peers: LoadPeers,
+  ) {}
+
+  /** A load that begins at its time. */
+  static create(
+    options: LoadOptions,
+    time: Timeline,
+    draw: () => number,
+    peers: LoadPeers,
+  ): RequestLoad {
+    const load = new RequestLoad(options, time, draw, peers);
+    time.after(options.from, () => load.#ask());
+    return load;
+  }
+
+  /** Routes for these requests. */
+  static routes(
+    service: string,
+    { target }: LoadOptions,
+  ): Configuration["routes"] {
+    return [{
+      name: "r",
+      host: "h",
+      pathPrefix: "/",
+      isIdempotent: true,
+      destinations: [{ service, weight: 1 }],
+      timeout: target * 1.5,
+      targetLatency: target,
+      maximumAttempts: 2,
+      priority: 0,
+    }];
+  }
+
+  /** How requests ended whose key passes `filter`. */
+  counts(filter: (key: number) => boolean): LoadCounts {
+    const sum = noCounts();
+    for (const [key, counts] of this.#counts) {
+      if (!filter(key)) continue;
+      for (const name of Object.keys(sum) as (keyof LoadCounts)[]) {
+        sum[name] = name === "longestRefusal"
+          ? Math.max(sum[name], counts[name])
+          : sum[name] + counts[name];
+      }
+    }
+    return sum;
+  }
+
+  /** A VM sends a request to a server. */
+  send(vm: number, start: AttemptStart): void {
+    const { attempt, remaining } = start;
+    const work: Work = {
+      vm,
+      attempt,
+      deadline: this.time.now + remaining,
+      isRunning: false,
+      isEnded: false,
+    };
+    this.#works.set(nameOf(vm, attempt), work);
+    const { key } = this.#exchanges.get(start.exchange)!.caller;
+    this.time.after(SERVER_HOP, () => this.#reach(start, key, work));
+  }
+
+  /** A VM gives an attempt up: its connection closes. */
+  cancel(vm: number, attempt: number): void {
+    const work = this.#works.get(nameOf(vm, attempt));
+    if (work !== undefined) work.isEnded = true;
+  }
+
+  /** A VM passes a server's answer on. */
+  deliver(exchange: number): void {
+    const { caller } = this.#take(exchange);
+    const took = this.time.now + CALLER_HOP - caller.startedAt;
+    const name = took <= this.options.target ? "inTime" : "late";
+    this.#of(caller)[name] += 1;
+    this.ends.push({ ...caller, name, took });
+  }
+
+  /** A VM answers itself. */
+  refuse({ exchange, status, retryAfter }: Refusal): void {
+    const { caller, startedAt } = this.#take(exchange);
+    const counts = this.#of(caller);
+    const isRefusal = status === 503;
+    if (isRefusal) {
+      const held = this.time.now - startedAt;
+      counts.longestRefusal = Math.max(counts.longestRefusal, held);
+      counts.refusalTime += held;
+      counts.refusals += 1;
+    }
+    const end = caller.startedAt + this.options.timeout;
+    const left = end - this.time.now;
+    const pause = Math.min(retryAfter ?? 0, left * LONGEST_PAUSE_SHARE);
+    if (caller.attempts < 2 && left > 2 * CALLER_HOP) {
+      this.time.after(pause + CALLER_HOP, () => this.#attempt(caller));
+      return;
+    }
+    const name = isRefusal ? "refused" : "failed";
+    counts[name] += 1;
+    const took = this.time.now - caller.startedAt;
+    this.ends.push({ ...caller, name, took });
+  }
+
+  #ask(): void {
+    const { rate, until, keyOf } = this.options;
+    if (this.time.now >= until) return;
+    const key = keyOf(this.draw, this.time.now);
+    this.#attempt({ key, startedAt: this.time.now, attempts: 0 });
+    const pause = -Math.log(1 - this.draw()) * 1_000 / rate;
+    this.time.after(pause, () => this.#ask());
+  }
+
+  #attempt(caller: Caller): void {
+    caller.attempts += 1;
+    this.#of(caller).attempts += 1;
+    const vms = this.peers.vms();
+    const vm = vms[Math.floor(this.draw() * vms.length)];
+    this.time.after(CALLER_HOP, () => {
+      this.#exchangeCount += 1;
+      const exchange = this.#exchangeCount;
+      const { now } = this.time;
+      const startedAt = now;
+      this.#exchanges.set(exchange, { caller, vm, startedAt });
+      this.peers.arrive(vm, {
+        exchange,
+        id: `r-${exchange}`,
+        host: "h",
+        target: "/",
+        timeout: Math.round(caller.startedAt + this.options.timeout - now),
+        key: caller.key,
+      });
+    });
+  }
+
+  #reach({ server, address }: AttemptStart, key: number, work: Work): void {
+    if (work.isEnded) return;
+    const isHeld = this.peers.holds(server, address, key);
+    if (isHeld === null) return this.#end(work, notSent());
+    this.arrivals += 1;
+    const slots = this.#slots(server);
+    if (!isHeld) {
+      this.misplaced += 1;
+      return this.#end(work, this.#answer(server, 421, true));
+    }
+    if (slots.running < this.options.slots) {
+      return this.#run(server, work);
+    }
+    const waiting = slots.waiting.filter((each) => !each.isEnded);
+    if (waiting.length >= this.options.queue) {
+      this.resets += 1;
+      return this.#end(work, { kind: "failed", wasSent: true, cause: "reset" });
+    }
+    slots.waiting.push(work);
+    this.time.after(Math.max(0, work.deadline - this.time.now), () => {
+      if (work.isRunning || work.isEnded) return;
+      this.#end(work, this.#answer(server, 503, true));
+    });
+  }
+
+  #run(server: string, work: Work): void {
+    const slots = this.#slots(server);
+    slots.running += 1;
+    work.isRunning = true;
+    const mean = this.options.work / slots.speed;
+    const took = Math.min(
+      mean * this.#spread(),
+      work.deadline - this.time.now,
+    );
+    this.time.after(Math.max(1, took), () => {
+      slots.running -= 1;
+      const isOver = this.time.now >= work.deadline;
+      if (!work.isEnded) {
+        this.#end(work, this.#answer(server, isOver ? 504 : 200, false));
+      }
+      this.#next(server);
+    });
+  }
+
+  /** Work of one request as a share of the mean: log-normal. */
+  #spread(): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.draw()));
+    const normal = radius * Math.cos(2 * Math.PI * this.draw());
+    return Math.exp(WORK_SIGMA * normal - WORK_SIGMA ** 2 / 2);
+  }
+
+  #next(server: string): void {
+    const slots = this.#slots(server);
+    while (slots.running < this.options.slots) {
+      const work = slots.waiting.shift();
+      if (work === undefined) return;
+      if (!work.isEnded) this.#run(server, work);
+    }
+  }
+
+  #answer(server: string, status: number, isNotRun: boolean): AttemptOutcome {
+    const { running, waiting } = this.#slots(server);
+    const queued = waiting.filter((each) => !each.isEnded).length;
+    return {
+      kind: "answered",
+      status,
+      isGenuine: !isNotRun,
+      isNotRun,
+      server,
+      load: { running, waiting: queued, slots: this.options.slots },
+    };
+  }
+
+  #end(work: Work, outcome: AttemptOutcome): void {
+    work.isEnded = true;
+    this.#works.delete(nameOf(work.vm, work.attempt));
+    this.time.after(
+      SERVER_HOP,
+      () => this.peers.end(work.vm, work.attempt, outcome),
+    );
+  }
+
+  #slots(server: string): Slots {
+    let slots = this.#servers.get(server);
+    if (slots === undefined) {
+      const { speeds } = this.options;
+      slots = new Slots(speeds[this.#servers.size % speeds.length]);
+      this.#servers.set(server, slots);
+    }
+    return slots;
+  }
+
+  #take(exchange: number): Exchange {
+    const known = this.#exchanges.get(exchange)!;
+    this.#exchanges.delete(exchange);
+    return known;
+  }
+
+  #of({ key }: Caller): LoadCounts {
+    let counts = this.#counts.get(key);
+    if (counts === undefined) {
+      counts = noCounts();
+      this.#counts.set(key, counts);
+    }
+    return counts;
+  }
+}
+
+function noCounts(): LoadCounts {
+  return {
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    failed: 0,
+    attempts: 0,
+    longestRefusal: 0,
+    refusalTime: 0,
+    refusals: 0,
+  };
+}
+
+function notSent(): AttemptOutcome {
+  return { kind: "failed", wasSent: false, cause: "refused" };
+}
+
+function nameOf(vm: number, attempt: number): string {
+  return `${vm}/${attempt}`;
+}
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -26,6 +26,7 @@
   overlap,
   type Tenure,
 } from "./model_server.ts";
+import { type LoadOptions, RequestLoad } from "./request_load.ts";
 import { ModelStore } from "./model_store.ts";
 import { Timeline } from "./timeline.ts";
 
@@ -93,6 +94,8 @@
   /** What differs in the first VM's or the others' timing, to weaken them. */
   firstTiming?: Partial<LeaseTiming>;
   otherTiming?: Partial<LeaseTiming>;
+  /** Requests that callers make; none if left out. */
+  load?: LoadOptions;
   /** Whether the store forgets assignments. */
   isForgetful?: boolean;
   /** Whether orders name no server, so that any run at the address takes them. */
@@ -115,6 +118,10 @@
   holders: string[];
   /** Share of the requests whose key was held by an open server's grant. */
   held: number;
+  /** What became of callers' requests. */
+  load: RequestLoad | null;
+  /** Messages between VMs, by kind. */
+  messages: Map<string, number>;
 }
 
 class Vm {
@@ -188,6 +195,8 @@
     moves: 0,
     holders: [],
     held: 0,
+    load: null,
+    messages: new Map(),
   };
   #asked = 0;
   #replacements = 0;
@@ -204,6 +213,26 @@
       this.#vms.push(vm);
       this.#time.after(this.#draw() * 300, () => this.#start(vm));
     }
+    if (options.load !== undefined) {
+      this.#report.load = RequestLoad.create(
+        options.load,
+        this.#time,
+        this.#draw,
+        {
+          vms: () =>
+            this.#vms.filter((each) => each.isUp).map((vm) => vm.index),
+          arrive: (vm, arrival) =>
+            this.#push(this.#vms[vm], { kind: "request.arrived", arrival }),
+          end: (vm, attempt, outcome) =>
+            this.#push(this.#vms[vm], {
+              kind: "attempt.ended",
+              attempt,
+              outcome,
+            }),
+          holds: (server, address, key) => this.#holds(server, address, key),
+        },
+      );
+    }
     for (const fault of options.faults) {
       this.#time.after(fault.at, () => this.#strike(fault));
     }
@@ -223,7 +252,9 @@
       kind: "configuration.read",
       configuration: {
         version: 1,
-        routes: [],
+        routes: this.options.load === undefined
+          ? []
+          : RequestLoad.routes(SERVICE, this.options.load),
         services: [{ name: SERVICE, maximumConnections: 10, isKeyed: true }],
         limits: {
           maximumHeaderBytes: 1,
@@ -282,6 +313,16 @@
     this.#time.after(REQUEST_INTERVAL, () => this.#ask());
   }
 
+  /** Whether a server holds a key now; null when it is not there. */
+  #holds(id: string, address: string, key: number): boolean | null {
+    const run = this.#runAt(address);
+    if (run === undefined || !run.isUp) return null;
+    return run.id === id &&
+      run.holdings.some((each) =>
+        each.first <= key && key <= each.last && each.until > this.#time.now
+      );
+  }
+
   /** Takes an occurrence to a VM; a frozen one takes it when it wakes. */
   #push(vm: Vm, occurrence: Occurrence): void {
     if (!vm.isUp) return;
@@ -385,7 +426,16 @@
           this.#holder = { term, vm: id, address, fitness };
           this.#report.holders.push(address);
         }, () => null);
+      case "attempt.start":
+        return this.#report.load!.send(vm.index, effect);
+      case "attempt.cancel":
+        return this.#report.load!.cancel(vm.index, effect.attempt);
+      case "request.deliver":
+        return this.#report.load!.deliver(effect.exchange);
+      case "request.refuse":
+        return this.#report.load!.refuse(effect);
       case "peer.send":
+        this.#countMessage(effect.message.kind);
         return this.#sendPeer(vm, effect.address, {
           kind: "peer.received",
           address: vm.address,
@@ -409,6 +459,11 @@
     }
   }
 
+  #countMessage(kind: string): void {
+    const { messages } = this.#report;
+    messages.set(kind, (messages.get(kind) ?? 0) + 1);
+  }
+
   /** Joins the electorate, or the observers, of whom none is elected. */
   #join(vm: Vm, group: Group) {
     if (group === "observers") return { generation: 1, isElected: false };
