--- a/src/core/crowding_watch.ts
+++ b/src/core/crowding_watch.ts
@@ -8,6 +8,7 @@
 import type { Beliefs } from "./beliefs.ts";
 import {
   DEMAND_WINDOW,
+  type KeyLimit,
   type KeyLoads,
   limitsOf,
   type TermHolder,
@@ -55,10 +56,25 @@
     });
     const loads = services.flatMap((service) => this.#fullServers(service, now))
       .slice(0, MOST_LOADS);
+    this.#noteChanges(limits);
     this.#current = { limits, loads };
     keyLimits.take(limits, now);
   }
 
+  /** Writes a line for each range whose limit begins or ends. */
+  #noteChanges(limits: readonly KeyLimit[]): void {
+    const { limits: before } = this.#current;
+    for (const { service, first, last, share } of limits) {
+      if (before.some((each) => isSame(each, { service, first }))) continue;
+      const detail = { service, first, last, share };
+      this.beliefs.note("keys.limited", detail);
+    }
+    for (const { service, first, last } of before) {
+      if (limits.some((each) => isSame(each, { service, first }))) continue;
+      this.beliefs.note("keys.unlimited", { service, first, last });
+    }
+  }
+
   #fullServers(service: string, now: number): Crowding["loads"] {
     return this.beliefs.fleet.of(service).flatMap((server) => {
       const stated = server.statedLoad(now);
@@ -68,3 +84,11 @@
     });
   }
 }
+
+/** Whether two limits are on the range that begins at the same key. */
+function isSame(
+  a: Pick<KeyLimit, "service" | "first">,
+  b: Pick<KeyLimit, "service" | "first">,
+): boolean {
+  return a.service === b.service && a.first === b.first;
+}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -210,7 +210,7 @@
         this.#giveUpWaiting(request, OVER_BUDGET, now);
       }
     } else if (placing.kind === "refuse") {
-      this.#crowdOut(request, placing.reason, now);
+      this.#crowdOut(request, placing, now);
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
@@ -366,7 +366,7 @@
       if (placing.kind === "server") return;
       if (placing.kind === "refuse") {
         this.#waiting.remove(request);
-        return this.#crowdOut(request, placing.reason, now);
+        return this.#crowdOut(request, placing, now);
       }
       if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
@@ -385,8 +385,18 @@
   }
 
   /** Refuses a request at once for which its key's server has no room. */
-  #crowdOut(request: PendingRequest, reason: string, now: number): void {
+  #crowdOut(
+    request: PendingRequest,
+    { reason, share, age }: Placing & { kind: "refuse" },
+    now: number,
+  ): void {
     request.isCrowdedOut = true;
+    const detail = {
+      share: Number(share.toFixed(3)),
+      chance: Number(request.chance.toFixed(3)),
+      limitAge: Math.round(age),
+    };
+    this.#log.note("info", "request.crowded_out", request, now, detail);
     this.#giveUpWaiting(request, reason, now);
   }
 
@@ -437,7 +447,7 @@
         if (this.#send(request, placing.server, now)) continue;
         this.#giveUpWaiting(request, OVER_BUDGET, now);
       } else if (placing.kind === "refuse") {
-        this.#crowdOut(request, placing.reason, now);
+        this.#crowdOut(request, placing, now);
       } else {
         isFull = isFull || request.tried.length === 0;
         request.lookAt = placing.until;
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -17,8 +17,8 @@
 /** Where a request can go now. */
 export type Placing =
   | { kind: "server"; server: TrackedServer }
-  /** Not here, and no sooner for waiting. */
-  | { kind: "refuse"; reason: string }
+  /** Not at all: only a share of the requests for its key has room. */
+  | { kind: "refuse"; reason: string; share: number; age: number }
   /** Not now, maybe later; `isBrief` when it is known to change soon, `until`
    * when time alone changes it (Infinity otherwise). */
   | { kind: "wait"; reason: string; isBrief: boolean; until: number };
@@ -60,17 +60,17 @@
     return waitForLong("no server has room");
   }
 
-  /** Whether the key's server has no room for this share of its requests. Where
-   * it has just stated its load here, that says more. */
-  #isCrowdedOut(
-    { service, chance }: PendingRequest,
+  /** Share of the requests for a key that its server has room for. Where that has
+   * just stated its load here, the load says more. */
+  #shareWithRoom(
+    service: string,
     key: number,
     server: string | null,
     now: number,
-  ): boolean {
-    const { fleet } = this.context;
-    if (server !== null && fleet.get(server)?.isLoadKnown(now)) return false;
-    return chance >= this.context.keyLimits.share(service, key, now);
+  ): number {
+    const { fleet, keyLimits } = this.context;
+    if (server !== null && fleet.get(server)?.isLoadKnown(now)) return 1;
+    return keyLimits.share(service, key, now);
   }
 
   #placeKeyed(request: PendingRequest, key: number, now: number): Placing {
@@ -80,9 +80,11 @@
       return waitForLong("no assignment of keys is known");
     }
     // Also while it is on the move: all that wait would come to it at once.
-    if (this.#isCrowdedOut(request, key, range.server, now)) {
+    const share = this.#shareWithRoom(request.service, key, range.server, now);
+    if (request.chance >= share) {
       const reason = "the key is asked for more than its server can do";
-      return { kind: "refuse", reason };
+      const age = this.context.keyLimits.age(now);
+      return { kind: "refuse", reason, share, age };
     }
     if (!range.isOpen || range.server === null) {
       return waitBriefly("the key is on the move");
--- a/src/core/keyspace/key_limits.ts
+++ b/src/core/keyspace/key_limits.ts
@@ -125,9 +125,14 @@
     this.#heardAt = now;
   }
 
+  /** Time since the limits were told, in milliseconds. */
+  age(now: number): number {
+    return now - this.#heardAt;
+  }
+
   /** Share of the requests for `key` that has room at its server. */
   share(service: string, key: number, now: number): number {
-    if (now - this.#heardAt > LIFETIME) return 1;
+    if (this.age(now) > LIFETIME) return 1;
     const limit = this.#limits.find((each) =>
       each.service === service && each.first <= key && key <= each.last
     );
--- a/src/logging/story.ts
+++ b/src/logging/story.ts
@@ -72,6 +72,13 @@
 
 const CAUSES: Record<string, Explanation> = {
   "request.refused": ({ service, reason, age }, lines) => {
+    const crowded = lines.findLast((each) =>
+      each.decision === "request.crowded_out"
+    );
+    if (crowded !== undefined) {
+      const { share, limitAge } = crowded.detail;
+      return `503 after ${age} ms, not run: ${reason}: ${share} of its requests have room, by what the term holder told ${limitAge} ms before (service ${service})`;
+    }
     const refusal = lines.findLast((each) =>
       each.decision === "attempt.not_run"
     );
