--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -22,6 +22,9 @@
 /** Time for which a newer configuration is left to arrive by itself, in
  * milliseconds: from the store, or with the holder's next answer. */
 const CONFIGURATION_PATIENCE = 600;
+/** The same while the store's news are left to the holder, which tells it with the
+ * answer to the next report: up to 750 ms on a VM that nothing else wakes. */
+const TOLD_PATIENCE = 1_000;
 /** Pause between reads of a configuration that a peer has, in milliseconds. */
 const CONFIGURATION_PAUSE = 400;
 /** Time between two steps after which this process counts as having slept, in
@@ -344,7 +347,8 @@
       return;
     }
     this.#behindSince = Math.min(this.#behindSince, now);
-    if (now - this.#behindSince < CONFIGURATION_PATIENCE) return;
+    const patience = this.isTold(now) ? TOLD_PATIENCE : CONFIGURATION_PATIENCE;
+    if (now - this.#behindSince < patience) return;
     if (now - this.#configurationFetchedAt < CONFIGURATION_PAUSE) return;
     this.#configurationFetchedAt = now;
     this.beliefs.note("configuration.behind", { version, newest });
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -1,5 +1,5 @@
 /**
- * Keyed requests under virtual time: callers that come back once after a failure,
+ * Requests under virtual time: callers that come back once after a failure,
  * and servers with slots, a short queue and resets when both are full.
  *
  * @module
@@ -21,8 +21,10 @@
 /** Longest time that callers stay away when asked to, as a share of what is left. */
 const LONGEST_PAUSE_SHARE = 1 / 3;
 
-/** Keyed requests of a service, and its servers. */
+/** Requests of a service, and its servers. */
 export interface LoadOptions {
+  /** Whether the service is divided by key; it is if left out. */
+  isKeyed?: boolean;
   /** When requests come, in milliseconds, and how many a second over all VMs. */
   from: number;
   until: number;
@@ -63,6 +65,8 @@
   end(vm: number, attempt: number, outcome: AttemptOutcome): void;
   /** Whether the server named holds a key now; null when it is not there. */
   holds(server: string, address: string, key: number): boolean | null;
+  /** Whether a VM and a server are in the same availability zone. */
+  isNear(vm: number, server: string): boolean;
 }
 
 /** A caller, over all its attempts. */
@@ -104,6 +108,8 @@
   resets = 0;
   misplaced = 0;
   arrivals = 0;
+  /** Arrivals from another availability zone. */
+  farArrivals = 0;
   /** How each caller's request ended. */
   readonly ends: (Caller & { name: string; took: number })[] = [];
 
@@ -248,8 +254,9 @@
     const isHeld = this.peers.holds(server, address, key);
     if (isHeld === null) return this.#end(work, notSent());
     this.arrivals += 1;
+    if (!this.peers.isNear(work.vm, server)) this.farArrivals += 1;
     const slots = this.#slots(server);
-    if (!isHeld) {
+    if (!isHeld && (this.options.isKeyed ?? true)) {
       this.misplaced += 1;
       return this.#end(work, this.#answer(server, 421, true));
     }
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -17,7 +17,7 @@
   type OrderOutcome,
   type ReleaseOrder,
 } from "../../src/core/keyspace/index.ts";
-import type { HolderAddress } from "../../src/core/peers/index.ts";
+import type { HolderAddress, PeerMessage } from "../../src/core/peers/index.ts";
 import { uniformFloat64 } from "../../src/core/random.ts";
 import type { RegistryRead } from "../../src/core/registry/index.ts";
 import {
@@ -48,6 +48,10 @@
 const ENTRY_LIFETIME = 2_600;
 const HOLDER_INTERVAL = 900;
 const REQUEST_INTERVAL = 40;
+/** Pause between two looks at the versions that VMs have. */
+const COMPARE_INTERVAL = 100;
+/** Time without a fault after which a VM must keep up. */
+const STABILITY_TIME = 3_000;
 
 /** A fault that begins at `at` and lasts `duration` milliseconds. */
 export interface Fault {
@@ -94,6 +98,11 @@
   /** What differs in the first VM's or the others' timing, to weaken them. */
   firstTiming?: Partial<LeaseTiming>;
   otherTiming?: Partial<LeaseTiming>;
+  /** Pause between two versions of the configuration, in milliseconds; only the
+   * first one if left out. */
+  configurationPause?: number;
+  /** Number of availability zones; one if left out. */
+  zones?: number;
   /** Requests that callers make; none if left out. */
   load?: LoadOptions;
   /** Whether the store forgets assignments. */
@@ -105,6 +114,8 @@
   areEntriesProof?: boolean;
   /** Whether a renewal has the token of the grant that it renews. */
   areTokensReused?: boolean;
+  /** Whether holders tell that the store has answered them just now, always. */
+  isStoreSilenceHidden?: boolean;
   /** Whether connections are opened for all orders. */
   isConnectingAlways?: boolean;
 }
@@ -118,6 +129,11 @@
   holders: string[];
   /** Share of the requests whose key was held by an open server's grant. */
   held: number;
+  /** Longest time for which a VM that was in touch lacked a version of the
+   * configuration, in milliseconds. */
+  configurationLag: number;
+  /** Calls to the store by VMs, by kind. */
+  storeCalls: Map<string, number>;
   /** What became of callers' requests. */
   load: RequestLoad | null;
   /** Messages between VMs, by kind. */
@@ -130,6 +146,12 @@
   isUp = true;
   /** Whether it reads for itself who holds the term. */
   isFollowing = true;
+  /** Whether the read that waits for news has lost its answer without a sign. */
+  isPollLost = false;
+  /** Whether the last call to the store failed. */
+  isStoreFailing = false;
+  /** Since when it runs, reaches the store and all its peers. */
+  inTouchSince = 0;
   frozenUntil = -1;
   /** Runs of servers to which connections are kept, by address. */
   readonly connections = new Map<string, ModelServer>();
@@ -155,7 +177,7 @@
     return Entry.create({
       peerAddress: this.address,
       seeds: [],
-      availabilityZone: "a",
+      availabilityZone: `zone-${this.index % (this.options.zones ?? 1)}`,
       leaseTiming: leaseTimingSchema.parse({ ...weakness }),
       fitness: this.options.fitness?.[this.index] ?? 1,
       retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
@@ -170,6 +192,8 @@
     this.entry = this.create();
     this.isUp = true;
     this.isFollowing = true;
+    this.isPollLost = false;
+    this.isStoreFailing = false;
     this.connections.clear();
     this.timerAt = Infinity;
   }
@@ -195,6 +219,8 @@
     moves: 0,
     holders: [],
     held: 0,
+    configurationLag: 0,
+    storeCalls: new Map(),
     load: null,
     messages: new Map(),
   };
@@ -203,6 +229,8 @@
   #copies = 0;
   #heldCount = 0;
   #holder: HolderAddress | null = null;
+  /** When each version of the configuration was published. */
+  readonly #publications: number[] = [0];
 
   private constructor(private readonly options: WorldOptions) {
     this.#draw = uniformFloat64(options.seed);
@@ -230,9 +258,19 @@
               outcome,
             }),
           holds: (server, address, key) => this.#holds(server, address, key),
+          isNear: (vm, server) =>
+            this.#zoneOf(vm) === this.#listed.get(server)?.availabilityZone,
         },
       );
     }
+    const { configurationPause } = options;
+    if (configurationPause !== undefined) {
+      this.#time.after(
+        configurationPause,
+        () => this.#publishConfiguration(configurationPause),
+      );
+      this.#time.after(0, () => this.#compareConfigurations());
+    }
     for (const fault of options.faults) {
       this.#time.after(fault.at, () => this.#strike(fault));
     }
@@ -248,14 +286,20 @@
   }
 
   #start(vm: Vm): void {
+    this.#tellConfiguration(vm);
+    this.#readHolder(vm, vm.run);
+  }
+
+  #tellConfiguration(vm: Vm): void {
+    const isKeyed = this.options.load?.isKeyed ?? true;
     this.#push(vm, {
       kind: "configuration.read",
       configuration: {
-        version: 1,
+        version: this.#publications.length,
         routes: this.options.load === undefined
           ? []
           : RequestLoad.routes(SERVICE, this.options.load),
-        services: [{ name: SERVICE, maximumConnections: 10, isKeyed: true }],
+        services: [{ name: SERVICE, maximumConnections: 10, isKeyed }],
         limits: {
           maximumHeaderBytes: 1,
           maximumBodyBytes: 1,
@@ -264,12 +308,62 @@
         },
       },
     });
-    this.#readHolder(vm, vm.run);
+  }
+
+  /** Publishes the next version: reads that wait for it are answered. */
+  #publishConfiguration(pause: number): void {
+    this.#publications.push(this.#time.now);
+    for (const vm of this.#vms) {
+      if (!vm.isUp || !vm.isFollowing || !this.#reachesStore(vm)) continue;
+      if (this.#isActive("store.loses_answers")) vm.isPollLost = true;
+      else if (!vm.isPollLost) this.#readConfiguration(vm);
+    }
+    this.#time.after(pause, () => this.#publishConfiguration(pause));
+  }
+
+  /** Lets a VM read the configuration now, if the store answers it. */
+  #readConfiguration(vm: Vm): void {
+    const { run } = vm;
+    this.#countCall("configuration");
+    if (!this.#reachesStore(vm)) return;
+    if (this.#isActive("store.loses_answers")) return;
+    this.#time.after(2 * HOP, () => {
+      if (vm.run === run) this.#tellConfiguration(vm);
+    });
+  }
+
+  /** Notes how far VMs in touch are behind the versions that are published. */
+  #compareConfigurations(): void {
+    const { now } = this.#time;
+    const isStoreFaulty = this.#isActive("store.down") ||
+      this.#isActive("store.loses_answers");
+    for (const vm of this.#vms) {
+      const isDisturbed = isStoreFaulty || !vm.isUp || vm.frozenUntil > now ||
+        vm.entry.isReady === false || !this.#reachesStore(vm) ||
+        this.#isActive("vm.cut_from_peers", vm.index);
+      if (isDisturbed) vm.inTouchSince = now;
+      if (now - vm.inTouchSince < STABILITY_TIME) continue;
+      // Version n stands at index n - 1: this is the first that it lacks.
+      const lacking = this.#publications[vm.entry.beliefs.catalog.version];
+      if (lacking === undefined) continue;
+      const lag = now - lacking;
+      this.#report.configurationLag = Math.max(
+        this.#report.configurationLag,
+        lag,
+      );
+    }
+    this.#time.after(COMPARE_INTERVAL, () => this.#compareConfigurations());
+  }
+
+  #countCall(kind: string): void {
+    const { storeCalls } = this.#report;
+    storeCalls.set(kind, (storeCalls.get(kind) ?? 0) + 1);
   }
 
   /** Reads who holds the term now and again, as long as the VM's run lasts. */
   #readHolder(vm: Vm, run: number): void {
     if (vm.run !== run) return;
+    if (vm.isFollowing) this.#countCall("holder");
     const mayRead = this.#reachesStore(vm) && vm.isFollowing;
     if (mayRead && this.#holder !== null) {
       this.#push(vm, { kind: "holder.announced", holder: this.#holder });
@@ -313,6 +407,10 @@
     this.#time.after(REQUEST_INTERVAL, () => this.#ask());
   }
 
+  #zoneOf(index: number): string {
+    return `zone-${index % (this.options.zones ?? 1)}`;
+  }
+
   /** Whether a server holds a key now; null when it is not there. */
   #holds(id: string, address: string, key: number): boolean | null {
     const run = this.#runAt(address);
@@ -355,6 +453,7 @@
   #perform(vm: Vm, effect: EntryEffect): void {
     switch (effect.kind) {
       case "group.join":
+        this.#countCall("join");
         return this.#call(
           vm,
           () => this.#join(vm, effect.group),
@@ -371,12 +470,14 @@
           () => null,
         );
       case "term.read":
+        this.#countCall("record");
         return this.#call(
           vm,
           () => this.#store.read(),
           (records) => ({ kind: "term.read", records }),
         );
       case "servers.fetch":
+        this.#countCall("registry");
         return this.#call(
           vm,
           () => this.#readRegistry(effect.from),
@@ -386,6 +487,7 @@
               : { kind: "servers.read", read, sentAt },
         );
       case "assignments.fetch":
+        this.#countCall("record");
         return this.#call(
           vm,
           () => this.#store.read(),
@@ -436,6 +538,7 @@
         return this.#report.load!.refuse(effect);
       case "peer.send":
         this.#countMessage(effect.message.kind);
+        if (this.options.isStoreSilenceHidden) hideSilence(effect.message);
         return this.#sendPeer(vm, effect.address, {
           kind: "peer.received",
           address: vm.address,
@@ -449,7 +552,11 @@
         return;
       case "feeds.follow":
         vm.isFollowing = effect.isOn;
+        // A read beside one that may have lost its answer.
+        if (effect.isOn) this.#refresh(vm);
         return;
+      case "configuration.fetch":
+        return this.#readConfiguration(vm);
       case "callers.close":
         // There are none here.
         return this.#push(vm, { kind: "callers.closed" });
@@ -484,6 +591,7 @@
       if (value !== null) this.#push(vm, { kind: "store.answered", sentAt });
       if (occurrence !== null) this.#push(vm, occurrence);
     };
+    this.#restartPoll(vm, isAnswered);
     const vmRun = vm.run;
     this.#time.after(HOP, () => {
       const value = isDone ? run() : null;
@@ -494,6 +602,18 @@
     });
   }
 
+  /** Reads that wait are begun anew once calls that failed are answered again. */
+  #restartPoll(vm: Vm, isAnswered: boolean): void {
+    const isBack = isAnswered && vm.isStoreFailing;
+    vm.isStoreFailing = !isAnswered;
+    if (isBack) this.#refresh(vm);
+  }
+
+  #refresh(vm: Vm): void {
+    vm.isPollLost = false;
+    if (vm.isFollowing) this.#readConfiguration(vm);
+  }
+
   #sendPeer(vm: Vm, address: string, occurrence: Occurrence): void {
     const peer = this.#vms.find((each) => each.address === address);
     const isCut = this.#isActive("vm.cut_from_peers", vm.index) ||
@@ -753,7 +873,7 @@
       incarnation: 1 + Math.round(startedAt),
       service: SERVICE,
       address,
-      availabilityZone: "a",
+      availabilityZone: this.#zoneOf(Number(address.split("-")[1])),
       slots: 3,
       isDraining: false,
       warmUp: 0,
@@ -776,3 +896,8 @@
     return (this.#active.get(name) ?? -1) > this.#time.now;
   }
 }
+
+/** Lets a holder's word claim that the store answers it. */
+function hideSilence(message: PeerMessage): void {
+  if (message.kind === "holder.alive") message.storeSilence = 0;
+}
