--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -10,27 +10,19 @@
 import type { Fleet } from "../fleet/index.ts";
 import { type Assignment, coversAllKeys } from "./assignment.ts";
 import type { Exposure } from "./exposure.ts";
-import { type HeldRange, vacantRange } from "./held_range.ts";
+import type { HeldRange } from "./held_range.ts";
 import { KeyBalance } from "./key_balance.ts";
 import type { KeyLoads } from "./key_load.ts";
-import {
-  answeredEnd,
-  type LeaseTiming,
-  predecessorEnd,
-  unansweredEnd,
-} from "./lease_timing.ts";
-import { OrderBook, type PendingOrder } from "./order_book.ts";
+import { type LeaseTiming, predecessorEnd } from "./lease_timing.ts";
+import { OrderBook } from "./order_book.ts";
+import { OrderOutcomes } from "./order_outcomes.ts";
 import type { Move } from "./placement.ts";
 import { RecordWriter } from "./record_writer.ts";
 import { RangeServers } from "./range_servers.ts";
 import { RangeTable } from "./range_table.ts";
+import { NEWS_TIME, RangeTransitions } from "./range_transitions.ts";
 import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 
-/** Pause before an unanswered order is sent again, in milliseconds. */
-const RETRY_PAUSE = 150;
-/** Time that the news of closed keys takes to the other VMs, in milliseconds:
- * requests sent meanwhile would only be refused by the server. */
-const NEWS_TIME = 5;
 /** Share of a fair server's work that a piece of a lost server's keys makes at
  * most, so that they are spread. */
 const PIECE_SHARE = 0.5;
@@ -53,6 +45,8 @@
   readonly #orders: OrderBook;
   readonly #balance: KeyBalance;
   readonly #servers: RangeServers;
+  readonly #transitions: RangeTransitions;
+  readonly #outcomes: OrderOutcomes;
   /** Before this no move for balance begins. */
   #movesFrom = -Infinity;
   #effects: KeyspaceEffect[] = [];
@@ -68,6 +62,13 @@
     this.record = RecordWriter.create(term);
     this.#balance = KeyBalance.create(fleet, loads);
     this.#servers = RangeServers.create(fleet);
+    this.#transitions = RangeTransitions.create(this.#servers);
+    this.#outcomes = OrderOutcomes.create(
+      this.#orders,
+      this.#servers,
+      this.#transitions,
+      timing,
+    );
   }
 
   /**
@@ -199,10 +200,7 @@
     const order = this.#orders.end(id, now);
     if (order === undefined) return true;
     if (outcome.kind === "superseded") return false;
-    if (outcome.kind === "withheld") this.#withheld(order, now);
-    else if (outcome.kind === "misdirected") this.#misdirected(order, now);
-    else if (order.kind === "grant") this.#granted(order, outcome, now);
-    else this.#released(order, outcome, now);
+    this.#effects.push(...this.#outcomes.take(order, outcome, now));
     return true;
   }
 
@@ -247,8 +245,9 @@
         }
         return;
       case "held":
-        if (this.#mustLeave(range, now)) this.#close(table, range, now);
-        else if (
+        if (this.#mustLeave(range, now)) {
+          this.#transitions.close(table, range, now);
+        } else if (
           now >= range.dueAt || range.hold < hold ||
           this.#servers.isRestarted(range)
         ) {
@@ -261,8 +260,9 @@
       case "released":
         return this.#passOn(table, range, now, hold, storeSilence);
       case "expiring":
-        if (now >= this.#orders.heldUntil(range)) this.#vacate(table, range);
-        else if (this.#servers.isRestarted(range)) {
+        if (now >= this.#orders.heldUntil(range)) {
+          this.#transitions.vacate(table, range);
+        } else if (this.#servers.isRestarted(range)) {
           this.#giveBack(table, range, now, hold);
         } else if (now >= range.dueAt && this.#servers.isReplaced(range)) {
           this.#probe(table, range, now);
@@ -285,7 +285,9 @@
   ): void {
     const isStoreHeard = now - storeSilence >= range.releasedAt;
     const mayReturn = this.#servers.isStaying(range.server!);
-    if (isStoreHeard || !mayReturn) return this.#vacate(table, range);
+    if (isStoreHeard || !mayReturn) {
+      return this.#transitions.vacate(table, range);
+    }
     if (now < range.releasedAt + STORE_PATIENCE) return;
     this.#movesFrom = now + MOVE_PAUSE;
     this.#giveBack(table, range, now, hold);
@@ -298,19 +300,10 @@
     now: number,
     hold: number,
   ): void {
-    this.#return(table, range, now);
+    this.#transitions.reassign(table, range, now);
     this.#grant(table, range, now, hold);
   }
 
-  /** Assigns keys to the server that is on record for them, so that nothing has
-   * to be written first. */
-  #return(table: RangeTable, range: HeldRange, now: number): void {
-    range.destination = null;
-    range.failures = 0;
-    this.#give(table, range, range.server!, now);
-    range.revision = Math.min(range.revision, table.recorded);
-  }
-
   /** Whether the server of a held range has failed or is leaving. */
   #mustLeave(range: HeldRange, now: number): boolean {
     return this.#servers.isLost(range, now) ||
@@ -328,33 +321,6 @@
     this.#effects.push(this.#orders.release(table, range, now));
   }
 
-  /** The server itself has answered, and is given its keys again, or nobody. */
-  #probed(
-    { table, range }: PendingOrder,
-    outcome: OrderOutcome,
-    now: number,
-  ): void {
-    range.dueAt = now + RETRY_PAUSE;
-    if (outcome.kind === "accepted") this.#return(table, range, now);
-  }
-
-  #close(table: RangeTable, range: HeldRange, now: number): void {
-    const isLost = this.#servers.isLost(range, now);
-    range.state = isLost ? "expiring" : "closing";
-    range.dueAt = now + NEWS_TIME;
-    range.closedAt = now;
-    table.changed(range);
-  }
-
-  #vacate(table: RangeTable, range: HeldRange): void {
-    const vacant = vacantRange(range, 0);
-    vacant.handover = range.handover;
-    vacant.destination = range.destination;
-    vacant.closedAt = range.closedAt;
-    Object.assign(range, vacant);
-    table.changed(range);
-  }
-
   /** Asks for the release, or first makes sure that older holders are fenced. */
   #takeBack(
     table: RangeTable,
@@ -384,82 +350,6 @@
     this.#effects.push(this.#orders.grant(table, range, hold, now));
   }
 
-  #granted(order: PendingOrder, outcome: OrderOutcome, now: number): void {
-    const { table, range } = order;
-    if (outcome.kind === "failed") return this.#failed(order, now);
-    range.failures = 0;
-    range.isFenced = true;
-    range.handover = null;
-    range.leaseEnd = Math.max(range.leaseEnd, answeredEnd(now, order.hold));
-    range.dueAt = order.sentAt + this.timing.renewal;
-    if (range.state === "closing") range.dueAt = now;
-    if (range.state !== "assigned") return;
-    range.state = "held";
-    range.destination = null;
-    table.changed(range);
-    this.#noteMoved(table, range, now);
-  }
-
-  #noteMoved(table: RangeTable, range: HeldRange, now: number): void {
-    if (range.closedAt === 0) return;
-    this.#effects.push({
-      kind: "keys.moved",
-      service: table.service,
-      first: range.first,
-      last: range.last,
-      to: range.server!,
-      took: Math.round(now - range.closedAt),
-    });
-    range.closedAt = 0;
-  }
-
-  /** It is sent once a connection may be opened for it. */
-  #withheld({ range }: PendingOrder, now: number): void {
-    range.isUnconnected = true;
-    range.dueAt = now;
-  }
-
-  /** Another server listens at the address of the one that was meant, whose run
-   * has ended there, and with it what that run held. */
-  #misdirected(order: PendingOrder, now: number): void {
-    const { table, range } = order;
-    if (!this.#servers.isEndShown(order)) return this.#failed(order, now);
-    this.#servers.noteEnd(order);
-    for (const each of table.ranges) {
-      if (each.server !== range.server || each.order !== null) continue;
-      const isOfRun = this.#servers.isEndShownFor(each, order);
-      if (each !== range && !isOfRun) continue;
-      if (each.closedAt === 0) each.closedAt = now;
-      this.#vacate(table, each);
-    }
-  }
-
-  #failed({ range, sentAt, hold }: PendingOrder, now: number): void {
-    const end = unansweredEnd(sentAt, hold, this.timing);
-    range.doubtEnd = Math.max(range.doubtEnd, end);
-    if (range.failures === 0) range.failingSince = now;
-    range.failures += 1;
-    range.dueAt = now + RETRY_PAUSE;
-    const isLost = this.#servers.isUnanswering(range);
-    if (isLost && range.state !== "held") range.state = "expiring";
-  }
-
-  #released(order: PendingOrder, outcome: OrderOutcome, now: number): void {
-    const { range } = order;
-    if (range.state === "expiring") return this.#probed(order, outcome, now);
-    if (outcome.kind !== "accepted") {
-      range.state = "expiring";
-      return;
-    }
-    range.handover = outcome.handover;
-    range.leaseEnd = 0;
-    // It is released only once fenced, so no older grant can follow, and a run
-    // that starts later has no connection to an older holder.
-    range.inheritedEnd = 0;
-    range.releasedAt = now;
-    range.state = this.#orders.heldUntil(range) > now ? "expiring" : "released";
-  }
-
   /** Gives ranges without a server to the servers with most room. */
   #assignVacant(table: RangeTable, now: number): void {
     const vacant = table.ranges.filter((each) => each.state === "vacant");
@@ -483,26 +373,11 @@
         const server = planned
           ? range.destination
           : placement.choose(loads, piece);
-        this.#give(table, piece, server!, now);
+        this.#transitions.assign(table, piece, server!, now);
       }
     }
   }
 
-  /** Gives a range without a holder to a server, once that is recorded. */
-  #give(
-    table: RangeTable,
-    range: HeldRange,
-    server: string,
-    now: number,
-  ): void {
-    range.state = "assigned";
-    range.server = server;
-    range.address = this.#servers.address(server);
-    range.isFenced = false;
-    range.dueAt = now;
-    table.changed(range);
-  }
-
   #startMoves(table: RangeTable, now: number): void {
     table.joinNeighbours(now);
     for (const move of this.#balance.moves(table, this.#suspects, now)) {
