--- a/src/core/keyspace/key_limits.ts
+++ b/src/core/keyspace/key_limits.ts
@@ -33,8 +33,11 @@
  * with three slots and requests that come at random, one waits for as long as its
  * work then, and four times as long at 0.95. */
 const USED_CAPACITY = 0.85;
-/** Standard deviations by which demand must be above what the server can do. */
-const SIGNIFICANCE = 1;
+/** Standard deviations by which demand must be above what the server can do. Work
+ * that takes a second leaves few requests to a server in the window: with one, a
+ * twentieth of the servers that carried three quarters of what they can do were
+ * limited by chance at any time (worked out); with two, one of 2,500. */
+const SIGNIFICANCE = 2;
 /** Time for which a limit holds without a new word, in milliseconds: two answers
  * of the holder are missing. */
 const LIFETIME = 1_200;
