--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
-import type { Beliefs, Emit, HolderAddress } from "./beliefs.ts";
+import type { Beliefs, Emit } from "./beliefs.ts";
 import type { ServerSamples } from "./fleet/index.ts";
 import type { KeyLoads, TermCampaign } from "./keyspace/index.ts";
 import {
   expandAssignment,
   FollowerLink,
+  type HolderAddress,
   type HolderWord,
   type PeerMessage,
   StateRequest,
@@ -21,6 +22,9 @@
 /** Time for which a newer configuration is left to arrive by itself, in
  * milliseconds: from the store, or with the holder's next answer. */
 const CONFIGURATION_PATIENCE = 600;
+/** The same while the store's news are left to the holder, which tells it with the
+ * answer to the next report: up to 750 ms on a VM that nothing else wakes. */
+const TOLD_PATIENCE = 1_000;
 /** Pause between reads of a configuration that a peer has, in milliseconds. */
 const CONFIGURATION_PAUSE = 400;
 /** Time between two steps after which this process counts as having slept, in
@@ -46,12 +50,19 @@
     private readonly beliefs: Beliefs,
     private readonly campaign: TermCampaign,
     loads: KeyLoads,
+    private readonly store: StoreHealth,
     private readonly emit: Emit,
     private readonly ownAddress: string,
     seeds: readonly string[],
   ) {
     this.followerLink = FollowerLink.create(campaign.fitness);
-    this.#publication = TermPublication.create(beliefs, campaign, loads, emit);
+    this.#publication = TermPublication.create(
+      beliefs,
+      campaign,
+      loads,
+      store,
+      emit,
+    );
     this.#stateRequest = StateRequest.create(seeds);
   }
 
@@ -61,6 +72,7 @@
     beliefs: Beliefs,
     campaign: TermCampaign,
     loads: KeyLoads,
+    store: StoreHealth,
     emit: Emit,
     ownAddress: string,
     seeds: readonly string[],
@@ -69,6 +81,7 @@
       beliefs,
       campaign,
       loads,
+      store,
       emit,
       ownAddress,
       seeds,
@@ -80,6 +93,12 @@
     return this.#vms.value;
   }
 
+  /** Whether the term holder's word does for this VM's calls to the store: it only
+   * observes, so nothing but news is of use to it. */
+  isTold(now: number): boolean {
+    return this.campaign.isObserver && this.followerLink.isCurrent(now);
+  }
+
   /** A caller asked for a key: from here on assignments are needed. */
   keyAsked(service: string, key: number): void {
     this.#areKeysAsked = true;
@@ -104,29 +123,26 @@
     if (!isNew) return;
     const { address, fitness } = holder;
     const isOwn = address === this.ownAddress;
+    if (!isOwn) this.emit(...this.#publication.tellSuccessor(holder));
     this.followerLink.follow(isOwn ? null : address, now);
     this.campaign.hearFitness(fitness, now);
   }
 
-  /** Takes a message; `isStoreLost` when the store does not answer here. */
-  receive(
-    address: string,
-    message: PeerMessage,
-    isStoreLost: boolean,
-    now: number,
-  ): void {
+  /** Takes a message. */
+  receive(address: string, message: PeerMessage, now: number): void {
     this.#compareConfiguration(message.configuration, now);
     switch (message.kind) {
       case "keys.asked":
         return this.#takeReport(address, message, now);
       case "holder.alive":
-        this.#takeRegistry(message.registry, isStoreLost, now);
-        this.#takeAnswer(address, message);
+        this.#takeAnswer(address, message, now);
+        this.#takeRegistry(message.registry, now);
+        this.#takeCrowding(address, message, now);
         return this.#hear(address, message, now);
       case "configuration.told":
         return this.beliefs.configure(message.told);
       case "servers.told":
-        return this.#takeRegistry(message.registry, isStoreLost, now);
+        return this.#takeRegistry(message.registry, now);
       case "assignments.told":
         this.#hear(address, message, now);
         return this.beliefs.assign(
@@ -142,10 +158,12 @@
           ),
           message.since,
         );
+      case "holder.changed":
+        return this.follow(message.holder, now);
       case "state.wanted":
         return this.#tellState(address);
       case "state.told":
-        return this.#takeState(message, isStoreLost, now);
+        return this.#takeState(message, now);
       case "term.taken":
         return this.#yield(address, message, now);
       case "term.yielded":
@@ -169,7 +187,8 @@
   }
 
   /** Takes all steps that are due. */
-  advance(store: StoreHealth, now: number): void {
+  advance(now: number): void {
+    const { store } = this;
     const { catalog } = this.beliefs;
     // Whatever was told meanwhile may have been lost with its connection.
     if (now - this.#advancedAt >= SLEEP && this.#advancedAt > -Infinity) {
@@ -193,7 +212,14 @@
     const { position } = this.beliefs.registry;
     const latencies = this.#takeLatencies(now);
     this.emit(
-      ...this.followerLink.advance(now, known, position, latencies, mayFetch),
+      ...this.followerLink.advance(
+        now,
+        known,
+        position,
+        latencies,
+        mayFetch,
+        this.isTold(now),
+      ),
     );
   }
 
@@ -201,20 +227,18 @@
   #takeLatencies(now: number): ServerSamples[] {
     const { catalog, fleet } = this.beliefs;
     if (!this.followerLink.isReportDue(now)) return [];
-    return catalog.keyedServices.flatMap(({ name }) => fleet.takeSamples(name));
+    return catalog.keyedServices.flatMap(({ name }) =>
+      fleet.takeSamples(name, now)
+    );
   }
 
-  #takeRegistry(
-    news: RegistryNews | null,
-    isStoreLost: boolean,
-    now: number,
-  ): void {
+  #takeRegistry(news: RegistryNews | null, now: number): void {
     const { registry, fleet } = this.beliefs;
     const changes = news === null ? null : registry.take(news);
     if (changes === null) return;
     // The store may be back without this VM knowing yet: entries that lapsed
     // in the outage are given the time to return.
-    if (isStoreLost && changes.removed.length > 0) fleet.regained(now);
+    if (this.store.isLost && changes.removed.length > 0) fleet.regained(now);
     this.beliefs.changeServers(
       fleet.apply(changes.entries, changes.removed, now, changes.unreadable),
     );
@@ -229,12 +253,27 @@
 
   #takeAnswer(
     address: string,
-    { answersTo }: MessageOf<"holder.alive">,
+    { answersTo, storeSilence }: MessageOf<"holder.alive">,
+    now: number,
   ): void {
     const isOfHolder = address === this.followerLink.holder;
-    if (isOfHolder && answersTo !== undefined) {
-      this.followerLink.answered(answersTo);
-    }
+    if (!isOfHolder || answersTo === undefined) return;
+    // Reckoned from when this VM asked: the answer may be long on its way.
+    const currentAt = answersTo - (storeSilence ?? Infinity);
+    this.followerLink.answered(answersTo, currentAt);
+    if (!this.store.vouched(currentAt, now)) return;
+    this.beliefs.storeRegained(now);
+  }
+
+  /** Takes what the holder tells of servers that cannot do all that is asked. */
+  #takeCrowding(
+    address: string,
+    { limits = [], loads = [] }: MessageOf<"holder.alive">,
+    now: number,
+  ): void {
+    if (address !== this.followerLink.holder) return;
+    this.beliefs.keyLimits.take(limits, now);
+    this.beliefs.fleet.hearLoads(loads, now);
   }
 
   #takeReport(
@@ -265,13 +304,9 @@
   }
 
   /** Takes what another VM knows, for as long as the store does not answer. */
-  #takeState(
-    { state }: MessageOf<"state.told">,
-    isStoreLost: boolean,
-    now: number,
-  ): void {
+  #takeState({ state }: MessageOf<"state.told">, now: number): void {
     const { beliefs } = this;
-    if (!isStoreLost && beliefs.catalog.isKnown) return;
+    if (!this.store.isLost && beliefs.catalog.isKnown) return;
     const { configuration, servers, assignments, holder } = state;
     beliefs.configure(configuration);
     beliefs.changeServers(beliefs.fleet.learn(servers, now));
@@ -312,7 +347,8 @@
       return;
     }
     this.#behindSince = Math.min(this.#behindSince, now);
-    if (now - this.#behindSince < CONFIGURATION_PATIENCE) return;
+    const patience = this.isTold(now) ? TOLD_PATIENCE : CONFIGURATION_PATIENCE;
+    if (now - this.#behindSince < patience) return;
     if (now - this.#configurationFetchedAt < CONFIGURATION_PAUSE) return;
     this.#configurationFetchedAt = now;
     this.beliefs.note("configuration.behind", { version, newest });
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -6,7 +6,11 @@
 import * as z from "zod";
 import { configurationSchema } from "../catalog/index.ts";
 import { backendServerSchema } from "../fleet/index.ts";
-import { assignmentSchema, exposureSchema } from "../keyspace/index.ts";
+import {
+  assignmentSchema,
+  exposureSchema,
+  keyLimitSchema,
+} from "../keyspace/index.ts";
 import { registryNewsSchema } from "../registry/index.ts";
 
 const count = z.number().int().nonnegative();
@@ -23,12 +27,27 @@
 /** See {@linkcode knowledgeSchema}. */
 export type Knowledge = z.infer<typeof knowledgeSchema>;
 
+/** Who holds a term, and where it is reached. */
+const holderAddressSchema = z.object({
+  term: count,
+  vm: z.string(),
+  address: z.string(),
+  /** Fitness of the fittest VM that it hears of, itself included. */
+  fitness: z.number().nonnegative(),
+});
+
+/** See {@linkcode holderAddressSchema}. */
+export type HolderAddress = z.infer<typeof holderAddressSchema>;
+
 /** What every message of a term holder to its followers says besides. */
 const holderWordSchema = knowledgeSchema.extend({
   /** Number of VMs that the holder hears, itself included. */
   vms: count,
   /** Fitness of the fittest VM that it hears, itself included. */
   fittest: z.number().nonnegative(),
+  /** Milliseconds since the sending of its last call that the store answered: how
+   * old what it knows may be. VMs that have not been renewed yet leave it out. */
+  storeSilence: z.number().nonnegative().optional(),
 });
 
 /** See {@linkcode holderWordSchema}. */
@@ -49,6 +68,14 @@
 /** See {@linkcode sharedAssignmentSchema}. */
 export type SharedAssignment = z.infer<typeof sharedAssignmentSchema>;
 
+/** Load that a server stated some time ago. */
+const statedLoadSchema = z.object({
+  /** Requests that it had. */
+  requests: count,
+  /** Milliseconds since. */
+  age: z.number().nonnegative(),
+});
+
 /** A follower tells the term holder what it was asked for lately. */
 const keysAskedSchema = knowledgeSchema.extend({
   kind: z.literal("keys.asked"),
@@ -56,7 +83,13 @@
   /** Answer times of the servers that hold keys, measured since the report
    * before: the mean in milliseconds, and of how many answers. */
   latencies: z.array(
-    z.object({ server: z.string(), mean: z.number(), count }),
+    z.object({
+      server: z.string(),
+      mean: z.number(),
+      count,
+      /** The load that it stated with the last of them. */
+      load: statedLoadSchema.optional(),
+    }),
   ),
   /** Up to where it knows the registry, or null. */
   position: count.nullable(),
@@ -64,6 +97,9 @@
   sentAt: z.number(),
   /** How fit its VM is to hold the term. */
   fitness: z.number().nonnegative(),
+  /** Whether it leaves the store's news to the holder; VMs that have not been
+   * renewed yet leave it out and read them. */
+  isTold: z.boolean().optional(),
 });
 
 /** See {@linkcode keysAskedSchema}. */
@@ -77,6 +113,10 @@
   /** When the report was sent that this answers, by the follower's clock; VMs
    * that have not been renewed yet leave it out. */
   answersTo: z.number().optional(),
+  /** All limits on requests for keys; none where they are left out. */
+  limits: z.array(keyLimitSchema).optional(),
+  /** Load of servers that hold keys and have no room, as they stated it. */
+  loads: z.array(statedLoadSchema.extend({ server: z.string() })).optional(),
 });
 
 /** The holder tells the ranges that have changed after a version. */
@@ -106,6 +146,12 @@
   told: configurationSchema,
 });
 
+/** A holder that has heard of its successor tells its followers where it is. */
+const holderChangedSchema = knowledgeSchema.extend({
+  kind: z.literal("holder.changed"),
+  holder: holderAddressSchema,
+});
+
 /** A process that cannot reach the store asks for all that another one knows. */
 const stateWantedSchema = knowledgeSchema.extend({
   kind: z.literal("state.wanted"),
@@ -118,12 +164,7 @@
     configuration: configurationSchema,
     servers: z.array(backendServerSchema),
     assignments: z.array(assignmentSchema),
-    holder: z.object({
-      term: count,
-      vm: z.string(),
-      address: z.string(),
-      fitness: z.number().nonnegative(),
-    }).nullable(),
+    holder: holderAddressSchema.nullable(),
   }),
 });
 
@@ -149,6 +190,7 @@
   assignmentsChangedSchema,
   serversToldSchema,
   configurationToldSchema,
+  holderChangedSchema,
   stateWantedSchema,
   stateToldSchema,
   termTakenSchema,
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -9,16 +9,20 @@
  * @module
  */
 import type { Beliefs, Emit } from "./beliefs.ts";
+import { CrowdingWatch } from "./crowding_watch.ts";
 import type { ServerSamples } from "./fleet/index.ts";
 import type { KeyLoads, TermCampaign, TermHolder } from "./keyspace/index.ts";
 import {
   type AssignmentChanges,
   type Bulletin,
+  type HolderAddress,
   HolderLink,
   type HolderWord,
   type KeyReport,
+  type PeerSend,
 } from "./peers/index.ts";
 import type { RegistryNews } from "./registry/index.ts";
+import type { StoreHealth } from "./store_health.ts";
 
 /** Time that a published change may need to reach a follower, in milliseconds:
  * a report that crosses it is answered as if it had arrived. */
@@ -51,6 +55,7 @@
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class TermPublication {
   readonly #link = HolderLink.create();
+  readonly #crowding: CrowdingWatch;
   #published = { term: 0, version: 0 };
   #publishedAt = -Infinity;
   /** Versions of this term, oldest first. */
@@ -68,17 +73,21 @@
     private readonly beliefs: Beliefs,
     private readonly campaign: TermCampaign,
     private readonly loads: KeyLoads,
+    private readonly store: StoreHealth,
     private readonly emit: Emit,
-  ) {}
+  ) {
+    this.#crowding = CrowdingWatch.create(beliefs, loads);
+  }
 
   /** A publication that has told nobody anything. */
   static create(
     beliefs: Beliefs,
     campaign: TermCampaign,
     loads: KeyLoads,
+    store: StoreHealth,
     emit: Emit,
   ): TermPublication {
-    return new TermPublication(beliefs, campaign, loads, emit);
+    return new TermPublication(beliefs, campaign, loads, store, emit);
   }
 
   /** Number of VMs that are heard, this one included. */
@@ -86,9 +95,18 @@
     return this.#link.vms(now);
   }
 
+  /** Tells those that follow this VM, if it was the holder, who is now: most of
+   * them leave the store's news to the holder, and would miss it for as long as
+   * they take to find this one silent. */
+  tellSuccessor(holder: HolderAddress): PeerSend[] {
+    const knowledge = this.beliefs.knowledge();
+    return this.#link.tellSuccessor(knowledge, holder);
+  }
+
   /** Tells all followers what has changed. */
   advance(holder: TermHolder, now: number): void {
     this.#publishRegistry();
+    this.#crowding.advance(holder, now);
     if (!this.#isPublished(holder)) this.beliefs.assign(holder.assignments);
     const isDue = now >= this.#publishedAt + this.#link.pause;
     if (isDue) this.#publish(holder, now);
@@ -109,7 +127,13 @@
     this.#link.heard(address, now);
     const news = this.#news(report, now);
     this.emit(
-      this.#link.confirm(address, this.#word(now), news, report.sentAt),
+      this.#link.confirm(
+        address,
+        this.#word(now),
+        news,
+        this.#crowding.current,
+        report.sentAt,
+      ),
     );
     this.#tellConfiguration(address, report, now);
     if (this.#isPublished(holder)) this.#catchUp(holder, address, report, now);
@@ -125,8 +149,9 @@
     fleet.observe(latencies.filter(isOfSameRun), now);
   }
 
-  /** Tells a follower the configuration if it lacks it for longer than a read of
-   * its own takes: the call that waits for news may have lost its answer. */
+  /** Tells a follower the configuration if it lacks it: at once where it leaves
+   * the store's news to the holder, else once a read of its own would have brought
+   * it, since the call that waits for news may have lost its answer. */
   #tellConfiguration(address: string, report: KeyReport, now: number): void {
     const { configuration, version } = this.beliefs.catalog;
     if (version !== this.#configuration.version) {
@@ -134,7 +159,7 @@
     }
     const isSettled = now - this.#configuration.since > IN_FLIGHT;
     if (configuration === null || report.configuration >= version) return;
-    if (!isSettled) return;
+    if (!isSettled && !report.isTold) return;
     const knowledge = this.beliefs.knowledge(this.#published);
     this.emit(this.#link.tellConfiguration(address, knowledge, configuration));
   }
@@ -238,6 +263,7 @@
       ...this.beliefs.knowledge(this.#published),
       vms: this.vms(now),
       fittest: this.campaign.fittest(now),
+      storeSilence: Math.max(0, this.store.silence(now)),
     };
   }
 
