--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { Occurrence } from "./entry_event.ts";
@@ -6,17 +7,7 @@
 function configured(version: number): Occurrence {
   return {
     kind: "configuration.read",
-    configuration: {
-      version,
-      routes: [],
-      services: [],
-      limits: {
-        maximumHeaderBytes: 1,
-        maximumBodyBytes: 1,
-        headerTimeout: 1,
-        idleTimeout: 1,
-      },
-    },
+    configuration: emptyConfiguration(version),
   };
 }
 
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
+import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
 import { Beliefs } from "./beliefs.ts";
-import { configurationSchema } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { BackendServer } from "./fleet/index.ts";
 import {
@@ -110,17 +110,7 @@
   publication.reported(holder, "told", report(holder.version), 10);
   publication.reported(holder, "reading", report(holder.version), 10);
   sent();
-  beliefs.configure(configurationSchema.parse({
-    version: 2,
-    services: [],
-    limits: {
-      maximumHeaderBytes: 1,
-      maximumBodyBytes: 1,
-      headerTimeout: 1,
-      idleTimeout: 1,
-    },
-    routes: [],
-  }));
+  beliefs.configure(emptyConfiguration(2));
   const told = { ...report(holder.version), isTold: true };
   publication.reported(holder, "told", told, 20);
   t.deepEqual(sent().map(({ kind }) => kind), ["configuration.told"]);
--- a/src/core/told_follower_test.ts
+++ b/src/core/told_follower_test.ts
@@ -5,6 +5,7 @@
  * leave to the holder must not be missed when the holder itself loses the store.
  */
 import test from "ava";
+import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { Occurrence } from "./entry_event.ts";
@@ -89,17 +90,7 @@
   };
   take(0, {
     kind: "configuration.read",
-    configuration: {
-      version: 1,
-      routes: [],
-      services: [],
-      limits: {
-        maximumHeaderBytes: 1,
-        maximumBodyBytes: 1,
-        headerTimeout: 1,
-        idleTimeout: 1,
-      },
-    },
+    configuration: emptyConfiguration(1),
   }, true);
   take(0, { kind: "holder.read" }, true);
   take(0, { kind: "holder.announced", holder }, true);
