--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -46,6 +46,8 @@
 /** See the module's comment. */
 export class HolderLink {
   readonly #heardAt = new Map<string, number>();
+  /** Followers that leave the store's news to this VM. */
+  readonly #told = new Set<string>();
 
   private constructor() {}
 
@@ -57,14 +59,21 @@
   /** Number of VMs, this one included. */
   vms(now: number): number {
     for (const [address, heardAt] of this.#heardAt) {
-      if (now - heardAt > FOLLOWER_SILENCE) this.#heardAt.delete(address);
+      if (now - heardAt > FOLLOWER_SILENCE) this.#forget(address);
     }
     return this.#heardAt.size + 1;
   }
 
-  /** A follower reported. */
-  heard(address: string, now: number): void {
+  /** A follower reported, which leaves the store's news to this VM or not. */
+  heard(address: string, isTold: boolean, now: number): void {
     this.#heardAt.set(address, now);
+    if (isTold) this.#told.add(address);
+    else this.#told.delete(address);
+  }
+
+  #forget(address: string): void {
+    this.#heardAt.delete(address);
+    this.#told.delete(address);
   }
 
   /**
@@ -139,16 +148,22 @@
     return this.#sendToAll({ kind: "servers.told", ...knowledge, registry });
   }
 
-  /** Tells all followers that another VM holds the term now; from here on they
-   * follow that one. */
+  /** Tells the followers that leave the store's news to this VM that another one
+   * holds the term now; nobody follows this one any more. */
   tellSuccessor(knowledge: Knowledge, holder: HolderAddress): PeerSend[] {
-    const messages = this.#sendToAll({
+    const message: PeerMessage = {
       kind: "holder.changed",
       ...knowledge,
       holder,
-    });
+    };
+    const followers = [...this.#told];
     this.#heardAt.clear();
-    return messages;
+    this.#told.clear();
+    return followers.map((address) => ({
+      kind: "peer.send",
+      address,
+      message,
+    }));
   }
 
   #sendToAll(message: PeerMessage): PeerSend[] {
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -95,9 +95,8 @@
     return this.#link.vms(now);
   }
 
-  /** Tells those that follow this VM, if it was the holder, who is now: most of
-   * them leave the store's news to the holder, and would miss it for as long as
-   * they take to find this one silent. */
+  /** Tells those that leave the store's news to this VM, if it was the holder, who
+   * is now: they would miss it for as long as they take to find this one silent. */
   tellSuccessor(holder: HolderAddress): PeerSend[] {
     const knowledge = this.beliefs.knowledge();
     return this.#link.tellSuccessor(knowledge, holder);
@@ -124,7 +123,7 @@
     }
     this.#observe(report, now);
     this.campaign.hearFitness(report.fitness, now);
-    this.#link.heard(address, now);
+    this.#link.heard(address, report.isTold ?? false, now);
     const news = this.#news(report, now);
     this.emit(
       this.#link.confirm(
