Term: a new holder among many VMs is not mistaken for gone by the small ones

It began when the term passed from one fit VM to another: no follower got a word of the new one for 3 s, though it wrote the record (version 114 at 16.7 s, 127 at 17.7 s). All VMs had opened a connection to it in the same moment, gave it up after 1.5 s and opened another; after 3 s the 177 small ones stood for election and won by their number, and a small holder cannot tell 194 VMs within 1.5 s that fitter ones live.

Mend: first reports to a new holder are spread over half a second where there are many VMs; a connection that the peer has not spoken on is kept for 4 s; a VM that sees the holder go on writing the record counts it as heard. Ruled out: a longer absence before small VMs come forward (keys would wait as much longer once all fit ones are lost).

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -64,6 +64,7 @@
       emit,
       options.peerAddress,
       options.seeds,
+      uniformFloat64(options.seed),
     );
     this.dispatcher = Dispatcher.create({
       catalog,
@@ -140,6 +141,7 @@
       case "servers.failed":
         return this.beliefs.registry.failed(event.isExpired, now);
       case "assignments.read":
+        this.peers.recordRead(event.assignments, now);
         return this.beliefs.assign(event.assignments);
       case "holder.read":
         return this.campaign.holderRead();
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -5,7 +5,7 @@
  */
 import type { Beliefs, Emit } from "./beliefs.ts";
 import type { ServerSamples } from "./fleet/index.ts";
-import type { KeyLoads, TermCampaign } from "./keyspace/index.ts";
+import type { Assignment, KeyLoads, TermCampaign } from "./keyspace/index.ts";
 import {
   expandAssignment,
   FollowerLink,
@@ -54,6 +54,7 @@
     private readonly emit: Emit,
     private readonly ownAddress: string,
     seeds: readonly string[],
+    private readonly draw: () => number,
   ) {
     this.followerLink = FollowerLink.create(campaign.fitness);
     this.#publication = TermPublication.create(
@@ -76,6 +77,7 @@
     emit: Emit,
     ownAddress: string,
     seeds: readonly string[],
+    draw: () => number,
   ): PeerExchange {
     return new PeerExchange(
       beliefs,
@@ -85,6 +87,7 @@
       emit,
       ownAddress,
       seeds,
+      draw,
     );
   }
 
@@ -124,7 +127,8 @@
     const { address, fitness } = holder;
     const isOwn = address === this.ownAddress;
     if (!isOwn) this.emit(...this.#publication.tellSuccessor(holder));
-    this.followerLink.follow(isOwn ? null : address, now);
+    const chance = this.draw();
+    this.followerLink.follow(isOwn ? null : address, this.vms, chance, now);
     this.campaign.hearFitness(fitness, now);
   }
 
@@ -171,6 +175,19 @@
     }
   }
 
+  /** The record of assignments was read: a holder that goes on writing it lives,
+   * also while it is too busy to answer. */
+  recordRead(assignments: readonly Assignment[], now: number): void {
+    const { holder, directory } = this.beliefs;
+    const { term, version } = directory.position;
+    const isNews = assignments.some((each) =>
+      each.term === holder?.term &&
+      (each.term > term || each.version > version)
+    );
+    if (holder === null || !isNews) return;
+    this.campaign.hearFitness(holder.fitness, now);
+  }
+
   /**
    * Asks the holder before, if it lives, what it has granted: without its word
    * the worst has to be assumed of servers that do not answer.
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -18,6 +18,12 @@
 /** The same while what is known here seems out of date, until the holder has
  * answered; doubles with each report that it does not answer. */
 const URGENT_INTERVAL = 60;
+/** VMs whose first reports a new holder answers without delay. */
+const ANSWERED_AT_ONCE = 20;
+/** Time over which the first reports of more VMs are spread, in milliseconds for
+ * each: the holder takes connections one at a time, and answers each with all
+ * assignments. */
+const SPREAD_PER_VM = 3;
 /** Silence of the holder after which the record is read, in milliseconds. */
 const HOLDER_SILENCE = 1_600;
 /** The same for a holder that has not been heard at all: after a loss of all VMs
@@ -76,11 +82,20 @@
     return this.#holder;
   }
 
-  /** Another VM holds the term now, or this one itself (null). */
-  follow(address: string | null, now: number): void {
+  /** Another VM holds the term now, or this one itself (null). All VMs hear of it
+   * in the same moment: `chance`, in [0, 1), spreads their first reports, of which
+   * there are as many as there are VMs, and with them all that follow. */
+  follow(
+    address: string | null,
+    vms: number | null,
+    chance: number,
+    now: number,
+  ): void {
     if (address === this.#holder) return;
     this.#holder = address;
-    this.#reportedAt = -Infinity;
+    const many = Math.max(0, (vms ?? 0) - ANSWERED_AT_ONCE);
+    const spread = Math.min(REPORT_INTERVAL, many * SPREAD_PER_VM);
+    this.#reportedAt = now - REPORT_INTERVAL + spread * chance;
     this.#followsSince = now;
   }
 
@@ -114,10 +129,13 @@
     return now - this.#reportedAt >= pause;
   }
 
-  /** When a report is due that cannot wait; Infinity without one. */
+  /** When a report is due that cannot wait, or the first one to a new holder;
+   * Infinity without one. */
   nextAt(): number {
-    if (this.#urgent === null || this.#holder === null) return Infinity;
-    return this.#reportedAt + this.#urgent.pause;
+    if (this.#holder === null) return Infinity;
+    const isFirst = this.#reportedAt < this.#followsSince;
+    const pause = this.#urgent?.pause ?? (isFirst ? REPORT_INTERVAL : Infinity);
+    return this.#reportedAt + pause;
   }
 
   /** A key was asked for. */
--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -43,6 +43,10 @@
  * after which its connection counts as dead though nothing reset it: the term
  * holder and its followers talk twice a second. */
 const SILENCE = 1_500;
+/** The same while the peer has not said anything over a connection: a new term
+ * holder takes those of all VMs, one after the other, and another one in its
+ * place would only wait behind them. */
+const FIRST_SILENCE = 4_000;
 /** Time after which a connection that neither side uses is closed, in
  * milliseconds; one that died in silence leaves its other end behind. */
 const IDLE_TIMEOUT = 10_000;
@@ -66,6 +70,8 @@
   readonly #refusedAt = new Map<string, number>();
   /** When the first message was sent since the peer was heard last. */
   readonly #unansweredSince = new Map<Socket, number>();
+  /** Connections over which the peer has said something. */
+  readonly #heard = new WeakSet<Socket>();
   #lastMessage: PeerMessage | null = null;
   #lastFrame: Buffer = Buffer.alloc(0);
   readonly traffic: PeerTraffic = {
@@ -122,7 +128,8 @@
     const socket = this.#connection(address);
     if (socket === null) return null;
     const since = this.#unansweredSince.get(socket) ?? Infinity;
-    if (monotonicNow() - since <= SILENCE) return socket;
+    const patience = this.#heard.has(socket) ? SILENCE : FIRST_SILENCE;
+    if (monotonicNow() - since <= patience) return socket;
     this.journal.write("warn", "peer.silent", {
       step: "send to peer",
       peer: address,
@@ -180,6 +187,7 @@
     socket.on("error", () => socket.destroy());
     socket.on("data", (bytes) => {
       this.traffic.bytesReceived += bytes.length;
+      this.#heard.add(socket);
       this.#unansweredSince.delete(socket);
       try {
         for (const value of decoder.push(bytes)) {
--- a/src/runtime/peer_network_test.ts
+++ b/src/runtime/peer_network_test.ts
@@ -68,3 +68,25 @@
   }
   t.true(Date.now() - startedAt >= 1_500);
 });
+
+test("peers: a peer that has not taken a connection yet is not sent another one", async (t) => {
+  let count = 0;
+  // It takes connections, but is too busy to say anything.
+  const server = createServer((socket) => {
+    count += 1;
+    socket.resume();
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const { network } = createNetwork(loopbackAddress());
+  t.teardown(() => {
+    network.close();
+    server.close();
+  });
+  const end = Date.now() + 2_500;
+  while (Date.now() < end) {
+    network.send(`127.0.0.1:${port}`, MESSAGE);
+    await delay(50);
+  }
+  t.is(count, 1);
+});
