--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -15,7 +15,6 @@
 import {
   KeyLoads,
   type KeyspaceEffect,
-  type OrderOutcome,
   TermCampaign,
 } from "./keyspace/index.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -171,7 +170,6 @@
         return this.#put(...this.campaign.written(term, outcome, now));
       }
       case "order.ended":
-        this.#noteOrder(event.order, event.outcome);
         return this.#put(
           ...this.campaign.ordered(event.order, event.outcome, now),
         );
@@ -324,16 +322,6 @@
     this.#put({ kind: "callers.drain" }, ...this.campaign.retire());
   }
 
-  #noteOrder(order: number, outcome: OrderOutcome): void {
-    if (outcome.kind === "accepted") return;
-    const cause = outcome.kind === "failed" ? outcome.cause : null;
-    this.beliefs.note("order.not_accepted", {
-      order,
-      outcome: outcome.kind,
-      cause,
-    });
-  }
-
   #put(...effects: EntryEffect[]): void {
     this.#effects.push(...effects);
   }
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -72,6 +72,8 @@
   first: number;
   last: number;
   to: string;
+  /** Token with which that server took them. */
+  token: number;
   /** Milliseconds for which nobody could be asked for them. */
   took: number;
 }
--- a/src/core/keyspace/order_book.ts
+++ b/src/core/keyspace/order_book.ts
@@ -20,6 +20,7 @@
   sentAt: number;
   /** Hold time of a grant, in milliseconds. */
   hold: number;
+  token: number;
   /** Where it was sent. */
   address: string;
   /** Incarnation under which its server was listed then; 0 if unknown. */
@@ -72,15 +73,16 @@
     if (!range.addresses.includes(address)) {
       range.addresses = [...range.addresses, address];
     }
+    const token = this.#nextToken();
     return {
       kind: "order.grant",
-      order: this.#add(table, range, "grant", hold, now),
+      order: this.#add(table, range, "grant", hold, token, now),
       service: table.service,
       server: range.server!,
       address: range.address!,
       first: range.first,
       last: range.last,
-      token: this.#nextToken(),
+      token,
       mayConnect: this.mayConnect,
       hold,
       handover: range.handover,
@@ -89,15 +91,16 @@
 
   /** Takes a range back. */
   release(table: RangeTable, range: HeldRange, now: number): ReleaseOrder {
+    const token = this.#nextToken();
     return {
       kind: "order.release",
-      order: this.#add(table, range, "release", 0, now),
+      order: this.#add(table, range, "release", 0, token, now),
       service: table.service,
       server: range.server!,
       address: range.address!,
       first: range.first,
       last: range.last,
-      token: this.#nextToken(),
+      token,
       mayConnect: this.mayConnect,
     };
   }
@@ -133,6 +136,7 @@
     range: HeldRange,
     kind: PendingOrder["kind"],
     hold: number,
+    token: number,
     now: number,
   ): number {
     const id = this.nextOrder();
@@ -140,8 +144,8 @@
     range.isUnconnected = false;
     const address = range.address!;
     const { incarnation } = range;
-    const order = { table, range, kind, sentAt: now, hold, address };
-    this.#pending.set(id, { ...order, incarnation });
+    const order = { table, range, kind, sentAt: now, hold, token };
+    this.#pending.set(id, { ...order, address, incarnation });
     return id;
   }
 }
--- a/src/core/keyspace/order_outcomes.ts
+++ b/src/core/keyspace/order_outcomes.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { HeldRange } from "./held_range.ts";
 import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 import {
   answeredEnd,
@@ -12,7 +11,6 @@
 } from "./lease_timing.ts";
 import type { OrderBook, PendingOrder } from "./order_book.ts";
 import type { RangeServers } from "./range_servers.ts";
-import type { RangeTable } from "./range_table.ts";
 import type { RangeTransitions } from "./range_transitions.ts";
 
 /** Pause before an unanswered order is sent again, in milliseconds. */
@@ -70,7 +68,7 @@
     range.state = "held";
     range.destination = null;
     table.changed(range);
-    return movedNotes(table, range, now);
+    return movedNotes(order, now);
   }
 
   /** It is sent once a connection may be opened for it. */
@@ -135,8 +133,7 @@
 
 /** Tells how long nobody could be asked for keys that another server has now. */
 function movedNotes(
-  table: RangeTable,
-  range: HeldRange,
+  { table, range, token }: PendingOrder,
   now: number,
 ): KeyspaceEffect[] {
   if (range.closedAt === 0) return [];
@@ -144,5 +141,6 @@
   range.closedAt = 0;
   const { service } = table;
   const { first, last, server } = range;
-  return [{ kind: "keys.moved", service, first, last, to: server!, took }];
+  const to = server!;
+  return [{ kind: "keys.moved", service, first, last, to, token, took }];
 }
--- a/src/core/keyspace/range_servers_test.ts
+++ b/src/core/keyspace/range_servers_test.ts
@@ -26,6 +26,7 @@
     kind: "grant",
     sentAt: 0,
     hold: 1,
+    token: 1,
     address,
     incarnation: 100,
   };
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -56,6 +56,8 @@
   stopped(): void;
 }
 
+type KeyOrder = GrantOrder | ReleaseOrder;
+
 /** See the module's comment. */
 export class EntryRunner implements EffectHandler {
   private constructor(private readonly adapters: EntryAdapters) {}
@@ -154,11 +156,35 @@
     this.adapters.journal.write(level, decision, detail);
   }
 
+  /** Which server an order was meant for, where, and with which token, tells it
+   * from others when two servers have had the same keys. */
+  #noteOrder(
+    { kind, order, service, server, address, first, last, token }: KeyOrder,
+    outcome: OrderOutcome,
+  ): void {
+    const cause = outcome.kind === "failed" ? outcome.cause : null;
+    const range = { service, first, last };
+    const target = { server, address, token };
+    this.#note({
+      kind: "note",
+      level: "info",
+      decision: "order.not_accepted",
+      detail: {
+        kind,
+        order,
+        ...range,
+        ...target,
+        outcome: outcome.kind,
+        cause,
+      },
+    });
+  }
+
   #writeMove({ kind, ...detail }: MoveNote | MovedNote): void {
     this.adapters.journal.write("info", kind, detail);
   }
 
-  async #order(order: GrantOrder | ReleaseOrder): Promise<void> {
+  async #order(order: KeyOrder): Promise<void> {
     const { orders, orderTimeouts, sink, metrics } = this.adapters;
     const startedAt = performance.now();
     const outcome: OrderOutcome = order.kind === "order.grant"
@@ -169,6 +195,7 @@
       `kind="${order.kind}",outcome="${outcome.kind}"`,
     );
     metrics.observe("order_milliseconds", performance.now() - startedAt);
+    if (outcome.kind !== "accepted") this.#noteOrder(order, outcome);
     sink.push({ kind: "order.ended", order: order.order, outcome });
   }
 }
