A term is claimed by one VM; a shutdown counts from its signal

Cause of the first: all VMs write the record as one producer, so that the store fences older terms, and a claim had the sequence 0. Two VMs that read the same record claim the same term, and the store takes the second claim for a repeat of the first: both lead, and both number their grants from 1. The class is that of an order sent to an address: an identity that two can share. Each run of a VM now draws the first sequence of its terms. Ruled out: that the condition on the end of the record saves it. What has saved it so far: a claim names the generation of the election if that is higher, and two VMs seldom know the same; a term that is higher than that is claimed by any.

Cause of the second: the times of a shutdown counted from when the process saw the signal. It counts from the look of the loop before that now; the line shutdown.started tells by how much. What goes unnoticed is 0.1 s at most, 0.2 s before.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -198,7 +198,7 @@
       case "callers.closed":
         return this.#shutdown.callersClosed();
       case "shutdown":
-        return this.#startShutdown(now);
+        return this.#startShutdown(event.lateness, now);
     }
   }
 
@@ -315,10 +315,11 @@
     this.#put({ kind: "readiness.set", isReady });
   }
 
-  #startShutdown(now: number): void {
-    if (!this.#shutdown.start(now)) return;
+  #startShutdown(lateness: number, now: number): void {
+    if (!this.#shutdown.start(now - lateness)) return;
     const { pending } = this.dispatcher;
-    this.beliefs.note("shutdown.started", { pending });
+    const detail = { pending, lateness: Math.round(lateness) };
+    this.beliefs.note("shutdown.started", detail);
     this.#put({ kind: "callers.drain" }, ...this.campaign.retire());
   }
 
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -50,8 +50,8 @@
   /** After the close: all that was due to callers was sent. */
   | { kind: "callers.closed" }
   | { kind: "attempt.ended"; attempt: number; outcome: AttemptOutcome }
-  /** The process was asked to stop. */
-  | { kind: "shutdown" };
+  /** The process was asked to stop, this many milliseconds before it noticed. */
+  | { kind: "shutdown"; lateness: number };
 
 /** See the module's comment. */
 export type EntryEvent = Occurrence & { now: number };
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -47,7 +47,7 @@
   const { step } = createSteppedEntry();
   step(0, configured(1));
   t.snapshot({
-    asked: kinds(step(1_000, { kind: "shutdown" })),
+    asked: kinds(step(1_000, { kind: "shutdown", lateness: 0 })),
     soon: kinds(step(4_000, { kind: "timer" })),
     late: kinds(step(4_600, { kind: "timer" })),
     sending: kinds(step(4_650, { kind: "timer" })),
@@ -59,7 +59,7 @@
 test("entry: a shutdown ends at its time whatever callers are still sent", (t) => {
   const { step } = createSteppedEntry();
   step(0, configured(1));
-  step(1_000, { kind: "shutdown" });
+  step(1_000, { kind: "shutdown", lateness: 0 });
   step(4_600, { kind: "timer" });
   t.deepEqual(kinds(step(6_740, { kind: "timer" })), []);
   t.true(kinds(step(6_750, { kind: "timer" })).includes("process.stop"));
@@ -279,7 +279,7 @@
 test("entry: requests that come late in a shutdown are turned away, others not", (t) => {
   const { step } = createSteppedEntry();
   step(0, configured(1));
-  step(1_000, { kind: "shutdown" });
+  step(1_000, { kind: "shutdown", lateness: 0 });
   const decisionAt = (now: number) =>
     step(now, {
       kind: "request.arrived",
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -9,8 +9,9 @@
 import type { ShutdownTiming } from "./entry_options.ts";
 
 /** Share of the time before the close after which new requests are turned away:
- * what is taken later and runs for long would be cut off at the end by force. By
- * then the balancer has turned to other VMs. */
+ * what is taken later and runs for long would be cut off at the end by force, which
+ * callers bear only of requests of the first 3 s. By then the balancer has turned to
+ * other VMs. */
 const TURN_AWAY_SHARE = 0.8;
 
 /** Time before the end in which nothing waits any more, in milliseconds: what
@@ -49,10 +50,11 @@
     return now - this.#startedAt >= this.timing.stopAfter - PARTING_TIME;
   }
 
-  /** It is asked for; false when it was before. */
-  start(now: number): boolean {
+  /** It was asked for at `askedAt`; false when it was before. The end by force
+   * counts from then, however late a busy process sees it. */
+  start(askedAt: number): boolean {
     if (this.#startedAt !== null) return false;
-    this.#startedAt = now;
+    this.#startedAt = askedAt;
     return true;
   }
 
--- a/src/core/shutdown_waiting_test.ts
+++ b/src/core/shutdown_waiting_test.ts
@@ -60,7 +60,7 @@
 
 test("shutdown: a request that waits when its time is over is refused, not cut", (t) => {
   const { step } = createEntry();
-  step(500, { kind: "shutdown" });
+  step(500, { kind: "shutdown", lateness: 0 });
   const arrival = {
     exchange: 1,
     id: "r",
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -19,7 +19,7 @@
 import type { OccurrenceSink } from "./entry_loop.ts";
 import type { HeaderCodec } from "./header_codec.ts";
 import { listenAt } from "./listen.ts";
-import { afterNextRead, LoopLag } from "./loop_lag.ts";
+import { afterNextRead, type LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import { readBody } from "./request_body.ts";
 import {
@@ -84,7 +84,6 @@
 /** See the module's comment. */
 export class CallerServer {
   readonly #server: Server;
-  readonly #lag = LoopLag.create();
   readonly #exchanges = new Map<number, Exchange>();
   readonly #connections = new Map<Duplex, CallerConnection>();
   #limits: CallerLimits | null = null;
@@ -99,6 +98,7 @@
     private readonly codec: HeaderCodec,
     private readonly sink: OccurrenceSink,
     private readonly observer: AnswerObserver,
+    private readonly lag: LoopLag,
   ) {
     this.#server = createServer({
       maxHeaderSize: HEADER_CEILING,
@@ -128,8 +128,9 @@
     codec: HeaderCodec,
     sink: OccurrenceSink,
     observer: AnswerObserver,
+    lag: LoopLag,
   ): CallerServer {
-    return new CallerServer(codec, sink, observer);
+    return new CallerServer(codec, sink, observer, lag);
   }
 
   /** Accepts callers. Rejects when the address cannot be had. */
@@ -179,7 +180,6 @@
 
   /** Closes everything. */
   destroy(): void {
-    this.#lag.stop();
     this.#server.close();
     for (const { socket } of this.#connections.values()) socket.destroy();
   }
@@ -290,7 +290,7 @@
    * busy VM they also take connections that wait, ahead of work on requests.
    */
   #arrived(number: number, exchange: Exchange): void {
-    const cameAt = monotonicNow() - this.#lag.lateness;
+    const cameAt = monotonicNow() - this.lag.lateness;
     afterNextRead(() => {
       if (!this.#exchanges.has(number)) return;
       this.#pass(number, exchange, cameAt);
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -18,6 +18,7 @@
 import { EntryRunner } from "./entry_runner.ts";
 import { FeedFollower, type FeedPace } from "./feed_follower.ts";
 import type { HeaderCodec } from "./header_codec.ts";
+import { LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import type { OrderSender } from "./order_sender.ts";
 import { PeerNetwork, type PeerTraffic } from "./peer_network.ts";
@@ -65,6 +66,7 @@
   readonly #entry: Entry;
   #configuration: FeedFollower | null = null;
   readonly #loop: EntryLoop;
+  readonly #lag = LoopLag.create();
   readonly #callers: CallerServer;
   readonly #backends: BackendPool;
   readonly #readiness = ReadinessServer.create();
@@ -111,7 +113,12 @@
       metrics,
       () => this.status(),
     );
-    this.#callers = CallerServer.create(platform.headers, this.#loop, metrics);
+    this.#callers = CallerServer.create(
+      platform.headers,
+      this.#loop,
+      metrics,
+      this.#lag,
+    );
     this.#backends = BackendPool.create(platform.headers, this.#loop);
     this.#peers = PeerNetwork.create(
       { vm: settings.vm, peerAddress: settings.peer },
@@ -160,7 +167,7 @@
 
   /** Stops once nothing is in flight. */
   shutdown(): void {
-    this.#loop.push({ kind: "shutdown" });
+    this.#loop.push({ kind: "shutdown", lateness: this.#lag.lateness });
   }
 
   /** Notes that the settings were looked at again. */
@@ -224,6 +231,7 @@
 
   #stop(): void {
     this.#loop.stop();
+    this.#lag.stop();
     for (const follower of this.#followers) follower.stop();
     // What is in hand here is cut.
     const { counts } = this.#callers;
--- a/src/runtime/loop_lag.ts
+++ b/src/runtime/loop_lag.ts
@@ -9,10 +9,11 @@
 /** Pause between two looks, in milliseconds: so much of the lateness may go
  * unnoticed. */
 const INTERVAL = 50;
-/** Lateness from which a turn of the loop counts as late, in milliseconds:
- * callers that have left must not cost servers work for more than half a
- * second. */
-const LIMIT = 150;
+/** Lateness from which a turn of the loop counts as late, in milliseconds: a look
+ * was missed. With the pause, 0.1 s may go unnoticed: servers may work for callers
+ * that have left for half a second, and a shutdown turns requests away 0.12 s before
+ * it must. */
+const LIMIT = INTERVAL;
 
 /** See the module's comment. */
 export class LoopLag {
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -48,6 +48,10 @@
 const ENTRY_LIFETIME = 2_600;
 const HOLDER_INTERVAL = 900;
 const REQUEST_INTERVAL = 40;
+/** Sequences that one run of a VM has for its writes. */
+const FIRST_SEQUENCES = 2 ** 20;
+/** More VMs than any world has. */
+const MOST_VMS = 2 ** 10;
 /** Pause between two looks at the versions that VMs have. */
 const COMPARE_INTERVAL = 100;
 /** Time without a fault after which a VM must keep up. */
@@ -502,7 +506,7 @@
         const { term, end } = effect;
         return this.#call(
           vm,
-          () => this.#store.claim(term, end, 0),
+          () => this.#store.claim(term, end, firstSequence(vm)),
           (answer) => {
             if (answer === "done") this.#noteClaim(term, vm);
             return { kind: "term.claimed", term, outcome: answer ?? "again" };
@@ -513,7 +517,12 @@
         const { term, sequence, assignments } = effect;
         return this.#call(
           vm,
-          () => this.#store.write(term, sequence, assignments),
+          () =>
+            this.#store.write(
+              term,
+              firstSequence(vm) + sequence,
+              assignments,
+            ),
           (answer) => ({
             kind: "assignments.written",
             term,
@@ -787,7 +796,7 @@
         vm.isUp = false;
         return this.#time.after(300 + duration / 4, () => this.#restart(vm));
       case "vm.shutdown":
-        return this.#push(vm, { kind: "shutdown" });
+        return this.#push(vm, { kind: "shutdown", lateness: 0 });
       case "server.crash":
         server.isUp = false;
         return this.#time.after(ENTRY_LIFETIME, () => this.#unlist(server));
@@ -907,6 +916,11 @@
   }
 }
 
+/** Sequence of a VM's claims, by which the store tells them from others'. */
+function firstSequence({ index, run }: Vm): number {
+  return FIRST_SEQUENCES * (1 + index + MOST_VMS * run);
+}
+
 /** Lets a holder's word claim that the store answers it. */
 function hideSilence(message: PeerMessage): void {
   if (message.kind === "holder.alive") message.storeSilence = 0;
--- a/test/support/caller_connection.ts
+++ b/test/support/caller_connection.ts
@@ -9,6 +9,7 @@
 import type { CallerLimits } from "../../src/core/catalog/index.ts";
 import type { Occurrence } from "../../src/core/entry_event.ts";
 import { CallerServer } from "../../src/runtime/caller_server.ts";
+import { LoopLag } from "../../src/runtime/loop_lag.ts";
 import { parseAddress } from "../../src/settings/index.ts";
 import { loopbackAddress } from "./loopback_address.ts";
 
@@ -28,10 +29,12 @@
   limits: CallerLimits,
 ): Promise<CallerConnection> {
   const occurrences: Occurrence[] = [];
+  const lag = LoopLag.create();
   const server = CallerServer.create(
     PlatformHeaders.create(),
     { push: (each) => void occurrences.push(each) },
     { answered: () => {} },
+    lag,
   );
   const address = loopbackAddress();
   await server.listen(address);
@@ -43,6 +46,7 @@
   t.teardown(() => {
     socket.destroy();
     server.destroy();
+    lag.stop();
   });
   return { server, socket, occurrences, read: () => text };
 }
