A large configuration is read to its end, told once, and deflated between VMs

The class: a retry that begins from nothing what takes longer than its timeout; the work of retries is then the load. - Answers that have begun may take 12 s as long as bytes come (700 ms without one end them). - A read that waits is not given up once its answer has begun; one refresh at a time. - The configuration is told again only 0.9 s later, and encoded once for all followers. - Frames of 4 KB and more are deflated for peers that say that they take it. - A VM that asks others for what they know is not sent what it has. - Chunks of a frame are joined once.

--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -11,6 +11,7 @@
   FollowerLink,
   type HolderAddress,
   type HolderWord,
+  type MessageOf,
   type PeerMessage,
   StateRequest,
   VmCount,
@@ -31,9 +32,6 @@
  * milliseconds; timers go off four times as often. */
 const SLEEP = 1_000;
 
-/** A message of one kind. */
-type MessageOf<Kind extends PeerMessage["kind"]> = PeerMessage & { kind: Kind };
-
 /** See the module's comment. */
 export class PeerExchange {
   readonly followerLink: FollowerLink;
@@ -165,7 +163,7 @@
       case "holder.changed":
         return this.follow(message.holder, now);
       case "state.wanted":
-        return this.#tellState(address);
+        return this.#tellState(address, message);
       case "state.told":
         return this.#takeState(message, now);
       case "term.taken":
@@ -304,17 +302,25 @@
   }
 
   /** Tells a VM that cannot reach the store what this one knows. */
-  #tellState(address: string): void {
+  #tellState(
+    address: string,
+    wanted: MessageOf<"state.wanted">,
+  ): void {
     const { catalog, fleet, directory, holder } = this.beliefs;
     const { configuration } = catalog;
     if (configuration === null) return;
+    const takesParts = wanted.takesParts ?? false;
+    const isKnown = takesParts && wanted.configuration >= catalog.version;
+    const { term, version } = directory.position;
+    const areKeysKnown = takesParts && wanted.term === term &&
+      wanted.version === version;
     this.#send(address, {
       kind: "state.told",
       ...this.beliefs.knowledge(),
       state: {
-        configuration,
+        ...(isKnown ? {} : { configuration }),
         servers: fleet.all().map((each) => each.entry),
-        assignments: directory.assignments,
+        assignments: areKeysKnown ? [] : directory.assignments,
         holder,
       },
     });
@@ -325,7 +331,7 @@
     const { beliefs } = this;
     if (!this.store.isLost && beliefs.catalog.isKnown) return;
     const { configuration, servers, assignments, holder } = state;
-    beliefs.configure(configuration);
+    if (configuration !== undefined) beliefs.configure(configuration);
     beliefs.changeServers(beliefs.fleet.learn(servers, now));
     beliefs.assign(assignments);
     if (holder !== null) this.follow(holder, now);
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -11,6 +11,7 @@
   HolderAddress,
   HolderWord,
   Knowledge,
+  MessageOf,
   PeerMessage,
   PeerSend,
 } from "./peer_message.ts";
@@ -48,6 +49,8 @@
   readonly #heardAt = new Map<string, number>();
   /** Followers that leave the store's news to this VM. */
   readonly #told = new Set<string>();
+  /** The message with the configuration, which is encoded once for all. */
+  #configuration: MessageOf<"configuration.told"> | null = null;
 
   private constructor() {}
 
@@ -110,11 +113,10 @@
     knowledge: Knowledge,
     told: Configuration,
   ): PeerSend {
-    const message: PeerMessage = {
-      kind: "configuration.told",
-      ...knowledge,
-      told,
-    };
+    const message = this.#configuration?.told === told
+      ? this.#configuration
+      : { kind: "configuration.told" as const, ...knowledge, told };
+    this.#configuration = message;
     return { kind: "peer.send", address, message };
   }
 
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -1,5 +1,6 @@
 export * from "./follower_link.ts";
 export * from "./holder_link.ts";
+export * from "./message_pacing.ts";
 export * from "./peer_message.ts";
 export * from "./shared_assignment.ts";
 export * from "./state_request.ts";
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -155,13 +155,17 @@
 /** A process that cannot reach the store asks for all that another one knows. */
 const stateWantedSchema = knowledgeSchema.extend({
   kind: z.literal("state.wanted"),
+  /** Whether the answer may leave out what is known here already; VMs that have not
+   * been renewed yet need it whole. */
+  takesParts: z.boolean().optional(),
 });
 
 /** All that a process knows. */
 const stateToldSchema = knowledgeSchema.extend({
   kind: z.literal("state.told"),
   state: z.object({
-    configuration: configurationSchema,
+    /** Left out where the one that asked has it. */
+    configuration: configurationSchema.optional(),
     servers: z.array(backendServerSchema),
     assignments: z.array(assignmentSchema),
     holder: holderAddressSchema.nullable(),
@@ -200,6 +204,11 @@
 /** See the module's comment. */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 
+/** A message of one kind. */
+export type MessageOf<Kind extends PeerMessage["kind"]> = PeerMessage & {
+  kind: Kind;
+};
+
 /** A message as it is sent. */
 export interface PeerSend {
   kind: "peer.send";
--- a/src/core/peers/state_request.ts
+++ b/src/core/peers/state_request.ts
@@ -43,7 +43,7 @@
     return [...addresses].map((address) => ({
       kind: "peer.send",
       address,
-      message: { kind: "state.wanted", ...known },
+      message: { kind: "state.wanted", ...known, takesParts: true },
     }));
   }
 }
--- a/src/core/term_publication.ts
+++ b/src/core/term_publication.ts
@@ -19,6 +19,7 @@
   HolderLink,
   type HolderWord,
   type KeyReport,
+  MessagePacing,
   type PeerSend,
 } from "./peers/index.ts";
 import type { RegistryNews } from "./registry/index.ts";
@@ -27,11 +28,6 @@
 /** Time that a published change may need to reach a follower, in milliseconds:
  * a report that crosses it is answered as if it had arrived. */
 const IN_FLIGHT = 120;
-/** Time after which a follower that still lacks everything is told it again, in
- * milliseconds. All assignments are by far the largest message; sent again with
- * each report, while the first one waits for the holder's link, they keep that
- * full. A connection that died costs a follower this long. */
-const WHOLE_PAUSE = 900;
 /** Published versions that are kept as places from which a follower can be told
  * what has changed: some seconds of a busy holder. */
 const MAXIMUM_MARKS = 256;
@@ -44,14 +40,6 @@
   revisions: ReadonlyMap<string, number>;
 }
 
-/** A follower was told all assignments. */
-interface Told {
-  at: number;
-  /** When it sent the report that this answered, by its own clock; -Infinity if
-   * it had not asked. */
-  sentAt: number;
-}
-
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class TermPublication {
   readonly #link = HolderLink.create();
@@ -64,8 +52,9 @@
   #publishedPosition: number | null = null;
   /** Version of the configuration, and since when it is known here. */
   #configuration = { version: -1, since: -Infinity };
-  /** Since when each follower has been told all assignments of this term. */
-  readonly #told = new Map<string, Told>();
+  /** All assignments, by their term, and the configuration, by its version. */
+  readonly #assignmentPacing = MessagePacing.create();
+  readonly #configurationPacing = MessagePacing.create();
   /** Reports that came while changes waited to be published. */
   readonly #owed = new Map<string, KeyReport>();
 
@@ -159,6 +148,9 @@
     const isSettled = now - this.#configuration.since > IN_FLIGHT;
     if (configuration === null || report.configuration >= version) return;
     if (!isSettled && !report.isTold) return;
+    const { sentAt } = report;
+    const pacing = this.#configurationPacing;
+    if (!pacing.maySend(address, version, sentAt, now)) return;
     const knowledge = this.beliefs.knowledge(this.#published);
     this.emit(this.#link.tellConfiguration(address, knowledge, configuration));
   }
@@ -185,18 +177,15 @@
     }
   }
 
-  /** Tells a follower everything, unless that is on its way already; a process
-   * that has started anew, whose clock begins again, has not got it. */
+  /** Tells a follower everything, unless that is on its way already. */
   #tellAll(
     holder: TermHolder,
     address: string,
     { sentAt }: KeyReport,
     now: number,
   ): void {
-    const told = this.#told.get(address);
-    const isSame = told !== undefined && sentAt >= told.sentAt;
-    if (isSame && now - told.at < WHOLE_PAUSE) return;
-    this.#told.set(address, { at: now, sentAt });
+    const { term } = holder;
+    if (!this.#assignmentPacing.maySend(address, term, sentAt, now)) return;
     this.emit(this.#link.tell(address, this.#bulletin(holder, now)));
   }
 
@@ -212,7 +201,6 @@
     this.#published = { term, version };
     this.#publishedAt = now;
     if (last === undefined) {
-      this.#told.clear();
       this.#marks = [];
       this.emit(...this.#link.publish(this.#bulletin(holder, now)));
     } else {
--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -45,6 +45,7 @@
   /** Lets a follower that was turned off go on; null while it is not waiting. */
   #resume: (() => void) | null = null;
   #failedAt = -Infinity;
+  #isRefreshing = false;
 
   private constructor(
     private readonly store: ControlStore,
@@ -69,13 +70,18 @@
     return follower;
   }
 
-  /** Reads all that is current now, beside the call that waits for news. */
+  /** Reads all that is current now, beside the call that waits for news; once at a
+   * time, since a large document would come no sooner twice. */
   async refresh(): Promise<void> {
+    if (this.#isRefreshing) return;
+    this.#isRefreshing = true;
     const sentAt = monotonicNow();
     try {
       this.#pass(await this.store.readAll(this.feed), sentAt);
     } catch (error) {
       this.#failed(error);
+    } finally {
+      this.#isRefreshing = false;
     }
   }
 
--- a/src/runtime/frame_test.ts
+++ b/src/runtime/frame_test.ts
@@ -36,6 +36,35 @@
   );
 });
 
+test("frames: large ones are deflated and come out again, however they are cut", (t) => {
+  const value = (i: number) => ({
+    kind: "told",
+    routes: Array.from(
+      { length: 200 },
+      (_, j) => ({ name: `route-${i}-${j}` }),
+    ),
+  });
+  const values = [value(1), { kind: "small" }, value(2), value(3)];
+  const plain = Buffer.concat(values.map((each) => encodeFrame(each)));
+  const bytes = Buffer.concat(values.map((each) => encodeFrame(each, true)));
+  t.true(bytes.length < plain.length / 3, `${bytes.length}, ${plain.length}`);
+  for (const size of [1, 3, 100, 5_000, bytes.length]) {
+    const decoder = FrameDecoder.create();
+    const decoded: unknown[] = [];
+    for (let start = 0; start < bytes.length; start += size) {
+      decoded.push(...decoder.push(bytes.subarray(start, start + size)));
+    }
+    t.deepEqual(decoded, values);
+  }
+});
+
+test("frames: one that is over-long once it is inflated is refused", (t) => {
+  const value = { kind: "told", text: "x".repeat(MAXIMUM_FRAME) };
+  const bytes = encodeFrame(value, true);
+  t.true(bytes.length < MAXIMUM_FRAME / 100);
+  t.throws(() => FrameDecoder.create().push(bytes));
+});
+
 test("frames: one that is over-long is refused before it is read", (t) => {
   const header = Buffer.alloc(4);
   header.writeUInt32BE(MAXIMUM_FRAME + 1, 0);
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -12,6 +12,7 @@
   Agent,
   type ClientRequest,
   type IncomingHttpHeaders,
+  type IncomingMessage,
   request as httpRequest,
 } from "node:http";
 import { parseAddress } from "../settings/address.ts";
@@ -26,6 +27,18 @@
   idleTimeout: number;
 }
 
+/**
+ * Bounds on an answer that has begun, in milliseconds. A large one over a small
+ * link is not begun anew while its bytes keep coming: that would fill the link and
+ * never end.
+ */
+export interface Transfer {
+  /** Longest time without a byte. */
+  stall: number;
+  /** Longest time for the whole answer. */
+  longest: number;
+}
+
 /** One call. */
 export interface HttpCall {
   method: "GET" | "POST";
@@ -34,8 +47,13 @@
   /** Headers besides those of the body. */
   headers?: Readonly<Record<string, string>>;
   body?: Buffer | string;
-  /** Time for the whole answer, in milliseconds. */
+  /** Time for the whole answer, in milliseconds; with `transfer`, for its
+   * beginning. */
   timeout: number;
+  /** How long an answer may take that has begun. */
+  transfer?: Transfer;
+  /** Told when the answer begins to come. */
+  began?: () => void;
   /** Gives the call up; its connection is reset. */
   signal?: AbortSignal;
   /** Time from now up to which a connection may be opened for it, in
@@ -92,12 +110,13 @@
   }
 
   /**
-   * Sends a call and takes its answer. Rejects when it is not answered in time
-   * or its connection ends; a call that is given up resets its connection, so
-   * that bytes still on their way are not delivered later.
+   * Sends a call and takes its answer. Rejects when it is not answered in time,
+   * its answer stops coming, or its connection ends; a call that is given up
+   * resets its connection, so that bytes still on their way are not delivered
+   * later.
    */
   send(address: string, call: HttpCall): Promise<HttpAnswer> {
-    const { method, path, headers, body, timeout, signal } = call;
+    const { method, path, headers, body, timeout, transfer, signal } = call;
     const type = body === undefined
       ? {}
       : { "content-type": contentType(body) };
@@ -114,11 +133,22 @@
     limitConnecting(request, this.options.connectTimeout);
     refuseConnecting(request, call.connectWithin ?? Infinity);
     let isTimedOut = false;
-    const timer = setTimeout(() => {
+    const timedOut = () => {
       isTimedOut = true;
       giveUp(request);
       this.#dropIdle(host, port);
-    }, timeout);
+    };
+    let timer = setTimeout(timedOut, timeout);
+    request.once("response", (response: IncomingMessage) => {
+      call.began?.();
+      if (transfer === undefined) return;
+      clearTimeout(timer);
+      timer = setTimeout(timedOut, transfer.stall);
+      const latest = performance.now() + transfer.longest - transfer.stall;
+      response.on("data", () => {
+        if (performance.now() <= latest) timer.refresh();
+      });
+    });
     request.end(body);
     return takeAnswer(request)
       .catch((error: Error) => {
--- a/src/runtime/http_client_test.ts
+++ b/src/runtime/http_client_test.ts
@@ -138,3 +138,42 @@
   const kept = client.send(address, { ...CALL, connectWithin: 0 });
   await t.notThrowsAsync(kept);
 });
+
+/** A server that sends half of an answer, piece by piece, and then the rest or
+ * nothing more. */
+async function startSlowServer(t: ExecutionContext, isWhole: boolean) {
+  const pieces = 8;
+  const server = createServer((_, response) => {
+    response.writeHead(200, { "content-length": String(pieces) });
+    let sent = 0;
+    const timer = setInterval(() => {
+      sent += 1;
+      response.write("x");
+      const isLast = sent === (isWhole ? pieces : pieces / 2);
+      if (isLast) clearInterval(timer);
+    }, 60);
+    response.once("close", () => clearInterval(timer));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  return `127.0.0.1:${port}`;
+}
+
+test("http client: an answer that keeps coming is taken, one that stalls is not", async (t) => {
+  const client = createClient(t);
+  const transfer = { stall: 250, longest: 5_000 };
+  const whole = await startSlowServer(t, true);
+  const call = { ...CALL, timeout: 250, transfer };
+  t.is((await client.send(whole, call)).body.length, 8);
+  const bounded = { ...call, transfer: { ...transfer, longest: 300 } };
+  const stalling = await startSlowServer(t, false);
+  for (
+    const calls of [client.send(whole, bounded), client.send(stalling, call)]
+  ) {
+    t.is((await t.throwsAsync(calls))?.message, "no answer");
+  }
+});
--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -23,6 +23,9 @@
   protocol: z.literal(PROTOCOL),
   vm: z.string(),
   peerAddress: z.string(),
+  /** Whether frames to it may be deflated; VMs that have not been renewed yet leave
+   * it out and take none. */
+  takesDeflated: z.boolean().optional(),
 });
 
 type Hello = z.infer<typeof helloSchema>;
@@ -72,8 +75,11 @@
   readonly #unansweredSince = new Map<Socket, number>();
   /** Connections over which the peer has said something. */
   readonly #heard = new WeakSet<Socket>();
-  #lastMessage: PeerMessage | null = null;
-  #lastFrame: Buffer = Buffer.alloc(0);
+  /** Connections whose peer takes deflated frames. */
+  readonly #deflating = new WeakSet<Socket>();
+  /** Frames of messages that go to several peers: plain, and deflated for those
+   * that take it. */
+  readonly #frames = new WeakMap<PeerMessage, Map<boolean, Buffer>>();
   readonly traffic: PeerTraffic = {
     messagesSent: 0,
     bytesSent: 0,
@@ -111,7 +117,7 @@
       this.traffic.dropped += 1;
       return;
     }
-    const frame = this.#encode(message);
+    const frame = this.#encode(message, this.#deflating.has(socket));
     this.traffic.messagesSent += 1;
     this.traffic.bytesSent += frame.length;
     const { bytesByKind } = this.traffic;
@@ -141,12 +147,12 @@
   }
 
   /** The frame of a message; one that goes to many is encoded once. */
-  #encode(message: PeerMessage): Buffer {
-    if (this.#lastMessage !== message) {
-      this.#lastMessage = message;
-      this.#lastFrame = encodeFrame(message);
-    }
-    return this.#lastFrame;
+  #encode(message: PeerMessage, mayDeflate: boolean): Buffer {
+    const frames = this.#frames.get(message) ?? new Map<boolean, Buffer>();
+    this.#frames.set(message, frames);
+    const frame = frames.get(mayDeflate) ?? encodeFrame(message, mayDeflate);
+    frames.set(mayDeflate, frame);
+    return frame;
   }
 
   /** Closes all connections. */
@@ -194,6 +200,7 @@
           if (hello === null) {
             hello = helloSchema.parse(value);
             this.#use(hello.peerAddress, socket);
+            if (hello.takesDeflated) this.#deflating.add(socket);
           } else {
             this.#receive(hello, value);
           }
@@ -208,6 +215,7 @@
       protocol: PROTOCOL,
       vm,
       peerAddress,
+      takesDeflated: true,
     };
     socket.write(encodeFrame(own));
   }
