--- a/src/runtime/frame_test.ts
+++ b/src/runtime/frame_test.ts
@@ -40,7 +40,7 @@
   const value = (i: number) => ({
     kind: "told",
     routes: Array.from(
-      { length: 200 },
+      { length: 400 },
       (_, j) => ({ name: `route-${i}-${j}` }),
     ),
   });
