--- a/test/large_configuration_test.ts
+++ b/test/large_configuration_test.ts
@@ -24,7 +24,7 @@
 } from "./support/large_configuration.ts";
 import { openSmallLink } from "./support/small_link.ts";
 
-/** What callers leave of a link of 7 Mbit/s, in bytes a second. */
+/** Half of a link of 7 Mbit/s, in bytes a second. */
 const LINK = 400_000;
 /** Time in which a VM must have the configuration, in milliseconds: its document
  * takes 1.3 s over that link. */
