--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -8,7 +8,11 @@
 import type { AttemptOutcome } from "./request.ts";
 
 /** A dispatcher with a keyed and two other services, two servers each. */
-function createDispatcher(vms: number | null = 8, draw = () => 0) {
+function createDispatcher(
+  vms: number | null = 8,
+  draw = () => 0,
+  keyRefused = () => {},
+) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
     name,
@@ -79,7 +83,7 @@
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
     vms: () => vms,
-    keyRefused: () => {},
+    keyRefused,
     draw,
   });
   let exchange = 0;
@@ -166,36 +170,52 @@
  * whatever was known, and the list of tried servers, which bounds attempts, was
  * emptied by each.
  */
-test("dispatch: a server that refuses a key for 2 s is asked ever less often while no other is known", (t) => {
-  const { dispatcher, arrive } = createDispatcher();
-  const arrivals: number[] = [];
-  const perRequest = new Map<number, number>();
-  const answers: { attempt: number; at: number }[] = [];
-  const refusals: number[] = [];
-  const take = (effects: readonly DispatchEffect[], now: number) => {
-    for (const effect of effects) {
-      if (effect.kind === "request.refuse") refusals.push(effect.status);
-      if (effect.kind !== "attempt.start") continue;
-      const { exchange, attempt } = effect;
-      arrivals.push(now);
-      perRequest.set(exchange, (perRequest.get(exchange) ?? 0) + 1);
-      answers.push({ attempt, at: now + 2 });
-    }
-  };
-  for (let now = 0; now < 2_200; now += 1) {
-    if (answers[0]?.at === now) {
-      const { attempt } = answers.shift()!;
-      take(dispatcher.ended(attempt, NO_HOLDER, now), now);
+for (
+  const [who, outcome] of [
+    ["a server that refuses a key for 2 s", NO_HOLDER],
+    ["the address of a key's server, where another one refuses,", {
+      ...NO_HOLDER,
+      server: "another",
+    }],
+  ] as const
+) {
+  test(`dispatch: ${who} is asked ever less often while no other is known`, (t) => {
+    let outdated = 0;
+    const { dispatcher, arrive } = createDispatcher(
+      8,
+      () => 0,
+      () => outdated += 1,
+    );
+    const arrivals: number[] = [];
+    const perRequest = new Map<number, number>();
+    const answers: { attempt: number; at: number }[] = [];
+    const refusals: number[] = [];
+    const take = (effects: readonly DispatchEffect[], now: number) => {
+      for (const effect of effects) {
+        if (effect.kind === "request.refuse") refusals.push(effect.status);
+        if (effect.kind !== "attempt.start") continue;
+        const { exchange, attempt } = effect;
+        arrivals.push(now);
+        perRequest.set(exchange, (perRequest.get(exchange) ?? 0) + 1);
+        answers.push({ attempt, at: now + 2 });
+      }
+    };
+    for (let now = 0; now < 2_200; now += 1) {
+      if (answers[0]?.at === now) {
+        const { attempt } = answers.shift()!;
+        take(dispatcher.ended(attempt, outcome, now), now);
+      }
+      if (now < 2_000 && now % 10 === 0) take(arrive("/lookup/", now), now);
+      take(dispatcher.advance(now), now);
     }
-    if (now < 2_000 && now % 10 === 0) take(arrive("/lookup/", now), now);
-    take(dispatcher.advance(now), now);
-  }
-  // 30, 60, 120 and then 240 ms apart.
-  t.true(arrivals.length <= 12, `${arrivals.length} arrivals`);
-  t.true(Math.max(...perRequest.values()) <= 3);
-  t.is(dispatcher.pending, 0);
-  t.deepEqual([...new Set(refusals)], [503]);
-});
+    // 30, 60, 120 and then 240 ms apart.
+    t.true(arrivals.length <= 12, `${arrivals.length} arrivals`);
+    t.true(Math.max(...perRequest.values()) <= 3);
+    t.is(dispatcher.pending, 0);
+    t.deepEqual([...new Set(refusals)], [503]);
+    t.is(outdated, arrivals.length, "the term holder is asked");
+  });
+}
 
 test("dispatch: a refused request goes to the key's next server at once", (t) => {
   const { dispatcher, arrive, assign } = createDispatcher();
--- a/test/support/bundled_program.ts
+++ b/test/support/bundled_program.ts
@@ -21,15 +21,15 @@
 export const WEAKNESSES = {
   /** Non-idempotent work whose answer is lost is sent again. */
   second_try: {
-    file: "src/core/dispatch/dispatcher.ts",
-    sound: "if (request.route.isIdempotent && this.#again(request, now)) {",
-    weak: "if (this.#again(request, now)) {",
+    file: "src/core/dispatch/outcome_review.ts",
+    sound: "return request.route.isIdempotent\n    ?",
+    weak: "return request.mayHaveRun\n    ?",
   },
   /** Keys of a server that does not answer are given away at once. */
   no_wait: {
     file: "src/core/keyspace/term_holder.ts",
-    sound: "if (now >= this.#heldUntil(range)) return true;",
-    weak: "return true;",
+    sound: "if (now >= this.#orders.heldUntil(range)) {",
+    weak: "if (now >= 0) {",
   },
 } satisfies Record<string, Weakening>;
 
