Dispatch: a refusal by another server at the address puts the range in doubt

Cause of the finding of the test before: only a 421 of the server that was meant was taken for news.

--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -99,9 +99,15 @@
   ): Sequel {
     const server = this.context.fleet.get(attempt.server);
     const isOther = answering !== null && answering !== attempt.server;
-    if (isOther) server?.failed(attempt.number, now);
-    else if (status === 421) this.#keyRefused(request, attempt, now);
-    else server?.refused(attempt.number, now, load);
+    if (isOther) {
+      server?.failed(attempt.number, now);
+      this.#doubtKey(request, attempt, now);
+    } else if (status === 421) {
+      server?.cancelled(attempt.number);
+      this.#doubtKey(request, attempt, now);
+    } else {
+      server?.refused(attempt.number, now, load);
+    }
     const detail = { server: attempt.server, status };
     this.log.note("info", "attempt.not_run", request, now, detail);
     if (request.key !== null) forgetTry(request, attempt, now);
@@ -111,10 +117,10 @@
     return { kind: "again", detail: null, otherwise };
   }
 
-  /** The server does not hold the key: what is known here may be old. */
-  #keyRefused(request: PendingRequest, attempt: Attempt, now: number): void {
-    const { fleet, directory } = this.context;
-    fleet.get(attempt.server)?.cancelled(attempt.number);
+  /** The server does not hold the key, or has ended: what is known here may be
+   * old. */
+  #doubtKey(request: PendingRequest, attempt: Attempt, now: number): void {
+    const { directory } = this.context;
     const { range, startedAt } = attempt;
     if (request.key === null || range === null) return;
     this.refusedRanges.refused(range, startedAt, now);
