--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import fc from "fast-check";
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
@@ -46,16 +47,15 @@
   }));
   const fleet = Fleet.create();
   const servers = ["stock", "orders", "reads"].flatMap((service) =>
-    ["1", "2"].map((number) => ({
-      id: `${service}-${number}`,
-      incarnation: 0,
-      service,
-      address: `${service}-${number}:1`,
-      availabilityZone: "a",
-      slots: 1,
-      isDraining: false,
-      warmUp: 0,
-    }))
+    ["1", "2"].map((
+      number,
+    ) =>
+      backendServer(`${service}-${number}`, {
+        service,
+        address: `${service}-${number}:1`,
+        slots: 1,
+      })
+    )
   );
   fleet.apply(servers, [], 0);
   const directory = KeyDirectory.create();
--- a/src/core/dispatch/server_choice_test.ts
+++ b/src/core/dispatch/server_choice_test.ts
@@ -1,20 +1,12 @@
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import { type ReportedLoad, TrackedServer } from "../fleet/index.ts";
 import { hasRoom } from "./server_choice.ts";
 
 /** Requests that one of eight VMs sends to a server with 3 slots at `now`,
  * after an answer that stated `load` at 100. */
 function room(load: ReportedLoad | null, now: number): number {
-  const server = TrackedServer.create({
-    id: "i",
-    incarnation: 0,
-    service: "s",
-    address: "h:1",
-    availabilityZone: "a",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
-  });
+  const server = TrackedServer.create(backendServer("i", { address: "h:1" }));
   server.started(0, 0);
   server.answered(0, 100, load);
   let count = 0;
@@ -34,16 +26,7 @@
 
 test("room: many VMs that hear of a server seldom may each have a few requests there", (t) => {
   const create = () =>
-    TrackedServer.create({
-      id: "i",
-      incarnation: 0,
-      service: "s",
-      address: "h:1",
-      availabilityZone: "a",
-      slots: 6,
-      isDraining: false,
-      warmUp: 0,
-    });
+    TrackedServer.create(backendServer("i", { address: "h:1", slots: 6 }));
   const fill = (server: TrackedServer, from: number, now: number) => {
     let count = 0;
     while (hasRoom(server, now, 91)) {
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { backendServer } from "../../test/support/backend_server.ts";
 import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import type { EntryEffect } from "./entry_effect.ts";
@@ -86,16 +87,7 @@
 test("entry: connections to the older run of a server are dropped", (t) => {
   const { step } = createSteppedEntry();
   const list = (position: number, incarnation: number) => {
-    const entries = [{
-      id: "i-1",
-      incarnation,
-      service: "s",
-      address: "h:1",
-      availabilityZone: "a",
-      slots: 3,
-      isDraining: false,
-      warmUp: 0,
-    }];
+    const entries = [backendServer("i-1", { incarnation, address: "h:1" })];
     const read = {
       entries,
       removed: [],
@@ -126,16 +118,9 @@
         configuration: 1,
         state: {
           configuration: read.configuration,
-          servers: servers.map(([id, incarnation]) => ({
-            id,
-            incarnation,
-            service: "s",
-            address: `${id}:1`,
-            availabilityZone: "a",
-            slots: 3,
-            isDraining: false,
-            warmUp: 0,
-          })),
+          servers: servers.map(([id, incarnation]) =>
+            backendServer(id, { incarnation })
+          ),
           assignments: [],
           holder: null,
         },
@@ -163,16 +148,7 @@
   const order = isFirst ? "before" : "after";
   test(`entry: a server that has ended goes, though a peer tells of it ${order} the news`, (t) => {
     const { entry, step } = createSteppedEntry();
-    const servers = [{
-      id: "i-1",
-      incarnation: 5,
-      service: "s",
-      address: "h:1",
-      availabilityZone: "a",
-      slots: 3,
-      isDraining: false,
-      warmUp: 0,
-    }];
+    const servers = [backendServer("i-1", { incarnation: 5, address: "h:1" })];
     const configuration = configured(1);
     if (configuration.kind !== "configuration.read") return t.fail();
     const knowledge = { term: 0, version: 0, configuration: 1 };
@@ -223,16 +199,7 @@
 
 test("entry: the holder's word spares a read of the registry, and its silence brings one", (t) => {
   const { step } = createSteppedEntry();
-  const entries = [{
-    id: "i-1",
-    incarnation: 0,
-    service: "s",
-    address: "h:1",
-    availabilityZone: "a",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
-  }];
+  const entries = [backendServer("i-1", { address: "h:1" })];
   const read = {
     entries,
     removed: [],
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -1,19 +1,10 @@
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { Fleet } from "./fleet.ts";
 
 function entry(id: string, change: Partial<BackendServer> = {}): BackendServer {
-  return {
-    id,
-    incarnation: 0,
-    service: "stock",
-    address: `${id}:1`,
-    availabilityZone: "a",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
-    ...change,
-  };
+  return backendServer(id, { service: "stock", ...change });
 }
 
 test("fleet: changes are told once", (t) => {
--- a/src/core/keyspace/key_limits_test.ts
+++ b/src/core/keyspace/key_limits_test.ts
@@ -3,6 +3,7 @@
  * hears all VMs, sees that: each VM has a request for it every few seconds.
  */
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import { Fleet } from "../fleet/index.ts";
 import { vacantRange } from "./held_range.ts";
 import { KeyLimits, limitsOf } from "./key_limits.ts";
@@ -14,16 +15,9 @@
 /** Servers `a` and `b` that answer in 100 ms, of which `a` has two ranges. */
 function createServers() {
   const fleet = Fleet.create();
-  const entries = ["a", "b"].map((id) => ({
-    id,
-    incarnation: 0,
-    service: "s",
-    address: `${id}:1`,
-    availabilityZone: "z",
-    slots: 2,
-    isDraining: false,
-    warmUp: 0,
-  }));
+  const entries = ["a", "b"].map((id) =>
+    backendServer(id, { availabilityZone: "z", slots: 2 })
+  );
   fleet.apply(entries, [], 0);
   const samples = { mean: 100, count: 20 };
   fleet.observe(entries.map(({ id }) => ({ server: id, ...samples })), 0);
--- a/src/core/keyspace/range_servers_test.ts
+++ b/src/core/keyspace/range_servers_test.ts
@@ -1,20 +1,15 @@
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import { type BackendServer, Fleet } from "../fleet/index.ts";
 import { vacantRange } from "./held_range.ts";
 import type { PendingOrder } from "./order_book.ts";
 import { RangeServers } from "./range_servers.ts";
 import { RangeTable } from "./range_table.ts";
 
-const ENTRY: BackendServer = {
-  id: "a",
+const ENTRY: BackendServer = backendServer("a", {
   incarnation: 100,
-  service: "s",
-  address: "a:1",
   availabilityZone: "z",
-  slots: 3,
-  isDraining: false,
-  warmUp: 0,
-};
+});
 
 /** An order to server `a` that another server refused. */
 function refusedOrder(address: string): PendingOrder {
--- a/src/core/keyspace/server_end_test.ts
+++ b/src/core/keyspace/server_end_test.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import { type BackendServer, Fleet } from "../fleet/index.ts";
 import { KEY_COUNT } from "./assignment.ts";
 import { KeyLoads } from "./key_load.ts";
@@ -22,17 +23,11 @@
 const MISDIRECTED: OrderOutcome = { kind: "misdirected" };
 
 function entry(id: string, change: Partial<BackendServer> = {}): BackendServer {
-  return {
-    id,
+  return backendServer(id, {
     incarnation: 100,
-    service: "s",
-    address: `${id}:1`,
     availabilityZone: "z",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
     ...change,
-  };
+  });
 }
 
 /** A holder of two servers, of which `a` has both halves of the keys; no order
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
 import { Fleet } from "../fleet/index.ts";
 import { KEY_COUNT } from "./assignment.ts";
 import { KeyLoads } from "./key_load.ts";
@@ -22,16 +23,9 @@
 /** A holder of two servers, of which `a` has all keys and is to give up half. */
 function createHolder() {
   const fleet = Fleet.create();
-  const entries = ["a", "b"].map((id) => ({
-    id,
-    incarnation: 0,
-    service: "s",
-    address: `${id}:1`,
-    availabilityZone: "z",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
-  }));
+  const entries = ["a", "b"].map((id) =>
+    backendServer(id, { availabilityZone: "z" })
+  );
   fleet.apply(entries, [], 0);
   const all = { first: 0, last: KEY_COUNT - 1 };
   const recorded = [{
@@ -154,16 +148,7 @@
 });
 
 test("term holder: keys are given out for the first time once no more servers come", (t) => {
-  const entry = (id: string) => ({
-    id,
-    incarnation: 0,
-    service: "s",
-    address: `${id}:1`,
-    availabilityZone: "z",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
-  });
+  const entry = (id: string) => backendServer(id, { availabilityZone: "z" });
   const begin = () => {
     const fleet = Fleet.create();
     const loads = KeyLoads.create();
--- a/src/core/peer_exchange_test.ts
+++ b/src/core/peer_exchange_test.ts
@@ -7,6 +7,7 @@
  * message of the new holder just after the second report.
  */
 import test from "ava";
+import { backendServer } from "../../test/support/backend_server.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import { configurationSchema } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
@@ -43,16 +44,7 @@
       }],
     }),
   });
-  const server = {
-    id: "i-1",
-    incarnation: 0,
-    service: "s",
-    address: "h:1",
-    availabilityZone: "a",
-    slots: 50,
-    isDraining: false,
-    warmUp: 0,
-  };
+  const server = backendServer("i-1", { address: "h:1", slots: 50 });
   step(0, {
     kind: "servers.read",
     read: {
--- a/src/core/term_publication_test.ts
+++ b/src/core/term_publication_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { backendServer } from "../../test/support/backend_server.ts";
 import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
 import { Beliefs } from "./beliefs.ts";
 import type { EntryEffect } from "./entry_effect.ts";
@@ -21,16 +22,10 @@
   const timing = leaseTimingSchema.parse({});
   const { fleet } = beliefs;
   const campaign = TermCampaign.create(timing, fleet, loads, 1);
-  const servers = Array.from({ length: 40 }, (_, i) => ({
-    id: `i-${i}`,
-    incarnation: 0,
-    service: "s",
-    address: `h:${i}`,
-    availabilityZone: "a",
-    slots: 6,
-    isDraining: false,
-    warmUp: 0,
-  }));
+  const servers = Array.from(
+    { length: 40 },
+    (_, i) => backendServer(`i-${i}`, { address: `h:${i}`, slots: 6 }),
+  );
   fleet.apply(servers, [], -2_000);
   let orders = 0;
   const next = () => orders += 1;
--- a/src/runtime/peer_network_test.ts
+++ b/src/runtime/peer_network_test.ts
@@ -2,7 +2,7 @@
 import { PassThrough } from "node:stream";
 import type { AddressInfo } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { loopbackAddress } from "../../test/support/loopback_address.ts";
 import { largeConfiguration } from "../../test/support/large_configuration.ts";
 import type { Occurrence } from "../core/entry_event.ts";
@@ -28,7 +28,9 @@
   return { network, received };
 }
 
-test("peers: both sides use the connection that one has opened", async (t) => {
+/** Two networks, of which the second, at `b`, has heard the first, which does not
+ * listen at `a`. */
+async function connectNetworks(t: ExecutionContext) {
   const [a, b] = [loopbackAddress(), loopbackAddress()];
   const first = createNetwork(a);
   const second = createNetwork(b);
@@ -41,6 +43,11 @@
     first.network.send(b, MESSAGE);
     await delay(10);
   }
+  return { a, first, second };
+}
+
+test("peers: both sides use the connection that one has opened", async (t) => {
+  const { a, first, second } = await connectNetworks(t);
   // The first does not listen, so an answer has only that way.
   while (first.received.length === 0) {
     second.network.send(a, MESSAGE);
@@ -97,18 +104,7 @@
 const LARGE_MESSAGE = 100_000;
 
 test("peers: a configuration of 2,100 routes leaves a small link free", async (t) => {
-  const [a, b] = [loopbackAddress(), loopbackAddress()];
-  const first = createNetwork(a);
-  const second = createNetwork(b);
-  t.teardown(() => {
-    first.network.close();
-    second.network.close();
-  });
-  await second.network.listen();
-  while (second.received.length === 0) {
-    first.network.send(b, MESSAGE);
-    await delay(10);
-  }
+  const { a, first, second } = await connectNetworks(t);
   await delay(50);
   const told = largeConfiguration(7);
   const before = second.network.traffic.bytesSent;
