--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -4,13 +4,27 @@
  *
  * @module
  */
+import {
+  decodeConfiguration,
+  encodeConfiguration,
+} from "../platform/configuration_codec.ts";
+import { Catalog } from "../src/core/catalog/index.ts";
 import { KEY_COUNT } from "../src/core/keyspace/index.ts";
-import { encodeFrame } from "../src/runtime/frame.ts";
+import {
+  type PeerMessage,
+  peerMessageSchema,
+} from "../src/core/peers/index.ts";
+import { encodeFrame, FrameDecoder } from "../src/runtime/frame.ts";
+import { backendServer } from "../test/support/backend_server.ts";
+import { largeConfiguration } from "../test/support/large_configuration.ts";
 import { createSteppedEntry } from "../test/support/stepped_entry.ts";
 import { printFigure } from "./figure.ts";
 
 const SERVICE_SIZES = [10, 100, 800];
 const REQUESTS = 20_000;
+/** Runs of a step before it is measured, and while it is. */
+const WARM_UP = 5;
+const REPEATS = 20;
 
 /** Measures the cost of a request for services of several sizes. */
 export function measureSlopes(): void {
@@ -19,6 +33,53 @@
     measureRequests(servers, true);
   }
   for (const ranges of [10, 100, 1_000, 5_000]) measureBulletin(ranges);
+  for (const routes of [100, 2_100, 5_000]) measureConfiguration(routes);
+}
+
+/** What a configuration costs its reader from the store, and the term holder and
+ * each follower that is told it. */
+function measureConfiguration(routes: number): void {
+  const configuration = largeConfiguration(7, routes);
+  const document = encodeConfiguration(configuration);
+  const message: PeerMessage = {
+    kind: "configuration.told",
+    term: 1,
+    version: 1,
+    configuration: 7,
+    told: configuration,
+  };
+  const frame = encodeFrame(message, true);
+  const bytes = {
+    "in the store": document.length,
+    "to a follower, plain": encodeFrame(message).length,
+    "to a follower, deflated": frame.length,
+  };
+  for (const [form, value] of Object.entries(bytes)) {
+    const conditions = { form, routes };
+    printFigure({ name: "configuration", value, unit: "bytes", conditions });
+  }
+  const steps = {
+    "read of the document": () => decodeConfiguration(document),
+    "frame made, once for all": () => encodeFrame(message, true),
+    "frame read": () =>
+      FrameDecoder.create().push(frame).map((each) =>
+        peerMessageSchema.parse(each)
+      ),
+    "put in force": () => Catalog.create().apply(configuration),
+  };
+  for (const [step, run] of Object.entries(steps)) {
+    const conditions = { step, routes };
+    const value = millisecondsOf(run);
+    printFigure({ name: "configuration", value, unit: "ms", conditions });
+  }
+}
+
+/** Mean time of a step in a process that is warmed up. */
+function millisecondsOf(run: () => unknown): number {
+  for (let i = 0; i < WARM_UP; i++) run();
+  const begun = performance.now();
+  for (let i = 0; i < REPEATS; i++) run();
+  return (performance.now() - begun) / REPEATS;
 }
 
 function measureRequests(servers: number, isKeyed: boolean): void {
@@ -125,16 +186,14 @@
       }],
     },
   });
-  const entries = Array.from({ length: servers }, (_, i) => ({
-    id: `server-${i}`,
-    incarnation: 0,
-    service: "s",
-    address: `10.0.0.1:${i}`,
-    availabilityZone: i % 2 === 0 ? "a" : "b",
-    slots: 3,
-    isDraining: false,
-    warmUp: 0,
-  }));
+  const entries = Array.from(
+    { length: servers },
+    (_, i) =>
+      backendServer(`server-${i}`, {
+        address: `10.0.0.1:${i}`,
+        availabilityZone: i % 2 === 0 ? "a" : "b",
+      }),
+  );
   const read = {
     entries,
     removed: [],
--- a/test/support/large_configuration.ts
+++ b/test/support/large_configuration.ts
@@ -10,10 +10,13 @@
 export const LARGE_ROUTE_COUNT = 2_100;
 
 /** Version `version` of it, with one service `stock`. */
-export function largeConfiguration(version: number): Configuration {
+export function largeConfiguration(
+  version: number,
+  routes = LARGE_ROUTE_COUNT,
+): Configuration {
   return {
     version,
-    routes: Array.from({ length: LARGE_ROUTE_COUNT }, (_, i) => ({
+    routes: Array.from({ length: routes }, (_, i) => ({
       name: `route-${i}`,
       host: `site-${i % 16}.example`,
       pathPrefix: `/department-${i}/orders-${(i * 7919) % 1_000}/`,
