--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -172,6 +172,23 @@
   t.deepEqual(small, []);
 });
 
+test("a fit VM that alone is cut off from the store keeps no other from the term", (t) => {
+  const report = World.play({
+    vms: 4,
+    servers: 4,
+    faults: [
+      { kind: "vm.cut_from_store", at: 8_000, duration: 11_000, target: 1 },
+    ],
+    duration: 20_000,
+    seed: 4,
+    fitness: [0.5, 4, 0.5, 0.5],
+  });
+  t.deepEqual(report.violations, []);
+  const others = report.holders.slice(report.holders.indexOf("vm-1") + 1)
+    .filter((each) => each !== "vm-1");
+  t.true(others.length > 0, report.holders.join());
+});
+
 // An order that is 30 ms old opens no connection any more, and the orders of one
 // step are sent once all are made. A small VM that took the term over made 300 at
 // once, which takes it 0.1 s and more: all were withheld, made again in the next
