--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -162,7 +162,7 @@
         );
       case "holder.changed":
         if (message.holder.address === address) {
-          this.campaign.hearFitness(message.holder.fitness, now);
+          this.#takeSignOfLife(message.holder, now);
         }
         return this.follow(message.holder, now);
       case "state.wanted":
@@ -320,11 +320,14 @@
     });
   }
 
+  /** The last holder lives, without authority. It counts while the store answers
+   * nobody: one that alone is cut off must not keep others from the term. */
+  #takeSignOfLife({ fitness }: HolderAddress, now: number): void {
+    if (this.store.isLost) this.campaign.hearFitness(fitness, now);
+  }
+
   /** Tells a VM that cannot reach the store what this one knows. */
-  #tellState(
-    address: string,
-    wanted: MessageOf<"state.wanted">,
-  ): void {
+  #tellState(address: string, wanted: MessageOf<"state.wanted">): void {
     const { catalog, fleet, directory, holder } = this.beliefs;
     const { configuration } = catalog;
     if (configuration === null) return;
