Shutdown: requests that outlast it are answered, so that those behind them are not cut

Cause: near the end of a shutdown only requests that wait for a server were answered. One that ran was cut with its connection, and with it each finished answer that stood behind it there.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -114,6 +114,16 @@
     return this.#take();
   }
 
+  /** Answers all requests that servers still work on. An answer of this VM's own
+   * lets those go that stand behind it on its connection. */
+  breakOff(reason: string, now: number): DispatchEffect[] {
+    for (const request of [...this.#requests.values()]) {
+      if (request.attempts.length === 0) continue;
+      this.#fail(request, 504, reason, now);
+    }
+    return this.#take();
+  }
+
   /** A caller left without waiting for its answer. */
   leave(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -226,9 +226,7 @@
     this.#updateFeeds(now);
     this.peers.advance(now);
     this.#put(...this.dispatcher.advance(now));
-    if (this.#shutdown.isEnding(now)) {
-      this.#put(...this.dispatcher.stopWaiting("this VM is stopping", now));
-    }
+    if (this.#shutdown.isEnding(now)) this.#giveUpRequests(now);
     this.#updateReadiness();
     this.#put(...this.#shutdown.advance(this.dispatcher.pending, now));
   }
@@ -323,6 +321,14 @@
     this.#put({ kind: "readiness.set", isReady });
   }
 
+  /** The time of a shutdown is all but over: whatever is left is answered, so that
+   * nothing is cut that could still be sent. */
+  #giveUpRequests(now: number): void {
+    const reason = "this VM is stopping";
+    this.#put(...this.dispatcher.stopWaiting(reason, now));
+    this.#put(...this.dispatcher.breakOff(reason, now));
+  }
+
   #startShutdown(lateness: number, now: number): void {
     if (!this.#shutdown.start(now - lateness)) return;
     const { pending } = this.dispatcher;
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -43,8 +43,8 @@
     return now - this.#startedAt >= this.timing.closeAfter * TURN_AWAY_SHARE;
   }
 
-  /** Whether its time is all but over: what has not been sent by now would be cut
-   * with its connection, and has run nowhere. */
+  /** Whether its time is all but over: what is not answered by now would be cut with
+   * its connection, and with it all answers that stand behind. */
   isEnding(now: number): boolean {
     if (this.#startedAt === null) return false;
     return now - this.#startedAt >= this.timing.stopAfter - PARTING_TIME;
