Log: what is sent again, or may have run, names its request by a fingerprint

Of the incident's hypotheses, nobody remembers (A) and the servers end for their own reasons (C) could not be told apart: a line had the request's id, which each repeat has anew, and its key.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { fingerprintOf } from "../test/support/fingerprint.ts";
 import {
   decodeConfiguration,
   encodeConfiguration,
@@ -98,6 +99,7 @@
           target: "/x/1",
           timeout: 1_000,
           key: exchange * 7_919 % KEY_COUNT,
+          fingerprint: fingerprintOf(`/x/${exchange}`),
         },
       });
       for (const effect of effects) {
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { fingerprintOf } from "../../../test/support/fingerprint.ts";
 import { backendServer } from "../../../test/support/backend_server.ts";
 import fc from "fast-check";
 import { Catalog, configurationSchema } from "../catalog/index.ts";
@@ -96,6 +97,7 @@
       target: path,
       timeout,
       key: 7,
+      fingerprint: fingerprintOf(path),
     }, now);
   };
   return { dispatcher, fleet, servers, arrive, assign, keyLimits };
@@ -469,6 +471,7 @@
     target: "/",
     timeout: 100,
     key: null,
+    fingerprint: fingerprintOf("/"),
   };
   t.snapshot(brief(unconfigured.arrive(arrival, 0)));
 });
--- /dev/null
+++ b/src/core/dispatch/fingerprint_test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import fc from "fast-check";
+import { Fingerprint, type FingerprintParts, headOf } from "./fingerprint.ts";
+
+const PARTS = {
+  caller: "10.0.0.1",
+  method: "POST",
+  host: "h.example",
+  target: "/a?b=1",
+  body: Buffer.from("body"),
+};
+
+const whole = (change: Partial<FingerprintParts> = {}) =>
+  Fingerprint.create({ ...PARTS, ...change }).whole;
+
+test("fingerprint: the same request has the same one, any other part another", (t) => {
+  t.is(whole(), whole());
+  const changes: Partial<FingerprintParts>[] = [
+    { caller: "10.0.0.2" },
+    { method: "PUT" },
+    { host: "g.example" },
+    { target: "/a?b=2" },
+    { body: Buffer.from("bodz") },
+    { body: Buffer.alloc(0) },
+  ];
+  t.is(new Set([whole(), ...changes.map(whole)]).size, changes.length + 1);
+});
+
+test("fingerprint: a request without a body is known by its head", (t) => {
+  const { head, whole } = Fingerprint.create({
+    ...PARTS,
+    body: Buffer.alloc(0),
+  });
+  t.is(whole, head);
+});
+
+test("fingerprint: the whole begins with the head, whatever the body", (t) => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (body) => {
+    const fingerprint = Fingerprint.create({ ...PARTS, body });
+    t.is(headOf(fingerprint.whole), fingerprint.head);
+  }));
+});
+
+test("fingerprint: a body is looked at once at the most, and not for the head", (t) => {
+  let reads = 0;
+  const parts = {
+    ...PARTS,
+    get body() {
+      reads += 1;
+      return PARTS.body;
+    },
+  };
+  const fingerprint = Fingerprint.create(parts);
+  void fingerprint.head;
+  t.is(reads, 0);
+  void fingerprint.whole;
+  void fingerprint.whole;
+  t.is(reads, 1);
+});
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -157,7 +157,8 @@
   cause: string,
 ): Sequel {
   request.mayHaveRun = true;
-  const detail = { server, cause };
+  const fingerprint = request.arrival.fingerprint.whole;
+  const detail = { server, cause, fingerprint };
   const fail: Sequel = { kind: "fail", reason: cause, detail };
   return request.route.isIdempotent
     ? { kind: "again", detail, otherwise: fail }
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -5,6 +5,7 @@
  */
 import type { Route } from "../catalog/index.ts";
 import type { Note } from "./dispatch_effect.ts";
+import type { Fingerprint } from "./fingerprint.ts";
 import type { ReportedLoad } from "../fleet/index.ts";
 import type { AssignedRange } from "../keyspace/index.ts";
 
@@ -21,6 +22,8 @@
   timeout: number | null;
   /** Key, or null when the request names none. */
   key: number | null;
+  /** Tells it from other requests, and a repeat of it by its caller from none. */
+  fingerprint: Fingerprint;
 }
 
 /** One sending of a request to a server. */
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { fingerprintOf } from "../../test/support/fingerprint.ts";
 import { backendServer } from "../../test/support/backend_server.ts";
 import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
@@ -257,6 +258,7 @@
         target: "/",
         timeout: 5_000,
         key: null,
+        fingerprint: fingerprintOf("/"),
       },
     }).flatMap((each) => each.kind === "note" ? [each.decision] : []);
   t.true(decisionAt(3_870).includes("request.unrouted"));
--- a/src/core/peer_exchange_test.ts
+++ b/src/core/peer_exchange_test.ts
@@ -7,6 +7,7 @@
  * message of the new holder just after the second report.
  */
 import test from "ava";
+import { fingerprintOf } from "../../test/support/fingerprint.ts";
 import { backendServer } from "../../test/support/backend_server.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import { configurationSchema } from "./catalog/index.ts";
@@ -87,6 +88,7 @@
         target: "/",
         timeout: 1_000,
         key: 7,
+        fingerprint: fingerprintOf("/"),
       },
     });
     const start = effects.find((each) => each.kind === "attempt.start");
--- a/src/core/shutdown_waiting_test.ts
+++ b/src/core/shutdown_waiting_test.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import test from "ava";
+import { fingerprintOf } from "../../test/support/fingerprint.ts";
 import { backendServer } from "../../test/support/backend_server.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
 import type { BackendServer } from "./fleet/index.ts";
@@ -75,6 +76,7 @@
   target: "/",
   timeout: 20_000,
   key: 7,
+  fingerprint: fingerprintOf("/"),
 };
 
 test("shutdown: a request that waits when its time is over is refused, not cut", (t) => {
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -13,7 +13,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { CallerLimits } from "../core/catalog/index.ts";
-import type { Refusal } from "../core/dispatch/index.ts";
+import { Fingerprint, type Refusal } from "../core/dispatch/index.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { OutgoingRequest, TakenAnswer } from "./backend_pool.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
@@ -318,6 +318,7 @@
         host: headers.host ?? "",
         target: exchange.outgoing.target,
         timeout: remaining,
+        fingerprint: fingerprintOf(exchange),
         ...facts,
       },
     });
@@ -372,3 +373,13 @@
     this.sink.push({ kind: "request.left", exchange: number });
   }
 }
+
+function fingerprintOf({ request, outgoing }: Exchange): Fingerprint {
+  return Fingerprint.create({
+    caller: request.socket.remoteAddress ?? "",
+    method: outgoing.method,
+    host: request.headers.host ?? "",
+    target: outgoing.target,
+    body: outgoing.body,
+  });
+}
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { Fingerprint } from "../core/dispatch/index.ts";
 import test, { type ExecutionContext } from "ava";
 import { connectCaller } from "../../test/support/caller_connection.ts";
 
@@ -56,7 +57,16 @@
       "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
   );
   await until(() => arrivals().length === 1);
-  t.snapshot(arrivals());
+  const said = arrivals().map(({ fingerprint: _, ...facts }) => facts);
+  t.snapshot(said);
+  const sent = Fingerprint.create({
+    caller: "127.0.0.1",
+    method: "POST",
+    host: "h.example",
+    target: "/a/b?c=1",
+    body: Buffer.from("ok"),
+  });
+  t.is(arrivals()[0].fingerprint.whole, sent.whole);
 });
 
 test("callers: pipelined requests are answered in their order", async (t) => {
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -11,6 +11,7 @@
   RequestArrival,
 } from "../../src/core/dispatch/index.ts";
 import type { Configuration } from "../../src/core/catalog/index.ts";
+import { fingerprintOf } from "../support/fingerprint.ts";
 import type { Timeline } from "./timeline.ts";
 
 /** One way between a caller and a VM, and between a VM and a server, in ms. */
@@ -72,6 +73,8 @@
 /** A caller, over all its attempts. */
 interface Caller {
   key: number;
+  /** Path of its request; each caller has another one. */
+  target: string;
   startedAt: number;
   attempts: number;
 }
@@ -104,6 +107,7 @@
   readonly #servers = new Map<string, Slots>();
   readonly #counts = new Map<number, LoadCounts>();
   #exchangeCount = 0;
+  #callerCount = 0;
   /** Requests that a server's full queue reset, and that it did not hold. */
   resets = 0;
   misplaced = 0;
@@ -222,7 +226,9 @@
     const { rate, until, keyOf } = this.options;
     if (this.time.now >= until) return;
     const key = keyOf(this.draw, this.time.now);
-    this.#attempt({ key, startedAt: this.time.now, attempts: 0 });
+    this.#callerCount += 1;
+    const target = `/${this.#callerCount}`;
+    this.#attempt({ key, target, startedAt: this.time.now, attempts: 0 });
     const pause = -Math.log(1 - this.draw()) * 1_000 / rate;
     this.time.after(pause, () => this.#ask());
   }
@@ -242,9 +248,10 @@
         exchange,
         id: `r-${exchange}`,
         host: "h",
-        target: "/",
+        target: caller.target,
         timeout: Math.round(caller.startedAt + this.options.timeout - now),
         key: caller.key,
+        fingerprint: fingerprintOf(caller.target),
       });
     });
   }
