--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { Fingerprint } from "../src/core/quarantine/index.ts";
 import { fingerprintOf } from "../test/support/fingerprint.ts";
 import {
   decodeConfiguration,
@@ -23,6 +24,8 @@
 
 const SERVICE_SIZES = [10, 100, 800];
 const REQUESTS = 20_000;
+/** Bodies whose fingerprints are measured, in bytes. */
+const BODY_SIZES = [0, 4_000, 1_000_000];
 /** Runs of a step before it is measured, and while it is. */
 const WARM_UP = 5;
 const REPEATS = 20;
@@ -33,6 +36,10 @@
     measureRequests(servers, false);
     measureRequests(servers, true);
   }
+  for (const accused of [1, 1_000]) {
+    measureRequests(SERVICE_SIZES[0], false, accused);
+  }
+  for (const size of BODY_SIZES) measureFingerprint(size);
   for (const ranges of [10, 100, 1_000, 5_000]) measureBulletin(ranges);
   for (const routes of [100, 2_100, 5_000]) measureConfiguration(routes);
 }
@@ -83,8 +90,17 @@
   return (performance.now() - begun) / REPEATS;
 }
 
-function measureRequests(servers: number, isKeyed: boolean): void {
+/** `accused` requests are remembered, since servers have ended under them. */
+function measureRequests(
+  servers: number,
+  isKeyed: boolean,
+  accused = 0,
+): void {
   const { entry, step } = createEntry(servers, isKeyed);
+  for (let i = 0; i < accused; i++) {
+    const { whole } = fingerprintOf(`/accused/${i}`);
+    entry.beliefs.quarantine.accuse(whole, "h/accused", "server#1", 1_000);
+  }
   let now = 1_000;
   const run = (count: number) => {
     const begun = performance.now();
@@ -128,11 +144,35 @@
     conditions: {
       servers,
       keyed: String(isKeyed),
+      accused,
       pending: entry.dispatcher.pending,
     },
   });
 }
 
+/** What it costs to tell a request from others, with its body and without. */
+function measureFingerprint(size: number): void {
+  const body = Buffer.alloc(size, "x");
+  const parts = { caller: "10.0.0.1", method: "POST", host: "h.example" };
+  let count = 0;
+  const create = () => {
+    count += 1;
+    return Fingerprint.create({ ...parts, target: `/x/${count}`, body });
+  };
+  const steps = {
+    head: () => void create().head,
+    whole: () => void create().whole,
+  };
+  for (const [part, run] of Object.entries(steps)) {
+    for (let i = 0; i < REQUESTS / 20; i++) run();
+    const begun = performance.now();
+    for (let i = 0; i < REQUESTS / 20; i++) run();
+    const value = 20_000 * (performance.now() - begun) / REQUESTS;
+    const conditions = { part, body: size };
+    printFigure({ name: "fingerprint", value, unit: "us", conditions });
+  }
+}
+
 function measureBulletin(ranges: number): void {
   const message = {
     kind: "assignments.told",
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -80,6 +80,12 @@
       `keys of ${each.service}: ${each.ranges} ranges, ${each.open} open, position ${each.term}.${each.version}`,
     );
   }
+  for (const { fingerprint, target, ends, left } of status.quarantine) {
+    const seconds = Math.ceil(left / 1_000);
+    lines.push(
+      `held back: ${target} (${fingerprint}), ${ends} servers ended under it, ${seconds} s left`,
+    );
+  }
   for (const server of status.servers) {
     const state = server.isDraining
       ? "draining"
--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -9,6 +9,7 @@
 import { Fleet, type FleetChange } from "./fleet/index.ts";
 import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
 import type { HolderAddress, Knowledge } from "./peers/index.ts";
+import { CrashWatch, Quarantine } from "./quarantine/index.ts";
 import { RegistryReplica } from "./registry/index.ts";
 
 /** Takes effects. */
@@ -24,6 +25,24 @@
   readonly directory = KeyDirectory.create();
   readonly keyLimits = KeyLimits.create();
   readonly registry = RegistryReplica.create();
+  readonly quarantine = Quarantine.create(({ kind, crashes }) =>
+    this.note(`quarantine.${kind}`, {
+      fingerprint: crashes.request,
+      target: crashes.target,
+      round: crashes.round,
+      runs: crashes.runs.join(" "),
+    })
+  );
+  readonly crashes = CrashWatch.create(
+    this.quarantine,
+    ({ request, server }) =>
+      this.note("request.accused", {
+        request: request.id,
+        server,
+        fingerprint: request.fingerprint.whole,
+        ends: this.quarantine.ends(request.fingerprint),
+      }),
+  );
   #holder: HolderAddress | null = null;
 
   private constructor(private readonly emit: Emit) {}
@@ -55,7 +74,8 @@
   }
 
   /** Takes changes of the list of servers. */
-  changeServers(changes: readonly FleetChange[]): void {
+  changeServers(changes: readonly FleetChange[], now: number): void {
+    this.crashes.changed(changes, now);
     for (const { kind, server } of changes) {
       if (kind === "removed" || kind === "restarted") {
         this.emit({ kind: "connections.close", server: server.id });
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -6,6 +6,7 @@
 import type { Catalog } from "../catalog/index.ts";
 import type { Fleet } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
+import type { CrashWatch, Quarantine } from "../quarantine/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
@@ -14,6 +15,8 @@
   fleet: Fleet;
   directory: KeyDirectory;
   keyLimits: KeyLimits;
+  quarantine: Quarantine;
+  crashes: CrashWatch;
   availabilityZone: string;
   retryLimits: RetryLimits;
   /** When this process started. */
--- a/src/core/dispatch/dispatch_effect.ts
+++ b/src/core/dispatch/dispatch_effect.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { ServerCheck } from "../quarantine/index.ts";
+
 /** Sends a request to a server; answered by `attempt.ended`. */
 export interface AttemptStart {
   kind: "attempt.start";
@@ -52,4 +54,5 @@
   | AttemptCancel
   | Delivery
   | Refusal
+  | ServerCheck
   | Note;
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -42,6 +42,9 @@
 /** Why a request is given up that could be sent once more. */
 const OVER_BUDGET = "the retry budget is used up";
 
+/** Why a request is refused under which servers have ended. */
+const HELD_BACK = "backend servers have ended under this request";
+
 /** A placing that lets a request wait. */
 type Wait = Placing & { kind: "wait" };
 
@@ -73,6 +76,7 @@
       context,
       this.#refusedRanges,
       this.#log,
+      (effect) => this.#effects.push(effect),
     );
   }
 
@@ -221,6 +225,8 @@
       }
     } else if (placing.kind === "refuse") {
       this.#crowdOut(request, placing, now);
+    } else if (placing.kind === "hold") {
+      this.#holdBack(request, placing, now);
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
@@ -360,7 +366,7 @@
     if (placing.kind === "server") {
       return this.#send(request, placing.server, now);
     }
-    if (placing.kind === "refuse") return false;
+    if (placing.kind !== "wait") return false;
     const mayWait = now < waitEndOf(request, placing);
     if (request.key === null || !mayWait) return false;
     if (!this.#retries.mayWithdraw(request, now)) return false;
@@ -378,6 +384,10 @@
         this.#waiting.remove(request);
         return this.#crowdOut(request, placing, now);
       }
+      if (placing.kind === "hold") {
+        this.#waiting.remove(request);
+        return this.#holdBack(request, placing, now);
+      }
       if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
         this.#giveUpWaiting(request, placing.reason, now);
@@ -410,6 +420,26 @@
     this.#giveUpWaiting(request, reason, now);
   }
 
+  /** Refuses a request under which servers have ended, so that no other ends. */
+  #holdBack(
+    request: PendingRequest,
+    { hold }: Placing & { kind: "hold" },
+    now: number,
+  ): void {
+    const detail = {
+      fingerprint: hold.request,
+      ends: hold.runs.length,
+      left: Math.round(hold.left),
+    };
+    this.#log.note("warn", "request.held_back", request, now, detail);
+    if (request.mayHaveRun) {
+      return this.#fail(request, 502, HELD_BACK, now);
+    }
+    const refusal = this.#answers.heldBack(request, HELD_BACK, hold.left, now);
+    this.#finish(request, null);
+    this.#effects.push(refusal);
+  }
+
   #giveUpWaiting(request: PendingRequest, reason: string, now: number): void {
     if (request.mayHaveRun) this.#fail(request, 502, reason, now);
     else this.#refuse(request, reason, now);
@@ -448,7 +478,9 @@
     let isFull = false;
     const rest: PendingRequest[] = [];
     for (const request of [...queue]) {
-      if (isFull && request.key === null) {
+      const { fingerprint } = request.arrival;
+      const isHeld = this.context.quarantine.hold(fingerprint, now) !== null;
+      if (isFull && request.key === null && !isHeld) {
         rest.push(request);
         continue;
       }
@@ -458,6 +490,8 @@
         this.#giveUpWaiting(request, OVER_BUDGET, now);
       } else if (placing.kind === "refuse") {
         this.#crowdOut(request, placing, now);
+      } else if (placing.kind === "hold") {
+        this.#holdBack(request, placing, now);
       } else {
         isFull = isFull || request.tried.length === 0;
         request.lookAt = placing.until;
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -5,6 +5,7 @@
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
 import { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
+import { CrashWatch, Quarantine } from "../quarantine/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
@@ -75,11 +76,15 @@
     });
   assign(1, true);
   const keyLimits = KeyLimits.create();
+  const quarantine = Quarantine.create();
+  const crashes = CrashWatch.create(quarantine, () => {});
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
     directory,
     keyLimits,
+    quarantine,
+    crashes,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
@@ -100,7 +105,15 @@
       fingerprint: fingerprintOf(path),
     }, now);
   };
-  return { dispatcher, fleet, servers, arrive, assign, keyLimits };
+  return {
+    dispatcher,
+    fleet,
+    servers,
+    arrive,
+    assign,
+    keyLimits,
+    quarantine,
+  };
 }
 
 const ANSWERED: AttemptOutcome & { kind: "answered" } = {
@@ -134,6 +147,7 @@
         return [
           `${effect.status}, ${effect.reason}, come back ${effect.retryAfter}`,
         ];
+      case "server.check":
       case "note":
         return [];
     }
@@ -452,11 +466,14 @@
 test("dispatch: 404 only where a configuration is known", (t) => {
   const { arrive } = createDispatcher();
   t.snapshot(brief(arrive("/nowhere/", 0)));
+  const quarantine = Quarantine.create();
   const unconfigured = Dispatcher.create({
     catalog: Catalog.create(),
     fleet: Fleet.create(),
     directory: KeyDirectory.create(),
     keyLimits: KeyLimits.create(),
+    quarantine,
+    crashes: CrashWatch.create(quarantine, () => {}),
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
@@ -501,3 +518,76 @@
   keyLimits.take([limit], 60);
   t.deepEqual(brief(arrive("/lookup/", 100)), ["start stock-1, 500 ms left"]);
 });
+
+/** Convicts requests for a path; from 1,000 ms on they are held back. */
+function convict(quarantine: Quarantine, path: string): void {
+  for (const run of ["a#1", "b#1", "c#1"]) {
+    quarantine.accuse(fingerprintOf(path).whole, path, run, 0);
+  }
+}
+
+for (const path of ["/order/", "/read/", "/lookup/"]) {
+  test(`dispatch: of ${path} what is held back is refused at once, and nothing else`, (t) => {
+    const { arrive, quarantine } = createDispatcher();
+    convict(quarantine, `${path}ends`);
+    t.deepEqual(brief(arrive(`${path}ends`, 1_000)), [
+      "429, backend servers have ended under this request, come back 119000",
+    ]);
+    t.is(brief(arrive(`${path}other`, 1_000)).length, 1);
+  });
+}
+
+test("dispatch: a request that waits is refused once it is held back", (t) => {
+  const { dispatcher, arrive, quarantine } = createDispatcher();
+  for (let i = 0; i < 8; i++) arrive("/order/", 990);
+  t.deepEqual(brief(arrive("/order/ends", 995)), []);
+  convict(quarantine, "/order/ends");
+  const [refusal] = brief(dispatcher.advance(1_005));
+  t.regex(refusal ?? "", /^429/);
+});
+
+test("dispatch: a request that has run is not said to be not run when it is held back", (t) => {
+  const { dispatcher, arrive, quarantine } = createDispatcher();
+  arrive("/read/ends", 990);
+  convict(quarantine, "/read/ends");
+  t.deepEqual(brief(dispatcher.ended(1, LOST, 1_000)), [
+    "502, reset, come back null",
+  ]);
+});
+
+test("dispatch: once two servers ended under it, a request is not sent again unasked", (t) => {
+  const { dispatcher, arrive, quarantine } = createDispatcher();
+  for (const run of ["a#1", "b#1"]) {
+    quarantine.accuse(fingerprintOf("/read/ends").whole, "", run, 0);
+  }
+  arrive("/read/ends", 1_000);
+  t.deepEqual(brief(dispatcher.ended(1, LOST, 1_010)), [
+    "502, reset, come back null",
+  ]);
+});
+
+test("dispatch: an answer clears a request, also one that failed at the server", (t) => {
+  for (const status of [200, 500]) {
+    const { dispatcher, arrive, quarantine } = createDispatcher();
+    quarantine.accuse(fingerprintOf("/order/x").whole, "", "a#1", 0);
+    arrive("/order/x", 10);
+    dispatcher.ended(1, { ...ANSWERED, status }, 20);
+    t.is(quarantine.ends(fingerprintOf("/order/x")), 0);
+  }
+});
+
+test("dispatch: a broken attempt has its server looked at, a refused one has not", (t) => {
+  const looks = (outcome: AttemptOutcome) => {
+    const { dispatcher, arrive } = createDispatcher();
+    arrive("/order/", 0);
+    return dispatcher.ended(1, outcome, 10)
+      .filter(({ kind }) => kind === "server.check").length;
+  };
+  t.deepEqual([LOST, SPOILT, NOT_SENT, NOT_RUN, ANSWERED].map(looks), [
+    1,
+    1,
+    0,
+    0,
+    0,
+  ]);
+});
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -1,7 +1,6 @@
 export * from "./dispatch_context.ts";
 export * from "./dispatch_effect.ts";
 export * from "./dispatcher.ts";
-export * from "./fingerprint.ts";
 export * from "./request.ts";
 export * from "./retry_budget.ts";
 export * from "./server_choice.ts";
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -8,8 +8,9 @@
  *
  * @module
  */
+import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
-import type { Note } from "./dispatch_effect.ts";
+import type { DispatchEffect, Note } from "./dispatch_effect.ts";
 import type { RefusedRanges } from "./refused_ranges.ts";
 import type { Attempt, AttemptOutcome, PendingRequest } from "./request.ts";
 import type { RequestLog } from "./request_log.ts";
@@ -40,6 +41,7 @@
     private readonly context: DispatchContext,
     private readonly refusedRanges: RefusedRanges,
     private readonly log: RequestLog,
+    private readonly emit: (effect: DispatchEffect) => void,
   ) {}
 
   /** A review that notes in `log`, and in `refusedRanges` which were refused. */
@@ -47,8 +49,9 @@
     context: DispatchContext,
     refusedRanges: RefusedRanges,
     log: RequestLog,
+    emit: (effect: DispatchEffect) => void,
   ): OutcomeReview {
-    return new OutcomeReview(context, refusedRanges, log);
+    return new OutcomeReview(context, refusedRanges, log, emit);
   }
 
   /** Takes in how an attempt of a request ended; says what follows. */
@@ -74,9 +77,11 @@
   ): Sequel {
     const server = this.context.fleet.get(attempt.server);
     if (!isGenuine) {
+      this.#broke(request, attempt, now);
       server?.failed(attempt.number, now);
       return mayHaveRun(request, attempt, "spoilt answer");
     }
+    this.context.quarantine.clear(request.arrival.fingerprint, now);
     if (attempt.range !== null) this.refusedRanges.served(attempt.range);
     const deliver: Sequel = { kind: "deliver", status };
     if (status < 500) {
@@ -100,6 +105,7 @@
     const server = this.context.fleet.get(attempt.server);
     const isOther = answering !== null && answering !== attempt.server;
     if (isOther) {
+      this.#ended(server, attempt, now);
       server?.failed(attempt.number, now);
       this.#doubtKey(request, attempt, now);
     } else if (status === 421) {
@@ -117,6 +123,24 @@
     return { kind: "again", detail: null, otherwise };
   }
 
+  /** An attempt ended without its answer: the server may have ended under it. */
+  #broke({ arrival }: PendingRequest, attempt: Attempt, now: number): void {
+    const { fleet, crashes } = this.context;
+    const server = fleet.get(attempt.server);
+    if (!server?.has(attempt.number)) return;
+    const check = crashes.broke(server, arrival, now);
+    if (check !== null) this.emit(check);
+  }
+
+  /** Another run is at the server's address, or none. */
+  #ended(
+    server: TrackedServer | undefined,
+    attempt: Attempt,
+    now: number,
+  ): void {
+    if (server?.has(attempt.number)) this.context.crashes.ended(server, now);
+  }
+
   /** The server does not hold the key, or has ended: what is known here may be
    * old. */
   #doubtKey(request: PendingRequest, attempt: Attempt, now: number): void {
@@ -131,10 +155,13 @@
   #failed(
     request: PendingRequest,
     attempt: Attempt,
-    { wasSent, cause }: AttemptOutcome & { kind: "failed" },
+    { wasSent, isRefused, cause }: AttemptOutcome & { kind: "failed" },
     now: number,
   ): Sequel {
-    this.context.fleet.get(attempt.server)?.failed(attempt.number, now);
+    const server = this.context.fleet.get(attempt.server);
+    if (wasSent) this.#broke(request, attempt, now);
+    else if (isRefused) this.#ended(server, attempt, now);
+    server?.failed(attempt.number, now);
     if (wasSent) return mayHaveRun(request, attempt, cause);
     const detail = { server: attempt.server, cause };
     this.log.note("info", "attempt.not_sent", request, now, detail);
--- a/src/core/dispatch/own_answers.ts
+++ b/src/core/dispatch/own_answers.ts
@@ -50,6 +50,26 @@
     };
   }
 
+  /** A request that has not run and is held back for `left` milliseconds more. Not
+   * 503: it says of the service that it will soon be there, and of this request
+   * nothing; many callers would bring it straight back. */
+  heldBack(
+    request: PendingRequest,
+    reason: string,
+    left: number,
+    now: number,
+  ): DispatchEffect {
+    const detail = { reason, retryAfter: Math.round(left) };
+    this.log.note("warn", "request.refused", request, now, detail);
+    return {
+      kind: "request.refuse",
+      exchange: request.arrival.exchange,
+      status: 429,
+      retryAfter: left,
+      reason,
+    };
+  }
+
   /** A request that may have run and has no answer of a server. */
   failure(
     request: PendingRequest,
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -5,7 +5,7 @@
  */
 import type { Route } from "../catalog/index.ts";
 import type { Note } from "./dispatch_effect.ts";
-import type { Fingerprint } from "./fingerprint.ts";
+import type { Fingerprint } from "../quarantine/index.ts";
 import type { ReportedLoad } from "../fleet/index.ts";
 import type { AssignedRange } from "../keyspace/index.ts";
 
@@ -104,5 +104,7 @@
     kind: "failed";
     /** Whether any part of the request may have reached the server. */
     wasSent: boolean;
+    /** Whether nothing listens at the server's address; not if left out. */
+    isRefused?: boolean;
     cause: string;
   };
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { TrackedServer } from "../fleet/index.ts";
+import type { Hold } from "../quarantine/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { RefusedRanges } from "./refused_ranges.ts";
 import type { PendingRequest } from "./request.ts";
@@ -19,6 +20,8 @@
   | { kind: "server"; server: TrackedServer }
   /** Not at all: only a share of the requests for its key has room. */
   | { kind: "refuse"; reason: string; share: number; age: number }
+  /** Not at all for a while: servers have ended under it. */
+  | { kind: "hold"; hold: Hold }
   /** Not now, maybe later; `isBrief` when it is known to change soon, `until`
    * when time alone changes it (Infinity otherwise). */
   | { kind: "wait"; reason: string; isBrief: boolean; until: number };
@@ -50,7 +53,9 @@
 
   /** Where `request` can go now. */
   place(request: PendingRequest, now: number): Placing {
-    const { fleet, availabilityZone, draw } = this.context;
+    const { fleet, availabilityZone, draw, quarantine } = this.context;
+    const hold = quarantine.hold(request.arrival.fingerprint, now);
+    if (hold !== null) return { kind: "hold", hold };
     if (request.key !== null) {
       return this.#placeKeyed(request, request.key, now);
     }
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -12,6 +12,8 @@
 const HEDGE_FACTOR = 3;
 /** ... and this share of the target latency. */
 const HEDGE_SHARE = 0.5;
+/** Ends of servers under a request after which it is not sent again unasked. */
+const DOUBTFUL_ENDS = 2;
 /** VMs that are assumed to share the retry budget while their number is
  * unknown: rather too few retries than too many from all of them. */
 const UNKNOWN_VMS = 64;
@@ -35,6 +37,11 @@
   /** Whether attempts and time are left for one more sending. */
   mayRepeat(request: PendingRequest, now: number): boolean {
     const { maximumAttempts } = request.route;
+    const { fingerprint } = request.arrival;
+    // Once two servers have ended under it, its caller decides about another.
+    if (this.context.quarantine.ends(fingerprint) >= DOUBTFUL_ENDS) {
+      return false;
+    }
     // A key's server may be asked once more: it is still one server.
     const isAllowed = request.key !== null
       ? request.tried.length <= maximumAttempts
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -51,6 +51,7 @@
     const emit = (...effects: EntryEffect[]) => this.#put(...effects);
     this.beliefs = Beliefs.create(emit);
     const { catalog, fleet, directory, keyLimits } = this.beliefs;
+    const { quarantine, crashes } = this.beliefs;
     this.campaign = TermCampaign.create(
       options.leaseTiming,
       fleet,
@@ -72,6 +73,8 @@
       fleet,
       directory,
       keyLimits,
+      quarantine,
+      crashes,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
@@ -203,6 +206,11 @@
         return this.#put(
           ...this.dispatcher.ended(event.attempt, event.outcome, now),
         );
+      case "server.checked": {
+        const { crashes, fleet } = this.beliefs;
+        if (!event.isRefused) return crashes.found(event.server);
+        return crashes.ended(fleet.get(event.server), now);
+      }
       case "callers.closed":
         return this.#shutdown.callersClosed();
       case "shutdown":
@@ -213,7 +221,7 @@
   /** Takes the steps that time alone brings. */
   #advance(now: number): void {
     const { catalog, fleet } = this.beliefs;
-    this.beliefs.changeServers(fleet.expire(now));
+    this.beliefs.changeServers(fleet.expire(now), now);
     if (this.#store.advance(now)) {
       const silence = Math.round(this.storeSilence(now));
       this.beliefs.note("store.lost", { silence });
@@ -273,6 +281,7 @@
       isWhole
         ? fleet.replace(entries, now, unreadable)
         : fleet.apply(entries, removed, now, unreadable),
+      now,
     );
     fleet.confirm((id) => registry.isListed(id), now);
   }
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -49,6 +49,8 @@
   | { kind: "request.left"; exchange: number }
   /** After the close: all that was due to callers was sent. */
   | { kind: "callers.closed" }
+  /** A server's address was looked at: whether nothing listens there. */
+  | { kind: "server.checked"; server: string; isRefused: boolean }
   | { kind: "attempt.ended"; attempt: number; outcome: AttemptOutcome }
   /** The process was asked to stop, this many milliseconds before it noticed. */
   | { kind: "shutdown"; lateness: number };
--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -39,6 +39,16 @@
     /** Servers that have keys. */
     servers: number;
   }[];
+  /** Requests that are held back, since servers have ended under them. */
+  quarantine: {
+    fingerprint: string;
+    /** Host and path, cut short. */
+    target: string;
+    /** Runs of servers that ended under it. */
+    ends: number;
+    /** Time until it is let through for a trial. */
+    left: number;
+  }[];
 }
 
 /** The status of `entry` at `now`. */
@@ -74,5 +84,11 @@
       open: each.ranges.filter((range) => range.isOpen).length,
       servers: new Set(each.ranges.map((range) => range.server)).size,
     })),
+    quarantine: entry.beliefs.quarantine.holds(now).map((hold) => ({
+      fingerprint: hold.request,
+      target: hold.target,
+      ends: hold.runs.length,
+      left: Math.round(hold.left),
+    })),
   };
 }
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -107,6 +107,11 @@
     this.#startedAt.set(attempt, now);
   }
 
+  /** Whether it has a request that was sent to this run of it. */
+  has(attempt: number): boolean {
+    return this.#startedAt.has(attempt);
+  }
+
   /** A request left it without an outcome that says something of it. */
   cancelled(attempt: number): void {
     this.#end(attempt);
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -11,6 +11,7 @@
   FollowerLink,
   type HolderAddress,
   type HolderWord,
+  type Knowledge,
   type MessageOf,
   type PeerMessage,
   StateRequest,
@@ -18,6 +19,10 @@
 } from "./peers/index.ts";
 import type { RegistryNews } from "./registry/index.ts";
 import type { StoreHealth } from "./store_health.ts";
+import {
+  QuarantineExchange,
+  type QuarantineSend,
+} from "./quarantine_exchange.ts";
 import { TermPublication } from "./term_publication.ts";
 
 /** Time for which a newer configuration is left to arrive by itself, in
@@ -37,6 +42,7 @@
   readonly followerLink: FollowerLink;
   readonly #publication: TermPublication;
   readonly #stateRequest: StateRequest;
+  readonly #quarantine: QuarantineExchange;
   #areKeysAsked = false;
   #configurationFetchedAt = -Infinity;
   /** Since when a peer is known to have a newer configuration. */
@@ -63,6 +69,7 @@
       emit,
     );
     this.#stateRequest = StateRequest.create(seeds);
+    this.#quarantine = QuarantineExchange.create(beliefs.quarantine, seeds);
   }
 
   /** An exchange of the process at `ownAddress`, which has heard nobody; it asks
@@ -133,6 +140,11 @@
   /** Takes a message. */
   receive(address: string, message: PeerMessage, now: number): void {
     this.#compareConfiguration(message.configuration, now);
+    if (message.quarantine !== undefined) {
+      const { quarantine } = message;
+      const answer = this.#quarantine.receive(address, quarantine, now);
+      if (answer !== null) this.#sendQuarantine(answer);
+    }
     switch (message.kind) {
       case "keys.asked":
         return this.#takeReport(address, message, now);
@@ -216,16 +228,18 @@
     this.emit(...this.#stateRequest.advance(
       now,
       this.beliefs.knowledge(),
+      this.#quarantine.question,
       this.followerLink.holder,
       !catalog.isKnown,
       store.isLost,
     ));
+    this.#shareQuarantine(now);
     const { holder } = this.campaign;
     if (holder !== null) {
       this.#vms.heard(this.#publication.vms(now), now);
       return this.#publication.advance(holder, now);
     }
-    const known = this.beliefs.knowledge();
+    const known = this.#reported(now);
     const mayFetch = this.#areKeysAsked && !store.isFailing(now);
     const { position } = this.beliefs.registry;
     const latencies = this.#takeLatencies(now);
@@ -241,6 +255,44 @@
     );
   }
 
+  /** What a report to the holder tells that this VM knows. */
+  #reported(now: number): Knowledge {
+    const known = this.beliefs.knowledge();
+    const { holder } = this.followerLink;
+    if (holder === null || !this.followerLink.isReportDue(now)) return known;
+    return { ...known, quarantine: this.#quarantine.report(holder, now) };
+  }
+
+  #shareQuarantine(now: number): void {
+    const words = this.#quarantine.advance(
+      this.#hubSilence(now),
+      this.vms,
+      now,
+    );
+    for (const each of words) this.#sendQuarantine(each);
+    if (this.#quarantine.isUrgent) this.followerLink.outdated();
+  }
+
+  /** How long the VM that all others report to has not been heard here, in
+   * milliseconds; that VM itself needs to hear nobody. */
+  #hubSilence(now: number): number {
+    const isOwn = this.beliefs.holder?.address === this.ownAddress;
+    return isOwn ? 0 : this.followerLink.silence(now);
+  }
+
+  /** Any message may carry it; this one says nothing else that is new, and VMs that
+   * have not been renewed yet take it for that. */
+  #sendQuarantine({ address, word }: QuarantineSend): void {
+    const { holder } = this.beliefs;
+    if (holder === null) return;
+    this.#send(address, {
+      kind: "holder.changed",
+      ...this.beliefs.knowledge(),
+      quarantine: word,
+      holder,
+    });
+  }
+
   /** What a report that is due tells of the servers that hold keys. */
   #takeLatencies(now: number): ServerSamples[] {
     const { catalog, fleet } = this.beliefs;
@@ -259,6 +311,7 @@
     if (this.store.isLost && changes.removed.length > 0) fleet.regained(now);
     this.beliefs.changeServers(
       fleet.apply(changes.entries, changes.removed, now, changes.unreadable),
+      now,
     );
     fleet.confirm((id) => registry.isListed(id), now);
   }
@@ -279,6 +332,7 @@
     // Reckoned from when this VM asked: the answer may be long on its way.
     const currentAt = answersTo - (storeSilence ?? Infinity);
     this.followerLink.answered(answersTo, currentAt);
+    this.#quarantine.answered(address, answersTo);
     if (!this.store.vouched(currentAt, now)) return;
     this.beliefs.storeRegained(now);
   }
@@ -354,7 +408,7 @@
     if (!this.store.isLost && beliefs.catalog.isKnown) return;
     const { configuration, servers, assignments, holder } = state;
     if (configuration !== undefined) beliefs.configure(configuration);
-    beliefs.changeServers(beliefs.fleet.learn(servers, now));
+    beliefs.changeServers(beliefs.fleet.learn(servers, now), now);
     beliefs.assign(assignments);
     if (holder !== null) this.follow(holder, now);
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -11,10 +11,24 @@
   exposureSchema,
   keyLimitSchema,
 } from "../keyspace/index.ts";
+import { crashRecordSchema } from "../quarantine/index.ts";
 import { registryNewsSchema } from "../registry/index.ts";
 
 const count = z.number().int().nonnegative();
 
+/** Records of one word about requests under which servers have ended. */
+const MAXIMUM_RECORDS = 256;
+
+/** What a process knows of requests under which servers have ended. */
+const quarantineWordSchema = z.object({
+  /** Digest of what all VMs should know, or null where none is asked for. */
+  digest: count.nullable(),
+  records: z.array(crashRecordSchema).max(MAXIMUM_RECORDS),
+});
+
+/** See {@linkcode quarantineWordSchema}. */
+export type QuarantineWord = z.infer<typeof quarantineWordSchema>;
+
 /** What a process knows: all messages carry it. */
 const knowledgeSchema = z.object({
   /** Newest assignments: the term, and the number of the change within it. */
@@ -22,6 +36,9 @@
   version: count,
   /** Version of the configuration in force, or -1. */
   configuration: z.number().int(),
+  /** With reports and answers to them; VMs that have not been renewed yet leave it
+   * out and pass over it. */
+  quarantine: quarantineWordSchema.optional(),
 });
 
 /** See {@linkcode knowledgeSchema}. */
--- a/src/core/peers/state_request.ts
+++ b/src/core/peers/state_request.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { Knowledge, PeerSend } from "./peer_message.ts";
+import type { Knowledge, PeerSend, QuarantineWord } from "./peer_message.ts";
 
 /** Pause between requests, in milliseconds. A process that starts serves
  * nobody until one is answered; one that is cut off can wait longer. */
@@ -25,11 +25,12 @@
 
   /**
    * The requests that are due. `isEmpty` when nothing is known here, `isCutOff`
-   * when the store does not answer.
+   * when the store does not answer; `question` asks for what is held back.
    */
   advance(
     now: number,
     known: Knowledge,
+    question: QuarantineWord,
     holder: string | null,
     isEmpty: boolean,
     isCutOff: boolean,
@@ -43,7 +44,12 @@
     return [...addresses].map((address) => ({
       kind: "peer.send",
       address,
-      message: { kind: "state.wanted", ...known, takesParts: true },
+      message: {
+        kind: "state.wanted",
+        ...known,
+        quarantine: question,
+        takesParts: true,
+      },
     }));
   }
 }
--- /dev/null
+++ b/src/core/quarantine/crash_record.ts
@@ -0,0 +1,113 @@
+/**
+ * What is known of one request under which backend servers have ended.
+ *
+ * Two copies merge in any order and any number of times to the same record: a run of
+ * a server counts once, however many VMs saw it end, and one that is excused stays
+ * excused.
+ *
+ * @module
+ */
+import * as z from "zod";
+
+/** Longest fingerprint, in characters. */
+const LONGEST_FINGERPRINT = 64;
+/** Longest name of a run of a server, in characters. */
+const LONGEST_RUN = 300;
+/** Runs that a record names at the most; more tell nothing new. */
+export const MAXIMUM_RUNS = 16;
+/** Longest target that a record shows, in characters. */
+export const LONGEST_TARGET = 120;
+
+const runsSchema = z.array(z.string().max(LONGEST_RUN)).max(MAXIMUM_RUNS);
+
+/** Schema of {@linkcode CrashRecord}. */
+export const crashRecordSchema = z.object({
+  /** Fingerprint of the request. */
+  request: z.string().max(LONGEST_FINGERPRINT),
+  /** Host and path, cut short, for people. */
+  target: z.string().max(LONGEST_TARGET),
+  /** How often it was held back and let through again for a trial. */
+  round: z.number().int().nonnegative(),
+  /** Runs of servers that have ended under it, since that. */
+  runs: runsSchema,
+  /** Runs that ended under it and no longer count: since it was answered, since
+   * another request accounts for them, or since it is on trial. */
+  excused: runsSchema,
+  /** Milliseconds since a server ended under it last. */
+  age: z.number().nonnegative(),
+});
+
+/** A record as it is told to other VMs. */
+export type CrashRecord = z.infer<typeof crashRecordSchema>;
+
+/** Ends under a request before it is held back: under one and two an innocent one may
+ * have been, beside the one that is to blame. */
+const TOLERATED_ENDS = 3;
+/** The same for one that was held back before and is on trial. */
+const TOLERATED_ON_TRIAL = 1;
+/** Time for an answer to a doubtful request to be heard of, in milliseconds: two
+ * messages between VMs each way, and an answer. */
+const HEARING = 700;
+/** Time for which a request is held back first, in milliseconds; doubles with each
+ * trial that ends a server again. So long a service that was mended stays closed
+ * to it. */
+const FIRST_HOLD = 120_000;
+const LONGEST_HOLD = 3_600_000;
+/** Time for which anything else is remembered, in milliseconds: repeats that are
+ * further apart end a server each time. */
+const MEMORY = 600_000;
+
+/** A record as a VM keeps it. Times are milliseconds of its clock. */
+export interface KnownCrashes {
+  request: string;
+  target: string;
+  round: number;
+  runs: string[];
+  excused: string[];
+  lastAt: number;
+  /** Since when it is close to being held back, or should be; Infinity before. */
+  doubtfulSince: number;
+  /** Whether it is held back; it then is until {@linkcode heldUntil}. */
+  isHeld: boolean;
+  /** Number of the last change to it, in this process. */
+  revision: number;
+}
+
+/** Whether so many servers have ended under a request that it should be held back. */
+export function isConvicted({ round, runs }: KnownCrashes): boolean {
+  const tolerated = round === 0 ? TOLERATED_ENDS : TOLERATED_ON_TRIAL;
+  return runs.length >= tolerated;
+}
+
+/** Whether one more end under a request, or none, is enough for that. */
+export function isDoubtful({ round, runs }: KnownCrashes): boolean {
+  return runs.length >= (round === 0 ? TOLERATED_ENDS - 1 : TOLERATED_ON_TRIAL);
+}
+
+/** When a convicted request is held back, unless it is answered before: one that
+ * many callers make at once may be at work wherever a server ends, and is answered
+ * by others meanwhile. All VMs know by then that its answers count. */
+export function heldFrom({ doubtfulSince }: KnownCrashes): number {
+  return doubtfulSince + HEARING;
+}
+
+/** How long a request is held back in a round. */
+function holdTime(round: number): number {
+  return Math.min(LONGEST_HOLD, FIRST_HOLD * 2 ** round);
+}
+
+/** When a request that is held back is let through again for a trial. */
+export function heldUntil({ round, lastAt }: KnownCrashes): number {
+  return lastAt + holdTime(round);
+}
+
+/** When a record of a request that is not held back is forgotten. */
+export function forgottenAt({ round, lastAt }: KnownCrashes): number {
+  return lastAt + MEMORY + (round === 0 ? 0 : holdTime(round - 1));
+}
+
+/** Whether all VMs should know of a request: that it is held back, or is close to
+ * it, or no longer is. One that is answered somewhere is then cleared everywhere. */
+export function isNotable({ round, runs, excused }: KnownCrashes): boolean {
+  return round > 0 || runs.length + excused.length >= TOLERATED_ENDS - 1;
+}
--- /dev/null
+++ b/src/core/quarantine/index.ts
@@ -0,0 +1,4 @@
+export * from "./crash_record.ts";
+export * from "./crash_watch.ts";
+export * from "./fingerprint.ts";
+export * from "./quarantine.ts";
--- /dev/null
+++ b/src/core/quarantine_exchange.ts
@@ -0,0 +1,176 @@
+/**
+ * How VMs share which requests servers have ended under.
+ *
+ * Each VM tells the term holder what it has seen, with its reports, until one that has
+ * it is answered; the holder, which sees the ends of all VMs, tells all of them what
+ * is held back, or close to it, as soon as it is. Every report carries a digest of
+ * that, and whoever gets one that differs answers with all of it: so a VM that has
+ * just started, or has missed something, catches up within a report, and a new holder
+ * is told everything anew. None of this needs the store, nor authority to give orders.
+ *
+ * While the holder is not heard, the VMs at the seed addresses stand in for it.
+ *
+ * @module
+ */
+import type { CrashRecord, Quarantine } from "./quarantine/index.ts";
+import type { QuarantineWord } from "./peers/index.ts";
+
+/** Silence after which a VM is not told unasked any more, in milliseconds: several of
+ * its reports are missing. */
+const LISTENER_SILENCE = 3_000;
+/** Shortest pause between two answers to one VM, in milliseconds: what it lacks may be
+ * on its way. */
+const ANSWER_PAUSE = 400;
+/** Pause between two words to the seeds while the holder is silent, in
+ * milliseconds. */
+const SEED_PAUSE = 500;
+/** The same for each VM that tells them, so that a seed takes at most 200 words a
+ * second. */
+const SEED_PAUSE_PER_VM = 5;
+/** Silence of the holder after which the seeds stand in for it, in milliseconds: two
+ * of its answers are missing. */
+const HOLDER_SILENCE = 1_200;
+/** Reports whose answers are awaited; older ones count as lost. */
+const MAXIMUM_AWAITED = 8;
+
+/** A word to another VM. */
+export interface QuarantineSend {
+  address: string;
+  word: QuarantineWord;
+}
+
+/** A report that has not been answered. */
+interface Awaited {
+  sentAt: number;
+  revision: number;
+}
+
+/** A VM that has told its digest. */
+interface Listener {
+  heardAt: number;
+  answeredAt: number;
+}
+
+/** See the module's comment. Times are milliseconds of this VM's clock. */
+export class QuarantineExchange {
+  readonly #listeners = new Map<string, Listener>();
+  #holder: string | null = null;
+  /** Up to which change the holder is known to have what is known here. */
+  #holderRevision = 0;
+  #awaited: Awaited[] = [];
+  /** Up to which change the listeners were told, and what they were told then. */
+  #toldRevision = 0;
+  #toldDigest = 0;
+  #seedsToldAt = -Infinity;
+
+  private constructor(
+    private readonly quarantine: Quarantine,
+    private readonly seeds: readonly string[],
+  ) {}
+
+  /** An exchange that has heard nobody. */
+  static create(
+    quarantine: Quarantine,
+    seeds: readonly string[],
+  ): QuarantineExchange {
+    return new QuarantineExchange(quarantine, seeds);
+  }
+
+  /** Whether something has not been told to the holder yet. */
+  get isUrgent(): boolean {
+    const told = this.#awaited.at(-1)?.revision ?? this.#holderRevision;
+    return this.#holder !== null && this.quarantine.ownRevision > told;
+  }
+
+  /** What a VM says that asks others for all that they know. */
+  get question(): QuarantineWord {
+    return { digest: this.quarantine.digest, records: [] };
+  }
+
+  /** The part of a report to the holder at an address that is sent now. */
+  report(holder: string, now: number): QuarantineWord {
+    this.#follow(holder);
+    const { revision } = this.quarantine;
+    this.#awaited.push({ sentAt: now, revision });
+    if (this.#awaited.length > MAXIMUM_AWAITED) this.#awaited.shift();
+    return this.#word(this.#holderRevision, now);
+  }
+
+  /** The holder at an address has answered the report that was sent at `sentAt`. */
+  answered(holder: string, sentAt: number): void {
+    if (holder !== this.#holder) return;
+    const index = this.#awaited.findLastIndex((each) => each.sentAt <= sentAt);
+    if (index < 0) return;
+    const { revision } = this.#awaited[index];
+    this.#holderRevision = Math.max(this.#holderRevision, revision);
+    this.#awaited = this.#awaited.slice(index + 1);
+  }
+
+  /** Takes another VM's word; returns the answer to it, if it lacks something. */
+  receive(
+    address: string,
+    { digest, records }: QuarantineWord,
+    now: number,
+  ): QuarantineSend | null {
+    this.quarantine.merge(records, now);
+    if (digest === null) return null;
+    const known = this.#listeners.get(address);
+    const answeredAt = known?.answeredAt ?? -Infinity;
+    const listener = { heardAt: now, answeredAt };
+    this.#listeners.set(address, listener);
+    if (digest === this.quarantine.digest) return null;
+    if (now - answeredAt < ANSWER_PAUSE) return null;
+    listener.answeredAt = now;
+    const word = { digest: null, records: this.quarantine.notable(now) };
+    return word.records.length === 0 ? null : { address, word };
+  }
+
+  /** Words that are due: news for those that listen here, and for the seeds while the
+   * holder has been silent for `silence` milliseconds. `vms` share the seeds. */
+  advance(
+    silence: number,
+    vms: number | null,
+    now: number,
+  ): QuarantineSend[] {
+    this.quarantine.expire(now);
+    const news = this.#tellListeners(now);
+    if (silence < HOLDER_SILENCE) return news;
+    return [...news, ...this.#tellSeeds(vms ?? 0, now)];
+  }
+
+  #tellListeners(now: number): QuarantineSend[] {
+    const { digest, revision } = this.quarantine;
+    const since = this.#toldRevision;
+    this.#toldRevision = revision;
+    if (digest === this.#toldDigest) return [];
+    this.#toldDigest = digest;
+    const records = this.quarantine.changesSince(since, now);
+    if (records.length === 0) return [];
+    const word = { digest: null, records };
+    for (const [address, { heardAt }] of this.#listeners) {
+      if (now - heardAt > LISTENER_SILENCE) this.#listeners.delete(address);
+    }
+    return [...this.#listeners.keys()].map((address) => ({ address, word }));
+  }
+
+  #tellSeeds(vms: number, now: number): QuarantineSend[] {
+    if (this.quarantine.revision === 0) return [];
+    const pause = Math.max(SEED_PAUSE, SEED_PAUSE_PER_VM * vms);
+    if (now - this.#seedsToldAt < pause) return [];
+    this.#seedsToldAt = now;
+    const word = this.#word(0, now);
+    return this.seeds.map((address) => ({ address, word }));
+  }
+
+  #follow(holder: string): void {
+    if (holder === this.#holder) return;
+    this.#holder = holder;
+    this.#holderRevision = 0;
+    this.#awaited = [];
+  }
+
+  #word(since: number, now: number): QuarantineWord {
+    const records: CrashRecord[] = this.quarantine.changesSince(since, now);
+    return { digest: this.quarantine.digest, records };
+  }
+}
--- a/src/logging/story.ts
+++ b/src/logging/story.ts
@@ -79,6 +79,13 @@
       const { share, limitAge } = crowded.detail;
       return `503 after ${age} ms, not run: ${reason}: ${share} of its requests have room, by what the term holder told ${limitAge} ms before (service ${service})`;
     }
+    const held = lines.findLast((each) =>
+      each.decision === "request.held_back"
+    );
+    if (held !== undefined) {
+      const { fingerprint, ends, left } = held.detail;
+      return `429 after ${age} ms, not run: ${reason}: ${ends}, held back for ${left} ms more; lines with fingerprint ${fingerprint} tell which (service ${service})`;
+    }
     const refusal = lines.findLast((each) =>
       each.decision === "attempt.not_run"
     );
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -14,9 +14,11 @@
   type IncomingMessage,
   request as httpRequest,
 } from "node:http";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { AttemptStart } from "../core/dispatch/index.ts";
+import type { ServerCheck } from "../core/quarantine/index.ts";
 import { errorText } from "../errors/index.ts";
+import { parseAddress } from "../settings/address.ts";
 import type { AnswerFacts, HeaderCodec } from "./header_codec.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
 import { limitConnecting } from "./http_client.ts";
@@ -40,6 +42,9 @@
   "upgrade",
 ]);
 
+/** Error of a connection to an address at which nothing listens. */
+const REFUSED = "ECONNREFUSED";
+
 /** A caller's request as it is sent on. */
 export interface OutgoingRequest {
   id: string;
@@ -150,6 +155,26 @@
     request.end(outgoing.body.length > 0 ? outgoing.body : undefined);
   }
 
+  /** Looks whether anything listens at a server's address. */
+  check({ server, address }: ServerCheck): void {
+    const { host, port } = parseAddress(address);
+    const socket = connect({ host, port });
+    socket.setTimeout(CONNECT_TIMEOUT);
+    const end = (isRefused: boolean) => {
+      socket.removeAllListeners();
+      // What it still has to say no longer matters.
+      socket.on("error", () => {});
+      socket.destroy();
+      this.sink.push({ kind: "server.checked", server, isRefused });
+    };
+    socket.once("connect", () => end(false));
+    socket.once("timeout", () => end(false));
+    socket.once(
+      "error",
+      (error: NodeJS.ErrnoException) => end(error.code === REFUSED),
+    );
+  }
+
   /** Gives an attempt up and resets its connection. */
   cancel(attempt: number): void {
     const running = this.#attempts.get(attempt);
@@ -226,7 +251,14 @@
     });
     request.on(
       "error",
-      (error) => this.#fail(attempt, running, isConnected, errorText(error)),
+      (error: NodeJS.ErrnoException) =>
+        this.#fail(
+          attempt,
+          running,
+          isConnected,
+          errorText(error),
+          error.code === REFUSED,
+        ),
     );
     request.once(
       "response",
@@ -310,6 +342,7 @@
     running: RunningAttempt,
     wasSent: boolean,
     cause: string,
+    isRefused = false,
   ): void {
     const isCurrent = this.#attempts.get(attempt) === running;
     if (!isCurrent || running.answer !== null || running.isChecked) return;
@@ -318,7 +351,7 @@
     this.sink.push({
       kind: "attempt.ended",
       attempt,
-      outcome: { kind: "failed", wasSent, cause },
+      outcome: { kind: "failed", wasSent, isRefused, cause },
     });
   }
 }
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -13,7 +13,8 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { CallerLimits } from "../core/catalog/index.ts";
-import { Fingerprint, type Refusal } from "../core/dispatch/index.ts";
+import type { Refusal } from "../core/dispatch/index.ts";
+import { Fingerprint } from "../core/quarantine/index.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { OutgoingRequest, TakenAnswer } from "./backend_pool.ts";
 import type { OccurrenceSink } from "./entry_loop.ts";
--- a/src/runtime/caller_server_test.ts
+++ b/src/runtime/caller_server_test.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import { Fingerprint } from "../core/dispatch/index.ts";
+import { Fingerprint } from "../core/quarantine/index.ts";
 import test, { type ExecutionContext } from "ava";
 import { connectCaller } from "../../test/support/caller_connection.ts";
 
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -267,6 +267,7 @@
     caller_requests_not_taken_total: callers.notTaken,
     caller_requests_late_total: callers.late,
     vms: entry.vms ?? 0,
+    requests_quarantined: entry.beliefs.quarantine.holdCount,
     is_term_holder: entry.campaign.holder === null ? 0 : 1,
     log_lines_dropped: journal.dropped,
     processor_seconds: (user + system) / 1e6,
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -74,6 +74,8 @@
         return this.#start(effect);
       case "attempt.cancel":
         return backends.cancel(effect.attempt);
+      case "server.check":
+        return backends.check(effect);
       case "request.deliver":
         return this.#deliver(effect);
       case "request.refuse":
--- a/test/ending_request_test.ts
+++ b/test/ending_request_test.ts
@@ -3,11 +3,13 @@
  * ends each server that begins to run it, sent again and again through all entries,
  * beside other callers. Servers are back at their address, under another id.
  */
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { randomUUID } from "node:crypto";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import { PlatformHeaders } from "../platform/index.ts";
+import { formatStatus } from "../src/cli/status_command.ts";
+import { findStory } from "../src/logging/index.ts";
 import { type Call, isServed, runLoad } from "../src/load/index.ts";
 import { Deployment, endingPath, type Member } from "./support/deployment.ts";
 
@@ -100,6 +102,29 @@
   return calls.filter(isServed).length / calls.length;
 }
 
+/** Whether every entry tells operators what it holds back, and why it refused. */
+async function checkTold(
+  t: ExecutionContext,
+  deployment: Deployment,
+  service: Service,
+): Promise<void> {
+  for (const entry of deployment.entries) {
+    const status = await deployment.status(entry);
+    t.is(status?.quarantine.length, 1);
+    const text = formatStatus(status!);
+    t.regex(text, new RegExp(`held back: .*${endingPath(service)}`));
+    const lines = deployment.logOf(entry);
+    const refused = lines.find(({ message }) =>
+      message === "request.held_back"
+    );
+    const story = findStory(
+      String(refused?.request),
+      lines.map((line) => JSON.stringify(line)),
+    );
+    t.regex(story.cause, /^429 after \d+ ms, not run: /);
+  }
+}
+
 for (const service of ["stock", "orders"] as const) {
   test.serial(`a request that ends its servers, of ${service}: it is held back, others are served`, async (t) => {
     const deployment = await Deployment.start({ entries: 4, servers: 6 });
@@ -121,5 +146,6 @@
     t.true(late <= ALLOWED_RUNS, `${late} of ${runs.length} runs were late`);
     const served = servedShare(calls.filter((each) => each.startedAt > from));
     t.true(served >= SERVED_SHARE, `${served} of the others were served`);
+    await checkTold(t, deployment, service);
   });
 }
--- a/test/ownership/ending_request_test.ts
+++ b/test/ownership/ending_request_test.ts
@@ -64,6 +64,7 @@
     servers,
     faults,
     duration: UNTIL + 5_000,
+    seedVms: 3,
     seed,
     fitness: Array.from({ length: vms }, (_, i) => i < 4 ? 5 : 1),
     load: { ...LOAD, ...load },
@@ -162,3 +163,75 @@
     }
   });
 }
+
+/** Share of innocent requests that may be refused for what another one did. */
+const FALSE_REFUSALS = 0.001;
+
+/** Servers that end for a reason of their own: one each so often, of all in turn. */
+function losses(pause: number, servers: number): Fault[] {
+  const count = Math.floor((UNTIL - FROM) / pause);
+  return Array.from({ length: count }, (_, i) => ({
+    kind: "server.lost",
+    at: FROM + i * pause,
+    duration: 0,
+    target: i % servers,
+  }));
+}
+
+/** Work that takes so long that many requests meet the end of a server. */
+const LONG_WORK = { work: 400, target: 3_000, timeout: 9_000 };
+const INNOCENCE: [string, Omit<Circumstances, "vms" | "seed">][] = [
+  ["one server ends each 0.3 s, of 12", {
+    servers: 12,
+    faults: losses(300, 12),
+    load: LONG_WORK,
+  }],
+  ["half of the servers end at once, three times", {
+    servers: 12,
+    faults: [0, 5_000, 10_000].flatMap((after) =>
+      Array.from({ length: 6 }, (_, target): Fault => ({
+        kind: "server.lost",
+        at: FROM + after,
+        duration: 0,
+        target: 2 * target,
+      }))
+    ),
+    load: LONG_WORK,
+  }],
+  ["a third of the requests are the same one, and servers end", {
+    servers: 12,
+    faults: losses(300, 12),
+    load: { ...LONG_WORK, popularShare: 0.33 },
+  }],
+  ["beside one that ends its servers", {
+    load: { popularShare: 0.2, ending: ENDING },
+  }],
+  ["beside one that ends its servers, while others end too", {
+    servers: 12,
+    faults: losses(400, 12),
+    load: { ...LONG_WORK, ending: ENDING },
+  }],
+];
+
+for (const [name, { load, ...circumstances }] of INNOCENCE) {
+  test(`requests that end no server are not held back: ${name}`, (t) => {
+    for (const seed of [1, 2, 3]) {
+      for (const isKeyed of [true, false]) {
+        const report = play({
+          ...circumstances,
+          vms: 11,
+          seed,
+          load: { ending: undefined, ...load, isKeyed },
+        });
+        const { heldBack, ends } = report.load!;
+        const innocent = heldBack.filter((each) => !each.isEnding).length;
+        const kind = isKeyed ? "keyed" : "without keys";
+        t.log(`${kind}: ${innocent} of ${ends.length}`);
+        t.true(
+          innocent <= FALSE_REFUSALS * ends.length,
+          `${kind}, seed ${seed}`,
+        );
+      }
+    }
+  });
+}
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -43,6 +43,8 @@
   timeout: number;
   /** Whether requests may run more than once; they may if left out. */
   isIdempotent?: boolean;
+  /** Share of the requests that are the same one, of one caller; none if left out. */
+  popularShare?: number;
   /** A request that ends each server that begins to run it; none if left out. */
   ending?: EndingRequest;
 }
@@ -142,6 +144,8 @@
   farArrivals = 0;
   /** How each caller's request ended. */
   readonly ends: (Caller & { name: string; took: number })[] = [];
+  /** Requests that were held back, and when. */
+  readonly heldBack: (Caller & { at: number })[] = [];
   /** When a server began to run the request that ends servers, and which one. */
   readonly endingRuns: { at: number; server: string }[] = [];
 
@@ -237,7 +241,9 @@
   refuse({ exchange, status, retryAfter }: Refusal): void {
     const { caller, startedAt } = this.#take(exchange);
     const counts = this.#of(caller);
-    const isRefusal = status === 503;
+    const isHeldBack = status === 429;
+    const isRefusal = status === 503 || isHeldBack;
+    if (isHeldBack) this.heldBack.push({ ...caller, at: this.time.now });
     if (isRefusal) {
       const held = this.time.now - startedAt;
       counts.longestRefusal = Math.max(counts.longestRefusal, held);
@@ -262,7 +268,8 @@
     if (this.time.now >= until) return;
     const key = keyOf(this.draw, this.time.now);
     this.#callerCount += 1;
-    const target = `/${this.#callerCount}`;
+    const isPopular = this.draw() < (this.options.popularShare ?? 0);
+    const target = isPopular ? "/popular" : `/${this.#callerCount}`;
     this.#attempt({
       key,
       target,
@@ -452,7 +459,7 @@
 }
 
 function notSent(): AttemptOutcome {
-  return { kind: "failed", wasSent: false, cause: "refused" };
+  return { kind: "failed", wasSent: false, isRefused: true, cause: "refused" };
 }
 
 function nameOf(vm: number, attempt: number): string {
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -114,6 +114,8 @@
   configurationPause?: number;
   /** Number of availability zones; one if left out. */
   zones?: number;
+  /** VMs at whose addresses others ask when they know nobody; none if left out. */
+  seedVms?: number;
   /** Requests that callers make; none if left out. */
   load?: LoadOptions;
   /** Whether the store forgets assignments. */
@@ -195,7 +197,10 @@
     const weakness = this.index === 0 ? firstTiming : otherTiming;
     return Entry.create({
       peerAddress: this.address,
-      seeds: [],
+      seeds: Array.from(
+        { length: this.options.seedVms ?? 0 },
+        (_, index) => `vm-${index}`,
+      ).filter((address) => address !== this.address),
       availabilityZone: `zone-${this.index % (this.options.zones ?? 1)}`,
       leaseTiming: leaseTimingSchema.parse({ ...weakness }),
       fitness: this.options.fitness?.[this.index] ?? 1,
@@ -570,6 +575,15 @@
         }, () => null);
       case "attempt.start":
         return this.#report.load!.send(vm.index, effect);
+      case "server.check": {
+        const { server, address } = effect;
+        const { run } = vm;
+        return this.#time.after(2 * HOP, () => {
+          const isRefused = !this.#runAt(address)?.isUp;
+          if (vm.run !== run) return;
+          this.#push(vm, { kind: "server.checked", server, isRefused });
+        });
+      }
       case "attempt.cancel":
         return this.#report.load!.cancel(vm.index, effect.attempt);
       case "request.deliver":
--- a/test/support/fingerprint.ts
+++ b/test/support/fingerprint.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Fingerprint } from "../../src/core/dispatch/index.ts";
+import { Fingerprint } from "../../src/core/quarantine/index.ts";
 
 /** The fingerprint of a request for a target with a body, if it has one. */
 export function fingerprintOf(target: string, body = ""): Fingerprint {
