--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -144,6 +144,8 @@
   farArrivals = 0;
   /** How each caller's request ended. */
   readonly ends: (Caller & { name: string; took: number })[] = [];
+  /** Time beyond their callers' deadlines that servers were given, the longest. */
+  longestOverrun = -Infinity;
   /** Requests that were held back, and when. */
   readonly heldBack: (Caller & { at: number })[] = [];
   /** When a server began to run the request that ends servers, and which one. */
@@ -208,6 +210,9 @@
   send(vm: number, start: AttemptStart): void {
     const { attempt, remaining, server } = start;
     const { caller } = this.#exchanges.get(start.exchange)!;
+    const { now } = this.time;
+    const end = caller.startedAt + this.options.timeout;
+    this.longestOverrun = Math.max(this.longestOverrun, now + remaining - end);
     const work: Work = {
       vm,
       server,
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -175,3 +175,23 @@
   duration: fc.constant(26_000),
   seed: fc.nat(),
 });
+
+const suspension = fc.record({
+  kind: fc.constant<Fault["kind"]>("vm.suspend"),
+  at: fc.integer({ min: 3_000, max: 22_000 }),
+  duration: fc.integer({ min: 300, max: 9_000 }),
+  target: fc.nat(15),
+});
+
+/** Worlds in which VMs are suspended, at any moment of a term, an order and an
+ * election, while other things fail. */
+export const suspensions: fc.Arbitrary<WorldOptions> = fc.record({
+  vms: fc.integer({ min: 2, max: 4 }),
+  servers: fc.integer({ min: 2, max: 4 }),
+  faults: fc.tuple(
+    fc.array(suspension, { minLength: 1, maxLength: 8 }),
+    fc.array(crossing, { maxLength: 5 }),
+  ).map((faults) => faults.flat()),
+  duration: fc.constant(30_000),
+  seed: fc.nat(),
+});
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { ElapsedClock } from "../../src/runtime/elapsed_clock.ts";
 import { Entry } from "../../src/core/entry.ts";
 import type { EntryEffect } from "../../src/core/entry_effect.ts";
 import type { Occurrence } from "../../src/core/entry_event.ts";
@@ -46,6 +47,9 @@
 const CONNECT_TIMEOUT = 400;
 /** A run that ends is followed by the next one after less than this time. */
 const MAXIMUM_DOWNTIME = 600;
+/** Longest time after a suspension until peers send again what was lost in it: the
+ * pause of their kernels, which doubles. */
+const LONGEST_RESEND = 1_500;
 /** Time after which a server that was lost is back. */
 const RETURN_TIME = 2_500;
 /** Time after which the registry takes the entry of a silent server out. */
@@ -65,6 +69,8 @@
 export interface Fault {
   kind:
     | "vm.freeze"
+    /** Its machine is suspended: nothing runs, and its steady clock stands still. */
+    | "vm.suspend"
     | "vm.kill"
     | "vm.cut_from_store"
     | "vm.cut_from_servers"
@@ -155,6 +161,8 @@
   load: RequestLoad | null;
   /** Messages between VMs, by kind. */
   messages: Map<string, number>;
+  /** Orders that a VM sent though its authority had ended. */
+  staleOrders: number;
   /** When servers were lost. */
   serverEnds: number[];
 }
@@ -172,16 +180,34 @@
   /** Since when it runs, reaches the store and all its peers. */
   inTouchSince = 0;
   frozenUntil = -1;
+  /** When it sent the last membership call that was answered. */
+  confirmedAt = -Infinity;
+  /** Time after waking until what was sent to it meanwhile is sent again. */
+  resendDelay = 0;
+  /** Time for which its machine has been suspended so far. */
+  suspended = 0;
   /** Runs of servers to which connections are kept, by address. */
   readonly connections = new Map<string, ModelServer>();
   timerAt = Infinity;
   /** Age at which the orders of its last step are sent. */
   orderDelay = 0;
+  /** What its process takes for the time. */
+  clock: ElapsedClock;
   constructor(
     readonly index: number,
     private readonly options: WorldOptions,
+    private readonly time: Timeline,
   ) {
     this.entry = this.create();
+    this.clock = this.#createClock();
+  }
+
+  #createClock(): ElapsedClock {
+    return ElapsedClock.create({
+      steady: () => this.time.now - this.suspended,
+      timeOfDay: () => Math.floor(this.time.now),
+      uptime: () => Math.floor(this.time.now / 10) * 10,
+    });
   }
 
   get id(): string {
@@ -214,6 +240,7 @@
   restart(): void {
     this.run += 1;
     this.entry = this.create();
+    this.clock = this.#createClock();
     this.isUp = true;
     this.isFollowing = true;
     this.isPollLost = false;
@@ -248,6 +275,7 @@
     load: null,
     messages: new Map(),
     serverEnds: [],
+    staleOrders: 0,
   };
   #asked = 0;
   #replacements = 0;
@@ -264,7 +292,7 @@
     this.#store = ModelStore.create(!options.isForgetful);
     for (let i = 0; i < options.servers; i++) this.#addServer();
     for (let i = 0; i < options.vms; i++) {
-      const vm = new Vm(i, options);
+      const vm = new Vm(i, options, this.#time);
       this.#vms.push(vm);
       this.#time.after(this.#draw() * 300, () => this.#start(vm));
     }
@@ -459,12 +487,14 @@
     const { now } = this.#time;
     if (vm.frozenUntil > now) {
       const run = vm.run;
-      this.#time.after(vm.frozenUntil - now, () => {
+      const isOwn = occurrence.kind === "timer";
+      const delay = isOwn ? 0 : vm.resendDelay;
+      this.#time.after(vm.frozenUntil + delay - now, () => {
         if (vm.run === run) this.#push(vm, occurrence);
       });
       return;
     }
-    const effects = vm.entry.step({ ...occurrence, now });
+    const effects = vm.entry.step({ ...occurrence, now: vm.clock.now() });
     vm.orderDelay = this.#orderDelay(effects);
     if (vm.orderDelay > 0) vm.frozenUntil = now + vm.orderDelay;
     for (const effect of effects) this.#perform(vm, effect);
@@ -480,11 +510,12 @@
   }
 
   #setTimer(vm: Vm): void {
-    const at = vm.entry.nextAt(this.#time.now);
-    if (vm.timerAt <= at && vm.timerAt > this.#time.now) return;
+    const now = vm.clock.now();
+    const at = vm.entry.nextAt(now);
+    if (vm.timerAt <= at && vm.timerAt > now) return;
     vm.timerAt = at;
     const run = vm.run;
-    this.#time.after(Math.max(1, at - this.#time.now), () => {
+    this.#time.after(Math.max(1, at - now), () => {
       if (vm.run !== run || vm.timerAt !== at) return;
       vm.timerAt = Infinity;
       this.#push(vm, { kind: "timer" });
@@ -493,17 +524,21 @@
 
   #perform(vm: Vm, effect: EntryEffect): void {
     switch (effect.kind) {
-      case "group.join":
+      case "group.join": {
         this.#countCall("join");
+        const calledAt = this.#time.now;
         return this.#call(
           vm,
           () => this.#join(vm, effect.group),
-          (answer, sentAt) =>
-            answer === null ? { kind: "group.failed" } : {
-              kind: "group.joined",
-              membership: { ...answer, group: effect.group, sentAt },
-            },
+          (answer, sentAt) => {
+            if (answer === null) return { kind: "group.failed" };
+            vm.confirmedAt = Math.max(vm.confirmedAt, calledAt);
+            const { group } = effect;
+            const membership = { ...answer, group, sentAt };
+            return { kind: "group.joined", membership };
+          },
         );
+      }
       case "group.leave":
         return this.#call(
           vm,
@@ -646,7 +681,7 @@
     run: () => T,
     answer: (value: T | null, sentAt: number) => Occurrence | null,
   ): void {
-    const sentAt = this.#time.now;
+    const sentAt = vm.clock.now();
     const isDone = this.#reachesStore(vm);
     const isAnswered = isDone && !this.#isActive("store.loses_answers");
     const reply = (value: T | null) => {
@@ -685,7 +720,17 @@
     this.#time.after(HOP, () => this.#push(peer, occurrence));
   }
 
+  /** Counts an order of a VM whose membership the store last confirmed longer ago
+   * than that gives authority. */
+  #noteOrder(vm: Vm): void {
+    const { authority } = leaseTimingSchema.parse({});
+    if (this.#time.now - vm.confirmedAt > authority) {
+      this.#report.staleOrders += 1;
+    }
+  }
+
   #order(vm: Vm, order: GrantOrder | ReleaseOrder): void {
+    this.#noteOrder(vm);
     const isSecluded = vm.index !== 0 &&
       this.#isActive("server.secluded", order.address);
     const isCut = isSecluded ||
@@ -837,6 +882,8 @@
       case "vm.freeze":
         vm.frozenUntil = this.#time.now + duration;
         return;
+      case "vm.suspend":
+        return this.#suspend(vm, duration);
       case "vm.kill":
         vm.isUp = false;
         return this.#time.after(300 + duration / 4, () => this.#restart(vm));
@@ -875,6 +922,17 @@
     }
   }
 
+  #suspend(vm: Vm, duration: number): void {
+    const { now } = this.#time;
+    if (vm.frozenUntil > now) return;
+    vm.frozenUntil = now + duration;
+    vm.resendDelay = this.#draw() * LONGEST_RESEND;
+    this.#time.after(duration, () => {
+      vm.suspended += duration;
+      vm.resendDelay = 0;
+    });
+  }
+
   #lose(server: ModelServer): void {
     if (!server.isUp) return;
     server.isUp = false;
