Clock: time for which the machine was suspended has gone by

Cause: all times came from the steady clock, which stands still then. Now the time of day tells of a jump and the time since the machine's start whether that time has gone.

Waits of the HTTP client and of callers' connections go by the same clock.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -128,6 +128,18 @@
     return this.#take();
   }
 
+  /** The clock may be ahead by `gap` milliseconds. A server that works on a request
+   * stops at the deadline that it was given, and a caller leaves at its own, so
+   * their word is waited for; nobody else is asked, since no time may be left. */
+  doubtTime(gap: number): void {
+    for (const request of this.#requests.values()) {
+      if (request.attempts.length === 0) continue;
+      request.deadline += gap;
+      request.isAgeDoubted = true;
+      for (const each of request.attempts) each.hedgeAt = Infinity;
+    }
+  }
+
   /** A caller left without waiting for its answer. */
   leave(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
@@ -199,6 +211,7 @@
       tried: [],
       arrivals: 0,
       mayHaveRun: false,
+      isAgeDoubted: false,
       trace: [],
       isNoteworthy: false,
     };
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -591,3 +591,17 @@
     0,
   ]);
 });
+
+test("dispatch: where the clock may be ahead, a server at work is waited for and no other asked", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/read/", 0);
+  dispatcher.doubtTime(3_000);
+  t.deepEqual(brief(dispatcher.advance(3_100)), []);
+  t.deepEqual(brief(dispatcher.ended(1, LOST, 3_120)), [
+    "502, reset, come back null",
+  ]);
+  arrive("/read/", 3_200);
+  dispatcher.doubtTime(3_000);
+  t.deepEqual(brief(dispatcher.advance(6_750)), []);
+  t.regex(brief(dispatcher.advance(6_770)).join(), /^cancel,504/);
+});
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -81,6 +81,8 @@
   arrivals: number;
   /** Whether a server may have run it. */
   mayHaveRun: boolean;
+  /** Whether it is not known how much of its time is left. */
+  isAgeDoubted: boolean;
   /** Lines about it that are written only if something happens to it. */
   trace: Note[];
   /** Whether something has happened, so that all its lines are written. */
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -38,6 +38,7 @@
   mayRepeat(request: PendingRequest, now: number): boolean {
     const { maximumAttempts } = request.route;
     const { fingerprint } = request.arrival;
+    if (request.isAgeDoubted) return false;
     // Once two servers have ended under it, its caller decides about another.
     if (this.context.quarantine.ends(fingerprint) >= DOUBTFUL_ENDS) {
       return false;
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -144,6 +144,8 @@
     switch (event.kind) {
       case "timer":
         return;
+      case "clock.jumped":
+        return this.#clockJumped(event.gap, event.isCertain);
       case "configuration.read":
         return this.beliefs.configure(event.configuration);
       case "servers.read":
@@ -286,6 +288,18 @@
     fleet.confirm((id) => registry.isListed(id), now);
   }
 
+  /** This VM was suspended: what it was told meanwhile may be lost. Where that is not
+   * certain, others' holds may not have run out by as much as the clock says, so it
+   * gives up all that it would decide by them. */
+  #clockJumped(gap: number, isCertain: boolean): void {
+    const detail = { gap: Math.round(gap), isCertain };
+    this.beliefs.note("clock.jumped", detail);
+    this.peers.followerLink.outdated();
+    if (isCertain) return;
+    this.campaign.doubtTime();
+    this.dispatcher.doubtTime(gap);
+  }
+
   #claimed(effects: KeyspaceEffect[]): void {
     this.#put(...effects);
     for (const effect of effects) {
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -23,6 +23,9 @@
 export type Occurrence =
   /** A timer that the core asked for went off. */
   | { kind: "timer" }
+  /** So many milliseconds have gone by while this machine was suspended; unless that
+   * is certain, its time of day may only have been set. */
+  | { kind: "clock.jumped"; gap: number; isCertain: boolean }
   | { kind: "configuration.read"; configuration: Configuration }
   /** A read of the registry that was sent at `sentAt` was answered. */
   | { kind: "servers.read"; read: RegistryRead; sentAt: number }
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -301,6 +301,17 @@
     return last.exposures(now);
   }
 
+  /** The clock may be ahead of the time that has gone by: servers may hold keys for
+   * longer than it says. The term goes, with all that was reckoned of its grants; a
+   * successor, this VM or another, assumes the worst of them. */
+  doubtTime(): void {
+    this.#phase = { kind: "follower" };
+    this.#last = null;
+    this.#authorityEnd = -Infinity;
+    this.#confirmedAt = -Infinity;
+    this.#joinDueAt = -Infinity;
+  }
+
   /** Gives the term up for good, since the process is about to stop. */
   retire(): KeyspaceEffect[] {
     this.#isRetired = true;
--- a/src/runtime/caller_connection.ts
+++ b/src/runtime/caller_connection.ts
@@ -6,6 +6,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { monotonicNow } from "./monotonic_clock.ts";
 
 /** Longest time for which a connection that has ended on this side is read on,
  * in milliseconds. Bytes that reach a closed socket make the system throw away
@@ -89,7 +90,7 @@
     this.#isEnding = true;
     this.#parting = parting;
     if (this.#due.length > 0) return;
-    const isSettled = performance.now() - this.#sentAt > LINGER_TIME;
+    const isSettled = monotonicNow() - this.#sentAt > LINGER_TIME;
     if (parting === "" && isSettled) this.socket.end();
     else this.#linger(parting);
   }
@@ -99,7 +100,7 @@
     const index = this.#due.findIndex((each) => each.response === response);
     if (index < 0) return;
     const [{ lost }] = this.#due.splice(index, 1);
-    this.#sentAt = performance.now();
+    this.#sentAt = monotonicNow();
     if (!response.writableFinished) lost();
     if (this.#due.length > 0 || !this.#isEnding) return;
     this.#linger(this.#parting);
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -242,7 +242,7 @@
     if (statusText === "") response.writeHead(status, head);
     else response.writeHead(status, statusText, head);
     response.end(body);
-    this.observer.answered(status, isOwn, performance.now() - arrivedAt);
+    this.observer.answered(status, isOwn, monotonicNow() - arrivedAt);
   }
 
   #take(request: IncomingMessage, response: ServerResponse): void {
@@ -265,7 +265,7 @@
         headers: request.rawHeaders,
         body: Buffer.alloc(0),
       },
-      arrivedAt: performance.now(),
+      arrivedAt: monotonicNow(),
     };
     this.#exchanges.set(number, exchange);
     connection.add(number, response, () => this.#left(number));
--- a/src/runtime/elapsed_clock_test.ts
+++ b/src/runtime/elapsed_clock_test.ts
@@ -4,7 +4,7 @@
  * set now and then, which is no time that has gone.
  */
 import test from "ava";
-import { ElapsedClock } from "./elapsed_clock.ts";
+import { type ClockJump, ElapsedClock } from "./elapsed_clock.ts";
 
 /** A machine whose time is moved by the test. */
 function createMachine(uptimeRate = 1) {
@@ -68,3 +68,40 @@
     last = clock.now();
   }
 });
+
+test("elapsed clock: where the time since the start runs otherwise, a jump ahead is uncertain", (t) => {
+  const { clock, run, suspend, set, elapsed } = createMachine(0.7);
+  const jumps: ClockJump[] = [];
+  clock.onJump((jump) => jumps.push(jump));
+  run(30_000);
+  suspend(4_000);
+  t.is(elapsed(), 34_000);
+  set(-4_000);
+  run(1_000);
+  t.is(elapsed(), 35_000);
+  t.deepEqual(jumps, [{ gap: 4_000, isCertain: false }]);
+});
+
+test("elapsed clock: a suspension right after the start is uncertain", (t) => {
+  const { clock, run, suspend, elapsed } = createMachine();
+  const jumps: ClockJump[] = [];
+  clock.onJump((jump) => jumps.push(jump));
+  run(500);
+  suspend(3_000);
+  run(30_000);
+  t.is(elapsed(), 33_500);
+  suspend(2_000);
+  t.is(elapsed(), 35_500);
+  t.deepEqual(jumps.map(({ isCertain }) => isCertain), [false, true]);
+});
+
+test("elapsed clock: clocks that are slewed do not jump", (t) => {
+  const { clock, run, set } = createMachine();
+  let count = 0;
+  clock.onJump(() => count += 1);
+  for (let i = 0; i < 600; i++) {
+    run(100);
+    set(0.05);
+  }
+  t.is(count, 0);
+});
--- a/src/runtime/entry_loop.ts
+++ b/src/runtime/entry_loop.ts
@@ -8,7 +8,7 @@
 import type { Entry } from "../core/entry.ts";
 import type { EntryEffect } from "../core/entry_effect.ts";
 import type { EntryEvent, Occurrence } from "../core/entry_event.ts";
-import { monotonicNow } from "./monotonic_clock.ts";
+import { monotonicNow, onClockJump } from "./monotonic_clock.ts";
 
 /** Name under which `most` listens. */
 const EVENT = "event";
@@ -54,8 +54,13 @@
   #timer: NodeJS.Timeout | null = null;
   #timerAt = Infinity;
   #isStopped = false;
+  readonly #ignoreClock: () => void;
 
-  private constructor(private readonly entry: Entry) {}
+  private constructor(private readonly entry: Entry) {
+    this.#ignoreClock = onClockJump((jump) =>
+      this.#waiting.unshift({ kind: "clock.jumped", ...jump })
+    );
+  }
 
   /** A loop around `entry`. */
   static create(entry: Entry): EntryLoop {
@@ -78,10 +83,11 @@
     if (this.#isRunning || this.#isStopped) return;
     this.#isRunning = true;
     try {
-      let next = this.#waiting.shift();
-      while (next !== undefined) {
-        this.#origin.emit({ ...next, now: monotonicNow() });
-        next = this.#waiting.shift();
+      while (this.#waiting.length > 0) {
+        // A jump that this look finds goes first: nothing is decided upon what was
+        // believed before it.
+        const now = monotonicNow();
+        this.#origin.emit({ ...this.#waiting.shift()!, now });
       }
     } finally {
       this.#isRunning = false;
@@ -92,6 +98,7 @@
   /** Takes nothing in any more. */
   stop(): void {
     this.#isStopped = true;
+    this.#ignoreClock();
     if (this.#timer !== null) clearTimeout(this.#timer);
   }
 
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -22,6 +22,7 @@
 import type { CallerServer } from "./caller_server.ts";
 import type { EffectHandler, OccurrenceSink } from "./entry_loop.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import type { OrderSender } from "./order_sender.ts";
 import type { ReadinessServer } from "./readiness_server.ts";
@@ -188,7 +189,7 @@
 
   async #order(order: KeyOrder): Promise<void> {
     const { orders, orderTimeouts, sink, metrics } = this.adapters;
-    const startedAt = performance.now();
+    const startedAt = monotonicNow();
     const outcome: OrderOutcome = order.kind === "order.grant"
       ? await orders.grant(order, orderTimeouts.grant)
       : await orders.release(order, orderTimeouts.release);
@@ -196,7 +197,7 @@
       "orders_total",
       `kind="${order.kind}",outcome="${outcome.kind}"`,
     );
-    metrics.observe("order_milliseconds", performance.now() - startedAt);
+    metrics.observe("order_milliseconds", monotonicNow() - startedAt);
     if (outcome.kind !== "accepted") this.#noteOrder(order, outcome);
     sink.push({ kind: "order.ended", order: order.order, outcome });
   }
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -16,6 +16,7 @@
   request as httpRequest,
 } from "node:http";
 import { parseAddress } from "../settings/address.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 
 /** How a client keeps its connections. */
 export interface HttpClientOptions {
@@ -144,9 +145,9 @@
       if (transfer === undefined) return;
       clearTimeout(timer);
       timer = setTimeout(timedOut, transfer.stall);
-      const latest = performance.now() + transfer.longest - transfer.stall;
+      const latest = monotonicNow() + transfer.longest - transfer.stall;
       response.on("data", () => {
-        if (performance.now() <= latest) timer.refresh();
+        if (monotonicNow() <= latest) timer.refresh();
       });
     });
     request.end(body);
@@ -187,9 +188,9 @@
 /** Ends a request that would open a connection once `time` milliseconds have
  * passed, before anything is sent. */
 function refuseConnecting(request: ClientRequest, time: number): void {
-  const startedAt = performance.now();
+  const startedAt = monotonicNow();
   request.once("socket", (socket) => {
-    if (!socket.connecting || performance.now() - startedAt < time) return;
+    if (!socket.connecting || monotonicNow() - startedAt < time) return;
     request.destroy(ConnectionLackError.create());
   });
 }
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -195,3 +195,24 @@
   duration: fc.constant(30_000),
   seed: fc.nat(),
 });
+
+/** Worlds in which the time of day of VMs is set ahead and back, while servers cannot
+ * be reached. */
+export const clockSteps: fc.Arbitrary<WorldOptions> = fc.record({
+  vms: fc.integer({ min: 1, max: 3 }),
+  servers: fc.integer({ min: 2, max: 4 }),
+  faults: fc.tuple(
+    fc.array(
+      fc.record({
+        kind: fc.constantFrom<Fault["kind"]>("vm.clock_step", "vm.suspend"),
+        at: fc.integer({ min: 5_000, max: 20_000 }),
+        duration: fc.integer({ min: 300, max: 9_000 }),
+        target: fc.nat(15),
+      }),
+      { minLength: 1, maxLength: 4 },
+    ),
+    fc.array(crossing, { minLength: 2, maxLength: 8 }),
+  ).map((faults) => faults.flat()),
+  duration: fc.constant(30_000),
+  seed: fc.nat(),
+});
--- a/test/ownership/suspension_test.ts
+++ b/test/ownership/suspension_test.ts
@@ -7,8 +7,8 @@
  */
 import test from "ava";
 import fc from "fast-check";
-import { suspensions } from "./schedule.ts";
-import { type Fault, World } from "./world.ts";
+import { clockSteps, suspensions } from "./schedule.ts";
+import { type Fault, World, type WorldOptions } from "./world.ts";
 
 const SEED = 7;
 const RUNS = 150;
@@ -70,3 +70,40 @@
   const { longestOverrun } = report.load!;
   t.true(longestOverrun <= 500, `${longestOverrun} ms beyond its deadline`);
 });
+
+test("suspension: one that may be a clock that is set gives no key to two servers", (t) => {
+  const broken = fc.sample(clockSteps, { numRuns: RUNS, seed: SEED })
+    .flatMap((options) => {
+      const world = { ...options, isUptimeForeign: true };
+      return World.play(world).violations.slice(0, 1);
+    });
+  t.deepEqual(broken, []);
+});
+
+/** The holder's time of day is set ahead by a second while it waits for the hold of a
+ * server that it cannot reach to run out. */
+function playStepInWait(weakness: Partial<WorldOptions>): string[] {
+  const faults: Fault[] = [
+    { kind: "server.cut", at: 8_000, duration: 20_000, target: 0 },
+    { kind: "server.secluded", at: 10_400, duration: 12_000, target: 0 },
+    { kind: "vm.clock_step", at: 11_000, duration: 1_000, target: 1 },
+  ];
+  return Array.from({ length: 20 }, (_, i) => 1 + i).flatMap((seed) => {
+    const { violations } = World.play({
+      vms: 2,
+      fitness: [1, 5],
+      servers: 3,
+      faults,
+      duration: 24_000,
+      seed,
+      isUptimeForeign: true,
+      ...weakness,
+    });
+    return violations.slice(0, 1);
+  });
+}
+
+test("suspension: a holder that takes a clock that is set for time that has gone is found out", (t) => {
+  t.deepEqual(playStepInWait({}), []);
+  t.true(playStepInWait({ areJumpsTrusted: true }).length > 0);
+});
