--- a/test/ending_request_test.ts
+++ b/test/ending_request_test.ts
@@ -11,7 +11,12 @@
 import { formatStatus } from "../src/cli/status_command.ts";
 import { findStory } from "../src/logging/index.ts";
 import { type Call, isServed, runLoad } from "../src/load/index.ts";
-import { Deployment, endingPath, type Member } from "./support/deployment.ts";
+import {
+  Deployment,
+  endingPath,
+  HOST,
+  type Member,
+} from "./support/deployment.ts";
 
 /** Runs that may come later than VMs take to learn of the third end. */
 const ALLOWED_RUNS = 3;
@@ -76,7 +81,7 @@
     const sent = request(`http://${address}${endingPath(service)}`, {
       method: "POST",
       headers: {
-        host: "test.example",
+        host: HOST,
         ...codec.forCaller({ id, timeout: 2_000, key }),
       },
       body: "ends its server",
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -36,8 +36,19 @@
   "server_link.delay",
 ] as const;
 
+/** Things that break in extended plans, on top of what the seed brings anyway. */
+export const EXTENDED = [
+  /** A caller goes on sending a request that ends each server that runs it. */
+  "request.ending",
+  /** The machine of an entry is suspended, with its steady clock. */
+  "entry.suspend",
+] as const;
+
 /** See the lists above. */
-export type FaultKind = typeof PLANNED[number] | typeof UNPLANNED[number];
+export type FaultKind =
+  | typeof PLANNED[number]
+  | typeof UNPLANNED[number]
+  | typeof EXTENDED[number];
 
 /** Something that begins `at` milliseconds after the start of the load. */
 export interface SoakFault {
@@ -71,6 +82,27 @@
 const SHORTEST = 200;
 const LONGEST = 5_000;
 
+/** Mean time between two faults that an extended plan adds, in milliseconds. */
+const EXTENDED_PAUSE = 2_500;
+/** Tells the numbers that these are drawn by from those of the rest. */
+const EXTENDED_SALT = 0x5eed;
+
+/** The plan of a seed with faults of the extended kinds besides. */
+export function extendedPlanOf(seed: number, length: number): SoakPlan {
+  const plan = planOf(seed, length);
+  const draw = uniformFloat64(seed ^ EXTENDED_SALT);
+  const added: SoakFault[] = [];
+  let at = FIRST_FAULT;
+  while (at < length - LAST_FAULT) {
+    const kind = EXTENDED[Math.floor(draw() * EXTENDED.length)];
+    const duration = SHORTEST + draw() * (LONGEST - SHORTEST);
+    added.push({ kind, at, duration, target: Math.floor(draw() * 16) });
+    at += -Math.log(1 - draw()) * EXTENDED_PAUSE;
+  }
+  const faults = [...plan.faults, ...added];
+  return { ...plan, isPlannedOnly: false, faults };
+}
+
 /** The plan of a seed, for a load of `length` milliseconds. */
 export function planOf(seed: number, length: number): SoakPlan {
   const draw = uniformFloat64(seed);
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import { setTimeout as delay } from "node:timers/promises";
+import { randomUUID } from "node:crypto";
 import { request } from "undici";
+import { PlatformHeaders } from "../../platform/index.ts";
 import {
   type Call,
   checkHistory,
@@ -14,7 +16,12 @@
   runLoad,
 } from "../../src/load/index.ts";
 import type { Weakness } from "../support/bundled_program.ts";
-import { Deployment, type Member } from "../support/deployment.ts";
+import {
+  Deployment,
+  endingPath,
+  HOST,
+  type Member,
+} from "../support/deployment.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import type { SoakFault, SoakPlan } from "./soak_plan.ts";
 
@@ -28,6 +35,12 @@
 /** Time between the word that a server leaves and its end, in milliseconds. */
 const DRAIN_TIME = 2_600;
 
+/** A request that ends its servers is sent for this long at least, so often, and a
+ * server that it has ended is back after this time, in milliseconds. */
+const ENDING_TIME = 3_000;
+const ENDING_PAUSE = 250;
+const RETURN_TIME = 800;
+
 /** What a run found. */
 export interface SoakReport {
   seed: number;
@@ -173,6 +186,8 @@
           server,
           () => this.#strikeServer(server, action, fault),
         );
+      case "request":
+        return this.#endServers(fault);
       case "configuration":
         return this.#publish();
       case "store":
@@ -207,6 +222,7 @@
     const { process: child } = entry;
     if (action === "reload") return void child.kill("SIGHUP");
     if (action === "pause") return pause(child, duration);
+    if (action === "suspend") return this.#deployment.suspend(entry, duration);
     child.kill(action === "kill" ? "SIGKILL" : "SIGTERM");
     while (child.exitCode === null && child.signalCode === null) {
       await delay(20);
@@ -256,12 +272,42 @@
       while (server.process.signalCode === null) await delay(20);
       return deployment.restart(server);
     }
+    this.#replace(server);
+  }
+
+  /** Starts a server in place of one that has ended. */
+  #replace(server: Member): void {
+    const { servers } = this.#deployment;
     this.#serverCount += 1;
     const service = server.name.split("-")[0];
     const id = `${service}-${this.#serverCount}`;
-    deployment.servers.push(deployment.startServer(service, id));
-    const index = deployment.servers.indexOf(server);
-    this.#gone.push(...deployment.servers.splice(index, 1));
+    servers.push(this.#deployment.startServer(service, id));
+    const index = servers.indexOf(server);
+    this.#gone.push(...servers.splice(index, 1));
+  }
+
+  /** A caller sends the same request again and again, to all entries in turn; servers
+   * that it has ended are replaced. */
+  async #endServers({ duration, target }: SoakFault): Promise<void> {
+    const deployment = this.#deployment;
+    const service = target % 2 === 0 ? "stock" : "orders";
+    const end = Date.now() + ENDING_TIME + duration;
+    for (let i = target; Date.now() < end; i++) {
+      const entry = deployment.entries[i % deployment.entries.length];
+      void sendEnding(entry.address, service, target);
+      await delay(ENDING_PAUSE);
+      const ended = deployment.servers.filter((each) =>
+        each.process.signalCode !== null && !this.#faulty.has(each)
+      );
+      for (const server of ended) {
+        void this.#once(server, async () => {
+          await delay(RETURN_TIME);
+          this.#replace(server);
+        });
+      }
+    }
+    // Those that ended last are replaced before anybody looks for all of them.
+    await delay(RETURN_TIME);
   }
 
   /** Servers that have ended; what they ran still counts. */
@@ -354,6 +400,24 @@
   }
 }
 
+async function sendEnding(
+  address: string,
+  service: string,
+  variant: number,
+): Promise<void> {
+  const headers = PlatformHeaders.create().forCaller({
+    id: `ends-${randomUUID()}`,
+    timeout: 2_000,
+    key: variant * 1_000,
+  });
+  await request(`http://${address}${endingPath(service)}`, {
+    method: "POST",
+    headers: { host: HOST, ...headers },
+    body: `ends its server ${variant}`,
+    // Entries may be paused or gone.
+  }).then(({ body }) => body.dump(), () => {});
+}
+
 /** Lookups are idempotent although the load sends them by POST. */
 function asIdempotent(runs: Run[]): Run[] {
   return runs.map((run) =>
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { planOf } from "./soak_plan.ts";
+import { extendedPlanOf, planOf } from "./soak_plan.ts";
 import { SoakRun } from "./soak_run.ts";
 
 /** Time under load, in milliseconds: a short run of the whole thing. */
@@ -18,3 +18,17 @@
     t.true(report.served > report.calls / 3, JSON.stringify(report));
   });
 }
+
+test("soak: an extended plan is the seed's with more", (t) => {
+  const { faults } = planOf(5, LENGTH);
+  const extended = extendedPlanOf(5, LENGTH);
+  t.deepEqual(extended, extendedPlanOf(5, LENGTH));
+  t.deepEqual(extended.faults.slice(0, faults.length), faults);
+  t.true(extended.faults.length > faults.length);
+});
+
+test.serial("soak: extended seed 11 breaks no promise", async (t) => {
+  const report = await SoakRun.play(extendedPlanOf(11, LENGTH));
+  t.deepEqual(report.breaches, []);
+  t.true(report.served > report.calls / 3, JSON.stringify(report));
+});
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -12,6 +12,7 @@
   writeFileSync,
 } from "node:fs";
 import { tmpdir } from "node:os";
+import { fileURLToPath } from "node:url";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
@@ -31,7 +32,14 @@
 /** Time without a move after which keys count as settled, in milliseconds: four
  * looks of the term holder at the balance. */
 const SETTLE_TIME = 1_200;
-const HOST = "test.example";
+/** Host of all routes. */
+export const HOST = "test.example";
+/** Lets the machine of an entry be suspended. */
+const MACHINE = fileURLToPath(
+  new URL("suspendable_machine.cjs", import.meta.url),
+);
+/** Time in which a process takes in that it is suspended next, in milliseconds. */
+const NOTICE = 60;
 
 /** One process of the system. */
 export interface Member {
@@ -270,7 +278,9 @@
   }
 
   #start(command: string[], settingsFile: string, log: string): ChildProcess {
-    const args = [this.program, ...command, "--settings", settingsFile];
+    const program = [this.program, ...command, "--settings", settingsFile];
+    const isEntry = command[0] === "serve";
+    const args = isEntry ? ["--require", MACHINE, ...program] : program;
     const child = spawn(process.execPath, args, {
       stdio: ["ignore", "pipe", "inherit"],
     });
@@ -279,6 +289,15 @@
     return child;
   }
 
+  /** Suspends an entry's machine: nothing runs, and its steady clock stands still. */
+  async suspend({ process: child }: Member, duration: number): Promise<void> {
+    child.kill("SIGUSR2");
+    await delay(NOTICE);
+    child.kill("SIGSTOP");
+    await delay(duration);
+    child.kill("SIGCONT");
+  }
+
   /** Starts a member again that has ended, with the settings that it had. */
   restart(member: Member): void {
     const { command, settingsFile, log } = member;
