--- a/src/runtime/elapsed_clock.ts
+++ b/src/runtime/elapsed_clock.ts
@@ -50,6 +50,8 @@
   #checkedAt: number;
   /** Whether the time of day has jumped since that look. */
   #hasJumped = false;
+  /** By how much the time of day was set back and not ahead again. */
+  #setBack = 0;
   #soundLooks = 0;
   /** Whether the time since the machine's start was seen to run otherwise. */
   #isUptimeForeign = false;
@@ -92,11 +94,20 @@
   #jumped(shift: number, steady: number): void {
     this.#hasJumped = true;
     if (!this.#isUptimeTrusted) {
-      return this.#count({ gap: shift, isCertain: false });
+      const gap = this.#isSetAhead(shift) ? 0 : shift;
+      return this.#count({ gap, isCertain: false });
     }
     this.#count({ gap: this.#takeUptimeShift(steady), isCertain: true });
   }
 
+  /** Whether a jump of the time of day makes up for one back before. */
+  #isSetAhead(shift: number): boolean {
+    const makesUp = this.#setBack > 0 &&
+      Math.abs(shift - this.#setBack) <= LARGEST_DRIFT;
+    this.#setBack = shift < 0 ? this.#setBack - shift : 0;
+    return makesUp;
+  }
+
   #check(steady: number): void {
     const hasJumped = this.#hasJumped;
     const shift = this.#takeUptimeShift(steady);
--- a/src/runtime/elapsed_clock_test.ts
+++ b/src/runtime/elapsed_clock_test.ts
@@ -105,3 +105,14 @@
   }
   t.is(count, 0);
 });
+
+test("elapsed clock: a time of day that is set back and then right again is no time that has gone", (t) => {
+  const { run, set, suspend, elapsed } = createMachine(0.7);
+  run(1_000);
+  set(-3_000);
+  run(1_000);
+  set(3_000);
+  t.is(elapsed(), 2_000);
+  suspend(3_000);
+  t.is(elapsed(), 5_000);
+});
