--- a/test/ownership/ending_request_test.ts
+++ b/test/ownership/ending_request_test.ts
@@ -141,6 +141,30 @@
   ]],
 ];
 
+/** All VMs are killed at once, three times: nobody is left who remembers. */
+const HERD_KILLS = [6_000, 12_000, 18_000].flatMap((after) =>
+  Array.from({ length: 11 }, (_, target): Fault => ({
+    kind: "vm.kill",
+    at: FROM + after,
+    duration: 400,
+    target,
+  }))
+);
+
+test("a request that ends its servers: all VMs are killed at once, again and again", (t) => {
+  for (const seed of [1, 2]) {
+    for (const isKeyed of [true, false]) {
+      const load = { isKeyed, ending: SLOWER };
+      const servers = MANY_SERVERS;
+      const faults = HERD_KILLS;
+      const report = play({ vms: 11, servers, seed, faults, load });
+      const late = lateRuns(report);
+      const kind = isKeyed ? "keyed" : "without keys";
+      t.true(late <= ALLOWED_RUNS, `seed ${seed}, ${kind}: ${late} late runs`);
+    }
+  }
+});
+
 /** Servers that are back are not known while the store answers nobody: so many
  * that some are left to end. */
 const MANY_SERVERS = 24;
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -309,6 +309,13 @@
     this.#of(caller).attempts += 1;
     const vms = this.peers.vms();
     const vm = vms[Math.floor(this.draw() * vms.length)];
+    if (vm === undefined) {
+      // Nobody takes its connection.
+      this.#of(caller).failed += 1;
+      const took = this.time.now - caller.startedAt;
+      this.ends.push({ ...caller, name: "failed", took });
+      return;
+    }
     this.time.after(CALLER_HOP, () => {
       this.#exchangeCount += 1;
       const exchange = this.#exchangeCount;
