Requests that are held back are recorded in the store

The holder writes what is held back into the topic of its announcement, which every VM reads at its start, so that no call is added but one for each request that is held back.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -18,6 +18,7 @@
   TermCampaign,
 } from "./keyspace/index.ts";
 import { PeerExchange } from "./peer_exchange.ts";
+import { QuarantineRecord } from "./quarantine_record.ts";
 import { uniformFloat64 } from "./random.ts";
 import { Shutdown } from "./shutdown.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -41,6 +42,7 @@
   readonly #shutdown: Shutdown;
   readonly #registryTiming: RegistryTiming;
   readonly #store = StoreHealth.create();
+  readonly #quarantineRecord: QuarantineRecord;
   #isReady = false;
   #isFollowingFeeds = true;
   /** Time of the first event. */
@@ -52,6 +54,7 @@
     this.beliefs = Beliefs.create(emit);
     const { catalog, fleet, directory, keyLimits } = this.beliefs;
     const { quarantine, crashes } = this.beliefs;
+    this.#quarantineRecord = QuarantineRecord.create(quarantine);
     this.campaign = TermCampaign.create(
       options.leaseTiming,
       fleet,
@@ -155,6 +158,10 @@
       case "assignments.read":
         this.peers.recordRead(event.assignments, now);
         return this.beliefs.assign(event.assignments);
+      case "quarantine.read":
+        return this.#quarantineRecord.read(event.records, now);
+      case "quarantine.written":
+        return this.#quarantineRecord.written(event.isDone, now);
       case "holder.read":
         return this.campaign.holderRead();
       case "holder.announced":
@@ -259,6 +266,10 @@
     const silence = this.storeSilence(now);
     const isTold = this.peers.isTold(now);
     this.#put(...this.campaign.advance(services, now, silence, isTold));
+    if (this.campaign.holder !== null && !this.#store.isFailing(now)) {
+      const write = this.#quarantineRecord.advance(now);
+      if (write !== null) this.#put(write);
+    }
     const to = this.campaign.phase;
     if (from !== to) this.beliefs.note("term.phase", { from, to });
   }
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -7,6 +7,7 @@
 import type { DispatchEffect } from "./dispatch/index.ts";
 import type { KeyspaceEffect } from "./keyspace/index.ts";
 import type { AssignmentFetch, PeerSend } from "./peers/index.ts";
+import type { QuarantineWrite } from "./quarantine_record.ts";
 import type { RegistryFetch } from "./registry/index.ts";
 
 /** See the module's comment. */
@@ -16,6 +17,7 @@
   | PeerSend
   | AssignmentFetch
   | RegistryFetch
+  | QuarantineWrite
   /** A newer configuration than the one in force exists: read it now. */
   | { kind: "configuration.fetch" }
   /** The store's feeds are followed here, or left to the term holder, which tells
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -14,6 +14,7 @@
   WriteOutcome,
 } from "./keyspace/index.ts";
 import type { HolderAddress, PeerMessage } from "./peers/index.ts";
+import type { CrashRecord } from "./quarantine/index.ts";
 import type { RegistryRead } from "./registry/index.ts";
 
 /** The step towards the store of a membership call. */
@@ -34,6 +35,9 @@
   | { kind: "assignments.read"; assignments: Assignment[] }
   /** A VM announced that it holds a term. */
   | { kind: "holder.announced"; holder: HolderAddress }
+  /** What is held back was read from the store, or written to it. */
+  | { kind: "quarantine.read"; records: CrashRecord[] }
+  | { kind: "quarantine.written"; isDone: boolean }
   /** The store has told who held the term last, if anybody did. */
   | { kind: "holder.read" }
   | { kind: "peer.received"; address: string; message: PeerMessage }
--- a/src/core/quarantine/crash_record.ts
+++ b/src/core/quarantine/crash_record.ts
@@ -35,6 +35,8 @@
   excused: runsSchema,
   /** Milliseconds since a server ended under it last. */
   age: z.number().nonnegative(),
+  /** Whether it is held back by who tells this. */
+  isHeld: z.boolean(),
 });
 
 /** A record as it is told to other VMs. */
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -62,6 +62,7 @@
   readonly #byHead = new Map<string, Set<string>>();
   #revision = 0;
   #ownRevision = 0;
+  #holdRevision = 0;
   #digest: number | null = 0;
   #expiredAt = -Infinity;
 
@@ -143,6 +144,17 @@
       .map((crashes) => holdOf(crashes, now));
   }
 
+  /** Number of the last change to what is held back. */
+  get holdRevision(): number {
+    return this.#holdRevision;
+  }
+
+  /** Records of the requests that are held back. */
+  held(now: number): CrashRecord[] {
+    return this.#notable().filter((each) => each.isHeld)
+      .map((each) => toRecord(each, now));
+  }
+
   /** Number of requests that are held back. */
   get holdCount(): number {
     let count = 0;
@@ -184,6 +196,7 @@
       this.#try(crashes, now);
     } else if (!crashes.isHeld && now >= heldFrom(crashes)) {
       crashes.isHeld = true;
+      this.#holdRevision += 1;
       this.changed({ kind: "held", crashes });
       this.#excuseOthers(crashes, now);
     }
@@ -217,6 +230,10 @@
       crashes.runs = runs;
       crashes.excused = excused;
     });
+    // Whoever holds it back has waited for an answer to be heard of.
+    if (record.isHeld && isConvicted(crashes)) {
+      crashes.doubtfulSince = -Infinity;
+    }
   }
 
   #find(fingerprint: Fingerprint): KnownCrashes | undefined {
@@ -320,9 +337,9 @@
 }
 
 function toRecord(crashes: KnownCrashes, now: number): CrashRecord {
-  const { request, target, round, runs, excused, lastAt } = crashes;
+  const { request, target, round, runs, excused, lastAt, isHeld } = crashes;
   const age = Math.max(0, now - lastAt);
-  return { request, target, round, runs, excused, age };
+  return { request, target, round, runs, excused, age, isHeld };
 }
 
 function union(a: readonly string[], b: readonly string[]): string[] {
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from "../core/catalog/index.ts";
 import type { Occurrence } from "../core/entry_event.ts";
 import type { Assignment, Group, Records } from "../core/keyspace/index.ts";
+import type { CrashRecord } from "../core/quarantine/index.ts";
 import type { RegistryRead } from "../core/registry/index.ts";
 
 /** What is followed in the store. */
@@ -95,6 +96,8 @@
     address: string,
     fitness: number,
   ): Promise<void>;
+  /** Keeps what is held back, for VMs that start. */
+  abstract writeQuarantine(records: readonly CrashRecord[]): Promise<void>;
   /** Resolves once the store has answered a short call after one that failed, at
    * the latest after `patience` milliseconds; at once while none has failed. */
   abstract reached(patience: number): Promise<void>;
--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -118,6 +118,8 @@
         return void store.announce(effect, this.adapters.peerAddress);
       case "assignments.fetch":
         return void store.fetch();
+      case "quarantine.write":
+        return void store.writeQuarantine(effect);
       case "servers.fetch":
         return void store.readServers(effect);
       case "peer.send":
--- a/src/runtime/store_link.ts
+++ b/src/runtime/store_link.ts
@@ -13,6 +13,7 @@
   TermClaim,
   WriteOutcome,
 } from "../core/keyspace/index.ts";
+import type { QuarantineWrite } from "../core/quarantine_record.ts";
 import type { RegistryFetch } from "../core/registry/index.ts";
 import { errorText } from "../errors/index.ts";
 import type { Journal } from "../logging/index.ts";
@@ -151,6 +152,16 @@
     this.sink.push({ kind: "assignments.written", term, outcome });
   }
 
+  /** Records what is held back. */
+  async writeQuarantine({ records }: QuarantineWrite): Promise<void> {
+    const outcome = await this.#write(
+      "record what is held back",
+      () => this.store.writeQuarantine(records),
+    );
+    const isDone = outcome === "done";
+    this.sink.push({ kind: "quarantine.written", isDone });
+  }
+
   async #readRecords(): Promise<RecordsRead> {
     const read = await this.store.readRecords();
     this.recordFaults.take(read);
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -21,6 +21,7 @@
   type OrderOutcome,
   type ReleaseOrder,
 } from "../../src/core/keyspace/index.ts";
+import type { CrashRecord } from "../../src/core/quarantine/index.ts";
 import type { HolderAddress, PeerMessage } from "../../src/core/peers/index.ts";
 import { uniformFloat64 } from "../../src/core/random.ts";
 import type { RegistryRead } from "../../src/core/registry/index.ts";
@@ -300,6 +301,8 @@
   /** VMs that were told that they had claimed a term, by term. */
   readonly #claims = new Map<number, string>();
   #holder: HolderAddress | null = null;
+  /** What is held back by the store's record, and since when. */
+  #recordedQuarantine: { records: CrashRecord[]; at: number } | null = null;
   /** When each version of the configuration was published. */
   readonly #publications: number[] = [0];
 
@@ -445,6 +448,14 @@
     if (mayRead && this.#holder !== null) {
       this.#push(vm, { kind: "holder.announced", holder: this.#holder });
     }
+    if (mayRead && this.#recordedQuarantine !== null) {
+      const { records, at } = this.#recordedQuarantine;
+      const passed = this.#time.now - at;
+      this.#push(vm, {
+        kind: "quarantine.read",
+        records: records.map((each) => ({ ...each, age: each.age + passed })),
+      });
+    }
     if (mayRead) this.#push(vm, { kind: "holder.read" });
     this.#time.after(HOLDER_INTERVAL, () => this.#readHolder(vm, run));
   }
@@ -645,6 +656,22 @@
           this.#holder = { term, vm: id, address, fitness };
           this.#report.holders.push(address);
         }, () => null);
+      case "quarantine.write": {
+        const { records } = effect;
+        const at = this.#time.now;
+        this.#countCall("quarantine");
+        return this.#call(
+          vm,
+          () => {
+            this.#recordedQuarantine = { records, at };
+            return "done";
+          },
+          (answer) => ({
+            kind: "quarantine.written",
+            isDone: answer !== null,
+          }),
+        );
+      }
       case "attempt.start":
         return this.#report.load!.send(vm.index, effect);
       case "server.check": {
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -1,3 +1,8 @@
+import {
+  decodeQuarantine,
+  encodeQuarantine,
+} from "../platform/quarantine_codec.ts";
+import type { CrashRecord } from "../src/core/quarantine/index.ts";
 import { createServer, type Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { encode } from "cbor-x";
@@ -681,3 +686,25 @@
   }
   t.deepEqual(kinds, ["withheld", "accepted", "accepted"]);
 });
+
+test("quarantine: what was held back is read with its age, whoever's clock is ahead", (t) => {
+  const record: CrashRecord = {
+    request: "AbCdEfGhIjKlMnOp",
+    target: "h.example/x",
+    round: 1,
+    runs: ["s-1#1"],
+    excused: ["s-2#1", "s-3#7"],
+    age: 500,
+    isHeld: true,
+  };
+  const read = (writtenAt: number, now: number) => {
+    const frame = encodeQuarantine("quarantine", [record], writtenAt);
+    const { key, value } = decodeKeyedRecord(frame.subarray(4));
+    t.is(key, "quarantine");
+    return decodeQuarantine(value!, now);
+  };
+  t.deepEqual(read(1_000, 3_000), [{ ...record, age: 2_500 }]);
+  t.deepEqual(read(3_000, 1_000), [record]);
+  const damaged = Buffer.from("not a record");
+  t.throws(() => decodeQuarantine(damaged, 0));
+});
