--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,12 @@
 /**
- * Benchmarks: `--control`, `--slopes`, `--overhead`; all without an option.
+ * Benchmarks: `--control`, `--slopes`, `--overhead`, `--quarantine`; all without an option.
  *
  * @module
  */
 import { parseArgs } from "node:util";
 import { measureControl } from "./control.ts";
 import { measureOverhead } from "./overhead.ts";
+import { measureQuarantine } from "./quarantine.ts";
 import { measureSlopes } from "./slopes.ts";
 
 const { values } = parseArgs({
@@ -13,9 +14,11 @@
     control: { type: "boolean" },
     slopes: { type: "boolean" },
     overhead: { type: "boolean" },
+    quarantine: { type: "boolean" },
   },
 });
 const isAll = Object.keys(values).length === 0;
 if (isAll || values.slopes) measureSlopes();
+if (isAll || values.quarantine) measureQuarantine();
 if (isAll || values.control) await measureControl();
 if (isAll || values.overhead) await measureOverhead();
--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -39,8 +39,8 @@
       this.note("request.accused", {
         request: request.id,
         server,
-        fingerprint: request.fingerprint.whole,
-        ends: this.quarantine.ends(request.fingerprint),
+        fingerprint: request.fingerprint,
+        ends: this.quarantine.endsUnder(request.fingerprint),
       }),
   );
   #holder: HolderAddress | null = null;
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -128,7 +128,13 @@
     const { fleet, crashes } = this.context;
     const server = fleet.get(attempt.server);
     if (!server?.has(attempt.number)) return;
-    const check = crashes.broke(server, arrival, now);
+    const { id, host, fingerprint } = arrival;
+    const request = {
+      id,
+      target: `${host}${arrival.target}`,
+      fingerprint: fingerprint.whole,
+    };
+    const check = crashes.broke(server, request, now);
     if (check !== null) this.emit(check);
   }
 
--- a/src/core/quarantine/crash_watch.ts
+++ b/src/core/quarantine/crash_watch.ts
@@ -13,7 +13,7 @@
  * @module
  */
 import type { FleetChange, TrackedServer } from "../fleet/index.ts";
-import type { Fingerprint } from "./fingerprint.ts";
+import { LONGEST_TARGET } from "./crash_record.ts";
 import type { Quarantine } from "./quarantine.ts";
 
 /** Time for which a broken attempt is remembered, and the end of a run, in
@@ -38,13 +38,14 @@
   address: string;
 }
 
-/** A request whose attempt broke. */
+/** A request whose attempt broke; its body is not kept. */
 export interface BrokenRequest {
   /** The caller's id of it. */
   id: string;
-  host: string;
+  /** Host and path. */
   target: string;
-  fingerprint: Fingerprint;
+  /** The whole fingerprint. */
+  fingerprint: string;
 }
 
 /** A request that was at work on a server when that ended. */
@@ -100,8 +101,10 @@
       this.#accuse(server.id, watched.run, request, now);
       return null;
     }
-    watched.broken.push({ request, at: now });
-    if (watched.broken.length > MAXIMUM_BROKEN) watched.broken.shift();
+    const recent = watched.broken.filter(({ at }) => now - at <= MEMORY);
+    const target = request.target.slice(0, LONGEST_TARGET);
+    const broken = { request: { ...request, target }, at: now };
+    watched.broken = [...recent, broken].slice(-MAXIMUM_BROKEN);
     if (now - watched.checkedAt < watched.checkPause) return null;
     watched.checkedAt = now;
     const { address } = server.entry;
@@ -150,9 +153,8 @@
     request: BrokenRequest,
     now: number,
   ): void {
-    const { fingerprint, host, target } = request;
-    const where = `${host}${target}`;
-    const isNews = this.quarantine.accuse(fingerprint.whole, where, run, now);
+    const { fingerprint, target } = request;
+    const isNews = this.quarantine.accuse(fingerprint, target, run, now);
     if (isNews) this.accused({ request, server });
   }
 
--- a/src/core/quarantine/crash_watch_test.ts
+++ b/src/core/quarantine/crash_watch_test.ts
@@ -7,9 +7,8 @@
 
 const REQUEST = {
   id: "r",
-  host: "h",
-  target: "/",
-  fingerprint: fingerprintOf("/"),
+  target: "h/",
+  fingerprint: fingerprintOf("/").whole,
 };
 
 /** A watch over servers `s-1` to `s-3`. */
@@ -18,7 +17,7 @@
   fleet.apply(["s-1", "s-2", "s-3"].map((id) => backendServer(id)), [], 0);
   const quarantine = Quarantine.create();
   const watch = CrashWatch.create(quarantine, () => {});
-  const ends = () => quarantine.ends(REQUEST.fingerprint);
+  const ends = () => quarantine.endsUnder(REQUEST.fingerprint);
   const server = (id: string) => fleet.get(id)!;
   return { fleet, watch, ends, server };
 }
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -121,6 +121,11 @@
     return this.#find(fingerprint)?.runs.length ?? 0;
   }
 
+  /** The same of a request by its whole fingerprint. */
+  endsUnder(request: string): number {
+    return this.#records.get(request)?.runs.length ?? 0;
+  }
+
   /** How a request is held back, or null when it may be sent. */
   hold(fingerprint: Fingerprint, now: number): Hold | null {
     const crashes = this.#find(fingerprint);
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -175,6 +175,10 @@
   messages: Map<string, number>;
   /** Orders that a VM sent though its authority had ended. */
   staleOrders: number;
+  /** When each VM first held a request back. */
+  heldBackAt: Map<string, number>;
+  /** Messages that told of requests under which servers have ended. */
+  quarantineMessages: PeerMessage[];
   /** When servers were lost. */
   serverEnds: number[];
 }
@@ -291,6 +295,8 @@
     storeCalls: new Map(),
     load: null,
     messages: new Map(),
+    heldBackAt: new Map(),
+    quarantineMessages: [],
     serverEnds: [],
     staleOrders: 0,
   };
@@ -689,8 +695,12 @@
         return this.#report.load!.deliver(effect.exchange);
       case "request.refuse":
         return this.#report.load!.refuse(effect);
+      case "note":
+        if (effect.decision === "quarantine.held") this.#noteHold(vm);
+        return;
       case "peer.send":
         this.#countMessage(effect.message.kind);
+        this.#noteQuarantine(effect.message);
         if (this.options.isStoreSilenceHidden) hideSilence(effect.message);
         return this.#sendPeer(vm, effect.address, {
           kind: "peer.received",
@@ -728,6 +738,16 @@
     this.#report.violations.push(`${holder} and ${id} hold term ${term}`);
   }
 
+  #noteHold({ id }: Vm): void {
+    const { heldBackAt } = this.#report;
+    if (!heldBackAt.has(id)) heldBackAt.set(id, this.#time.now);
+  }
+
+  #noteQuarantine(message: PeerMessage): void {
+    const isTold = (message.quarantine?.records.length ?? 0) > 0;
+    if (isTold) this.#report.quarantineMessages.push(message);
+  }
+
   #countMessage(kind: string): void {
     const { messages } = this.#report;
     messages.set(kind, (messages.get(kind) ?? 0) + 1);
