--- a/test/ownership/ending_request_test.ts
+++ b/test/ownership/ending_request_test.ts
@@ -7,6 +7,8 @@
  * remembered, and none told another.
  */
 import test from "ava";
+import fc from "fast-check";
+import { type Ending, endings } from "./schedule.ts";
 import type {
   EndingRequest,
   LoadOptions,
@@ -259,3 +261,47 @@
     }
   });
 }
+
+/** Time after a fault for which a VM may still lack what it missed, with the time that
+ * a process takes to start again, in milliseconds. */
+const CATCH_UP_TIME = 4_500;
+const SCHEDULES = 40;
+
+/** Late runs for VMs that nothing was wrong with, and other requests held back. */
+function playEnding(ending: Ending) {
+  const { vms, faults, seed, isKeyed, isIdempotent, pause } = ending;
+  const report = play({
+    vms,
+    servers: 16,
+    seed,
+    faults,
+    load: { isKeyed, isIdempotent, ending: { ...ENDING, pause } },
+  });
+  const isDisturbed = (vm: number, at: number) =>
+    faults.some((fault) =>
+      fault.kind.startsWith("vm.") && fault.target % vms === vm &&
+      fault.at <= at && at <= fault.at + fault.duration + CATCH_UP_TIME
+    );
+  const { endingRuns, heldBack } = report.load!;
+  const firstRuns = new Map<string, number>();
+  for (const { server, at } of endingRuns) {
+    if (!firstRuns.has(server)) firstRuns.set(server, at);
+  }
+  const third = [...firstRuns.values()][ALLOWED_ENDS - 1] ?? Infinity;
+  const late = endingRuns.filter(({ at, vm }) =>
+    at > third + ENDING.work + LEARNING_TIME && !isDisturbed(vm, at)
+  );
+  const innocent = heldBack.filter((each) => !each.isEnding);
+  const { violations } = report;
+  return { late: late.length, innocent: innocent.length, violations };
+}
+
+test("a request that ends its servers: it is held back whatever else fails", (t) => {
+  for (const ending of fc.sample(endings, { numRuns: SCHEDULES, seed: 2 })) {
+    const { late, innocent, violations } = playEnding(ending);
+    const schedule = JSON.stringify(ending);
+    t.true(late <= ALLOWED_RUNS, `${late} late runs: ${schedule}`);
+    t.is(innocent, 0, schedule);
+    t.deepEqual(violations, [], schedule);
+  }
+});
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -153,8 +153,9 @@
   longestOverrun = -Infinity;
   /** Requests that were held back, and when. */
   readonly heldBack: (Caller & { at: number })[] = [];
-  /** When a server began to run the request that ends servers, and which one. */
-  readonly endingRuns: { at: number; server: string }[] = [];
+  /** When a server began to run the request that ends servers, which one, and for
+   * which VM. */
+  readonly endingRuns: { at: number; server: string; vm: number }[] = [];
 
   private constructor(
     private readonly options: LoadOptions,
@@ -383,8 +384,8 @@
     });
   }
 
-  #runEnding({ server, address }: Work): void {
-    this.endingRuns.push({ at: this.time.now, server });
+  #runEnding({ server, address, vm }: Work): void {
+    this.endingRuns.push({ at: this.time.now, server, vm });
     this.time.after(this.options.ending!.work, () => {
       if (this.peers.isThere(server, address)) this.peers.endServer(address);
     });
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -216,3 +216,47 @@
   duration: fc.constant(30_000),
   seed: fc.nat(),
 });
+
+/** A request that ends its servers, and what fails around it. */
+export interface Ending {
+  vms: number;
+  faults: Fault[];
+  seed: number;
+  isKeyed: boolean;
+  isIdempotent: boolean;
+  /** Pause between two repeats, in milliseconds. */
+  pause: number;
+}
+
+/** Schedules in which VMs, servers and the store fail while a request is repeated
+ * that ends its servers. */
+export const endings: fc.Arbitrary<Ending> = fc.record({
+  vms: fc.constantFrom(3, 6, 11, 20),
+  faults: fc.array(
+    fc.record({
+      kind: fc.constantFrom<Fault["kind"]>(
+        "vm.freeze",
+        "vm.suspend",
+        "vm.kill",
+        "vm.cut_from_store",
+        "vm.cut_from_servers",
+        "vm.cut_from_peers",
+        "vm.shutdown",
+        "server.lost",
+        "server.drain",
+        "server.restart",
+        "store.down",
+        "store.loses_answers",
+        "store.rebalance",
+      ),
+      at: fc.integer({ min: 8_000, max: 30_000 }),
+      duration: fc.integer({ min: 300, max: 8_000 }),
+      target: fc.nat(40),
+    }),
+    { maxLength: 14 },
+  ),
+  seed: fc.nat(),
+  isKeyed: fc.boolean(),
+  isIdempotent: fc.boolean(),
+  pause: fc.integer({ min: 300, max: 3_600 }),
+});
