--- a/src/core/quarantine/crash_record.ts
+++ b/src/core/quarantine/crash_record.ts
@@ -113,3 +113,82 @@
 export function isNotable({ round, runs, excused }: KnownCrashes): boolean {
   return round > 0 || runs.length + excused.length >= TOLERATED_ENDS - 1;
 }
+
+/** A record of a request under which nothing has ended yet. */
+export function newCrashes(
+  request: string,
+  target: string,
+  round: number,
+  lastAt: number,
+): KnownCrashes {
+  return {
+    request,
+    target: target.slice(0, LONGEST_TARGET),
+    round,
+    runs: [],
+    excused: [],
+    lastAt,
+    doubtfulSince: Infinity,
+    isHeld: false,
+    revision: 0,
+  };
+}
+
+/** A request that is held back. */
+export interface Hold {
+  request: string;
+  target: string;
+  /** Runs of servers that have ended under it. */
+  runs: readonly string[];
+  /** Milliseconds until it is let through for a trial. */
+  left: number;
+}
+
+/** Whether one record goes before another when there are too many. */
+export function isBefore(a: KnownCrashes, b: KnownCrashes): boolean {
+  if (a.isHeld !== b.isHeld) return b.isHeld;
+  return a.lastAt < b.lastAt;
+}
+
+/** How a request is held back. */
+export function holdOf(crashes: KnownCrashes, now: number): Hold {
+  const { request, target, runs } = crashes;
+  return { request, target, runs, left: heldUntil(crashes) - now };
+}
+
+/** A record as it is told now. */
+export function toRecord(crashes: KnownCrashes, now: number): CrashRecord {
+  const { request, target, round, runs, excused, lastAt, isHeld } = crashes;
+  const age = Math.max(0, now - lastAt);
+  return { request, target, round, runs, excused, age, isHeld };
+}
+
+/** Names that are in one list or the other. */
+export function union(a: readonly string[], b: readonly string[]): string[] {
+  return [...new Set([...a, ...b])];
+}
+
+/** Whether two lists have the same names. */
+export function isSame(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((each) => b.includes(each));
+}
+
+/** A number that tells the states of two sets of records apart, whatever their
+ * order. */
+export function digestOf(records: readonly KnownCrashes[]): number {
+  let digest = 0;
+  for (const { request, round, runs, excused } of records) {
+    const state = `${request} ${round} ${runs.length} ${excused.length}`;
+    digest ^= hash32(state);
+  }
+  return digest >>> 0;
+}
+
+/** FNV-1a: tells two states apart that are not made to look alike. */
+function hash32(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
+  }
+  return hash;
+}
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -19,15 +19,22 @@
 import { type Fingerprint, headOf } from "./fingerprint.ts";
 import {
   type CrashRecord,
+  digestOf,
   forgottenAt,
   heldFrom,
   heldUntil,
+  type Hold,
+  holdOf,
+  isBefore,
   isConvicted,
   isDoubtful,
   isNotable,
+  isSame,
   type KnownCrashes,
-  LONGEST_TARGET,
   MAXIMUM_RUNS,
+  newCrashes,
+  toRecord,
+  union,
 } from "./crash_record.ts";
 
 /** Records that are kept at the most; the one whose server ended longest ago goes
@@ -38,16 +45,6 @@
 /** Records that all VMs are told at the most. */
 const MAXIMUM_NOTABLE = 256;
 
-/** A request that is held back. */
-export interface Hold {
-  request: string;
-  target: string;
-  /** Runs of servers that have ended under it. */
-  runs: readonly string[];
-  /** Milliseconds until it is let through for a trial. */
-  left: number;
-}
-
 /** A change that is worth a line in the log. */
 export interface QuarantineChange {
   kind: "held" | "cleared" | "tried";
@@ -89,23 +86,13 @@
 
   /** A number that is the same at two VMs which have the same notable records. */
   get digest(): number {
-    return this.#digest ??= this.#computeDigest();
+    return this.#digest ??= digestOf(this.#notable());
   }
 
   /** A run of a server ended under a request. Returns whether that is news. */
   accuse(request: string, target: string, run: string, now: number): boolean {
     const crashes = this.#records.get(request) ??
-      this.#add({
-        request,
-        target: target.slice(0, LONGEST_TARGET),
-        round: 0,
-        runs: [],
-        excused: [],
-        lastAt: now,
-        doubtfulSince: Infinity,
-        isHeld: false,
-        revision: 0,
-      });
+      this.#add(newCrashes(request, target, 0, now));
     const isKnown = crashes.runs.includes(run) || crashes.excused.includes(run);
     if (isKnown) return false;
     this.#update(crashes, now, () => {
@@ -212,17 +199,7 @@
     const lastAt = now - record.age;
     const known = this.#records.get(request);
     const crashes = known ??
-      this.#add({
-        request,
-        target,
-        round,
-        runs: [],
-        excused: [],
-        lastAt,
-        doubtfulSince: Infinity,
-        isHeld: false,
-        revision: 0,
-      });
+      this.#add(newCrashes(request, target, round, lastAt));
     const excused = union(crashes.excused, record.excused);
     const runs = union(crashes.runs, record.runs)
       .filter((run) => !excused.includes(run));
@@ -318,48 +295,4 @@
     return all.sort((a, b) => isBefore(a, b) ? 1 : -1)
       .slice(0, MAXIMUM_NOTABLE);
   }
-
-  /** Independent of the order of records and of runs. */
-  #computeDigest(): number {
-    let digest = 0;
-    for (const { request, round, runs, excused } of this.#notable()) {
-      const state = `${request} ${round} ${runs.length} ${excused.length}`;
-      digest ^= hash32(state);
-    }
-    return digest >>> 0;
-  }
-}
-
-/** Whether one record goes before another when there are too many. */
-function isBefore(a: KnownCrashes, b: KnownCrashes): boolean {
-  if (a.isHeld !== b.isHeld) return b.isHeld;
-  return a.lastAt < b.lastAt;
-}
-
-function holdOf(crashes: KnownCrashes, now: number): Hold {
-  const { request, target, runs } = crashes;
-  return { request, target, runs, left: heldUntil(crashes) - now };
-}
-
-function toRecord(crashes: KnownCrashes, now: number): CrashRecord {
-  const { request, target, round, runs, excused, lastAt, isHeld } = crashes;
-  const age = Math.max(0, now - lastAt);
-  return { request, target, round, runs, excused, age, isHeld };
-}
-
-function union(a: readonly string[], b: readonly string[]): string[] {
-  return [...new Set([...a, ...b])];
-}
-
-function isSame(a: readonly string[], b: readonly string[]): boolean {
-  return a.length === b.length && a.every((each) => b.includes(each));
-}
-
-/** FNV-1a: tells two states apart that are not made to look alike. */
-function hash32(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
-  }
-  return hash;
 }
