Test of a process that is stopped between looks at two clocks; known red

Found by reading: such a stop, by a freeze or a busy machine, looks like a jump of the time of day and would count as time on top of its own.

--- a/src/runtime/elapsed_clock_test.ts
+++ b/src/runtime/elapsed_clock_test.ts
@@ -116,3 +116,27 @@
   suspend(3_000);
   t.is(elapsed(), 5_000);
 });
+
+test("elapsed clock: a process that is stopped between two looks has seen no jump", (t) => {
+  let steady = 1_000;
+  let stop = 0;
+  const clock = ElapsedClock.create({
+    steady: () => steady,
+    timeOfDay: () => {
+      // It is stopped once, right before this look.
+      steady += stop;
+      stop = 0;
+      return 1_700_000_000_000 + steady;
+    },
+    uptime: () => 90_000 + steady,
+  });
+  let count = 0;
+  clock.onJump(() => count += 1);
+  for (let i = 0; i < 200; i++) {
+    steady += 50;
+    if (i % 40 === 20) stop = 3_000;
+    clock.now();
+  }
+  t.is(count, 0);
+  t.is(clock.now(), steady);
+});
