Clock: two clocks are compared by looks that belong together

A process that was stopped between the looks at two clocks, by a freeze or a busy machine, took that for a suspension: 3 s were counted twice, and the term was given up. Where a jump is seen both clocks are read anew until the looks lie within 10 ms of each other.

--- a/src/runtime/elapsed_clock.ts
+++ b/src/runtime/elapsed_clock.ts
@@ -33,6 +33,10 @@
 /** Difference between two clocks from which one has jumped, in milliseconds: far more
  * than their steps, and than a clock that is slewed gains between two looks. */
 const JUMP = 100;
+/** Longest time between two looks that are compared, in milliseconds, and how often
+ * they are made anew for that. */
+const LONGEST_LOOK = 10;
+const MOST_LOOKS = 5;
 /** Pause between two looks at the time since the machine's start, in milliseconds. */
 const CHECK_PAUSE = 2_000;
 /** Largest drift between two such looks of a clock that runs like the steady one. */
@@ -58,10 +62,9 @@
   readonly #listeners = new Set<(jump: ClockJump) => void>();
 
   private constructor(private readonly readings: ClockReadings) {
-    const steady = readings.steady();
-    this.#dayLead = readings.timeOfDay() - steady;
-    this.#uptimeLead = readings.uptime() - steady;
-    this.#checkedAt = steady;
+    this.#dayLead = this.#leadOf(() => readings.timeOfDay());
+    this.#uptimeLead = this.#leadOf(() => readings.uptime());
+    this.#checkedAt = readings.steady();
   }
 
   /** A clock that begins now. */
@@ -79,11 +82,26 @@
   /** Milliseconds since some moment; never goes back. */
   now(): number {
     const steady = this.readings.steady();
-    const shift = this.readings.timeOfDay() - steady - this.#dayLead;
+    let shift = this.readings.timeOfDay() - steady - this.#dayLead;
+    if (Math.abs(shift) >= JUMP) {
+      shift = this.#leadOf(() => this.readings.timeOfDay()) - this.#dayLead;
+    }
     this.#dayLead += shift;
-    if (Math.abs(shift) >= JUMP) this.#jumped(shift, steady);
+    if (Math.abs(shift) >= JUMP) this.#jumped(shift);
     else if (steady - this.#checkedAt >= CHECK_PAUSE) this.#check(steady);
-    return steady + this.#suspended;
+    return this.readings.steady() + this.#suspended;
+  }
+
+  /** By how much a clock is ahead of the steady one. A process that is stopped
+   * between the looks at both would see a lead that is not there. */
+  #leadOf(read: () => number): number {
+    let lead = 0;
+    for (let i = 0; i < MOST_LOOKS; i++) {
+      const before = this.readings.steady();
+      lead = read() - before;
+      if (this.readings.steady() - before <= LONGEST_LOOK) break;
+    }
+    return lead;
   }
 
   get #isUptimeTrusted(): boolean {
@@ -91,13 +109,13 @@
   }
 
   /** The time of day has moved by `shift` against the steady clock. */
-  #jumped(shift: number, steady: number): void {
+  #jumped(shift: number): void {
     this.#hasJumped = true;
     if (!this.#isUptimeTrusted) {
       const gap = this.#isSetAhead(shift) ? 0 : shift;
       return this.#count({ gap, isCertain: false });
     }
-    this.#count({ gap: this.#takeUptimeShift(steady), isCertain: true });
+    this.#count({ gap: this.#takeUptimeShift(), isCertain: true });
   }
 
   /** Whether a jump of the time of day makes up for one back before. */
@@ -110,7 +128,7 @@
 
   #check(steady: number): void {
     const hasJumped = this.#hasJumped;
-    const shift = this.#takeUptimeShift(steady);
+    const shift = this.#takeUptimeShift();
     this.#checkedAt = steady;
     this.#hasJumped = false;
     if (Math.abs(shift) <= LARGEST_DRIFT) this.#soundLooks += 1;
@@ -123,8 +141,8 @@
 
   /** By how much the time since the machine's start has moved against the steady
    * clock since this was asked last. */
-  #takeUptimeShift(steady: number): number {
-    const lead = this.readings.uptime() - steady;
+  #takeUptimeShift(): number {
+    const lead = this.#leadOf(() => this.readings.uptime());
     const shift = lead - this.#uptimeLead;
     this.#uptimeLead = lead;
     return shift;
