Held-back requests: reports that cannot wait are bounded by the number of VMs

Suspected, not shown: each end of a server let every VM that had requests there report at once, up to 16 times a second, to one holder. Those reports are 100 a second at the holder at most now, whatever the number of VMs; an answer is waited for a second, since a report may take half of one. Records that no other VM is told of no longer make the digest anew.

--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -270,7 +270,7 @@
       now,
     );
     for (const each of words) this.#sendQuarantine(each);
-    if (this.#quarantine.isUrgent) this.followerLink.outdated();
+    if (this.#quarantine.isUrgent(this.vms, now)) this.followerLink.outdated();
   }
 
   /** How long the VM that all others report to has not been heard here, in
--- a/src/core/quarantine/crash_record.ts
+++ b/src/core/quarantine/crash_record.ts
@@ -47,9 +47,9 @@
 const TOLERATED_ENDS = 3;
 /** The same for one that was held back before and is on trial. */
 const TOLERATED_ON_TRIAL = 1;
-/** Time for an answer to a doubtful request to be heard of, in milliseconds: two
- * messages between VMs each way, and an answer. */
-const HEARING = 700;
+/** Time for an answer to a doubtful request to be heard of, in milliseconds: a report
+ * to the holder, which may wait for half a second, its word to all, and an answer. */
+const HEARING = 1_000;
 /** Time for which a request is held back first, in milliseconds; doubles with each
  * trial that ends a server again. So long a service that was mended stays closed
  * to it. */
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -235,6 +235,7 @@
   }
 
   #update(crashes: KnownCrashes, now: number, change: () => void): void {
+    const wasNotable = isNotable(crashes);
     change();
     crashes.runs = crashes.runs.slice(-MAXIMUM_RUNS);
     crashes.excused = crashes.excused.slice(-MAXIMUM_RUNS);
@@ -243,7 +244,7 @@
     if (!isConvicted(crashes)) crashes.isHeld = false;
     this.#revision += 1;
     crashes.revision = this.#revision;
-    this.#digest = null;
+    if (wasNotable || isNotable(crashes)) this.#digest = null;
     if (crashes.isHeld) this.#excuseOthers(crashes, now);
   }
 
@@ -280,9 +281,10 @@
     if (oldest !== null) this.#forget(oldest);
   }
 
-  #forget({ request }: KnownCrashes): void {
+  #forget(crashes: KnownCrashes): void {
+    const { request } = crashes;
     this.#records.delete(request);
-    this.#digest = null;
+    if (isNotable(crashes)) this.#digest = null;
     const head = headOf(request);
     const others = this.#byHead.get(head);
     others?.delete(request);
--- a/src/core/quarantine_exchange.ts
+++ b/src/core/quarantine_exchange.ts
@@ -27,6 +27,9 @@
 /** The same for each VM that tells them, so that a seed takes at most 200 words a
  * second. */
 const SEED_PAUSE_PER_VM = 5;
+/** Shortest pause before a report that cannot wait, in milliseconds for each VM, so
+ * that a holder gets at most 100 of them a second: many VMs see each server end. */
+const URGENT_PAUSE_PER_VM = 10;
 /** Silence of the holder after which the seeds stand in for it, in milliseconds: two
  * of its answers are missing. */
 const HOLDER_SILENCE = 1_200;
@@ -62,6 +65,7 @@
   #toldRevision = 0;
   #toldDigest = 0;
   #seedsToldAt = -Infinity;
+  #reportedAt = -Infinity;
 
   private constructor(
     private readonly quarantine: Quarantine,
@@ -76,10 +80,15 @@
     return new QuarantineExchange(quarantine, seeds);
   }
 
-  /** Whether something has not been told to the holder yet. */
-  get isUrgent(): boolean {
-    const told = this.#awaited.at(-1)?.revision ?? this.#holderRevision;
-    return this.#holder !== null && this.quarantine.ownRevision > told;
+  /** Whether something that has not been told to the holder yet should not wait for
+   * the next report; `vms` share what the holder can take. */
+  isUrgent(vms: number | null, now: number): boolean {
+    const last = this.#awaited.at(-1);
+    const told = last?.revision ?? this.#holderRevision;
+    if (this.#holder === null || this.quarantine.ownRevision <= told) {
+      return false;
+    }
+    return now - this.#reportedAt >= URGENT_PAUSE_PER_VM * (vms ?? 0);
   }
 
   /** What a VM says that asks others for all that they know. */
@@ -91,6 +100,7 @@
   report(holder: string, now: number): QuarantineWord {
     this.#follow(holder);
     const { revision } = this.quarantine;
+    this.#reportedAt = now;
     this.#awaited.push({ sentAt: now, revision });
     if (this.#awaited.length > MAXIMUM_AWAITED) this.#awaited.shift();
     return this.#word(this.#holderRevision, now);
