--- a/src/core/quarantine/fingerprint_test.ts
+++ b/src/core/quarantine/fingerprint_test.ts
@@ -57,3 +57,11 @@
   void fingerprint.whole;
   t.is(reads, 1);
 });
+
+// Seen: a request that ended its servers came again at entries of three availability
+// zones, each time from another network address, since its caller has clients in all
+// of them. Each address was another request to the entries, and eight servers ended.
+test("fingerprint: a request has the same one, whatever address its caller has", (t) => {
+  const callers = ["10.64.0.1", "10.65.0.9", "10.66.0.3"];
+  t.is(new Set(callers.map((caller) => whole({ caller }))).size, 1);
+});
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -147,3 +147,13 @@
     t.is(new Set(vms.map((vm) => isHeld(vm, 2_000))).size, 1);
   }));
 });
+
+test("quarantine: of two that were there at the same ends neither clears the other", (t) => {
+  const quarantine = Quarantine.create();
+  for (const run of ["s-0#1", "s-1#1", "s-2#1"]) {
+    quarantine.accuse(INNOCENT.whole, "h/innocent", run, 0);
+    quarantine.accuse(ENDING.whole, "h/ends", run, 0);
+  }
+  quarantine.expire(HEARD);
+  t.true(isHeld(quarantine, HEARD));
+});
