--- a/src/core/quarantine/fingerprint.ts
+++ b/src/core/quarantine/fingerprint.ts
@@ -1,6 +1,8 @@
 /**
- * Tells whether two requests are the same one, sent again: by its caller, method,
- * host, path and body, whatever connection, VM or id it comes by.
+ * Tells whether two requests are the same one, sent again: by its method, host, path
+ * and body, whatever connection, VM or id it comes by. Nor does it matter from which
+ * network address: callers have clients in several availability zones, each with an
+ * address of its own.
  *
  * SHA-256 cut to 96 bits for each part, so that no caller finds a request that
  * passes for another one. A fingerprint is worked out when it is first asked for:
@@ -17,8 +19,6 @@
 
 /** What a request's fingerprint is made of. */
 export interface FingerprintParts {
-  /** Network address of its caller, without a port. */
-  caller: string;
   method: string;
   host: string;
   /** Path and query. */
@@ -41,10 +41,8 @@
   /** The part without the body: cheap, and enough to tell most requests from a
    * known one. */
   get head(): string {
-    const { caller, method, host, target } = this.parts;
-    return this.#head ??= digest(
-      [caller, method, host, target].join(SEPARATOR),
-    );
+    const { method, host, target } = this.parts;
+    return this.#head ??= digest([method, host, target].join(SEPARATOR));
   }
 
   /** All of it; begins with the head. */
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -377,7 +377,6 @@
 
 function fingerprintOf({ request, outgoing }: Exchange): Fingerprint {
   return Fingerprint.create({
-    caller: request.socket.remoteAddress ?? "",
     method: outgoing.method,
     host: request.headers.host ?? "",
     target: outgoing.target,
