Quarantine: of two requests at the same ends neither clears the other

Found by reading: both are convicted by the same three ends, and the one that was looked at first cleared the other, so the one that ends servers could go on for three more. Both are held back; the model's counts of requests held back by mistake stay at none.

--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -248,10 +248,11 @@
     if (crashes.isHeld) this.#excuseOthers(crashes, now);
   }
 
-  /** What a request that is held back accounts for is no other one's fault. */
+  /** What a request that is held back accounts for is no other one's fault, unless that
+   * was there just as often: which of the two is to blame nobody can tell. */
   #excuseOthers(held: KnownCrashes, now: number): void {
     for (const crashes of this.#records.values()) {
-      if (crashes.isHeld) continue;
+      if (isConvicted(crashes)) continue;
       const explained = crashes.runs.filter((run) => held.runs.includes(run));
       if (explained.length > 0) this.#excuse(crashes, explained, now);
     }
