--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -566,13 +566,13 @@
   ]);
 });
 
-test("dispatch: an answer clears a request, also one that failed at the server", (t) => {
-  for (const status of [200, 500]) {
+test("dispatch: an answer clears a request, a failure of its server does not", (t) => {
+  for (const [status, ends] of [[200, 0], [404, 0], [500, 1], [504, 1]]) {
     const { dispatcher, arrive, quarantine } = createDispatcher();
     quarantine.accuse(fingerprintOf("/order/x").whole, "", "a#1", 0);
     arrive("/order/x", 10);
     dispatcher.ended(1, { ...ANSWERED, status }, 20);
-    t.is(quarantine.ends(fingerprintOf("/order/x")), 0);
+    t.is(quarantine.ends(fingerprintOf("/order/x")), ends);
   }
 });
 
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -81,10 +81,11 @@
       server?.failed(attempt.number, now);
       return mayHaveRun(request, attempt, "spoilt answer");
     }
-    this.context.quarantine.clear(request.arrival.fingerprint, now);
     if (attempt.range !== null) this.refusedRanges.served(attempt.range);
     const deliver: Sequel = { kind: "deliver", status };
     if (status < 500) {
+      // A failure clears nothing: a server that fails may not have begun its work.
+      this.context.quarantine.clear(request.arrival.fingerprint, now);
       server?.answered(attempt.number, now, load);
       return deliver;
     }
