--- a/test/ownership/ending_request_test.ts
+++ b/test/ownership/ending_request_test.ts
@@ -111,6 +111,39 @@
   });
 }
 
+/** Runs later than VMs may take to learn of the third run, however many of them one
+ * server ended under. */
+function runsAfterThird({ load }: WorldReport): number {
+  const { endingRuns } = load!;
+  const third = endingRuns[ALLOWED_ENDS - 1]?.at ?? Infinity;
+  return endingRuns.filter(({ at }) => at > third + LEARNING_TIME).length;
+}
+
+/** Copies come through all VMs in the same moments: what an outage of their key
+ * gathers goes to the key's next server at once. */
+const COPIES: EndingRequest = { ...ENDING, copies: 6 };
+
+for (const [name, load] of KINDS) {
+  test(`a request that ends its servers: ${name}, copies through all VMs at once`, (t) => {
+    for (const vms of [11, 61]) {
+      for (const seed of [1, 2, 3]) {
+        const report = play({
+          vms,
+          servers: 16,
+          seed,
+          load: { ...load, ending: COPIES },
+        });
+        t.deepEqual(report.violations, []);
+        const late = runsAfterThird(report);
+        t.true(
+          late <= ALLOWED_RUNS,
+          `${vms} VMs, seed ${seed}: ${late} late runs`,
+        );
+      }
+    }
+  });
+}
+
 /** Faults over the time in which servers end. */
 const TROUBLES: [string, Fault[]][] = [
   ["while the store answers nobody", [
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -59,6 +59,8 @@
   key: number;
   /** How long a server works on it before it ends. */
   work: number;
+  /** Callers that send it in the same moment; one if left out. */
+  copies?: number;
 }
 
 /** How requests for a key ended, by the first attempt's caller. */
@@ -295,13 +297,15 @@
 
   #askEnding(ending: EndingRequest): void {
     if (this.time.now >= ending.until) return;
-    this.#attempt({
-      key: ending.key,
-      target: "/ends-its-server",
-      startedAt: this.time.now,
-      attempts: 0,
-      isEnding: true,
-    });
+    for (let copy = 0; copy < (ending.copies ?? 1); copy++) {
+      this.#attempt({
+        key: ending.key,
+        target: "/ends-its-server",
+        startedAt: this.time.now,
+        attempts: 0,
+        isEnding: true,
+      });
+    }
     this.time.after(ending.pause, () => this.#askEnding(ending));
   }
 
