Requests under which a server has ended run one copy at a time in the whole deployment

Cause: only servers were counted, and nothing kept copies apart: an outage of the key gathered them at all VMs, and all went to its next server in the same moment. Besides, a VM sent its own copy to the server that had just reset it, 2 ms later.

Now, from the first end on, a copy needs a permit; the term holder's VM issues one at a time for each request, with authority or without, and a new issuer waits until those of the former are over. Other copies are refused at once (503, not run). After two ends under copies with a permit the next waits for 2 s, by which all VMs hold the request back. Who gets no answer in 250 ms refuses: with the holder gone nothing suspected runs, so the ends stay bounded. All VMs are told of suspects from the first end on, in words that are paced by their number; what the holder told is not reported back to it. A request that was answered within 5 s is no suspect, however many servers end beside it. Ends are recorded in the store from the second on, so that a loss of all VMs does not start the count anew. After a break a request rests for 30 ms, in which a look at the server's address tells whether it has ended.

--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -9,7 +9,7 @@
 import { Fleet, type FleetChange } from "./fleet/index.ts";
 import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
 import type { HolderAddress, Knowledge } from "./peers/index.ts";
-import { CrashWatch, Quarantine } from "./quarantine/index.ts";
+import { type Accusation, CrashWatch, Quarantine } from "./quarantine/index.ts";
 import { RegistryReplica } from "./registry/index.ts";
 
 /** Takes effects. */
@@ -35,21 +35,22 @@
   );
   readonly crashes = CrashWatch.create(
     this.quarantine,
-    ({ request, server }) =>
-      this.note("request.accused", {
-        request: request.id,
-        server,
-        fingerprint: request.fingerprint,
-        ends: this.quarantine.endsUnder(request.fingerprint),
-      }),
+    (accusation) => this.#accused(accusation),
   );
   #holder: HolderAddress | null = null;
 
-  private constructor(private readonly emit: Emit) {}
+  private constructor(
+    private readonly emit: Emit,
+    private readonly serverEnded: (accusation: Accusation) => void,
+  ) {}
 
-  /** Knows nothing yet; passes effects to `emit`. */
-  static create(emit: Emit): Beliefs {
-    return new Beliefs(emit);
+  /** Knows nothing yet; passes effects to `emit`, and calls `serverEnded` for each
+   * request that was at work on a server when that ended. */
+  static create(
+    emit: Emit,
+    serverEnded: (accusation: Accusation) => void = () => {},
+  ): Beliefs {
+    return new Beliefs(emit, serverEnded);
   }
 
   /** The newest announced term holder, or null. */
@@ -135,6 +136,18 @@
     return true;
   }
 
+  #accused(accusation: Accusation): void {
+    const { request, server, isNews } = accusation;
+    this.serverEnded(accusation);
+    if (!isNews) return;
+    this.note("request.accused", {
+      request: request.id,
+      server,
+      fingerprint: request.fingerprint,
+      ends: this.quarantine.endsUnder(request.fingerprint),
+    });
+  }
+
   /** Writes a line for the log. */
   note(decision: string, detail: Detail): void {
     this.emit({ kind: "note", level: "info", decision, detail });
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -6,7 +6,11 @@
 import type { Catalog } from "../catalog/index.ts";
 import type { Fleet } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
-import type { CrashWatch, Quarantine } from "../quarantine/index.ts";
+import type {
+  CrashWatch,
+  Quarantine,
+  RunPermits,
+} from "../quarantine/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
@@ -17,6 +21,7 @@
   keyLimits: KeyLimits;
   quarantine: Quarantine;
   crashes: CrashWatch;
+  permits: RunPermits;
   availabilityZone: string;
   retryLimits: RetryLimits;
   /** When this process started. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -212,6 +212,7 @@
       arrivals: 0,
       mayHaveRun: false,
       isAgeDoubted: false,
+      restUntil: -Infinity,
       trace: [],
       isNoteworthy: false,
     };
@@ -240,6 +241,8 @@
       this.#crowdOut(request, placing, now);
     } else if (placing.kind === "hold") {
       this.#holdBack(request, placing, now);
+    } else if (placing.kind === "deny") {
+      this.#deny(request, placing, now);
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
@@ -381,7 +384,8 @@
     }
     if (placing.kind !== "wait") return false;
     const mayWait = now < waitEndOf(request, placing);
-    if (request.key === null || !mayWait) return false;
+    const isForRoom = request.key === null && !placing.isOwn;
+    if (isForRoom || !mayWait) return false;
     if (!this.#retries.mayWithdraw(request, now)) return false;
     this.#await(request, placing);
     return true;
@@ -401,6 +405,10 @@
         this.#waiting.remove(request);
         return this.#holdBack(request, placing, now);
       }
+      if (placing.kind === "deny") {
+        this.#waiting.remove(request);
+        return this.#deny(request, placing, now);
+      }
       if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
         this.#giveUpWaiting(request, placing.reason, now);
@@ -453,6 +461,18 @@
     this.#effects.push(refusal);
   }
 
+  /** Refuses a copy of a request that runs elsewhere, alone. */
+  #deny(
+    request: PendingRequest,
+    { reason, left }: Placing & { kind: "deny" },
+    now: number,
+  ): void {
+    const fingerprint = request.arrival.fingerprint.whole;
+    const detail = { fingerprint, left: Math.round(left) };
+    this.#log.note("info", "request.runs_elsewhere", request, now, detail);
+    this.#giveUpWaiting(request, reason, now);
+  }
+
   #giveUpWaiting(request: PendingRequest, reason: string, now: number): void {
     if (request.mayHaveRun) this.#fail(request, 502, reason, now);
     else this.#refuse(request, reason, now);
@@ -476,9 +496,9 @@
 
   #dueAt(request: PendingRequest): number {
     if (request.attempts.length === 0) {
-      const { lookAt, waitEnd, briefWaitEnd, lookedAt } = request;
-      const end = lookedAt < waitEnd ? waitEnd : briefWaitEnd;
-      return Math.min(end, lookAt);
+      const { lookAt, waitEnd, briefWaitEnd, deadline, lookedAt } = request;
+      const ends = [waitEnd, briefWaitEnd, deadline];
+      return Math.min(ends.find((end) => lookedAt < end) ?? deadline, lookAt);
     }
     const hedgeAt = Math.min(...request.attempts.map((each) => each.hedgeAt));
     return Math.min(request.deadline + DEADLINE_SLACK, hedgeAt);
@@ -493,7 +513,8 @@
     for (const request of [...queue]) {
       const { fingerprint } = request.arrival;
       const isHeld = this.context.quarantine.hold(fingerprint, now) !== null;
-      if (isFull && request.key === null && !isHeld) {
+      const isForRoom = request.key === null && request.lookAt === Infinity;
+      if (isFull && isForRoom && !isHeld) {
         rest.push(request);
         continue;
       }
@@ -505,8 +526,10 @@
         this.#crowdOut(request, placing, now);
       } else if (placing.kind === "hold") {
         this.#holdBack(request, placing, now);
+      } else if (placing.kind === "deny") {
+        this.#deny(request, placing, now);
       } else {
-        isFull = isFull || request.tried.length === 0;
+        isFull = isFull || (request.tried.length === 0 && !placing.isOwn);
         request.lookAt = placing.until;
         rest.push(request);
       }
@@ -536,6 +559,7 @@
   #finish(request: PendingRequest, winner: number | null): void {
     this.#requests.delete(request.arrival.exchange);
     this.#waiting.remove(request);
+    this.#returnPermit(request, winner);
     for (const { number, server } of request.attempts) {
       this.#byAttempt.delete(number);
       if (number === winner) continue;
@@ -544,6 +568,18 @@
     }
   }
 
+  /** Without an answer a copy that was sent may still run. */
+  #returnPermit(
+    { arrival, arrivals }: PendingRequest,
+    winner: number | null,
+  ): void {
+    const { quarantine, permits } = this.context;
+    if (!quarantine.isKnown(arrival.fingerprint)) return;
+    const { whole } = arrival.fingerprint;
+    const mayStillRun = winner === null && arrivals > 0;
+    permits.ended(whole, arrival.id, mayStillRun);
+  }
+
   #take(): DispatchEffect[] {
     const effects = this.#effects;
     this.#effects = [];
@@ -553,8 +589,9 @@
 
 /** Until when a request may wait, by what it waits for. */
 function waitEndOf(
-  { waitEnd, briefWaitEnd }: PendingRequest,
-  { isBrief }: Wait,
+  { waitEnd, briefWaitEnd, deadline }: PendingRequest,
+  { isBrief, isOwn }: Wait,
 ): number {
+  if (isOwn) return deadline;
   return isBrief ? Math.max(waitEnd, briefWaitEnd) : waitEnd;
 }
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -5,7 +5,12 @@
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
 import { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
-import { CrashWatch, Quarantine } from "../quarantine/index.ts";
+import {
+  CrashWatch,
+  type PermitAnswer,
+  Quarantine,
+  RunPermits,
+} from "../quarantine/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
@@ -15,6 +20,7 @@
   vms: number | null = 8,
   draw = () => 0,
   keyRefused = () => {},
+  permitAnswer = (): PermitAnswer | null => ({ isGranted: true, left: 2_000 }),
 ) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
@@ -78,6 +84,10 @@
   const keyLimits = KeyLimits.create();
   const quarantine = Quarantine.create();
   const crashes = CrashWatch.create(quarantine, () => {});
+  const permits = RunPermits.create({
+    ask: () => permitAnswer(),
+    giveBack: () => {},
+  });
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
@@ -85,6 +95,7 @@
     keyLimits,
     quarantine,
     crashes,
+    permits,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
@@ -133,6 +144,9 @@
   cause: "refused",
 };
 
+/** Time for which a request rests whose server broke off, in milliseconds. */
+const BREAK_PAUSE = 30;
+
 /** What effects do, in short. */
 function brief(effects: readonly DispatchEffect[]): string[] {
   return effects.flatMap((effect) => {
@@ -257,12 +271,69 @@
   arrive("/lookup/", 0);
   let sent = 1;
   for (let attempt = 1; attempt <= sent; attempt++) {
-    const effects = dispatcher.ended(attempt, LOST, attempt);
+    const now = 100 * attempt;
+    const effects = [
+      ...dispatcher.ended(attempt, LOST, now),
+      ...dispatcher.advance(now + BREAK_PAUSE),
+    ];
     sent += effects.filter((each) => each.kind === "attempt.start").length;
   }
   t.is(sent, 3);
 });
 
+test("dispatch: a server that broke off is not asked again until its end could be seen", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/lookup/", 0);
+  t.deepEqual(brief(dispatcher.ended(1, LOST, 10)), []);
+  t.deepEqual(brief(dispatcher.advance(10 + BREAK_PAUSE - 1)), []);
+  t.is(dispatcher.nextAt(), 10 + BREAK_PAUSE);
+  const again = brief(dispatcher.advance(10 + BREAK_PAUSE));
+  t.deepEqual(again, ["start stock-1, 460 ms left"]);
+});
+
+for (const path of ["/order/", "/read/", "/lookup/"]) {
+  test(`dispatch: after an end under it a request runs alone: ${path}`, (t) => {
+    let answer: PermitAnswer | null = { isGranted: true, left: 2_000 };
+    const { arrive, quarantine } = createDispatcher(
+      8,
+      () => 0,
+      () => {},
+      () => answer,
+    );
+    quarantine.accuse(fingerprintOf(path).whole, path, "s#1", 0);
+    t.is(arrive(path, 10)[0].kind, "attempt.start");
+    // Another copy at this VM, and one for which the answer is denied.
+    t.regex(brief(arrive(path, 20))[0], /^503, .* another copy of it runs/);
+    answer = { isGranted: false, left: 500 };
+    const other = createDispatcher(8, () => 0, () => {}, () => answer);
+    other.quarantine.accuse(fingerprintOf(path).whole, path, "s#1", 0);
+    t.regex(
+      brief(other.arrive(path, 10))[0],
+      /^503, .* another copy of it runs/,
+    );
+  });
+}
+
+test("dispatch: a permit that nobody answers for holds a request for a moment only", (t) => {
+  const { dispatcher, arrive, quarantine } = createDispatcher(
+    8,
+    () => 0,
+    () => {},
+    () => null,
+  );
+  quarantine.accuse(fingerprintOf("/read/").whole, "/read/", "s#1", 0);
+  t.deepEqual(brief(arrive("/read/", 0)), []);
+  let answers: string[] = [];
+  let now = 0;
+  for (let look = 0; look < 10 && answers.length === 0; look++) {
+    now = dispatcher.nextAt();
+    answers = brief(dispatcher.advance(now));
+  }
+  t.regex(answers[0], /^503, /);
+  t.is(now, 250);
+  t.is(dispatcher.pending, 0);
+});
+
 test("dispatch: each arrival after a request's first is taken from the budget", (t) => {
   const { dispatcher, arrive, fleet, servers } = createDispatcher();
   const spare = (number: number) => ({
@@ -474,6 +545,7 @@
     keyLimits: KeyLimits.create(),
     quarantine,
     crashes: CrashWatch.create(quarantine, () => {}),
+    permits: RunPermits.create({ ask: () => null, giveBack: () => {} }),
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -18,6 +18,10 @@
 /** Pause before a request is sent to its key's server again that did not run it,
  * in milliseconds; doubles each time. */
 const KEY_PAUSE = 30;
+/** Pause before a request is sent again whose server broke off, in milliseconds:
+ * as long as a look at the server's address takes, which tells whether it has
+ * ended, and longer than a server that is full resets whatever comes. */
+const BREAK_PAUSE = 30;
 
 /** An answer of a server. */
 type Answer = AttemptOutcome & { kind: "answered" };
@@ -79,7 +83,7 @@
     if (!isGenuine) {
       this.#broke(request, attempt, now);
       server?.failed(attempt.number, now);
-      return mayHaveRun(request, attempt, "spoilt answer");
+      return mayHaveRun(request, attempt, "spoilt answer", now);
     }
     if (attempt.range !== null) this.refusedRanges.served(attempt.range);
     const deliver: Sequel = { kind: "deliver", status };
@@ -169,7 +173,7 @@
     if (wasSent) this.#broke(request, attempt, now);
     else if (isRefused) this.#ended(server, attempt, now);
     server?.failed(attempt.number, now);
-    if (wasSent) return mayHaveRun(request, attempt, cause);
+    if (wasSent) return mayHaveRun(request, attempt, cause, now);
     const detail = { server: attempt.server, cause };
     this.log.note("info", "attempt.not_sent", request, now, detail);
     // Nothing reached a server, so this was no arrival.
@@ -189,8 +193,10 @@
   request: PendingRequest,
   { server }: Attempt,
   cause: string,
+  now: number,
 ): Sequel {
   request.mayHaveRun = true;
+  request.restUntil = now + BREAK_PAUSE;
   const fingerprint = request.arrival.fingerprint.whole;
   const detail = { server, cause, fingerprint };
   const fail: Sequel = { kind: "fail", reason: cause, detail };
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -83,6 +83,9 @@
   mayHaveRun: boolean;
   /** Whether it is not known how much of its time is left. */
   isAgeDoubted: boolean;
+  /** Before this it is not sent again: its server broke off, and whether that has
+   * ended is being looked at. */
+  restUntil: number;
   /** Lines about it that are written only if something happens to it. */
   trace: Note[];
   /** Whether something has happened, so that all its lines are written. */
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -22,18 +22,38 @@
   | { kind: "refuse"; reason: string; share: number; age: number }
   /** Not at all for a while: servers have ended under it. */
   | { kind: "hold"; hold: Hold }
-  /** Not now, maybe later; `isBrief` when it is known to change soon, `until`
-   * when time alone changes it (Infinity otherwise). */
-  | { kind: "wait"; reason: string; isBrief: boolean; until: number };
+  /** Not now: a server has ended under it, and another copy of it runs. */
+  | { kind: "deny"; reason: string; left: number }
+  /** Not now, maybe later; `isBrief` when it is known to change soon, `isOwn` when
+   * it waits for nothing that others wait for, `until` when time alone changes it
+   * (Infinity otherwise). */
+  | {
+    kind: "wait";
+    reason: string;
+    isBrief: boolean;
+    isOwn: boolean;
+    until: number;
+  };
 
 /** A wait for room, or for a server that is lost: nobody knows how long. */
 function waitForLong(reason: string): Placing {
-  return { kind: "wait", reason, isBrief: false, until: Infinity };
+  return {
+    kind: "wait",
+    reason,
+    isBrief: false,
+    isOwn: false,
+    until: Infinity,
+  };
 }
 
 /** A wait for keys that are on their way from one server to another. */
 function waitBriefly(reason: string, until = Infinity): Placing {
-  return { kind: "wait", reason, isBrief: true, until };
+  return { kind: "wait", reason, isBrief: true, isOwn: false, until };
+}
+
+/** A wait for something that concerns this request alone. */
+function waitForOwn(reason: string, until: number): Placing {
+  return { kind: "wait", reason, isBrief: true, isOwn: true, until };
 }
 
 /** See the module's comment. */
@@ -56,6 +76,11 @@
     const { fleet, availabilityZone, draw, quarantine } = this.context;
     const hold = quarantine.hold(request.arrival.fingerprint, now);
     if (hold !== null) return { kind: "hold", hold };
+    if (now < request.restUntil) {
+      return waitForOwn("its server broke off", request.restUntil);
+    }
+    const obstacle = this.#obstacle(request, now);
+    if (obstacle !== null) return obstacle;
     if (request.key !== null) {
       return this.#placeKeyed(request, request.key, now);
     }
@@ -65,6 +90,28 @@
     return waitForLong("no server has room");
   }
 
+  /** What keeps a request from running beside copies of it, or null: one under which
+   * a server has ended runs alone. */
+  #obstacle(request: PendingRequest, now: number): Placing | null {
+    const { quarantine, permits } = this.context;
+    const { fingerprint, id } = request.arrival;
+    if (quarantine.ends(fingerprint) === 0) return null;
+    const { whole } = fingerprint;
+    const left = request.deadline - now;
+    const permission = permits.check(whole, id, left, now);
+    switch (permission.kind) {
+      case "granted":
+        return null;
+      case "asked":
+        return waitForOwn("its permit to run alone", permission.until);
+      case "denied": {
+        const reason = "a backend server has ended under this request, and " +
+          "another copy of it runs";
+        return { kind: "deny", reason, left: permission.left };
+      }
+    }
+  }
+
   /** Share of the requests for a key that its server has room for. Where that has
    * just stated its load here, the load says more. */
   #shareWithRoom(
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -53,6 +53,8 @@
   /** Whether a second server may be tried beside the first. */
   mayHedge(request: PendingRequest, now: number): boolean {
     if (request.tried.length >= request.route.maximumAttempts) return false;
+    const { fingerprint } = request.arrival;
+    if (this.context.quarantine.ends(fingerprint) > 0) return false;
     return this.#isWorthwhile(request, now);
   }
 
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -51,7 +51,11 @@
 
   private constructor(options: EntryOptions) {
     const emit = (...effects: EntryEffect[]) => this.#put(...effects);
-    this.beliefs = Beliefs.create(emit);
+    this.beliefs = Beliefs.create(
+      emit,
+      ({ request: { id, fingerprint } }) =>
+        this.peers.permits.permits.serverEnded(fingerprint, id),
+    );
     const { catalog, fleet, directory, keyLimits } = this.beliefs;
     const { quarantine, crashes } = this.beliefs;
     this.#quarantineRecord = QuarantineRecord.create(quarantine);
@@ -78,6 +82,7 @@
       keyLimits,
       quarantine,
       crashes,
+      permits: this.peers.permits.permits,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -17,6 +17,7 @@
   StateRequest,
   VmCount,
 } from "./peers/index.ts";
+import { PermitExchange } from "./permit_exchange.ts";
 import type { RegistryNews } from "./registry/index.ts";
 import type { StoreHealth } from "./store_health.ts";
 import {
@@ -40,6 +41,7 @@
 /** See the module's comment. */
 export class PeerExchange {
   readonly followerLink: FollowerLink;
+  readonly permits: PermitExchange;
   readonly #publication: TermPublication;
   readonly #stateRequest: StateRequest;
   readonly #quarantine: QuarantineExchange;
@@ -68,6 +70,7 @@
       store,
       emit,
     );
+    this.permits = PermitExchange.create(beliefs, emit, ownAddress);
     this.#stateRequest = StateRequest.create(seeds);
     this.#quarantine = QuarantineExchange.create(beliefs.quarantine, seeds);
   }
@@ -132,6 +135,7 @@
     const { address, fitness } = holder;
     const isOwn = address === this.ownAddress;
     if (!isOwn) this.emit(...this.#publication.tellSuccessor(holder));
+    this.permits.follow(address, now);
     const chance = this.draw();
     this.followerLink.follow(isOwn ? null : address, this.vms, chance, now);
     this.campaign.hearFitness(fitness, now);
@@ -185,6 +189,10 @@
         return this.#yield(address, message, now);
       case "term.yielded":
         return this.#relieve(message, now);
+      case "permit.asked":
+      case "permit.told":
+      case "permit.returned":
+        return this.permits.receive(address, message, now);
     }
   }
 
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -11,7 +11,7 @@
   exposureSchema,
   keyLimitSchema,
 } from "../keyspace/index.ts";
-import { crashRecordSchema } from "../quarantine/index.ts";
+import { crashRecordSchema, permitAnswerSchema } from "../quarantine/index.ts";
 import { registryNewsSchema } from "../registry/index.ts";
 
 const count = z.number().int().nonnegative();
@@ -204,6 +204,34 @@
   exposures: z.array(exposureSchema),
 });
 
+/** Longest fingerprint of a request, in characters. */
+const LONGEST_FINGERPRINT = 64;
+
+const permitSchema = knowledgeSchema.extend({
+  /** The whole fingerprint of a request under which servers have ended. */
+  request: z.string().max(LONGEST_FINGERPRINT),
+});
+
+/** A VM asks the term holder whether it may run one copy of a request. */
+const permitAskedSchema = permitSchema.extend({
+  kind: z.literal("permit.asked"),
+  /** For how long it would, in milliseconds. */
+  duration: z.number().nonnegative(),
+});
+
+/** The holder answers. */
+const permitToldSchema = permitSchema.extend({
+  kind: z.literal("permit.told"),
+  ...permitAnswerSchema.shape,
+});
+
+/** The VM needs it no longer. */
+const permitReturnedSchema = permitSchema.extend({
+  kind: z.literal("permit.returned"),
+  /** Whether the server ended that ran the copy. */
+  hasEnded: z.boolean(),
+});
+
 /** Schema of {@linkcode PeerMessage}. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
   keysAskedSchema,
@@ -217,6 +245,9 @@
   stateToldSchema,
   termTakenSchema,
   termYieldedSchema,
+  permitAskedSchema,
+  permitToldSchema,
+  permitReturnedSchema,
 ]);
 
 /** See the module's comment. */
--- a/src/core/quarantine/crash_record.ts
+++ b/src/core/quarantine/crash_record.ts
@@ -50,6 +50,9 @@
 /** Time for an answer to a doubtful request to be heard of, in milliseconds: a report
  * to the holder, which may wait for half a second, its word to all, and an answer. */
 const HEARING = 1_000;
+/** Time for which an answer speaks for a request, in milliseconds: about as long as a
+ * registry takes to tell of a server's end. */
+const TRUST_TIME = 5_000;
 /** Time for which a request is held back first, in milliseconds; doubles with each
  * trial that ends a server again. So long a service that was mended stays closed
  * to it. */
@@ -67,12 +70,17 @@
   runs: string[];
   excused: string[];
   lastAt: number;
+  /** When a server answered it last, as seen here. */
+  answeredAt: number;
   /** Since when it is close to being held back, or should be; Infinity before. */
   doubtfulSince: number;
   /** Whether it is held back; it then is until {@linkcode heldUntil}. */
   isHeld: boolean;
   /** Number of the last change to it, in this process. */
   revision: number;
+  /** The VM that has told just what is known here; null when none is known to have
+   * all of it. */
+  knownAt: string | null;
 }
 
 /** Whether so many servers have ended under a request that it should be held back. */
@@ -114,6 +122,12 @@
   return round > 0 || runs.length + excused.length >= TOLERATED_ENDS - 1;
 }
 
+/** Whether a request was answered so lately that an end under it says nothing of it:
+ * one that many callers make is at work wherever a server ends. */
+export function isTrusted({ answeredAt }: KnownCrashes, now: number): boolean {
+  return now - answeredAt <= TRUST_TIME;
+}
+
 /** A record of a request under which nothing has ended yet. */
 export function newCrashes(
   request: string,
@@ -128,9 +142,11 @@
     runs: [],
     excused: [],
     lastAt,
+    answeredAt: -Infinity,
     doubtfulSince: Infinity,
     isHeld: false,
     revision: 0,
+    knownAt: null,
   };
 }
 
--- a/src/core/quarantine/crash_watch.ts
+++ b/src/core/quarantine/crash_watch.ts
@@ -52,6 +52,8 @@
 export interface Accusation {
   request: BrokenRequest;
   server: string;
+  /** Whether the end of this server under this request was not known yet. */
+  isNews: boolean;
 }
 
 interface BrokenAttempt {
@@ -155,7 +157,7 @@
   ): void {
     const { fingerprint, target } = request;
     const isNews = this.quarantine.accuse(fingerprint, target, run, now);
-    if (isNews) this.accused({ request, server });
+    this.accused({ request, server, isNews });
   }
 
   /** What is remembered of the run that a server is now. */
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -30,6 +30,7 @@
   isDoubtful,
   isNotable,
   isSame,
+  isTrusted,
   type KnownCrashes,
   MAXIMUM_RUNS,
   newCrashes,
@@ -59,7 +60,7 @@
   readonly #byHead = new Map<string, Set<string>>();
   #revision = 0;
   #ownRevision = 0;
-  #holdRevision = 0;
+  #recordRevision = 0;
   #digest: number | null = 0;
   #expiredAt = -Infinity;
 
@@ -97,7 +98,8 @@
     if (isKnown) return false;
     this.#update(crashes, now, () => {
       crashes.lastAt = now;
-      crashes.runs.push(run);
+      const list = isTrusted(crashes, now) ? crashes.excused : crashes.runs;
+      list.push(run);
     });
     this.#ownRevision = this.#revision;
     return true;
@@ -108,6 +110,11 @@
     return this.#find(fingerprint)?.runs.length ?? 0;
   }
 
+  /** Whether a server has ever ended under a request, as far as it is remembered. */
+  isKnown(fingerprint: Fingerprint): boolean {
+    return this.#find(fingerprint) !== undefined;
+  }
+
   /** The same of a request by its whole fingerprint. */
   endsUnder(request: string): number {
     return this.#records.get(request)?.runs.length ?? 0;
@@ -124,7 +131,9 @@
   /** A server has answered a request that it ran. */
   clear(fingerprint: Fingerprint, now: number): void {
     const crashes = this.#find(fingerprint);
-    if (crashes === undefined || crashes.runs.length === 0) return;
+    if (crashes === undefined) return;
+    crashes.answeredAt = now;
+    if (crashes.runs.length === 0) return;
     this.#excuse(crashes, crashes.runs, now);
     this.#ownRevision = this.#revision;
     this.changed({ kind: "cleared", crashes });
@@ -136,14 +145,15 @@
       .map((crashes) => holdOf(crashes, now));
   }
 
-  /** Number of the last change to what is held back. */
-  get holdRevision(): number {
-    return this.#holdRevision;
+  /** Number of the last change to what {@linkcode recordable} returns. */
+  get recordRevision(): number {
+    return this.#recordRevision;
   }
 
-  /** Records of the requests that are held back. */
-  held(now: number): CrashRecord[] {
-    return this.#notable().filter((each) => each.isHeld)
+  /** Records of the requests that are held back, or are close to it: after a loss of
+   * all VMs the ends so far still count. */
+  recordable(now: number): CrashRecord[] {
+    return this.#notable().filter((each) => each.isHeld || isDoubtful(each))
       .map((each) => toRecord(each, now));
   }
 
@@ -154,10 +164,16 @@
     return count;
   }
 
-  /** Records that have changed after a revision, the newest first. */
-  changesSince(revision: number, now: number): CrashRecord[] {
+  /** Records that have changed after a revision, the newest first; those that are
+   * known at `address` already are left out. */
+  changesSince(
+    revision: number,
+    now: number,
+    address: string | null = null,
+  ): CrashRecord[] {
     const changed = [...this.#records.values()]
       .filter((each) => each.revision > revision)
+      .filter(({ knownAt }) => knownAt === null || knownAt !== address)
       .sort((a, b) => b.revision - a.revision)
       .slice(0, MAXIMUM_NOTABLE);
     return changed.map((each) => toRecord(each, now));
@@ -168,9 +184,24 @@
     return this.#notable().map((each) => toRecord(each, now));
   }
 
-  /** Takes what another VM knows. */
-  merge(records: readonly CrashRecord[], now: number): void {
-    for (const record of records) this.#merge(record, now);
+  /** The same, with the newest of the requests under which one server has ended: a
+   * VM that has just started lets none of them run beside a copy. */
+  suspects(now: number): CrashRecord[] {
+    const notable = this.#notable();
+    const others = [...this.#records.values()]
+      .filter((each) => each.runs.length > 0 && !isNotable(each))
+      .sort((a, b) => b.revision - a.revision);
+    return [...notable, ...others].slice(0, MAXIMUM_NOTABLE)
+      .map((each) => toRecord(each, now));
+  }
+
+  /** Takes what another VM knows, the one at `address` if that matters. */
+  merge(
+    records: readonly CrashRecord[],
+    now: number,
+    address: string | null = null,
+  ): void {
+    for (const record of records) this.#merge(record, now, address);
   }
 
   /** Holds requests back, lets them through for a trial, and forgets others, whose
@@ -188,13 +219,13 @@
       this.#try(crashes, now);
     } else if (!crashes.isHeld && now >= heldFrom(crashes)) {
       crashes.isHeld = true;
-      this.#holdRevision += 1;
+      this.#recordRevision += 1;
       this.changed({ kind: "held", crashes });
       this.#excuseOthers(crashes, now);
     }
   }
 
-  #merge(record: CrashRecord, now: number): void {
+  #merge(record: CrashRecord, now: number, address: string | null): void {
     const { request, target, round } = record;
     const lastAt = now - record.age;
     const known = this.#records.get(request);
@@ -212,6 +243,13 @@
       crashes.runs = runs;
       crashes.excused = excused;
     });
+    const isAllOfIt = isSame(crashes.runs, record.runs) &&
+      isSame(crashes.excused, record.excused);
+    crashes.knownAt = isAllOfIt ? address : null;
+    if (crashes.runs.length > 0 && isTrusted(crashes, now)) {
+      this.#excuse(crashes, crashes.runs, now);
+      this.#ownRevision = this.#revision;
+    }
     // Whoever holds it back has waited for an answer to be heard of.
     if (record.isHeld && isConvicted(crashes)) {
       crashes.doubtfulSince = -Infinity;
@@ -236,7 +274,10 @@
 
   #update(crashes: KnownCrashes, now: number, change: () => void): void {
     const wasNotable = isNotable(crashes);
+    const wasDoubtful = isDoubtful(crashes);
     change();
+    if (wasDoubtful !== isDoubtful(crashes)) this.#recordRevision += 1;
+    crashes.knownAt = null;
     crashes.runs = crashes.runs.slice(-MAXIMUM_RUNS);
     crashes.excused = crashes.excused.slice(-MAXIMUM_RUNS);
     const since = Math.min(crashes.doubtfulSince, now);
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -157,3 +157,21 @@
   quarantine.expire(HEARD);
   t.true(isHeld(quarantine, HEARD));
 });
+
+test("quarantine: one that is answered everywhere is not suspected for the ends beside it", (t) => {
+  const quarantine = accusedOf(1);
+  t.is(quarantine.ends(ENDING), 1);
+  quarantine.clear(ENDING, 10);
+  quarantine.accuse(ENDING.whole, "h/ends", "s-7#1", 2_000);
+  t.is(quarantine.ends(ENDING), 0);
+  // Nor by another VM's word, which learns of it in turn.
+  const other = accusedOf(2);
+  quarantine.merge(other.suspects(3_000), 3_000);
+  t.is(quarantine.ends(ENDING), 0);
+  other.merge(quarantine.suspects(3_010), 3_010);
+  other.merge(quarantine.notable(3_010), 3_010);
+  t.is(other.ends(ENDING), 0);
+  // An answer of long ago speaks for nothing.
+  quarantine.accuse(ENDING.whole, "h/ends", "s-8#1", 9_000);
+  t.is(quarantine.ends(ENDING), 1);
+});
--- /dev/null
+++ b/src/core/quarantine/run_permits_test.ts
@@ -0,0 +1,123 @@
+import test from "ava";
+import fc from "fast-check";
+import { PermitIssuer } from "./permit_issuer.ts";
+import { LONGEST_PERMIT, RunPermits } from "./run_permits.ts";
+
+const REQUEST = "fingerprint";
+/** When an issuer that begins at 0 issues its first permit. */
+const OPEN_AT = LONGEST_PERMIT;
+
+function openIssuer(): PermitIssuer {
+  const issuer = PermitIssuer.create();
+  issuer.begin(0);
+  return issuer;
+}
+
+/** Permits of the VM at `address`, which reaches the issuer without delay. */
+function permitsAt(address: string, issuer: PermitIssuer): RunPermits {
+  return RunPermits.create({
+    ask: (request, duration, now) =>
+      issuer.issue(request, address, duration, now),
+    giveBack: (request, hasEnded) =>
+      issuer.returned(request, address, hasEnded),
+  });
+}
+
+test("run permits: copies at two VMs run one after the other", (t) => {
+  const issuer = openIssuer();
+  const a = permitsAt("a", issuer);
+  const b = permitsAt("b", issuer);
+  t.is(a.check(REQUEST, "1", 800, OPEN_AT).kind, "granted");
+  t.is(a.check(REQUEST, "1", 800, OPEN_AT + 1).kind, "granted");
+  t.is(a.check(REQUEST, "2", 800, OPEN_AT + 1).kind, "denied");
+  t.is(b.check(REQUEST, "3", 800, OPEN_AT + 1).kind, "denied");
+  a.ended(REQUEST, "1", false);
+  // A denial holds for a while, though not for as long as the permit would.
+  t.is(b.check(REQUEST, "4", 800, OPEN_AT + 10).kind, "denied");
+  t.is(b.check(REQUEST, "4", 800, OPEN_AT + 300).kind, "granted");
+});
+
+test("run permits: one whose copy may still run is not given back", (t) => {
+  const issuer = openIssuer();
+  const a = permitsAt("a", issuer);
+  a.check(REQUEST, "1", 800, OPEN_AT);
+  a.ended(REQUEST, "1", true);
+  t.is(a.check(REQUEST, "2", 800, OPEN_AT + 799).kind, "denied");
+  t.is(a.check(REQUEST, "2", 800, OPEN_AT + 800).kind, "granted");
+});
+
+test("permit issuer: after two ends in a row the next copy waits", (t) => {
+  const issuer = openIssuer();
+  const a = permitsAt("a", issuer);
+  a.check(REQUEST, "1", 800, OPEN_AT);
+  a.serverEnded(REQUEST, "1");
+  t.is(a.check(REQUEST, "2", 800, OPEN_AT + 50).kind, "granted");
+  a.serverEnded(REQUEST, "2");
+  t.is(a.check(REQUEST, "3", 800, OPEN_AT + 800).kind, "denied");
+  t.is(a.check(REQUEST, "3", 800, OPEN_AT + 1_100).kind, "granted");
+});
+
+test("permit issuer: a new one issues nothing while permits of the former may be out", (t) => {
+  const issuer = openIssuer();
+  const before = OPEN_AT - 1;
+  t.deepEqual(issuer.issue(REQUEST, "a", 800, before), {
+    isGranted: false,
+    left: 1,
+  });
+  t.true(issuer.issue(REQUEST, "a", 800, OPEN_AT).isGranted);
+  issuer.end();
+  t.false(issuer.issue(REQUEST, "a", 800, OPEN_AT + 5_000).isGranted);
+});
+
+test("run permits: an answer that comes too late is given back", (t) => {
+  const returned: string[] = [];
+  const permits = RunPermits.create({
+    ask: () => null,
+    giveBack: (request) => returned.push(request),
+  });
+  t.is(permits.check(REQUEST, "1", 800, 0).kind, "asked");
+  permits.ended(REQUEST, "1", false);
+  permits.told(REQUEST, { isGranted: true, left: 800 }, 10);
+  t.deepEqual(returned, [REQUEST]);
+});
+
+test("run permits: whatever VMs do, one copy runs at a time", (t) => {
+  const step = fc.record({
+    vm: fc.nat(3),
+    after: fc.nat(600),
+    does: fc.constantFrom("check", "answered", "broken", "ended"),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const issuer = openIssuer();
+      const vms = ["a", "b", "c", "d"].map((each) => permitsAt(each, issuer));
+      /** The copy that each VM runs, and until when it may. */
+      const running = new Map<number, { copy: string; until: number }>();
+      let now = OPEN_AT;
+      let count = 0;
+      for (const { vm, after, does } of steps) {
+        now += after;
+        for (const [each, { until }] of running) {
+          if (now >= until) running.delete(each);
+        }
+        const own = running.get(vm);
+        if (does === "check" && own === undefined) {
+          count += 1;
+          const copy = `${count}`;
+          const duration = 400;
+          if (vms[vm].check(REQUEST, copy, duration, now).kind === "granted") {
+            if (running.size > 0) return false;
+            running.set(vm, { copy, until: now + duration });
+          }
+        } else if (own !== undefined && does !== "check") {
+          if (does === "ended") vms[vm].serverEnded(REQUEST, own.copy);
+          else vms[vm].ended(REQUEST, own.copy, does === "broken");
+          if (does !== "broken") running.delete(vm);
+        }
+      }
+      return true;
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+  t.pass();
+});
--- a/src/core/quarantine_exchange.ts
+++ b/src/core/quarantine_exchange.ts
@@ -33,6 +33,10 @@
 /** Silence of the holder after which the seeds stand in for it, in milliseconds: two
  * of its answers are missing. */
 const HOLDER_SILENCE = 1_200;
+/** Shortest pause before the listeners are told of requests under which one server has
+ * ended, in milliseconds for each of them: the ends of many servers at once are then
+ * told in few words, and a copy that comes within that time meets one more end. */
+const SUSPECTS_PAUSE_PER_VM = 2;
 /** Reports whose answers are awaited; older ones count as lost. */
 const MAXIMUM_AWAITED = 8;
 
@@ -64,6 +68,7 @@
   /** Up to which change the listeners were told, and what they were told then. */
   #toldRevision = 0;
   #toldDigest = 0;
+  #toldAt = -Infinity;
   #seedsToldAt = -Infinity;
   #reportedAt = -Infinity;
 
@@ -103,7 +108,7 @@
     this.#reportedAt = now;
     this.#awaited.push({ sentAt: now, revision });
     if (this.#awaited.length > MAXIMUM_AWAITED) this.#awaited.shift();
-    return this.#word(this.#holderRevision, now);
+    return this.#word(this.#holderRevision, now, holder);
   }
 
   /** The holder at an address has answered the report that was sent at `sentAt`. */
@@ -122,16 +127,20 @@
     { digest, records }: QuarantineWord,
     now: number,
   ): QuarantineSend | null {
-    this.quarantine.merge(records, now);
+    this.quarantine.merge(records, now, address);
     if (digest === null) return null;
     const known = this.#listeners.get(address);
     const answeredAt = known?.answeredAt ?? -Infinity;
     const listener = { heardAt: now, answeredAt };
     this.#listeners.set(address, listener);
-    if (digest === this.quarantine.digest) return null;
+    const isNew = known === undefined;
+    if (digest === this.quarantine.digest && !isNew) return null;
     if (now - answeredAt < ANSWER_PAUSE) return null;
     listener.answeredAt = now;
-    const word = { digest: null, records: this.quarantine.notable(now) };
+    const all = isNew
+      ? this.quarantine.suspects(now)
+      : this.quarantine.notable(now);
+    const word = { digest: null, records: all };
     return word.records.length === 0 ? null : { address, word };
   }
 
@@ -151,9 +160,13 @@
   #tellListeners(now: number): QuarantineSend[] {
     const { digest, revision } = this.quarantine;
     const since = this.#toldRevision;
+    if (revision === since) return [];
+    const pause = SUSPECTS_PAUSE_PER_VM * this.#listeners.size;
+    const isUrgent = digest !== this.#toldDigest;
+    if (!isUrgent && now - this.#toldAt < pause) return [];
     this.#toldRevision = revision;
-    if (digest === this.#toldDigest) return [];
     this.#toldDigest = digest;
+    this.#toldAt = now;
     const records = this.quarantine.changesSince(since, now);
     if (records.length === 0) return [];
     const word = { digest: null, records };
@@ -179,8 +192,16 @@
     this.#awaited = [];
   }
 
-  #word(since: number, now: number): QuarantineWord {
-    const records: CrashRecord[] = this.quarantine.changesSince(since, now);
+  #word(
+    since: number,
+    now: number,
+    address: string | null = null,
+  ): QuarantineWord {
+    const records: CrashRecord[] = this.quarantine.changesSince(
+      since,
+      now,
+      address,
+    );
     return { digest: this.quarantine.digest, records };
   }
 }
--- a/src/core/quarantine_record.ts
+++ b/src/core/quarantine_record.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps what is held back in the store, so that it outlives the loss of all VMs.
+ * Keeps what is held back, or close to it, in the store, so that it outlives the loss of all VMs.
  *
- * The term holder writes it when a request is held back that the record lacks, which
+ * The term holder writes it when the record lacks such a request, which
  * is seldom; every VM reads it at its start, with who holds the term. It is no
  * authority: what two holders write one after the other merges at its readers.
  *
@@ -20,7 +20,7 @@
 
 /** See the module's comment. Times are milliseconds. */
 export class QuarantineRecord {
-  /** What is known to be recorded: requests with their rounds. */
+  /** What is known to be recorded: requests with their rounds and ends. */
   #recorded = new Set<string>();
   #writing: Set<string> | null = null;
   #dueAt = -Infinity;
@@ -51,10 +51,10 @@
   /** The write that is due at the term holder, or null. */
   advance(now: number): QuarantineWrite | null {
     if (this.#writing !== null || now < this.#dueAt) return null;
-    const { holdRevision } = this.quarantine;
-    if (holdRevision === this.#revision) return null;
-    this.#revision = holdRevision;
-    const records = this.quarantine.held(now);
+    const { recordRevision } = this.quarantine;
+    if (recordRevision === this.#revision) return null;
+    this.#revision = recordRevision;
+    const records = this.quarantine.recordable(now);
     const names = records.map(nameOf);
     if (names.every((name) => this.#recorded.has(name))) return null;
     this.#writing = new Set(names);
@@ -62,6 +62,6 @@
   }
 }
 
-function nameOf({ request, round }: CrashRecord): string {
-  return `${request} ${round}`;
+function nameOf({ request, round, runs }: CrashRecord): string {
+  return `${request} ${round} ${runs.length}`;
 }
