Evacuated availability zones and cold servers

Evacuation: the request is read from the configuration's feed, whatever its record holds, and travels with everything that VMs tell each other, with the position in the feed up to which it is known; the later position wins. Servers of such a zone count as leaving: without keys they get nothing at once, keys leave one after the other over 2 s, neighbours apart, and a VM sends none there later than 3.2 s after it knows. Where all servers of a service are leaving callers are refused at once. A zone that is taken back counts as cold.

Cold servers: each VM takes its share of the rate in the configuration, by the number of VMs, with the first request at a random moment; a server is cold by its entry, after its zone came back, or after nothing had listened at its address. An entry that says longer than before is news now, since servers become cold again; keys go to cold servers only where there is no other.

'heartbeats are no news' of the registry named a rising time as its heartbeat; it falls there now, as heartbeats do, and the rise has a test.

--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -17,6 +17,8 @@
 const COMMANDS: Record<string, () => Promise<Adder>> = {
   serve: async () => (await import("./serve_command.ts")).addServeCommand,
   config: async () => (await import("./config_command.ts")).addConfigCommand,
+  evacuate: async () =>
+    (await import("./evacuate_command.ts")).addEvacuateCommand,
   status: async () => (await import("./status_command.ts")).addStatusCommand,
   "stand-in": async () =>
     (await import("./stand_in_command.ts")).addStandInCommand,
--- a/src/cli/config_command.ts
+++ b/src/cli/config_command.ts
@@ -144,7 +144,8 @@
   });
 }
 
-async function withControlStore(
+/** Lets `act` use the store at an address, and closes it. */
+export async function withControlStore(
   address: string,
   act: (store: ControlStore) => Promise<void>,
 ): Promise<void> {
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -75,6 +75,9 @@
     `VMs            ${status.vms ?? "unknown"}`,
     `pending        ${status.pending} requests`,
   ];
+  for (const zone of status.evacuatedZones) {
+    lines.push(`evacuated      ${zone}`);
+  }
   for (const each of status.assignments) {
     lines.push(
       `keys of ${each.service}: ${each.ranges} ranges, ${each.open} open, position ${each.term}.${each.version}`,
@@ -89,6 +92,10 @@
   for (const server of status.servers) {
     const state = server.isDraining
       ? "draining"
+      : server.isEvacuated
+      ? "evacuated"
+      : server.isWarming
+      ? "cold"
       : server.isPaused
       ? "paused"
       : "up";
@@ -97,7 +104,7 @@
       : `${server.latency.toFixed(1)} ms`;
     lines.push(
       `  ${server.id.padEnd(20)} ${server.service.padEnd(16)} ${
-        state.padEnd(8)
+        state.padEnd(9)
       } ${server.inFlight} in flight, ${latency}`,
     );
   }
--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -6,7 +6,13 @@
  */
 import { Catalog, type Configuration } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
-import { Fleet, type FleetChange } from "./fleet/index.ts";
+import {
+  type EvacuationChange,
+  type EvacuationNews,
+  type EvacuationRead,
+  Fleet,
+  type FleetChange,
+} from "./fleet/index.ts";
 import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
 import type { HolderAddress, Knowledge } from "./peers/index.ts";
 import { type Accusation, CrashWatch, Quarantine } from "./quarantine/index.ts";
@@ -61,7 +67,13 @@
   /** What other VMs are told that this one knows. */
   knowledge(position = this.directory.position): Knowledge {
     const { term, version } = position;
-    return { term, version, configuration: this.catalog.version };
+    const evacuation = this.fleet.evacuations.news;
+    return {
+      term,
+      version,
+      configuration: this.catalog.version,
+      ...(evacuation === null ? {} : { evacuation }),
+    };
   }
 
   /** Takes a configuration, if it is newer. */
@@ -74,6 +86,27 @@
     this.emit({ kind: "limits.apply", limits: configuration.limits });
   }
 
+  /** Takes what the store tells of evacuated zones. */
+  evacuationsRead(read: EvacuationRead, now: number): void {
+    this.#evacuate(this.fleet.evacuations.read(read), now);
+  }
+
+  /** Takes what another VM tells of them. */
+  evacuationsTold(news: EvacuationNews, now: number): void {
+    this.#evacuate(this.fleet.evacuations.learn(news), now);
+  }
+
+  #evacuate(change: EvacuationChange, now: number): void {
+    const { position } = this.fleet.evacuations;
+    this.fleet.evacuate(change, now);
+    for (const zone of change.evacuated) {
+      this.note("zone.evacuated", { zone, position });
+    }
+    for (const zone of change.restored) {
+      this.note("zone.restored", { zone, position });
+    }
+  }
+
   /** Takes changes of the list of servers. */
   changeServers(changes: readonly FleetChange[], now: number): void {
     this.crashes.changed(changes, now);
@@ -87,6 +120,7 @@
         address: server.address,
         zone: server.availabilityZone,
         incarnation: server.incarnation,
+        warmUp: server.warmUp,
       });
     }
   }
--- a/src/core/catalog/configuration.ts
+++ b/src/core/catalog/configuration.ts
@@ -49,6 +49,14 @@
   maximumConnections: z.number().int().positive(),
   /** Whether each key belongs to one server. */
   isKeyed: z.boolean(),
+  /** How servers begin that have just started; without it they bear full load from
+   * the start on. */
+  warmUp: z.object({
+    /** Time for which they stay cold. */
+    duration,
+    /** Requests that a cold one bears in a second, from all callers together. */
+    requestsPerSecond: z.number().positive(),
+  }).optional(),
 });
 
 /** See {@linkcode serviceSchema}. */
--- /dev/null
+++ b/src/core/dispatch/cold_admission.ts
@@ -0,0 +1,74 @@
+/**
+ * Keeps what all VMs together send to a cold server within what it bears.
+ *
+ * A server that has just started is slow, and ends when it gets many requests in a
+ * second. No VM knows what the others send, and one request of each of 61 VMs at once
+ * is too many already; so each takes its share of the rate that the configuration
+ * names, and the first at a random moment of the time between two. VMs that learn of
+ * the server late, or of each other, only send less.
+ *
+ * @module
+ */
+import type { Catalog } from "../catalog/index.ts";
+import type { TrackedServer } from "../fleet/index.ts";
+
+/** VMs that are assumed to share a server while their number is unknown: rather too
+ * few requests than too many from all of them. */
+const UNKNOWN_VMS = 64;
+/** Servers that are remembered at the most. */
+const MAXIMUM_SERVERS = 1_024;
+
+/** See the module's comment. Times are milliseconds. */
+export class ColdAdmission {
+  /** When the next request may be sent to a cold server, by its id. */
+  readonly #nextAt = new Map<string, number>();
+
+  private constructor(
+    private readonly catalog: Catalog,
+    private readonly vms: () => number | null,
+    private readonly draw: () => number,
+  ) {}
+
+  /** Limits as `catalog` names them, shared by `vms` VMs; `draw` gives numbers in
+   * [0, 1). */
+  static create(
+    catalog: Catalog,
+    vms: () => number | null,
+    draw: () => number,
+  ): ColdAdmission {
+    return new ColdAdmission(catalog, vms, draw);
+  }
+
+  /** Whether a server may get one more request of this VM now. */
+  mayTake(server: TrackedServer, now: number): boolean {
+    const pause = this.#pause(server, now);
+    if (pause === null) return true;
+    const known = this.#nextAt.get(server.id);
+    // What is longer ago is of a time when the server was cold before.
+    if (known !== undefined && now < known + pause) return now >= known;
+    if (this.#nextAt.size >= MAXIMUM_SERVERS) this.#forgetOldest();
+    this.#nextAt.set(server.id, now + this.draw() * pause);
+    return false;
+  }
+
+  /** A request was sent to a server. */
+  started(server: TrackedServer, now: number): void {
+    const pause = this.#pause(server, now);
+    if (pause === null) this.#nextAt.delete(server.id);
+    else this.#nextAt.set(server.id, now + pause);
+  }
+
+  /** Time between two requests to a server; null for one that is not cold. */
+  #pause(server: TrackedServer, now: number): number | null {
+    const { warmUp } = this.catalog.service(server.entry.service) ?? {};
+    if (warmUp === undefined || !server.isCold(now, warmUp.duration)) {
+      return null;
+    }
+    return 1_000 * (this.vms() ?? UNKNOWN_VMS) / warmUp.requestsPerSecond;
+  }
+
+  #forgetOldest(): void {
+    const [oldest] = this.#nextAt.keys();
+    this.#nextAt.delete(oldest);
+  }
+}
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -11,6 +11,7 @@
   Quarantine,
   RunPermits,
 } from "../quarantine/index.ts";
+import type { ColdAdmission } from "./cold_admission.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
@@ -22,6 +23,7 @@
   quarantine: Quarantine;
   crashes: CrashWatch;
   permits: RunPermits;
+  cold: ColdAdmission;
   availabilityZone: string;
   retryLimits: RetryLimits;
   /** When this process started. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -242,7 +242,7 @@
     } else if (placing.kind === "hold") {
       this.#holdBack(request, placing, now);
     } else if (placing.kind === "deny") {
-      this.#deny(request, placing, now);
+      this.#giveUpWaiting(request, placing.reason, now);
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
@@ -301,6 +301,7 @@
       assignments: `${term}.${version}`,
     });
     server.started(number, now);
+    this.context.cold.started(server, now);
     this.#effects.push({
       kind: "attempt.start",
       attempt: number,
@@ -407,7 +408,7 @@
       }
       if (placing.kind === "deny") {
         this.#waiting.remove(request);
-        return this.#deny(request, placing, now);
+        return this.#giveUpWaiting(request, placing.reason, now);
       }
       if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
@@ -461,18 +462,6 @@
     this.#effects.push(refusal);
   }
 
-  /** Refuses a copy of a request that runs elsewhere, alone. */
-  #deny(
-    request: PendingRequest,
-    { reason, left }: Placing & { kind: "deny" },
-    now: number,
-  ): void {
-    const fingerprint = request.arrival.fingerprint.whole;
-    const detail = { fingerprint, left: Math.round(left) };
-    this.#log.note("info", "request.runs_elsewhere", request, now, detail);
-    this.#giveUpWaiting(request, reason, now);
-  }
-
   #giveUpWaiting(request: PendingRequest, reason: string, now: number): void {
     if (request.mayHaveRun) this.#fail(request, 502, reason, now);
     else this.#refuse(request, reason, now);
@@ -527,7 +516,7 @@
       } else if (placing.kind === "hold") {
         this.#holdBack(request, placing, now);
       } else if (placing.kind === "deny") {
-        this.#deny(request, placing, now);
+        this.#giveUpWaiting(request, placing.reason, now);
       } else {
         isFull = isFull || (request.tried.length === 0 && !placing.isOwn);
         request.lookAt = placing.until;
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -12,6 +12,7 @@
   RunPermits,
 } from "../quarantine/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
+import { ColdAdmission } from "./cold_admission.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
 
@@ -96,6 +97,7 @@
     quarantine,
     crashes,
     permits,
+    cold: ColdAdmission.create(catalog, () => vms, draw),
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
@@ -314,6 +316,28 @@
   });
 }
 
+test("dispatch: a zone that is evacuated gets nothing, and callers are told at once", (t) => {
+  const { arrive, fleet, servers } = createDispatcher();
+  const other = { ...servers[4], availabilityZone: "left" };
+  fleet.apply([other], [], 0);
+  const zone = servers[5].availabilityZone;
+  fleet.evacuate({ evacuated: [zone], restored: [] }, 0);
+  t.deepEqual(brief(arrive("/read/", 1)), ["start reads-1, 500 ms left"]);
+  // All servers of this one are there.
+  t.regex(brief(arrive("/order/", 1))[0], /^503, all servers .* are leaving/);
+  fleet.evacuate({ evacuated: [], restored: [zone] }, 2_000);
+  t.is(brief(arrive("/order/", 2_001)).length, 1);
+});
+
+test("dispatch: keys of an evacuated zone are served there only while they move", (t) => {
+  const { arrive, fleet, servers } = createDispatcher();
+  const zone = servers[0].availabilityZone;
+  fleet.evacuate({ evacuated: [zone], restored: [] }, 0);
+  t.deepEqual(brief(arrive("/lookup/", 3_000)), ["start stock-1, 500 ms left"]);
+  const late = arrive("/lookup/", 3_300);
+  t.false(late.some(({ kind }) => kind === "attempt.start"));
+});
+
 test("dispatch: a permit that nobody answers for holds a request for a moment only", (t) => {
   const { dispatcher, arrive, quarantine } = createDispatcher(
     8,
@@ -538,14 +562,16 @@
   const { arrive } = createDispatcher();
   t.snapshot(brief(arrive("/nowhere/", 0)));
   const quarantine = Quarantine.create();
+  const catalog = Catalog.create();
   const unconfigured = Dispatcher.create({
-    catalog: Catalog.create(),
+    catalog,
     fleet: Fleet.create(),
     directory: KeyDirectory.create(),
     keyLimits: KeyLimits.create(),
     quarantine,
     crashes: CrashWatch.create(quarantine, () => {}),
     permits: RunPermits.create({ ask: () => null, giveBack: () => {} }),
+    cold: ColdAdmission.create(catalog, () => null, () => 0),
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -171,7 +171,10 @@
   ): Sequel {
     const server = this.context.fleet.get(attempt.server);
     if (wasSent) this.#broke(request, attempt, now);
-    else if (isRefused) this.#ended(server, attempt, now);
+    else if (isRefused) {
+      this.#ended(server, attempt, now);
+      if (server?.has(attempt.number)) server.gone();
+    }
     server?.failed(attempt.number, now);
     if (wasSent) return mayHaveRun(request, attempt, cause, now);
     const detail = { server: attempt.server, cause };
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -15,6 +15,11 @@
  * are moved; then nothing more is sent to it. */
 const DRAINING_KEYS_TIME = 700;
 
+/** The same for a server whose zone is evacuated, of which many keys move. With the
+ * second after which all VMs know of it, it stays within the 5 s that operators
+ * grant. */
+const EVACUATED_KEYS_TIME = 3_200;
+
 /** Where a request can go now. */
 export type Placing =
   | { kind: "server"; server: TrackedServer }
@@ -22,8 +27,9 @@
   | { kind: "refuse"; reason: string; share: number; age: number }
   /** Not at all for a while: servers have ended under it. */
   | { kind: "hold"; hold: Hold }
-  /** Not now: a server has ended under it, and another copy of it runs. */
-  | { kind: "deny"; reason: string; left: number }
+  /** Not now, and no wait would help: another copy of it runs, under which a server
+   * has ended, or all servers are leaving. */
+  | { kind: "deny"; reason: string }
   /** Not now, maybe later; `isBrief` when it is known to change soon, `isOwn` when
    * it waits for nothing that others wait for, `until` when time alone changes it
    * (Infinity otherwise). */
@@ -84,9 +90,15 @@
     if (request.key !== null) {
       return this.#placeKeyed(request, request.key, now);
     }
-    const context = { fleet, availabilityZone, vms: this.context.vms(), draw };
+    const { cold } = this.context;
+    const vms = this.context.vms();
+    const context = { fleet, availabilityZone, vms, cold, draw };
     const server = chooseServer(request.service, request.tried, now, context);
     if (server !== null) return { kind: "server", server };
+    const servers = fleet.of(request.service);
+    if (servers.length > 0 && servers.every((each) => each.isLeaving)) {
+      return { kind: "deny", reason: "all servers of the service are leaving" };
+    }
     return waitForLong("no server has room");
   }
 
@@ -107,7 +119,7 @@
       case "denied": {
         const reason = "a backend server has ended under this request, and " +
           "another copy of it runs";
-        return { kind: "deny", reason, left: permission.left };
+        return { kind: "deny", reason };
       }
     }
   }
@@ -150,13 +162,23 @@
     if (server === undefined) {
       return waitForLong("the key's server is gone");
     }
-    const drainingSince = server.drainingSince ?? Infinity;
-    if (now > drainingSince + DRAINING_KEYS_TIME) {
+    if (now > lastKeysAt(server)) {
       return waitBriefly("the key's server is leaving");
     }
+    if (!this.context.cold.mayTake(server, now)) {
+      return waitForLong("the key's server is cold");
+    }
     if (hasRoom(server, now, this.context.vms())) {
       return { kind: "server", server };
     }
     return waitForLong("the key's server has no room");
   }
 }
+
+/** When a server that leaves is sent requests for its keys last. */
+function lastKeysAt({ drainingSince, evacuatedSince }: TrackedServer): number {
+  return Math.min(
+    (drainingSince ?? Infinity) + DRAINING_KEYS_TIME,
+    (evacuatedSince ?? Infinity) + EVACUATED_KEYS_TIME,
+  );
+}
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
+import type { ColdAdmission } from "./cold_admission.ts";
 
 /** Requests of all VMs that one server should have at most, in multiples of
  * the requests that it runs at a time: one set runs, one waits, so that no slot
@@ -36,6 +37,7 @@
   availabilityZone: string;
   /** Number of VMs that share the servers, or null when unknown. */
   vms: number | null;
+  cold: ColdAdmission;
   /** A number in [0, 1). */
   draw(): number;
 }
@@ -75,10 +77,10 @@
   now: number,
   context: ChoiceContext,
 ): TrackedServer | null {
-  const { fleet, vms } = context;
+  const { fleet, vms, cold } = context;
   const usual = fleet.usualLatency(service, now);
   const usable = sample(fleet.of(service), context.draw).filter((server) =>
-    !server.entry.isDraining && !tried.includes(server.id)
+    !server.isLeaving && !tried.includes(server.id)
   );
   const sound = usable.filter((server) =>
     !server.isPaused(now) && !server.isSilent(now, usual)
@@ -87,7 +89,7 @@
   let best: TrackedServer | null = null;
   let lowest = Infinity;
   for (const server of pool) {
-    if (!hasRoom(server, now, vms)) continue;
+    if (!hasRoom(server, now, vms) || !cold.mayTake(server, now)) continue;
     const isNear = server.entry.availabilityZone === context.availabilityZone;
     const cost = (server.cost(now, usual) + 1) * (isNear ? 1 : FAR_FACTOR) *
       (1 + JITTER * context.draw());
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { Beliefs } from "./beliefs.ts";
-import { Dispatcher } from "./dispatch/index.ts";
+import { ColdAdmission, Dispatcher } from "./dispatch/index.ts";
 import type { RequestArrival } from "./dispatch/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { EntryEvent } from "./entry_event.ts";
@@ -83,6 +83,11 @@
       quarantine,
       crashes,
       permits: this.peers.permits.permits,
+      cold: ColdAdmission.create(
+        catalog,
+        () => this.vms,
+        uniformFloat64(options.seed + 1),
+      ),
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
@@ -156,6 +161,8 @@
         return this.#clockJumped(event.gap, event.isCertain);
       case "configuration.read":
         return this.beliefs.configure(event.configuration);
+      case "evacuations.read":
+        return this.beliefs.evacuationsRead(event.read, now);
       case "servers.read":
         return this.#readServers(event);
       case "servers.failed":
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -13,6 +13,7 @@
   Records,
   WriteOutcome,
 } from "./keyspace/index.ts";
+import type { EvacuationRead } from "./fleet/index.ts";
 import type { HolderAddress, PeerMessage } from "./peers/index.ts";
 import type { CrashRecord } from "./quarantine/index.ts";
 import type { RegistryRead } from "./registry/index.ts";
@@ -28,6 +29,8 @@
    * is certain, its time of day may only have been set. */
   | { kind: "clock.jumped"; gap: number; isCertain: boolean }
   | { kind: "configuration.read"; configuration: Configuration }
+  /** Operators' requests to evacuate availability zones were read. */
+  | { kind: "evacuations.read"; read: EvacuationRead }
   /** A read of the registry that was sent at `sentAt` was answered. */
   | { kind: "servers.read"; read: RegistryRead; sentAt: number }
   /** It failed; with `isExpired` its records are no longer kept. */
--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -27,9 +27,15 @@
     availabilityZone: string;
     isDraining: boolean;
     isPaused: boolean;
+    /** Whether its availability zone is evacuated. */
+    isEvacuated: boolean;
+    /** Whether it has just started, by its own word. */
+    isWarming: boolean;
     inFlight: number;
     latency: number | null;
   }[];
+  /** Availability zones that operators have asked to evacuate. */
+  evacuatedZones: string[];
   assignments: {
     service: string;
     term: number;
@@ -73,9 +79,12 @@
       availabilityZone: server.entry.availabilityZone,
       isDraining: server.entry.isDraining,
       isPaused: server.isPaused(now),
+      isEvacuated: server.evacuatedSince !== null,
+      isWarming: server.isWarming(now),
       inFlight: server.inFlight,
       latency: server.latency,
     })),
+    evacuatedZones: entry.beliefs.fleet.evacuations.zones,
     assignments: entry.beliefs.directory.assignments.map((each) => ({
       service: each.service,
       term: each.term,
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { BackendServer } from "./backend_server.ts";
+import { type EvacuationChange, Evacuations } from "./evacuations.ts";
 import {
   type LatencySamples,
   type StatedLoad,
@@ -49,6 +50,8 @@
 
 /** See the module's comment. */
 export class Fleet {
+  /** Zones whose servers get nothing. */
+  readonly evacuations = Evacuations.create();
   readonly #servers = new Map<string, TrackedServer>();
   readonly #byService = new Map<string, TrackedServer[]>();
   readonly #joinedAt = new Map<string, number>();
@@ -74,6 +77,15 @@
     this.#regainedAt = now;
   }
 
+  /** Zones were evacuated or taken back. */
+  evacuate({ evacuated, restored }: EvacuationChange, now: number): void {
+    for (const server of this.#servers.values()) {
+      const { availabilityZone } = server.entry;
+      if (evacuated.includes(availabilityZone)) server.evacuate(true, now);
+      if (restored.includes(availabilityZone)) server.evacuate(false, now);
+    }
+  }
+
   /** Takes new or changed entries, removals, and servers whose entry cannot be
    * read any more. */
   apply(
@@ -243,6 +255,7 @@
   #add(entry: BackendServer, now: number): void {
     const server = TrackedServer.create(entry);
     server.update(entry, now);
+    server.evacuate(this.evacuations.has(entry.availabilityZone), now);
     this.#servers.set(entry.id, server);
     this.#joinedAt.set(entry.service, now);
     const others = this.#byService.get(entry.service) ?? [];
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -1,3 +1,4 @@
 export * from "./backend_server.ts";
+export * from "./evacuations.ts";
 export * from "./fleet.ts";
 export * from "./tracked_server.ts";
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -54,6 +54,14 @@
 export class TrackedServer {
   /** When it was first seen draining, or null. */
   drainingSince: number | null = null;
+  /** Since when its availability zone is evacuated, or null. */
+  evacuatedSince: number | null = null;
+  /** Until when it is cold by its own word. */
+  #coldUntil = -Infinity;
+  /** When it may have become cold without a word of it yet. */
+  #maybeColdAt = -Infinity;
+  /** Whether nothing listened at its address when it was last tried. */
+  #isGone = false;
   /** Requests of this VM that it has. */
   inFlight = 0;
   /** When it last refused a request, or answered it with a failure. */
@@ -99,6 +107,39 @@
   update(entry: BackendServer, now: number): void {
     this.entry = entry;
     if (entry.isDraining) this.drainingSince ??= now;
+    if (entry.warmUp > 0) this.#coldUntil = now + entry.warmUp;
+  }
+
+  /** Whether it is about to leave, or gets nothing since its zone is evacuated. */
+  get isLeaving(): boolean {
+    return this.entry.isDraining || this.evacuatedSince !== null;
+  }
+
+  /** Its zone is evacuated, or no longer; it may have become cold meanwhile. */
+  evacuate(isEvacuated: boolean, now: number): void {
+    if (isEvacuated) {
+      this.evacuatedSince ??= now;
+    } else if (this.evacuatedSince !== null) {
+      this.evacuatedSince = null;
+      this.#maybeColdAt = now;
+    }
+  }
+
+  /** Whether it bears few requests: by its own word, or since it may have started
+   * anew, which its entry tells late; a cold one is so for `duration` ms. */
+  isCold(now: number, duration: number): boolean {
+    return this.#isGone || now < this.#coldUntil ||
+      now < this.#maybeColdAt + duration;
+  }
+
+  /** Whether it is cold by its own word. */
+  isWarming(now: number): boolean {
+    return now < this.#coldUntil;
+  }
+
+  /** Nothing listened at its address. */
+  gone(): void {
+    this.#isGone = true;
   }
 
   /** A request was sent to it. */
@@ -243,6 +284,8 @@
   #heard(now: number, load: ReportedLoad | null): void {
     this.#lastAnswerAt = now;
     this.aliveAt = now;
+    if (this.#isGone) this.#maybeColdAt = now;
+    this.#isGone = false;
     this.#hasAnswered = true;
     if (load === null) return;
     this.#othersLoad = Math.max(
--- a/src/core/keyspace/key_balance.ts
+++ b/src/core/keyspace/key_balance.ts
@@ -92,11 +92,10 @@
     now: number,
   ): Candidate[] {
     const usual = this.fleet.usualLatency(service, now);
-    const usable = this.fleet.of(service).filter((each) =>
-      !each.entry.isDraining
-    );
+    const usable = this.fleet.of(service).filter((each) => !each.isLeaving);
     const sound = usable.filter((each) =>
       !suspects.has(each.id) && !each.isPaused(now) &&
+      !each.isWarming(now) &&
       !each.isSilent(now, usual)
     );
     return (sound.length > 0 ? sound : usable).map((server) => ({
--- a/src/core/keyspace/range_servers.ts
+++ b/src/core/keyspace/range_servers.ts
@@ -5,12 +5,19 @@
  * @module
  */
 import type { Fleet } from "../fleet/index.ts";
+import { KEY_COUNT } from "./assignment.ts";
 import type { HeldRange } from "./held_range.ts";
 import type { PendingOrder } from "./order_book.ts";
 
 /** Unanswered orders in a row after which a server counts as lost. */
 const FAILURES_TO_LOSE = 2;
 
+/** Time over which the keys of an evacuated zone leave its servers, in milliseconds:
+ * half of what operators grant, so that the last has time to finish. */
+const EVACUATION_TIME = 2_000;
+/** Odd, so that neighbouring keys, which are busy together, leave apart. */
+const TURN_FACTOR = 40_503;
+
 /** A run of a server, as far as its entry tells it from others. */
 interface Run {
   incarnation: number;
@@ -43,7 +50,21 @@
   /** Whether a server is listed and does not leave. */
   isStaying(server: string): boolean {
     const entry = this.fleet.get(server)?.entry;
-    return entry !== undefined && !entry.isDraining;
+    return entry !== undefined && !entry.isDraining &&
+      this.fleet.get(server)!.evacuatedSince === null;
+  }
+
+  /**
+   * Whether the keys of a range have to leave its server now. Those of a zone that is
+   * evacuated leave one after the other: all at once would wait together for the work
+   * that runs on them, and come to few servers in one moment.
+   */
+  hasToLeave({ server, first }: HeldRange, now: number): boolean {
+    if (this.isStaying(server!)) return false;
+    const { entry, evacuatedSince } = this.fleet.get(server!) ?? {};
+    if (entry === undefined || entry.isDraining) return true;
+    const turn = (first * TURN_FACTOR % KEY_COUNT) / KEY_COUNT;
+    return now >= evacuatedSince! + EVACUATION_TIME * turn;
   }
 
   /** Whether enough orders for a range were left unanswered in a row. */
--- a/src/core/keyspace/range_servers_test.ts
+++ b/src/core/keyspace/range_servers_test.ts
@@ -41,3 +41,27 @@
   t.false(servers.hasEnded("a"));
   t.deepEqual([...servers.suspects([])], []);
 });
+
+test("range servers: keys of an evacuated zone leave one after the other, those that neighbour apart", (t) => {
+  const fleet = Fleet.create();
+  fleet.apply([ENTRY], [], 0);
+  const servers = RangeServers.create(fleet);
+  const ranges = Array.from({ length: 16 }, (_, i) => {
+    const range = vacantRange({ first: i, last: i }, 0);
+    range.server = "a";
+    return range;
+  });
+  const leaving = (now: number) =>
+    ranges.filter((range) => servers.hasToLeave(range, now)).length;
+  t.is(leaving(0), 0);
+  fleet.evacuate({ evacuated: ["z"], restored: [] }, 1_000);
+  t.false(servers.isStaying("a"));
+  t.true(leaving(1_010) <= 1);
+  const half = leaving(2_000);
+  t.true(half >= 6 && half <= 10, `${half}`);
+  t.is(leaving(3_000), 16);
+  fleet.evacuate({ evacuated: [], restored: ["z"] }, 4_000);
+  t.is(leaving(4_000), 0);
+  fleet.apply([{ ...ENTRY, isDraining: true }], [], 5_000);
+  t.is(leaving(5_000), 16);
+});
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -312,7 +312,7 @@
   /** Whether the server of a held range has failed or is leaving. */
   #mustLeave(range: HeldRange, now: number): boolean {
     return this.#servers.isLost(range, now) ||
-      !this.#servers.isStaying(range.server!);
+      this.#servers.hasToLeave(range, now);
   }
 
   /**
--- a/src/core/peer_exchange.ts
+++ b/src/core/peer_exchange.ts
@@ -144,6 +144,8 @@
   /** Takes a message. */
   receive(address: string, message: PeerMessage, now: number): void {
     this.#compareConfiguration(message.configuration, now);
+    const { evacuation } = message;
+    if (evacuation !== undefined) this.beliefs.evacuationsTold(evacuation, now);
     if (message.quarantine !== undefined) {
       const { quarantine } = message;
       const answer = this.#quarantine.receive(address, quarantine, now);
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -5,7 +5,7 @@
  */
 import * as z from "zod";
 import { configurationSchema } from "../catalog/index.ts";
-import { backendServerSchema } from "../fleet/index.ts";
+import { backendServerSchema, evacuationNewsSchema } from "../fleet/index.ts";
 import {
   assignmentSchema,
   exposureSchema,
@@ -36,6 +36,9 @@
   version: count,
   /** Version of the configuration in force, or -1. */
   configuration: z.number().int(),
+  /** Evacuated availability zones; left out while nothing is known of them, and by
+   * VMs that have not been renewed yet. */
+  evacuation: evacuationNewsSchema.optional(),
   /** With reports and answers to them; VMs that have not been renewed yet leave it
    * out and pass over it. */
   quarantine: quarantineWordSchema.optional(),
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -239,10 +239,12 @@
   }
 }
 
-/** Whether two entries of a server say the same; how long it stays slow after
- * its start changes with every heartbeat and is told once. */
+/** Whether an entry says the same as the one before it. How long a server stays slow
+ * decreases with every heartbeat and is told once; a server that says longer than
+ * before has become slow again. */
 function isSame(a: BackendServer, b: BackendServer): boolean {
-  return a.incarnation === b.incarnation && a.service === b.service &&
+  return b.warmUp <= a.warmUp &&
+    a.incarnation === b.incarnation && a.service === b.service &&
     a.address === b.address &&
     a.availabilityZone === b.availabilityZone && a.slots === b.slots &&
     a.isDraining === b.isDraining;
--- a/src/core/registry/registry_replica_test.ts
+++ b/src/core/registry/registry_replica_test.ts
@@ -58,15 +58,25 @@
 });
 
 test("registry: heartbeats are no news", (t) => {
-  const reader = replicaOf(10, [server("a")]);
-  reader.read(read(12, [{ ...server("a"), warmUp: 900 }]), 450);
+  const cold = { ...server("a"), warmUp: 1_800 };
+  const reader = replicaOf(10, [cold]);
+  reader.read(read(11, [{ ...cold, warmUp: 900 }]), 450);
+  reader.read(read(12, [{ ...cold, warmUp: 0 }]), 450);
   const news = reader.news(10, 440)!;
   t.deepEqual(news.entries, []);
-  const follower = replicaOf(10, [server("a")]);
+  const follower = replicaOf(10, [cold]);
   t.deepEqual(follower.take(news)?.entries, []);
   t.is(follower.position, 12);
 });
 
+test("registry: a server that becomes cold again is news", (t) => {
+  const cold = { ...server("a"), warmUp: 1_800 };
+  const reader = replicaOf(10, [cold]);
+  reader.read(read(11, [{ ...cold, warmUp: 100 }]), 450);
+  reader.read(read(12, [{ ...cold, warmUp: 1_700 }]), 450);
+  t.deepEqual(reader.news(10, 440)!.entries, [{ ...cold, warmUp: 1_700 }]);
+});
+
 test("registry: news that do not follow on are not taken", (t) => {
   const reader = replicaOf(10, [server("a")]);
   const behind = replicaOf(8, []);
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -105,6 +105,8 @@
   abstract readConfiguration(): Promise<PublishedConfiguration>;
   /** Publishes a configuration if its record still ends at `end`. */
   abstract publish(configuration: Configuration, end: number): Promise<void>;
+  /** Asks to evacuate an availability zone, or takes that back. */
+  abstract evacuate(zone: string, isEvacuated: boolean): Promise<void>;
   /** Whether a read failed since its records are no longer kept. */
   abstract isExpired(error: unknown): boolean;
   /** Whether a condition of a call did not hold, so that it was not done. */
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -100,6 +100,8 @@
     /** Another writer lists an entry with its address, of no service that is
      * configured. */
     | "registry.copied"
+    /** Operators have an availability zone evacuated, the target-th, for as long. */
+    | "zone.evacuated"
     | "store.down"
     | "store.loses_answers"
     | "store.rebalance"
@@ -181,6 +183,11 @@
   quarantineMessages: PeerMessage[];
   /** When servers were lost. */
   serverEnds: number[];
+  /** Requests that were sent to a zone that was evacuated then: for how long it had
+   * been. */
+  evacuatedSends: number[];
+  /** Longest time until all VMs knew that a zone was evacuated or taken back. */
+  evacuationLag: number;
 }
 
 class Vm {
@@ -298,12 +305,18 @@
     heldBackAt: new Map(),
     quarantineMessages: [],
     serverEnds: [],
+    evacuatedSends: [],
+    evacuationLag: 0,
     staleOrders: 0,
   };
   #asked = 0;
   #replacements = 0;
   #copies = 0;
   #heldCount = 0;
+  /** Evacuated zones, and since when they are. */
+  readonly #evacuated = new Map<string, number>();
+  /** Where the feed of operators' requests ends. */
+  #operatorPosition = 0;
   /** VMs that were told that they had claimed a term, by term. */
   readonly #claims = new Map<number, string>();
   #holder: HolderAddress | null = null;
@@ -373,6 +386,7 @@
 
   #start(vm: Vm): void {
     this.#tellConfiguration(vm);
+    this.#tellEvacuations(vm);
     this.#readHolder(vm, vm.run);
   }
 
@@ -396,6 +410,47 @@
     });
   }
 
+  #tellEvacuations(vm: Vm): void {
+    if (this.#operatorPosition === 0 || !this.#reachesStore(vm)) return;
+    const evacuated = [...this.#evacuated.keys()];
+    const position = this.#operatorPosition;
+    const read = { position, evacuated, restored: [], isWhole: true };
+    this.#push(vm, { kind: "evacuations.read", read });
+  }
+
+  /** Writes an operator's request: reads that wait for it are answered. */
+  #evacuate(zone: string, isOn: boolean): void {
+    const { now } = this.#time;
+    if (isOn) this.#evacuated.set(zone, now);
+    else this.#evacuated.delete(zone);
+    this.#operatorPosition += 1;
+    for (const vm of this.#vms) {
+      if (!vm.isUp || !vm.isFollowing || vm.isPollLost) continue;
+      this.#time.after(2 * HOP, () => this.#tellEvacuations(vm));
+    }
+    this.#compareEvacuations(now, this.#operatorPosition);
+  }
+
+  /** Looks until all VMs that run know the requests up to a position. */
+  #compareEvacuations(since: number, position: number): void {
+    if (position !== this.#operatorPosition) return;
+    const isKnown = this.#vms.every((vm) =>
+      !vm.isUp || vm.frozenUntil > this.#time.now ||
+      vm.entry.beliefs.fleet.evacuations.position >= position
+    );
+    const lag = this.#time.now - since;
+    this.#report.evacuationLag = Math.max(this.#report.evacuationLag, lag);
+    if (isKnown) return;
+    this.#time.after(10, () => this.#compareEvacuations(since, position));
+  }
+
+  #noteSend(server: string): void {
+    const zone = this.#listed.get(server)?.availabilityZone;
+    const since = zone === undefined ? undefined : this.#evacuated.get(zone);
+    if (since === undefined) return;
+    this.#report.evacuatedSends.push(this.#time.now - since);
+  }
+
   /** Publishes the next version: reads that wait for it are answered. */
   #publishConfiguration(pause: number): void {
     this.#publications.push(this.#time.now);
@@ -679,6 +734,7 @@
         );
       }
       case "attempt.start":
+        this.#noteSend(effect.server);
         return this.#report.load!.send(vm.index, effect);
       case "server.check": {
         const { server, address } = effect;
@@ -994,6 +1050,11 @@
       }
       case "server.join":
         return this.#addServer();
+      case "zone.evacuated": {
+        const zone = this.#zoneOf(fault.target);
+        this.#evacuate(zone, true);
+        return this.#time.after(duration, () => this.#evacuate(zone, false));
+      }
       case "server.restart":
         return this.#replace(server, server.id, duration);
       case "server.replaced":
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -121,6 +121,69 @@
   }
 });
 
+test("configuration: how servers begin is taken where both figures make sense, and refuses nothing", (t) => {
+  const decode = (figures: object) => {
+    const service = { name: "s", max_connections: 9, ...figures };
+    const limits = {
+      maximumHeaderBytes: 1,
+      maximumBodyBytes: 1,
+      headerTimeout: 1,
+      idleTimeout: 1,
+    };
+    const document = { version: 1, routes: [], services: [service], limits };
+    const value = Buffer.from(JSON.stringify(document));
+    return decodeConfiguration(value).services[0].warmUp;
+  };
+  const usable = { duration: 3_000, requestsPerSecond: 4.3 };
+  t.deepEqual(decode({ warmUpSeconds: 3, warmUpRate: 4.3 }), usable);
+  const senseless = [
+    {},
+    { warmUpSeconds: 3 },
+    { warmUpRate: 4.3 },
+    { warmUpSeconds: 3, warmUpRate: 0 },
+    { warmUpSeconds: -1, warmUpRate: 4.3 },
+    { warmUpSeconds: "3", warmUpRate: 4.3 },
+    { warmUpSeconds: 3, warmUpRate: null },
+  ];
+  for (const figures of senseless) t.is(decode(figures), undefined);
+});
+
+test("evacuations: the feed tells zones that are evacuated and taken back, whatever their records hold", async (t) => {
+  const topic = "keyed.op";
+  const { store, client } = await storeWith(t, topic, []);
+  const zones = (read: Awaited<ReturnType<typeof store.readAll>>) =>
+    read.occurrences.flatMap((each) =>
+      each.kind === "evacuations.read" ? [each.read] : []
+    );
+  await store.evacuate("north", true);
+  const spoilt = rawRecord(
+    Buffer.from("evacuate/south"),
+    Buffer.from([0xff, 0x00]),
+  );
+  await client.append(topic, [spoilt], {});
+  const first = await store.readAll("configuration");
+  t.deepEqual(zones(first), [{
+    position: 2,
+    evacuated: ["north", "south"],
+    restored: [],
+    isWhole: true,
+  }]);
+  t.deepEqual(first.faults, []);
+  await store.evacuate("north", true);
+  await store.evacuate("north", false);
+  await store.evacuate("unknown", false);
+  const next = await store.readOn("configuration", first.next, 0);
+  t.deepEqual(zones(next), [{
+    position: 5,
+    evacuated: [],
+    restored: ["north", "unknown"],
+    isWhole: false,
+  }]);
+  t.deepEqual(zones(await store.readAll("configuration"))[0].evacuated, [
+    "south",
+  ]);
+});
+
 test("configuration: splits and unknown fields are taken, faults are not", (t) => {
   const route = {
     name: "r",
@@ -478,7 +541,10 @@
           const looks = kinds.filter((kind) => kind === "holder.read").length;
           // A whole read of the feed says that it was read, whatever is in it.
           t.is(looks, feed === "holder" && read.isWhole ? 1 : 0);
-          if (!isOwnKey) t.is(kinds.length - looks, 1);
+          const zones = kinds.filter((kind) => kind === "evacuations.read");
+          t.is(zones.length, feed === "configuration" ? 1 : 0);
+          const others = kinds.length - looks - zones.length;
+          if (!isOwnKey) t.is(others, 1);
           for (const each of read.occurrences) {
             if (each.kind !== "holder.announced") continue;
             t.regex(each.holder.address, /^[\w.-]+:[1-9]\d*$/);
