--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -17,8 +17,7 @@
   type KeyspaceEffect,
   TermCampaign,
 } from "./keyspace/index.ts";
-import { PeerExchange } from "./peer_exchange.ts";
-import { QuarantineRecord } from "./quarantine_record.ts";
+import { PeerExchange, QuarantineRecord } from "./exchange/index.ts";
 import { uniformFloat64 } from "./random.ts";
 import { Shutdown } from "./shutdown.ts";
 import { StoreHealth } from "./store_health.ts";
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -7,7 +7,7 @@
 import type { DispatchEffect } from "./dispatch/index.ts";
 import type { KeyspaceEffect } from "./keyspace/index.ts";
 import type { AssignmentFetch, PeerSend } from "./peers/index.ts";
-import type { QuarantineWrite } from "./quarantine_record.ts";
+import type { QuarantineWrite } from "./exchange/index.ts";
 import type { RegistryFetch } from "./registry/index.ts";
 
 /** See the module's comment. */
--- a/src/core/crowding_watch.ts
+++ b/src/core/exchange/crowding_watch.ts
@@ -5,15 +5,15 @@
  *
  * @module
  */
-import type { Beliefs } from "./beliefs.ts";
+import type { Beliefs } from "../beliefs.ts";
 import {
   DEMAND_WINDOW,
   type KeyLimit,
   type KeyLoads,
   limitsOf,
   type TermHolder,
-} from "./keyspace/index.ts";
-import type { Crowding } from "./peers/index.ts";
+} from "../keyspace/index.ts";
+import type { Crowding } from "../peers/index.ts";
 
 /** Pause between looks, in milliseconds: half of that between two reports. */
 const INTERVAL = 250;
--- a/src/core/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { Beliefs, Emit } from "./beliefs.ts";
-import type { ServerSamples } from "./fleet/index.ts";
-import type { Assignment, KeyLoads, TermCampaign } from "./keyspace/index.ts";
+import type { Beliefs, Emit } from "../beliefs.ts";
+import type { ServerSamples } from "../fleet/index.ts";
+import type { Assignment, KeyLoads, TermCampaign } from "../keyspace/index.ts";
 import {
   expandAssignment,
   FollowerLink,
@@ -16,10 +16,10 @@
   type PeerMessage,
   StateRequest,
   VmCount,
-} from "./peers/index.ts";
+} from "../peers/index.ts";
 import { PermitExchange } from "./permit_exchange.ts";
-import type { RegistryNews } from "./registry/index.ts";
-import type { StoreHealth } from "./store_health.ts";
+import type { RegistryNews } from "../registry/index.ts";
+import type { StoreHealth } from "../store_health.ts";
 import {
   QuarantineExchange,
   type QuarantineSend,
--- a/src/core/peer_exchange_test.ts
+++ b/src/core/exchange/peer_exchange_test.ts
@@ -7,11 +7,11 @@
  * message of the new holder just after the second report.
  */
 import test from "ava";
-import { fingerprintOf } from "../../test/support/fingerprint.ts";
-import { backendServer } from "../../test/support/backend_server.ts";
-import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
-import { configurationSchema } from "./catalog/index.ts";
-import type { EntryEffect } from "./entry_effect.ts";
+import { fingerprintOf } from "../../../test/support/fingerprint.ts";
+import { backendServer } from "../../../test/support/backend_server.ts";
+import { createSteppedEntry } from "../../../test/support/stepped_entry.ts";
+import { configurationSchema } from "../catalog/index.ts";
+import type { EntryEffect } from "../entry_effect.ts";
 
 const HOLDER = "holder:1";
 
--- a/src/core/permit_exchange.ts
+++ b/src/core/exchange/permit_exchange.ts
@@ -7,14 +7,14 @@
  *
  * @module
  */
-import type { Beliefs, Emit } from "./beliefs.ts";
-import type { MessageOf } from "./peers/index.ts";
+import type { Beliefs, Emit } from "../beliefs.ts";
+import type { MessageOf } from "../peers/index.ts";
 import {
   LONGEST_PERMIT,
   type PermitAnswer,
   PermitIssuer,
   RunPermits,
-} from "./quarantine/index.ts";
+} from "../quarantine/index.ts";
 
 /** Messages of this exchange. */
 export type PermitMessage =
--- a/src/core/quarantine_exchange.ts
+++ b/src/core/exchange/quarantine_exchange.ts
@@ -12,8 +12,8 @@
  *
  * @module
  */
-import type { CrashRecord, Quarantine } from "./quarantine/index.ts";
-import type { QuarantineWord } from "./peers/index.ts";
+import type { CrashRecord, Quarantine } from "../quarantine/index.ts";
+import type { QuarantineWord } from "../peers/index.ts";
 
 /** Silence after which a VM is not told unasked any more, in milliseconds: several of
  * its reports are missing. */
--- a/src/core/quarantine_record.ts
+++ b/src/core/exchange/quarantine_record.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { CrashRecord, Quarantine } from "./quarantine/index.ts";
+import type { CrashRecord, Quarantine } from "../quarantine/index.ts";
 
 /** Pause before a write that failed is made again, in milliseconds. */
 const REPEAT_PAUSE = 1_000;
--- a/src/core/quarantine_record_test.ts
+++ b/src/core/exchange/quarantine_record_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { fingerprintOf } from "../../test/support/fingerprint.ts";
-import { Quarantine } from "./quarantine/index.ts";
+import { fingerprintOf } from "../../../test/support/fingerprint.ts";
+import { Quarantine } from "../quarantine/index.ts";
 import { QuarantineRecord } from "./quarantine_record.ts";
 
 const REQUEST = fingerprintOf("/ends");
--- a/src/core/term_publication.ts
+++ b/src/core/exchange/term_publication.ts
@@ -8,10 +8,10 @@
  *
  * @module
  */
-import type { Beliefs, Emit } from "./beliefs.ts";
+import type { Beliefs, Emit } from "../beliefs.ts";
 import { CrowdingWatch } from "./crowding_watch.ts";
-import type { ServerSamples } from "./fleet/index.ts";
-import type { KeyLoads, TermCampaign, TermHolder } from "./keyspace/index.ts";
+import type { ServerSamples } from "../fleet/index.ts";
+import type { KeyLoads, TermCampaign, TermHolder } from "../keyspace/index.ts";
 import {
   type AssignmentChanges,
   type Bulletin,
@@ -21,9 +21,9 @@
   type KeyReport,
   MessagePacing,
   type PeerSend,
-} from "./peers/index.ts";
-import type { RegistryNews } from "./registry/index.ts";
-import type { StoreHealth } from "./store_health.ts";
+} from "../peers/index.ts";
+import type { RegistryNews } from "../registry/index.ts";
+import type { StoreHealth } from "../store_health.ts";
 
 /** Time that a published change may need to reach a follower, in milliseconds:
  * a report that crosses it is answered as if it had arrived. */
--- a/src/core/term_publication_test.ts
+++ b/src/core/exchange/term_publication_test.ts
@@ -1,17 +1,17 @@
 import test from "ava";
-import { backendServer } from "../../test/support/backend_server.ts";
-import { emptyConfiguration } from "../../test/support/empty_configuration.ts";
-import { Beliefs } from "./beliefs.ts";
-import type { EntryEffect } from "./entry_effect.ts";
-import type { BackendServer } from "./fleet/index.ts";
+import { backendServer } from "../../../test/support/backend_server.ts";
+import { emptyConfiguration } from "../../../test/support/empty_configuration.ts";
+import { Beliefs } from "../beliefs.ts";
+import type { EntryEffect } from "../entry_effect.ts";
+import type { BackendServer } from "../fleet/index.ts";
 import {
   KeyLoads,
   leaseTimingSchema,
   TermCampaign,
   TermHolder,
-} from "./keyspace/index.ts";
-import type { KeyReport } from "./peers/index.ts";
-import { StoreHealth } from "./store_health.ts";
+} from "../keyspace/index.ts";
+import type { KeyReport } from "../peers/index.ts";
+import { StoreHealth } from "../store_health.ts";
 import { TermPublication } from "./term_publication.ts";
 
 /** A publication of a holder with 40 servers, and what it sends. */
--- a/src/runtime/store_link.ts
+++ b/src/runtime/store_link.ts
@@ -13,7 +13,7 @@
   TermClaim,
   WriteOutcome,
 } from "../core/keyspace/index.ts";
-import type { QuarantineWrite } from "../core/quarantine_record.ts";
+import type { QuarantineWrite } from "../core/exchange/index.ts";
 import type { RegistryFetch } from "../core/registry/index.ts";
 import { errorText } from "../errors/index.ts";
 import type { Journal } from "../logging/index.ts";
