--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -9,45 +9,31 @@
 import type { AssignedRange } from "../keyspace/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
-import type {
-  Attempt,
-  AttemptOutcome,
-  PendingRequest,
-  RequestArrival,
+import {
+  type Attempt,
+  type AttemptOutcome,
+  type PendingRequest,
+  pendingRequest,
+  type RequestArrival,
 } from "./request.ts";
+import { DEADLINE_SLACK, dueAt, waitEndOf } from "./request_times.ts";
 import { OutcomeReview, type Sequel } from "./outcome_review.ts";
 import { OwnAnswers } from "./own_answers.ts";
 import { RequestLog } from "./request_log.ts";
-import { type Placing, RequestPlacing } from "./request_placing.ts";
+import { type Placing, RequestPlacing, type Wait } from "./request_placing.ts";
 import { RefusedRanges } from "./refused_ranges.ts";
 import { RetryAdvice } from "./retry_advice.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitQueues } from "./wait_queues.ts";
 
-/** Share of the target latency for which a request waits for a server; later
- * its caller does better with a new attempt elsewhere. */
-const WAIT_SHARE = 0.22;
-/** The same while its key is on the move, which takes as long as the work that
- * runs on it: an answer within the target is still likely, and a caller that is
- * sent away comes back too late for that. */
-const BRIEF_WAIT_SHARE = 0.6;
-/** Time after the deadline for which a server's own last answer is awaited, in
- * milliseconds: servers stop at the deadline and say so. */
-const DEADLINE_SLACK = 60;
 /** Requests that may wait for one service at this VM; bounds memory. */
 const MAXIMUM_WAITING = 256;
-/** Longest time without an answer when neither caller nor route says one, in
- * milliseconds. */
-const DEFAULT_TIMEOUT = 30_000;
 /** Why a request is given up that could be sent once more. */
 const OVER_BUDGET = "the retry budget is used up";
 
 /** Why a request is refused under which servers have ended. */
 const HELD_BACK = "backend servers have ended under this request";
 
-/** A placing that lets a request wait. */
-type Wait = Placing & { kind: "wait" };
-
 /** See the module's comment. */
 export class Dispatcher {
   readonly #requests = new Map<number, PendingRequest>();
@@ -180,49 +166,24 @@
   nextAt(): number {
     let next = Infinity;
     for (const request of this.#requests.values()) {
-      next = Math.min(next, this.#dueAt(request));
+      next = Math.min(next, dueAt(request));
     }
     return next;
   }
 
   #admit(arrival: RequestArrival, route: Route, now: number): PendingRequest {
-    const service = this.context.catalog.destination(route);
-    const isKeyed = this.context.catalog.service(service)?.isKeyed ?? false;
-    const timeout = Math.min(
-      arrival.timeout ?? DEFAULT_TIMEOUT,
-      route.timeout > 0 ? route.timeout : DEFAULT_TIMEOUT,
-    );
-    const request: PendingRequest = {
-      arrival,
-      route,
-      service,
-      key: isKeyed ? arrival.key : null,
-      arrivedAt: now,
-      deadline: now + timeout,
-      waitEnd: now + Math.min(WAIT_SHARE * route.targetLatency, timeout),
-      briefWaitEnd: now +
-        Math.min(BRIEF_WAIT_SHARE * route.targetLatency, timeout),
-      lookedAt: now,
-      lookAt: Infinity,
-      refusal: null,
-      chance: this.context.draw(),
-      isCrowdedOut: false,
-      attempts: [],
-      tried: [],
-      arrivals: 0,
-      mayHaveRun: false,
-      isAgeDoubted: false,
-      restUntil: -Infinity,
-      trace: [],
-      isNoteworthy: false,
-    };
+    const { catalog, draw } = this.context;
+    const service = catalog.destination(route);
+    const isKeyed = catalog.service(service)?.isKeyed ?? false;
+    const key = isKeyed ? arrival.key : null;
+    const request = pendingRequest(arrival, route, service, key, draw(), now);
     this.#requests.set(arrival.exchange, request);
     this.#retries.count(service, now);
     this.#advice.arrived(route, arrival.timeout);
     this.#log.trace("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
-      deadline: Math.round(timeout),
+      deadline: Math.round(request.deadline - now),
       targetLatency: route.targetLatency,
       idempotent: route.isIdempotent,
     });
@@ -393,7 +354,7 @@
   }
 
   #advanceRequest(request: PendingRequest, now: number): void {
-    if (now < this.#dueAt(request)) return;
+    if (now < dueAt(request)) return;
     request.lookedAt = now;
     if (request.attempts.length === 0) {
       const placing = this.#placing.place(request, now);
@@ -483,16 +444,6 @@
     for (const each of request.attempts) each.hedgeAt = Infinity;
   }
 
-  #dueAt(request: PendingRequest): number {
-    if (request.attempts.length === 0) {
-      const { lookAt, waitEnd, briefWaitEnd, deadline, lookedAt } = request;
-      const ends = [waitEnd, briefWaitEnd, deadline];
-      return Math.min(ends.find((end) => lookedAt < end) ?? deadline, lookAt);
-    }
-    const hedgeAt = Math.min(...request.attempts.map((each) => each.hedgeAt));
-    return Math.min(request.deadline + DEADLINE_SLACK, hedgeAt);
-  }
-
   /** Sends waiting requests of a service, the most urgent first. */
   #pump(service: string, now: number): void {
     const queue = this.#waiting.of(service);
@@ -575,12 +526,3 @@
     return effects;
   }
 }
-
-/** Until when a request may wait, by what it waits for. */
-function waitEndOf(
-  { waitEnd, briefWaitEnd, deadline }: PendingRequest,
-  { isBrief, isOwn }: Wait,
-): number {
-  if (isOwn) return deadline;
-  return isBrief ? Math.max(waitEnd, briefWaitEnd) : waitEnd;
-}
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -9,6 +9,16 @@
 import type { ReportedLoad } from "../fleet/index.ts";
 import type { AssignedRange } from "../keyspace/index.ts";
 
+/** Share of the target latency for which a request waits for a server; later
+ * its caller does better with a new attempt elsewhere. */
+const WAIT_SHARE = 0.22;
+/** The same while its key is on the move, which takes as long as the work that
+ * runs on it: an answer within the target is still likely, and a caller that is
+ * sent away comes back too late for that. */
+const BRIEF_WAIT_SHARE = 0.6;
+/** Longest time without an answer when neither caller nor route says one, in
+ * milliseconds. */
+const DEFAULT_TIMEOUT = 30_000;
 /** A request as its caller sent it; the body stays with the adapter. */
 export interface RequestArrival {
   /** Number of the exchange with the caller, unique in this process. */
@@ -92,6 +102,46 @@
   isNoteworthy: boolean;
 }
 
+/** A request that has just come for a service, with its key there, or null; `chance`
+ * is a number in [0, 1). */
+export function pendingRequest(
+  arrival: RequestArrival,
+  route: Route,
+  service: string,
+  key: number | null,
+  chance: number,
+  now: number,
+): PendingRequest {
+  const { targetLatency } = route;
+  const timeout = Math.min(
+    arrival.timeout ?? DEFAULT_TIMEOUT,
+    route.timeout > 0 ? route.timeout : DEFAULT_TIMEOUT,
+  );
+  return {
+    arrival,
+    route,
+    service,
+    key,
+    arrivedAt: now,
+    deadline: now + timeout,
+    waitEnd: now + Math.min(WAIT_SHARE * targetLatency, timeout),
+    briefWaitEnd: now + Math.min(BRIEF_WAIT_SHARE * targetLatency, timeout),
+    lookedAt: now,
+    lookAt: Infinity,
+    refusal: null,
+    chance,
+    isCrowdedOut: false,
+    attempts: [],
+    tried: [],
+    arrivals: 0,
+    mayHaveRun: false,
+    isAgeDoubted: false,
+    restUntil: -Infinity,
+    trace: [],
+    isNoteworthy: false,
+  };
+}
+
 /** How an attempt ended. */
 export type AttemptOutcome =
   | {
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -41,6 +41,9 @@
     until: number;
   };
 
+/** A placing that lets a request wait. */
+export type Wait = Placing & { kind: "wait" };
+
 /** A wait for room, or for a server that is lost: nobody knows how long. */
 function waitForLong(reason: string): Placing {
   return {
