--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -45,10 +45,22 @@
   isIdempotent?: boolean;
   /** Share of the requests that are the same one, of one caller; none if left out. */
   popularShare?: number;
+  /** How servers begin that start during the run; they bear full load at once if left
+   * out. */
+  warmUp?: ColdStart;
   /** A request that ends each server that begins to run it; none if left out. */
   ending?: EndingRequest;
 }
 
+/** How a server begins. */
+export interface ColdStart {
+  /** Time for which it is cold, in milliseconds. */
+  duration: number;
+  requestsPerSecond: number;
+  /** Requests within one second that end it while it is cold. */
+  most: number;
+}
+
 /** A request that its caller sends again and again, to any VM, the same each time.
  * Times are milliseconds. */
 export interface EndingRequest {
@@ -90,6 +102,8 @@
   holds(server: string, address: string, key: number): boolean | null;
   /** Whether the server named is the one that is there. */
   isThere(server: string, address: string): boolean;
+  /** Whether a server has just started. */
+  isCold(server: string): boolean;
   /** A request has ended the server that ran it. */
   endServer(address: string): void;
   /** Whether a VM and a server are in the same availability zone. */
@@ -149,6 +163,11 @@
   arrivals = 0;
   /** Arrivals from another availability zone. */
   farArrivals = 0;
+  /** Most requests that reached a cold server in a second, and servers that ended for
+   * that. */
+  mostAtCold = 0;
+  coldEnds = 0;
+  readonly #coldArrivals = new Map<string, number[]>();
   /** How each caller's request ended. */
   readonly ends: (Caller & { name: string; took: number })[] = [];
   /** Time beyond their callers' deadlines that servers were given, the longest. */
@@ -352,6 +371,10 @@
       this.misplaced += 1;
       return this.#end(work, this.#answer(server, 421, true));
     }
+    if (this.#isOverloadedCold(server)) {
+      this.coldEnds += 1;
+      return this.peers.endServer(address);
+    }
     if (slots.running < this.options.slots) {
       return this.#run(server, work);
     }
@@ -367,6 +390,19 @@
     });
   }
 
+  /** Notes what reaches a cold server; whether it is more than that bears. */
+  #isOverloadedCold(server: string): boolean {
+    const { warmUp } = this.options;
+    if (warmUp === undefined || !this.peers.isCold(server)) return false;
+    const { now } = this.time;
+    const recent = (this.#coldArrivals.get(server) ?? [])
+      .filter((at) => now - at < 1_000);
+    recent.push(now);
+    this.#coldArrivals.set(server, recent);
+    this.mostAtCold = Math.max(this.mostAtCold, recent.length);
+    return recent.length > warmUp.most;
+  }
+
   #run(server: string, work: Work): void {
     const slots = this.#slots(server);
     slots.running += 1;
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -356,6 +356,7 @@
             const run = this.#runAt(address);
             return run?.id === server && run.isUp;
           },
+          isCold: (server) => this.#isCold(server),
           endServer: (address) => this.#lose(this.#runAt(address)!),
           isNear: (vm, server) =>
             this.#zoneOf(vm) === this.#listed.get(server)?.availabilityZone,
@@ -399,7 +400,12 @@
         routes: this.options.load === undefined
           ? []
           : RequestLoad.routes(SERVICE, this.options.load),
-        services: [{ name: SERVICE, maximumConnections: 10, isKeyed }],
+        services: [{
+          name: SERVICE,
+          maximumConnections: 10,
+          isKeyed,
+          ...this.#warmUp(),
+        }],
         limits: {
           maximumHeaderBytes: 1,
           maximumBodyBytes: 1,
@@ -410,6 +416,13 @@
     });
   }
 
+  #warmUp() {
+    const { warmUp } = this.options.load ?? {};
+    if (warmUp === undefined) return {};
+    const { duration, requestsPerSecond } = warmUp;
+    return { warmUp: { duration, requestsPerSecond } };
+  }
+
   #tellEvacuations(vm: Vm): void {
     if (this.#operatorPosition === 0 || !this.#reachesStore(vm)) return;
     const evacuated = [...this.#evacuated.keys()];
@@ -1165,10 +1178,23 @@
       availabilityZone: this.#zoneOf(Number(address.split("-")[1])),
       slots: 3,
       isDraining: false,
-      warmUp: 0,
+      warmUp: this.#warmUpLeft(startedAt),
     });
   }
 
+  /** For how long a run that began then stays cold; those that were there from the
+   * start are warm. */
+  #warmUpLeft(startedAt: number): number {
+    const { duration } = this.options.load?.warmUp ?? { duration: 0 };
+    const left = startedAt + duration - this.#time.now;
+    return startedAt === 0 ? 0 : Math.max(0, left);
+  }
+
+  #isCold(id: string): boolean {
+    const run = this.#servers.findLast((each) => each.id === id);
+    return run !== undefined && this.#warmUpLeft(run.startedAt) > 0;
+  }
+
   /** Takes the entry of a run out, if no later run has the id. */
   #unlist(server: ModelServer): void {
     const newest = this.#servers.findLast(({ id }) => id === server.id);
