--- a/src/core/dispatch/cold_admission.ts
+++ b/src/core/dispatch/cold_admission.ts
@@ -39,6 +39,11 @@
     return new ColdAdmission(catalog, vms, draw);
   }
 
+  /** Whether a server is cold. */
+  isCold(server: TrackedServer, now: number): boolean {
+    return this.#pause(server, now) !== null;
+  }
+
   /** Whether a server may get one more request of this VM now. */
   mayTake(server: TrackedServer, now: number): boolean {
     const pause = this.#pause(server, now);
--- a/src/core/dispatch/cold_admission_test.ts
+++ b/src/core/dispatch/cold_admission_test.ts
@@ -4,6 +4,7 @@
 import { Fleet } from "../fleet/index.ts";
 import { uniformFloat64 } from "../random.ts";
 import { ColdAdmission } from "./cold_admission.ts";
+import { chooseServer } from "./server_choice.ts";
 
 const SERVICE = "orders";
 const RATE = 4.3;
@@ -151,3 +152,27 @@
   t.false(admission.mayTake(server, 58_200));
   t.true(admission.mayTake(server, 58_100 + WARM_UP));
 });
+
+test("cold servers: one whose turn it is at this VM is taken before warm ones like it", (t) => {
+  const catalog = catalogWith({ duration: WARM_UP, requestsPerSecond: RATE });
+  const cold = ColdAdmission.create(catalog, () => 1, () => 0.5);
+  const fleet = fleetWith(WARM_UP, 0);
+  const warm = ["a", "b", "c"].map((id) =>
+    backendServer(id, { service: SERVICE, address: `${id}:1` })
+  );
+  fleet.apply(warm, [], 0);
+  const choose = (now: number) =>
+    chooseServer(SERVICE, [], now, {
+      fleet,
+      availabilityZone: fleet.get("s")!.entry.availabilityZone,
+      vms: 1,
+      cold,
+      draw: () => 0.5,
+    })!;
+  t.not(choose(0).id, "s");
+  const turn = 0.5 * 1_000 / RATE;
+  const chosen = choose(turn);
+  t.is(chosen.id, "s");
+  cold.started(chosen, turn);
+  t.not(choose(turn + 1).id, "s");
+});
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -28,6 +28,9 @@
 /** How much more a server in another availability zone may seem to cost. Its
  * bytes are paid for, and a hop takes longer. */
 const FAR_FACTOR = 1.7;
+/** How much less a cold server that may have a request now seems to cost. Its turns
+ * are rare, and one that goes unused leaves it idle. */
+const COLD_FACTOR = 0.5;
 /** Random share added to costs, so that VMs do not all choose alike. */
 const JITTER = 0.2;
 
@@ -92,6 +95,7 @@
     if (!hasRoom(server, now, vms) || !cold.mayTake(server, now)) continue;
     const isNear = server.entry.availabilityZone === context.availabilityZone;
     const cost = (server.cost(now, usual) + 1) * (isNear ? 1 : FAR_FACTOR) *
+      (cold.isCold(server, now) ? COLD_FACTOR : 1) *
       (1 + JITTER * context.draw());
     if (cost >= lowest) continue;
     lowest = cost;
