Test of a term holder that has no connections to the servers; known red

The model did not show it: each withheld order ended in a turn of its own. In the program the orders of a turn that find no connection end together, in one turn, and what their ends order meanwhile is sent after it. The model now does so, and counts the time for messages in a turn beside that for orders.

--- a/test/ownership/ownership_test.ts
+++ b/test/ownership/ownership_test.ts
@@ -7,10 +7,27 @@
   rivalries,
   worlds,
 } from "./schedule.ts";
+import type { LoadOptions } from "./request_load.ts";
 import { World, type WorldOptions } from "./world.ts";
 
 const SEED = 7;
 
+/** Requests most of which are for neighbouring keys, so that these are divided into
+ * several ranges for each server. */
+const BUSY_KEYS_LOAD: LoadOptions = {
+  from: 4_000,
+  until: 14_000,
+  rate: 300,
+  work: 400,
+  speeds: [0.7, 0.7, 1.6],
+  slots: 6,
+  queue: 24,
+  target: 1_200,
+  timeout: 3_000,
+  keyOf: (draw) =>
+    Math.floor(draw() < 0.6 ? 30_000 + 2_000 * draw() : 65_536 * draw()),
+};
+
 /** Worlds of `arbitrary`, of which the first with a violation is returned. */
 function findViolation(
   arbitrary: fc.Arbitrary<WorldOptions>,
@@ -207,6 +224,34 @@
   t.true(report.held > 0.8, `${report.held}`);
 });
 
+// Orders that are withheld end in one turn of the event loop. When each end made more
+// orders at once, these were sent after the turn, too old to open a connection, and a
+// new term holder gave no keys out for as long as it led.
+for (
+  const [name, kind, targets] of [
+    ["that takes the term over", "vm.cut_from_store", [1]],
+    ["after a restart of all VMs", "vm.kill", range(74)],
+  ] as const
+) {
+  test(`a holder without connections ${name} gives all keys out`, (t) => {
+    const report = World.play({
+      vms: 74,
+      servers: 160,
+      faults: targets.map((target) => (
+        { kind, at: 10_000, duration: 3_000, target }
+      )),
+      duration: 16_000,
+      seed: 1,
+      fitness: range(74).map((i) => i < 2 ? 5 : 1),
+      orderTime: 0.7,
+      messageTime: 0.3,
+      load: BUSY_KEYS_LOAD,
+    });
+    t.deepEqual(report.violations, []);
+    t.true(report.withheld < 16, `${report.withheld} orders withheld`);
+  });
+}
+
 // Two servers had the same keys with the same token. A server's process ended and
 // another run came up at its address, before the list of servers told; the next
 // renewal, meant for the run before, was the first grant that the new run saw, so
@@ -293,3 +338,7 @@
   });
   t.deepEqual(violations, []);
 });
+
+function range(length: number): number[] {
+  return Array.from({ length }, (_, i) => i);
+}
--- a/test/ownership/world.ts
+++ b/test/ownership/world.ts
@@ -155,6 +155,9 @@
    * out. The orders of one step are sent once all of them are made, and the VM does
    * nothing else until then. */
   orderTime?: number;
+  /** Processor time that a VM takes to send a message to another one, in
+   * milliseconds; none if left out. */
+  messageTime?: number;
 }
 
 /** What a run brought. */
@@ -177,6 +180,8 @@
   messages: Map<string, number>;
   /** Orders that a VM sent though its authority had ended. */
   staleOrders: number;
+  /** Orders that found no connection and were too old to open one. */
+  withheld: number;
   /** When each VM first held a request back. */
   heldBackAt: Map<string, number>;
   /** Messages that told of requests under which servers have ended. */
@@ -214,8 +219,10 @@
   /** Runs of servers to which connections are kept, by address. */
   readonly connections = new Map<string, ModelServer>();
   timerAt = Infinity;
-  /** Age at which the orders of its last step are sent. */
-  orderDelay = 0;
+  /** Age at which the order that it makes now is sent. */
+  orderAge = 0;
+  /** Orders that found no connection and have not ended yet. */
+  withheld: number[] = [];
   /** What its process takes for the time. */
   clock: ElapsedClock;
   constructor(
@@ -274,6 +281,7 @@
     this.isPollLost = false;
     this.isStoreFailing = false;
     this.connections.clear();
+    this.withheld = [];
     this.timerAt = Infinity;
   }
 }
@@ -308,6 +316,7 @@
     evacuatedSends: [],
     evacuationLag: 0,
     staleOrders: 0,
+    withheld: 0,
   };
   #asked = 0;
   #replacements = 0;
@@ -600,10 +609,7 @@
       ...this.#noticeJumps(vm),
       ...vm.entry.step({ ...occurrence, now: vm.clock.now() }),
     ];
-    vm.orderDelay = this.#orderDelay(effects);
-    if (vm.orderDelay > 0) vm.frozenUntil = now + vm.orderDelay;
-    for (const effect of effects) this.#perform(vm, effect);
-    this.#setTimer(vm);
+    this.#performAll(vm, [effects], 0);
   }
 
   /** Tells a VM of jumps that its clock finds now. */
@@ -623,14 +629,6 @@
     );
   }
 
-  /** How long the orders of one step wait for each other. */
-  #orderDelay(effects: readonly EntryEffect[]): number {
-    const { orderTime = 0 } = this.options;
-    const isOrder = ({ kind }: EntryEffect) =>
-      kind === "order.grant" || kind === "order.release";
-    return effects.filter(isOrder).length * orderTime;
-  }
-
   #setTimer(vm: Vm): void {
     const now = vm.clock.now();
     const at = vm.entry.nextAt(now);
@@ -905,9 +903,9 @@
     if (isCut) return end(null, ORDER_TIMEOUT);
     const kept = vm.connections.get(order.address);
     if (kept?.isUp) return this.#deliver(kept, order, end);
-    const mayConnect = order.mayConnect && vm.orderDelay <= CONNECT_WITHIN;
+    const mayConnect = order.mayConnect && vm.orderAge <= CONNECT_WITHIN;
     if (!mayConnect && !this.options.isConnectingAlways) {
-      return end({ kind: "withheld" }, 1 + vm.orderDelay);
+      return this.#withhold(vm, order);
     }
     const connect = (server: ModelServer) => {
       vm.connections.set(order.address, server);
@@ -923,6 +921,67 @@
     });
   }
 
+  /** Orders that are withheld together end together. */
+  #withhold(vm: Vm, { order }: GrantOrder | ReleaseOrder): void {
+    this.#report.withheld += 1;
+    vm.withheld.push(order);
+    if (vm.withheld.length > 1) return;
+    const { run } = vm;
+    this.#time.after(1 + vm.orderAge, () => this.#endWithheld(vm, run));
+  }
+
+  /** Ends withheld orders in one turn of the VM's event loop. */
+  #endWithheld(vm: Vm, run: number): void {
+    if (vm.run !== run || !vm.isUp) return;
+    const delay = vm.frozenUntil - this.#time.now;
+    if (delay > 0) {
+      return this.#time.after(delay, () => this.#endWithheld(vm, run));
+    }
+    const { withheld } = vm;
+    vm.withheld = [];
+    const { orderTime = 0 } = this.options;
+    const steps = withheld.map((order) =>
+      vm.entry.step({
+        kind: "order.ended",
+        order,
+        outcome: { kind: "withheld" },
+        now: vm.clock.now(),
+      })
+    );
+    this.#performAll(vm, steps, orderTime);
+  }
+
+  /** Carries out the effects of the steps of one turn of a VM's event loop, each of
+   * which takes `stepTime`. Orders are sent once nothing else is left to do. */
+  #performAll(
+    vm: Vm,
+    steps: readonly EntryEffect[][],
+    stepTime: number,
+  ): void {
+    const { now } = this.#time;
+    const times = steps.map((effects) =>
+      effects.map((effect) => this.#processorTime(effect))
+    );
+    let left = times.flat().reduce((sum, time) => sum + time, 0) +
+      steps.length * stepTime;
+    if (left > 0) vm.frozenUntil = now + left;
+    for (const [i, effects] of steps.entries()) {
+      left -= stepTime;
+      for (const [j, effect] of effects.entries()) {
+        vm.orderAge = left;
+        left -= times[i][j];
+        this.#perform(vm, effect);
+      }
+    }
+    this.#setTimer(vm);
+  }
+
+  #processorTime({ kind }: EntryEffect): number {
+    const { orderTime = 0, messageTime = 0 } = this.options;
+    if (kind === "order.grant" || kind === "order.release") return orderTime;
+    return kind === "peer.send" ? messageTime : 0;
+  }
+
   /** Gives a renewal the token of the grant before it, if the options say so. */
   #weaken(order: GrantOrder | ReleaseOrder): void {
     if (!this.options.areTokensReused) return;
