Log why an order was withheld

order.not_accepted now reports whether the order was allowed to open a connection (mayConnect) and how long it took (took, in milliseconds). This distinguishes an order that was too old from one that was not allowed to connect.

--- a/src/runtime/entry_runner.ts
+++ b/src/runtime/entry_runner.ts
@@ -162,11 +162,15 @@
   }
 
   /** Which server an order was meant for, where, and with which token, tells it
-   * from others when two servers have had the same keys. */
+   * from others when two servers have had the same keys. `took`, in milliseconds,
+   * and `mayConnect` tell an order that was withheld for its age from one that was
+   * not allowed to open a connection. */
   #noteOrder(
-    { kind, order, service, server, address, first, last, token }: KeyOrder,
+    order: KeyOrder,
     outcome: OrderOutcome,
+    took: number,
   ): void {
+    const { kind, service, server, address, first, last, token } = order;
     const cause = outcome.kind === "failed" ? outcome.cause : null;
     const range = { service, first, last };
     const target = { server, address, token };
@@ -176,11 +180,13 @@
       decision: "order.not_accepted",
       detail: {
         kind,
-        order,
+        order: order.order,
         ...range,
         ...target,
         outcome: outcome.kind,
         cause,
+        mayConnect: order.mayConnect,
+        took: Math.round(took),
       },
     });
   }
@@ -199,8 +205,9 @@
       "orders_total",
       `kind="${order.kind}",outcome="${outcome.kind}"`,
     );
-    metrics.observe("order_milliseconds", monotonicNow() - startedAt);
-    if (outcome.kind !== "accepted") this.#noteOrder(order, outcome);
+    const took = monotonicNow() - startedAt;
+    metrics.observe("order_milliseconds", took);
+    if (outcome.kind !== "accepted") this.#noteOrder(order, outcome, took);
     sink.push({ kind: "order.ended", order: order.order, outcome });
   }
 }
