Start no moves for balance before the servers have accepted grants of the term

Symptom: after a change of the term holder, keyed requests waited for seconds for keys that were being moved, and were refused.

Cause: in the first step of a term the holder moved ranges for balance based on the few requests it knew of: its own of the last 3 s, which on 195 VMs are two or three, or those reported to it before it lost the term. The keys of these ranges were closed while 16 orders were sent per step, and their release waited behind the grants.

Change: no move for balance begins before each server that holds keys of the service has accepted a grant of the term. By then followers have reported which keys are requested.

--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -227,9 +227,8 @@
     }
     this.#assignVacant(table, now);
     const mayMove = storeSilence <= MOVE_SILENCE && now >= this.#movesFrom;
-    if (mayMove && this.#balance.takeTurn(service, now)) {
-      this.#startMoves(table, now);
-    }
+    const isMoveDue = mayMove && this.#balance.takeTurn(service, now);
+    if (isMoveDue && isFullyFenced(table)) this.#startMoves(table, now);
     const { version } = this;
     const write = this.record.advance(this.#allTables, version, now);
     if (write !== null) this.#effects.push(write);
@@ -433,3 +432,9 @@
 function longestDueFirst(ranges: readonly HeldRange[]): HeldRange[] {
   return [...ranges].sort((a, b) => a.dueAt - b.dueAt);
 }
+
+/** Whether every held range has an accepted grant of this term. Before that, few
+ * followers have reported to the holder which keys are requested. */
+function isFullyFenced({ ranges }: RangeTable): boolean {
+  return ranges.every(({ state, isFenced }) => state !== "held" || isFenced);
+}
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -100,6 +100,38 @@
   t.snapshot(advance(520, 220).map(brief));
 });
 
+// Guards against closing keys for balance while a new holder has incomplete load data.
+test("term holder: a new holder moves no keys before its servers have accepted grants", (t) => {
+  const fleet = Fleet.create();
+  fleet.apply(["a", "b"].map((id) => backendServer(id)), [], 0);
+  const ranges = Array.from({ length: 32 }, (_, i) => {
+    const first = i * KEY_COUNT / 32;
+    const last = first + KEY_COUNT / 32 - 1;
+    return { first, last, server: "a", address: "a:1", isOpen: true };
+  });
+  let orders = 0;
+  const holder = TermHolder.create(
+    2,
+    [{ service: "s", term: 1, version: 1, ranges }],
+    leaseTimingSchema.parse({}),
+    fleet,
+    KeyLoads.create(),
+    () => orders += 1,
+    1_000,
+  );
+  const moveTimes: number[] = [];
+  const acceptTimes: number[] = [];
+  for (let now = 1_000; now < 2_000 && moveTimes.length === 0; now += 10) {
+    for (const effect of holder.advance(["s"], now, Infinity, 0, true)) {
+      if (effect.kind === "keys.move") moveTimes.push(now);
+      if (effect.kind !== "order.grant") continue;
+      holder.ordered(effect.order, { kind: "accepted", handover: null }, now);
+      acceptTimes.push(now);
+    }
+  }
+  t.is(acceptTimes.filter((now) => now < moveTimes[0]).length, ranges.length);
+});
+
 /** Until `end`, with every order of server a unanswered for 500 ms each. */
 function leaveUnanswered(
   { holder, advance }: ReturnType<typeof createHolder>,
