--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -63,6 +63,9 @@
   draining: z.boolean().default(false),
   /** Time that a request takes instead of the one in the settings. */
   work: z.number().nonnegative().nullable().default(null),
+  /** Requests a second that it says that it takes from all entries together; it
+   * refuses none. */
+  rateLimit: z.string().nullable().default(null),
 });
 
 /** See {@linkcode backendFaultsSchema}. */
@@ -283,6 +286,8 @@
       : body;
     const { running, waiting, slots } = this.#queue;
     response.setHeader(HEADER.load, `${running},${waiting},${slots}`);
+    const { rateLimit } = this.#faults;
+    if (rateLimit !== null) response.setHeader(HEADER.rateLimit, rateLimit);
     response.setHeader(
       HEADER.signature,
       `${this.settings.id}.${answer.length}`,
--- /dev/null
+++ b/test/ownership/rate_limit_test.ts
@@ -0,0 +1,114 @@
+/**
+ * Servers that state how many requests a second they take from all VMs together. No VM
+ * knows what the others send, and a key has no other server.
+ */
+import test from "ava";
+import type { LimitedArrival, LoadOptions } from "./request_load.ts";
+import { type Fault, World } from "./world.ts";
+
+const FROM = 8_000;
+const LIMITED_UNTIL = 22_000;
+const UNTIL = 30_000;
+/** Time after which VMs keep to a limit, and that in which requests are counted. */
+const NOTICE_TIME = 3_000;
+const WINDOW = 4_000;
+/** Time after the last answer with a limit by which all VMs have heard of its end. */
+const RECOVERY_TIME = 3_000;
+const SERVERS = 8;
+
+/** Requests that a server may get in a window, by the contract of its limit. */
+function allowed(requestsPerSecond: number): number {
+  return 1.5 * requestsPerSecond * WINDOW / 1_000 + 5;
+}
+
+/** Most requests of VMs that had been told that one server got in a window. */
+function mostInWindow(arrivals: readonly LimitedArrival[]): number {
+  const from = FROM + NOTICE_TIME;
+  const counted = arrivals.filter(({ at, isTold }) => isTold && at >= from);
+  const counts = counted.map(({ server, at }) =>
+    counted.filter((each) =>
+      each.server === server && each.at >= at && each.at < at + WINDOW
+    ).length
+  );
+  return Math.max(0, ...counts);
+}
+
+/** Requests a second that one server got while VMs kept to its limit. */
+function meanRate(
+  arrivals: readonly LimitedArrival[],
+  servers: number,
+): number {
+  const from = FROM + NOTICE_TIME;
+  const count = arrivals.filter(({ at }) => at >= from).length;
+  return count * 1_000 / (LIMITED_UNTIL - from) / servers;
+}
+
+const DISTURBANCES: [string, Fault[]][] = [
+  ["calm", []],
+  ["while the VM that holds the term is cut off from the store", [
+    { kind: "vm.cut_from_store", at: 13_000, duration: 4_000, target: 0 },
+    { kind: "vm.cut_from_store", at: 13_000, duration: 4_000, target: 1 },
+  ]],
+  [
+    "while VMs start again",
+    [2, 3, 4, 5].map((target) => (
+      { kind: "vm.kill", at: 12_000 + 900 * target, duration: 400, target }
+    )),
+  ],
+  ["while a VM hears no other", [
+    { kind: "vm.cut_from_peers", at: 13_000, duration: 4_000, target: 3 },
+  ]],
+];
+
+for (const [vms, requestsPerSecond] of [[11, 6], [11, 1.8], [61, 1.8]]) {
+  for (const [name, faults] of DISTURBANCES) {
+    for (const isKeyed of [true, false]) {
+      const kind = isKeyed ? "keyed" : "without keys";
+      const title = `a limit of ${requestsPerSecond} a second, ${vms} VMs, ` +
+        `${kind}, ${name}: it is kept, and used`;
+      test(title, (t) => {
+        const limited = isKeyed ? 2 : 1;
+        const load: LoadOptions = {
+          isKeyed,
+          from: 4_000,
+          until: UNTIL,
+          rate: 112,
+          work: 150,
+          speeds: [1],
+          slots: 6,
+          queue: 24,
+          target: 600,
+          timeout: 1_500,
+          keyOf: (draw) => Math.floor(draw() * 65_536),
+          rateLimit: {
+            from: FROM,
+            until: LIMITED_UNTIL,
+            requestsPerSecond,
+            servers: limited,
+          },
+        };
+        const report = World.play({
+          vms,
+          servers: SERVERS,
+          faults,
+          duration: UNTIL + 3_000,
+          seed: 1,
+          seedVms: 2,
+          fitness: Array.from({ length: vms }, (_, i) => i < 2 ? 5 : 1),
+          load,
+        });
+        t.deepEqual(report.violations, []);
+        const { limitedArrivals, ends } = report.load!;
+        const most = mostInWindow(limitedArrivals);
+        t.true(most <= allowed(requestsPerSecond), `${most} in ${WINDOW} ms`);
+        const rate = meanRate(limitedArrivals, limited);
+        t.true(rate >= 0.7 * requestsPerSecond, `${rate} a second`);
+        const after = ends.filter(({ startedAt }) =>
+          startedAt >= LIMITED_UNTIL + RECOVERY_TIME
+        );
+        const served = after.filter(({ name }) => name === "inTime").length;
+        t.true(served > 0.95 * after.length, `${served} of ${after.length}`);
+      });
+    }
+  }
+}
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -19,6 +19,8 @@
 const SERVER_HOP = 1;
 /** Spread of the logarithm of the work: its standard deviation is 0.8 of the mean. */
 const WORK_SIGMA = 0.7;
+/** Time after which a VM that has passed on an answer with a limit keeps to it. */
+const LIMIT_KNOWN_AFTER = 500;
 /** Longest time that callers stay away when asked to, as a share of what is left. */
 const LONGEST_PAUSE_SHARE = 1 / 3;
 
@@ -50,6 +52,25 @@
   warmUp?: ColdStart;
   /** A request that ends each server that begins to run it; none if left out. */
   ending?: EndingRequest;
+  /** Servers that state a limit on their requests; none if left out. */
+  rateLimit?: StatedRateLimit;
+}
+
+/** A limit that servers state with their answers. Times are milliseconds. */
+export interface StatedRateLimit {
+  from: number;
+  until: number;
+  requestsPerSecond: number;
+  /** How many of the servers state it. */
+  servers: number;
+}
+
+/** A request that reached a server while that stated a limit. */
+export interface LimitedArrival {
+  server: string;
+  at: number;
+  /** Whether its VM had passed on an answer with the limit half a second before. */
+  isTold: boolean;
 }
 
 /** How a server begins. */
@@ -174,6 +195,10 @@
   longestOverrun = -Infinity;
   /** Requests that were held back, and when. */
   readonly heldBack: (Caller & { at: number })[] = [];
+  /** Requests at servers that stated a limit. */
+  readonly limitedArrivals: LimitedArrival[] = [];
+  /** When a VM first passed on an answer with a limit, by VM and server. */
+  readonly #limitToldAt = new Map<string, number>();
   /** When a server began to run the request that ends servers, which one, and for
    * which VM. */
   readonly endingRuns: { at: number; server: string; vm: number }[] = [];
@@ -364,6 +389,7 @@
     const isHeld = this.peers.holds(server, address, work.caller.key);
     if (isHeld === null) return this.#end(work, notSent());
     this.arrivals += 1;
+    this.#noteLimited(work);
     if (!this.peers.isNear(work.vm, server)) this.farArrivals += 1;
     const slots = this.#slots(server);
     const isMeant = this.peers.isThere(server, address);
@@ -390,6 +416,26 @@
     });
   }
 
+  /** Notes a request that reaches a server which states a limit. */
+  #noteLimited({ server, vm }: Work): void {
+    if (this.#rateLimit(server) === null) return;
+    const at = this.time.now;
+    const toldAt = this.#limitToldAt.get(nameOf(vm, server)) ?? Infinity;
+    const isTold = at - toldAt >= LIMIT_KNOWN_AFTER;
+    this.limitedArrivals.push({ server, at, isTold });
+  }
+
+  /** The limit that a server states now, in requests a second, or null. */
+  #rateLimit(server: string): number | null {
+    const { rateLimit } = this.options;
+    const { now } = this.time;
+    if (rateLimit === undefined) return null;
+    const { from, until, servers, requestsPerSecond } = rateLimit;
+    if (now < from || now >= until) return null;
+    const isLimited = [...this.#servers.keys()].indexOf(server) < servers;
+    return isLimited ? requestsPerSecond : null;
+  }
+
   /** Notes what reaches a cold server; whether it is more than that bears. */
   #isOverloadedCold(server: string): boolean {
     const { warmUp } = this.options;
@@ -459,18 +505,27 @@
   #answer(server: string, status: number, isNotRun: boolean): AttemptOutcome {
     const { running, waiting } = this.#slots(server);
     const queued = waiting.filter((each) => !each.isEnded).length;
-    return {
-      kind: "answered",
+    const answer = {
+      rateLimit: this.#rateLimit(server),
+      kind: "answered" as const,
       status,
       isGenuine: !isNotRun,
       isNotRun,
       server,
       load: { running, waiting: queued, slots: this.options.slots },
     };
+    return answer;
   }
 
   #end(work: Work, outcome: AttemptOutcome): void {
     work.isEnded = true;
+    const name = nameOf(work.vm, work.server);
+    const isLimited = this.#rateLimit(work.server) !== null;
+    if (
+      outcome.kind === "answered" && isLimited && !this.#limitToldAt.has(name)
+    ) {
+      this.#limitToldAt.set(name, this.time.now + 2 * SERVER_HOP);
+    }
     this.#works.delete(nameOf(work.vm, work.attempt));
     this.time.after(
       SERVER_HOP,
@@ -522,6 +577,6 @@
   return { kind: "failed", wasSent: false, isRefused: true, cause: "refused" };
 }
 
-function nameOf(vm: number, attempt: number): string {
+function nameOf(vm: number, attempt: number | string): string {
   return `${vm}/${attempt}`;
 }
--- /dev/null
+++ b/test/rate_limited_server_test.ts
@@ -0,0 +1,74 @@
+/**
+ * Real processes, of which one backend server states a limit on the requests of all
+ * entries together.
+ */
+import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import type { Call, Run } from "../src/load/index.ts";
+import { runLoad } from "../src/load/index.ts";
+import { Deployment } from "./support/deployment.ts";
+
+const LIMIT = 2;
+const WINDOW = 4_000;
+/** Requests that the server may get in a window, by the contract of its limit. */
+const ALLOWED = 1.5 * LIMIT * WINDOW / 1_000 + 5;
+/** When the limit begins and ends after the start of the load, and the load's end. */
+const LIMITED_FROM = 3_000;
+const LIMITED_UNTIL = 13_000;
+const LENGTH = 20_000;
+/** Time after which entries keep to a limit, and after which they have heard of its
+ * end. */
+const NOTICE_TIME = 3_000;
+
+function mostInWindow(runs: readonly Run[]): number {
+  const counts = runs.map(({ startedAt: from }) =>
+    runs.filter(({ startedAt }) =>
+      startedAt >= from && startedAt < from + WINDOW
+    ).length
+  );
+  return Math.max(0, ...counts);
+}
+
+function servedShare(calls: readonly Call[]): number {
+  return calls.filter(({ status }) => status === 200).length / calls.length;
+}
+
+for (const service of ["stock", "orders"] as const) {
+  test.serial(`a server of ${service} that limits its requests gets no more from all entries, and as many again after`, async (t) => {
+    const deployment = await Deployment.start({ entries: 4, servers: 4 });
+    t.teardown(() => deployment.stop());
+    const limited = deployment.servers.find(({ name }) =>
+      name === `${service}-1`
+    )!;
+    const startedAt = Date.now();
+    const load = runLoad(deployment.plan(service, {
+      callers: 8,
+      pause: 60,
+      seconds: LENGTH / 1_000,
+    }));
+    await delay(LIMITED_FROM);
+    await deployment.setFaults(limited.address, { rateLimit: String(LIMIT) });
+    await delay(LIMITED_UNTIL - LIMITED_FROM);
+    await deployment.setFaults(limited.address, { rateLimit: null });
+    const { calls } = await load;
+    const limitedFrom = startedAt + LIMITED_FROM + NOTICE_TIME;
+    const limitedUntil = startedAt + LIMITED_UNTIL;
+    const runs = deployment.runs(limited).filter((each) =>
+      each.startedAt >= limitedFrom && each.startedAt < limitedUntil
+    );
+    t.log({ runs: runs.length, most: mostInWindow(runs) });
+    t.true(mostInWindow(runs) <= ALLOWED, `${mostInWindow(runs)} requests`);
+    t.true(runs.length > 0);
+    const after = calls.filter((each) =>
+      each.startedAt >= limitedUntil + NOTICE_TIME
+    );
+    t.true(servedShare(after) > 0.98, `${servedShare(after)} served after`);
+    if (service === "orders") {
+      // Requests without keys go to the other servers.
+      const during = calls.filter((each) =>
+        each.startedAt >= limitedFrom && each.startedAt < limitedUntil
+      );
+      t.true(servedShare(during) > 0.98, `${servedShare(during)} served`);
+    }
+  });
+}
