--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -102,10 +102,13 @@
     const latency = server.latency === null
       ? "no answer yet"
       : `${server.latency.toFixed(1)} ms`;
+    const limit = server.rateLimit === null
+      ? ""
+      : `, takes ${server.rateLimit} requests/s`;
     lines.push(
       `  ${server.id.padEnd(20)} ${server.service.padEnd(16)} ${
         state.padEnd(9)
-      } ${server.inFlight} in flight, ${latency}`,
+      } ${server.inFlight} in flight, ${latency}${limit}`,
     );
   }
   return lines.join("\n");
--- a/src/core/beliefs.ts
+++ b/src/core/beliefs.ts
@@ -12,6 +12,8 @@
   type EvacuationRead,
   Fleet,
   type FleetChange,
+  type ServerRate,
+  type ServerRateChange,
 } from "./fleet/index.ts";
 import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
 import type { HolderAddress, Knowledge } from "./peers/index.ts";
@@ -107,6 +109,21 @@
     }
   }
 
+  /** Applies rate limits that servers have stated to other VMs. */
+  hearRates(rates: readonly ServerRate[], now: number): void {
+    const changes = this.fleet.hearRates(rates, now);
+    for (const each of changes) this.rateLimitChanged(each, now);
+  }
+
+  /** Logs that the rate limit of a server has begun or ended. */
+  rateLimitChanged({ server, change }: ServerRateChange, now: number): void {
+    this.note(`server.${change}`, {
+      server: server.id,
+      service: server.entry.service,
+      requestsPerSecond: server.rate.current(now),
+    });
+  }
+
   /** Takes changes of the list of servers. */
   changeServers(changes: readonly FleetChange[], now: number): void {
     this.crashes.changed(changes, now);
--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -19,6 +19,8 @@
   #routes = RouteTable.create([]);
   #services = new Map<string, Service>();
   #rotations = new Map<string, WeightedRotation>();
+  /** Lowest priority number among the routes to each service. */
+  #topPriorities = new Map<string, number>();
 
   private constructor() {}
 
@@ -64,6 +66,7 @@
     this.#routes = RouteTable.create(next.routes);
     this.#services = new Map(next.services.map((each) => [each.name, each]));
     this.#rotations = new Map();
+    this.#topPriorities = topPriorities(next.routes);
     return true;
   }
 
@@ -77,6 +80,11 @@
     return this.#services.get(name);
   }
 
+  /** Whether no route to `service` has a more urgent priority than `route`. */
+  isMostUrgent({ priority }: Route, service: string): boolean {
+    return priority <= (this.#topPriorities.get(service) ?? priority);
+  }
+
   /** Chooses the service of the next request on `route`. */
   destination(route: Route): string {
     if (route.destinations.length === 1) return route.destinations[0].service;
@@ -88,3 +96,13 @@
     return rotation.next();
   }
 }
+
+function topPriorities(routes: readonly Route[]): Map<string, number> {
+  const top = new Map<string, number>();
+  for (const { priority, destinations } of routes) {
+    for (const { service } of destinations) {
+      top.set(service, Math.min(priority, top.get(service) ?? Infinity));
+    }
+  }
+  return top;
+}
--- a/src/core/dispatch/cold_admission.ts
+++ b/src/core/dispatch/cold_admission.ts
@@ -11,22 +11,18 @@
  */
 import type { Catalog } from "../catalog/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
+import { RateShare } from "../rates/index.ts";
 
 /** VMs that are assumed to share a server while their number is unknown: rather too
  * few requests than too many from all of them. */
 const UNKNOWN_VMS = 64;
-/** Servers that are remembered at the most. */
-const MAXIMUM_SERVERS = 1_024;
 
 /** See the module's comment. Times are milliseconds. */
 export class ColdAdmission {
-  /** When the next request may be sent to a cold server, by its id. */
-  readonly #nextAt = new Map<string, number>();
-
   private constructor(
     private readonly catalog: Catalog,
     private readonly vms: () => number | null,
-    private readonly draw: () => number,
+    private readonly share: RateShare,
   ) {}
 
   /** Limits as `catalog` names them, shared by `vms` VMs; `draw` gives numbers in
@@ -36,7 +32,7 @@
     vms: () => number | null,
     draw: () => number,
   ): ColdAdmission {
-    return new ColdAdmission(catalog, vms, draw);
+    return new ColdAdmission(catalog, vms, RateShare.create(draw));
   }
 
   /** Whether a server is cold. */
@@ -48,19 +44,14 @@
   mayTake(server: TrackedServer, now: number): boolean {
     const pause = this.#pause(server, now);
     if (pause === null) return true;
-    const known = this.#nextAt.get(server.id);
-    // What is longer ago is of a time when the server was cold before.
-    if (known !== undefined && now < known + pause) return now >= known;
-    if (this.#nextAt.size >= MAXIMUM_SERVERS) this.#forgetOldest();
-    this.#nextAt.set(server.id, now + this.draw() * pause);
-    return false;
+    return this.share.mayTake(server.id, pause, now);
   }
 
   /** A request was sent to a server. */
   started(server: TrackedServer, now: number): void {
     const pause = this.#pause(server, now);
-    if (pause === null) this.#nextAt.delete(server.id);
-    else this.#nextAt.set(server.id, now + pause);
+    if (pause === null) this.share.forget(server.id);
+    else this.share.started(server.id, pause, now);
   }
 
   /** Time between two requests to a server; null for one that is not cold. */
@@ -71,9 +62,4 @@
     }
     return 1_000 * (this.vms() ?? UNKNOWN_VMS) / warmUp.requestsPerSecond;
   }
-
-  #forgetOldest(): void {
-    const [oldest] = this.#nextAt.keys();
-    this.#nextAt.delete(oldest);
-  }
 }
--- a/src/core/dispatch/cold_admission_test.ts
+++ b/src/core/dispatch/cold_admission_test.ts
@@ -3,6 +3,7 @@
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
 import { uniformFloat64 } from "../random.ts";
+import { RateTokens } from "../rates/index.ts";
 import { ColdAdmission } from "./cold_admission.ts";
 import { chooseServer } from "./server_choice.ts";
 
@@ -167,6 +168,8 @@
       availabilityZone: fleet.get("s")!.entry.availabilityZone,
       vms: 1,
       cold,
+      tokens: RateTokens.create({ ask: () => null }, () => 1, () => 0.5),
+      isUrgent: true,
       draw: () => 0.5,
     })!;
   t.not(choose(0).id, "s");
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Catalog } from "../catalog/index.ts";
-import type { Fleet } from "../fleet/index.ts";
+import type { Fleet, ServerRateChange } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
 import type {
   CrashWatch,
@@ -12,6 +12,7 @@
   RunPermits,
 } from "../quarantine/index.ts";
 import type { ColdAdmission } from "./cold_admission.ts";
+import type { RateTokens } from "../rates/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
@@ -24,6 +25,7 @@
   crashes: CrashWatch;
   permits: RunPermits;
   cold: ColdAdmission;
+  tokens: RateTokens;
   availabilityZone: string;
   retryLimits: RetryLimits;
   /** When this process started. */
@@ -32,6 +34,8 @@
   vms(): number | null;
   /** A server refused a key that it holds by what the directory says. */
   keyRefused(): void;
+  /** The rate limit that a server states has begun or ended. */
+  rateLimitChanged(change: ServerRateChange, now: number): void;
   /** A number in [0, 1). */
   draw(): number;
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -198,12 +198,8 @@
       if (!this.#send(request, placing.server, now)) {
         this.#giveUpWaiting(request, OVER_BUDGET, now);
       }
-    } else if (placing.kind === "refuse") {
-      this.#crowdOut(request, placing, now);
-    } else if (placing.kind === "hold") {
-      this.#holdBack(request, placing, now);
-    } else if (placing.kind === "deny") {
-      this.#giveUpWaiting(request, placing.reason, now);
+    } else if (placing.kind !== "wait") {
+      this.#refuseUnplaced(request, placing, now);
     } else if (
       now >= waitEndOf(request, placing) || queue.length >= MAXIMUM_WAITING
     ) {
@@ -263,6 +259,7 @@
     });
     server.started(number, now);
     this.context.cold.started(server, now);
+    this.context.tokens.started(server, now);
     this.#effects.push({
       kind: "attempt.start",
       attempt: number,
@@ -359,17 +356,9 @@
     if (request.attempts.length === 0) {
       const placing = this.#placing.place(request, now);
       if (placing.kind === "server") return;
-      if (placing.kind === "refuse") {
-        this.#waiting.remove(request);
-        return this.#crowdOut(request, placing, now);
-      }
-      if (placing.kind === "hold") {
-        this.#waiting.remove(request);
-        return this.#holdBack(request, placing, now);
-      }
-      if (placing.kind === "deny") {
+      if (placing.kind !== "wait") {
         this.#waiting.remove(request);
-        return this.#giveUpWaiting(request, placing.reason, now);
+        return this.#refuseUnplaced(request, placing, now);
       }
       if (now >= waitEndOf(request, placing)) {
         this.#waiting.remove(request);
@@ -387,6 +376,23 @@
     this.#hedge(request, now);
   }
 
+  /** Refuses a request that cannot be placed and would gain nothing by waiting. */
+  #refuseUnplaced(
+    request: PendingRequest,
+    placing: Exclude<Placing, { kind: "server" | "wait" }>,
+    now: number,
+  ): void {
+    switch (placing.kind) {
+      case "refuse":
+        return this.#crowdOut(request, placing, now);
+      case "hold":
+        return this.#holdBack(request, placing, now);
+      case "deny":
+        request.isCrowdedOut ||= placing.isCrowded;
+        return this.#giveUpWaiting(request, placing.reason, now);
+    }
+  }
+
   /** Refuses a request at once for which its key's server has no room. */
   #crowdOut(
     request: PendingRequest,
@@ -462,12 +468,8 @@
       if (placing.kind === "server") {
         if (this.#send(request, placing.server, now)) continue;
         this.#giveUpWaiting(request, OVER_BUDGET, now);
-      } else if (placing.kind === "refuse") {
-        this.#crowdOut(request, placing, now);
-      } else if (placing.kind === "hold") {
-        this.#holdBack(request, placing, now);
-      } else if (placing.kind === "deny") {
-        this.#giveUpWaiting(request, placing.reason, now);
+      } else if (placing.kind !== "wait") {
+        this.#refuseUnplaced(request, placing, now);
       } else {
         isFull = isFull || (request.tried.length === 0 && !placing.isOwn);
         request.lookAt = placing.until;
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -11,6 +11,7 @@
   Quarantine,
   RunPermits,
 } from "../quarantine/index.ts";
+import { RateTokens, type TokenAnswer } from "../rates/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import { ColdAdmission } from "./cold_admission.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -22,6 +23,7 @@
   draw = () => 0,
   keyRefused = () => {},
   permitAnswer = (): PermitAnswer | null => ({ isGranted: true, left: 2_000 }),
+  tokenAnswer = (): TokenAnswer | null => null,
 ) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
@@ -89,6 +91,11 @@
     ask: () => permitAnswer(),
     giveBack: () => {},
   });
+  const tokens = RateTokens.create(
+    { ask: () => tokenAnswer() },
+    () => vms,
+    draw,
+  );
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
@@ -98,11 +105,13 @@
     crashes,
     permits,
     cold: ColdAdmission.create(catalog, () => vms, draw),
+    tokens,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
     vms: () => vms,
     keyRefused,
+    rateLimitChanged: () => {},
     draw,
   });
   let exchange = 0;
@@ -122,6 +131,7 @@
     dispatcher,
     fleet,
     servers,
+    tokens,
     arrive,
     assign,
     keyLimits,
@@ -572,11 +582,13 @@
     crashes: CrashWatch.create(quarantine, () => {}),
     permits: RunPermits.create({ ask: () => null, giveBack: () => {} }),
     cold: ColdAdmission.create(catalog, () => null, () => 0),
+    tokens: RateTokens.create({ ask: () => null }, () => null, () => 0),
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
     vms: () => null,
     keyRefused: () => {},
+    rateLimitChanged: () => {},
     draw: () => 0,
   });
   const arrival = {
@@ -703,3 +715,48 @@
   t.deepEqual(brief(dispatcher.advance(6_750)), []);
   t.regex(brief(dispatcher.advance(6_770)).join(), /^cancel,504/);
 });
+
+test("dispatch: a keyed request beyond its server's rate limit is refused at once with a late retry", (t) => {
+  const denied = () => ({ isGranted: false, left: 200 });
+  const { arrive, fleet } = createDispatcher(
+    8,
+    () => 0.5,
+    undefined,
+    undefined,
+    denied,
+  );
+  fleet.get("stock-1")!.rate.answered(2, 0, 0);
+  const [refusal] = brief(arrive("/lookup/", 10));
+  t.regex(
+    refusal,
+    /^503, the key's server limits its requests, come back 2\d\d/,
+  );
+});
+
+test("dispatch: requests without keys go to servers below their rate limits", (t) => {
+  const denied = () => ({ isGranted: false, left: 200 });
+  const { arrive, fleet, dispatcher } = createDispatcher(
+    8,
+    () => 0.5,
+    undefined,
+    undefined,
+    denied,
+  );
+  fleet.get("orders-1")!.rate.answered(2, 0, 0);
+  t.deepEqual(brief(arrive("/order/", 10)), ["start orders-2, 500 ms left"]);
+  fleet.get("reads-1")!.rate.answered(2, 0, 11);
+  fleet.get("reads-2")!.rate.answered(2, 0, 11);
+  const effects = [...arrive("/read/", 12), ...dispatcher.advance(13)];
+  t.regex(
+    brief(effects)[0],
+    /^503, all servers of the service limit their requests/,
+  );
+});
+
+test("dispatch: a waiting request is sent once its token is granted", (t) => {
+  const { arrive, fleet, dispatcher, tokens } = createDispatcher();
+  fleet.get("stock-1")!.rate.answered(2, 0, 0);
+  t.deepEqual(brief(arrive("/lookup/", 10)), []);
+  tokens.told("stock-1", { isGranted: true, left: 0 }, 13);
+  t.deepEqual(brief(dispatcher.advance(13)), ["start stock-1, 497 ms left"]);
+});
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -68,6 +68,7 @@
     if (outcome.kind === "failed") {
       return this.#failed(request, attempt, outcome, now);
     }
+    this.#takeRateLimit(attempt, outcome, now);
     return outcome.isNotRun
       ? this.#refused(request, attempt, outcome, now)
       : this.#answered(request, attempt, outcome, now);
@@ -100,6 +101,22 @@
     return { kind: "again", detail, otherwise: deliver };
   }
 
+  /** Records the rate limit, or its absence, in an answer that comes from the server
+   * to which the attempt was sent. */
+  #takeRateLimit(
+    { number, server: id, startedAt }: Attempt,
+    { server: answering, isGenuine, isNotRun, rateLimit }: Answer,
+    now: number,
+  ): void {
+    const server = this.context.fleet.get(id);
+    const isOwn = (isGenuine || isNotRun) && (answering ?? id) === id;
+    if (!isOwn || rateLimit === undefined || !server?.has(number)) return;
+    const change = server.rate.answered(rateLimit, startedAt, now);
+    if (change !== null) {
+      this.context.rateLimitChanged({ server, change }, now);
+    }
+  }
+
   /** The server stated that it did not run the request. */
   #refused(
     request: PendingRequest,
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -154,6 +154,9 @@
     /** Id of the server that answered, if it says so. */
     server: string | null;
     load: ReportedLoad | null;
+    /** Maximum requests per second that it accepts from all VMs combined; null if it
+     * states no limit, undefined if that is unknown. */
+    rateLimit?: number | null;
   }
   | {
     kind: "failed";
--- a/src/core/dispatch/request_placing.ts
+++ b/src/core/dispatch/request_placing.ts
@@ -28,8 +28,8 @@
   /** Not at all for a while: servers have ended under it. */
   | { kind: "hold"; hold: Hold }
   /** Not now, and no wait would help: another copy of it runs, under which a server
-   * has ended, or all servers are leaving. */
-  | { kind: "deny"; reason: string }
+   * has ended, all servers are leaving, or a rate limit is reached (`isCrowded`). */
+  | { kind: "deny"; reason: string; isCrowded: boolean }
   /** Not now, maybe later; `isBrief` when it is known to change soon, `isOwn` when
    * it waits for nothing that others wait for, `until` when time alone changes it
    * (Infinity otherwise). */
@@ -65,6 +65,11 @@
   return { kind: "wait", reason, isBrief: true, isOwn: true, until };
 }
 
+/** Waiting would not help; `isCrowded` if a rate limit is the cause. */
+function deny(reason: string, isCrowded = false): Placing {
+  return { kind: "deny", reason, isCrowded };
+}
+
 /** See the module's comment. */
 export class RequestPlacing {
   private constructor(
@@ -93,14 +98,29 @@
     if (request.key !== null) {
       return this.#placeKeyed(request, request.key, now);
     }
-    const { cold } = this.context;
+    const { cold, tokens } = this.context;
     const vms = this.context.vms();
-    const context = { fleet, availabilityZone, vms, cold, draw };
+    const isUrgent = this.#isUrgent(request);
+    const context = {
+      fleet,
+      availabilityZone,
+      vms,
+      cold,
+      tokens,
+      isUrgent,
+      draw,
+    };
     const server = chooseServer(request.service, request.tried, now, context);
     if (server !== null) return { kind: "server", server };
     const servers = fleet.of(request.service);
-    if (servers.length > 0 && servers.every((each) => each.isLeaving)) {
-      return { kind: "deny", reason: "all servers of the service are leaving" };
+    const usable = servers.filter((each) => !each.isLeaving);
+    if (servers.length > 0 && usable.length === 0) {
+      return deny("all servers of the service are leaving");
+    }
+    const isDenied = (server: TrackedServer) =>
+      tokens.deniedUntil(server, now) >= request.waitEnd;
+    if (usable.length > 0 && usable.every(isDenied)) {
+      return deny("all servers of the service limit their requests", true);
     }
     return waitForLong("no server has room");
   }
@@ -122,11 +142,16 @@
       case "denied": {
         const reason = "a backend server has ended under this request, and " +
           "another copy of it runs";
-        return { kind: "deny", reason };
+        return deny(reason);
       }
     }
   }
 
+  /** Whether no route to the service has a more urgent priority than the request's. */
+  #isUrgent({ route, service }: PendingRequest): boolean {
+    return this.context.catalog.isMostUrgent(route, service);
+  }
+
   /** Share of the requests for a key that its server has room for. Where that has
    * just stated its load here, the load says more. */
   #shareWithRoom(
@@ -171,10 +196,27 @@
     if (!this.context.cold.mayTake(server, now)) {
       return waitForLong("the key's server is cold");
     }
-    if (hasRoom(server, now, this.context.vms())) {
-      return { kind: "server", server };
+    if (!hasRoom(server, now, this.context.vms())) {
+      return waitForLong("the key's server has no room");
+    }
+    return this.#admit(request, server, now);
+  }
+
+  /** Places a keyed request on its server if the server's rate limit allows it. */
+  #admit(request: PendingRequest, server: TrackedServer, now: number): Placing {
+    const { tokens } = this.context;
+    const admission = tokens.check(server, this.#isUrgent(request), now);
+    switch (admission.kind) {
+      case "ready":
+        return { kind: "server", server };
+      case "asked": {
+        const reason =
+          "a token for the key's server, which limits its requests";
+        return waitBriefly(reason, admission.until);
+      }
+      case "denied":
+        return deny("the key's server limits its requests", true);
     }
-    return waitForLong("the key's server has no room");
   }
 }
 
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
+import type { RateTokens } from "../rates/index.ts";
 import type { ColdAdmission } from "./cold_admission.ts";
 
 /** Requests of all VMs that one server should have at most, in multiples of
@@ -28,9 +29,9 @@
 /** How much more a server in another availability zone may seem to cost. Its
  * bytes are paid for, and a hop takes longer. */
 const FAR_FACTOR = 1.7;
-/** How much less a cold server that may have a request now seems to cost. Its turns
- * are rare, and one that goes unused leaves it idle. */
-const COLD_FACTOR = 0.5;
+/** Cost factor of a cold or rate-limited server that may receive a request now. Its
+ * permitted requests are few, and each unused one leaves it idle. */
+const RESTRICTED_FACTOR = 0.5;
 /** Random share added to costs, so that VMs do not all choose alike. */
 const JITTER = 0.2;
 
@@ -41,6 +42,9 @@
   /** Number of VMs that share the servers, or null when unknown. */
   vms: number | null;
   cold: ColdAdmission;
+  tokens: RateTokens;
+  /** Whether no route to the service has a more urgent priority than the request's. */
+  isUrgent: boolean;
   /** A number in [0, 1). */
   draw(): number;
 }
@@ -80,7 +84,7 @@
   now: number,
   context: ChoiceContext,
 ): TrackedServer | null {
-  const { fleet, vms, cold } = context;
+  const { fleet, vms, cold, tokens } = context;
   const usual = fleet.usualLatency(service, now);
   const usable = sample(fleet.of(service), context.draw).filter((server) =>
     !server.isLeaving && !tried.includes(server.id)
@@ -89,13 +93,19 @@
     !server.isPaused(now) && !server.isSilent(now, usual)
   );
   const pool = sound.length > 0 ? sound : usable;
+  const candidates = pool.filter((server) =>
+    hasRoom(server, now, vms) && cold.mayTake(server, now)
+  );
+  requestToken(candidates, now, context);
   let best: TrackedServer | null = null;
   let lowest = Infinity;
-  for (const server of pool) {
-    if (!hasRoom(server, now, vms) || !cold.mayTake(server, now)) continue;
+  for (const server of candidates) {
+    if (!tokens.isReady(server, now)) continue;
+    const isRestricted = cold.isCold(server, now) ||
+      tokens.isLimited(server, now);
     const isNear = server.entry.availabilityZone === context.availabilityZone;
     const cost = (server.cost(now, usual) + 1) * (isNear ? 1 : FAR_FACTOR) *
-      (cold.isCold(server, now) ? COLD_FACTOR : 1) *
+      (isRestricted ? RESTRICTED_FACTOR : 1) *
       (1 + JITTER * context.draw());
     if (cost >= lowest) continue;
     lowest = cost;
@@ -104,6 +114,17 @@
   return best;
 }
 
+/** Asks for a token for one rate-limited server. A token that is granted too late for
+ * the request being placed is available to a later one. */
+function requestToken(
+  servers: readonly TrackedServer[],
+  now: number,
+  { tokens, isUrgent }: ChoiceContext,
+): void {
+  const next = servers.find((each) => tokens.mayAsk(each, isUrgent, now));
+  if (next !== undefined) tokens.check(next, isUrgent, now);
+}
+
 /** So many neighbours in the list from a random place on: a few choices are
  * nearly as good as all, and cost the same whatever the number of servers. */
 function sample(
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -84,6 +84,7 @@
       quarantine,
       crashes,
       permits: this.peers.permits.permits,
+      tokens: this.peers.tokens.tokens,
       cold: ColdAdmission.create(
         catalog,
         () => this.vms,
@@ -94,6 +95,8 @@
       startedAt: () => this.#startedAt,
       vms: () => this.vms,
       keyRefused: () => this.peers.keyRefused(),
+      rateLimitChanged: (change, now) =>
+        this.peers.rateLimitChanged(change, now),
       draw: uniformFloat64(options.seed),
     });
     this.#shutdown = Shutdown.create(options.shutdown);
--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -33,6 +33,8 @@
     isWarming: boolean;
     inFlight: number;
     latency: number | null;
+    /** Maximum requests per second from all VMs combined; null without a limit. */
+    rateLimit: number | null;
   }[];
   /** Availability zones that operators have asked to evacuate. */
   evacuatedZones: string[];
@@ -83,6 +85,7 @@
       isWarming: server.isWarming(now),
       inFlight: server.inFlight,
       latency: server.latency,
+      rateLimit: server.rate.current(now),
     })),
     evacuatedZones: entry.beliefs.fleet.evacuations.zones,
     assignments: entry.beliefs.directory.assignments.map((each) => ({
--- a/src/core/exchange/crowding_watch.ts
+++ b/src/core/exchange/crowding_watch.ts
@@ -13,7 +13,7 @@
   limitsOf,
   type TermHolder,
 } from "../keyspace/index.ts";
-import type { Crowding } from "../peers/index.ts";
+import { type Crowding, MAXIMUM_RATES } from "../peers/index.ts";
 
 /** Pause between looks, in milliseconds: half of that between two reports. */
 const INTERVAL = 250;
@@ -25,7 +25,7 @@
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class CrowdingWatch {
-  #current: Crowding = { limits: [], loads: [] };
+  #current: Crowding = { limits: [], loads: [], rates: [] };
   #lookedAt = -Infinity;
 
   private constructor(
@@ -57,7 +57,8 @@
     const loads = services.flatMap((service) => this.#fullServers(service, now))
       .slice(0, MOST_LOADS);
     this.#noteChanges(limits);
-    this.#current = { limits, loads };
+    const rates = fleet.statedRates(now).slice(0, MAXIMUM_RATES);
+    this.#current = { limits, loads, rates };
     keyLimits.take(limits, now);
   }
 
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { Beliefs, Emit } from "../beliefs.ts";
-import type { ServerSamples } from "../fleet/index.ts";
+import type {
+  ServerRate,
+  ServerRateChange,
+  ServerSamples,
+} from "../fleet/index.ts";
 import type { Assignment, KeyLoads, TermCampaign } from "../keyspace/index.ts";
 import {
   expandAssignment,
@@ -12,12 +16,14 @@
   type HolderAddress,
   type HolderWord,
   type Knowledge,
+  MAXIMUM_RATES,
   type MessageOf,
   type PeerMessage,
   StateRequest,
   VmCount,
 } from "../peers/index.ts";
 import { PermitExchange } from "./permit_exchange.ts";
+import { TokenExchange } from "./token_exchange.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type { StoreHealth } from "../store_health.ts";
 import {
@@ -42,6 +48,7 @@
 export class PeerExchange {
   readonly followerLink: FollowerLink;
   readonly permits: PermitExchange;
+  readonly tokens: TokenExchange;
   readonly #publication: TermPublication;
   readonly #stateRequest: StateRequest;
   readonly #quarantine: QuarantineExchange;
@@ -71,6 +78,13 @@
       emit,
     );
     this.permits = PermitExchange.create(beliefs, emit, ownAddress);
+    this.tokens = TokenExchange.create(
+      beliefs,
+      emit,
+      ownAddress,
+      () => this.vms,
+      draw,
+    );
     this.#stateRequest = StateRequest.create(seeds);
     this.#quarantine = QuarantineExchange.create(beliefs.quarantine, seeds);
   }
@@ -121,6 +135,13 @@
     this.followerLink.outdated();
   }
 
+  /** The rate limit that a server states to this VM has begun or ended. Makes the next
+   * report due at once, so that the other VMs learn of it soon. */
+  rateLimitChanged(change: ServerRateChange, now: number): void {
+    this.beliefs.rateLimitChanged(change, now);
+    this.followerLink.outdated();
+  }
+
   /** When {@linkcode advance} is needed soon; Infinity when it can wait. */
   nextAt(): number {
     return this.campaign.holder === null
@@ -136,6 +157,7 @@
     const isOwn = address === this.ownAddress;
     if (!isOwn) this.emit(...this.#publication.tellSuccessor(holder));
     this.permits.follow(address, now);
+    this.tokens.follow(address, now);
     const chance = this.draw();
     this.followerLink.follow(isOwn ? null : address, this.vms, chance, now);
     this.campaign.hearFitness(fitness, now);
@@ -195,6 +217,9 @@
       case "permit.told":
       case "permit.returned":
         return this.permits.receive(address, message, now);
+      case "token.asked":
+      case "token.told":
+        return this.tokens.receive(address, message, now);
     }
   }
 
@@ -253,6 +278,7 @@
     const mayFetch = this.#areKeysAsked && !store.isFailing(now);
     const { position } = this.beliefs.registry;
     const latencies = this.#takeLatencies(now);
+    const rates = this.#takeRates(now);
     this.emit(
       ...this.followerLink.advance(
         now,
@@ -261,6 +287,7 @@
         latencies,
         mayFetch,
         this.isTold(now),
+        rates,
       ),
     );
   }
@@ -312,6 +339,12 @@
     );
   }
 
+  /** Rate limits to include in the report, if one is due. */
+  #takeRates(now: number): ServerRate[] {
+    if (!this.followerLink.isReportDue(now)) return [];
+    return this.beliefs.fleet.takeRates(now).slice(0, MAXIMUM_RATES);
+  }
+
   #takeRegistry(news: RegistryNews | null, now: number): void {
     const { registry, fleet } = this.beliefs;
     const changes = news === null ? null : registry.take(news);
@@ -350,12 +383,14 @@
   /** Takes what the holder tells of servers that cannot do all that is asked. */
   #takeCrowding(
     address: string,
-    { limits = [], loads = [] }: MessageOf<"holder.alive">,
+    { limits = [], loads = [], rates }: MessageOf<"holder.alive">,
     now: number,
   ): void {
     if (address !== this.followerLink.holder) return;
     this.beliefs.keyLimits.take(limits, now);
     this.beliefs.fleet.hearLoads(loads, now);
+    this.beliefs.hearRates(rates ?? [], now);
+    this.tokens.holderAnswered(rates !== undefined);
   }
 
   #takeReport(
--- a/src/core/exchange/term_publication.ts
+++ b/src/core/exchange/term_publication.ts
@@ -111,6 +111,7 @@
       for (const key of keys) this.loads.of(service).record(key, now);
     }
     this.#observe(report, now);
+    this.beliefs.hearRates(report.rates ?? [], now);
     this.campaign.hearFitness(report.fitness, now);
     this.#link.heard(address, report.isTold ?? false, now);
     const news = this.#news(report, now);
--- /dev/null
+++ b/src/core/exchange/token_exchange_test.ts
@@ -0,0 +1,97 @@
+import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
+import { Beliefs } from "../beliefs.ts";
+import type { EntryEffect } from "../entry_effect.ts";
+import type { PeerSend } from "../peers/index.ts";
+import { TokenExchange, type TokenMessage } from "./token_exchange.ts";
+
+/** Time between two tokens of the server, in milliseconds. */
+const INTERVAL = 200;
+/** When the buckets, which start empty at 0, are full. */
+const FULL_AT = 2_000;
+
+/** VMs that follow the holder `h` from 0 on and know a server that is limited to five
+ * requests per second. */
+function createVms(addresses: readonly string[]) {
+  return addresses.map((address) => {
+    const sent: PeerSend[] = [];
+    const emit = (...effects: EntryEffect[]) => {
+      for (const each of effects) {
+        if (each.kind === "peer.send") sent.push(each);
+      }
+    };
+    const beliefs = Beliefs.create(emit);
+    beliefs.fleet.apply([backendServer("s")], [], 0);
+    const server = beliefs.fleet.get("s")!;
+    server.rate.answered(1_000 / INTERVAL, 0, 0);
+    const exchange = TokenExchange.create(
+      beliefs,
+      emit,
+      address,
+      () => 3,
+      () => 0.5,
+    );
+    beliefs.followHolder({ term: 1, vm: "h", address: "h", fitness: 1 });
+    exchange.follow("h", 0);
+    exchange.holderAnswered(true);
+    const check = (now: number) =>
+      exchange.tokens.check(server, true, now).kind;
+    return { address, exchange, sent, server, check };
+  });
+}
+
+type Vm = ReturnType<typeof createVms>[number];
+
+/** Delivers all sent messages, and those sent in response. */
+function deliver(vms: readonly Vm[], now: number): void {
+  while (vms.some(({ sent }) => sent.length > 0)) {
+    for (const from of vms) {
+      for (const { address, message } of from.sent.splice(0)) {
+        const to = vms.find((each) => each.address === address);
+        to?.exchange.receive(from.address, message as TokenMessage, now);
+      }
+    }
+  }
+}
+
+test("token exchange: all VMs combined use the rate limit and stay within it", (t) => {
+  const vms = createVms(["h", "a", "b"]);
+  let sent = 0;
+  for (let now = FULL_AT; now < FULL_AT + 4_000; now += 10) {
+    for (const vm of vms) {
+      const kind = vm.check(now);
+      deliver(vms, now);
+      if (kind !== "ready" && vm.check(now) !== "ready") continue;
+      vm.exchange.tokens.started(vm.server, now);
+      sent += 1;
+    }
+  }
+  t.true(sent >= 4_000 / INTERVAL, `${sent}`);
+  t.true(sent <= 4_000 / INTERVAL + 4, `${sent}`);
+});
+
+test("token exchange: an answer that is not from the holder is ignored", (t) => {
+  const vms = createVms(["h", "a", "b"]);
+  const [, a, b] = vms;
+  t.is(a.check(FULL_AT), "asked");
+  a.exchange.receive("b", {
+    kind: "token.told",
+    term: 0,
+    version: 0,
+    configuration: -1,
+    server: "s",
+    isGranted: true,
+    left: 0,
+  }, FULL_AT);
+  t.is(a.check(FULL_AT + 1), "asked");
+  t.deepEqual(b.sent, []);
+});
+
+// Guards against a holder of an older version closing the connection on a message of
+// unknown kind.
+test("token exchange: a holder without token support is not asked", (t) => {
+  const [a] = createVms(["a"]);
+  a.exchange.holderAnswered(false);
+  t.not(a.check(FULL_AT), "asked");
+  t.deepEqual(a.sent, []);
+});
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -5,6 +5,7 @@
  */
 import type { BackendServer } from "./backend_server.ts";
 import { type EvacuationChange, Evacuations } from "./evacuations.ts";
+import type { RateChange, RateStatement } from "./stated_rate.ts";
 import {
   type LatencySamples,
   type StatedLoad,
@@ -41,6 +42,17 @@
   server: string;
 }
 
+/** Rate limit that a server has stated, by its id. */
+export interface ServerRate extends RateStatement {
+  server: string;
+}
+
+/** The rate limit of a server has begun or ended. */
+export interface ServerRateChange {
+  server: TrackedServer;
+  change: RateChange;
+}
+
 /** A change of the list of servers. */
 export interface FleetChange {
   /** `restarted`: its id is listed with another incarnation than before. */
@@ -190,6 +202,31 @@
     }
   }
 
+  /** Takes the rate limits that servers have stated to this VM since the last call. */
+  takeRates(now: number): ServerRate[] {
+    return this.all().flatMap(({ id, rate }) => {
+      const statement = rate.takeUnreported(now);
+      return statement === null ? [] : [{ server: id, ...statement }];
+    });
+  }
+
+  /** All rate limits that were stated recently, including those that have ended. */
+  statedRates(now: number): ServerRate[] {
+    return this.all().flatMap(({ id, rate }) => {
+      const statement = rate.statement(now);
+      return statement === null ? [] : [{ server: id, ...statement }];
+    });
+  }
+
+  /** Applies rate limits that servers have stated to other VMs; returns the changes. */
+  hearRates(rates: readonly ServerRate[], now: number): ServerRateChange[] {
+    return rates.flatMap(({ server: id, ...statement }) => {
+      const server = this.#servers.get(id);
+      const change = server?.rate.heard(statement, now) ?? null;
+      return change === null ? [] : [{ server: server!, change }];
+    });
+  }
+
   /** When a server of a service was listed last that was not before; one that
    * has started again counts, since it holds nothing. */
   joinedAt(service: string): number {
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { BackendServer, ReportedLoad } from "./backend_server.ts";
+import { StatedRate } from "./stated_rate.ts";
 
 /** Weight of the newest sample in moving averages. */
 const SAMPLE_WEIGHT = 0.2;
@@ -83,6 +84,8 @@
   #statedAt = -Infinity;
   #lastAnswerAt = -Infinity;
   readonly #startedAt = new Map<number, number>();
+  /** The rate limit that it states. */
+  readonly rate = StatedRate.create();
 
   private constructor(public entry: BackendServer) {}
 
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { ServerSamples } from "../fleet/index.ts";
+import type { ServerRate, ServerSamples } from "../fleet/index.ts";
 import type { KeyReport, Knowledge, PeerSend } from "./peer_message.ts";
 
 /** Pause between reports, in milliseconds: how late a busy key is noticed, and
@@ -147,9 +147,9 @@
 
   /**
    * Takes all steps that are due. `position` is up to where the registry is
-   * known, `latencies` what was measured since the last report; `mayFetch` when
-   * assignments are needed and the store answers, `isTold` while the store's news
-   * are left to the holder.
+   * known, `latencies` what was measured since the last report, `rates` the rate
+   * limits stated since the last report; `mayFetch` when assignments are needed and
+   * the store answers, `isTold` while the store's news are left to the holder.
    */
   advance(
     now: number,
@@ -158,12 +158,14 @@
     latencies: readonly ServerSamples[],
     mayFetch: boolean,
     isTold: boolean,
+    rates: readonly ServerRate[] = [],
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     if (this.#holder !== null && this.isReportDue(now)) {
       this.#reported(now);
       const report = this.#report(known, position, latencies, now);
-      const message = { ...report, isTold };
+      const stated = rates.length > 0 ? { rates: [...rates] } : {};
+      const message = { ...report, isTold, ...stated };
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
     const isFetchDue = now - this.#fetchedAt >= FETCH_INTERVAL;
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Configuration } from "../catalog/index.ts";
-import type { ServerLoad } from "../fleet/index.ts";
+import type { ServerLoad, ServerRate } from "../fleet/index.ts";
 import type { Assignment, KeyLimit } from "../keyspace/index.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type {
@@ -36,6 +36,8 @@
 export interface Crowding {
   limits: readonly KeyLimit[];
   loads: readonly ServerLoad[];
+  /** Rate limits of servers of all services, including those that ended recently. */
+  rates: readonly ServerRate[];
 }
 
 /** What has changed of the assignments after a version. */
@@ -93,7 +95,7 @@
     address: string,
     word: HolderWord,
     registry: RegistryNews | null,
-    { limits, loads }: Crowding,
+    { limits, loads, rates }: Crowding,
     answersTo: number,
   ): PeerSend {
     const message: PeerMessage = {
@@ -103,6 +105,7 @@
       answersTo,
       ...(limits.length > 0 ? { limits: [...limits] } : {}),
       ...(loads.length > 0 ? { loads: [...loads] } : {}),
+      rates: [...rates],
     };
     return { kind: "peer.send", address, message };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -5,13 +5,18 @@
  */
 import * as z from "zod";
 import { configurationSchema } from "../catalog/index.ts";
-import { backendServerSchema, evacuationNewsSchema } from "../fleet/index.ts";
+import {
+  backendServerSchema,
+  evacuationNewsSchema,
+  rateStatementSchema,
+} from "../fleet/index.ts";
 import {
   assignmentSchema,
   exposureSchema,
   keyLimitSchema,
 } from "../keyspace/index.ts";
 import { crashRecordSchema, permitAnswerSchema } from "../quarantine/index.ts";
+import { tokenAnswerSchema } from "../rates/index.ts";
 import { registryNewsSchema } from "../registry/index.ts";
 
 const count = z.number().int().nonnegative();
@@ -96,6 +101,14 @@
   age: z.number().nonnegative(),
 });
 
+/** Maximum number of servers whose rate limits one message carries. */
+export const MAXIMUM_RATES = 256;
+
+/** Rate limits that servers have stated; absent in messages of older versions. A holder
+ * that includes them, even if empty, supports token requests. */
+const ratesSchema = z.array(rateStatementSchema.extend({ server: z.string() }))
+  .max(MAXIMUM_RATES).optional();
+
 /** A follower tells the term holder what it was asked for lately. */
 const keysAskedSchema = knowledgeSchema.extend({
   kind: z.literal("keys.asked"),
@@ -120,6 +133,7 @@
   /** Whether it leaves the store's news to the holder; VMs that have not been
    * renewed yet leave it out and read them. */
   isTold: z.boolean().optional(),
+  rates: ratesSchema,
 });
 
 /** See {@linkcode keysAskedSchema}. */
@@ -137,6 +151,7 @@
   limits: z.array(keyLimitSchema).optional(),
   /** Load of servers that hold keys and have no room, as they stated it. */
   loads: z.array(statedLoadSchema.extend({ server: z.string() })).optional(),
+  rates: ratesSchema,
 });
 
 /** The holder tells the ranges that have changed after a version. */
@@ -235,6 +250,23 @@
   hasEnded: z.boolean(),
 });
 
+/** A VM asks the term holder for a token for a rate-limited server. */
+const tokenAskedSchema = knowledgeSchema.extend({
+  kind: z.literal("token.asked"),
+  server: z.string(),
+  /** The limit as known to this VM. */
+  requestsPerSecond: z.number().positive(),
+  /** Whether no route to the service has a more urgent priority than the request's. */
+  isUrgent: z.boolean(),
+});
+
+/** The holder grants or denies a token. */
+const tokenToldSchema = knowledgeSchema.extend({
+  kind: z.literal("token.told"),
+  server: z.string(),
+  ...tokenAnswerSchema.shape,
+});
+
 /** Schema of {@linkcode PeerMessage}. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
   keysAskedSchema,
@@ -251,6 +283,8 @@
   permitAskedSchema,
   permitToldSchema,
   permitReturnedSchema,
+  tokenAskedSchema,
+  tokenToldSchema,
 ]);
 
 /** See the module's comment. */
--- /dev/null
+++ b/src/core/rates/rate_tokens.ts
@@ -0,0 +1,211 @@
+/**
+ * Keeps the requests of all VMs to a rate-limited server within its limit.
+ *
+ * Each request to such a server takes a token, which the term holder grants
+ * ({@linkcode TokenBuckets}). Fixed shares per VM would leave most of a low limit unused
+ * when there are many VMs or their loads differ; a VM falls back to its share
+ * ({@linkcode RateShare}) while the holder does not answer.
+ *
+ * ```ts
+ * switch (tokens.check(server, isUrgent, now).kind) {
+ *   case "ready":
+ *     tokens.started(server, now); // and the request is sent
+ * }
+ * ```
+ *
+ * @module
+ */
+import type { TrackedServer } from "../fleet/index.ts";
+import { RateShare } from "./rate_share.ts";
+import type { TokenAnswer } from "./token_bucket.ts";
+
+/** Time for which the answer to a token request is awaited, in milliseconds. */
+const ANSWER_PATIENCE = 250;
+/** Time for which a VM that got no answer uses its share, in milliseconds. */
+const SHARE_DURATION = 1_000;
+/** Time for which a granted token is valid, in milliseconds. The request that it was
+ * asked for may have ended in the meantime. */
+const TOKEN_LIFETIME = 1_000;
+/** Longest time for which a denial applies, in milliseconds, since the limit may change
+ * in the meantime. */
+const LONGEST_DENIAL = 500;
+/** Number of VMs assumed to share a server while the actual number is unknown. */
+const UNKNOWN_VMS = 64;
+/** Number of states at which expired ones are removed. */
+const MAXIMUM_SERVERS = 1_024;
+/** Milliseconds in a second. */
+const SECOND = 1_000;
+
+/** How this VM reaches the term holder's buckets. */
+export interface TokenChannel {
+  /** Asks for a token for a server. Returns the answer if it is known at once, or null
+   * if it will be passed to {@linkcode RateTokens.told}. */
+  ask(
+    server: TrackedServer,
+    isUrgent: boolean,
+    now: number,
+  ): TokenAnswer | "unreachable" | null;
+}
+
+/** Whether a request may be sent to a server now. */
+export type Admission =
+  | { kind: "ready" }
+  /** The answer to a token request is awaited until then. */
+  | { kind: "asked"; until: number }
+  /** No token is available until then. */
+  | { kind: "denied"; until: number };
+
+type TokenState =
+  | { kind: "none" }
+  | { kind: "asked"; until: number; isUrgent: boolean }
+  | { kind: "granted"; until: number }
+  | { kind: "denied"; until: number; isUrgent: boolean }
+  /** The holder did not answer; this VM uses its share. */
+  | { kind: "shared"; until: number };
+
+/** See the module's comment. Times are milliseconds of this VM's clock. */
+export class RateTokens {
+  /** States by the server's id. */
+  readonly #states = new Map<string, TokenState>();
+  readonly #share: RateShare;
+
+  private constructor(
+    private readonly channel: TokenChannel,
+    private readonly vms: () => number | null,
+    draw: () => number,
+  ) {
+    this.#share = RateShare.create(draw);
+  }
+
+  /** Starts without tokens. They are requested over `channel`; while the holder does not
+   * answer, the rate is divided among `vms` VMs. `draw` gives numbers in [0, 1). */
+  static create(
+    channel: TokenChannel,
+    vms: () => number | null,
+    draw: () => number,
+  ): RateTokens {
+    return new RateTokens(channel, vms, draw);
+  }
+
+  /** Whether a server has a rate limit in force. */
+  isLimited(server: TrackedServer, now: number): boolean {
+    return server.rate.current(now) !== null;
+  }
+
+  /** Whether a request may be sent to a server now without a token request. */
+  isReady(server: TrackedServer, now: number): boolean {
+    const limit = server.rate.current(now);
+    if (limit === null) return true;
+    const { kind } = this.#current(server.id, now);
+    if (kind === "granted") return true;
+    return kind === "shared" &&
+      this.#share.mayTake(server.id, this.#pause(limit), now);
+  }
+
+  /** Whether a server needs a token and none is held, requested or denied. The denial
+   * of a less urgent request does not count. */
+  mayAsk(server: TrackedServer, isUrgent: boolean, now: number): boolean {
+    if (!this.isLimited(server, now)) return false;
+    const state = this.#current(server.id, now);
+    if (state.kind === "denied") return isUrgent && !state.isUrgent;
+    return state.kind === "none";
+  }
+
+  /** Until when tokens for a server are denied; -Infinity if they are not. */
+  deniedUntil(server: TrackedServer, now: number): number {
+    if (!this.isLimited(server, now)) return -Infinity;
+    const state = this.#current(server.id, now);
+    return state.kind === "denied" ? state.until : -Infinity;
+  }
+
+  /** Whether a request may be sent to a server now; requests a token if necessary. */
+  check(server: TrackedServer, isUrgent: boolean, now: number): Admission {
+    const limit = server.rate.current(now);
+    if (limit === null) {
+      this.#states.delete(server.id);
+      return { kind: "ready" };
+    }
+    const state = this.#current(server.id, now);
+    switch (state.kind) {
+      case "none":
+        return this.#ask(server, isUrgent, now);
+      case "granted":
+        return { kind: "ready" };
+      case "denied":
+        return isUrgent && !state.isUrgent
+          ? this.#ask(server, isUrgent, now)
+          : state;
+      case "asked":
+        return state;
+      case "shared": {
+        const pause = this.#pause(limit);
+        const mayTake = this.#share.mayTake(server.id, pause, now);
+        return mayTake
+          ? { kind: "ready" }
+          : { kind: "denied", until: state.until };
+      }
+    }
+  }
+
+  /** A request was sent to a server; uses up the token or the share. */
+  started(server: TrackedServer, now: number): void {
+    const limit = server.rate.current(now);
+    if (limit === null) return;
+    const state = this.#states.get(server.id);
+    if (state?.kind === "granted") this.#states.delete(server.id);
+    if (state?.kind !== "shared") return;
+    this.#share.started(server.id, this.#pause(limit), now);
+  }
+
+  /** The holder has answered a token request. */
+  told(server: string, { isGranted, left }: TokenAnswer, now: number): void {
+    const state = this.#states.get(server);
+    if (state?.kind !== "asked") return;
+    const { isUrgent } = state;
+    const until = now +
+      (isGranted ? TOKEN_LIFETIME : Math.min(left, LONGEST_DENIAL));
+    this.#states.set(
+      server,
+      isGranted
+        ? { kind: "granted", until }
+        : { kind: "denied", until, isUrgent },
+    );
+  }
+
+  #current(server: string, now: number): TokenState {
+    const state = this.#states.get(server);
+    if (state === undefined) return { kind: "none" };
+    if (state.kind === "none" || now < state.until) return state;
+    if (state.kind !== "asked") return { kind: "none" };
+    const shared: TokenState = { kind: "shared", until: now + SHARE_DURATION };
+    this.#states.set(server, shared);
+    return shared;
+  }
+
+  #ask(server: TrackedServer, isUrgent: boolean, now: number): Admission {
+    if (this.#states.size >= MAXIMUM_SERVERS) this.#forgetOver(now);
+    const until = now + ANSWER_PATIENCE;
+    this.#states.set(server.id, { kind: "asked", until, isUrgent });
+    const answer = this.channel.ask(server, isUrgent, now);
+    if (answer === null) return { kind: "asked", until };
+    if (answer === "unreachable") {
+      const shared = { kind: "shared", until: now + SHARE_DURATION } as const;
+      this.#states.set(server.id, shared);
+    } else {
+      this.told(server.id, answer, now);
+    }
+    return this.check(server, isUrgent, now);
+  }
+
+  /** Time between two requests of this VM at its share of a limit. */
+  #pause(requestsPerSecond: number): number {
+    return SECOND * (this.vms() ?? UNKNOWN_VMS) / requestsPerSecond;
+  }
+
+  #forgetOver(now: number): void {
+    for (const [server, state] of this.#states) {
+      if (state.kind !== "none" && now < state.until) continue;
+      this.#states.delete(server);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/rates/rate_tokens_test.ts
@@ -0,0 +1,74 @@
+import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
+import { Fleet, type TrackedServer } from "../fleet/index.ts";
+import { RateTokens, type TokenChannel } from "./rate_tokens.ts";
+
+/** A server with a limit of `requestsPerSecond` from 0 on. */
+function limitedServer(requestsPerSecond: number): TrackedServer {
+  const fleet = Fleet.create();
+  fleet.apply([backendServer("s")], [], 0);
+  const server = fleet.get("s")!;
+  server.rate.answered(requestsPerSecond, 0, 0);
+  return server;
+}
+
+function tokensOver(ask: TokenChannel["ask"], vms = 10): RateTokens {
+  return RateTokens.create({ ask }, () => vms, () => 0.5);
+}
+
+test("rate tokens: a server without a limit needs none", (t) => {
+  const tokens = tokensOver(() => t.fail());
+  const fleet = Fleet.create();
+  fleet.apply([backendServer("s")], [], 0);
+  t.is(tokens.check(fleet.get("s")!, true, 0).kind, "ready");
+});
+
+test("rate tokens: each granted token permits one request", (t) => {
+  let asked = 0;
+  const tokens = tokensOver(() => {
+    asked += 1;
+    return null;
+  });
+  const server = limitedServer(5);
+  t.is(tokens.check(server, true, 0).kind, "asked");
+  t.is(tokens.check(server, true, 1).kind, "asked");
+  t.is(asked, 1);
+  tokens.told("s", { isGranted: true, left: 0 }, 4);
+  t.is(tokens.check(server, true, 5).kind, "ready");
+  tokens.started(server, 5);
+  t.is(tokens.check(server, true, 6).kind, "asked");
+  t.is(asked, 2);
+});
+
+test("rate tokens: no token is requested again while a denial applies", (t) => {
+  const asked: boolean[] = [];
+  const tokens = tokensOver((_server, isUrgent) => {
+    asked.push(isUrgent);
+    return { isGranted: false, left: 200 };
+  });
+  const server = limitedServer(5);
+  t.deepEqual(tokens.check(server, false, 0), {
+    kind: "denied",
+    until: 200,
+    isUrgent: false,
+  });
+  tokens.check(server, false, 199);
+  t.deepEqual(asked, [false]);
+  // A token is reserved for the most urgent requests.
+  tokens.check(server, true, 199);
+  t.deepEqual(asked, [false, true]);
+});
+
+// Guards against stalled requests or an unlimited rate while the holder is unreachable.
+test("rate tokens: a VM without an answer from the holder uses its share", (t) => {
+  const tokens = tokensOver(() => null);
+  const server = limitedServer(5);
+  let sent = 0;
+  for (let now = 0; now < 9_000; now += 10) {
+    if (tokens.check(server, true, now).kind !== "ready") continue;
+    tokens.started(server, now);
+    sent += 1;
+  }
+  // A tenth of 5 requests per second, less the time spent waiting for answers.
+  t.true(sent >= 3 && sent <= 5, `${sent} in 9 s`);
+});
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -330,6 +330,7 @@
         isNotRun: facts.isNotRun && facts.isOwnExchange,
         server: facts.server,
         load: facts.load,
+        rateLimit: facts.rateLimit,
       },
     });
     // By then the core has had its say; an answer that it did not take is of
--- a/src/runtime/header_codec.ts
+++ b/src/runtime/header_codec.ts
@@ -27,6 +27,9 @@
   /** Id of the server, if it is given. */
   server: string | null;
   load: ReportedLoad | null;
+  /** Maximum requests per second that the server accepts from all VMs combined; null if
+   * it states no limit, undefined if the value is invalid. */
+  rateLimit: number | null | undefined;
 }
 
 /** Translates between headers and what they mean. */
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -63,8 +63,8 @@
   draining: z.boolean().default(false),
   /** Time that a request takes instead of the one in the settings. */
   work: z.number().nonnegative().nullable().default(null),
-  /** Requests a second that it says that it takes from all entries together; it
-   * refuses none. */
+  /** Rate limit that it states, in requests per second from all entries combined; it does
+   * not enforce it. */
   rateLimit: z.string().nullable().default(null),
 });
 
--- a/test/ownership/rate_limit_test.ts
+++ b/test/ownership/rate_limit_test.ts
@@ -1,6 +1,6 @@
 /**
- * Servers that state how many requests a second they take from all VMs together. No VM
- * knows what the others send, and a key has no other server.
+ * Servers that state a limit on the requests per second from all VMs combined. VMs do
+ * not see the requests of other VMs, and a key has only one server.
  */
 import test from "ava";
 import type { LimitedArrival, LoadOptions } from "./request_load.ts";
@@ -9,19 +9,21 @@
 const FROM = 8_000;
 const LIMITED_UNTIL = 22_000;
 const UNTIL = 30_000;
-/** Time after which VMs keep to a limit, and that in which requests are counted. */
+/** Time allowed for VMs to apply a new limit, and length of the window in which
+ * requests are counted. */
 const NOTICE_TIME = 3_000;
 const WINDOW = 4_000;
-/** Time after the last answer with a limit by which all VMs have heard of its end. */
+/** Time after the end of a limit by which all VMs have learned of it. */
 const RECOVERY_TIME = 3_000;
 const SERVERS = 8;
 
-/** Requests that a server may get in a window, by the contract of its limit. */
+/** Maximum requests per window that the specification of the limit permits. */
 function allowed(requestsPerSecond: number): number {
   return 1.5 * requestsPerSecond * WINDOW / 1_000 + 5;
 }
 
-/** Most requests of VMs that had been told that one server got in a window. */
+/** Maximum requests that one server received in a window, from VMs that must
+ * apply the limit by then. */
 function mostInWindow(arrivals: readonly LimitedArrival[]): number {
   const from = FROM + NOTICE_TIME;
   const counted = arrivals.filter(({ at, isTold }) => isTold && at >= from);
@@ -33,7 +35,7 @@
   return Math.max(0, ...counts);
 }
 
-/** Requests a second that one server got while VMs kept to its limit. */
+/** Mean requests per second that each limited server received while limited. */
 function meanRate(
   arrivals: readonly LimitedArrival[],
   servers: number,
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -19,7 +19,7 @@
 const SERVER_HOP = 1;
 /** Spread of the logarithm of the work: its standard deviation is 0.8 of the mean. */
 const WORK_SIGMA = 0.7;
-/** Time after which a VM that has passed on an answer with a limit keeps to it. */
+/** Time after which a VM that has forwarded an answer with a limit must apply it. */
 const LIMIT_KNOWN_AFTER = 500;
 /** Longest time that callers stay away when asked to, as a share of what is left. */
 const LONGEST_PAUSE_SHARE = 1 / 3;
@@ -52,24 +52,25 @@
   warmUp?: ColdStart;
   /** A request that ends each server that begins to run it; none if left out. */
   ending?: EndingRequest;
-  /** Servers that state a limit on their requests; none if left out. */
+  /** Servers that state a rate limit; none if left out. */
   rateLimit?: StatedRateLimit;
 }
 
-/** A limit that servers state with their answers. Times are milliseconds. */
+/** A rate limit that servers state with their answers. Times are milliseconds. */
 export interface StatedRateLimit {
   from: number;
   until: number;
   requestsPerSecond: number;
-  /** How many of the servers state it. */
+  /** Number of servers that state it. */
   servers: number;
 }
 
-/** A request that reached a server while that stated a limit. */
+/** A request that reached a server while the server stated a limit. */
 export interface LimitedArrival {
   server: string;
   at: number;
-  /** Whether its VM had passed on an answer with the limit half a second before. */
+  /** Whether its VM had forwarded an answer with the limit at least
+   * {@linkcode LIMIT_KNOWN_AFTER} before. */
   isTold: boolean;
 }
 
@@ -195,9 +196,9 @@
   longestOverrun = -Infinity;
   /** Requests that were held back, and when. */
   readonly heldBack: (Caller & { at: number })[] = [];
-  /** Requests at servers that stated a limit. */
+  /** Requests that reached servers while they stated a limit. */
   readonly limitedArrivals: LimitedArrival[] = [];
-  /** When a VM first passed on an answer with a limit, by VM and server. */
+  /** When a VM first forwarded an answer with a limit, by VM and server. */
   readonly #limitToldAt = new Map<string, number>();
   /** When a server began to run the request that ends servers, which one, and for
    * which VM. */
@@ -416,7 +417,7 @@
     });
   }
 
-  /** Notes a request that reaches a server which states a limit. */
+  /** Records a request that reaches a server that states a limit. */
   #noteLimited({ server, vm }: Work): void {
     if (this.#rateLimit(server) === null) return;
     const at = this.time.now;
@@ -425,7 +426,7 @@
     this.limitedArrivals.push({ server, at, isTold });
   }
 
-  /** The limit that a server states now, in requests a second, or null. */
+  /** The limit that a server states now, in requests per second, or null. */
   #rateLimit(server: string): number | null {
     const { rateLimit } = this.options;
     const { now } = this.time;
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -273,6 +273,19 @@
     misdirected: read(421, { "x-plumloft-instance-id": "i-2" }),
     brokenLoad: read(200, { ...own, "x-plumloft-server-load": "2,x" }).load,
   });
+  const rateLimit = (value: string) =>
+    read(200, { ...own, "x-plumloft-server-limit": value }).rateLimit;
+  t.deepEqual(["6", "1.8", "0.05", "1000000"].map(rateLimit), [
+    6,
+    1.8,
+    0.05,
+    1_000_000,
+  ]);
+  for (
+    const value of ["", "0", "0.0", "-1", "1e3", "x", "2, 3", "9".repeat(400)]
+  ) {
+    t.is(rateLimit(value), undefined, value);
+  }
   t.snapshot(codec.readCaller({
     ...own,
     "x-plumloft-deadline-ms": "500",
--- a/test/rate_limited_server_test.ts
+++ b/test/rate_limited_server_test.ts
@@ -1,6 +1,6 @@
 /**
- * Real processes, of which one backend server states a limit on the requests of all
- * entries together.
+ * Runs real processes in which one backend server states a rate limit for all entries
+ * combined.
  */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
@@ -10,14 +10,13 @@
 
 const LIMIT = 2;
 const WINDOW = 4_000;
-/** Requests that the server may get in a window, by the contract of its limit. */
+/** Maximum requests per window that the specification of the limit permits. */
 const ALLOWED = 1.5 * LIMIT * WINDOW / 1_000 + 5;
-/** When the limit begins and ends after the start of the load, and the load's end. */
+/** Begin and end of the limit, and length of the load, in milliseconds from its start. */
 const LIMITED_FROM = 3_000;
 const LIMITED_UNTIL = 13_000;
 const LENGTH = 20_000;
-/** Time after which entries keep to a limit, and after which they have heard of its
- * end. */
+/** Time allowed for entries to apply a new limit and to learn of its end. */
 const NOTICE_TIME = 3_000;
 
 function mostInWindow(runs: readonly Run[]): number {
@@ -64,7 +63,7 @@
     );
     t.true(servedShare(after) > 0.98, `${servedShare(after)} served after`);
     if (service === "orders") {
-      // Requests without keys go to the other servers.
+      // Requests without keys are sent to the other servers.
       const during = calls.filter((each) =>
         each.startedAt >= limitedFrom && each.startedAt < limitedUntil
       );
