--- a/src/version.ts
+++ b/src/version.ts
@@ -5,4 +5,4 @@
  */
 
 /** Version of the product, as in package.json. */
-export const VERSION = "0.9.0";
+export const VERSION = "0.10.0";
