--- a/src/stand_ins/wire.ts
+++ b/src/stand_ins/wire.ts
@@ -14,7 +14,7 @@
   signature: "x-plumloft-response-signature",
   notRun: "x-plumloft-not-executed",
   load: "x-plumloft-server-load",
-  rateLimit: "x-plumloft-server-limit",
+  rateLimit: "server-limit",
   key: "x-plumloft-shard-key",
   handover: "x-plumloft-handover",
 } as const;
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -273,14 +273,19 @@
     misdirected: read(421, { "x-plumloft-instance-id": "i-2" }),
     brokenLoad: read(200, { ...own, "x-plumloft-server-load": "2,x" }).load,
   });
-  const rateLimit = (value: string) =>
-    read(200, { ...own, "x-plumloft-server-limit": value }).rateLimit;
-  t.deepEqual(["6", "1.8", "0.05", "1000000"].map(rateLimit), [
-    6,
-    1.8,
-    0.05,
-    1_000_000,
-  ]);
+  const rateLimit = (value: string, name = "server-limit") =>
+    read(200, { ...own, [name]: value }).rateLimit;
+  // The prefixed name is accepted as a fallback.
+  t.is(rateLimit("6", "x-plumloft-server-limit"), 6);
+  t.deepEqual(
+    ["6", "1.8", "0.05", "1000000"].map((value) => rateLimit(value)),
+    [
+      6,
+      1.8,
+      0.05,
+      1_000_000,
+    ],
+  );
   for (
     const value of ["", "0", "0.0", "-1", "1e3", "x", "2, 3", "9".repeat(400)]
   ) {
