Split state exchange and configuration watch out of peer_exchange.ts

Two parts move to files of their own, each with its constants and state:

- state_exchange.ts: the requests of a VM that cannot reach the store for the state of other VMs, and their answers.
- configuration_watch.ts: the comparison of this VM's configuration version with those of its peers.

--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -19,10 +19,11 @@
   MAXIMUM_RATES,
   type MessageOf,
   type PeerMessage,
-  StateRequest,
   VmCount,
 } from "../peers/index.ts";
+import { ConfigurationWatch } from "./configuration_watch.ts";
 import { PermitExchange } from "./permit_exchange.ts";
+import { StateExchange } from "./state_exchange.ts";
 import { TokenExchange } from "./token_exchange.ts";
 import type { RegistryNews } from "../registry/index.ts";
 import type { StoreHealth } from "../store_health.ts";
@@ -32,14 +33,6 @@
 } from "./quarantine_exchange.ts";
 import { TermPublication } from "./term_publication.ts";
 
-/** Time for which a newer configuration is left to arrive by itself, in
- * milliseconds: from the store, or with the holder's next answer. */
-const CONFIGURATION_PATIENCE = 600;
-/** The same while the store's news are left to the holder, which tells it with the
- * answer to the next report: up to 750 ms on a VM that nothing else wakes. */
-const TOLD_PATIENCE = 1_000;
-/** Pause between reads of a configuration that a peer has, in milliseconds. */
-const CONFIGURATION_PAUSE = 400;
 /** Time between two steps after which this process counts as having slept, in
  * milliseconds; timers go off four times as often. */
 const SLEEP = 1_000;
@@ -50,12 +43,10 @@
   readonly permits: PermitExchange;
   readonly tokens: TokenExchange;
   readonly #publication: TermPublication;
-  readonly #stateRequest: StateRequest;
+  readonly #stateExchange: StateExchange;
+  readonly #configurationWatch: ConfigurationWatch;
   readonly #quarantine: QuarantineExchange;
   #areKeysAsked = false;
-  #configurationFetchedAt = -Infinity;
-  /** Since when a peer is known to have a newer configuration. */
-  #behindSince = Infinity;
   #advancedAt = -Infinity;
   readonly #vms = VmCount.create();
 
@@ -85,7 +76,8 @@
       () => this.vms,
       draw,
     );
-    this.#stateRequest = StateRequest.create(seeds);
+    this.#stateExchange = StateExchange.create(beliefs, store, emit, seeds);
+    this.#configurationWatch = ConfigurationWatch.create(beliefs, emit);
     this.#quarantine = QuarantineExchange.create(beliefs.quarantine, seeds);
   }
 
@@ -165,7 +157,8 @@
 
   /** Takes a message. */
   receive(address: string, message: PeerMessage, now: number): void {
-    this.#compareConfiguration(message.configuration, now);
+    const isTold = this.isTold(now);
+    this.#configurationWatch.compare(message.configuration, isTold, now);
     const { evacuation } = message;
     if (evacuation !== undefined) this.beliefs.evacuationsTold(evacuation, now);
     if (message.quarantine !== undefined) {
@@ -206,9 +199,11 @@
         }
         return this.follow(message.holder, now);
       case "state.wanted":
-        return this.#tellState(address, message);
-      case "state.told":
-        return this.#takeState(message, now);
+        return this.#stateExchange.tellState(address, message);
+      case "state.told": {
+        const holder = this.#stateExchange.takeState(message, now);
+        return holder === null ? undefined : this.follow(holder, now);
+      }
       case "term.taken":
         return this.#yield(address, message, now);
       case "term.yielded":
@@ -254,20 +249,16 @@
   /** Takes all steps that are due. */
   advance(now: number): void {
     const { store } = this;
-    const { catalog } = this.beliefs;
     // Whatever was told meanwhile may have been lost with its connection.
     if (now - this.#advancedAt >= SLEEP && this.#advancedAt > -Infinity) {
       this.followerLink.outdated();
     }
     this.#advancedAt = now;
-    this.emit(...this.#stateRequest.advance(
-      now,
-      this.beliefs.knowledge(),
+    this.#stateExchange.advance(
       this.#quarantine.question,
       this.followerLink.holder,
-      !catalog.isKnown,
-      store.isLost,
-    ));
+      now,
+    );
     this.#shareQuarantine(now);
     const { holder } = this.campaign;
     if (holder !== null) {
@@ -425,39 +416,6 @@
     if (this.store.isLost) this.campaign.hearFitness(fitness, now);
   }
 
-  /** Tells a VM that cannot reach the store what this one knows. */
-  #tellState(address: string, wanted: MessageOf<"state.wanted">): void {
-    const { catalog, fleet, directory, holder } = this.beliefs;
-    const { configuration } = catalog;
-    if (configuration === null) return;
-    const takesParts = wanted.takesParts ?? false;
-    const isKnown = takesParts && wanted.configuration >= catalog.version;
-    const { term, version } = directory.position;
-    const areKeysKnown = takesParts && wanted.term === term &&
-      wanted.version === version;
-    this.#send(address, {
-      kind: "state.told",
-      ...this.beliefs.knowledge(),
-      state: {
-        ...(isKnown ? {} : { configuration }),
-        servers: fleet.all().map((each) => each.entry),
-        assignments: areKeysKnown ? [] : directory.assignments,
-        holder,
-      },
-    });
-  }
-
-  /** Takes what another VM knows, for as long as the store does not answer. */
-  #takeState({ state }: MessageOf<"state.told">, now: number): void {
-    const { beliefs } = this;
-    if (!this.store.isLost && beliefs.catalog.isKnown) return;
-    const { configuration, servers, assignments, holder } = state;
-    if (configuration !== undefined) beliefs.configure(configuration);
-    beliefs.changeServers(beliefs.fleet.learn(servers, now), now);
-    beliefs.assign(assignments);
-    if (holder !== null) this.follow(holder, now);
-  }
-
   #yield(
     address: string,
     { term, formerTerm }: MessageOf<"term.taken">,
@@ -482,23 +440,6 @@
     if (holder?.term === toTerm) holder.relieve(exposures, now);
   }
 
-  /** Reads the configuration when a peer has a newer one for a while: the call
-   * that waits for news may have lost its answer without a sign. */
-  #compareConfiguration(newest: number, now: number): void {
-    const { version } = this.beliefs.catalog;
-    if (newest <= version) {
-      this.#behindSince = Infinity;
-      return;
-    }
-    this.#behindSince = Math.min(this.#behindSince, now);
-    const patience = this.isTold(now) ? TOLD_PATIENCE : CONFIGURATION_PATIENCE;
-    if (now - this.#behindSince < patience) return;
-    if (now - this.#configurationFetchedAt < CONFIGURATION_PAUSE) return;
-    this.#configurationFetchedAt = now;
-    this.beliefs.note("configuration.behind", { version, newest });
-    this.emit({ kind: "configuration.fetch" });
-  }
-
   #send(address: string, message: PeerMessage): void {
     this.emit({ kind: "peer.send", address, message });
   }
--- /dev/null
+++ b/src/core/exchange/state_exchange.ts
@@ -0,0 +1,95 @@
+/**
+ * Transfers state between VMs: one that cannot reach the store requests the
+ * configuration, servers and key assignments from other VMs.
+ *
+ * @module
+ */
+import type { Beliefs, Emit } from "../beliefs.ts";
+import {
+  type HolderAddress,
+  type MessageOf,
+  type QuarantineWord,
+  StateRequest,
+} from "../peers/index.ts";
+import type { StoreHealth } from "../store_health.ts";
+
+/** Sends and answers state requests, and applies the answers. */
+export class StateExchange {
+  readonly #request: StateRequest;
+
+  private constructor(
+    private readonly beliefs: Beliefs,
+    private readonly store: StoreHealth,
+    private readonly emit: Emit,
+    seeds: readonly string[],
+  ) {
+    this.#request = StateRequest.create(seeds);
+  }
+
+  /** Creates an exchange that sends requests to the term holder and, until a
+   * configuration is known, to the VMs at `seeds`. */
+  static create(
+    beliefs: Beliefs,
+    store: StoreHealth,
+    emit: Emit,
+    seeds: readonly string[],
+  ): StateExchange {
+    return new StateExchange(beliefs, store, emit, seeds);
+  }
+
+  /** Sends the requests that are due. `question` is their quarantine part. */
+  advance(question: QuarantineWord, holder: string | null, now: number): void {
+    const requests = this.#request.advance(
+      now,
+      this.beliefs.knowledge(),
+      question,
+      holder,
+      !this.beliefs.catalog.isKnown,
+      this.store.isLost,
+    );
+    this.emit(...requests);
+  }
+
+  /** Sends this VM's state to a VM that requested it. Parts that the requester already
+   * has are left out if it accepts partial state. */
+  tellState(address: string, wanted: MessageOf<"state.wanted">): void {
+    const { catalog, fleet, directory, holder } = this.beliefs;
+    const { configuration } = catalog;
+    if (configuration === null) return;
+    const takesParts = wanted.takesParts ?? false;
+    const isKnown = takesParts && wanted.configuration >= catalog.version;
+    const { term, version } = directory.position;
+    const areKeysKnown = takesParts && wanted.term === term &&
+      wanted.version === version;
+    this.emit({
+      kind: "peer.send",
+      address,
+      message: {
+        kind: "state.told",
+        ...this.beliefs.knowledge(),
+        state: {
+          ...(isKnown ? {} : { configuration }),
+          servers: fleet.all().map((each) => each.entry),
+          assignments: areKeysKnown ? [] : directory.assignments,
+          holder,
+        },
+      },
+    });
+  }
+
+  /** Applies another VM's state, unless the store is reachable and a configuration is
+   * known. Returns the term holder named in the state, or null if there is none or the
+   * state was ignored. */
+  takeState(
+    { state }: MessageOf<"state.told">,
+    now: number,
+  ): HolderAddress | null {
+    const { beliefs } = this;
+    if (!this.store.isLost && beliefs.catalog.isKnown) return null;
+    const { configuration, servers, assignments, holder } = state;
+    if (configuration !== undefined) beliefs.configure(configuration);
+    beliefs.changeServers(beliefs.fleet.learn(servers, now), now);
+    beliefs.assign(assignments);
+    return holder;
+  }
+}
