Tests: share message delivery between exchange tests

Move both to test/support/peer_messages.ts. Remove the VM type from the token exchange test, which no longer needs it.

--- a/src/core/exchange/permit_exchange_test.ts
+++ b/src/core/exchange/permit_exchange_test.ts
@@ -1,6 +1,9 @@
 import test from "ava";
+import {
+  deliver,
+  messageCollector,
+} from "../../../test/support/peer_messages.ts";
 import { Beliefs } from "../beliefs.ts";
-import type { EntryEffect } from "../entry_effect.ts";
 import type { PeerSend } from "../peers/index.ts";
 import { LONGEST_PERMIT } from "../quarantine/index.ts";
 import { PermitExchange, type PermitMessage } from "./permit_exchange.ts";
@@ -19,11 +22,7 @@
 function createVms(holder: string, addresses: readonly string[]): Vm[] {
   return addresses.map((address) => {
     const sent: PeerSend[] = [];
-    const emit = (...effects: EntryEffect[]) => {
-      for (const each of effects) {
-        if (each.kind === "peer.send") sent.push(each);
-      }
-    };
+    const emit = messageCollector(sent);
     const beliefs = Beliefs.create(emit);
     const exchange = PermitExchange.create(beliefs, emit, address);
     const word = { term: 1, vm: holder, address: holder, fitness: 1 };
@@ -33,18 +32,6 @@
   });
 }
 
-/** Carries what VMs have sent to where it goes, and the answers. */
-function carry(vms: readonly Vm[], now: number): void {
-  while (vms.some(({ sent }) => sent.length > 0)) {
-    for (const from of vms) {
-      for (const { address, message } of from.sent.splice(0)) {
-        const to = vms.find((each) => each.address === address);
-        to?.exchange.receive(from.address, message as PermitMessage, now);
-      }
-    }
-  }
-}
-
 function check({ exchange }: Vm, copy: string, now: number): string {
   return exchange.permits.check(REQUEST, copy, 800, now).kind;
 }
@@ -53,14 +40,14 @@
   const vms = createVms("h", ["h", "a", "b"]);
   const [holder, a, b] = vms;
   t.is(check(a, "1", OPEN_AT), "asked");
-  carry(vms, OPEN_AT + 2);
+  deliver(vms, OPEN_AT + 2);
   t.is(check(a, "1", OPEN_AT + 3), "granted");
   t.is(check(holder, "2", OPEN_AT + 4), "denied");
   t.is(check(b, "3", OPEN_AT + 4), "asked");
-  carry(vms, OPEN_AT + 5);
+  deliver(vms, OPEN_AT + 5);
   t.is(check(b, "3", OPEN_AT + 6), "denied");
   a.exchange.permits.ended(REQUEST, "1", false);
-  carry(vms, OPEN_AT + 10);
+  deliver(vms, OPEN_AT + 10);
   t.is(check(holder, "4", OPEN_AT + 300), "granted");
 });
 
--- a/src/core/exchange/token_exchange_test.ts
+++ b/src/core/exchange/token_exchange_test.ts
@@ -1,9 +1,12 @@
 import test from "ava";
 import { backendServer } from "../../../test/support/backend_server.ts";
+import {
+  deliver,
+  messageCollector,
+} from "../../../test/support/peer_messages.ts";
 import { Beliefs } from "../beliefs.ts";
-import type { EntryEffect } from "../entry_effect.ts";
 import type { PeerSend } from "../peers/index.ts";
-import { TokenExchange, type TokenMessage } from "./token_exchange.ts";
+import { TokenExchange } from "./token_exchange.ts";
 
 /** Time between two tokens of the server, in milliseconds. */
 const INTERVAL = 200;
@@ -15,11 +18,7 @@
 function createVms(addresses: readonly string[]) {
   return addresses.map((address) => {
     const sent: PeerSend[] = [];
-    const emit = (...effects: EntryEffect[]) => {
-      for (const each of effects) {
-        if (each.kind === "peer.send") sent.push(each);
-      }
-    };
+    const emit = messageCollector(sent);
     const beliefs = Beliefs.create(emit);
     beliefs.fleet.apply([backendServer("s")], [], 0);
     const server = beliefs.fleet.get("s")!;
@@ -40,20 +39,6 @@
   });
 }
 
-type Vm = ReturnType<typeof createVms>[number];
-
-/** Delivers all sent messages, and those sent in response. */
-function deliver(vms: readonly Vm[], now: number): void {
-  while (vms.some(({ sent }) => sent.length > 0)) {
-    for (const from of vms) {
-      for (const { address, message } of from.sent.splice(0)) {
-        const to = vms.find((each) => each.address === address);
-        to?.exchange.receive(from.address, message as TokenMessage, now);
-      }
-    }
-  }
-}
-
 test("token exchange: all VMs combined use the rate limit and stay within it", (t) => {
   const vms = createVms(["h", "a", "b"]);
   let sent = 0;
