Rate limit test: limit the server that receives the most requests

According to the logs of that run, requests without keys went to only two of the four servers from the first second on, because the other two had answered slowly at first. The test had limited one of those two, which therefore never stated a limit.

The test now limits the server with the most runs at the time the limit begins. Bounds and checks are unchanged.

--- a/test/rate_limited_server_test.ts
+++ b/test/rate_limited_server_test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Call, Run } from "../src/load/index.ts";
 import { runLoad } from "../src/load/index.ts";
-import { Deployment } from "./support/deployment.ts";
+import { Deployment, type Member } from "./support/deployment.ts";
 
 const LIMIT = 2;
 const WINDOW = 4_000;
@@ -30,6 +30,18 @@
   return Math.max(0, ...counts);
 }
 
+/**
+ * Returns the server of `service` that has run the most requests. A slower server may
+ * get no requests without keys, and would then never state its limit.
+ */
+function busiestServer(deployment: Deployment, service: string): Member {
+  const servers = deployment.servers.filter(({ name }) =>
+    name.startsWith(`${service}-`)
+  );
+  const runs = (server: Member) => deployment.runs(server).length;
+  return servers.reduce((a, b) => runs(b) > runs(a) ? b : a);
+}
+
 function servedShare(calls: readonly Call[]): number {
   return calls.filter(({ status }) => status === 200).length / calls.length;
 }
@@ -38,9 +50,6 @@
   test.serial(`a server of ${service} that limits its requests gets no more from all entries, and as many again after`, async (t) => {
     const deployment = await Deployment.start({ entries: 4, servers: 4 });
     t.teardown(() => deployment.stop());
-    const limited = deployment.servers.find(({ name }) =>
-      name === `${service}-1`
-    )!;
     const startedAt = Date.now();
     const load = runLoad(deployment.plan(service, {
       callers: 8,
@@ -48,6 +57,7 @@
       seconds: LENGTH / 1_000,
     }));
     await delay(LIMITED_FROM);
+    const limited = busiestServer(deployment, service);
     await deployment.setFaults(limited.address, { rateLimit: String(LIMIT) });
     await delay(LIMITED_UNTIL - LIMITED_FROM);
     await deployment.setFaults(limited.address, { rateLimit: null });
