A request at its crash limit gets no further permit

What callers saw: six copies of a request, sent at once, crashed all six servers of a service within 0.5 to 1 s; for up to 3 s no server of it ran anything, and other callers were refused.

Cause: between the last allowed crash and the quarantine one second passes, in which a response may still clear the request. Permits were issued in that second as before, two in a row.

Evidence: traces of the failed test of real processes (crashes at 0, 2, 22, 45, then 477 and 519 ms; the last two ran under permits, 'ends' 5 and 6 in request.accused).

Change: no copy is sent at the limit; copies in progress can still clear the request. The same holds for a trial, whose limit is one crash.

Why this holds: any VM that knows the third crash refuses, whoever issues permits; VMs that do not know it yet are reached by the record, as before.

--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -98,6 +98,10 @@
   };
 }
 
+/** Reason given when a request has reached its crash limit. */
+const CRASH_LIMIT = "backend servers have ended under this request, and no " +
+  "copy of it has been answered";
+
 /** A refusal of a request for which waiting would not help. */
 function refusal(reason: string, isRateLimited = false): DispatchPlan {
   return { kind: "refuse", reason, isRateLimited };
@@ -167,11 +171,16 @@
   /**
    * Checks the permit of a request that has crashed a server, since only one
    * copy of it may run at a time. Returns null if the request may run.
+   *
+   * No copy may run between the last allowed crash and the quarantine: only the
+   * copies that are in progress can still clear the request. A further one
+   * would crash another server, and a small service would have none left.
    */
   #checkPermit(request: PendingRequest, now: number): DispatchPlan | null {
     const { quarantine, permits } = this.context;
     const { fingerprint, id } = request.arrival;
     if (quarantine.crashCount(fingerprint) === 0) return null;
+    if (quarantine.hasReachedLimit(fingerprint)) return refusal(CRASH_LIMIT);
     const { complete } = fingerprint;
     const remaining = request.deadline - now;
     const permission = permits.check(complete, id, remaining, now);
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -679,6 +679,19 @@
   });
 }
 
+test("dispatch: a request that has reached its crash limit is refused until it is answered", (t) => {
+  const { dispatcher, arrive, quarantine } = createDispatcher();
+  // This copy is in progress when the other servers crash.
+  arrive("/order/harmful", 0);
+  quarantineRequest(quarantine, "/order/harmful");
+  const [refusal] = summarize(arrive("/order/harmful", 10));
+  t.regex(refusal ?? "", /^503, .* no copy of it has been answered/);
+  dispatcher.attemptEnded(1, ANSWERED, 20);
+  t.deepEqual(summarize(arrive("/order/harmful", 30)), [
+    "start orders-2, 500 ms left",
+  ]);
+});
+
 test("dispatch: a waiting request is refused once it is quarantined", (t) => {
   const { dispatcher, arrive, quarantine } = createDispatcher();
   for (let i = 0; i < 8; i++) arrive("/order/", 990);
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -148,6 +148,15 @@
     return this.#find(fingerprint) !== undefined;
   }
 
+  /**
+   * Whether a request has reached its crash limit. It is quarantined after a
+   * delay, unless it is answered before.
+   */
+  hasReachedLimit(fingerprint: Fingerprint): boolean {
+    const crashes = this.#find(fingerprint);
+    return crashes !== undefined && hasReachedLimit(crashes);
+  }
+
   /**
    * Number of crashes that count against a request, by its complete
    * fingerprint.
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -76,6 +76,20 @@
   t.false(isQuarantined(quarantine, at + 4 * MINUTE));
 });
 
+test("quarantine: a request on trial reaches its crash limit with one crash", (t) => {
+  const quarantine = quarantineAfter(2);
+  t.false(quarantine.hasReachedLimit(HARMFUL));
+  quarantine.recordCrash(HARMFUL.complete, "h/harmful", "s-2#1", 0);
+  t.true(quarantine.hasReachedLimit(HARMFUL));
+  quarantine.advance(2 * MINUTE);
+  t.false(quarantine.hasReachedLimit(HARMFUL));
+  const at = 2 * MINUTE + 10;
+  quarantine.recordCrash(HARMFUL.complete, "h/harmful", "s-9#1", at);
+  t.true(quarantine.hasReachedLimit(HARMFUL));
+  quarantine.clear(HARMFUL, at + 10);
+  t.false(quarantine.hasReachedLimit(HARMFUL));
+});
+
 test("quarantine: the record of a request expires after a trial without crashes", (t) => {
   const quarantine = quarantineAfter(3);
   t.false(isQuarantined(quarantine, 2 * MINUTE));
--- a/test/ownership/crashing_request_test.ts
+++ b/test/ownership/crashing_request_test.ts
@@ -156,6 +156,42 @@
   });
 }
 
+/**
+ * Maximum time from the crash with which a request reaches its crash limit
+ * until no VM sends it to a server, in milliseconds: the probe that detects the
+ * crash, and two messages.
+ */
+const LIMIT_PROPAGATION_TIME = 100;
+/**
+ * Minimum share of the other requests that are served, sent after the request
+ * has reached its crash limit.
+ */
+const SERVED_SHARE_AT_LIMIT = 0.98;
+
+// Guards against permits for a request that has reached its crash limit. It is
+// quarantined only a second later, and two further copies were permitted to run
+// until then. Six copies sent at once crashed four of the six servers of a
+// service, and the permits the last two: no server ran anything for 3 s.
+for (const [name, load] of REQUEST_KINDS) {
+  test(`a request that crashes its servers: ${name}, no server runs it once it has reached its crash limit`, (t) => {
+    for (const seed of [1, 2, 3]) {
+      const report = simulate({
+        vms: 4,
+        seed,
+        load: { ...load, crashingRequest: { ...COPIES, work: 5 } },
+      });
+      t.deepEqual(report.violations, []);
+      const limitReachedAt = report.serverCrashTimes[ALLOWED_CRASHES - 1];
+      const late = report.load!.crashingRuns.filter(({ at }) =>
+        at > limitReachedAt + LIMIT_PROPAGATION_TIME
+      );
+      t.is(late.length, 0, `seed ${seed}`);
+      const served = servedShare(report.load!, limitReachedAt);
+      t.true(served >= SERVED_SHARE_AT_LIMIT, `seed ${seed}: ${served} served`);
+    }
+  });
+}
+
 /** Faults during the time in which servers crash. */
 const FAULT_CASES: [string, Fault[]][] = [
   ["while the store is down", [
