Log what a key limit derives from, and when a process has stalled

keys.limited had the admitted share alone. Whether the server was overloaded, or its latency had been measured by a VM that did not run meanwhile, could not be told apart. The line has now the demand and capacity, the latency with the origin of its latest samples, and the latest load that the server reported.

The model records the log lines that a test asks for.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -22,6 +22,7 @@
 import { PeerExchange, QuarantineStorage } from "./exchange/index.ts";
 import { createUniformGenerator } from "./random.ts";
 import { Shutdown } from "./shutdown.ts";
+import { StallDetector } from "./stall_detector.ts";
 import { StoreHealth } from "./store_health.ts";
 
 /**
@@ -49,6 +50,7 @@
   readonly #shutdown: Shutdown;
   readonly #registryTiming: RegistryTiming;
   readonly #store = StoreHealth.create();
+  readonly #stallDetector = StallDetector.create();
   readonly #quarantineStorage: QuarantineStorage;
   #isReady = false;
   /** Whether this VM reads the store's feeds: see the effect `feeds.follow`. */
@@ -138,6 +140,8 @@
   /** Processes one event and returns the effects to carry out. */
   step(event: EntryEvent): EntryEffect[] {
     this.#startedAt = Math.min(this.#startedAt, event.now);
+    const stall = this.#stallDetector.detect(event.now);
+    if (stall > 0) this.#processStalled(stall);
     this.#reduce(event);
     this.#advance(event.now, event.kind === "timer");
     // Orders come last. They leave the process only after all effects of the
@@ -151,8 +155,15 @@
 
   /**
    * Time at which the next timer event is due unless another event comes first.
+   * If no event comes until some time after that, the process has stalled.
    */
   nextAt(now: number): number {
+    const at = this.#nextStepAt(now);
+    this.#stallDetector.expectStep(Math.max(at, now));
+    return at;
+  }
+
+  #nextStepAt(now: number): number {
     const interval = this.#stepInterval;
     const shutdownInterval = this.#shutdown.isStarted
       ? SHUTDOWN_INTERVAL
@@ -368,6 +379,12 @@
     fleet.confirmPeerEntries((id) => registry.isListed(id), now);
   }
 
+  /** Handles the end of a stall of this process. */
+  #processStalled(duration: number): void {
+    const detail = { duration: Math.round(duration) };
+    this.clusterState.logDecision("process.stalled", detail);
+  }
+
   /**
    * Handles a forward jump of the clock by `gap` milliseconds. If this VM was
    * suspended, messages sent to it meanwhile may be lost, so its next report is
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -7,10 +7,11 @@
  */
 import type { ClusterState } from "../cluster_state.ts";
 import {
-  computeKeyLimits,
   DEMAND_WINDOW,
+  findOverloads,
   type KeyLimit,
   type KeyLoads,
+  type ServerOverload,
   type TermHolder,
 } from "../keyspace/index.ts";
 import { MAXIMUM_RATE_LIMITS, type OverloadState } from "../peers/index.ts";
@@ -58,28 +59,38 @@
     this.#checkedAt = now;
     const { catalog, fleet, keyLimits } = this.clusterState;
     const services = catalog.keyedServices.map(({ name }) => name);
-    const limits = services.flatMap((service) => {
+    const overloads = services.flatMap((service) => {
       const keys = this.loads.of(service).recentKeys(DEMAND_WINDOW, now);
       const ranges = holder.ranges(service);
-      return computeKeyLimits(service, ranges, keys, DEMAND_WINDOW, fleet, now);
+      return findOverloads(service, ranges, keys, DEMAND_WINDOW, fleet, now);
     });
+    const limits = overloads.flatMap((each) => each.limits);
     const loads = services.flatMap((service) =>
       this.#loadsAtCapacity(service, now)
     )
       .slice(0, MAXIMUM_LOADS);
-    this.#logChanges(limits);
+    this.#logChanges(overloads, limits, now);
     const rates = fleet.reportedRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS);
     this.#current = { limits, loads, rates };
     keyLimits.replace(limits, now);
   }
 
-  /** Logs each range whose limit begins or ends. */
-  #logChanges(limits: readonly KeyLimit[]): void {
+  /**
+   * Logs each range whose limit begins or ends, and what a limit that begins
+   * derives from.
+   */
+  #logChanges(
+    overloads: readonly ServerOverload[],
+    limits: readonly KeyLimit[],
+    now: number,
+  ): void {
     const { limits: previous } = this.#current;
-    for (const { service, first, last, share } of limits) {
-      if (previous.some((each) => isSame(each, { service, first }))) continue;
-      const detail = { service, first, last, share };
-      this.clusterState.logDecision("keys.limited", detail);
+    for (const overload of overloads) {
+      for (const limit of overload.limits) {
+        if (previous.some((each) => isSame(each, limit))) continue;
+        const detail = { ...limit, ...this.#basis(overload, now) };
+        this.clusterState.logDecision("keys.limited", detail);
+      }
     }
     for (const { service, first, last } of previous) {
       if (limits.some((each) => isSame(each, { service, first }))) continue;
@@ -87,6 +98,30 @@
     }
   }
 
+  /**
+   * Returns what the limits of a server derive from, for the log: its demand
+   * and capacity in the window, its latency with the latest samples of it, and
+   * its latest load report. Times are milliseconds.
+   */
+  #basis({ server: id, demand, capacity }: ServerOverload, now: number) {
+    const server = this.clusterState.fleet.get(id);
+    const origin = server?.latencyOrigin ?? null;
+    const load = server?.latestLoadReport(now) ?? null;
+    return {
+      server: id,
+      slots: server?.entry.slots ?? null,
+      demand,
+      capacity: Math.round(capacity),
+      latency: rounded(server?.latency ?? null),
+      measuredBy: origin?.vm ?? null,
+      sample: rounded(origin?.mean ?? null),
+      samples: origin?.count ?? 0,
+      sampleAge: rounded(origin === null ? null : now - origin.at),
+      load: load?.requests ?? null,
+      loadAge: rounded(load?.age ?? null),
+    };
+  }
+
   /**
    * Loads of the service's servers that have reached the threshold for
    * publication.
@@ -108,3 +143,7 @@
 ): boolean {
   return a.service === b.service && a.first === b.first;
 }
+
+function rounded(value: number | null): number | null {
+  return value === null ? null : Math.round(value);
+}
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -134,7 +134,7 @@
     for (const { service, keys } of report.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
-    this.#recordLatencies(report, now);
+    this.#recordLatencies(address, report, now);
     this.clusterState.applyPeerRates(report.rates ?? [], now);
     this.campaign.observeFitness(report.fitness, now);
     this.#link.reportReceived(address, report.isTold ?? false, now);
@@ -154,15 +154,19 @@
   }
 
   /**
-   * Records the latencies that a follower measured, except of servers that have
+   * Records the latencies that the follower at `address` measured, except of servers that have
    * restarted since the registry position that the follower has reached: it may
    * have measured the previous process.
    */
-  #recordLatencies({ latencies, position }: FollowerReport, now: number): void {
+  #recordLatencies(
+    address: string,
+    { latencies, position }: FollowerReport,
+    now: number,
+  ): void {
     const { fleet, registry } = this.clusterState;
     const isOfSameIncarnation = ({ server }: ServerSamples) =>
       registry.incarnationSince(server) <= (position ?? 0);
-    fleet.addPeerSamples(latencies.filter(isOfSameIncarnation), now);
+    fleet.addPeerSamples(latencies.filter(isOfSameIncarnation), address, now);
   }
 
   /**
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -215,10 +215,14 @@
     });
   }
 
-  /** Adds latency samples that another VM measured. */
-  addPeerSamples(samples: readonly ServerSamples[], now: number): void {
+  /** Adds latency samples that the VM at `vm` measured. */
+  addPeerSamples(
+    samples: readonly ServerSamples[],
+    vm: string,
+    now: number,
+  ): void {
     for (const { server, ...each } of samples) {
-      this.#servers.get(server)?.addPeerSamples(each, now);
+      this.#servers.get(server)?.addPeerSamples(each, vm, now);
     }
   }
 
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -70,6 +70,17 @@
   load?: LoadReport;
 }
 
+/** Origin of the latest latency samples of a server. */
+export interface LatencyOrigin {
+  /** Peer address of the VM that measured them; null for this VM. */
+  vm: string | null;
+  /** Their mean, in milliseconds, and their number. */
+  mean: number;
+  count: number;
+  /** When they were measured, or received from the other VM. */
+  at: number;
+}
+
 /**
  * State of one backend server; see the module's comment. An instance belongs to
  * one incarnation of the server; the next one gets a new instance. The outcome
@@ -95,6 +106,7 @@
   /** When it last refused a request or responded with a failure. */
   refusedAt = -Infinity;
   #latency: number | null = null;
+  #latencyOrigin: LatencyOrigin | null = null;
   /**
    * Sum and number of this VM's samples since the last {@linkcode takeSamples}.
    */
@@ -146,6 +158,11 @@
     return this.#latency;
   }
 
+  /** Origin of the latest samples in {@linkcode latency}; null without any. */
+  get latencyOrigin(): LatencyOrigin | null {
+    return this.#latencyOrigin;
+  }
+
   /** Applies a newer entry of the same incarnation. */
   update(entry: BackendServer, now: number): void {
     this.entry = entry;
@@ -222,14 +239,15 @@
     const sample = now - startedAt;
     this.#sampleSum += sample;
     this.#sampleCount += 1;
-    this.#updateLatency({ mean: sample, count: 1 });
+    this.#updateLatency({ vm: null, mean: sample, count: 1, at: now });
   }
 
-  /** Adds latency samples that another VM measured. */
-  addPeerSamples(samples: LatencySamples, now: number): void {
+  /** Adds latency samples that the VM at `vm` measured. */
+  addPeerSamples(samples: LatencySamples, vm: string, now: number): void {
     this.lastSeenAt = now;
-    if (samples.load !== undefined) this.applyLoadReport(samples.load, now);
-    if (samples.count > 0) this.#updateLatency(samples);
+    const { mean, count, load } = samples;
+    if (load !== undefined) this.applyLoadReport(load, now);
+    if (count > 0) this.#updateLatency({ vm, mean, count, at: now });
   }
 
   /**
@@ -249,7 +267,9 @@
     return { requests: this.#reportedRequests, age };
   }
 
-  #updateLatency({ mean, count }: LatencySamples): void {
+  #updateLatency(origin: LatencyOrigin): void {
+    this.#latencyOrigin = origin;
+    const { mean, count } = origin;
     const weight = 1 - (1 - SAMPLE_WEIGHT) ** count;
     this.#latency = this.#latency === null
       ? mean
--- a/src/core/keyspace/key_limits.ts
+++ b/src/core/keyspace/key_limits.ts
@@ -16,7 +16,8 @@
  *
  * ```ts
  * // At the term holder, with the sorted keys of the last `window` ms:
- * const limits = computeKeyLimits(service, ranges, keys, window, fleet, now);
+ * const overloads = findOverloads(service, ranges, keys, window, fleet, now);
+ * const limits = overloads.flatMap((each) => each.limits);
  * // At each VM, where `chance` is a random number from 0 to 1:
  * keyLimits.replace(limits, now);
  * if (chance >= keyLimits.admittedShare(service, key, now)) refuse();
@@ -71,19 +72,30 @@
   count: number;
 }
 
+/** A server with more requests than it can run. */
+export interface ServerOverload {
+  /** Id of the server. */
+  server: string;
+  /** Requests for its keys in the window. */
+  demand: number;
+  /** Requests that it can run in the window. */
+  capacity: number;
+  limits: KeyLimit[];
+}
+
 /**
- * Computes the limits for ranges of a service whose demand exceeds the capacity
- * of their servers. `keys` are those of all requests in the last `window`
- * milliseconds, in ascending order.
+ * Finds the servers of a service whose demand exceeds their capacity, and
+ * computes the limits for their ranges. `keys` are those of all requests in the
+ * last `window` milliseconds, in ascending order.
  */
-export function computeKeyLimits(
+export function findOverloads(
   service: string,
   ranges: readonly TrackedRange[],
   keys: readonly number[],
   window: number,
   fleet: Fleet,
   now: number,
-): KeyLimit[] {
+): ServerOverload[] {
   const byServer = new Map<string, Demand[]>();
   for (const { first, last, server } of ranges) {
     if (server === null) continue;
@@ -92,17 +104,19 @@
     byServer.set(server, [...byServer.get(server) ?? [], demand]);
   }
   const meanLatency = fleet.meanLatency(service, now);
-  const limits: KeyLimit[] = [];
+  const overloads: ServerOverload[] = [];
   for (const [id, demands] of byServer) {
     const server = fleet.get(id);
     const latency = server?.latency ?? meanLatency;
     if (server === undefined || latency === 0) continue;
     const capacity = server.entry.slots * window / latency;
-    for (const { first, last, share } of divideCapacity(demands, capacity)) {
-      limits.push({ service, first, last, share });
-    }
+    const limits = divideCapacity(demands, capacity)
+      .map(({ first, last, share }) => ({ service, first, last, share }));
+    if (limits.length === 0) continue;
+    const demand = totalCount(demands);
+    overloads.push({ server: id, demand, capacity, limits });
   }
-  return limits;
+  return overloads;
 }
 
 /**
@@ -113,7 +127,7 @@
   demands: readonly Demand[],
   capacity: number,
 ): (KeyRange & { share: number })[] {
-  const total = demands.reduce((sum, { count }) => sum + count, 0);
+  const total = totalCount(demands);
   if (total - SIGNIFICANCE * Math.sqrt(total) <= capacity) return [];
   let remaining = capacity * TARGET_UTILIZATION;
   const limited: (KeyRange & { share: number })[] = [];
@@ -126,6 +140,10 @@
   return limited;
 }
 
+function totalCount(demands: readonly Demand[]): number {
+  return demands.reduce((sum, { count }) => sum + count, 0);
+}
+
 /** Limits that a VM applies. */
 export class KeyLimits {
   #limits: readonly KeyLimit[] = [];
--- a/src/core/keyspace/key_limits_test.ts
+++ b/src/core/keyspace/key_limits_test.ts
@@ -8,7 +8,7 @@
 import test from "ava";
 import { backendServer } from "../../../test/support/backend_server.ts";
 import { Fleet } from "../fleet/index.ts";
-import { computeKeyLimits, KeyLimits } from "./key_limits.ts";
+import { findOverloads, KeyLimits } from "./key_limits.ts";
 import { vacantRange } from "./tracked_range.ts";
 
 const WINDOW = 1_000;
@@ -28,6 +28,7 @@
   const samples = { mean: 100, count: 20 };
   fleet.addPeerSamples(
     entries.map(({ id }) => ({ server: id, ...samples })),
+    "vm-1",
     0,
   );
   const ranges = [[0, 9, "a"], [10, 19, "a"], [20, 29, "b"]] as const;
@@ -44,7 +45,8 @@
   const keys = Object.entries(counts).flatMap(([key, count]) =>
     Array.from({ length: count }, () => Number(key))
   );
-  return computeKeyLimits("s", heldRanges, keys, WINDOW, fleet, 0);
+  return findOverloads("s", heldRanges, keys, WINDOW, fleet, 0)
+    .flatMap(({ limits }) => limits);
 }
 
 test("key limits: there are none while capacity covers demand", (t) => {
--- a/src/core/keyspace/term_holder_test.ts
+++ b/src/core/keyspace/term_holder_test.ts
@@ -193,7 +193,7 @@
   const states = runWithUnansweredOrders(
     context,
     2_000,
-    (now) => server.addPeerSamples(samples, now),
+    (now) => server.addPeerSamples(samples, "vm-1", now),
   );
   t.false(states.includes("expiring"));
 });
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -22,6 +22,7 @@
   type OrderOutcome,
   type ReleaseOrder,
 } from "../../src/core/keyspace/index.ts";
+import type { LogLine } from "../../src/core/dispatch/index.ts";
 import type { CrashRecord } from "../../src/core/quarantine/index.ts";
 import type { HolderAddress, PeerMessage } from "../../src/core/peers/index.ts";
 import { createUniformGenerator } from "../../src/core/random.ts";
@@ -209,6 +210,8 @@
   isUptimeForeign?: boolean;
   /** Whether each jump of the time of day counts as a certain suspension. */
   isClockJumpCertain?: boolean;
+  /** Names of the log lines that the report contains; none if left out. */
+  loggedDecisions?: readonly string[];
   /** Whether every order may open a connection. */
   mayAlwaysConnect?: boolean;
   /**
@@ -253,6 +256,8 @@
   withheldOrders: number;
   /** Time at which each VM first quarantined a request, by VM id. */
   quarantinedAt: Map<string, number>;
+  /** Log lines of VMs that {@linkcode SimulationOptions.loggedDecisions} names. */
+  log: Record<string, unknown>[];
   /** Messages between VMs that contained crash records. */
   quarantineMessages: PeerMessage[];
   /**
@@ -405,6 +410,7 @@
     load: null,
     messages: new Map(),
     quarantinedAt: new Map(),
+    log: [],
     quarantineMessages: [],
     serverCrashTimes: [],
     evacuatedZoneSends: [],
@@ -882,7 +888,7 @@
         return this.#report.load!.refuse(effect);
       case "note":
         if (effect.decision === "quarantine.held") this.#recordQuarantine(vm);
-        return;
+        return this.#recordLogLine(vm, effect);
       case "peer.send":
         this.#countMessage(effect.message.kind);
         this.#recordCrashMessage(effect.message);
@@ -926,6 +932,12 @@
     this.#report.violations.push(`${holder} and ${id} hold term ${term}`);
   }
 
+  #recordLogLine({ id }: Vm, { decision, detail }: LogLine): void {
+    if (!this.options.loggedDecisions?.includes(decision)) return;
+    const at = Math.round(this.#time.now);
+    this.#report.log.push({ at, vm: id, decision, ...detail });
+  }
+
   #recordQuarantine({ id }: Vm): void {
     const { quarantinedAt } = this.#report;
     if (!quarantinedAt.has(id)) quarantinedAt.set(id, this.#time.now);
