The time for which a process stalls does not count against servers

Cause: responses to requests that were in flight during a stall are read after it, and their latency was taken for that of the server. The VM that took the term next limited its keys by it.

Ruled out: load on the servers. The log line of the model's limit has the reported load, which was 0.

The stall is added to the times by which a server counts as unresponsive, a request is hedged, and a retry waits for the probe of its server: responses and results may be waiting to be read.

Why this holds: a stall is found in the first step after it, before anything that was waiting is read. Each VM leaves out its own samples, so those that it reports are free of them too.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -148,6 +148,18 @@
     }
   }
 
+  /**
+   * Records that this process has stalled for `duration` milliseconds until
+   * now. Responses and the results of probes may be waiting to be read, so
+   * hedges and retries are delayed by as much.
+   */
+  processStalled(duration: number): void {
+    for (const request of this.#requests.values()) {
+      request.retryNotBefore += duration;
+      for (const each of request.attempts) each.hedgeAt += duration;
+    }
+  }
+
   /** Cancels a request whose caller disconnected without a response. */
   callerDisconnected(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -571,6 +571,23 @@
   });
 });
 
+test("dispatch: a request is not hedged because this process stalled", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/read/", 0);
+  dispatcher.processStalled(300);
+  t.deepEqual(summarize(dispatcher.advance(399)), []);
+  t.is(summarize(dispatcher.advance(400)).length, 1);
+});
+
+test("dispatch: a request waits for the probe of its server, however long this process stalls", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/read/", 0);
+  dispatcher.attemptEnded(1, LOST, 10);
+  dispatcher.processStalled(200);
+  t.deepEqual(summarize(dispatcher.advance(211)), []);
+  t.is(summarize(dispatcher.advance(240)).length, 1);
+});
+
 test("dispatch: the attempts of a disconnected caller are cancelled", (t) => {
   const { dispatcher, arrive } = createDispatcher();
   arrive("/read/", 0);
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -379,10 +379,15 @@
     fleet.confirmPeerEntries((id) => registry.isListed(id), now);
   }
 
-  /** Handles the end of a stall of this process. */
+  /**
+   * Handles the end of a stall of this process. Its time must not count against
+   * servers, whose responses may be waiting to be read.
+   */
   #processStalled(duration: number): void {
     const detail = { duration: Math.round(duration) };
     this.clusterState.logDecision("process.stalled", detail);
+    this.clusterState.fleet.processStalled(duration);
+    this.dispatcher.processStalled(duration);
   }
 
   /**
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -180,6 +180,16 @@
     return this.apply(entries, missing, now, unreadable);
   }
 
+  /**
+   * Records that this process has stalled for `duration` milliseconds until
+   * now.
+   */
+  processStalled(duration: number): void {
+    for (const server of this.#servers.values()) {
+      server.processStalled(duration);
+    }
+  }
+
   /** Carries out deferred removals that are due. */
   expire(now: number): FleetChange[] {
     const changes: FleetChange[] = [];
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -177,6 +177,29 @@
   t.false(server.isUnresponsive(320, 50));
 });
 
+// Guards against a server that counts as slow or unresponsive because this
+// process did not run. A response of 5 ms that was read after a stall of 2 s
+// raised the latency to half a second, and the term holder limited the server's
+// keys.
+test("fleet: the time for which this process stalled does not count against a server", (t) => {
+  const fleet = Fleet.create();
+  fleet.apply([entry("a")], [], 0);
+  const server = fleet.get("a")!;
+  server.started(1, 0);
+  server.answered(1, 5, null);
+  server.started(2, 100);
+  fleet.processStalled(2_000);
+  t.false(server.isUnresponsive(2_110, 5));
+  server.answered(2, 2_110, null);
+  t.is(server.latency, 5);
+  t.deepEqual(server.takeSamples(2_110), { mean: 5, count: 1 });
+  server.started(3, 2_120);
+  t.true(server.isUnresponsive(2_380, 5));
+  server.started(4, 2_400);
+  server.answered(4, 2_410, null);
+  t.is(server.latency, 6);
+});
+
 test("fleet: consecutive failures pause a server with exponential backoff", (t) => {
   const fleet = Fleet.create();
   fleet.apply([entry("a")], [], 0);
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -81,6 +81,20 @@
   at: number;
 }
 
+/** An attempt in flight. */
+interface AttemptTiming {
+  /**
+   * When it was started. The duration of stalls of this process is added, so
+   * that they do not count as time without a response.
+   */
+  startedAt: number;
+  /**
+   * Whether this process stalled since then. The response may have been waiting
+   * meanwhile, so its latency is unknown.
+   */
+  hasStalled: boolean;
+}
+
 /**
  * State of one backend server; see the module's comment. An instance belongs to
  * one incarnation of the server; the next one gets a new instance. The outcome
@@ -133,8 +147,8 @@
   #reportedRequests = 0;
   #reportedAt = -Infinity;
   #lastResponseAt = -Infinity;
-  /** Start times of the attempts in flight, oldest first, by attempt number. */
-  readonly #startedAt = new Map<number, number>();
+  /** Attempts in flight, oldest first, by attempt number. */
+  readonly #attempts = new Map<number, AttemptTiming>();
   /** The rate limit that it reports. */
   readonly rateLimit = ReportedRateLimit.create();
 
@@ -152,7 +166,8 @@
   /**
    * Moving average of its response times in milliseconds, or null if none is
    * known. Responses while requests were queued are excluded, so that it
-   * measures the server's processing time without its queueing delay.
+   * measures the server's processing time without its queueing delay, and so
+   * are those that were awaited while this process stalled.
    */
   get latency(): number | null {
     return this.#latency;
@@ -212,12 +227,23 @@
   /** Records that a request was sent to it. */
   started(attempt: number, now: number): void {
     this.inFlight += 1;
-    this.#startedAt.set(attempt, now);
+    this.#attempts.set(attempt, { startedAt: now, hasStalled: false });
   }
 
   /** Whether an attempt at this incarnation is in flight. */
   has(attempt: number): boolean {
-    return this.#startedAt.has(attempt);
+    return this.#attempts.has(attempt);
+  }
+
+  /**
+   * Records that this process has stalled for `duration` milliseconds until
+   * now.
+   */
+  processStalled(duration: number): void {
+    for (const attempt of this.#attempts.values()) {
+      attempt.startedAt += duration;
+      attempt.hasStalled = true;
+    }
   }
 
   /**
@@ -230,13 +256,14 @@
 
   /** Records the response to a request that it ran. */
   answered(attempt: number, now: number, load: ReportedLoad | null): void {
-    const startedAt = this.#endAttempt(attempt);
-    if (startedAt === null) return;
+    const timing = this.#endAttempt(attempt);
+    if (timing === null) return;
     this.#recordResponse(now, load);
     this.#consecutiveFailures = 0;
     this.#acceptanceRate = movingAverage(this.#acceptanceRate, 1);
+    if (timing.hasStalled) return;
     if (load !== null && load.waiting > 0 && this.#latency !== null) return;
-    const sample = now - startedAt;
+    const sample = now - timing.startedAt;
     this.#sampleSum += sample;
     this.#sampleCount += 1;
     this.#updateLatency({ vm: null, mean: sample, count: 1, at: now });
@@ -326,7 +353,7 @@
       MINIMUM_UNRESPONSIVE_TIME,
       meanLatency * UNRESPONSIVE_LATENCY_FACTOR,
     );
-    for (const startedAt of this.#startedAt.values()) {
+    for (const { startedAt } of this.#attempts.values()) {
       return now - startedAt > limit && this.#lastResponseAt < startedAt;
     }
     return false;
@@ -386,16 +413,13 @@
     this.#reportedAt = now;
   }
 
-  /**
-   * Ends an attempt. Returns when it was started, or null if it was not started
-   * on this instance.
-   */
-  #endAttempt(attempt: number): number | null {
-    const startedAt = this.#startedAt.get(attempt);
-    if (startedAt === undefined) return null;
-    this.#startedAt.delete(attempt);
+  /** Ends an attempt. Returns null if it was not started on this instance. */
+  #endAttempt(attempt: number): AttemptTiming | null {
+    const timing = this.#attempts.get(attempt);
+    if (timing === undefined) return null;
+    this.#attempts.delete(attempt);
     this.inFlight -= 1;
-    return startedAt;
+    return timing;
   }
 }
 
