No key limit begins while its server reports free slots

What callers saw: keyed requests refused for up to a second after a VM had stalled, at servers with two thirds of their slots free.

Cause: the term holder compared demand with a capacity estimated from the measured latency alone. Requests that had waited for a stalled VM arrive together, and the latency varies by a third, so the demand exceeded the estimate for a moment. The loads that servers report were not looked at.

Change: a limit begins only if the server's load reports of the last 300 ms do not show free slots on average. A server that reports no load is judged as before, and a limit in force ends as before.

--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -62,7 +62,8 @@
     const overloads = services.flatMap((service) => {
       const keys = this.loads.of(service).recentKeys(DEMAND_WINDOW, now);
       const ranges = holder.ranges(service);
-      return findOverloads(service, ranges, keys, DEMAND_WINDOW, fleet, now);
+      return findOverloads(service, ranges, keys, DEMAND_WINDOW, fleet, now)
+        .filter((each) => this.#isConfirmed(each, now));
     });
     const limits = overloads.flatMap((each) => each.limits);
     const loads = services.flatMap((service) =>
@@ -75,6 +76,22 @@
     keyLimits.replace(limits, now);
   }
 
+  /**
+   * Whether a server's overload is to be limited. The capacity follows from a
+   * latency that VMs measure, and the demand from requests that may have waited
+   * for a VM, so both can be wrong for a moment: no limit begins while the
+   * server itself reports free slots. Under a limit it has free slots at times,
+   * as has another server to which the keys move, so these don't end it.
+   */
+  #isConfirmed({ server, limits }: ServerOverload, now: number): boolean {
+    const { limits: previous } = this.#current;
+    const isLimited = limits.some((limit) =>
+      previous.some((each) => isSame(each, limit))
+    );
+    if (isLimited) return true;
+    return !this.clusterState.fleet.get(server)?.hasFreeSlots(now);
+  }
+
   /**
    * Logs each range whose limit begins or ends, and what a limit that begins
    * derives from.
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -200,6 +200,22 @@
   t.is(server.latency, 6);
 });
 
+test("fleet: recent load reports show whether a server has free slots", (t) => {
+  const fleet = Fleet.create();
+  fleet.apply([entry("a")], [], 0);
+  const server = fleet.get("a")!;
+  const { slots } = server.entry;
+  t.false(server.hasFreeSlots(0));
+  server.applyLoadReport({ requests: slots - 1, age: 0 }, 100);
+  t.true(server.hasFreeSlots(400));
+  t.false(server.hasFreeSlots(401));
+  // A single report of a full server may be by chance.
+  server.applyLoadReport({ requests: slots + 1, age: 0 }, 500);
+  t.true(server.hasFreeSlots(500));
+  server.applyLoadReport({ requests: slots + 1, age: 0 }, 510);
+  t.false(server.hasFreeSlots(510));
+});
+
 test("fleet: consecutive failures pause a server with exponential backoff", (t) => {
   const fleet = Fleet.create();
   fleet.apply([entry("a")], [], 0);
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -22,6 +22,11 @@
  * holder relays such reports, which takes half a second in each direction.
  */
 const LOAD_REPORT_LIFETIME = 2_000;
+/**
+ * Weight of the newest load report in the mean of the reported loads. It is
+ * high enough that a few reports show that a server has become overloaded.
+ */
+const LOAD_SAMPLE_WEIGHT = 0.4;
 /**
  * Initial pause after consecutive failures, in milliseconds. Each further
  * failure doubles it.
@@ -146,6 +151,8 @@
    */
   #reportedRequests = 0;
   #reportedAt = -Infinity;
+  /** Moving average of the number of requests in its load reports. */
+  #meanReportedRequests: number | null = null;
   #lastResponseAt = -Infinity;
   /** Attempts in flight, oldest first, by attempt number. */
   readonly #attempts = new Map<number, AttemptTiming>();
@@ -283,8 +290,17 @@
    */
   applyLoadReport({ requests, age }: LoadReport, now: number): void {
     if (now - age <= this.#reportedAt) return;
+    this.#recordLoadReport(requests, now - age);
+  }
+
+  #recordLoadReport(requests: number, at: number): void {
     this.#reportedRequests = requests;
-    this.#reportedAt = now - age;
+    this.#reportedAt = at;
+    this.#meanReportedRequests = movingAverage(
+      this.#meanReportedRequests ?? requests,
+      requests,
+      LOAD_SAMPLE_WEIGHT,
+    );
   }
 
   /** The latest load report that any VM received; null if it has expired. */
@@ -294,6 +310,15 @@
     return { requests: this.#reportedRequests, age };
   }
 
+  /**
+   * Whether its load reports, to any VM, show that it has free slots on average
+   * now. False if it reports no load, or has not reported it recently.
+   */
+  hasFreeSlots(now: number): boolean {
+    if (now - this.#reportedAt > LOAD_DECAY_TIME) return false;
+    return (this.#meanReportedRequests ?? Infinity) < this.entry.slots;
+  }
+
   #updateLatency(origin: LatencyOrigin): void {
     this.#latencyOrigin = origin;
     const { mean, count } = origin;
@@ -409,8 +434,7 @@
       load.running + load.waiting - this.inFlight,
     );
     this.#ownReportAt = now;
-    this.#reportedRequests = load.running + load.waiting;
-    this.#reportedAt = now;
+    this.#recordLoadReport(load.running + load.waiting, now);
   }
 
   /** Ends an attempt. Returns null if it was not started on this instance. */
@@ -423,6 +447,10 @@
   }
 }
 
-function movingAverage(average: number, sample: number): number {
-  return average + SAMPLE_WEIGHT * (sample - average);
+function movingAverage(
+  average: number,
+  sample: number,
+  weight = SAMPLE_WEIGHT,
+): number {
+  return average + weight * (sample - average);
 }
--- a/test/ownership/stalled_vm_test.ts
+++ b/test/ownership/stalled_vm_test.ts
@@ -57,3 +57,21 @@
     }
   });
 }
+
+/** A load that uses a third of the capacity. */
+const MODERATE_LOAD: LoadOptions = { ...LIGHT_LOAD, work: 20 };
+
+// Guards against limits of servers with free slots. The requests that waited
+// for a stalled VM arrive together, and the latency varies by a third, so that
+// the demand exceeds the estimated capacity for a moment.
+for (const kind of ["vm.suspend", "vm.freeze"] as const) {
+  test(`stalled VMs: keys of servers with free slots are not limited: ${kind}`, (t) => {
+    for (let seed = 1; seed <= 12; seed++) {
+      const { log } = simulateStalls(kind, MODERATE_LOAD, seed);
+      const unfounded = log.filter(({ load, slots }) =>
+        Number(load) < Number(slots)
+      );
+      t.deepEqual(unfounded, [], `seed ${seed}`);
+    }
+  });
+}
