Whole ranges still move once a service has as many ranges as allowed

Cause: each move may split a range, and above the limit on the number of ranges no move started any more, however uneven the load was.

Change: above the limit, ranges of an overloaded server move whole, to a server whose load stays clearly below. That adds no range and lets adjacent ones merge.

--- a/src/core/keyspace/key_rebalancer.ts
+++ b/src/core/keyspace/key_rebalancer.ts
@@ -32,8 +32,7 @@
 /**
  * Limits on the number of ranges of a service, because each range costs a
  * renewal. With few servers, each needs several ranges for an even load; with
- * many, most need no more than three. Above the limit no move starts, however
- * uneven the load is.
+ * many, most need no more than three. Above the limit only whole ranges move.
  */
 const SMALL_SERVICE_RANGES_PER_SERVER = 6;
 const LARGE_SERVICE_RANGES_PER_SERVER = 3;
@@ -100,9 +99,12 @@
     );
     if (moving >= maxMoving) return [];
     const eligible = this.eligibleServers(table.service, suspects, now);
-    if (table.ranges.length > maxRanges(eligible.length)) return [];
     const placement = this.placement(table.service, eligible, now);
-    return placement.moves(table.ranges).slice(0, maxMoving - moving);
+    const maySplit = table.ranges.length <= maxRanges(eligible.length);
+    const moves = maySplit
+      ? placement.moves(table.ranges)
+      : placement.wholeMoves(table.ranges);
+    return moves.slice(0, maxMoving - moving);
   }
 
   /** Creates a placement from the recent requests of a service. */
--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -166,21 +166,11 @@
    * if there are none, from the busiest servers to idle ones.
    */
   moves(ranges: readonly TrackedRange[]): Move[] {
-    const loads = this.loads(ranges);
-    const speeds = new Map(
-      this.servers.map((each) => [each.id, each.speed]),
-    );
-    const totalSpeed = this.servers.reduce(
-      (sum, { speed }) => sum + speed,
-      0,
-    );
     if (this.servers.length < 2) return [];
-    const total = ranges.reduce((sum, each) => sum + this.weight(each), 0);
-    const fairLoad = total / totalSpeed;
-    const limit = Math.max(
-      fairLoad * OVERLOAD_RATIO,
-      fairLoad + this.#samplingError(fairLoad),
-    );
+    const loads = this.loads(ranges);
+    const speeds = this.#speeds();
+    const fairLoad = this.#fairLoad(ranges);
+    const limit = this.#overloadLimit(fairLoad);
     const moves: Move[] = [];
     for (
       const { first, last, server } of this.#movableByWeight(ranges, loads)
@@ -211,6 +201,46 @@
       : this.#fillIdle(ranges, fairLoad, loads, speeds);
   }
 
+  /**
+   * Returns moves of whole ranges from the overloaded servers to others, which
+   * do not increase the number of ranges.
+   */
+  wholeMoves(ranges: readonly TrackedRange[]): Move[] {
+    const loads = this.loads(ranges);
+    const speeds = this.#speeds();
+    const limit = this.#overloadLimit(this.#fairLoad(ranges));
+    const moves: Move[] = [];
+    for (
+      const { first, last, server } of this.#movableByWeight(ranges, loads)
+    ) {
+      const from = server!;
+      if (loads.get(from)! < limit) continue;
+      const piece = { first, last };
+      const destination = this.#moveIndivisible(from, piece, loads, speeds);
+      if (destination !== null) moves.push({ piece, destination });
+    }
+    return moves;
+  }
+
+  /** Speeds of the servers by their ids. */
+  #speeds(): Map<string, number> {
+    return new Map(this.servers.map(({ id, speed }) => [id, speed]));
+  }
+
+  /** Load of each server if all servers had the same. */
+  #fairLoad(ranges: readonly TrackedRange[]): number {
+    const total = ranges.reduce((sum, each) => sum + this.weight(each), 0);
+    return total / this.servers.reduce((sum, { speed }) => sum + speed, 0);
+  }
+
+  /** Load above which keys move away from a server. */
+  #overloadLimit(fairLoad: number): number {
+    return Math.max(
+      fairLoad * OVERLOAD_RATIO,
+      fairLoad + this.#samplingError(fairLoad),
+    );
+  }
+
   /** Moves a small share from each of the busiest servers to idle ones. */
   #fillIdle(
     ranges: readonly TrackedRange[],
--- a/src/core/keyspace/placement_test.ts
+++ b/src/core/keyspace/placement_test.ts
@@ -145,3 +145,36 @@
   t.false(moves.some(({ piece }) => piece.first === 0));
   t.true(moves.some(({ piece }) => piece.first === 1));
 });
+
+// Guards against an uneven load that lasts: a service that had as many ranges
+// as allowed moved no keys any more, and a third of its requests went to one of
+// eight servers.
+test("placement: whole ranges leave an overloaded server without being split", (t) => {
+  const size = KEY_COUNT / 8;
+  const ranges = Array.from({ length: 8 }, (_, i) => {
+    const server = i < 6 ? "a" : i === 6 ? "b" : "c";
+    return heldRange(server, i * size, (i + 1) * size - 1);
+  });
+  const samples = Array.from({ length: 800 }, (_, i) => i * 81);
+  const placement = Placement.create(samples, EQUAL_SERVERS);
+  const moves = placement.wholeMoves(ranges);
+  t.true(moves.length > 0);
+  const moved = ranges.map((range) => {
+    const move = moves.find(({ piece }) => piece.first === range.first);
+    if (move === undefined) return range;
+    t.deepEqual(move.piece, { first: range.first, last: range.last });
+    return { ...range, server: move.destination };
+  });
+  t.true(Math.max(...placement.loads(moved).values()) < 0.5);
+  t.deepEqual(placement.wholeMoves(moved), []);
+});
+
+test("placement: a single range of an overloaded server stays if it would overload the next one as much", (t) => {
+  const busy = Array.from({ length: 300 }, () => 1_000);
+  const ranges = [
+    heldRange("a", 0, 1_000),
+    heldRange("b", 1_001, KEY_COUNT - 1),
+  ];
+  const servers = EQUAL_SERVERS.slice(0, 2);
+  t.deepEqual(Placement.create(busy, servers).wholeMoves(ranges), []);
+});
