Log the result of each probe of a server's address

A crash is attributed to the request that caused it once the server's address refuses a connection. In a failed run of the test of six copies three of five crashes were attributed only when the registry removed the servers, 2.5 s later; whether their addresses had been probed, and with what result, was not in the log. The model's crashed servers can keep accepting connections for some time.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -270,6 +270,8 @@
         );
       case "server.checked": {
         const { crashDetector, fleet } = this.clusterState;
+        const { server, isRefused } = event;
+        this.clusterState.logDecision("server.probed", { server, isRefused });
         if (!event.isRefused) return crashDetector.probeSucceeded(event.server);
         return crashDetector.exited(fleet.get(event.server), now);
       }
--- a/test/ownership/model_server.ts
+++ b/test/ownership/model_server.ts
@@ -32,6 +32,8 @@
 /** See the module's comment. */
 export class ModelServer {
   isUp = true;
+  /** When it crashed; -Infinity if it has not. */
+  lostAt = -Infinity;
   leases: KeyLease[] = [];
   /** The latest grant of every key on which it has ever held a lease. */
   grants: KeyGrant[] = [];
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -210,6 +210,11 @@
   isUptimeForeign?: boolean;
   /** Whether each jump of the time of day counts as a certain suspension. */
   isClockJumpCertain?: boolean;
+  /**
+   * Time for which the address of a crashed server still accepts connections,
+   * in milliseconds; none if left out.
+   */
+  exitTime?: number;
   /** Names of the log lines that the report contains; none if left out. */
   loggedDecisions?: readonly string[];
   /** Whether every order may open a connection. */
@@ -875,7 +880,7 @@
         const { server, address } = effect;
         const { restartCount } = vm;
         return this.#time.after(2 * ONE_WAY_DELAY, () => {
-          const isRefused = !this.#processAt(address)?.isUp;
+          const isRefused = !this.#acceptsConnections(address);
           if (vm.restartCount !== restartCount) return;
           this.#handle(vm, { kind: "server.checked", server, isRefused });
         });
@@ -1322,9 +1327,18 @@
     });
   }
 
+  /** Whether a process listens at an address, or has not quite exited. */
+  #acceptsConnections(address: string): boolean {
+    const server = this.#processAt(address);
+    if (server === undefined) return false;
+    const { exitTime = 0 } = this.options;
+    return server.isUp || this.#time.now < server.lostAt + exitTime;
+  }
+
   #loseServer(server: ModelServer): void {
     if (!server.isUp) return;
     server.isUp = false;
+    server.lostAt = this.#time.now;
     this.#report.serverCrashTimes.push(this.#time.now);
     this.#report.load?.serverLost(server.id);
     this.#time.after(ENTRY_LIFETIME, () => this.#deregister(server));
