The time for which a process stalls does not count as silence of others

A VM that resumed after 3 s or more regarded all fitter VMs as gone, joined the electorate before it read their messages, and could so change the holder of the term. One that had stalled for a second while a request was at its crash limit quarantined it before it read the responses that were waiting, and told all VMs so.

Both times are extended by the stall. 'a small VM that has stalled does not become a candidate' fails without the change (it joins the electorate), as do the new tests of candidacy and quarantine, which call it.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -385,12 +385,15 @@
 
   /**
    * Handles the end of a stall of this process. Its time must not count against
-   * servers, whose responses may be waiting to be read.
+   * servers, requests and other VMs, whose responses and messages may be waiting
+   * to be read.
    */
   #processStalled(duration: number): void {
     const detail = { duration: Math.round(duration) };
     this.clusterState.logDecision("process.stalled", detail);
     this.clusterState.fleet.processStalled(duration);
+    this.clusterState.quarantine.processStalled(duration);
+    this.campaign.processStalled(duration);
     this.dispatcher.processStalled(duration);
   }
 
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -278,3 +278,21 @@
   t.true(decisionAt(3_870).includes("request.unrouted"));
   t.deepEqual(decisionAt(3_880), ["request.turned_away"]);
 });
+
+// Guards against an election that a small VM joins when it resumes, before it
+// reads the messages of the fitter VMs that arrived meanwhile.
+test("entry: a small VM that has stalled does not become a candidate", (t) => {
+  const { entry, step } = createSteppedEntry({ fitness: 0.5 });
+  const holder = { term: 1, vm: "vm-2", address: "holder", fitness: 5 };
+  const stallFrom = 1_000;
+  const joinedGroups = (effects: EntryEffect[]) =>
+    effects.flatMap((each) => each.kind === "group.join" ? [each.group] : []);
+  step(0, configurationRead(1));
+  step(1, { kind: "holder.read" });
+  step(2, { kind: "holder.announced", holder });
+  step(stallFrom, { kind: "group.failed" });
+  entry.nextAt(stallFrom);
+  const resumed = step(stallFrom + 5_000, { kind: "timer" });
+  t.true(kinds(resumed).includes("note"));
+  t.deepEqual(joinedGroups(resumed), ["observers"]);
+});
--- a/src/core/keyspace/candidacy.ts
+++ b/src/core/keyspace/candidacy.ts
@@ -89,6 +89,14 @@
     this.#lastSeenAt = now;
   }
 
+  /**
+   * Records that this process has stalled for `duration` milliseconds until
+   * now. Messages about fitter VMs may be waiting to be read.
+   */
+  processStalled(duration: number): void {
+    this.#lastSeenAt += duration;
+  }
+
   /** Returns the highest fitness among the known VMs, including this one. */
   highestFitness(now: number): number {
     return Math.max(this.fitness, this.#knownFitness(now));
--- a/src/core/keyspace/candidacy_test.ts
+++ b/src/core/keyspace/candidacy_test.ts
@@ -34,3 +34,12 @@
   t.false(candidacy.isCandidate(1_500, true));
   t.is(candidacy.highestFitness(1_500), LARGE);
 });
+
+test("candidacy: a stall of this process does not count as silence of fitter VMs", (t) => {
+  const candidacy = Candidacy.create(SMALL);
+  candidacy.observe(LARGE, 100);
+  candidacy.processStalled(5_000);
+  t.false(candidacy.isCandidate(5_200, false));
+  t.false(candidacy.isCandidate(8_100, false));
+  t.true(candidacy.isCandidate(8_101, false));
+});
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -181,6 +181,14 @@
     this.candidacy.observe(fitness, now);
   }
 
+  /**
+   * Records that this process has stalled for `duration` milliseconds until
+   * now.
+   */
+  processStalled(duration: number): void {
+    this.candidacy.processStalled(duration);
+  }
+
   /**
    * Records that this VM has read from the store which VM was the last term
    * holder, even if there was none.
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -274,6 +274,17 @@
     for (const record of records) this.#merge(record, now, address);
   }
 
+  /**
+   * Records that this process has stalled for `duration` milliseconds until
+   * now. Responses that clear a request may be waiting to be read, so
+   * quarantines begin later by as much.
+   */
+  processStalled(duration: number): void {
+    for (const crashes of this.#records.values()) {
+      crashes.nearLimitSince += duration;
+    }
+  }
+
   /**
    * Checks all records: quarantines requests that have reached their crash
    * limit, releases quarantined requests for a trial, and removes expired
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -32,6 +32,17 @@
   t.true(isQuarantined(quarantineAfter(3), DELAY));
 });
 
+test("quarantine: a stall of this process does not count as time without a response", (t) => {
+  const quarantine = quarantineAfter(3);
+  quarantine.processStalled(4_000);
+  t.false(isQuarantined(quarantine, 4_010));
+  quarantine.clear(HARMFUL, 4_020);
+  t.false(isQuarantined(quarantine, 4_000 + DELAY));
+  const unanswered = quarantineAfter(3);
+  unanswered.processStalled(4_000);
+  t.true(isQuarantined(unanswered, 4_000 + DELAY));
+});
+
 test("quarantine: the crash of a server process counts once, however many VMs observe it", (t) => {
   const quarantine = quarantineAfter(2);
   t.false(quarantine.recordCrash(HARMFUL.complete, "h/harmful", "s-1#1", 10));
