A process whose event loop is late stops earlier

Cause: the process plans its own stop 250 ms before the timeout, however late its event loop is. A step could be late by up to 50 ms more than the loop, since steps of a shutdown were 50 ms apart instead of being due at the stop.

Change: the stop and the final responses come earlier by the largest lateness of a step in the last 10 s, at most 500 ms, and a step is due at each of these times. shutdown.finished has the lateness.

Why at most 500 ms: a longer stall is not likely to repeat, and requests that still run would be ended earlier for it.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -37,8 +37,6 @@
 const ORDER_INTERVAL = 1;
 /** Maximum time between two steps of a follower, in milliseconds. */
 const IDLE_INTERVAL = 250;
-/** Maximum time between two steps during a shutdown, in milliseconds. */
-const SHUTDOWN_INTERVAL = 50;
 
 /** See the module's comment. */
 export class Entry {
@@ -142,6 +140,7 @@
     this.#startedAt = Math.min(this.#startedAt, event.now);
     const stall = this.#stallDetector.detect(event.now);
     if (stall > 0) this.#processStalled(stall);
+    this.#shutdown.setLateness(this.#stallDetector.recentLateness);
     this.#reduce(event);
     this.#advance(event.now, event.kind === "timer");
     // Orders come last. They leave the process only after all effects of the
@@ -164,11 +163,8 @@
   }
 
   #nextStepAt(now: number): number {
-    const interval = this.#stepInterval;
-    const shutdownInterval = this.#shutdown.isStarted
-      ? SHUTDOWN_INTERVAL
-      : Infinity;
     return Math.min(
+      this.#shutdown.nextAt(now),
       this.dispatcher.nextAt(),
       this.peers.nextAt(),
       this.clusterState.crashDetector.nextAt(),
@@ -176,7 +172,7 @@
         this.#store.retryAt,
         this.clusterState.registry.dueAt(this.#maximumRegistryAge),
       ),
-      now + Math.min(interval, shutdownInterval),
+      now + this.#stepInterval,
     );
   }
 
--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -279,6 +279,25 @@
   t.deepEqual(decisionAt(3_880), ["request.turned_away"]);
 });
 
+test("entry: a shutdown ends earlier by the recent lateness of steps, at most half a second", (t) => {
+  for (
+    const [lateness, stoppedAt] of [[0, 6_750], [80, 6_670], [3_000, 6_250]]
+  ) {
+    const { entry, step } = createSteppedEntry();
+    step(0, configurationRead(1));
+    const dueAt = entry.nextAt(0);
+    step(dueAt + lateness, { kind: "timer" });
+    const startedAt = dueAt + lateness;
+    const until = (at: number) => at - 1_000 + startedAt;
+    step(startedAt, { kind: "shutdown", lateness: 0 });
+    step(until(4_600), { kind: "timer" });
+    const before = kinds(step(until(stoppedAt - 1), { kind: "timer" }));
+    t.false(before.includes("process.stop"));
+    const at = kinds(step(until(stoppedAt), { kind: "timer" }));
+    t.true(at.includes("process.stop"), `lateness ${lateness}`);
+  }
+});
+
 // Guards against an election that a small VM joins when it resumes, before it
 // reads the messages of the fitter VMs that arrived meanwhile.
 test("entry: a small VM that has stalled does not become a candidate", (t) => {
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -21,6 +21,13 @@
  * response, in milliseconds: the responses still have to reach their callers.
  */
 const FINAL_RESPONSE_TIME = 250;
+/**
+ * Maximum lateness for which the process stops earlier, in milliseconds. A
+ * longer one is a stall, which is not likely to repeat in the last steps.
+ */
+const MAXIMUM_LATENESS = 500;
+/** Maximum time between two steps during a shutdown, in milliseconds. */
+const MAXIMUM_INTERVAL = 50;
 
 /** See the module's comment. */
 export class Shutdown {
@@ -29,6 +36,8 @@
   #isClosed = false;
   #hasClosedCallers = false;
   #isStopped = false;
+  /** Time by which steps may be late, in milliseconds. */
+  #lateness = 0;
 
   private constructor(private readonly timing: ShutdownTiming) {}
 
@@ -55,7 +64,35 @@
    */
   isStopImminent(now: number): boolean {
     if (this.#startedAt === null) return false;
-    return now - this.#startedAt >= this.timing.stopAfter - FINAL_RESPONSE_TIME;
+    return now - this.#startedAt >= this.#stopAfter - FINAL_RESPONSE_TIME;
+  }
+
+  /**
+   * Sets by how much the steps of this process have been late recently. It
+   * stops earlier by as much, so that it does not miss the time limit if the
+   * last steps are late again.
+   */
+  setLateness(lateness: number): void {
+    this.#lateness = Math.min(MAXIMUM_LATENESS, lateness);
+  }
+
+  /** When a step is due; Infinity before the shutdown. */
+  nextAt(now: number): number {
+    const startedAt = this.#startedAt;
+    if (startedAt === null) return Infinity;
+    const { closeAfter } = this.timing;
+    const stopAfter = this.#stopAfter;
+    const times = [closeAfter, stopAfter - FINAL_RESPONSE_TIME, stopAfter];
+    return Math.min(
+      now + MAXIMUM_INTERVAL,
+      ...times.map((time) => startedAt + time).filter((at) => at > now),
+    );
+  }
+
+  /** Time from the start to the forced stop, in milliseconds. */
+  get #stopAfter(): number {
+    const { closeAfter, stopAfter } = this.timing;
+    return Math.max(closeAfter, stopAfter - this.#lateness);
   }
 
   /**
@@ -91,9 +128,9 @@
     // responses that are still being sent: for those, `callersClosed` has to be
     // called.
     const isIdle = this.#hasClosedCallers && pending === 0;
-    if (!isIdle && elapsed < this.timing.stopAfter) return effects;
+    if (!isIdle && elapsed < this.#stopAfter) return effects;
     this.#isStopped = true;
-    const detail = { pending };
+    const detail = { pending, lateness: Math.round(this.#lateness) };
     effects.push(
       { kind: "note", level: "info", decision: "shutdown.finished", detail },
       { kind: "process.stop" },
--- a/src/core/stall_detector.ts
+++ b/src/core/stall_detector.ts
@@ -18,10 +18,15 @@
  * process that shares its processor with others is regularly late by less.
  */
 const STALL_THRESHOLD = 100;
+/** Time for which a late step counts as recent, in milliseconds. */
+const LATENESS_LIFETIME = 10_000;
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class StallDetector {
   #stepDueAt = Infinity;
+  /** Largest recent lateness of a step, and when that step began. */
+  #largestLateness = 0;
+  #largestAt = -Infinity;
 
   private constructor() {}
 
@@ -41,8 +46,17 @@
    */
   detect(now: number): number {
     const lateness = now - this.#stepDueAt;
-    if (lateness < STALL_THRESHOLD) return 0;
-    this.#stepDueAt = Infinity;
-    return lateness;
+    if (lateness >= 0) this.#stepDueAt = Infinity;
+    const isExpired = now - this.#largestAt > LATENESS_LIFETIME;
+    if (lateness > this.#largestLateness || isExpired) {
+      this.#largestLateness = Math.max(0, lateness);
+      this.#largestAt = now;
+    }
+    return lateness < STALL_THRESHOLD ? 0 : lateness;
+  }
+
+  /** Largest recent lateness of a step, in milliseconds. */
+  get recentLateness(): number {
+    return this.#largestLateness;
   }
 }
--- a/src/core/stall_detector_test.ts
+++ b/src/core/stall_detector_test.ts
@@ -14,5 +14,20 @@
   const detector = StallDetector.create();
   detector.expectStep(1_000);
   t.is(detector.detect(1_099), 0);
+  detector.expectStep(1_000);
   t.is(detector.detect(1_100), 100);
 });
+
+test("stall detector: keeps the largest lateness for some seconds", (t) => {
+  const detector = StallDetector.create();
+  const stepAt = (dueAt: number, now: number) => {
+    detector.expectStep(dueAt);
+    detector.detect(now);
+  };
+  t.is(detector.recentLateness, 0);
+  stepAt(1_000, 1_300);
+  stepAt(2_000, 2_010);
+  t.is(detector.recentLateness, 300);
+  stepAt(11_400, 11_420);
+  t.is(detector.recentLateness, 20);
+});
--- a/src/runtime/entry_process_test.ts
+++ b/src/runtime/entry_process_test.ts
@@ -19,6 +19,13 @@
 const CLOSE_AFTER = 1_200;
 /** Time for which the event loop is blocked, in milliseconds. */
 const BUSY_TIME = 700;
+/**
+ * Time by which the event loop is repeatedly late, in milliseconds: more than
+ * the process leaves between its own stop and the timeout.
+ */
+const LATE_TIME = 400;
+/** Maximum time between two steps during a shutdown, in milliseconds. */
+const MAXIMUM_STEP_INTERVAL = 50;
 /** Time for bytes to be processed, in milliseconds. */
 const SETTLE_TIME = 150;
 
@@ -162,3 +169,26 @@
   const took = performance.now() - startedAt;
   t.true(took < SHUTDOWN_TIMEOUT * 1_000, `${took} ms`);
 });
+
+// Guards against a forced stop that comes after the timeout. The step that was
+// due 0.25 s before it was late by 0.35 s, as others had been before.
+test.serial("stop: a process whose event loop is blocked repeatedly stops within the timeout", async (t) => {
+  const { entry, connect, log } = await startEntryInProcess(
+    t,
+    SHUTDOWN_TIMEOUT,
+  );
+  connect().write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n");
+  await delay(SETTLE_TIME);
+  const startedAt = performance.now();
+  entry.shutdown();
+  for (const at of [400, 1_650]) {
+    setTimeout(() => blockEventLoop(LATE_TIME), at);
+  }
+  await entry.stopped;
+  const took = performance.now() - startedAt;
+  t.true(took < SHUTDOWN_TIMEOUT * 1_000, `${took} ms`);
+  const finished = log().find((each) => each.message === "shutdown.finished");
+  t.true(Number(finished?.lateness) >= LATE_TIME - MAXIMUM_STEP_INTERVAL);
+  // The timer that blocks the loop a second time.
+  await delay(CLOSE_AFTER);
+});
