Copies follow the last server of a copy; comments read again

A copy that was refused at a dead server and sent to another one stands for two servers; the first one was returned.

--- a/src/core/dispatch/copies_in_flight.ts
+++ b/src/core/dispatch/copies_in_flight.ts
@@ -45,14 +45,14 @@
   }
 
   /**
-   * Id of the server to which a copy of `request` was sent, if none has been
-   * answered; otherwise null.
+   * Id of the server to which a copy of `request` was sent last, if no copy has
+   * been answered; otherwise null.
    */
   sharedServer(request: PendingRequest): string | null {
     if (!isTracked(request)) return null;
     const copies = this.#copiesOf(request);
     if (copies.some(({ isAnswered }) => isAnswered)) return null;
-    return copies.at(0)?.server ?? null;
+    return copies.at(-1)?.server ?? null;
   }
 
   /** Records that a request was sent to a server. */
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -28,6 +28,10 @@
  */
 const EVACUATED_KEY_GRACE = 3_200;
 
+/** Reason given when a request has reached its crash limit. */
+const CRASH_LIMIT_REACHED = "backend servers have ended under this request, " +
+  "and no copy of it has been answered";
+
 /** Whether and where a request can be sent now. */
 export type DispatchPlan =
   | { kind: "server"; server: TrackedServer }
@@ -43,8 +47,8 @@
   | { kind: "quarantined"; quarantined: QuarantinedRequest }
   /**
    * Refused because waiting would not help: the request has crashed a server
-   * and another copy of it is running, all servers are leaving, or a rate limit
-   * is reached (`isRateLimited`).
+   * and another copy of it is running, it has reached its crash limit, all
+   * servers are leaving, or a rate limit is reached (`isRateLimited`).
    */
   | { kind: "refuse"; reason: string; isRateLimited: boolean }
   /** Cannot be sent now, but may be later. */
@@ -99,10 +103,6 @@
   };
 }
 
-/** Reason given when a request has reached its crash limit. */
-const CRASH_LIMIT = "backend servers have ended under this request, and no " +
-  "copy of it has been answered";
-
 /** A refusal of a request for which waiting would not help. */
 function refusal(reason: string, isRateLimited = false): DispatchPlan {
   return { kind: "refuse", reason, isRateLimited };
@@ -187,7 +187,9 @@
     const { quarantine, permits } = this.context;
     const { fingerprint, id } = request.arrival;
     if (quarantine.crashCount(fingerprint) === 0) return null;
-    if (quarantine.hasReachedLimit(fingerprint)) return refusal(CRASH_LIMIT);
+    if (quarantine.hasReachedLimit(fingerprint)) {
+      return refusal(CRASH_LIMIT_REACHED);
+    }
     const { complete } = fingerprint;
     const remaining = request.deadline - now;
     const permission = permits.check(complete, id, remaining, now);
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -154,9 +154,9 @@
   }
 
   /**
-   * Records the latencies that the follower at `address` measured, except of servers that have
-   * restarted since the registry position that the follower has reached: it may
-   * have measured the previous process.
+   * Records the latencies that the follower at `address` measured, except of
+   * servers that have restarted since the registry position that the follower
+   * has reached: it may have measured the previous process.
    */
   #recordLatencies(
     address: string,
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -3,12 +3,13 @@
  *
  * A crash counts against each request that was in progress on the server, since
  * any of them may have caused it. A request that was in progress on three
- * server processes when they crashed is quarantined: all VMs refuse it
- * immediately, whichever of them observed the crashes. A response to a request
- * clears the request: its past crashes no longer count. When a request is
- * quarantined, its crashes no longer count against the other requests. A
- * quarantined request is released for a trial after some time, so that it is
- * not refused forever after its service was fixed.
+ * server processes when they crashed has reached its crash limit: no further
+ * copy is sent, and unless a copy in progress is answered it is quarantined.
+ * All VMs then refuse it, whichever of them observed the crashes. A response to
+ * a request clears the request: its past crashes no longer count. When a
+ * request is quarantined, its crashes no longer count against the other
+ * requests. A quarantined request is released for a trial after some time, so
+ * that it is not refused forever after its service was fixed.
  *
  * ```ts
  * quarantine.recordCrash(fingerprint.complete, "h/path", "server-1#0", now);
