A request on trial runs one copy at a time until it is answered

What callers saw: a request that is released from its quarantine while six callers repeat it crashed four of six servers at once (model, 4 VMs).

Cause: with the release its crashes no longer count, and permits were needed only for requests with crashes.

Evidence: 'a trial crashes one server' failed on the code before (4 crashes) and passes with this change, for both kinds of requests.

Change: a copy needs a permit from the release on, and is not hedged, until some VM receives a response.

--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -176,8 +176,9 @@
   }
 
   /**
-   * Checks the permit of a request that has crashed a server, since only one
-   * copy of it may run at a time. Returns null if the request may run.
+   * Checks the permit of a request that has crashed a server or is on trial,
+   * since only one copy of it may run at a time. Returns null if the request may
+   * run.
    *
    * No copy may run between the last allowed crash and the quarantine: only the
    * copies that are in progress can still clear the request. A further one
@@ -186,7 +187,7 @@
   #checkPermit(request: PendingRequest, now: number): DispatchPlan | null {
     const { quarantine, permits } = this.context;
     const { fingerprint, id } = request.arrival;
-    if (quarantine.crashCount(fingerprint) === 0) return null;
+    if (!quarantine.needsPermit(fingerprint)) return null;
     if (quarantine.hasReachedLimit(fingerprint)) {
       return refusal(CRASH_LIMIT_REACHED);
     }
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -66,7 +66,7 @@
   mayHedge(request: PendingRequest, now: number): boolean {
     if (request.tried.length >= request.route.maximumAttempts) return false;
     const { fingerprint } = request.arrival;
-    if (this.context.quarantine.crashCount(fingerprint) > 0) return false;
+    if (this.context.quarantine.needsPermit(fingerprint)) return false;
     return this.#isWorthwhile(request, now);
   }
 
--- a/src/core/quarantine/crash_record.ts
+++ b/src/core/quarantine/crash_record.ts
@@ -49,7 +49,8 @@
   /**
    * Server processes whose crashes no longer count against the request, because
    * it was answered, another request was quarantined for them, or a trial
-   * began.
+   * began. Also contains {@linkcode passedTrialName} of each passed trial, which
+   * thus reaches all VMs.
    */
   excused: runsSchema,
   /** Milliseconds since the last crash that was recorded for the request. */
@@ -143,6 +144,19 @@
   return runs.length >= (round === 0 ? CRASH_LIMIT - 1 : TRIAL_CRASH_LIMIT);
 }
 
+/** Name that stands for the passed trial `round` among excused processes. */
+export function passedTrialName(round: number): string {
+  return `trial#${round}`;
+}
+
+/**
+ * Whether a request was released from a quarantine for a trial and has not been
+ * answered since.
+ */
+export function isOnTrial({ round, excused }: RequestCrashes): boolean {
+  return round > 0 && !excused.includes(passedTrialName(round));
+}
+
 /**
  * When a request that has reached its crash limit is quarantined, unless it is
  * answered before. A harmless request that many callers send at once may be in
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -29,9 +29,11 @@
   hasSameNames,
   isEvictedBefore,
   isNearLimit,
+  isOnTrial,
   isRecentlyAnswered,
   isReplicated,
   MAXIMUM_PROCESSES,
+  passedTrialName,
   quarantinedFrom,
   type QuarantinedRequest,
   quarantinedUntil,
@@ -141,6 +143,16 @@
     return this.#find(fingerprint)?.runs.length ?? 0;
   }
 
+  /**
+   * Whether only one copy of a request may run at a time: servers have crashed
+   * while they ran it, or it is on trial.
+   */
+  needsPermit(fingerprint: Fingerprint): boolean {
+    const crashes = this.#find(fingerprint);
+    if (crashes === undefined) return false;
+    return crashes.runs.length > 0 || isOnTrial(crashes);
+  }
+
   /**
    * Whether there is a record of a request: a server has crashed while it ran
    * the request, even if that crash no longer counts.
@@ -188,8 +200,12 @@
     const crashes = this.#find(fingerprint);
     if (crashes === undefined) return;
     crashes.answeredAt = now;
-    if (crashes.runs.length === 0) return;
-    this.#excuse(crashes, crashes.runs, now);
+    const passedTrials = isOnTrial(crashes)
+      ? [passedTrialName(crashes.round)]
+      : [];
+    const excused = [...crashes.runs, ...passedTrials];
+    if (excused.length === 0) return;
+    this.#excuse(crashes, excused, now);
     this.#ownRevision = this.#revision;
     this.reportChange({ kind: "cleared", crashes });
   }
--- a/src/core/quarantine/quarantine_test.ts
+++ b/src/core/quarantine/quarantine_test.ts
@@ -101,6 +101,25 @@
   t.false(quarantine.hasReachedLimit(HARMFUL));
 });
 
+test("quarantine: a request on trial needs a permit until any VM receives a response", (t) => {
+  const quarantine = quarantineAfter(3);
+  const other = Quarantine.create();
+  const at = 2 * MINUTE;
+  quarantine.advance(at);
+  other.merge(quarantine.replicatedRecords(at), at);
+  t.true(quarantine.needsPermit(HARMFUL));
+  t.true(other.needsPermit(HARMFUL));
+  other.clear(HARMFUL, at + 10);
+  t.not(other.digest, quarantine.digest);
+  quarantine.merge(other.replicatedRecords(at + 20), at + 20);
+  t.false(quarantine.needsPermit(HARMFUL));
+  t.is(quarantine.digest, other.digest);
+  // A crash later on counts like one of a trial.
+  quarantine.recordCrash(HARMFUL.complete, "h/harmful", "s-9#1", at + MINUTE);
+  t.true(quarantine.needsPermit(HARMFUL));
+  t.true(quarantine.hasReachedLimit(HARMFUL));
+});
+
 test("quarantine: the record of a request expires after a trial without crashes", (t) => {
   const quarantine = quarantineAfter(3);
   t.false(isQuarantined(quarantine, 2 * MINUTE));
--- a/test/ownership/crashing_request_test.ts
+++ b/test/ownership/crashing_request_test.ts
@@ -62,17 +62,25 @@
   load?: Partial<LoadOptions>;
   faults?: Fault[];
   exitTime?: number;
+  duration?: number;
 }
 
 function simulate(
-  { vms, servers = 6, seed, load, faults = [], exitTime }:
-    CrashSimulationOptions,
+  {
+    vms,
+    servers = 6,
+    seed,
+    load,
+    faults = [],
+    exitTime,
+    duration = UNTIL + 5_000,
+  }: CrashSimulationOptions,
 ): SimulationReport {
   return Simulation.runToEnd({
     vms,
     servers,
     faults,
-    duration: UNTIL + 5_000,
+    duration,
     seedVms: 3,
     seed,
     exitTime,
@@ -245,6 +253,31 @@
   }
 });
 
+/** Duration of the first quarantine, in milliseconds. */
+const QUARANTINE = 120_000;
+
+// Guards against trials that crash a server for each VM: copies that arrive
+// when a request is released ran at once, since its crashes no longer counted.
+test("a request that crashes its servers: a trial crashes one server", (t) => {
+  const releasedAt = FROM + QUARANTINE;
+  for (const isIdempotent of [true, false]) {
+    const { serverCrashTimes } = simulate({
+      vms: 4,
+      seed: 1,
+      duration: releasedAt + 10_000,
+      load: {
+        until: releasedAt + 8_000,
+        rate: 10,
+        isKeyed: false,
+        isIdempotent,
+        crashingRequest: { ...COPIES, work: 5, until: releasedAt + 8_000 },
+      },
+    });
+    const crashed = serverCrashTimes.filter((at) => at >= releasedAt);
+    t.is(crashed.length, 1, `idempotent: ${isIdempotent}`);
+  }
+});
+
 /** Faults during the time in which servers crash. */
 const FAULT_CASES: [string, Fault[]][] = [
   ["while the store is down", [
