The stop is due at its time if the last step was just before it

Nine of 96 tries of 'a caller that never sends the rest of its body' stopped 1,788 to 1,800 ms after the shutdown began, 1,750 planned, with a loop late by 14 ms at most. A step shortly before 1,750 ms did not stop the process, and the time of the next one was computed after 1,750 ms, when that time counted as past: it came 50 ms later. Times count as past once a step has handled them. 'the stop is due at its time' failed before (6,800.1 instead of 6,750).

--- a/src/core/entry_test.ts
+++ b/src/core/entry_test.ts
@@ -298,6 +298,15 @@
   }
 });
 
+test("entry: the stop is due at its time, even if the last step was just before it", (t) => {
+  const { entry, step } = createSteppedEntry();
+  step(0, configurationRead(1));
+  step(1_000, { kind: "shutdown", lateness: 0 });
+  step(6_749.9, { kind: "timer" });
+  t.is(entry.nextAt(6_750.1), 6_750);
+  t.true(kinds(step(6_750.2, { kind: "timer" })).includes("process.stop"));
+});
+
 // Guards against an election that a small VM joins when it resumes, before it
 // reads the messages of the fitter VMs that arrived meanwhile.
 test("entry: a small VM that has stalled does not become a candidate", (t) => {
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -38,6 +38,8 @@
   #isStopped = false;
   /** Time by which steps may be late, in milliseconds. */
   #lateness = 0;
+  /** Time of the last step. */
+  #advancedAt = -Infinity;
 
   private constructor(private readonly timing: ShutdownTiming) {}
 
@@ -85,7 +87,8 @@
     const times = [closeAfter, stopAfter - FINAL_RESPONSE_TIME, stopAfter];
     return Math.min(
       now + MAXIMUM_INTERVAL,
-      ...times.map((time) => startedAt + time).filter((at) => at > now),
+      ...times.map((time) => startedAt + time)
+        .filter((at) => at > this.#advancedAt),
     );
   }
 
@@ -117,6 +120,7 @@
    * Returns the effects that are due while `pending` requests are in flight.
    */
   advance(pending: number, now: number): EntryEffect[] {
+    this.#advancedAt = now;
     if (this.#startedAt === null || this.#isStopped) return [];
     const effects: EntryEffect[] = [];
     const elapsed = now - this.#startedAt;
