Whole ranges move only if they weigh no more than the excess load

Change: a range that weighs more than the excess load of its server stays, so that fewer keys move and none moves the overload on.

--- a/src/core/keyspace/placement.ts
+++ b/src/core/keyspace/placement.ts
@@ -203,12 +203,14 @@
 
   /**
    * Returns moves of whole ranges from the overloaded servers to others, which
-   * do not increase the number of ranges.
+   * do not increase the number of ranges. Ranges that weigh more than the
+   * excess load of their server stay.
    */
   wholeMoves(ranges: readonly TrackedRange[]): Move[] {
     const loads = this.loads(ranges);
     const speeds = this.#speeds();
-    const limit = this.#overloadLimit(this.#fairLoad(ranges));
+    const fairLoad = this.#fairLoad(ranges);
+    const limit = this.#overloadLimit(fairLoad);
     const moves: Move[] = [];
     for (
       const { first, last, server } of this.#movableByWeight(ranges, loads)
@@ -216,6 +218,8 @@
       const from = server!;
       if (loads.get(from)! < limit) continue;
       const piece = { first, last };
+      const excess = (loads.get(from)! - fairLoad) * speeds.get(from)!;
+      if (this.weight(piece) > excess) continue;
       const destination = this.#moveIndivisible(from, piece, loads, speeds);
       if (destination !== null) moves.push({ piece, destination });
     }
--- a/src/core/quarantine/crash_detector.ts
+++ b/src/core/quarantine/crash_detector.ts
@@ -91,11 +91,11 @@
   broken: BrokenAttempt[];
   /** Its address. */
   address: string;
-  /** When its address was last probed first; -Infinity for never. */
+  /** When the last series of probes began; -Infinity for never. */
   probedAt: number;
-  /** Number of repetitions of that probe so far. */
+  /** Number of repeated probes in that series so far. */
   repeatedProbes: number;
-  /** Minimum time until the next probe, in milliseconds. */
+  /** Minimum time until the next series, in milliseconds. */
   probePause: number;
   /** When this state was last used. */
   seenAt: number;
