Decode Server-Leaving and Retry-After of backend servers

Both are decoded with the load and the rate limit into one ServerStatement, which replaces the two separate fields of a response. Nothing uses them yet.

--- a/bench/scaling.ts
+++ b/bench/scaling.ts
@@ -18,6 +18,7 @@
 } from "../src/core/peers/index.ts";
 import { encodeFrame, FrameDecoder } from "../src/runtime/frame.ts";
 import { backendServer } from "../test/support/backend_server.ts";
+import { serverStatement } from "../test/support/server_statement.ts";
 import { largeConfiguration } from "../test/support/large_configuration.ts";
 import { createSteppedEntry } from "../test/support/stepped_entry.ts";
 import { printMeasurement } from "./measurement.ts";
@@ -149,7 +150,7 @@
             isGenuine: true,
             isNotRun: false,
             server: null,
-            load: null,
+            statement: serverStatement(),
           },
         });
       }
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { fingerprintOf } from "../../../test/support/fingerprint.ts";
 import { backendServer } from "../../../test/support/backend_server.ts";
+import { serverStatement } from "../../../test/support/server_statement.ts";
 import fc from "fast-check";
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
@@ -148,7 +149,7 @@
   isGenuine: true,
   isNotRun: false,
   server: null,
-  load: null,
+  statement: serverStatement(),
 };
 const NOT_RUN = { ...ANSWERED, status: 503, isGenuine: false, isNotRun: true };
 const SPOILT = { ...ANSWERED, isGenuine: false };
@@ -667,7 +668,8 @@
   const { dispatcher, arrive, keyLimits } = createDispatcher(200, () => 0.5);
   arrive("/lookup/", 0);
   const load = { running: 0, waiting: 0, slots: 1 };
-  dispatcher.attemptEnded(1, { ...ANSWERED, load }, 50);
+  const statement = serverStatement({ load });
+  dispatcher.attemptEnded(1, { ...ANSWERED, statement }, 50);
   const limit = { service: "stock", first: 0, last: 65_535, share: 0.1 };
   keyLimits.replace([limit], 60);
   t.deepEqual(summarize(arrive("/lookup/", 100)), [
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -92,7 +92,7 @@
   #handleResponse(
     request: PendingRequest,
     attempt: Attempt,
-    { status, isGenuine, load }: ServerResponse,
+    { status, isGenuine, statement: { load } }: ServerResponse,
     now: number,
   ): NextStep {
     const server = this.context.fleet.get(attempt.server);
@@ -123,10 +123,11 @@
    */
   #updateRateLimit(
     { number, server: id, startedAt }: Attempt,
-    { server: respondingServer, isGenuine, isNotRun, rateLimit }:
+    { server: respondingServer, isGenuine, isNotRun, statement }:
       ServerResponse,
     now: number,
   ): void {
+    const { rateLimit } = statement;
     const server = this.context.fleet.get(id);
     const isTrusted = (isGenuine || isNotRun) &&
       (respondingServer ?? id) === id;
@@ -141,7 +142,7 @@
   #handleRefusal(
     request: PendingRequest,
     attempt: Attempt,
-    { status, server: respondingServer, load }: ServerResponse,
+    { status, server: respondingServer, statement: { load } }: ServerResponse,
     now: number,
   ): NextStep {
     const server = this.context.fleet.get(attempt.server);
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -6,7 +6,7 @@
 import type { Route } from "../catalog/index.ts";
 import type { LogLine } from "./dispatch_effect.ts";
 import type { Fingerprint } from "../quarantine/index.ts";
-import type { ReportedLoad } from "../fleet/index.ts";
+import type { ServerStatement } from "../fleet/index.ts";
 import type { AssignedRange } from "../keyspace/index.ts";
 
 /**
@@ -204,14 +204,8 @@
     isNotRun: boolean;
     /** Id of the server as stated in the response, or null if it has none. */
     server: string | null;
-    /** Load that the server reports, or null. */
-    load: ReportedLoad | null;
-    /**
-     * Maximum requests per second that the server accepts from all VMs
-     * together; null if it reports no limit, undefined if it is unknown whether
-     * it does.
-     */
-    rateLimit?: number | null;
+    /** What the server states of itself. */
+    statement: ServerStatement;
   }
   | {
     kind: "failed";
--- a/src/core/exchange/peer_exchange_test.ts
+++ b/src/core/exchange/peer_exchange_test.ts
@@ -8,6 +8,7 @@
 import test from "ava";
 import { fingerprintOf } from "../../../test/support/fingerprint.ts";
 import { backendServer } from "../../../test/support/backend_server.ts";
+import { serverStatement } from "../../../test/support/server_statement.ts";
 import { createSteppedEntry } from "../../../test/support/stepped_entry.ts";
 import { configurationSchema } from "../catalog/index.ts";
 import type { EntryEffect } from "../entry_effect.ts";
@@ -113,7 +114,7 @@
         isGenuine: false,
         isNotRun: true,
         server: "i-1",
-        load: null,
+        statement: serverStatement(),
       },
     });
   /** Answers the report sent at `answersTo` as the holder. */
--- a/src/core/fleet/backend_server.ts
+++ b/src/core/fleet/backend_server.ts
@@ -1,5 +1,5 @@
 /**
- * A backend server's entry in the registry, and the load that it reports.
+ * A backend server's entry in the registry.
  *
  * @module
  */
@@ -36,13 +36,3 @@
 
 /** See {@linkcode backendServerSchema}. */
 export type BackendServer = z.infer<typeof backendServerSchema>;
-
-/** Load that a server reports with a response. */
-export interface ReportedLoad {
-  /** Number of requests that it runs. */
-  running: number;
-  /** Number of requests in its queue. */
-  waiting: number;
-  /** Maximum number of requests that it runs concurrently. */
-  slots: number;
-}
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -6,8 +6,9 @@
  *
  * @module
  */
-import type { BackendServer, ReportedLoad } from "./backend_server.ts";
+import type { BackendServer } from "./backend_server.ts";
 import { ReportedRateLimit } from "./reported_rate_limit.ts";
+import type { ReportedLoad } from "./server_statement.ts";
 
 /** Weight of the newest sample in exponential moving averages. */
 const SAMPLE_WEIGHT = 0.2;
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -362,8 +362,7 @@
         isGenuine: metadata.isGenuine,
         isNotRun: metadata.isNotRun && metadata.isOwnExchange,
         server: metadata.server,
-        load: metadata.load,
-        rateLimit: metadata.rateLimit,
+        statement: metadata.statement,
       },
     });
     // The core has processed the event by then. A response that it has not
--- a/src/runtime/header_codec.ts
+++ b/src/runtime/header_codec.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { ReportedLoad } from "../core/fleet/index.ts";
+import type { ServerStatement } from "../core/fleet/index.ts";
 
 /** Information that a caller's request carries in its headers. */
 export interface RequestMetadata {
@@ -33,13 +33,8 @@
   isOwnExchange: boolean;
   /** Id of the server; null if missing. */
   server: string | null;
-  /** Load that the server reports; null if missing or invalid. */
-  load: ReportedLoad | null;
-  /**
-   * Maximum requests per second that the server accepts from all VMs combined;
-   * null if it reports no limit, undefined if the value is invalid.
-   */
-  rateLimit: number | null | undefined;
+  /** What the server states of itself. */
+  statement: ServerStatement;
 }
 
 /** See the module's comment. */
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -589,16 +589,20 @@
   ): AttemptOutcome {
     const { running, waiting } = this.#loadOf(server);
     const queued = waiting.filter((each) => !each.isEnded).length;
-    const response = {
-      rateLimit: this.#rateLimit(server),
-      kind: "answered" as const,
+    return {
+      kind: "answered",
       status,
       isGenuine: !isNotRun,
       isNotRun,
       server,
-      load: { running, waiting: queued, slots: this.options.slots },
+      statement: {
+        load: { running, waiting: queued, slots: this.options.slots },
+        rateLimit: this.#rateLimit(server),
+        isLeaving: false,
+        backoff: null,
+        ignored: [],
+      },
     };
-    return response;
   }
 
   #end(request: ServerRequest, outcome: AttemptOutcome): void {
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -273,10 +273,11 @@
     }),
     shed: read(503, { ...ownId, "x-plumloft-not-executed": "1" }),
     misdirected: read(421, { "x-plumloft-instance-id": "i-2" }),
-    brokenLoad: read(200, { ...ownId, "x-plumloft-server-load": "2,x" }).load,
+    brokenLoad: read(200, { ...ownId, "x-plumloft-server-load": "2,x" })
+      .statement.load,
   });
   const rateLimit = (value: string, name = "server-limit") =>
-    read(200, { ...ownId, [name]: value }).rateLimit;
+    read(200, { ...ownId, [name]: value }).statement.rateLimit;
   // The prefixed name is accepted as a fallback.
   t.is(rateLimit("6", "x-plumloft-server-limit"), 6);
   t.deepEqual(
