--- a/src/load/history.ts
+++ b/src/load/history.ts
@@ -59,6 +59,27 @@
 /** One execution of a request, as recorded by its backend server. */
 export type Run = z.infer<typeof runSchema>;
 
+/** Schema of {@linkcode Arrival}. */
+export const arrivalSchema = z.object({
+  kind: z.literal("arrival"),
+  server: z.string(),
+  /** When the server's process started, in milliseconds since the epoch. */
+  incarnation: z.number(),
+  requestId: z.string(),
+  /** Milliseconds since the epoch. */
+  at: z.number(),
+  /** Whether the response states that the server is leaving. */
+  isLeaving: z.boolean(),
+  /**
+   * Backoff that the response requests, in milliseconds; null if it requests
+   * none.
+   */
+  backoff: z.number().nullable(),
+});
+
+/** One request that reached a backend server, as recorded by the server. */
+export type Arrival = z.infer<typeof arrivalSchema>;
+
 /** Schema of a line of a history. */
 export const historyLineSchema = z.discriminatedUnion("kind", [
   callSchema,
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -13,7 +13,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { request as send } from "undici";
 import * as z from "zod";
-import type { Run } from "../load/history.ts";
+import type { Arrival, Run } from "../load/history.ts";
 import { errorText } from "../errors/index.ts";
 import { addressSchema } from "../settings/address.ts";
 import { readBody, readJson, sendJson, StandIn } from "./stand_in.ts";
@@ -56,6 +56,10 @@
   endedBy: z.string().optional(),
   /** File to which each run is appended when it starts; none if absent. */
   runsFile: z.string().optional(),
+  /**
+   * File to which each request is appended when it arrives; none if absent.
+   */
+  arrivalsFile: z.string().optional(),
 });
 
 /** See {@linkcode backendServiceSchema}. */
@@ -65,12 +69,19 @@
 export const backendFaultsSchema = z.strictObject({
   /** Refuses all requests. */
   shed: z.boolean().default(false),
+  /** `Retry-After` header of these refusals; null for none. */
+  retryAfter: z.string().nullable().default(null),
   /** Number of upcoming requests that run but get no response. */
   loseAnswers: z.number().int().nonnegative().default(0),
   /** Number of upcoming responses that carry the id of another request. */
   crossed: z.number().int().nonnegative().default(0),
-  /** Registers itself as draining. */
+  /** Registers itself as draining, and states so in all responses. */
   draining: z.boolean().default(false),
+  /**
+   * States in all responses that it is leaving, without a change of its entry
+   * in the registry.
+   */
+  leaving: z.boolean().default(false),
   /** Processing time of a request; null for the one in the settings. */
   work: z.number().nonnegative().nullable().default(null),
   /**
@@ -164,6 +175,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (this.#isLeaving) response.setHeader(HEADER.leaving, "1");
     const isOrder = request.url === "/-/grant" || request.url === "/-/release";
     if (isOrder && this.#isMisdirected(request)) return refuse(response, 421);
     switch (request.url) {
@@ -228,12 +240,13 @@
     const id = String(request.headers[HEADER.requestId] ?? "");
     response.setHeader(HEADER.requestId, id);
     response.setHeader(HEADER.server, this.settings.id);
+    this.#recordArrival(id);
     const range = this.#findGrantedRange(request);
     const isMisdirected = this.#isMisdirected(request);
     if (isMisdirected || (this.settings.keyed && range === undefined)) {
       return refuse(response, 421);
     }
-    if (this.#faults.shed) return refuse(response, 503);
+    if (this.#faults.shed) return this.#shed(response);
     if (!await this.#queue.acquire()) {
       if (!this.settings.resetsWhenFull) return refuse(response, 503);
       return void request.socket.destroy();
@@ -248,6 +261,33 @@
     }
   }
 
+  /** Whether it states that it is leaving. */
+  get #isLeaving(): boolean {
+    return this.#isDraining || this.#faults.leaving;
+  }
+
+  #recordArrival(requestId: string): void {
+    const { id: server, arrivalsFile } = this.settings;
+    if (arrivalsFile === undefined) return;
+    const { shed, retryAfter } = this.#faults;
+    const arrival: Arrival = {
+      kind: "arrival",
+      server,
+      incarnation: this.#startedAt,
+      requestId,
+      at: Date.now(),
+      isLeaving: this.#isLeaving,
+      backoff: shed && retryAfter !== null ? Number(retryAfter) * 1_000 : null,
+    };
+    appendFileSync(arrivalsFile, `${JSON.stringify(arrival)}\n`);
+  }
+
+  #shed(response: ServerResponse): void {
+    const { retryAfter } = this.#faults;
+    if (retryAfter !== null) response.setHeader(HEADER.retryAfter, retryAfter);
+    refuse(response, 503);
+  }
+
   /** Whether the request is addressed to another server. */
   #isMisdirected(request: IncomingMessage): boolean {
     const expected = request.headers[HEADER.expectedServer];
--- a/src/stand_ins/wire.ts
+++ b/src/stand_ins/wire.ts
@@ -17,6 +17,8 @@
   notRun: "x-plumloft-not-executed",
   load: "x-plumloft-server-load",
   rateLimit: "server-limit",
+  leaving: "server-leaving",
+  retryAfter: "retry-after",
   key: "x-plumloft-shard-key",
   handover: "x-plumloft-handover",
 } as const;
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -24,7 +24,13 @@
   siteConfiguration,
 } from "../../src/core/declaration/index.ts";
 import type { EntryStatus } from "../../src/core/entry_status.ts";
-import { type LoadPlan, type Run, runSchema } from "../../src/load/index.ts";
+import {
+  type Arrival,
+  arrivalSchema,
+  type LoadPlan,
+  type Run,
+  runSchema,
+} from "../../src/load/index.ts";
 import { bundledProgram, type MutationName } from "./bundled_program.ts";
 import { loopbackAddress } from "./loopback_address.ts";
 
@@ -169,6 +175,7 @@
       heartbeatInterval: 300,
       endedBy: crashingPath(service),
       runsFile: join(this.folder, `${id}.runs`),
+      arrivalsFile: join(this.folder, `${id}.arrivals`),
     });
   }
 
@@ -256,6 +263,13 @@
     );
   }
 
+  /** Returns the requests that have reached a server. */
+  arrivals({ name }: DeployedProcess): Arrival[] {
+    return readLines(join(this.folder, `${name}.arrivals`)).map((line) =>
+      arrivalSchema.parse(JSON.parse(line))
+    );
+  }
+
   /** Returns the log lines of an entry. */
   logOf(entry: DeployedProcess): Record<string, unknown>[] {
     return readLines(entry.logFile).map((line) => JSON.parse(line));
