--- a/test/ownership/model_server.ts
+++ b/test/ownership/model_server.ts
@@ -34,6 +34,8 @@
   isUp = true;
   /** When it crashed; -Infinity if it has not. */
   lostAt = -Infinity;
+  /** Whether it states that it is leaving. */
+  isLeaving = false;
   leases: KeyLease[] = [];
   /** The latest grant of every key on which it has ever held a lease. */
   grants: KeyGrant[] = [];
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -29,6 +29,11 @@
  * the limit, in milliseconds.
  */
 const LIMIT_PROPAGATION_TIME = 500;
+/**
+ * Time after a refusal with a backoff during which requests that are on their
+ * way may still arrive, in milliseconds.
+ */
+const BACKOFF_GRACE = 500;
 /**
  * Maximum delay before a retry that callers accept, as a share of the remaining
  * time.
@@ -79,6 +84,44 @@
   crashingRequest?: CrashingRequest;
   /** Rate limit that servers report; none if left out. */
   rateLimit?: ReportedRateLimit;
+  /** Backoff that servers request; none if left out. */
+  backoff?: RequestedBackoff;
+}
+
+/**
+ * Servers that refuse all requests and request a backoff with each refusal.
+ * Times are milliseconds.
+ */
+export interface RequestedBackoff {
+  from: number;
+  until: number;
+  duration: number;
+  /** Number of servers that refuse requests. */
+  servers: number;
+}
+
+/** A backoff that a server has requested from a VM. */
+export interface Backoff {
+  vm: number;
+  server: string;
+  /** Time from which no request that was on its way should arrive. */
+  from: number;
+  until: number;
+  /** Number of requests and orders that arrived from the VM in that time. */
+  arrivals: number;
+}
+
+/** A request that reached a server that states that it is leaving. */
+export interface LeavingArrival {
+  vm: number;
+  server: string;
+  at: number;
+  /**
+   * Time by which the caller sent the request after the VM had passed on a
+   * response that states that the server is leaving, in milliseconds; -Infinity
+   * if the VM has passed on none.
+   */
+  delay: number;
 }
 
 /**
@@ -169,6 +212,8 @@
   isListening(server: string, address: string): boolean;
   /** Whether a server is still warming up. */
   isCold(server: string): boolean;
+  /** Whether a server states that it is leaving. */
+  isLeaving(server: string): boolean;
   /** Crashes the server at an address. */
   crash(address: string): void;
   /** Whether a VM and a server are in the same availability zone. */
@@ -203,6 +248,8 @@
   vm: number;
   server: string;
   caller: Caller;
+  /** When the caller sent it. */
+  sentAt: number;
   attempt: number;
   deadline: number;
   address: string;
@@ -253,6 +300,16 @@
   readonly quarantined: (Caller & { at: number })[] = [];
   /** Requests that reached servers while they reported a limit. */
   readonly limitedArrivals: LimitedArrival[] = [];
+  /** Backoffs that servers have requested. */
+  readonly backoffs: Backoff[] = [];
+  /** Requests that reached leaving servers. */
+  readonly leavingArrivals: LeavingArrival[] = [];
+  /** Leaving servers of responses, by VM and attempt. */
+  readonly #leavingResponses = new Map<string, string>();
+  /**
+   * When a VM first passed on a response of a leaving server, by VM and server.
+   */
+  readonly #leavingPassedOnAt = new Map<string, number>();
   /** When a VM first forwarded a response with a limit, by VM and server. */
   readonly #limitSentAt = new Map<string, number>();
   /**
@@ -321,7 +378,8 @@
   /** Sends a request from a VM to a server. */
   send(vm: number, start: AttemptStart): void {
     const { attempt, remaining, server } = start;
-    const { caller, isDelayed } = this.#exchanges.get(start.exchange)!;
+    const exchange = this.#exchanges.get(start.exchange)!;
+    const { caller, isDelayed } = exchange;
     const { now } = this.time;
     const end = caller.startedAt + this.options.timeout;
     const overrun = isDelayed ? -Infinity : now + remaining - end;
@@ -330,6 +388,7 @@
       vm,
       server,
       caller,
+      sentAt: exchange.startedAt - CALLER_HOP,
       attempt,
       address: start.address,
       deadline: this.time.now + remaining,
@@ -347,8 +406,14 @@
   }
 
   /** Delivers a server's response from a VM to the caller. */
-  deliver(exchange: number): void {
-    const { caller } = this.#takeExchange(exchange);
+  deliver(exchange: number, attempt: number): void {
+    const { caller, vm } = this.#takeExchange(exchange);
+    const leaving = this.#leavingResponses.get(nameOf(vm, attempt));
+    if (leaving !== undefined) {
+      const name = nameOf(vm, leaving);
+      const passedOnAt = this.#leavingPassedOnAt.get(name) ?? this.time.now;
+      this.#leavingPassedOnAt.set(name, passedOnAt);
+    }
     const took = this.time.now + CALLER_HOP - caller.startedAt;
     const name = took <= this.options.target ? "inTime" : "late";
     this.#countsOf(caller)[name] += 1;
@@ -450,6 +515,8 @@
     if (isHeld === null) return this.#end(request, notSent());
     this.arrivals += 1;
     this.#recordLimited(request);
+    this.#recordLeaving(request);
+    this.#countInBackoffs(request.vm, server);
     if (!this.system.isSameZone(request.vm, server)) this.zoneCrossings += 1;
     const load = this.#loadOf(server);
     const isAddressee = this.system.isListening(server, address);
@@ -457,6 +524,7 @@
       this.misdirected += 1;
       return this.#end(request, this.#createResponse(server, 421, true));
     }
+    if (this.#isRefusing(server)) return this.#refuseWithBackoff(request);
     if (this.#isOverloadedCold(server)) {
       this.coldCrashes += 1;
       return this.system.crash(address);
@@ -489,6 +557,51 @@
     this.limitedArrivals.push({ server, at, isLimitKnown });
   }
 
+  /** Records a request that reaches a server that is leaving. */
+  #recordLeaving({ server, vm, sentAt }: ServerRequest): void {
+    if (!this.system.isLeaving(server)) return;
+    const passedOnAt = this.#leavingPassedOnAt.get(nameOf(vm, server));
+    const delay = sentAt - (passedOnAt ?? Infinity);
+    this.leavingArrivals.push({ vm, server, at: this.time.now, delay });
+  }
+
+  /** Records that an order of a VM has reached a server. */
+  orderArrived(vm: number, server: string): void {
+    this.#countInBackoffs(vm, server);
+  }
+
+  #countInBackoffs(vm: number, server: string): void {
+    const { now } = this.time;
+    for (const backoff of this.backoffs) {
+      const isSame = backoff.vm === vm && backoff.server === server;
+      const isActive = backoff.from < now && now < backoff.until;
+      if (isSame && isActive) backoff.arrivals += 1;
+    }
+  }
+
+  /** Whether a server refuses all requests and requests a backoff now. */
+  #isRefusing(server: string): boolean {
+    const { backoff } = this.options;
+    const { now } = this.time;
+    if (backoff === undefined) return false;
+    const { from, until, servers } = backoff;
+    return now >= from && now < until && this.#isAmongFirst(server, servers);
+  }
+
+  #refuseWithBackoff(request: ServerRequest): void {
+    const { vm, server } = request;
+    const { now } = this.time;
+    const until = now + this.options.backoff!.duration;
+    const from = now + BACKOFF_GRACE;
+    this.backoffs.push({ vm, server, from, until, arrivals: 0 });
+    this.#end(request, this.#createResponse(server, 503, true));
+  }
+
+  /** Whether a server is one of the `count` servers that were used first. */
+  #isAmongFirst(server: string, count: number): boolean {
+    return [...this.#loads.keys()].indexOf(server) < count;
+  }
+
   /**
    * Returns the limit that a server reports now, in requests per second, or
    * null.
@@ -499,8 +612,7 @@
     if (rateLimit === undefined) return null;
     const { from, until, servers, requestsPerSecond } = rateLimit;
     if (now < from || now >= until) return null;
-    const isLimited = [...this.#loads.keys()].indexOf(server) < servers;
-    return isLimited ? requestsPerSecond : null;
+    return this.#isAmongFirst(server, servers) ? requestsPerSecond : null;
   }
 
   /**
@@ -598,8 +710,10 @@
       statement: {
         load: { running, waiting: queued, slots: this.options.slots },
         rateLimit: this.#rateLimit(server),
-        isLeaving: false,
-        backoff: null,
+        isLeaving: this.system.isLeaving(server),
+        backoff: this.#isRefusing(server)
+          ? this.options.backoff!.duration
+          : null,
         ignored: [],
       },
     };
@@ -614,7 +728,11 @@
     ) {
       this.#limitSentAt.set(name, this.time.now + 2 * SERVER_HOP);
     }
-    this.#requests.delete(nameOf(request.vm, request.attempt));
+    const attemptName = nameOf(request.vm, request.attempt);
+    if (outcome.kind === "answered" && outcome.statement.isLeaving) {
+      this.#leavingResponses.set(attemptName, request.server);
+    }
+    this.#requests.delete(attemptName);
     this.time.after(
       SERVER_HOP,
       () => this.system.end(request.vm, request.attempt, outcome),
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -122,7 +122,13 @@
     | "vm.cut_from_peers"
     | "vm.shutdown"
     | "server.crash"
+    /** The server states that it is leaving, and registers as draining. */
     | "server.drain"
+    /**
+     * The server states that it is leaving, but its entry in the registry does
+     * not show it. It exits after `duration`.
+     */
+    | "server.leave"
     | "server.cut_from_store"
     | "server.join"
     /** The server restarts with the same id and address, and without state. */
@@ -471,6 +477,9 @@
             return found?.id === server && found.isUp;
           },
           isCold: (server) => this.#isCold(server),
+          isLeaving: (server) =>
+            this.#servers.findLast(({ id }) => id === server)?.isLeaving ??
+              false,
           crash: (address) => this.#loseServer(this.#processAt(address)!),
           isSameZone: (vm, server) =>
             this.#zoneOf(vm) === this.#entries.get(server)?.availabilityZone,
@@ -888,7 +897,7 @@
       case "attempt.cancel":
         return this.#report.load!.cancel(vm.index, effect.attempt);
       case "request.deliver":
-        return this.#report.load!.deliver(effect.exchange);
+        return this.#report.load!.deliver(effect.exchange, effect.attempt);
       case "request.refuse":
         return this.#report.load!.refuse(effect);
       case "note":
@@ -1045,14 +1054,14 @@
     this.#reuseToken(order);
     if (isCut) return end(null, ORDER_TIMEOUT);
     const connected = vm.connections.get(order.address);
-    if (connected?.isUp) return this.#transmit(connected, order, end);
+    if (connected?.isUp) return this.#transmit(vm, connected, order, end);
     const mayConnect = order.mayConnect && vm.orderAge <= MAXIMUM_CONNECT_AGE;
     if (!mayConnect && !this.options.mayAlwaysConnect) {
       return this.#withhold(vm, order);
     }
     const connect = (server: ModelServer) => {
       vm.connections.set(order.address, server);
-      this.#transmit(server, order, end);
+      this.#transmit(vm, server, order, end);
     };
     const server = this.#processAt(order.address);
     if (server?.isUp) return connect(server);
@@ -1167,6 +1176,7 @@
    * the process ends.
    */
   #transmit(
+    vm: Vm,
     server: ModelServer,
     order: GrantOrder | ReleaseOrder,
     end: (outcome: OrderOutcome | null, delay: number) => void,
@@ -1179,7 +1189,7 @@
     const delay = isLate ? 2_000 + this.#draw() * 10_000 : ONE_WAY_DELAY;
     if (isUnanswered) end(null, ORDER_TIMEOUT);
     this.#time.after(delay, () => {
-      const outcome = this.#execute(server, order, arrivedAt);
+      const outcome = this.#execute(vm, server, order, arrivedAt);
       if (isUnanswered) return;
       if (outcome === null) return end(null, ONE_WAY_DELAY);
       const work = order.kind === "order.release" ? RELEASE_TIME : 0;
@@ -1195,11 +1205,13 @@
    * ended.
    */
   #execute(
+    vm: Vm,
     server: ModelServer,
     order: GrantOrder | ReleaseOrder,
     arrivedAt: number,
   ): OrderOutcome | null {
     if (!server.isUp) return null;
+    this.#report.load?.orderArrived(vm.index, server.id);
     if (server.id !== order.server && !this.options.isServerUnnamed) {
       return { kind: "misdirected" };
     }
@@ -1286,6 +1298,7 @@
         return this.#time.after(ENTRY_LIFETIME, () => this.#deregister(server));
       case "server.drain": {
         const entry = this.#entries.get(server.id);
+        server.isLeaving = true;
         if (entry !== undefined) {
           this.#writeEntry(server.id, { ...entry, isDraining: true });
         }
@@ -1294,6 +1307,12 @@
           server.isUp = false;
         });
       }
+      case "server.leave":
+        server.isLeaving = true;
+        return this.#time.after(duration, () => {
+          this.#deregister(server);
+          server.isUp = false;
+        });
       case "server.join":
         return this.#addServer();
       case "zone.evacuated": {
