--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { Catalog, type Configuration } from "./catalog/index.ts";
+import { Catalog, type Configuration, NamedVersions } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import {
   type EvacuationChange,
@@ -33,6 +33,8 @@
 /** See the module's comment. */
 export class ClusterState {
   readonly catalog = Catalog.create();
+  /** Versions of the configuration that only other VMs are known to have. */
+  readonly namedVersions = NamedVersions.create();
   readonly fleet = Fleet.create();
   readonly directory = KeyDirectory.create();
   readonly keyLimits = KeyLimits.create();
@@ -89,13 +91,24 @@
 
   /**
    * Applies a configuration if its version is higher than that of the active
-   * one.
+   * one. It was received from `source`.
    */
-  configure(configuration: Configuration): void {
+  configure(
+    configuration: Configuration,
+    source: "store" | "vm",
+    now: number,
+  ): void {
     if (!this.catalog.apply(configuration)) return;
+    const { version } = this.catalog;
+    const { missingSince } = this.namedVersions;
+    this.namedVersions.applied(version);
     this.logDecision("configuration.applied", {
-      version: this.catalog.version,
+      version,
       routes: configuration.routes.length,
+      source,
+      missingFor: missingSince === Infinity
+        ? null
+        : Math.round(now - missingSince),
     });
     this.emit({ kind: "limits.apply", limits: configuration.limits });
   }
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -192,7 +192,11 @@
       case "clock.jumped":
         return this.#clockJumped(event.gap, event.isCertain);
       case "configuration.read":
-        return this.clusterState.configure(event.configuration);
+        return this.clusterState.configure(
+          event.configuration,
+          "store",
+          now,
+        );
       case "evacuations.read":
         return this.clusterState.applyStoredEvacuations(event.read, now);
       case "servers.read":
--- a/src/core/exchange/configuration_watch.ts
+++ b/src/core/exchange/configuration_watch.ts
@@ -48,6 +48,8 @@
    */
   compare(peerVersion: number, hasHolderUpdates: boolean, now: number): void {
     const { version } = this.clusterState.catalog;
+    const { namedVersions } = this.clusterState;
+    namedVersions.name(peerVersion, version, now);
     if (peerVersion <= version) {
       this.#behindSince = Infinity;
       return;
@@ -61,7 +63,9 @@
     this.#fetchedAt = now;
     this.clusterState.logDecision("configuration.behind", {
       version,
-      newest: peerVersion,
+      newest: namedVersions.newest,
+      missingFor: Math.round(now - namedVersions.missingSince),
+      hasHolderUpdates,
     });
     this.emit({ kind: "configuration.fetch" });
   }
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -212,7 +212,7 @@
         this.#applyOverload(address, message, now);
         return this.#applyHolderState(address, message, now);
       case "configuration.told":
-        return this.clusterState.configure(message.told);
+        return this.clusterState.configure(message.told, "vm", now);
       case "servers.told":
         return this.#applyRegistry(message.registry, now);
       case "assignments.told":
--- a/src/core/exchange/state_exchange.ts
+++ b/src/core/exchange/state_exchange.ts
@@ -102,7 +102,9 @@
     const { clusterState } = this;
     if (!this.store.isLost && clusterState.catalog.isLoaded) return null;
     const { configuration, servers, assignments, holder } = state;
-    if (configuration !== undefined) clusterState.configure(configuration);
+    if (configuration !== undefined) {
+      clusterState.configure(configuration, "vm", now);
+    }
     clusterState.applyServerChanges(
       clusterState.fleet.applyPeerEntries(servers, now),
       now,
--- a/src/core/exchange/state_publisher_test.ts
+++ b/src/core/exchange/state_publisher_test.ts
@@ -115,7 +115,7 @@
   publisher.reportReceived(holder, "receiver", report(holder.version), 10);
   publisher.reportReceived(holder, "reader", report(holder.version), 10);
   sent();
-  clusterState.configure(emptyConfiguration(2));
+  clusterState.configure(emptyConfiguration(2), "store", 0);
   const updated = { ...report(holder.version), isTold: true };
   publisher.reportReceived(holder, "receiver", updated, 20);
   t.deepEqual(sent().map(({ kind }) => kind), ["configuration.told"]);
@@ -235,7 +235,7 @@
 // that the holder had failed.
 test("state publisher: a configuration in transit is not sent again", (t) => {
   const { clusterState, publisher, holder, report, sent } = createPublisher();
-  clusterState.configure(emptyConfiguration(2));
+  clusterState.configure(emptyConfiguration(2), "store", 0);
   const isSent = (sentAt: number) => {
     const outdated = { ...report(0), isTold: true, sentAt };
     publisher.reportReceived(holder, "f", outdated, sentAt);
@@ -254,7 +254,11 @@
     headerTimeout: 1,
     idleTimeout: 1,
   };
-  clusterState.configure({ version: 7, routes: [], services: [], limits });
+  clusterState.configure(
+    { version: 7, routes: [], services: [], limits },
+    "store",
+    0,
+  );
   publisher.reportReceived(holder, "f", report(0), 0);
   t.false(sent().some(({ kind }) => kind === "configuration.told"));
   publisher.reportReceived(holder, "f", report(0), 500);
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -295,6 +295,7 @@
   const { user, system } = process.cpuUsage();
   return {
     configuration_version: entry.clusterState.catalog.version,
+    configuration_version_named: entry.clusterState.namedVersions.newest,
     requests_pending: entry.dispatcher.pending,
     caller_connections: callers.connections,
     caller_answers_unsent: callers.unsent,
