Failing test of a configuration that the holder lacks

A model of 50 VMs: the answer to the term holder's long poll is lost without an error. Messages of the VMs that read the store name the newer version, those of its followers name the old one, which they have from the holder.

--- a/test/ownership/configuration_test.ts
+++ b/test/ownership/configuration_test.ts
@@ -84,6 +84,23 @@
   );
 });
 
+// Guards against a holder that keeps an old configuration because its followers,
+// which receive the configuration from the holder, name the old version between
+// the messages that name the newer one.
+test("a VM whose long poll is lost has the configuration in time, whoever names older versions", (t) => {
+  for (const target of [0, 1, 2, 3, 4, 30]) {
+    const faults: Fault[] = [
+      { kind: "vm.loses_polls", at: 6_000, duration: 500, target },
+    ];
+    const { configurationLag } = simulate({
+      faults,
+      configurationInterval: 6_200,
+      duration: 12_000,
+    });
+    t.true(configurationLag <= MAXIMUM_LAG, `${target}: ${configurationLag}`);
+  }
+});
+
 test("without faults most VMs do not read the configuration from the store", (t) => {
   const { storeCalls, configurationLag } = simulate({
     configurationInterval: 5_000,
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -118,6 +118,11 @@
     | "vm.clock_step"
     | "vm.kill"
     | "vm.cut_from_store"
+    /**
+     * Answers to the VM's long polls are lost without an error. Its other calls
+     * to the store are answered.
+     */
+    | "vm.loses_polls"
     | "vm.cut_from_servers"
     | "vm.cut_from_peers"
     | "vm.shutdown"
@@ -602,7 +607,9 @@
     this.#publications.push(this.#time.now);
     for (const vm of this.#vms) {
       if (!vm.isUp || !vm.isFollowing || !this.#reachesStore(vm)) continue;
-      if (this.#isActive("store.loses_answers")) vm.isPollLost = true;
+      const isLost = this.#isActive("store.loses_answers") ||
+        this.#isActive("vm.loses_polls", vm.index);
+      if (isLost) vm.isPollLost = true;
       else if (!vm.isPollLost) this.#readConfiguration(vm);
     }
     this.#time.after(interval, () => this.#publishConfiguration(interval));
