A VM fetches a configuration that it has lacked for some time, whoever names older ones

Cause of the failing test: the watch measured since when every message names a newer version, so each message that names an older one began the wait anew. A term holder whose long poll is lost receives such messages from all followers, which have the old version from it, and never fetched. The watch also acted only when a message arrived.

Now NamedVersions keeps since when each named version is missing; nothing but that version or a newer one ends it, and each step checks it.

test/ownership/configuration_test.ts: 5,800 ms before, within 2,000 ms now for all six targets; its other 10 tests and entry_test.ts pass. Ruled out for this test: a lost fetch, as other calls of the holder are answered.

--- a/src/core/exchange/configuration_watch.ts
+++ b/src/core/exchange/configuration_watch.ts
@@ -1,6 +1,6 @@
 /**
- * Fetches the configuration from the store when other VMs' messages have named
- * a newer version for some time. Otherwise a VM would keep the old one after a
+ * Fetches the configuration from the store when another VM's message has named
+ * a newer version some time ago. Otherwise a VM would keep the old one after a
  * long poll whose response was lost without an error.
  *
  * @module
@@ -24,47 +24,42 @@
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class ConfigurationWatch {
   #fetchedAt = -Infinity;
-  /**
-   * Since when every message from another VM has named a newer version;
-   * Infinity if the last one did not.
-   */
-  #behindSince = Infinity;
 
   private constructor(
     private readonly clusterState: ClusterState,
     private readonly emit: Emit,
   ) {}
 
-  /** Creates a watch that knows of no newer configuration. */
+  /** Creates a watch for the configuration in `clusterState`. */
   static create(clusterState: ClusterState, emit: Emit): ConfigurationWatch {
     return new ConfigurationWatch(clusterState, emit);
   }
 
+  /** Records the configuration version that another VM's message names. */
+  observe(peerVersion: number, now: number): void {
+    const { catalog, namedVersions } = this.clusterState;
+    namedVersions.name(peerVersion, catalog.version, now);
+  }
+
   /**
-   * Compares the configuration version of another VM with this VM's and fetches
-   * the configuration if this VM's has been older for too long.
+   * Fetches the configuration if this VM has lacked a version for too long.
+   * Messages that name older versions do not change since when it lacks one.
    * `hasHolderUpdates` is true while this VM receives store updates from the
    * term holder.
    */
-  compare(peerVersion: number, hasHolderUpdates: boolean, now: number): void {
-    const { version } = this.clusterState.catalog;
-    const { namedVersions } = this.clusterState;
-    namedVersions.name(peerVersion, version, now);
-    if (peerVersion <= version) {
-      this.#behindSince = Infinity;
-      return;
-    }
-    this.#behindSince = Math.min(this.#behindSince, now);
+  advance(hasHolderUpdates: boolean, now: number): void {
+    const { catalog, namedVersions } = this.clusterState;
     const gracePeriod = hasHolderUpdates
       ? HOLDER_UPDATE_GRACE_PERIOD
       : GRACE_PERIOD;
-    if (now - this.#behindSince < gracePeriod) return;
+    const missingFor = now - namedVersions.missingSince;
+    if (missingFor < gracePeriod) return;
     if (now - this.#fetchedAt < FETCH_INTERVAL) return;
     this.#fetchedAt = now;
     this.clusterState.logDecision("configuration.behind", {
-      version,
+      version: catalog.version,
       newest: namedVersions.newest,
-      missingFor: Math.round(now - namedVersions.missingSince),
+      missingFor: Math.round(missingFor),
       hasHolderUpdates,
     });
     this.emit({ kind: "configuration.fetch" });
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -190,12 +190,7 @@
 
   /** Handles a message from the VM at `address`. */
   receive(address: string, message: PeerMessage, now: number): void {
-    const hasHolderUpdates = this.hasHolderUpdates(now);
-    this.#configurationWatch.compare(
-      message.configuration,
-      hasHolderUpdates,
-      now,
-    );
+    this.#configurationWatch.observe(message.configuration, now);
     const { evacuation: zones } = message;
     if (zones !== undefined) this.clusterState.applyPeerEvacuations(zones, now);
     if (message.quarantine !== undefined) {
@@ -299,6 +294,7 @@
       this.followerLink.expedite();
     }
     this.#advancedAt = now;
+    this.#configurationWatch.advance(this.hasHolderUpdates(now), now);
     this.#stateExchange.advance(
       this.#quarantine.digestUpdate,
       this.followerLink.holder,
