A server that states that it is leaving gets nothing after the drain time

Callers' requests reached a server more than the drain time after its answer had stated that it leaves (DRAIN, the co-operative): the registry was the only source of that, and the store was out for 14 s.

Statements of a server are now one mechanism: decoded once, trusted only if the expected process certainly sent them, and kept in ProcessStatements by id and incarnation, also while its entry is missing. A leaving server is left out of every choice: first attempts, retries, hedges, copies, trials and the queue go through one plan; it gets no new keys and no crash probes. VMs report it to the term holder at once, and the holder's answers list it for all, until the registry does. The holder releases its keys as soon as they can move. While the store does not answer they stay, since a move has to be recorded; VMs then send requests for them for 0.9 of the drain time and refuse them at once after that. Answers to orders are read, too.

Header values that are ignored are logged once a minute for each server and header (server.header_ignored).

--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -12,8 +12,11 @@
   type EvacuationSnapshot,
   Fleet,
   type FleetChange,
+  type LeavingServer,
   type ServerRateLimit,
   type ServerRateLimitChange,
+  type ServerStatement,
+  type TrackedServer,
 } from "./fleet/index.ts";
 import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
 import type { HolderAddress, SenderState } from "./peers/index.ts";
@@ -35,7 +38,6 @@
   readonly catalog = Catalog.create();
   /** Versions of the configuration that only other VMs are known to have. */
   readonly namedVersions = NamedVersions.create();
-  readonly fleet = Fleet.create();
   readonly directory = KeyDirectory.create();
   readonly keyLimits = KeyLimits.create();
   readonly registry = RegistryReplica.create();
@@ -56,17 +58,20 @@
   private constructor(
     private readonly emit: Emit,
     private readonly onCrash: (crash: CrashAttribution) => void,
+    readonly fleet: Fleet,
   ) {}
 
   /**
    * Creates an empty state that passes its effects to `emit`. `onCrash` is
-   * called for each request that a server was running when it crashed.
+   * called for each request that a server was running when it crashed. Leaving
+   * servers get no requests after `drainTime` milliseconds.
    */
   static create(
     emit: Emit,
     onCrash: (crash: CrashAttribution) => void = () => {},
+    drainTime?: number,
   ): ClusterState {
-    return new ClusterState(emit, onCrash);
+    return new ClusterState(emit, onCrash, Fleet.create(drainTime));
   }
 
   /** The announced term holder with the highest term, or null. */
@@ -137,11 +142,90 @@
   /** Applies rate limits that other VMs have received from servers. */
   applyPeerRates(rates: readonly ServerRateLimit[], now: number): void {
     const changes = this.fleet.applyPeerRateLimits(rates, now);
-    for (const each of changes) this.logRateLimitChange(each, now);
+    for (const each of changes) this.#logRateLimitChange(each, now);
+  }
+
+  /**
+   * Applies what a server has stated of itself with the response to a request
+   * or an order that was sent at `sentAt`. Returns whether the term holder
+   * should learn of it.
+   */
+  applyStatement(
+    server: TrackedServer,
+    statement: ServerStatement,
+    sentAt: number,
+    now: number,
+  ): boolean {
+    const { rateLimit, isLeaving } = server.statements.apply(
+      statement,
+      sentAt,
+      now,
+    );
+    if (rateLimit !== null) {
+      this.#logRateLimitChange({ server, change: rateLimit }, now);
+    }
+    if (isLeaving) {
+      this.fleet.recordLeaving(server, now);
+      this.#reportLeaving(server, "server", now);
+    }
+    for (const { name, value } of statement.ignored) {
+      this.#logIgnored(server, name, value, "invalid", now);
+    }
+    return rateLimit !== null || isLeaving;
+  }
+
+  /** Logs a statement that was ignored since `server` may not have made it. */
+  ignoreStatement(
+    server: TrackedServer,
+    { isLeaving, backoff, rateLimit }: ServerStatement,
+    reason: string,
+    now: number,
+  ): void {
+    const isEmpty = !isLeaving && backoff === null &&
+      (rateLimit ?? null) === null;
+    if (isEmpty) return;
+    const value = JSON.stringify({ isLeaving, backoff, rateLimit });
+    this.#logIgnored(server, "statement", value, reason, now);
+  }
+
+  /** Applies statements of leaving servers that other VMs have received. */
+  applyPeerLeaving(leaving: readonly LeavingServer[], now: number): void {
+    for (const server of this.fleet.applyPeerLeaving(leaving, now)) {
+      this.#reportLeaving(server, "vm", now);
+    }
+  }
+
+  /** Handles a server that is leaving, as `source` has stated. */
+  #reportLeaving(
+    { entry }: TrackedServer,
+    source: "server" | "vm",
+    now: number,
+  ): void {
+    // The exit of a server that is leaving is not a crash.
+    this.crashDetector.applyServerChanges(
+      [{ kind: "draining", server: entry }],
+      now,
+    );
+    const { id, service, address, incarnation } = entry;
+    const detail = { server: id, service, address, incarnation, source };
+    this.logDecision("server.leaving", detail);
+  }
+
+  /** Logs an ignored header, at a limited frequency. */
+  #logIgnored(
+    { id, statements }: TrackedServer,
+    header: string,
+    value: string,
+    reason: string,
+    now: number,
+  ): void {
+    if (!statements.mayLogIgnored(header, now)) return;
+    const detail = { server: id, header, value, reason };
+    this.logDecision("server.header_ignored", detail);
   }
 
   /** Logs the start or the end of a server's rate limit. */
-  logRateLimitChange(
+  #logRateLimitChange(
     { server, change }: ServerRateLimitChange,
     now: number,
   ): void {
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Catalog } from "../catalog/index.ts";
-import type { Fleet, ServerRateLimitChange } from "../fleet/index.ts";
+import type { Fleet, ServerStatement, TrackedServer } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
 import type {
   CrashDetector,
@@ -39,8 +39,26 @@
    * the assignment may be outdated.
    */
   keyRefused(): void;
-  /** Called when a rate limit of a server has come into force or ended. */
-  rateLimitChanged(change: ServerRateLimitChange, now: number): void;
+  /**
+   * Applies what a server has stated of itself with the response to a request
+   * that was sent at `sentAt`.
+   */
+  applyStatement(
+    server: TrackedServer,
+    statement: ServerStatement,
+    sentAt: number,
+    now: number,
+  ): void;
+  /**
+   * Records that a statement in a response was ignored, for `reason`, because
+   * `server` may not have made it.
+   */
+  ignoreStatement(
+    server: TrackedServer,
+    statement: ServerStatement,
+    reason: string,
+    now: number,
+  ): void;
   /** Returns a random number in [0, 1). */
   draw(): number;
 }
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -13,21 +13,6 @@
 import type { PendingRequest } from "./request.ts";
 import { chooseServer, hasCapacity } from "./server_choice.ts";
 
-/**
- * Time for which requests are still sent to a draining server for its keys, in
- * milliseconds, while the keys are moved to other servers.
- */
-const DRAINING_KEY_GRACE = 700;
-
-/**
- * Time for which requests are still sent to a server in an evacuated
- * availability zone for its keys, in milliseconds. It is longer than
- * {@linkcode DRAINING_KEY_GRACE}, because many keys move at the same time. All
- * VMs learn of an evacuation within 1 s, so the total stays within the 5 s that
- * operators allow for an evacuation.
- */
-const EVACUATED_KEY_GRACE = 3_200;
-
 /** Reason given when a request has reached its crash limit. */
 const CRASH_LIMIT_REACHED = "backend servers have ended under this request, " +
   "and no copy of it has been answered";
@@ -273,7 +258,10 @@
     if (server === undefined) {
       return openEndedWait("the key's server is gone");
     }
-    if (now > keysServedUntil(server)) {
+    if (fleet.isPastDrainTime(server, now)) {
+      return refusal("the key's server is leaving, and its keys cannot move");
+    }
+    if (now > fleet.keysServedUntil(server)) {
       return transientWait("the key's server is leaving");
     }
     if (!this.context.coldAdmission.maySend(server, now)) {
@@ -306,16 +294,3 @@
     }
   }
 }
-
-/**
- * Time until which requests are sent to a server for its keys; Infinity for a
- * server that is not leaving.
- */
-function keysServedUntil(
-  { drainingSince, evacuatedSince }: TrackedServer,
-): number {
-  return Math.min(
-    (drainingSince ?? Infinity) + DRAINING_KEY_GRACE,
-    (evacuatedSince ?? Infinity) + EVACUATED_KEY_GRACE,
-  );
-}
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -115,7 +115,9 @@
     startedAt: () => -Infinity,
     vmCount: () => vmCount,
     keyRefused,
-    rateLimitChanged: () => {},
+    applyStatement: (server, statement, sentAt, now) =>
+      void server.statements.apply(statement, sentAt, now),
+    ignoreStatement: () => {},
     draw,
   });
   let exchange = 0;
@@ -631,7 +633,9 @@
     startedAt: () => -Infinity,
     vmCount: () => null,
     keyRefused: () => {},
-    rateLimitChanged: () => {},
+    applyStatement: (server, statement, sentAt, now) =>
+      void server.statements.apply(statement, sentAt, now),
+    ignoreStatement: () => {},
     draw: () => 0,
   });
   const arrival = {
@@ -856,3 +860,65 @@
     "start stock-1, 497 ms left",
   ]);
 });
+
+const LEAVING = {
+  ...ANSWERED,
+  statement: serverStatement({ isLeaving: true }),
+};
+
+// Guards against requests without a key to a server that has stated that it is
+// leaving, and to a service whose servers are all leaving.
+test("dispatch: a server that states that it is leaving gets no more requests without a key", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/order/", 0);
+  dispatcher.attemptEnded(1, LEAVING, 10);
+  for (const now of [11, 12]) {
+    t.deepEqual(summarize(arrive("/order/", now)), [
+      "start orders-2, 500 ms left",
+    ]);
+    dispatcher.attemptEnded(now - 9, ANSWERED, now);
+  }
+  arrive("/order/", 20);
+  dispatcher.attemptEnded(4, LEAVING, 30);
+  const [refusal] = summarize(arrive("/order/", 40));
+  t.regex(refusal, /^503, all servers of the service are leaving,/);
+});
+
+// Guards against requests for a key to a server that has stated that it is
+// leaving, later than the drain time.
+test("dispatch: a server that states that it is leaving gets requests for its keys until shortly before the drain time", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/lookup/", 0);
+  dispatcher.attemptEnded(1, LEAVING, 10);
+  t.deepEqual(summarize(arrive("/lookup/", 1_800)), [
+    "start stock-1, 500 ms left",
+  ]);
+  dispatcher.attemptEnded(2, LEAVING, 1_805);
+  const [refusal] = summarize(arrive("/lookup/", 1_811));
+  t.regex(refusal, /^503, the key's server is leaving/);
+});
+
+// Guards against statements that another process made.
+test("dispatch: statements that the server may not have made are ignored", (t) => {
+  const statement = serverStatement({ isLeaving: true, backoff: 3_000 });
+  for (
+    const outcome of [
+      { ...SPOILT, statement },
+      { ...MISDIRECTED, statement },
+      { ...MISDIRECTED, server: "another", statement },
+      { ...NOT_RUN, server: "another", statement },
+      { ...ANSWERED, server: "another", statement },
+    ]
+  ) {
+    const { dispatcher, arrive, fleet } = createDispatcher();
+    arrive("/order/", 0);
+    dispatcher.attemptEnded(1, outcome, 10);
+    t.false(fleet.get("orders-1")!.isLeaving);
+  }
+  const { dispatcher, arrive, fleet } = createDispatcher();
+  arrive("/order/", 0);
+  const entry = { ...fleet.get("orders-1")!.entry, incarnation: 7 };
+  fleet.apply([entry], [], 5);
+  dispatcher.attemptEnded(1, { ...ANSWERED, statement }, 10);
+  t.false(fleet.get("orders-1")!.isLeaving, "a later process of the server");
+});
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -28,6 +28,11 @@
  */
 const BROKEN_ATTEMPT_DELAY = 30;
 
+/**
+ * Status of a server that is not the expected one or does not own the key.
+ */
+const MISDIRECTED = 421;
+
 /** Outcome of an attempt to which a server responded. */
 type ServerResponse = AttemptOutcome & { kind: "answered" };
 
@@ -82,7 +87,7 @@
     if (outcome.kind === "failed") {
       return this.#handleFailure(request, attempt, outcome, now);
     }
-    this.#updateRateLimit(attempt, outcome, now);
+    this.#applyStatement(attempt, outcome, now);
     return outcome.isNotRun
       ? this.#handleRefusal(request, attempt, outcome, now)
       : this.#handleResponse(request, attempt, outcome, now);
@@ -118,23 +123,22 @@
   }
 
   /**
-   * Records the rate limit, or its absence, in a response from the server to
-   * which the attempt was sent.
+   * Applies what a response states of its server, if the server process to
+   * which the attempt was sent has certainly created it.
    */
-  #updateRateLimit(
+  #applyStatement(
     { number, server: id, startedAt }: Attempt,
-    { server: respondingServer, isGenuine, isNotRun, statement }:
-      ServerResponse,
+    outcome: ServerResponse,
     now: number,
   ): void {
-    const { rateLimit } = statement;
     const server = this.context.fleet.get(id);
-    const isTrusted = (isGenuine || isNotRun) &&
-      (respondingServer ?? id) === id;
-    if (!isTrusted || rateLimit === undefined || !server?.has(number)) return;
-    const change = server.rateLimit.applyResponse(rateLimit, startedAt, now);
-    if (change !== null) {
-      this.context.rateLimitChanged({ server, change }, now);
+    if (!server?.has(number)) return;
+    const { statement } = outcome;
+    const reason = reasonToIgnore(outcome, id);
+    if (reason === null) {
+      this.context.applyStatement(server, statement, startedAt, now);
+    } else {
+      this.context.ignoreStatement(server, statement, reason, now);
     }
   }
 
@@ -152,7 +156,7 @@
       this.#recordExit(server, attempt, now);
       server?.failed(attempt.number, now);
       this.#recordKeyRefusal(request, attempt, now);
-    } else if (status === 421) {
+    } else if (status === MISDIRECTED) {
       server?.cancelled(attempt.number);
       this.#recordKeyRefusal(request, attempt, now);
     } else {
@@ -250,6 +254,20 @@
   }
 }
 
+/**
+ * Returns why the statement in a response is not taken for that of the server
+ * `id`, or null. A response with status 421 may come from another server that
+ * has its address now, and need not name that server.
+ */
+function reasonToIgnore(
+  { status, server, isGenuine, isNotRun }: ServerResponse,
+  id: string,
+): string | null {
+  if (server !== null && server !== id) return "another server responded";
+  if (server === null && status === MISDIRECTED) return "misdirected";
+  return isGenuine || isNotRun ? null : "not signed for this request";
+}
+
 /**
  * Handles an attempt without a valid response: the request may have run, so it
  * is retried only if it is idempotent.
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -14,6 +14,7 @@
 import type { EntryEffect } from "./entry_effect.ts";
 import type { EntryEvent } from "./entry_event.ts";
 import type { EntryOptions, RegistryTiming } from "./entry_options.ts";
+import type { ServerStatement } from "./fleet/index.ts";
 import {
   KeyLoads,
   type KeyspaceEffect,
@@ -65,6 +66,7 @@
       emit,
       ({ request: { id, fingerprint } }) =>
         this.peers.permitExchange.permits.serverCrashed(fingerprint, id),
+      options.drainTime,
     );
     const { catalog, fleet, directory, keyLimits } = this.clusterState;
     const { quarantine, crashDetector } = this.clusterState;
@@ -104,8 +106,10 @@
       startedAt: () => this.#startedAt,
       vmCount: () => this.vms,
       keyRefused: () => this.peers.keyRefused(),
-      rateLimitChanged: (change, now) =>
-        this.peers.rateLimitChanged(change, now),
+      applyStatement: (server, statement, sentAt, now) =>
+        this.peers.applyStatement(server, statement, sentAt, now),
+      ignoreStatement: (server, statement, reason, now) =>
+        this.clusterState.ignoreStatement(server, statement, reason, now),
       draw: createUniformGenerator(options.seed),
     });
     this.#shutdown = Shutdown.create(options.shutdown);
@@ -237,10 +241,13 @@
         const { term, outcome } = event;
         return this.#emit(...this.campaign.onWritten(term, outcome, now));
       }
-      case "order.ended":
-        return this.#emit(
-          ...this.campaign.onOrderEnded(event.order, event.outcome, now),
-        );
+      case "order.ended": {
+        const { order, outcome } = event;
+        if (outcome.statement !== undefined) {
+          this.#applyOrderStatement(order, outcome.statement, now);
+        }
+        return this.#emit(...this.campaign.onOrderEnded(order, outcome, now));
+      }
       case "request.arrived":
         if (this.#shutdown.isRefusingRequests(now)) {
           return this.#emit(
@@ -383,6 +390,23 @@
     fleet.confirmPeerEntries((id) => registry.isListed(id), now);
   }
 
+  /**
+   * Applies what a server has stated with the response to an order, unless the
+   * server has restarted since.
+   */
+  #applyOrderStatement(
+    id: number,
+    statement: ServerStatement,
+    now: number,
+  ): void {
+    const order = this.campaign.holder?.pendingOrder(id);
+    if (order === undefined) return;
+    const { range, incarnation, sentAt } = order;
+    const server = this.clusterState.fleet.get(range.server!);
+    if (server?.entry.incarnation !== incarnation) return;
+    this.peers.applyStatement(server, statement, sentAt, now);
+  }
+
   /**
    * Handles the end of a stall of this process. Its time must not count against
    * servers, requests and other VMs, whose responses and messages may be waiting
--- a/src/core/entry_options.ts
+++ b/src/core/entry_options.ts
@@ -46,6 +46,11 @@
   retryLimits: RetryLimits;
   shutdown: ShutdownTiming;
   registryTiming: RegistryTiming;
+  /**
+   * Time within which a server that is leaving stops receiving new requests, in
+   * milliseconds.
+   */
+  drainTime: number;
   /** Seed of all random numbers that the core draws. */
   seed: number;
 }
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -6,9 +6,11 @@
  */
 import type { ClusterState, Emit } from "../cluster_state.ts";
 import type {
+  LeavingServer,
   ServerRateLimit,
-  ServerRateLimitChange,
   ServerSamples,
+  ServerStatement,
+  TrackedServer,
 } from "../fleet/index.ts";
 import type { Assignment, KeyLoads, TermCampaign } from "../keyspace/index.ts";
 import {
@@ -153,13 +155,20 @@
   }
 
   /**
-   * Handles the start or end of a rate limit that a server reported to this VM.
-   * The next report to the term holder is urgent, so that the other VMs receive
-   * the change.
+   * Applies what a server has stated of itself to this VM with the response to
+   * a request or an order that was sent at `sentAt`. If other VMs need it, the
+   * next report to the term holder is urgent.
    */
-  rateLimitChanged(change: ServerRateLimitChange, now: number): void {
-    this.clusterState.logRateLimitChange(change, now);
-    this.followerLink.expedite();
+  applyStatement(
+    server: TrackedServer,
+    statement: ServerStatement,
+    sentAt: number,
+    now: number,
+  ): void {
+    const { clusterState } = this;
+    if (clusterState.applyStatement(server, statement, sentAt, now)) {
+      this.followerLink.expedite();
+    }
   }
 
   /**
@@ -311,6 +320,7 @@
     const { position } = this.clusterState.registry;
     const latencies = this.#takeLatencies(now);
     const rates = this.#takeRates(now);
+    const leaving = this.#unsharedLeaving(now);
     this.emit(
       ...this.followerLink.advance(
         now,
@@ -320,6 +330,7 @@
         mayFetch,
         this.hasHolderUpdates(now),
         rates,
+        leaving,
       ),
     );
   }
@@ -392,6 +403,13 @@
     );
   }
 
+  /** If a report is due, returns the leaving servers to include in it. */
+  #unsharedLeaving(now: number): LeavingServer[] {
+    return this.followerLink.isReportDue(now)
+      ? this.clusterState.fleet.unsharedLeaving()
+      : [];
+  }
+
   /** Applies the term holder's registry update. */
   #applyRegistry(update: RegistryUpdate | null, now: number): void {
     const { registry, fleet } = this.clusterState;
@@ -433,16 +451,20 @@
     this.clusterState.storeRegained(now);
   }
 
-  /** Applies the term holder's data on overloaded servers. */
+  /** Applies the term holder's data on overloaded and leaving servers. */
   #applyOverload(
     address: string,
-    { limits = [], loads = [], rates }: MessageOf<"holder.alive">,
+    { limits = [], loads = [], rates, leaving = [] }: MessageOf<
+      "holder.alive"
+    >,
     now: number,
   ): void {
     if (address !== this.followerLink.holder) return;
     this.clusterState.keyLimits.replace(limits, now);
     this.clusterState.fleet.applyPeerLoads(loads, now);
     this.clusterState.applyPeerRates(rates ?? [], now);
+    this.clusterState.applyPeerLeaving(leaving, now);
+    this.clusterState.fleet.confirmLeaving(leaving);
     this.tokenExchange.holderAnswered(rates !== undefined);
   }
 
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -136,6 +136,7 @@
     }
     this.#recordLatencies(address, report, now);
     this.clusterState.applyPeerRates(report.rates ?? [], now);
+    this.clusterState.applyPeerLeaving(report.leaving ?? [], now);
     this.campaign.observeFitness(report.fitness, now);
     this.#link.reportReceived(address, report.isTold ?? false, now);
     const registryChanges = this.#registryChanges(report, now);
@@ -145,6 +146,7 @@
         this.#holderState(now),
         registryChanges,
         this.#overload.current,
+        this.clusterState.fleet.statedLeaving(),
         report.sentAt,
       ),
     );
--- /dev/null
+++ b/src/core/fleet/process_statements.ts
@@ -0,0 +1,88 @@
+/**
+ * What one process of a backend server has stated of itself with its responses,
+ * apart from its load. It outlasts the server's entry in the registry, which may
+ * be removed and written again while the same process runs.
+ *
+ * @module
+ */
+import {
+  type RateLimitChange,
+  ReportedRateLimit,
+} from "./reported_rate_limit.ts";
+import type { ServerStatement } from "./server_statement.ts";
+
+/** Minimum time between two log lines on a header, in milliseconds. */
+const LOG_INTERVAL = 60_000;
+/** Maximum number of headers whose log lines are limited separately. */
+const MAXIMUM_HEADERS = 16;
+
+/** What a statement has changed. */
+export interface StatementChange {
+  /** Whether a rate limit came into force or ended, or null. */
+  rateLimit: RateLimitChange | null;
+  /** Whether it is the first by which the server is leaving. */
+  isLeaving: boolean;
+}
+
+/** See the module's comment. Times are milliseconds of this VM's clock. */
+export class ProcessStatements {
+  /** The rate limit that it reports. */
+  readonly rateLimit = ReportedRateLimit.create();
+  #leavingSince: number | null = null;
+  /** Whether the term holder is known to know that it is leaving. */
+  isLeavingShared = false;
+  /** When a line on an ignored header was last logged, by its name. */
+  readonly #loggedAt = new Map<string, number>();
+
+  private constructor() {}
+
+  /** Creates the state of a process that has stated nothing. */
+  static create(): ProcessStatements {
+    return new ProcessStatements();
+  }
+
+  /**
+   * When this VM first knew that it is leaving, or null. A process that is
+   * leaving remains so until it exits.
+   */
+  get leavingSince(): number | null {
+    return this.#leavingSince;
+  }
+
+  /**
+   * Applies what it stated with the response to a request or an order that was
+   * sent at `sentAt`.
+   */
+  apply(
+    { rateLimit, isLeaving }: ServerStatement,
+    sentAt: number,
+    now: number,
+  ): StatementChange {
+    return {
+      rateLimit: rateLimit === undefined
+        ? null
+        : this.rateLimit.applyResponse(rateLimit, sentAt, now),
+      isLeaving: isLeaving && this.recordLeaving(now),
+    };
+  }
+
+  /**
+   * Records that it is leaving. Returns whether this VM did not know that
+   * before.
+   */
+  recordLeaving(now: number): boolean {
+    if (this.#leavingSince !== null) return false;
+    this.#leavingSince = now;
+    return true;
+  }
+
+  /** Whether a line on an ignored header may be logged now; records it if so. */
+  mayLogIgnored(header: string, now: number): boolean {
+    if (now - (this.#loggedAt.get(header) ?? -Infinity) < LOG_INTERVAL) {
+      return false;
+    }
+    if (this.#loggedAt.size >= MAXIMUM_HEADERS) return false;
+    this.#loggedAt.set(header, now);
+    return true;
+  }
+}
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -7,7 +7,8 @@
  * @module
  */
 import type { BackendServer } from "./backend_server.ts";
-import { ReportedRateLimit } from "./reported_rate_limit.ts";
+import { ProcessStatements } from "./process_statements.ts";
+import type { ReportedRateLimit } from "./reported_rate_limit.ts";
 import type { ReportedLoad } from "./server_statement.ts";
 
 /** Weight of the newest sample in exponential moving averages. */
@@ -157,14 +158,22 @@
   #lastResponseAt = -Infinity;
   /** Attempts in flight, oldest first, by attempt number. */
   readonly #attempts = new Map<number, AttemptTiming>();
-  /** The rate limit that it reports. */
-  readonly rateLimit = ReportedRateLimit.create();
 
-  private constructor(public entry: BackendServer) {}
+  private constructor(
+    public entry: BackendServer,
+    /** What its process has stated of itself. */
+    readonly statements: ProcessStatements,
+  ) {}
 
-  /** Creates a server without observations. */
-  static create(entry: BackendServer): TrackedServer {
-    return new TrackedServer(entry);
+  /**
+   * Creates a server without observations, whose process has made
+   * `statements`.
+   */
+  static create(
+    entry: BackendServer,
+    statements = ProcessStatements.create(),
+  ): TrackedServer {
+    return new TrackedServer(entry, statements);
   }
 
   get id(): string {
@@ -193,9 +202,19 @@
     if (entry.warmUp > 0) this.#coldUntil = now + entry.warmUp;
   }
 
+  /** The rate limit that it reports. */
+  get rateLimit(): ReportedRateLimit {
+    return this.statements.rateLimit;
+  }
+
+  /** Whether it is shutting down by its entry or by its own statement. */
+  get isShuttingDown(): boolean {
+    return this.entry.isDraining || this.statements.leavingSince !== null;
+  }
+
   /** Whether it is shutting down or its zone is evacuated. */
   get isLeaving(): boolean {
-    return this.entry.isDraining || this.evacuatedSince !== null;
+    return this.isShuttingDown || this.evacuatedSince !== null;
   }
 
   /**
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
+import type { ServerStatement } from "../fleet/index.ts";
 import type { Assignment, KeyRange } from "./assignment.ts";
 
-/** Outcome of an order to a backend server. */
-export type OrderOutcome =
+/** How an order to a backend server ended. */
+type OrderResult =
   | { kind: "accepted"; handover: string | null }
   /** The server has seen a higher token on some of the keys. */
   | { kind: "superseded" }
@@ -23,6 +24,12 @@
   /** There was no valid answer. The server may still carry out the order. */
   | { kind: "failed"; cause: string };
 
+/** Outcome of an order to a backend server. */
+export type OrderOutcome = OrderResult & {
+  /** What the server stated of itself with its response, if anything. */
+  statement?: ServerStatement;
+};
+
 /**
  * Fields of every order to a server. The event `order.ended` reports the
  * outcome.
--- a/src/core/keyspace/order_tracker.ts
+++ b/src/core/keyspace/order_tracker.ts
@@ -171,6 +171,11 @@
     return isLikelyWithheld || this.#connectingLeft === 0;
   }
 
+  /** Returns an order in flight, or undefined. */
+  get(id: number): PendingOrder | undefined {
+    return this.#pending.get(id);
+  }
+
   /**
    * Stops tracking an order and returns it, or undefined if it belongs to
    * another term.
--- a/src/core/keyspace/range_servers.ts
+++ b/src/core/keyspace/range_servers.ts
@@ -68,27 +68,43 @@
   }
 
   /**
-   * Whether a server is listed, is not draining, and is not in an evacuated
-   * zone.
+   * Whether a server is listed, is not shutting down, and is not in an
+   * evacuated zone.
    */
   isAvailable(server: string): boolean {
-    const entry = this.fleet.get(server)?.entry;
-    return entry !== undefined && !entry.isDraining &&
-      this.fleet.get(server)!.evacuatedSince === null;
+    return this.fleet.get(server)?.isLeaving === false;
+  }
+
+  /**
+   * Whether a server has stated that it is leaving, which its entry does not
+   * show yet, and still gets requests for its keys.
+   */
+  isServingKeys(server: string, now: number): boolean {
+    const found = this.fleet.get(server);
+    return found !== undefined && found.isShuttingDown &&
+      !found.entry.isDraining && now < this.fleet.keysServedUntil(found);
   }
 
   /**
    * Whether the server of a range is leaving and has to release it now. The
    * ranges of an evacuated zone are released one after the other. If all were
    * released at once, they would all wait for running requests at the same time
-   * and then be assigned to a few servers together.
+   * and then be assigned to a few servers together. A server that has
+   * stated that it is leaving keeps its ranges while it still gets requests for
+   * them and keys cannot move (`mayMove`), as during an outage of the store.
    */
-  isReleaseDue({ server, first }: TrackedRange, now: number): boolean {
-    if (this.isAvailable(server!)) return false;
-    const { entry, evacuatedSince } = this.fleet.get(server!) ?? {};
-    if (entry === undefined || entry.isDraining) return true;
+  isReleaseDue(
+    { server: id, first }: TrackedRange,
+    mayMove: boolean,
+    now: number,
+  ): boolean {
+    const server = this.fleet.get(id!);
+    if (server === undefined) return true;
+    if (server.isShuttingDown) return mayMove || !this.isServingKeys(id!, now);
+    const { evacuatedSince } = server;
+    if (evacuatedSince === null) return false;
     const position = (first * HASH_MULTIPLIER % KEY_COUNT) / KEY_COUNT;
-    return now >= evacuatedSince! + EVACUATION_SPREAD_TIME * position;
+    return now >= evacuatedSince + EVACUATION_SPREAD_TIME * position;
   }
 
   /**
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -16,7 +16,7 @@
 import type { KeyspaceEffect, OrderOutcome } from "./keyspace_effect.ts";
 import { type LeaseTiming, predecessorGrantsEnd } from "./lease_timing.ts";
 import { OrderOutcomeHandler } from "./order_outcome_handler.ts";
-import { OrderTracker } from "./order_tracker.ts";
+import { OrderTracker, type PendingOrder } from "./order_tracker.ts";
 import type { OutstandingLease } from "./outstanding_lease.ts";
 import type { Move } from "./placement.ts";
 import { RangeServers } from "./range_servers.ts";
@@ -231,6 +231,11 @@
     return this.#takeEffects();
   }
 
+  /** Returns an order of this term that is in flight, or undefined. */
+  pendingOrder(id: number): PendingOrder | undefined {
+    return this.#orders.get(id);
+  }
+
   /**
    * Handles the outcome of an order. Returns false if it shows that a newer
    * term holder exists.
@@ -258,9 +263,8 @@
       this.#advanceRange(table, range, now, hold, storeSilence);
     }
     this.#assignVacant(table, now);
-    const mayMove = storeSilence <= MAX_STORE_SILENCE_FOR_MOVES &&
-      now >= this.#nextMoveAt;
-    const isMoveDue = mayMove && this.#rebalancer.tryStartCheck(service, now);
+    const isMoveDue = this.#mayMove(now, storeSilence) &&
+      this.#rebalancer.tryStartCheck(service, now);
     if (isMoveDue && isFullyFenced(table)) this.#startMoves(table, now);
     const { version } = this;
     const write = this.recordWriter.advance(this.#allTables, version, now);
@@ -284,7 +288,7 @@
         }
         return;
       case "held":
-        if (this.#isCloseDue(range, now)) {
+        if (this.#isCloseDue(range, now, storeSilence)) {
           this.#transitions.close(table, range, now);
         } else if (
           now >= range.dueAt || range.hold < hold ||
@@ -326,7 +330,8 @@
     storeSilence: number,
   ): void {
     const hasStoreAnswered = now - storeSilence >= range.releasedAt;
-    const mayRegrant = this.#servers.isAvailable(range.server!);
+    const mayRegrant = this.#servers.isAvailable(range.server!) ||
+      this.#servers.isServingKeys(range.server!, now);
     if (hasStoreAnswered || !mayRegrant) {
       return this.#transitions.vacate(table, range);
     }
@@ -349,9 +354,20 @@
   /**
    * Whether the server of a held range is lost or has to release the range.
    */
-  #isCloseDue(range: TrackedRange, now: number): boolean {
+  #isCloseDue(
+    range: TrackedRange,
+    now: number,
+    storeSilence: number,
+  ): boolean {
+    const mayMove = this.#mayMove(now, storeSilence);
     return this.#servers.isLost(range, now) ||
-      this.#servers.isReleaseDue(range, now);
+      this.#servers.isReleaseDue(range, mayMove, now);
+  }
+
+  /** Whether keys that are released now can probably be assigned soon. */
+  #mayMove(now: number, storeSilence: number): boolean {
+    return storeSilence <= MAX_STORE_SILENCE_FOR_MOVES &&
+      now >= this.#nextMoveAt;
   }
 
   /**
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -9,7 +9,11 @@
  *
  * @module
  */
-import type { ServerRateLimit, ServerSamples } from "../fleet/index.ts";
+import type {
+  LeavingServer,
+  ServerRateLimit,
+  ServerSamples,
+} from "../fleet/index.ts";
 import type { FollowerReport, PeerSend, SenderState } from "./peer_message.ts";
 
 /**
@@ -199,7 +203,8 @@
   /**
    * Returns the effects that are due. `position` is the registry position that
    * this VM has reached, or null. `latencies` and `rates` are the servers'
-   * latencies and rate limits collected since the last report. `mayFetch` is
+   * latencies and rate limits collected since the last report, and `leaving`
+   * the leaving servers that the holder may not know. `mayFetch` is
    * true if assignments are needed and the store answers, `hasHolderUpdates`
    * while this VM receives store updates from the holder.
    */
@@ -211,13 +216,18 @@
     mayFetch: boolean,
     hasHolderUpdates: boolean,
     rates: readonly ServerRateLimit[] = [],
+    leaving: readonly LeavingServer[] = [],
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     if (this.#holder !== null && this.isReportDue(now)) {
       this.#recordReport(now);
       const report = this.#createReport(senderState, position, latencies, now);
-      const reportedRates = rates.length > 0 ? { rates: [...rates] } : {};
-      const message = { ...report, isTold: hasHolderUpdates, ...reportedRates };
+      const message = {
+        ...report,
+        isTold: hasHolderUpdates,
+        ...(rates.length > 0 ? { rates: [...rates] } : {}),
+        ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
+      };
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
     const isFetchDue = now - this.#fetchedAt >= FETCH_INTERVAL;
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { Configuration } from "../catalog/index.ts";
-import type { ServerLoad, ServerRateLimit } from "../fleet/index.ts";
+import type {
+  LeavingServer,
+  ServerLoad,
+  ServerRateLimit,
+} from "../fleet/index.ts";
 import type { Assignment, KeyLimit } from "../keyspace/index.ts";
 import type { RegistryUpdate } from "../registry/index.ts";
 import type {
@@ -118,14 +122,15 @@
 
   /**
    * Returns the answer to the report that a follower sent at `answersTo` by its
-   * own clock. It contains registry changes and the state of overloaded
-   * servers.
+   * own clock. It contains registry changes, the state of overloaded servers
+   * and the servers that are leaving.
    */
   answerReport(
     address: string,
     holderState: HolderState,
     registry: RegistryUpdate | null,
     { limits, loads, rates }: OverloadState,
+    leaving: readonly LeavingServer[],
     answersTo: number,
   ): PeerSend {
     const message: PeerMessage = {
@@ -136,6 +141,7 @@
       ...(limits.length > 0 ? { limits: [...limits] } : {}),
       ...(loads.length > 0 ? { loads: [...loads] } : {}),
       rates: [...rates],
+      ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
     };
     return { kind: "peer.send", address, message };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -9,6 +9,7 @@
 import {
   backendServerSchema,
   evacuationSnapshotSchema,
+  MAXIMUM_LEAVING,
   rateLimitReportSchema,
 } from "../fleet/index.ts";
 import {
@@ -140,6 +141,15 @@
 )
   .max(MAXIMUM_RATE_LIMITS).optional();
 
+/**
+ * Processes of servers that have stated that they are leaving. Absent in
+ * messages of older versions, and if there are none.
+ */
+const leavingSchema = z.array(
+  z.object({ server: z.string(), incarnation: count }),
+)
+  .max(MAXIMUM_LEAVING).optional();
+
 /**
  * A follower's report to the term holder on the keys that were requested
  * recently.
@@ -175,6 +185,8 @@
    */
   isTold: z.boolean().optional(),
   rates: ratesSchema,
+  /** Leaving servers that the holder has not listed in its answers. */
+  leaving: leavingSchema,
 });
 
 /** See {@linkcode followerReportSchema}. */
@@ -195,6 +207,8 @@
   /** Reported load of servers that hold keys and are at capacity. */
   loads: z.array(reportedLoadSchema.extend({ server: z.string() })).optional(),
   rates: ratesSchema,
+  /** All leaving servers that the holder knows. */
+  leaving: leavingSchema,
 });
 
 /** Sent by the holder when key ranges have changed. */
--- a/src/core/quarantine/crash_detector.ts
+++ b/src/core/quarantine/crash_detector.ts
@@ -134,7 +134,7 @@
     request: BrokenRequest,
     now: number,
   ): ServerProbe | null {
-    if (server.entry.isDraining) return null;
+    if (server.isShuttingDown) return null;
     const state = this.#currentState(server, now);
     if (state.exitedAt !== null) {
       this.#attribute(server.id, state.name, request, now);
@@ -176,7 +176,7 @@
    * a connection, or another process responded there.
    */
   exited(server: TrackedServer | undefined, now: number): void {
-    if (server === undefined || server.entry.isDraining) return;
+    if (server === undefined || server.isShuttingDown) return;
     const state = this.#currentState(server, now);
     state.exitedAt ??= now;
     this.#attributeAll(server.id, state, now);
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -120,6 +120,7 @@
         cores: settings.capacity.cpuShare * settings.capacity.cores,
         linkMegabits: settings.capacity.linkMegabits,
       }),
+      drainTime: settings.drainTime,
       registryTiming: {
         interval: settings.drainTime * REGISTRY_INTERVAL_SHARE,
         maximumAge: settings.drainTime * REGISTRY_MAXIMUM_AGE_SHARE,
--- a/test/order_sender_test.ts
+++ b/test/order_sender_test.ts
@@ -61,3 +61,26 @@
   const outcome = await orders.release(releaseOrder(address), 500);
   t.is(outcome.kind, "failed");
 });
+
+test("orders: the outcome has what the server states of itself with its response", async (t) => {
+  const statementOf = async (
+    status: number,
+    headers: Record<string, string | string[]>,
+  ) => {
+    const { orders, address } = await startOrderServer(t, (_, response) => {
+      response.writeHead(status, headers).end();
+    });
+    return (await orders.release(releaseOrder(address), 500)).statement;
+  };
+  const leaving = { "Server-Leaving": "1" };
+  t.true((await statementOf(200, leaving))?.isLeaving);
+  t.true((await statementOf(409, leaving))?.isLeaving);
+  t.is((await statementOf(503, { "Retry-After": "3" }))?.backoff, 3_000);
+  // Node's parser keeps the first of several fields.
+  const repeated = await statementOf(503, { "Retry-After": ["3", "5"] });
+  t.is(repeated?.backoff, 3_000);
+  t.is(await statementOf(200, {}), undefined);
+  t.is(await statementOf(421, leaving), undefined);
+  const another = { ...leaving, "X-Plumloft-Instance-Id": "another" };
+  t.is(await statementOf(200, another), undefined);
+});
--- a/test/ownership/server_statement_test.ts
+++ b/test/ownership/server_statement_test.ts
@@ -23,13 +23,15 @@
 const SERVERS = 8;
 const LEAVING_SERVERS = [0, 1];
 
-/** Faults by which two servers state that they are leaving. */
-const LEAVING: readonly Fault[] = LEAVING_SERVERS.map((target) => ({
-  kind: "server.leave",
-  at: STATED_FROM,
-  duration: STATED_UNTIL - STATED_FROM,
-  target,
-}));
+/** Two servers that state from `STATED_FROM` on that they are leaving. */
+function leaving(until: number): Fault[] {
+  return LEAVING_SERVERS.map((target) => ({
+    kind: "server.leave",
+    at: STATED_FROM,
+    duration: until - STATED_FROM,
+    target,
+  }));
+}
 
 function simulate(
   vms: number,
@@ -84,7 +86,9 @@
     // Guards against requests to a server that has stated that it is leaving,
     // while the registry does not report it.
     test(`leaving servers that the registry does not report get nothing after the drain time, and no request is lost: ${kind}`, (t) => {
-      const { load, violations } = simulate(vms, LEAVING, { isKeyed });
+      const { load, violations } = simulate(vms, leaving(STATED_UNTIL), {
+        isKeyed,
+      });
       t.deepEqual(violations, []);
       t.true(load!.leavingArrivals.length > 0);
       t.true(longestDelay(load!) <= DRAIN_TIME, `${longestDelay(load!)} ms`);
@@ -105,9 +109,11 @@
         duration: 8_000,
         target: 0,
       };
-      const { load, violations } = simulate(vms, [outage, ...LEAVING], {
-        isKeyed,
-      });
+      // A server exits only after the store has accepted that it is leaving,
+      // and the drain time after that.
+      const exit = outage.at + outage.duration + DRAIN_TIME;
+      const faults = [outage, ...leaving(exit)];
+      const { load, violations } = simulate(vms, faults, { isKeyed });
       t.deepEqual(violations, []);
       t.true(longestDelay(load!) <= DRAIN_TIME, `${longestDelay(load!)} ms`);
       const end = outage.at + outage.duration + 3_000;
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -13,7 +13,10 @@
 import { Entry } from "../../src/core/entry.ts";
 import type { EntryEffect } from "../../src/core/entry_effect.ts";
 import type { UntimedEvent } from "../../src/core/entry_event.ts";
-import type { BackendServer } from "../../src/core/fleet/index.ts";
+import type {
+  BackendServer,
+  ServerStatement,
+} from "../../src/core/fleet/index.ts";
 import {
   type ElectionGroup,
   type GrantOrder,
@@ -381,6 +384,7 @@
       retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
       shutdown: { closeAfter: 500, stopAfter: 1_000 },
       registryTiming: { interval: 450, maximumAge: 1_200 },
+      drainTime: 2_000,
       seed: seed + this.index + 100 * this.restartCount,
     });
   }
@@ -1207,6 +1211,17 @@
     });
   }
 
+  /** What a server states of itself with its response to an order. */
+  #statementOf({ isLeaving }: ModelServer): ServerStatement {
+    return {
+      load: null,
+      rateLimit: undefined,
+      isLeaving,
+      backoff: null,
+      ignored: [],
+    };
+  }
+
   /**
    * Executes an order and returns its outcome; null if the server process has
    * ended.
@@ -1225,7 +1240,12 @@
     if (this.options.isForeignEntryTrusted && this.#hasForeignEntry(server)) {
       return { kind: "misdirected" };
     }
-    const accepted: OrderOutcome = { kind: "accepted", handover: "h" };
+    const statement = this.#statementOf(server);
+    const accepted: OrderOutcome = {
+      kind: "accepted",
+      handover: "h",
+      statement,
+    };
     if (order.kind === "order.release") {
       server.release(order);
       return accepted;
--- a/test/support/stepped_entry.ts
+++ b/test/support/stepped_entry.ts
@@ -18,6 +18,7 @@
   fitness: 1,
   retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
   shutdown: { closeAfter: 3_600, stopAfter: 5_750 },
+  drainTime: 2_000,
   registryTiming: { interval: 450, maximumAge: 1_200 },
   seed: 1,
 };
