A server that refuses with Retry-After gets nothing until then

A backoff is now part of what a server states, per VM and server process. The one plan that all paths use leaves such a server out: first attempts, retries, hedges, copies, trials and the queue. Requests for its keys are refused at once with the time until its end, others go to other servers, or are refused if all have requested one. Refusals with a backoff do not lower the acceptance rate, so the server has its usual share as soon as it ends. Crash probes wait for the end. The term holder renews the server's leases once, for longer (at most the long hold), sends nothing more until then, and starts no moves from or to it.

If the refusals last a second or more, and most servers of the service do not refuse, the holder, to which VMs report them, has the keys released, so that another server gets them: keys are to be served again within a second.

--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -156,7 +156,7 @@
     sentAt: number,
     now: number,
   ): boolean {
-    const { rateLimit, isLeaving } = server.statements.apply(
+    const { rateLimit, isLeaving, isBackoff } = server.statements.apply(
       statement,
       sentAt,
       now,
@@ -168,10 +168,12 @@
       this.fleet.recordLeaving(server, now);
       this.#reportLeaving(server, "server", now);
     }
+    if (isBackoff) this.#reportBackoff(server, now);
     for (const { name, value } of statement.ignored) {
       this.#logIgnored(server, name, value, "invalid", now);
     }
-    return rateLimit !== null || isLeaving;
+    const refusesKeys = isBackoff && server.statements.ownRefusalEnd > now;
+    return rateLimit !== null || isLeaving || refusesKeys;
   }
 
   /** Logs a statement that was ignored since `server` may not have made it. */
@@ -211,6 +213,18 @@
     this.logDecision("server.leaving", detail);
   }
 
+  /** Handles the start of a backoff that a server has requested. */
+  #reportBackoff(server: TrackedServer, now: number): void {
+    const { id, entry: { service }, statements } = server;
+    this.fleet.recordBackoff(server);
+    this.logDecision("server.backed_off", {
+      server: id,
+      service,
+      duration: Math.round(statements.backoffUntil - now),
+      refusesKeys: statements.ownRefusalEnd > now,
+    });
+  }
+
   /** Logs an ignored header, at a limited frequency. */
   #logIgnored(
     { id, statements }: TrackedServer,
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -33,7 +33,8 @@
   /**
    * Refused because waiting would not help: the request has crashed a server
    * and another copy of it is running, it has reached its crash limit, all
-   * servers are leaving, or a rate limit is reached (`isRateLimited`).
+   * servers are leaving or have requested a backoff, or a rate limit is reached
+   * (`isRateLimited`).
    */
   | { kind: "refuse"; reason: string; isRateLimited: boolean }
   /** Cannot be sent now, but may be later. */
@@ -148,10 +149,14 @@
       chooseServer(request.service, request.tried, now, context);
     if (server !== null) return { kind: "server", server };
     const servers = fleet.serversOf(request.service);
-    const usable = servers.filter((each) => !each.isLeaving);
-    if (servers.length > 0 && usable.length === 0) {
+    const staying = servers.filter((each) => !each.isLeaving);
+    if (servers.length > 0 && staying.length === 0) {
       return refusal("all servers of the service are leaving");
     }
+    const usable = staying.filter((each) => !each.isBackedOff(now));
+    if (staying.length > 0 && usable.length === 0) {
+      return refusal("all servers of the service have requested a backoff");
+    }
     const isTokenDenied = (server: TrackedServer) =>
       tokens.deniedUntil(server, now) >= request.waitEnd;
     if (usable.length > 0 && usable.every(isTokenDenied)) {
@@ -202,8 +207,8 @@
     const server = id === null ? undefined : fleet.get(id);
     if (server === undefined || request.tried.includes(server.id)) return null;
     const meanLatency = fleet.meanLatency(request.service, now);
-    const isHealthy = !server.isLeaving && !server.isPaused(now) &&
-      !server.isUnresponsive(now, meanLatency);
+    const isHealthy = !server.isLeaving && !server.isBackedOff(now) &&
+      !server.isPaused(now) && !server.isUnresponsive(now, meanLatency);
     const isAvailable = isHealthy && tokens.isReady(server, now) &&
       hasCapacity(server, now, this.context.vmCount()) &&
       coldAdmission.maySend(server, now);
@@ -249,12 +254,15 @@
     if (!range.isOpen || range.server === null) {
       return transientWait("the key is on the move");
     }
+    const server = fleet.get(range.server);
+    if (server?.isBackedOff(now)) {
+      return refusal("the key's server has requested a backoff");
+    }
     const until = Math.max(
       this.rangeBackoff.blockedUntil(range),
       request.refusal?.server === range.server ? request.refusal.until : 0,
     );
     if (now < until) return transientWait("the key's server refused", until);
-    const server = fleet.get(range.server);
     if (server === undefined) {
       return openEndedWait("the key's server is gone");
     }
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -922,3 +922,82 @@
   dispatcher.attemptEnded(1, { ...ANSWERED, statement }, 10);
   t.false(fleet.get("orders-1")!.isLeaving, "a later process of the server");
 });
+
+/** Refusal of a server that accepts nothing for three seconds. */
+const BACKOFF = {
+  ...NOT_RUN,
+  statement: serverStatement({ backoff: 3_000 }),
+};
+
+// Guards against retries and first attempts at the server of a key during the
+// backoff that it has requested, and against callers that come back too early.
+test("dispatch: requests for a key are refused until the end of its server's backoff, with the time until then", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/lookup/", 0);
+  const reason = "the key's server has requested a backoff";
+  t.deepEqual(summarize(dispatcher.attemptEnded(1, BACKOFF, 10)), [
+    "503, the server did not run it, come back 3000",
+  ]);
+  t.deepEqual(summarize(arrive("/lookup/", 1_510)), [
+    `503, ${reason}, come back 1500`,
+  ]);
+  t.deepEqual(summarize(arrive("/lookup/", 3_009)), [
+    `503, ${reason}, come back 1`,
+  ]);
+  t.deepEqual(summarize(arrive("/lookup/", 3_010)), [
+    "start stock-1, 500 ms left",
+  ]);
+});
+
+// Guards against requests that wait for a server until their wait limit although
+// it has requested a backoff meanwhile.
+test("dispatch: queued requests for a key are refused when its server requests a backoff", (t) => {
+  const { dispatcher, arrive } = createDispatcher();
+  arrive("/lookup/", 0);
+  arrive("/lookup/", 1);
+  t.deepEqual(summarize(arrive("/lookup/", 2)), [], "waits for room");
+  const effects = summarize(dispatcher.attemptEnded(1, BACKOFF, 10));
+  t.deepEqual(effects.map((each) => each.slice(0, 3)), ["503", "503", "503"]);
+});
+
+// Guards against first attempts, retries and hedges at a server without keys
+// during its backoff, and against one that gets no requests after it.
+test("dispatch: a server without keys gets nothing during its backoff and its usual share after it", (t) => {
+  const { dispatcher, arrive, fleet } = createDispatcher();
+  arrive("/read/", 0);
+  t.deepEqual(summarize(dispatcher.attemptEnded(1, BACKOFF, 10)), [
+    "start reads-2, 490 ms left",
+  ]);
+  dispatcher.attemptEnded(2, ANSWERED, 20);
+  // Not hedged: there is no other server.
+  arrive("/read/", 30);
+  t.deepEqual(summarize(dispatcher.advance(400)), []);
+  dispatcher.attemptEnded(3, BACKOFF, 410);
+  const refusal = summarize(arrive("/read/", 1_010));
+  t.deepEqual(refusal, [
+    "503, all servers of the service have requested a backoff, come back 2000",
+  ]);
+  const [first] = fleet.serversOf("reads");
+  t.true(first.isBackedOff(3_009));
+  t.false(first.isBackedOff(3_010));
+  t.deepEqual(summarize(arrive("/read/", 3_010)), [
+    "start reads-1, 500 ms left",
+  ]);
+  const latency = first.latency ?? fleet.meanLatency("reads", 3_010);
+  t.is(
+    first.cost(3_010, latency),
+    2 * latency,
+    "the refusals count for nothing",
+  );
+});
+
+test("dispatch: a Retry-After of zero seconds is no backoff", (t) => {
+  const { dispatcher, arrive, fleet } = createDispatcher();
+  arrive("/lookup/", 0);
+  const statement = serverStatement({ backoff: 0 });
+  dispatcher.attemptEnded(1, { ...NOT_RUN, statement }, 10);
+  t.false(fleet.get("stock-1")!.isBackedOff(10));
+  t.deepEqual(summarize(arrive("/lookup/", 11)), [
+    "start stock-1, 500 ms left",
+  ]);
+});
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -97,7 +97,7 @@
   #handleResponse(
     request: PendingRequest,
     attempt: Attempt,
-    { status, isGenuine, statement: { load } }: ServerResponse,
+    { status, isGenuine, statement }: ServerResponse,
     now: number,
   ): NextStep {
     const server = this.context.fleet.get(attempt.server);
@@ -112,10 +112,10 @@
       // A status of 500 or above does not clear the crashes of the request: the
       // server may have failed before it ran the request.
       this.context.quarantine.clear(request.arrival.fingerprint, now);
-      server?.answered(attempt.number, now, load);
+      server?.answered(attempt.number, now, statement.load);
       return deliver;
     }
-    server?.refused(attempt.number, now, load);
+    server?.refused(attempt.number, now, statement.load);
     if (!request.route.isIdempotent) return deliver;
     request.mayHaveRun = true;
     const detail = { server: attempt.server, status };
@@ -146,7 +146,7 @@
   #handleRefusal(
     request: PendingRequest,
     attempt: Attempt,
-    { status, server: respondingServer, statement: { load } }: ServerResponse,
+    { status, server: respondingServer, statement }: ServerResponse,
     now: number,
   ): NextStep {
     const server = this.context.fleet.get(attempt.server);
@@ -160,7 +160,9 @@
       server?.cancelled(attempt.number);
       this.#recordKeyRefusal(request, attempt, now);
     } else {
-      server?.refused(attempt.number, now, load);
+      const { load, backoff } = statement;
+      const hasBackoff = backoff !== null && backoff > 0;
+      server?.refused(attempt.number, now, load, hasBackoff);
     }
     const detail = { server: attempt.server, status };
     this.log.write("info", "attempt.not_run", request, now, detail);
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -74,8 +74,14 @@
     }
   }
 
-  /** Milliseconds after which the caller of a refused request should retry. */
+  /**
+   * Milliseconds after which the caller of a refused request should retry. If
+   * the request cannot be served before the end of a backoff, that is the time
+   * until then.
+   */
   delay(request: PendingRequest, now: number): number {
+    const backoffEnd = this.#backoffEnd(request, now);
+    if (backoffEnd !== null) return backoffEnd - now;
     const canMeetTarget = this.#isFirstAttempt(request) && !request.isShed;
     const delay = canMeetTarget
       ? this.#earlyDelay(request, now) ?? lateDelay(request, now)
@@ -84,6 +90,23 @@
     return Math.max(MINIMUM_DELAY, delay * jitter);
   }
 
+  /**
+   * End of the backoff of the key's server, or the first end of the backoffs of
+   * all servers; null if there is no such backoff.
+   */
+  #backoffEnd({ service, key }: PendingRequest, now: number): number | null {
+    const { fleet, directory } = this.context;
+    const owner = key === null
+      ? null
+      : fleet.get(directory.find(service, key)?.server ?? "");
+    const servers = owner === null
+      ? fleet.serversOf(service).filter((each) => !each.isLeaving)
+      : [owner];
+    const ends = servers.map((each) => each?.statements.backoffUntil ?? 0);
+    const first = Math.min(...ends);
+    return ends.length > 0 && first > now ? first : null;
+  }
+
   /**
    * Delay with which a response can meet the target latency, in milliseconds;
    * null if none can.
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -102,7 +102,8 @@
 
 /**
  * Selects the server with the lowest expected cost among those with capacity
- * that were not tried. Paused and unresponsive servers are considered only if
+ * that were not tried. Servers that have requested a backoff are not
+ * considered. Paused and unresponsive servers are considered only if
  * there are no others. Returns null if no server has capacity.
  */
 export function chooseServer(
@@ -115,7 +116,9 @@
   const meanLatency = fleet.meanLatency(service, now);
   const usable = sample(fleet.serversOf(service), context.draw).filter((
     server,
-  ) => !server.isLeaving && !tried.includes(server.id));
+  ) =>
+    !server.isLeaving && !server.isBackedOff(now) && !tried.includes(server.id)
+  );
   const healthy = usable.filter((server) =>
     !server.isPaused(now) && !server.isUnresponsive(now, meanLatency)
   );
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -7,6 +7,7 @@
 import type { ClusterState, Emit } from "../cluster_state.ts";
 import type {
   LeavingServer,
+  RefusingServer,
   ServerRateLimit,
   ServerSamples,
   ServerStatement,
@@ -321,6 +322,7 @@
     const latencies = this.#takeLatencies(now);
     const rates = this.#takeRates(now);
     const leaving = this.#unsharedLeaving(now);
+    const refusing = this.#refusingServers(now);
     this.emit(
       ...this.followerLink.advance(
         now,
@@ -331,6 +333,7 @@
         this.hasHolderUpdates(now),
         rates,
         leaving,
+        refusing,
       ),
     );
   }
@@ -410,6 +413,13 @@
       : [];
   }
 
+  /** If a report is due, returns the servers that refuse their keys. */
+  #refusingServers(now: number): RefusingServer[] {
+    return this.followerLink.isReportDue(now)
+      ? this.clusterState.fleet.refusingServers(now)
+      : [];
+  }
+
   /** Applies the term holder's registry update. */
   #applyRegistry(update: RegistryUpdate | null, now: number): void {
     const { registry, fleet } = this.clusterState;
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -131,12 +131,14 @@
     report: FollowerReport,
     now: number,
   ): void {
+    const { fleet } = this.clusterState;
     for (const { service, keys } of report.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
     this.#recordLatencies(address, report, now);
     this.clusterState.applyPeerRates(report.rates ?? [], now);
     this.clusterState.applyPeerLeaving(report.leaving ?? [], now);
+    fleet.applyPeerRefusals(report.refusing ?? [], now);
     this.campaign.observeFitness(report.fitness, now);
     this.#link.reportReceived(address, report.isTold ?? false, now);
     const registryChanges = this.#registryChanges(report, now);
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -71,6 +71,8 @@
 const MAXIMUM_DEPARTED = 1_024;
 /** Maximum number of leaving servers that a message lists. */
 export const MAXIMUM_LEAVING = 256;
+/** Maximum number of servers that refuse their keys that a message lists. */
+export const MAXIMUM_REFUSING = 256;
 
 /** Latency samples of one server. */
 export interface ServerSamples extends LatencySamples {
@@ -101,6 +103,12 @@
   incarnation: number;
 }
 
+/** A process of a server that refuses requests for its keys. */
+export interface RefusingServer extends LeavingServer {
+  /** Time for which it still does so, in milliseconds. */
+  remaining: number;
+}
+
 /** Start or end of a server's rate limit. */
 export interface ServerRateLimitChange {
   server: TrackedServer;
@@ -135,6 +143,8 @@
   #registryRecoveredAt = -Infinity;
   /** Listed servers that have stated that they are leaving. */
   readonly #leaving = new Set<TrackedServer>();
+  /** Listed servers that have requested a backoff. */
+  readonly #backedOff = new Set<TrackedServer>();
   /**
    * Statements of processes without an entry, by the server's id, oldest first.
    */
@@ -388,6 +398,39 @@
     }
   }
 
+  /** Records that a server has requested a backoff. */
+  recordBackoff(server: TrackedServer): void {
+    this.#backedOff.add(server);
+  }
+
+  /**
+   * Servers that refuse this VM's requests for their keys so long that another
+   * server should get the keys.
+   */
+  refusingServers(now: number): RefusingServer[] {
+    const refusing: RefusingServer[] = [];
+    for (const server of this.#backedOff) {
+      const { id, entry: { incarnation }, statements } = server;
+      if (!server.isBackedOff(now)) this.#backedOff.delete(server);
+      const remaining = statements.ownRefusalEnd - now;
+      if (remaining <= 0 || refusing.length >= MAXIMUM_REFUSING) continue;
+      refusing.push({ server: id, incarnation, remaining });
+    }
+    return refusing;
+  }
+
+  /**
+   * Applies refusals of keys that another VM has received. Those by another
+   * incarnation than the listed one are ignored.
+   */
+  applyPeerRefusals(refusing: readonly RefusingServer[], now: number): void {
+    for (const { server: id, incarnation, remaining } of refusing) {
+      const server = this.#servers.get(id);
+      if (server?.entry.incarnation !== incarnation) continue;
+      server.statements.recordPeerRefusal(now + remaining);
+    }
+  }
+
   #listLeaving(isIncluded: (server: TrackedServer) => boolean) {
     const listed: LeavingServer[] = [];
     for (const server of this.#leaving) {
@@ -524,6 +567,7 @@
   #unlist(server: TrackedServer, now: number): void {
     const { id, entry: { service, incarnation }, statements } = server;
     this.#leaving.delete(server);
+    this.#backedOff.delete(server);
     this.#departed.delete(id);
     this.#departed.set(id, { incarnation, statements, at: now });
     if (this.#departed.size > MAXIMUM_DEPARTED) {
--- a/src/core/fleet/process_statements.ts
+++ b/src/core/fleet/process_statements.ts
@@ -13,6 +13,16 @@
 
 /** Minimum time between two log lines on a header, in milliseconds. */
 const LOG_INTERVAL = 60_000;
+/**
+ * Time without a backoff after which the next one begins a new series of
+ * refusals, in milliseconds.
+ */
+const SERIES_GAP = 1_000;
+/**
+ * Duration of a series of refusals from which on another server should get the
+ * keys, in milliseconds: keys should be served again within a second.
+ */
+const MAXIMUM_KEY_REFUSAL = 1_000;
 /** Maximum number of headers whose log lines are limited separately. */
 const MAXIMUM_HEADERS = 16;
 
@@ -22,6 +32,8 @@
   rateLimit: RateLimitChange | null;
   /** Whether it is the first by which the server is leaving. */
   isLeaving: boolean;
+  /** Whether it begins a backoff. */
+  isBackoff: boolean;
 }
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
@@ -31,6 +43,12 @@
   #leavingSince: number | null = null;
   /** Whether the term holder is known to know that it is leaving. */
   isLeavingShared = false;
+  #backoffSince = -Infinity;
+  #backoffUntil = -Infinity;
+  /** Start of the series of refusals that the latest backoff belongs to. */
+  #refusingSince = -Infinity;
+  /** Until when it refuses the requests of another VM for its keys. */
+  #refusesPeerUntil = -Infinity;
   /** When a line on an ignored header was last logged, by its name. */
   readonly #loggedAt = new Map<string, number>();
 
@@ -49,12 +67,44 @@
     return this.#leavingSince;
   }
 
+  /**
+   * Time from and until which it accepts no requests from this VM, by its latest
+   * backoff; -Infinity if it has requested none.
+   */
+  get backoffSince(): number {
+    return this.#backoffSince;
+  }
+
+  get backoffUntil(): number {
+    return this.#backoffUntil;
+  }
+
+  /**
+   * Until when it refuses requests for its keys in a series that is so long
+   * that another server should get them; in the past if there is none. Includes
+   * what it has stated to other VMs.
+   */
+  get refusesKeysUntil(): number {
+    return Math.max(this.ownRefusalEnd, this.#refusesPeerUntil);
+  }
+
+  /** The same without what it has stated to other VMs. */
+  get ownRefusalEnd(): number {
+    const duration = this.#backoffUntil - this.#refusingSince;
+    return duration > MAXIMUM_KEY_REFUSAL ? this.#backoffUntil : -Infinity;
+  }
+
+  /** Records that it refuses the requests of another VM for its keys. */
+  recordPeerRefusal(until: number): void {
+    this.#refusesPeerUntil = Math.max(this.#refusesPeerUntil, until);
+  }
+
   /**
    * Applies what it stated with the response to a request or an order that was
    * sent at `sentAt`.
    */
   apply(
-    { rateLimit, isLeaving }: ServerStatement,
+    { rateLimit, isLeaving, backoff }: ServerStatement,
     sentAt: number,
     now: number,
   ): StatementChange {
@@ -63,6 +113,7 @@
         ? null
         : this.rateLimit.applyResponse(rateLimit, sentAt, now),
       isLeaving: isLeaving && this.recordLeaving(now),
+      isBackoff: backoff !== null && this.#recordBackoff(backoff, now),
     };
   }
 
@@ -76,6 +127,16 @@
     return true;
   }
 
+  /** Records a backoff. Returns whether none was in force. */
+  #recordBackoff(duration: number, now: number): boolean {
+    if (duration === 0) return false;
+    const isNew = now >= this.#backoffUntil;
+    if (now >= this.#backoffUntil + SERIES_GAP) this.#refusingSince = now;
+    if (isNew) this.#backoffSince = now;
+    this.#backoffUntil = Math.max(this.#backoffUntil, now + duration);
+    return isNew;
+  }
+
   /** Whether a line on an ignored header may be logged now; records it if so. */
   mayLogIgnored(header: string, now: number): boolean {
     if (now - (this.#loggedAt.get(header) ?? -Infinity) < LOG_INTERVAL) {
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -207,6 +207,11 @@
     return this.statements.rateLimit;
   }
 
+  /** Whether it has asked this VM to send nothing for now. */
+  isBackedOff(now: number): boolean {
+    return now < this.statements.backoffUntil;
+  }
+
   /** Whether it is shutting down by its entry or by its own statement. */
   get isShuttingDown(): boolean {
     return this.entry.isDraining || this.statements.leavingSince !== null;
@@ -362,11 +367,21 @@
     return load === null ? { mean, count } : { mean, count, load };
   }
 
-  /** Records that it refused a request or responded with a failure. */
-  refused(attempt: number, now: number, load: ReportedLoad | null): void {
+  /**
+   * Records that it refused a request or responded with a failure. A refusal
+   * with a backoff does not lower its acceptance rate: it gets no requests until
+   * the backoff ends, and its usual share afterwards.
+   */
+  refused(
+    attempt: number,
+    now: number,
+    load: ReportedLoad | null,
+    hasBackoff = false,
+  ): void {
     if (this.#endAttempt(attempt) === null) return;
     this.#recordResponse(now, load);
     this.refusedAt = now;
+    if (hasBackoff) return;
     this.#acceptanceRate = movingAverage(this.#acceptanceRate, 0);
   }
 
--- a/src/core/keyspace/key_rebalancer.ts
+++ b/src/core/keyspace/key_rebalancer.ts
@@ -117,10 +117,22 @@
     return Placement.create(samples, servers);
   }
 
+  /**
+   * Whether most servers of a service neither leave nor refuse requests, so
+   * that they can take the keys of those that do.
+   */
+  hasSpareServers(service: string, now: number): boolean {
+    const servers = this.fleet.serversOf(service);
+    const { length } = servers.filter((each) =>
+      !each.isLeaving && each.statements.refusesKeysUntil <= now
+    );
+    return length > servers.length / 2;
+  }
+
   /**
    * Returns the servers that may get keys, with their speeds, which a rate
-   * limit may reduce. Suspected, paused, warming and unresponsive servers are
-   * included only if there are no others.
+   * limit may reduce. Suspected, paused, warming and unresponsive servers, and
+   * those that refuse requests, are included only if there are no others.
    */
   eligibleServers(
     service: string,
@@ -133,7 +145,8 @@
     );
     const healthy = usable.filter((each) =>
       !suspects.has(each.id) && !each.isPaused(now) &&
-      !each.isWarming(now) &&
+      !each.isWarming(now) && !each.isBackedOff(now) &&
+      each.statements.refusesKeysUntil <= now &&
       !each.isUnresponsive(now, meanLatency)
     );
     const eligible = healthy.length > 0 ? healthy : usable;
--- a/src/core/keyspace/order_outcome_handler.ts
+++ b/src/core/keyspace/order_outcome_handler.ts
@@ -77,7 +77,7 @@
       range.leaseEnd,
       answeredGrantEnd(now, order.hold),
     );
-    range.dueAt = order.sentAt + this.timing.renewal;
+    range.dueAt = this.#renewalDueAt(order);
     if (range.state === "closing") range.dueAt = now;
     if (range.state !== "assigned") return [];
     range.state = "held";
@@ -86,6 +86,20 @@
     return moveCompletedEffects(order, now);
   }
 
+  /**
+   * When the renewal of an accepted grant is due: after the usual time, or, if
+   * the server accepts no orders for a while, at the end of that time, at the
+   * latest with the usual hold time left.
+   */
+  #renewalDueAt({ range, sentAt, hold }: PendingOrder): number {
+    const backoffUntil = this.servers.backoffUntil(range.server!);
+    const latest = sentAt + hold - this.timing.hold;
+    return Math.max(
+      sentAt + this.timing.renewal,
+      Math.min(backoffUntil, latest),
+    );
+  }
+
   /**
    * Schedules a withheld order to be created again, at the earliest after
    * {@linkcode WITHHELD_RETRY_DELAY} and once orders may open connections.
--- a/src/core/keyspace/range_servers.ts
+++ b/src/core/keyspace/range_servers.ts
@@ -33,6 +33,12 @@
  */
 const HASH_MULTIPLIER = 40_503;
 
+/**
+ * Time after the start of a backoff during which orders are still sent to the
+ * server, in milliseconds, so that its leases last through the backoff.
+ */
+const BACKOFF_ORDER_TIME = 300;
+
 /** Identifies one process of a server by fields of its registry entry. */
 interface ServerProcess {
   incarnation: number;
@@ -85,6 +91,32 @@
       !found.entry.isDraining && now < this.fleet.keysServedUntil(found);
   }
 
+  /**
+   * Time until which a server accepts no requests from this VM; in the past if
+   * it has requested no backoff.
+   */
+  backoffUntil(server: string): number {
+    return this.fleet.get(server)?.statements.backoffUntil ?? -Infinity;
+  }
+
+  /** Whether a server accepts no requests from this VM for now. */
+  isBackedOff(server: string, now: number): boolean {
+    return now < this.backoffUntil(server);
+  }
+
+  /**
+   * Whether a server refuses requests for its keys in a series that is so long
+   * that it has to release them now, which it can if orders may be sent to it.
+   */
+  isRefusingKeys(server: string, now: number): boolean {
+    const statements = this.fleet.get(server)?.statements;
+    if (statements === undefined || now >= statements.refusesKeysUntil) {
+      return false;
+    }
+    return now >= statements.backoffUntil ||
+      now < statements.backoffSince + BACKOFF_ORDER_TIME;
+  }
+
   /**
    * Whether the server of a range is leaving and has to release it now. The
    * ranges of an evacuated zone are released one after the other. If all were
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -122,13 +122,19 @@
 
   /**
    * Merges adjacent ranges that one server holds, so that one order renews
-   * them.
+   * them. It is due now, so ranges of servers that accept no order for now
+   * (`isBackedOff`) are left out.
    */
-  mergeAdjacent(now: number): void {
+  mergeAdjacent(
+    now: number,
+    isBackedOff: (server: string) => boolean = () => false,
+  ): void {
     const merged: TrackedRange[] = [];
     for (const range of this.ranges) {
       const previous = merged.at(-1);
-      if (previous === undefined || !canMerge(previous, range)) {
+      const mayMerge = previous !== undefined && canMerge(previous, range) &&
+        !isBackedOff(range.server!);
+      if (!mayMerge) {
         merged.push(range);
         continue;
       }
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -288,15 +288,10 @@
         }
         return;
       case "held":
-        if (this.#isCloseDue(range, now, storeSilence)) {
-          this.#transitions.close(table, range, now);
-        } else if (
-          now >= range.dueAt || range.hold < hold ||
-          this.#servers.isRestarted(range)
-        ) {
-          this.#grant(table, range, now, hold);
+        if (this.#isCloseDue(table, range, now, storeSilence)) {
+          return this.#transitions.close(table, range, now);
         }
-        return;
+        return this.#renew(table, range, now, this.#holdTime(range, hold, now));
       case "closing":
         if (now >= range.dueAt) this.#requestRelease(table, range, now, hold);
         return;
@@ -352,18 +347,46 @@
   }
 
   /**
-   * Whether the server of a held range is lost or has to release the range.
+   * Whether the server of a held range is lost, or has to release the range
+   * because it is leaving or refuses the requests for it.
    */
   #isCloseDue(
+    { service }: RangeTable,
     range: TrackedRange,
     now: number,
     storeSilence: number,
   ): boolean {
     const mayMove = this.#mayMove(now, storeSilence);
-    return this.#servers.isLost(range, now) ||
+    const isRefused = mayMove &&
+      this.#servers.isRefusingKeys(range.server!, now) &&
+      this.#rebalancer.hasSpareServers(service, now);
+    return isRefused || this.#servers.isLost(range, now) ||
       this.#servers.isReleaseDue(range, mayMove, now);
   }
 
+  /**
+   * Hold time of the next grant of a range: if its server accepts no orders for
+   * a while, the lease should last through that time.
+   */
+  #holdTime({ server }: TrackedRange, hold: number, now: number): number {
+    const backoff = this.#servers.backoffUntil(server!) - now;
+    if (backoff <= 0) return hold;
+    const { hold: usualHold, longHold } = this.timing;
+    return Math.max(hold, Math.min(longHold, backoff + usualHold));
+  }
+
+  /** Renews the grant of a range if that is due. */
+  #renew(
+    table: RangeTable,
+    range: TrackedRange,
+    now: number,
+    hold: number,
+  ): void {
+    const isDue = now >= range.dueAt || range.hold < hold ||
+      this.#servers.isRestarted(range);
+    if (isDue) this.#grant(table, range, now, hold);
+  }
+
   /** Whether keys that are released now can probably be assigned soon. */
   #mayMove(now: number, storeSilence: number): boolean {
     return storeSilence <= MAX_STORE_SILENCE_FOR_MOVES &&
@@ -449,7 +472,10 @@
   }
 
   #startMoves(table: RangeTable, now: number): void {
-    table.mergeAdjacent(now);
+    table.mergeAdjacent(
+      now,
+      (server) => this.#servers.isBackedOff(server, now),
+    );
     for (
       const move of this.#rebalancer.moves(table, this.#suspectedServers, now)
     ) {
@@ -470,6 +496,7 @@
 
   #startMove(table: RangeTable, { piece, destination }: Move, now: number) {
     const range = table.ranges.find(({ last }) => piece.first <= last)!;
+    if (this.#servers.isBackedOff(range.server!, now)) return;
     const moving = table.split(range, piece);
     moving.destination = destination;
     moving.state = "closing";
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -11,6 +11,7 @@
  */
 import type {
   LeavingServer,
+  RefusingServer,
   ServerRateLimit,
   ServerSamples,
 } from "../fleet/index.ts";
@@ -203,8 +204,9 @@
   /**
    * Returns the effects that are due. `position` is the registry position that
    * this VM has reached, or null. `latencies` and `rates` are the servers'
-   * latencies and rate limits collected since the last report, and `leaving`
-   * the leaving servers that the holder may not know. `mayFetch` is
+   * latencies and rate limits collected since the last report, `leaving` the
+   * leaving servers that the holder may not know, and `refusing` the servers
+   * that refuse requests for their keys. `mayFetch` is
    * true if assignments are needed and the store answers, `hasHolderUpdates`
    * while this VM receives store updates from the holder.
    */
@@ -217,6 +219,7 @@
     hasHolderUpdates: boolean,
     rates: readonly ServerRateLimit[] = [],
     leaving: readonly LeavingServer[] = [],
+    refusing: readonly RefusingServer[] = [],
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     if (this.#holder !== null && this.isReportDue(now)) {
@@ -227,6 +230,7 @@
         isTold: hasHolderUpdates,
         ...(rates.length > 0 ? { rates: [...rates] } : {}),
         ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
+        ...(refusing.length > 0 ? { refusing: [...refusing] } : {}),
       };
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -10,6 +10,7 @@
   backendServerSchema,
   evacuationSnapshotSchema,
   MAXIMUM_LEAVING,
+  MAXIMUM_REFUSING,
   rateLimitReportSchema,
 } from "../fleet/index.ts";
 import {
@@ -187,6 +188,19 @@
   rates: ratesSchema,
   /** Leaving servers that the holder has not listed in its answers. */
   leaving: leavingSchema,
+  /**
+   * Processes of servers that have refused the sender's requests for their keys
+   * for so long that another server should get the keys, with the time for
+   * which they still do, in milliseconds. Absent in messages of older versions.
+   */
+  refusing: z.array(
+    z.object({
+      server: z.string(),
+      incarnation: count,
+      remaining: z.number().nonnegative(),
+    }),
+  )
+    .max(MAXIMUM_REFUSING).optional(),
 });
 
 /** See {@linkcode followerReportSchema}. */
--- a/src/core/quarantine/crash_detector.ts
+++ b/src/core/quarantine/crash_detector.ts
@@ -127,7 +127,8 @@
   /**
    * Records that the connection broke after a request was sent. Returns a probe
    * of the server's address, or null if the exit of the server is already known
-   * or expected or its address was probed recently.
+   * or expected, or its address was probed recently. The probe of a server that
+   * has requested a backoff is made at the end of the backoff.
    */
   connectionBroke(
     server: TrackedServer,
@@ -147,8 +148,15 @@
     const broken = { request: { ...request, target }, at: now };
     state.broken = [...recent, broken].slice(-MAXIMUM_BROKEN_ATTEMPTS);
     if (now - state.probedAt < state.probePause) return null;
-    state.probedAt = now;
+    state.probedAt = Math.max(now, server.statements.backoffUntil);
     state.repeatedProbes = 0;
+    if (state.probedAt > now) {
+      // The server accepts no connections until then. The probe is made like a
+      // repeated one.
+      state.repeatedProbes = -1;
+      this.#repeatAt.set(server.id, state.probedAt);
+      return null;
+    }
     return createProbe(server.id, state);
   }
 
--- a/src/core/quarantine/crash_detector_test.ts
+++ b/src/core/quarantine/crash_detector_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { backendServer } from "../../../test/support/backend_server.ts";
 import { fingerprintOf } from "../../../test/support/fingerprint.ts";
+import { serverStatement } from "../../../test/support/server_statement.ts";
 import { Fleet } from "../fleet/index.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { Quarantine } from "./quarantine.ts";
@@ -112,3 +113,23 @@
   }
   t.is(probes, 3);
 });
+
+// Guards against probes of a server during the backoff that it has requested.
+test("crash detector: a server with a backoff is probed at its end", (t) => {
+  const { detector, server } = createDetector();
+  const statement = serverStatement({ backoff: 2_000 });
+  server("s-1").statements.apply(statement, 0, 100);
+  t.is(detector.connectionBroke(server("s-1"), REQUEST, 200), null);
+  t.is(detector.nextAt(), 2_100);
+  t.deepEqual(detector.advance(2_099), []);
+  t.deepEqual(detector.advance(2_100).map(({ server }) => server), ["s-1"]);
+});
+
+test("crash detector: the exit of a server that has stated that it is leaving is not a crash", (t) => {
+  const { detector, crashCount, server } = createDetector();
+  const statement = serverStatement({ isLeaving: true });
+  server("s-1").statements.apply(statement, 0, 100);
+  t.is(detector.connectionBroke(server("s-1"), REQUEST, 200), null);
+  detector.exited(server("s-1"), 210);
+  t.is(crashCount(), 0);
+});
