Feeds use short long polls after an outage of any length

Cause: short long polls were used for 1.5 s after the failed read, but the next read begins only once the store is reachable again, so after an outage of more than 1.5 s they were never used. The period now begins with the first read that succeeds.

The test fails without the change (29,000 ms instead of 500 ms for the read after an outage of 1.6 s) and passes with it; the file's other three pass.

--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -23,8 +23,8 @@
 const MAXIMUM_RETRY_WAIT = 3_000;
 
 /**
- * Time after a failed read during which reads use the short long-poll timeout,
- * in milliseconds. A store that has just recovered may lose the answer to a
+ * Time after the first read that succeeds after a failed one during which reads
+ * use the short long-poll timeout, in milliseconds. A store that has just recovered may lose the answer to a
  * long poll without resetting the connection, which is detected only when the
  * call times out.
  */
@@ -56,7 +56,10 @@
   #isReading = false;
   /** Resumes a paused follower; null while it is not paused. */
   #resume: (() => void) | null = null;
-  #failedAt = -Infinity;
+  /** Until when reads use the short long-poll timeout. */
+  #shortPollsUntil = -Infinity;
+  /** Whether the last read failed. */
+  #hasFailed = false;
   #isRefreshing = false;
 
   private constructor(
@@ -163,15 +166,14 @@
 
   /** Long-poll timeout of a read that starts at `now`. */
   #longPollTimeout(now: number): number {
-    const hasFailedRecently = now - this.#failedAt < AFTER_FAILURE_PERIOD;
-    return hasFailedRecently
+    return this.#hasFailed || now < this.#shortPollsUntil
       ? this.timing.longPollTimeoutAfterFailure
       : this.timing.longPollTimeout;
   }
 
   #reportFailure(error: unknown): void {
     if (this.#isStopped) return;
-    this.#failedAt = monotonicNow();
+    this.#hasFailed = true;
     this.sink.push({
       kind: "store.failed",
       step: `follow ${this.feed}`,
@@ -180,6 +182,10 @@
   }
 
   #applyRead(read: FeedRead, sentAt: number): void {
+    if (this.#hasFailed) {
+      this.#shortPollsUntil = monotonicNow() + AFTER_FAILURE_PERIOD;
+    }
+    this.#hasFailed = false;
     this.sink.push({ kind: "store.answered", sentAt });
     this.faultLog.update(read);
     for (const event of read.events) this.sink.push(event);
--- a/src/runtime/feed_follower_test.ts
+++ b/src/runtime/feed_follower_test.ts
@@ -10,10 +10,14 @@
 
 /**
  * Follows a store whose long polls have these results; further ones stay
- * pending. Returns the timeouts of the long polls and the number of reads of
+ * pending. After a failure, the store is unreachable for `outage` milliseconds.
+ * Returns the timeouts of the long polls and the number of reads of
  * all current records.
  */
-function startFollower(results: readonly ("update" | "failure")[]) {
+function startFollower(
+  results: readonly ("update" | "failure")[],
+  outage = 0,
+) {
   const timeouts: number[] = [];
   const read: FeedRead = {
     events: [],
@@ -38,7 +42,7 @@
       return new Promise<FeedRead>(() => {});
     },
     isExpired: () => false,
-    waitUntilReachable: () => Promise.resolve(),
+    waitUntilReachable: () => new Promise((next) => setTimeout(next, outage)),
   } as unknown as ControlStore;
   const output = new Writable({ write: (_chunk, _encoding, done) => done() });
   const follower = FeedFollower.create(
@@ -89,3 +93,13 @@
   follower.stop();
   t.deepEqual(timeouts, [LONG_POLL_TIMEOUT, 500, 500]);
 });
+
+// Guards against a long poll whose answer is lost just after an outage of the
+// store that was longer than the period with the short timeout.
+test("feed follower: uses the short long-poll timeout after an outage, however long it was", async (t) => {
+  const results = ["failure", "update"] as const;
+  const { follower, timeouts } = startFollower(results, 1_600);
+  await new Promise((next) => setTimeout(next, 2_200));
+  follower.stop();
+  t.deepEqual(timeouts, [LONG_POLL_TIMEOUT, 500, 500]);
+});
