Soak: servers that state that they are leaving or refuse with Retry-After

All soak runs now check, per entry and server process, that nothing is sent later than the drain time after such a response, and at most two requests in a backoff; entries that were stopped, killed or paused meanwhile and faults of links excuse it.

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -3,15 +3,20 @@
  * `npm run soak -- --seed N --seeds COUNT --minutes M`. Runs one seed after the
  * other until COUNT seeds have run or M minutes have passed. Prints one line
  * per seed, with the broken guarantees and the folder of the logs.
- * `--weaken second_try` and `--weaken no_wait` run a mutation of the program,
- * which the checks must detect. `--extended` adds requests that crash their
- * servers, and suspensions of VMs.
+ * `--weaken` with `second_try`, `no_wait` or `ignored_statements` runs a
+ * mutation of the program, which the checks must detect. `--extended` adds requests that crash their
+ * servers, and suspensions of VMs; `--statements` adds servers that state that
+ * they are leaving, or refuse requests with `Retry-After`.
  *
  * @module
  */
 import { parseArgs } from "node:util";
 import { type MutationName, MUTATIONS } from "../support/bundled_program.ts";
-import { createExtendedPlan, createPlan } from "./soak_plan.ts";
+import {
+  createExtendedPlan,
+  createPlan,
+  createStatementPlan,
+} from "./soak_plan.ts";
 import { SoakRun } from "./soak_run.ts";
 
 /** Duration of the load of one seed, in milliseconds. */
@@ -25,6 +30,7 @@
     minutes: { type: "string", default: "5" },
     weaken: { type: "string" },
     extended: { type: "boolean", default: false },
+    statements: { type: "boolean", default: false },
   },
 });
 
@@ -35,9 +41,14 @@
   throw new RangeError(`--weaken: expected one of ${names}, found: ${name}`);
 }
 
+function selectPlan(): typeof createPlan {
+  if (values.statements) return createStatementPlan;
+  return values.extended ? createExtendedPlan : createPlan;
+}
+
 async function soak(): Promise<void> {
   const mutation = parseMutation(values.weaken);
-  const createSeedPlan = values.extended ? createExtendedPlan : createPlan;
+  const createSeedPlan = selectPlan();
   const first = Number(values.seed);
   const end = Date.now() + Number(values.minutes) * MINUTE;
   let broken = 0;
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -52,11 +52,23 @@
   "entry.suspend",
 ] as const;
 
+/** Statements of servers, which statement plans add to the plan of a seed. */
+export const STATEMENTS = [
+  /**
+   * A server states that it is leaving, without a change of its entry, and
+   * exits later.
+   */
+  "server.leave",
+  /** A server refuses all requests with `Retry-After`. */
+  "server.backoff",
+] as const;
+
 /** A planned operation or a failure. */
 export type FaultKind =
   | typeof PLANNED_OPERATIONS[number]
   | typeof UNPLANNED_FAULTS[number]
-  | typeof EXTENDED_FAULTS[number];
+  | typeof EXTENDED_FAULTS[number]
+  | typeof STATEMENTS[number];
 
 /** A fault that begins `at` milliseconds after the start of the load. */
 export interface SoakFault {
@@ -103,13 +115,13 @@
 const MINIMUM_DURATION = 200;
 const MAXIMUM_DURATION = 5_000;
 
-/** Mean time between two faults that extended plans add, in milliseconds. */
-const EXTENDED_MEAN_INTERVAL = 2_500;
+/** Mean time between two faults that are added to a plan, in milliseconds. */
+const ADDED_MEAN_INTERVAL = 2_500;
 /**
  * Value that the seed is XORed with for added faults, so that their random
  * numbers are independent of those of the plan.
  */
-const EXTENDED_SEED_MASK = 0x5eed;
+const ADDED_SEED_MASK = 0x5eed;
 
 /** Creates the plan of a seed with additional {@linkcode EXTENDED_FAULTS}. */
 export function createExtendedPlan(
@@ -117,18 +129,40 @@
   loadDuration: number,
 ): SoakPlan {
   const plan = createPlan(seed, loadDuration);
-  const random = createUniformGenerator(seed ^ EXTENDED_SEED_MASK);
+  const added = drawAddedFaults(EXTENDED_FAULTS, seed, loadDuration);
+  return {
+    ...plan,
+    isPlannedOnly: false,
+    faults: [...plan.faults, ...added],
+  };
+}
+
+/** Creates the plan of a seed with additional {@linkcode STATEMENTS}. */
+export function createStatementPlan(
+  seed: number,
+  loadDuration: number,
+): SoakPlan {
+  const plan = createPlan(seed, loadDuration);
+  const added = drawAddedFaults(STATEMENTS, seed, loadDuration);
+  return { ...plan, faults: [...plan.faults, ...added] };
+}
+
+function drawAddedFaults(
+  kinds: readonly FaultKind[],
+  seed: number,
+  loadDuration: number,
+): SoakFault[] {
+  const random = createUniformGenerator(seed ^ ADDED_SEED_MASK);
   const added: SoakFault[] = [];
   let at = START_MARGIN;
   while (at < loadDuration - END_MARGIN) {
-    const kind = EXTENDED_FAULTS[Math.floor(random() * EXTENDED_FAULTS.length)];
+    const kind = kinds[Math.floor(random() * kinds.length)];
     const duration = MINIMUM_DURATION +
       random() * (MAXIMUM_DURATION - MINIMUM_DURATION);
     added.push({ kind, at, duration, target: Math.floor(random() * 16) });
-    at += -Math.log(1 - random()) * EXTENDED_MEAN_INTERVAL;
+    at += -Math.log(1 - random()) * ADDED_MEAN_INTERVAL;
   }
-  const faults = [...plan.faults, ...added];
-  return { ...plan, isPlannedOnly: false, faults };
+  return added;
 }
 
 /** Creates the plan of a seed, for a load of `loadDuration` milliseconds. */
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -11,6 +11,7 @@
 import {
   type Call,
   checkHistory,
+  findIgnoredStatements,
   isServed,
   type Run,
   runLoad,
@@ -45,6 +46,15 @@
  * Time between the start of draining and the end of a server, in milliseconds.
  */
 const DRAIN_DURATION = 2_600;
+/** Drain time of the entries, in milliseconds. */
+const DRAIN_TIME = 2_000;
+/** `Retry-After` of servers that refuse requests, in seconds. */
+const RETRY_AFTER = "1.5";
+/**
+ * Time after a fault of an entry or a link during which the entry may have
+ * missed a statement, in milliseconds.
+ */
+const FAULT_EFFECT_TIME = 1_000;
 
 /**
  * Number of successful checks of all entries after which the system has
@@ -70,6 +80,14 @@
   folder: string;
 }
 
+/** A fault of an entry or of a link. Times are milliseconds since the epoch. */
+interface EntryFault {
+  /** Address of the entry; null for a link, which all entries may use. */
+  address: string | null;
+  from: number;
+  until: number;
+}
+
 /** Execution of one soak plan. */
 export class SoakRun {
   readonly #proxies = new Map<string, LoopbackProxy>();
@@ -78,6 +96,8 @@
   readonly #breaches: string[] = [];
   readonly #activeFaults: Promise<void>[] = [];
   readonly #faultyProcesses = new Set<DeployedProcess>();
+  /** Faults of entries and links so far. */
+  readonly #entryFaults: EntryFault[] = [];
   #deployment!: Deployment;
   #publishedVersion = 1;
   #lastPublication: Promise<void> = Promise.resolve();
@@ -215,7 +235,11 @@
       case "entry":
         return this.#exclusively(
           entry,
-          () => this.#injectEntryFault(entry, action, fault),
+          () =>
+            this.#recordEntryFault(
+              entry.address,
+              this.#injectEntryFault(entry, action, fault),
+            ),
         );
       case "server":
         return this.#exclusively(
@@ -229,10 +253,24 @@
       case "store":
         return this.#injectStoreFault(store, action, fault.duration);
       default:
-        return this.#injectLinkFault(component, fault);
+        return this.#recordEntryFault(
+          null,
+          this.#injectLinkFault(component, fault),
+        );
     }
   }
 
+  /** Records the time of a fault, which lasts until `fault` resolves. */
+  async #recordEntryFault(
+    address: string | null,
+    fault: Promise<void>,
+  ): Promise<void> {
+    const record = { address, from: Date.now(), until: Infinity };
+    this.#entryFaults.push(record);
+    await fault;
+    record.until = Date.now() + FAULT_EFFECT_TIME;
+  }
+
   /**
    * Publishes the next configuration after the previous publication has
    * finished, since operators publish one version at a time.
@@ -305,13 +343,21 @@
         return setFaults({ loseAnswers: 6 });
       case "crosses_answers":
         return setFaults({ crossed: 6 });
+      case "backoff":
+        await setFaults({ shed: true, retryAfter: RETRY_AFTER });
+        await delay(duration);
+        return setFaults({});
       case "drain":
-        await setFaults({ draining: true });
+      case "leave":
+        await setFaults(
+          action === "drain" ? { draining: true } : { leaving: true },
+        );
         await delay(DRAIN_DURATION);
         break;
     }
     server.process.kill("SIGKILL");
-    await delay(action === "drain" ? 0 : duration / 4);
+    const isPlanned = action === "drain" || action === "leave";
+    await delay(isPlanned ? 0 : duration / 4);
     if (action === "restart") {
       // Starts a process with the same id and address, which owns no keys.
       while (server.process.signalCode === null) await delay(20);
@@ -436,6 +482,13 @@
     for (const { name, breaches } of checkHistory(history)) {
       for (const each of breaches) this.#breaches.push(`${name}: ${each}`);
     }
+    const ignored = findIgnoredStatements(
+      history.calls,
+      servers.flatMap((each) => this.#deployment.arrivals(each)),
+      DRAIN_TIME,
+      (target, from, until) => this.#hadEntryFault(target, from, until),
+    );
+    for (const each of ignored) this.#breaches.push(`statement: ${each}`);
     const unserved = finalCalls.filter((call) => !isServed(call));
     if (unserved.length > finalCalls.length * (1 - FINAL_SHARE)) {
       this.#breaches.push(
@@ -445,6 +498,14 @@
     if (this.plan.isPlannedOnly) this.#checkPlannedRun(calls, runs);
   }
 
+  /** Whether an entry or a link had a fault in a period. */
+  #hadEntryFault(target: string, from: number, until: number): boolean {
+    return this.#entryFaults.some((fault) =>
+      (fault.address === null || fault.address === target) &&
+      fault.from < until && fault.until > from
+    );
+  }
+
   /**
    * Checks that planned operations lose no request that a server started to
    * run.
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -1,5 +1,9 @@
 import test from "ava";
-import { createExtendedPlan, createPlan } from "./soak_plan.ts";
+import {
+  createExtendedPlan,
+  createPlan,
+  createStatementPlan,
+} from "./soak_plan.ts";
 import { SoakRun } from "./soak_run.ts";
 
 /** Duration of the load, in milliseconds; shorter than in the soak itself. */
@@ -32,3 +36,12 @@
   t.deepEqual(report.breaches, []);
   t.true(report.served > report.calls / 3, JSON.stringify(report));
 });
+
+test.serial("soak: statement seed 16 breaks no guarantee", async (t) => {
+  const plan = createStatementPlan(16, LOAD_DURATION);
+  const kinds = plan.faults.map(({ kind }) => kind);
+  t.true(kinds.includes("server.leave") && kinds.includes("server.backoff"));
+  const report = await SoakRun.execute(plan);
+  t.deepEqual(report.breaches, []);
+  t.true(report.served > report.calls / 3, JSON.stringify(report));
+});
--- a/test/support/bundled_program.ts
+++ b/test/support/bundled_program.ts
@@ -33,6 +33,12 @@
     from: "if (now >= this.#orders.heldUntil(range)) {",
     to: "if (now >= 0) {",
   },
+  /** Ignores what servers state with their responses to requests. */
+  ignored_statements: {
+    file: "src/core/dispatch/outcome_review.ts",
+    from: "    this.#applyStatement(attempt, outcome, now);\n",
+    to: "",
+  },
 } satisfies Record<string, Mutation>;
 
 /** Name of one of {@linkcode MUTATIONS}. */
