--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -92,12 +92,16 @@
   for (const server of status.servers) {
     const state = server.isDraining
       ? "draining"
+      : server.isLeaving
+      ? "leaving"
       : server.isEvacuated
       ? "evacuated"
       : server.isWarming
       ? "cold"
       : server.isPaused
       ? "paused"
+      : server.backoff > 0
+      ? "backoff"
       : "up";
     const latency = server.latency === null
       ? "no response yet"
--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -217,6 +217,7 @@
   #reportBackoff(server: TrackedServer, now: number): void {
     const { id, entry: { service }, statements } = server;
     this.fleet.recordBackoff(server);
+    if (!statements.mayLogBackoff(now)) return;
     this.logDecision("server.backed_off", {
       server: id,
       service,
--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -31,7 +31,14 @@
     service: string;
     availabilityZone: string;
     isDraining: boolean;
+    /** Whether it has stated that it is leaving. */
+    isLeaving: boolean;
     isPaused: boolean;
+    /**
+     * Time for which it accepts no requests from this VM, in milliseconds; 0
+     * without a backoff.
+     */
+    backoff: number;
     /** Whether its availability zone is evacuated. */
     isEvacuated: boolean;
     /** Whether it reports that it has just started and is still warming up. */
@@ -92,7 +99,9 @@
       service: server.entry.service,
       availabilityZone: server.entry.availabilityZone,
       isDraining: server.entry.isDraining,
+      isLeaving: server.statements.leavingSince !== null,
       isPaused: server.isPaused(now),
+      backoff: Math.max(0, Math.round(server.statements.backoffUntil - now)),
       isEvacuated: server.evacuatedSince !== null,
       isWarming: server.isWarming(now),
       inFlight: server.inFlight,
--- a/src/core/fleet/process_statements.ts
+++ b/src/core/fleet/process_statements.ts
@@ -11,8 +11,10 @@
 } from "./reported_rate_limit.ts";
 import type { ServerStatement } from "./server_statement.ts";
 
-/** Minimum time between two log lines on a header, in milliseconds. */
-const LOG_INTERVAL = 60_000;
+/** Minimum time between two log lines on an ignored header, in milliseconds. */
+const IGNORED_LOG_INTERVAL = 60_000;
+/** Minimum time between two log lines on backoffs, in milliseconds. */
+const BACKOFF_LOG_INTERVAL = 1_000;
 /**
  * Time without a backoff after which the next one begins a new series of
  * refusals, in milliseconds.
@@ -49,6 +51,7 @@
   #refusingSince = -Infinity;
   /** Until when it refuses the requests of another VM for its keys. */
   #refusesPeerUntil = -Infinity;
+  #backoffLoggedAt = -Infinity;
   /** When a line on an ignored header was last logged, by its name. */
   readonly #loggedAt = new Map<string, number>();
 
@@ -127,6 +130,13 @@
     return true;
   }
 
+  /** Whether a line on a backoff may be logged now; records it if so. */
+  mayLogBackoff(now: number): boolean {
+    if (now - this.#backoffLoggedAt < BACKOFF_LOG_INTERVAL) return false;
+    this.#backoffLoggedAt = now;
+    return true;
+  }
+
   /** Records a backoff. Returns whether none was in force. */
   #recordBackoff(duration: number, now: number): boolean {
     if (duration === 0) return false;
@@ -139,9 +149,8 @@
 
   /** Whether a line on an ignored header may be logged now; records it if so. */
   mayLogIgnored(header: string, now: number): boolean {
-    if (now - (this.#loggedAt.get(header) ?? -Infinity) < LOG_INTERVAL) {
-      return false;
-    }
+    const loggedAt = this.#loggedAt.get(header) ?? -Infinity;
+    if (now - loggedAt < IGNORED_LOG_INTERVAL) return false;
     if (this.#loggedAt.size >= MAXIMUM_HEADERS) return false;
     this.#loggedAt.set(header, now);
     return true;
