One object for what a report contains on servers

The follower link took latencies, rate limits, leaving and refusing servers as four arguments, and the exchange checked four times whether a report is due.

--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -5,14 +5,7 @@
  * @module
  */
 import type { ClusterState, Emit } from "../cluster_state.ts";
-import type {
-  LeavingServer,
-  RefusingServer,
-  ServerRateLimit,
-  ServerSamples,
-  ServerStatement,
-  TrackedServer,
-} from "../fleet/index.ts";
+import type { ServerStatement, TrackedServer } from "../fleet/index.ts";
 import type { Assignment, KeyLoads, TermCampaign } from "../keyspace/index.ts";
 import {
   expandAssignment,
@@ -21,8 +14,10 @@
   type HolderState,
   MAXIMUM_RATE_LIMITS,
   type MessageOf,
+  NO_SERVER_REPORTS,
   type PeerMessage,
   type SenderState,
+  type ServerReports,
   VmCount,
 } from "../peers/index.ts";
 import { ConfigurationWatch } from "./configuration_watch.ts";
@@ -319,21 +314,14 @@
     const senderState = this.#reportState(now);
     const mayFetch = this.#isAssignmentNeeded && !store.isFailing(now);
     const { position } = this.clusterState.registry;
-    const latencies = this.#takeLatencies(now);
-    const rates = this.#takeRates(now);
-    const leaving = this.#unsharedLeaving(now);
-    const refusing = this.#refusingServers(now);
     this.emit(
       ...this.followerLink.advance(
         now,
         senderState,
         position,
-        latencies,
+        this.#takeServerReports(now),
         mayFetch,
         this.hasHolderUpdates(now),
-        rates,
-        leaving,
-        refusing,
       ),
     );
   }
@@ -385,39 +373,18 @@
     });
   }
 
-  /**
-   * If a report is due, returns the latencies of keyed services' servers to
-   * include in it.
-   */
-  #takeLatencies(now: number): ServerSamples[] {
+  /** If a report is due, returns what it contains on servers. */
+  #takeServerReports(now: number): ServerReports {
+    if (!this.followerLink.isReportDue(now)) return NO_SERVER_REPORTS;
     const { catalog, fleet } = this.clusterState;
-    if (!this.followerLink.isReportDue(now)) return [];
-    return catalog.keyedServices.flatMap(({ name }) =>
-      fleet.takeSamples(name, now)
-    );
-  }
-
-  /** If a report is due, returns the rate limits to include in it. */
-  #takeRates(now: number): ServerRateLimit[] {
-    if (!this.followerLink.isReportDue(now)) return [];
-    return this.clusterState.fleet.takeUnsentRateLimits(now).slice(
-      0,
-      MAXIMUM_RATE_LIMITS,
-    );
-  }
-
-  /** If a report is due, returns the leaving servers to include in it. */
-  #unsharedLeaving(now: number): LeavingServer[] {
-    return this.followerLink.isReportDue(now)
-      ? this.clusterState.fleet.unsharedLeaving()
-      : [];
-  }
-
-  /** If a report is due, returns the servers that refuse their keys. */
-  #refusingServers(now: number): RefusingServer[] {
-    return this.followerLink.isReportDue(now)
-      ? this.clusterState.fleet.refusingServers(now)
-      : [];
+    return {
+      latencies: catalog.keyedServices.flatMap(({ name }) =>
+        fleet.takeSamples(name, now)
+      ),
+      rates: fleet.takeUnsentRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS),
+      leaving: fleet.unsharedLeaving(),
+      refusing: fleet.refusingServers(now),
+    };
   }
 
   /** Applies the term holder's registry update. */
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -69,6 +69,26 @@
  */
 const MAXIMUM_SAMPLED_KEYS = 128;
 
+/** What a report contains on servers. */
+export interface ServerReports {
+  /** Latencies measured since the last report. */
+  latencies: readonly ServerSamples[];
+  /** Rate limits that servers have reported since the last report. */
+  rates: readonly ServerRateLimit[];
+  /** Leaving servers that the holder may not know. */
+  leaving: readonly LeavingServer[];
+  /** Servers that refuse requests for their keys. */
+  refusing: readonly RefusingServer[];
+}
+
+/** Nothing to report on servers. */
+export const NO_SERVER_REPORTS: ServerReports = {
+  latencies: [],
+  rates: [],
+  leaving: [],
+  refusing: [],
+};
+
 /**
  * Effect that reads the assignments from the store. The result is the event
  * `assignments.read`.
@@ -203,34 +223,24 @@
 
   /**
    * Returns the effects that are due. `position` is the registry position that
-   * this VM has reached, or null. `latencies` and `rates` are the servers'
-   * latencies and rate limits collected since the last report, `leaving` the
-   * leaving servers that the holder may not know, and `refusing` the servers
-   * that refuse requests for their keys. `mayFetch` is
-   * true if assignments are needed and the store answers, `hasHolderUpdates`
-   * while this VM receives store updates from the holder.
+   * this VM has reached, or null, and `servers` what a report contains on
+   * servers. `mayFetch` is true if assignments are needed and the store answers,
+   * `hasHolderUpdates` while this VM receives store updates from the holder.
    */
   advance(
     now: number,
     senderState: SenderState,
     position: number | null,
-    latencies: readonly ServerSamples[],
+    servers: ServerReports,
     mayFetch: boolean,
     hasHolderUpdates: boolean,
-    rates: readonly ServerRateLimit[] = [],
-    leaving: readonly LeavingServer[] = [],
-    refusing: readonly RefusingServer[] = [],
   ): (PeerSend | AssignmentFetch)[] {
     const effects: (PeerSend | AssignmentFetch)[] = [];
     if (this.#holder !== null && this.isReportDue(now)) {
       this.#recordReport(now);
-      const report = this.#createReport(senderState, position, latencies, now);
       const message = {
-        ...report,
+        ...this.#createReport(senderState, position, servers, now),
         isTold: hasHolderUpdates,
-        ...(rates.length > 0 ? { rates: [...rates] } : {}),
-        ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
-        ...(refusing.length > 0 ? { refusing: [...refusing] } : {}),
       };
       effects.push({ kind: "peer.send", address: this.#holder, message });
     }
@@ -265,7 +275,7 @@
   #createReport(
     senderState: SenderState,
     position: number | null,
-    latencies: readonly ServerSamples[],
+    { latencies, rates, leaving, refusing }: ServerReports,
     now: number,
   ): FollowerReport {
     const samples = [...this.#samples]
@@ -280,6 +290,9 @@
       position,
       sentAt: now,
       fitness,
+      ...(rates.length > 0 ? { rates: [...rates] } : {}),
+      ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
+      ...(refusing.length > 0 ? { refusing: [...refusing] } : {}),
     };
   }
 }
