--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -165,7 +165,7 @@
       this.#logRateLimitChange({ server, change: rateLimit }, now);
     }
     if (isLeaving) {
-      this.fleet.recordLeaving(server, now);
+      this.fleet.stated.recordLeaving(server, now);
       this.#reportLeaving(server, "server", now);
     }
     if (isBackoff) this.#reportBackoff(server, now);
@@ -216,7 +216,7 @@
   /** Handles the start of a backoff that a server has requested. */
   #reportBackoff(server: TrackedServer, now: number): void {
     const { id, entry: { service }, statements } = server;
-    this.fleet.recordBackoff(server);
+    this.fleet.stated.recordBackoff(server);
     if (!statements.mayLogBackoff(now)) return;
     this.logDecision("server.backed_off", {
       server: id,
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -266,10 +266,10 @@
     if (server === undefined) {
       return openEndedWait("the key's server is gone");
     }
-    if (fleet.isPastDrainTime(server, now)) {
+    if (fleet.drainPolicy.isPastDrainTime(server, now)) {
       return refusal("the key's server is leaving, and its keys cannot move");
     }
-    if (now > fleet.keysServedUntil(server)) {
+    if (now > fleet.drainPolicy.keysServedUntil(server)) {
       return transientWait("the key's server is leaving");
     }
     if (!this.context.coldAdmission.maySend(server, now)) {
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -17,6 +17,7 @@
  * @module
  */
 import type { Route } from "../catalog/index.ts";
+import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
 
@@ -95,16 +96,22 @@
    * all servers; null if there is no such backoff.
    */
   #backoffEnd({ service, key }: PendingRequest, now: number): number | null {
-    const { fleet, directory } = this.context;
-    const owner = key === null
-      ? null
-      : fleet.get(directory.find(service, key)?.server ?? "");
-    const servers = owner === null
-      ? fleet.serversOf(service).filter((each) => !each.isLeaving)
-      : [owner];
-    const ends = servers.map((each) => each?.statements.backoffUntil ?? 0);
+    const servers = key === null
+      ? this.context.fleet.serversOf(service)
+      : this.#owner(service, key);
+    const staying = servers.filter((each) => !each.isLeaving);
+    if (staying.length === 0) return null;
+    const ends = staying.map(({ statements }) => statements.backoffUntil);
     const first = Math.min(...ends);
-    return ends.length > 0 && first > now ? first : null;
+    return first > now ? first : null;
+  }
+
+  /** The server of a key, if requests for the key are sent to it. */
+  #owner(service: string, key: number): TrackedServer[] {
+    const { fleet, directory } = this.context;
+    const range = directory.find(service, key);
+    const server = range?.isOpen ? fleet.get(range.server ?? "") : undefined;
+    return server === undefined ? [] : [server];
   }
 
   /**
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -382,8 +382,8 @@
         fleet.takeSamples(name, now)
       ),
       rates: fleet.takeUnsentRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS),
-      leaving: fleet.unsharedLeaving(),
-      refusing: fleet.refusingServers(now),
+      leaving: fleet.stated.unsharedLeaving(),
+      refusing: fleet.stated.refusing(now),
     };
   }
 
@@ -441,7 +441,7 @@
     this.clusterState.fleet.applyPeerLoads(loads, now);
     this.clusterState.applyPeerRates(rates ?? [], now);
     this.clusterState.applyPeerLeaving(leaving, now);
-    this.clusterState.fleet.confirmLeaving(leaving);
+    this.clusterState.fleet.stated.confirmLeaving(leaving);
     this.tokenExchange.holderAnswered(rates !== undefined);
   }
 
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -148,7 +148,7 @@
         this.#holderState(now),
         registryChanges,
         this.#overload.current,
-        this.clusterState.fleet.statedLeaving(),
+        this.clusterState.fleet.stated.leaving(),
         report.sentAt,
       ),
     );
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -6,11 +6,16 @@
  */
 import type { BackendServer } from "./backend_server.ts";
 import { type EvacuationChange, Evacuations } from "./evacuations.ts";
-import { ProcessStatements } from "./process_statements.ts";
+import { DrainPolicy } from "./drain_policy.ts";
 import type {
   RateLimitChange,
   RateLimitReport,
 } from "./reported_rate_limit.ts";
+import {
+  type LeavingServer,
+  type RefusingServer,
+  StatedServers,
+} from "./stated_servers.ts";
 import {
   type LatencySamples,
   type LoadReport,
@@ -40,39 +45,8 @@
  */
 const MEAN_LATENCY_LIFETIME = 50;
 
-/**
- * Time for which requests are still sent to a draining server for its keys, in
- * milliseconds, while the keys are moved to other servers. The registry reports
- * the draining late, so this is a small part of the drain time.
- */
-const DRAINING_KEY_GRACE = 700;
-/**
- * The same for a server that has stated itself that it is leaving, as a share
- * of the drain time.
- */
-const LEAVING_KEY_GRACE_SHARE = 0.9;
-/**
- * Time for which requests are still sent to a server in an evacuated
- * availability zone for its keys, in milliseconds. It is longer than
- * {@linkcode DRAINING_KEY_GRACE}, because many keys move at the same time. All
- * VMs learn of an evacuation within 1 s, so the total stays within the 5 s that
- * operators allow for an evacuation.
- */
-const EVACUATED_KEY_GRACE = 3_200;
 /** Drain time unless the settings contain another one, in milliseconds. */
 const DEFAULT_DRAIN_TIME = 2_000;
-/**
- * Time for which the statements of a process are kept after the removal of its
- * entry, in milliseconds. A process without an incarnation cannot be told from
- * a later one of the same id.
- */
-const DEPARTED_LIFETIME = 30_000;
-/** Maximum number of processes without an entry whose statements are kept. */
-const MAXIMUM_DEPARTED = 1_024;
-/** Maximum number of leaving servers that a message lists. */
-export const MAXIMUM_LEAVING = 256;
-/** Maximum number of servers that refuse their keys that a message lists. */
-export const MAXIMUM_REFUSING = 256;
 
 /** Latency samples of one server. */
 export interface ServerSamples extends LatencySamples {
@@ -89,26 +63,6 @@
   server: string;
 }
 
-/** Statements of a process without an entry. */
-interface DepartedProcess {
-  incarnation: number;
-  statements: ProcessStatements;
-  /** When its entry was removed. */
-  at: number;
-}
-
-/** A process of a server that has stated that it is leaving. */
-export interface LeavingServer {
-  server: string;
-  incarnation: number;
-}
-
-/** A process of a server that refuses requests for its keys. */
-export interface RefusingServer extends LeavingServer {
-  /** Time for which it still does so, in milliseconds. */
-  remaining: number;
-}
-
 /** Start or end of a server's rate limit. */
 export interface ServerRateLimitChange {
   server: TrackedServer;
@@ -126,6 +80,8 @@
 export class Fleet {
   /** Zones whose servers receive no requests. */
   readonly evacuations = Evacuations.create();
+  /** What the servers' processes have stated of themselves. */
+  readonly stated = StatedServers.create();
   readonly #servers = new Map<string, TrackedServer>();
   readonly #byService = new Map<string, TrackedServer[]>();
   readonly #joinedAt = new Map<string, number>();
@@ -141,23 +97,17 @@
     { latency: number; until: number }
   >();
   #registryRecoveredAt = -Infinity;
-  /** Listed servers that have stated that they are leaving. */
-  readonly #leaving = new Set<TrackedServer>();
-  /** Listed servers that have requested a backoff. */
-  readonly #backedOff = new Set<TrackedServer>();
-  /**
-   * Statements of processes without an entry, by the server's id, oldest first.
-   */
-  readonly #departed = new Map<string, DepartedProcess>();
-
-  private constructor(private readonly drainTime: number) {}
+  private constructor(
+    /** Until when requests are sent to leaving servers. */
+    readonly drainPolicy: DrainPolicy,
+  ) {}
 
   /**
    * Creates a fleet without servers. A leaving server gets no requests that
    * arrive later than `drainTime` milliseconds after it has stated so.
    */
   static create(drainTime = DEFAULT_DRAIN_TIME): Fleet {
-    return new Fleet(drainTime);
+    return new Fleet(DrainPolicy.create(drainTime));
   }
 
   /** Records that the registry is available again after an outage. */
@@ -346,31 +296,6 @@
     });
   }
 
-  /**
-   * Records that a server has stated that it is leaving, to this VM or another
-   * one.
-   */
-  recordLeaving(server: TrackedServer, now: number): void {
-    server.statements.recordLeaving(now);
-    this.#leaving.add(server);
-  }
-
-  /**
-   * Listed servers that have stated that they are leaving, except those whose
-   * entry shows it.
-   */
-  statedLeaving(): LeavingServer[] {
-    return this.#listLeaving(() => true);
-  }
-
-  /**
-   * Those of {@linkcode statedLeaving} that the term holder is not known to
-   * know.
-   */
-  unsharedLeaving(): LeavingServer[] {
-    return this.#listLeaving(({ statements }) => !statements.isLeavingShared);
-  }
-
   /**
    * Applies statements of leaving servers to other VMs. Those about another
    * incarnation than the listed one are ignored. Returns the servers that this
@@ -385,40 +310,11 @@
       const isNew = server?.entry.incarnation === incarnation &&
         server.statements.leavingSince === null;
       if (!isNew) return [];
-      this.recordLeaving(server, now);
+      this.stated.recordLeaving(server, now);
       return [server];
     });
   }
 
-  /** Records which leaving servers the term holder knows. */
-  confirmLeaving(known: readonly LeavingServer[]): void {
-    const ids = new Set(known.map(({ server }) => server));
-    for (const { id, statements } of this.#leaving) {
-      statements.isLeavingShared = ids.has(id);
-    }
-  }
-
-  /** Records that a server has requested a backoff. */
-  recordBackoff(server: TrackedServer): void {
-    this.#backedOff.add(server);
-  }
-
-  /**
-   * Servers that refuse this VM's requests for their keys so long that another
-   * server should get the keys.
-   */
-  refusingServers(now: number): RefusingServer[] {
-    const refusing: RefusingServer[] = [];
-    for (const server of this.#backedOff) {
-      const { id, entry: { incarnation }, statements } = server;
-      if (!server.isBackedOff(now)) this.#backedOff.delete(server);
-      const remaining = statements.ownRefusalEnd - now;
-      if (remaining <= 0 || refusing.length >= MAXIMUM_REFUSING) continue;
-      refusing.push({ server: id, incarnation, remaining });
-    }
-    return refusing;
-  }
-
   /**
    * Applies refusals of keys that another VM has received. Those by another
    * incarnation than the listed one are ignored.
@@ -431,43 +327,6 @@
     }
   }
 
-  #listLeaving(isIncluded: (server: TrackedServer) => boolean) {
-    const listed: LeavingServer[] = [];
-    for (const server of this.#leaving) {
-      const { id, entry } = server;
-      if (entry.isDraining || !isIncluded(server)) continue;
-      listed.push({ server: id, incarnation: entry.incarnation });
-      if (listed.length >= MAXIMUM_LEAVING) break;
-    }
-    return listed;
-  }
-
-  /**
-   * Time until which requests are sent to a server for its keys; Infinity for a
-   * server that is not leaving.
-   */
-  keysServedUntil(server: TrackedServer): number {
-    const { drainingSince, evacuatedSince } = server;
-    return Math.min(
-      (drainingSince ?? Infinity) + DRAINING_KEY_GRACE,
-      (evacuatedSince ?? Infinity) + EVACUATED_KEY_GRACE,
-      this.#statedEnd(server),
-    );
-  }
-
-  /**
-   * Whether a server has stated so long ago that it is leaving that it must get
-   * no more requests, even if its keys cannot move.
-   */
-  isPastDrainTime(server: TrackedServer, now: number): boolean {
-    return now > this.#statedEnd(server);
-  }
-
-  #statedEnd({ statements: { leavingSince } }: TrackedServer): number {
-    return (leavingSince ?? Infinity) +
-      LEAVING_KEY_GRACE_SHARE * this.drainTime;
-  }
-
   /**
    * Returns when a server last joined a service, or -Infinity. A restarted
    * server counts as newly joined, since it holds no keys.
@@ -539,11 +398,9 @@
   }
 
   #add(entry: BackendServer, now: number): void {
-    const server = TrackedServer.create(
-      entry,
-      this.#statementsOf(entry, now),
-    );
-    if (server.statements.leavingSince !== null) this.#leaving.add(server);
+    const statements = this.stated.statementsOf(entry, now);
+    const server = TrackedServer.create(entry, statements);
+    this.stated.listed(server);
     server.update(entry, now);
     server.setEvacuated(this.evacuations.has(entry.availabilityZone), now);
     this.#servers.set(entry.id, server);
@@ -552,28 +409,9 @@
     this.#byService.set(entry.service, [...others, server]);
   }
 
-  /** Statements that the process of an entry has made before. */
-  #statementsOf(
-    { id, incarnation }: BackendServer,
-    now: number,
-  ): ProcessStatements {
-    const departed = this.#departed.get(id);
-    this.#departed.delete(id);
-    const isSameProcess = departed?.incarnation === incarnation &&
-      now - departed.at < DEPARTED_LIFETIME;
-    return isSameProcess ? departed.statements : ProcessStatements.create();
-  }
-
   #unlist(server: TrackedServer, now: number): void {
-    const { id, entry: { service, incarnation }, statements } = server;
-    this.#leaving.delete(server);
-    this.#backedOff.delete(server);
-    this.#departed.delete(id);
-    this.#departed.set(id, { incarnation, statements, at: now });
-    if (this.#departed.size > MAXIMUM_DEPARTED) {
-      const [oldest] = this.#departed.keys();
-      this.#departed.delete(oldest);
-    }
+    const { id, entry: { service } } = server;
+    this.stated.unlisted(server, now);
     this.#servers.delete(id);
     this.#unconfirmed.delete(id);
     const others = this.serversOf(service).filter((each) => each.id !== id);
--- a/src/core/fleet/process_statements_test.ts
+++ b/src/core/fleet/process_statements_test.ts
@@ -10,7 +10,7 @@
 function createLeavingFleet(incarnation: number): Fleet {
   const fleet = Fleet.create();
   fleet.apply([backendServer("a", { incarnation })], [], 0);
-  fleet.recordLeaving(fleet.get("a")!, 100);
+  fleet.stated.recordLeaving(fleet.get("a")!, 100);
   return fleet;
 }
 
@@ -35,7 +35,7 @@
   fleet.apply([], ["a"], 300);
   fleet.apply([backendServer("a")], [], 31_000);
   t.false(fleet.get("a")!.isLeaving, "a later process without incarnation");
-  t.deepEqual(fleet.statedLeaving(), []);
+  t.deepEqual(fleet.stated.leaving(), []);
 });
 
 test("fleet: statements of other VMs apply to the same incarnation only", (t) => {
@@ -49,18 +49,18 @@
   t.is(apply("a", 5), 0);
   t.true(fleet.get("a")!.isLeaving);
   const listed = [{ server: "a", incarnation: 5 }];
-  t.deepEqual(fleet.unsharedLeaving(), listed);
-  fleet.confirmLeaving(listed);
-  t.deepEqual(fleet.unsharedLeaving(), []);
+  t.deepEqual(fleet.stated.unsharedLeaving(), listed);
+  fleet.stated.confirmLeaving(listed);
+  t.deepEqual(fleet.stated.unsharedLeaving(), []);
   // A new holder may not know it.
-  fleet.confirmLeaving([]);
-  t.deepEqual(fleet.unsharedLeaving(), listed);
+  fleet.stated.confirmLeaving([]);
+  t.deepEqual(fleet.stated.unsharedLeaving(), listed);
   fleet.apply(
     [backendServer("a", { incarnation: 5, isDraining: true })],
     [],
     200,
   );
-  t.deepEqual(fleet.statedLeaving(), [], "the registry reports it");
+  t.deepEqual(fleet.stated.leaving(), [], "the registry reports it");
 });
 
 function lines(effects: readonly EntryEffect[], decision: string): LogLine[] {
--- a/src/core/keyspace/range_servers.ts
+++ b/src/core/keyspace/range_servers.ts
@@ -88,7 +88,8 @@
   isServingKeys(server: string, now: number): boolean {
     const found = this.fleet.get(server);
     return found !== undefined && found.isShuttingDown &&
-      !found.entry.isDraining && now < this.fleet.keysServedUntil(found);
+      !found.entry.isDraining &&
+      now < this.fleet.drainPolicy.keysServedUntil(found);
   }
 
   /**
