Keys stay with leaving servers that no other server can relieve

If all servers of a service state that they are leaving, their keys were released at once and had no server, although requests are sent to leaving servers for 0.9 of the drain time. In the model, 8 VMs and 8 servers that all leave: 0.06 of the keyed requests in time in the next 1.5 s, 0.35 once keys stay where no server can take them, and above 0.98 since those that were released before the last server stated it go to servers that still serve. 307 tests of the core and the model pass.

--- a/src/core/fleet/drain_policy.ts
+++ b/src/core/fleet/drain_policy.ts
@@ -50,6 +50,16 @@
     );
   }
 
+  /**
+   * Whether a server has stated that it is leaving, which its entry does not
+   * show yet, and still gets requests for its keys.
+   */
+  isStillServing(server: TrackedServer, now: number): boolean {
+    const { entry, statements } = server;
+    return statements.leavingSince !== null && !entry.isDraining &&
+      now < this.keysServedUntil(server);
+  }
+
   /**
    * Whether a server has stated so long ago that it is leaving that it must get
    * no more requests, even if its keys cannot move.
--- a/src/core/keyspace/key_rebalancer.ts
+++ b/src/core/keyspace/key_rebalancer.ts
@@ -129,10 +129,16 @@
     return length > servers.length / 2;
   }
 
+  /** Whether some server of a service is not leaving. */
+  hasStayingServers(service: string): boolean {
+    return this.fleet.serversOf(service).some((each) => !each.isLeaving);
+  }
+
   /**
    * Returns the servers that may get keys, with their speeds, which a rate
    * limit may reduce. Suspected, paused, warming and unresponsive servers, and
-   * those that refuse requests, are included only if there are no others.
+   * those that refuse requests, are included only if there are no others. If all
+   * servers are leaving, those are returned that still get requests.
    */
   eligibleServers(
     service: string,
@@ -140,9 +146,13 @@
     now: number,
   ): EligibleServer[] {
     const meanLatency = this.fleet.meanLatency(service, now);
-    const usable = this.fleet.serversOf(service).filter((each) =>
-      !each.isLeaving
-    );
+    const servers = this.fleet.serversOf(service);
+    const staying = servers.filter((each) => !each.isLeaving);
+    const usable = staying.length > 0
+      ? staying
+      : servers.filter((each) =>
+        this.fleet.drainPolicy.isStillServing(each, now)
+      );
     const healthy = usable.filter((each) =>
       !suspects.has(each.id) && !each.isPaused(now) &&
       !each.isWarming(now) && !each.isBackedOff(now) &&
--- a/src/core/keyspace/range_servers.ts
+++ b/src/core/keyspace/range_servers.ts
@@ -81,15 +81,11 @@
     return this.fleet.get(server)?.isLeaving === false;
   }
 
-  /**
-   * Whether a server has stated that it is leaving, which its entry does not
-   * show yet, and still gets requests for its keys.
-   */
-  isServingKeys(server: string, now: number): boolean {
+  /** Like `DrainPolicy.isStillServing`, by the id of the server. */
+  isStillServing(server: string, now: number): boolean {
     const found = this.fleet.get(server);
-    return found !== undefined && found.isShuttingDown &&
-      !found.entry.isDraining &&
-      now < this.fleet.drainPolicy.keysServedUntil(found);
+    return found !== undefined &&
+      this.fleet.drainPolicy.isStillServing(found, now);
   }
 
   /**
@@ -122,18 +118,11 @@
    * Whether the server of a range is leaving and has to release it now. The
    * ranges of an evacuated zone are released one after the other. If all were
    * released at once, they would all wait for running requests at the same time
-   * and then be assigned to a few servers together. A server that has
-   * stated that it is leaving keeps its ranges while it still gets requests for
-   * them and keys cannot move (`mayMove`), as during an outage of the store.
+   * and then be assigned to a few servers together.
    */
-  isReleaseDue(
-    { server: id, first }: TrackedRange,
-    mayMove: boolean,
-    now: number,
-  ): boolean {
+  isReleaseDue({ server: id, first }: TrackedRange, now: number): boolean {
     const server = this.fleet.get(id!);
-    if (server === undefined) return true;
-    if (server.isShuttingDown) return mayMove || !this.isServingKeys(id!, now);
+    if (server === undefined || server.isShuttingDown) return true;
     const { evacuatedSince } = server;
     if (evacuatedSince === null) return false;
     const position = (first * HASH_MULTIPLIER % KEY_COUNT) / KEY_COUNT;
--- a/src/core/keyspace/range_servers_test.ts
+++ b/src/core/keyspace/range_servers_test.ts
@@ -52,7 +52,7 @@
     return range;
   });
   const countDue = (now: number) =>
-    ranges.filter((range) => servers.isReleaseDue(range, true, now)).length;
+    ranges.filter((range) => servers.isReleaseDue(range, now)).length;
   t.is(countDue(0), 0);
   fleet.applyEvacuations({ evacuated: ["z"], restored: [] }, 1_000);
   t.false(servers.isAvailable("a"));
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -326,7 +326,7 @@
   ): void {
     const hasStoreAnswered = now - storeSilence >= range.releasedAt;
     const mayRegrant = this.#servers.isAvailable(range.server!) ||
-      this.#servers.isServingKeys(range.server!, now);
+      this.#servers.isStillServing(range.server!, now);
     if (hasStoreAnswered || !mayRegrant) {
       return this.#transitions.vacate(table, range);
     }
@@ -348,7 +348,9 @@
 
   /**
    * Whether the server of a held range is lost, or has to release the range
-   * because it is leaving or refuses the requests for it.
+   * because it is leaving or refuses the requests for it. While a leaving server
+   * still gets requests for its keys, it keeps them if they cannot move, as
+   * during an outage of the store or if all servers are leaving.
    */
   #isCloseDue(
     { service }: RangeTable,
@@ -356,12 +358,15 @@
     now: number,
     storeSilence: number,
   ): boolean {
+    const server = range.server!;
+    if (this.#servers.isLost(range, now)) return true;
     const mayMove = this.#mayMove(now, storeSilence);
-    const isRefused = mayMove &&
-      this.#servers.isRefusingKeys(range.server!, now) &&
+    if (this.#servers.isStillServing(server, now)) {
+      return mayMove && this.#rebalancer.hasStayingServers(service);
+    }
+    const isRefused = mayMove && this.#servers.isRefusingKeys(server, now) &&
       this.#rebalancer.hasSpareServers(service, now);
-    return isRefused || this.#servers.isLost(range, now) ||
-      this.#servers.isReleaseDue(range, mayMove, now);
+    return isRefused || this.#servers.isReleaseDue(range, now);
   }
 
   /**
--- a/test/ownership/server_statement_test.ts
+++ b/test/ownership/server_statement_test.ts
@@ -23,9 +23,9 @@
 const SERVERS = 8;
 const LEAVING_SERVERS = [0, 1];
 
-/** Two servers that state from `STATED_FROM` on that they are leaving. */
-function leaving(until: number): Fault[] {
-  return LEAVING_SERVERS.map((target) => ({
+/** Servers that state from `STATED_FROM` on that they are leaving. */
+function leaving(until: number, servers = LEAVING_SERVERS): Fault[] {
+  return servers.map((target) => ({
     kind: "server.leave",
     at: STATED_FROM,
     duration: until - STATED_FROM,
@@ -79,6 +79,16 @@
   return Math.max(-Infinity, ...leavingArrivals.map(({ delay }) => delay));
 }
 
+// Guards against keys that are released although no server can take them.
+test("keys stay with their servers as long as allowed if all servers are leaving", (t) => {
+  const servers = Array.from({ length: SERVERS }, (_, i) => i);
+  const { load, violations } = simulate(8, leaving(UNTIL, servers), {});
+  t.deepEqual(violations, []);
+  t.true(longestDelay(load!) <= DRAIN_TIME, `${longestDelay(load!)} ms`);
+  const served = servedShare(load!, STATED_FROM, STATED_FROM + 1_500);
+  t.true(served > 0.98, `${served} served in time`);
+});
+
 for (const vms of [8, 61]) {
   for (const isKeyed of [true, false]) {
     const kind = `${vms} VMs, ${isKeyed ? "keyed" : "without keys"}`;
