--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -23,8 +23,8 @@
 const MAXIMUM_RETRY_WAIT = 3_000;
 
 /**
- * Time after the first read that succeeds after a failed one during which reads
- * use the short long-poll timeout, in milliseconds. A store that has just recovered may lose the answer to a
+ * Time after a failed read during which reads use the short long-poll timeout,
+ * in milliseconds. The next read uses it however long the outage was. A store that has just recovered may lose the answer to a
  * long poll without resetting the connection, which is detected only when the
  * call times out.
  */
@@ -56,8 +56,7 @@
   #isReading = false;
   /** Resumes a paused follower; null while it is not paused. */
   #resume: (() => void) | null = null;
-  /** Until when reads use the short long-poll timeout. */
-  #shortPollsUntil = -Infinity;
+  #failedAt = -Infinity;
   /** Whether the last read failed. */
   #hasFailed = false;
   #isRefreshing = false;
@@ -166,13 +165,14 @@
 
   /** Long-poll timeout of a read that starts at `now`. */
   #longPollTimeout(now: number): number {
-    return this.#hasFailed || now < this.#shortPollsUntil
+    return this.#hasFailed || now - this.#failedAt < AFTER_FAILURE_PERIOD
       ? this.timing.longPollTimeoutAfterFailure
       : this.timing.longPollTimeout;
   }
 
   #reportFailure(error: unknown): void {
     if (this.#isStopped) return;
+    this.#failedAt = monotonicNow();
     this.#hasFailed = true;
     this.sink.push({
       kind: "store.failed",
@@ -182,9 +182,6 @@
   }
 
   #applyRead(read: FeedRead, sentAt: number): void {
-    if (this.#hasFailed) {
-      this.#shortPollsUntil = monotonicNow() + AFTER_FAILURE_PERIOD;
-    }
     this.#hasFailed = false;
     this.sink.push({ kind: "store.answered", sentAt });
     this.faultLog.update(read);
