--- a/src/core/fleet/process_statements.ts
+++ b/src/core/fleet/process_statements.ts
@@ -70,14 +70,15 @@
     return this.#leavingSince;
   }
 
-  /**
-   * Time from and until which it accepts no requests from this VM, by its latest
-   * backoff; -Infinity if it has requested none.
-   */
+  /** Start of its latest backoff; -Infinity if it has requested none. */
   get backoffSince(): number {
     return this.#backoffSince;
   }
 
+  /**
+   * Until when it accepts no requests from this VM; -Infinity if it has
+   * requested no backoff.
+   */
   get backoffUntil(): number {
     return this.#backoffUntil;
   }
