Detect and log that no server accepts connections of this VM

What callers saw: 503 after 603 ms from VMs that are partitioned from all servers. The log of such a VM and that of one whose servers are down were the same: attempt.not_sent with one cause at server after server.

ServerReach counts connections that fail at several servers without a response from any, and requests without a response, and checks them by connecting to three other servers. servers.unreached and servers.reached, and the metric servers_unreached, have the result. No request takes another way yet.

Probes state whether the address accepted, refused or did not respond, and time out after 200 ms; a probe that a busy process has not read yet does not.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -13,6 +13,7 @@
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import {
   type Attempt,
+  attemptName,
   type AttemptOutcome,
   createPendingRequest,
   type PendingRequest,
@@ -315,6 +316,9 @@
       assignments: `${term}.${version}`,
     });
     server.started(number, now);
+    const latency = server.latency ??
+      this.context.fleet.meanLatency(request.service, now);
+    this.context.reach.started(attemptName(number), server.id, latency, now);
     this.context.coldAdmission.requestSent(server, now);
     this.context.tokens.requestSent(server, now);
     this.#effects.push({
@@ -586,6 +590,7 @@
     for (const { number, server } of request.attempts) {
       this.#byAttempt.delete(number);
       if (number === deliveredAttempt) continue;
+      this.context.reach.ended(attemptName(number));
       this.context.fleet.get(server)?.cancelled(number);
       this.#effects.push({ kind: "attempt.cancel", attempt: number });
     }
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -12,7 +12,13 @@
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect, LogLine } from "./dispatch_effect.ts";
 import type { RangeBackoff } from "./range_backoff.ts";
-import type { Attempt, AttemptOutcome, PendingRequest } from "./request.ts";
+import type { ConnectionFailure } from "../reach/index.ts";
+import {
+  type Attempt,
+  attemptName,
+  type AttemptOutcome,
+  type PendingRequest,
+} from "./request.ts";
 import type { RequestLog } from "./request_log.ts";
 
 /**
@@ -84,9 +90,13 @@
     outcome: AttemptOutcome,
     now: number,
   ): NextStep {
+    const { reach } = this.context;
+    const name = attemptName(attempt.number);
     if (outcome.kind === "failed") {
+      reach.failed(name, connectionFailure(outcome), now);
       return this.#handleFailure(request, attempt, outcome, now);
     }
+    reach.answered(name, now);
     this.#applyStatement(attempt, outcome, now);
     return outcome.isNotRun
       ? this.#handleRefusal(request, attempt, outcome, now)
@@ -256,6 +266,16 @@
   }
 }
 
+/** Returns how the connection of an attempt without a response has failed. */
+function connectionFailure(
+  { mayHaveBeenSent, isConnectionRefused }:
+    & AttemptOutcome
+    & { kind: "failed" },
+): ConnectionFailure {
+  if (mayHaveBeenSent) return "broken";
+  return isConnectionRefused ? "refused" : "silent";
+}
+
 /**
  * Returns why the statement in a response is not taken for that of the server
  * `id`, or null. A response with status 421 may come from another server that
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -68,6 +68,11 @@
   hedgeAt: number;
 }
 
+/** Name of an attempt among everything that this VM sends to servers. */
+export function attemptName(number: number): string {
+  return `attempt ${number}`;
+}
+
 /** Consecutive refusals of a request by its key's server. */
 export interface KeyRefusal {
   /** Id of the server. */
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -16,12 +16,16 @@
 import type { EntryOptions, RegistryTiming } from "./entry_options.ts";
 import type { ServerStatement } from "./fleet/index.ts";
 import {
+  type GrantOrder,
   KeyLoads,
   type KeyspaceEffect,
+  type OrderOutcome,
+  type ReleaseOrder,
   TermCampaign,
 } from "./keyspace/index.ts";
 import { PeerExchange, QuarantineStorage } from "./exchange/index.ts";
 import { createUniformGenerator } from "./random.ts";
+import { type ReachChange, ServerReach } from "./reach/index.ts";
 import { Shutdown } from "./shutdown.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -45,6 +49,8 @@
   readonly campaign: TermCampaign;
   readonly peers: PeerExchange;
   readonly dispatcher: Dispatcher;
+  /** Whether this VM's own connections reach the servers. */
+  readonly reach: ServerReach;
   readonly #loads = KeyLoads.create();
   readonly #shutdown: Shutdown;
   readonly #registryTiming: RegistryTiming;
@@ -70,6 +76,10 @@
     );
     const { catalog, fleet, directory, keyLimits } = this.clusterState;
     const { quarantine, crashDetector } = this.clusterState;
+    this.reach = ServerReach.create(
+      fleet,
+      createUniformGenerator(options.seed + 2),
+    );
     this.#quarantineStorage = QuarantineStorage.create(quarantine);
     this.campaign = TermCampaign.create(
       options.leaseTiming,
@@ -96,6 +106,7 @@
       detector: crashDetector,
       permits: this.peers.permitExchange.permits,
       tokens: this.peers.tokenExchange.tokens,
+      reach: this.reach,
       coldAdmission: ColdAdmission.create(
         catalog,
         () => this.vms,
@@ -172,6 +183,7 @@
       this.dispatcher.nextAt(),
       this.peers.nextAt(),
       this.clusterState.crashDetector.nextAt(),
+      this.reach.nextAt(),
       Math.max(
         this.#store.retryAt,
         this.clusterState.registry.dueAt(this.#maximumRegistryAge),
@@ -243,6 +255,7 @@
       }
       case "order.ended": {
         const { order, outcome } = event;
+        this.#recordOrderPath(order, outcome, now);
         if (outcome.statement !== undefined) {
           this.#applyOrderStatement(order, outcome.statement, now);
         }
@@ -276,13 +289,8 @@
         return this.#emit(
           ...this.dispatcher.attemptEnded(event.attempt, event.outcome, now),
         );
-      case "server.checked": {
-        const { crashDetector, fleet } = this.clusterState;
-        const { server, isRefused } = event;
-        this.clusterState.logDecision("server.probed", { server, isRefused });
-        if (!event.isRefused) return crashDetector.probeSucceeded(event.server);
-        return crashDetector.exited(fleet.get(event.server), now);
-      }
+      case "server.checked":
+        return this.#serverChecked(event);
       case "callers.closed":
         return this.#shutdown.callersClosed();
       case "shutdown":
@@ -307,6 +315,7 @@
     this.#updateFeeds(now);
     this.peers.advance(now);
     this.#emit(...this.clusterState.crashDetector.advance(now));
+    this.#emit(...this.reach.advance(now));
     this.#emit(...this.dispatcher.advance(now));
     if (this.#shutdown.isStopImminent(now)) this.#endPendingRequests(now);
     this.#updateReadiness();
@@ -350,7 +359,7 @@
       isTimerEvent,
     );
     for (const each of effects) {
-      if (isOrder(each)) this.#orders.push(each);
+      if (isOrder(each)) this.#sendOrder(each, now);
       else this.#emit(each);
     }
     if (this.campaign.holder !== null && !this.#store.isFailing(now)) {
@@ -375,6 +384,49 @@
     this.#emit({ kind: "feeds.follow", isOn: isFollowing });
   }
 
+  /** Sends an order after all other effects of the step. */
+  #sendOrder(order: GrantOrder | ReleaseOrder, now: number): void {
+    this.#orders.push(order);
+    // The response to a release may have to wait for running requests.
+    if (order.kind !== "order.grant") return;
+    this.reach.started(orderName(order.order), order.server, 0, now);
+  }
+
+  /** Records whether an order shows that the server is reached directly. */
+  #recordOrderPath(order: number, outcome: OrderOutcome, now: number): void {
+    const name = orderName(order);
+    if (outcome.kind === "withheld") this.reach.ended(name);
+    else if (outcome.kind !== "failed" || outcome.isAnswered) {
+      this.reach.answered(name, now);
+    } else this.reach.failed(name, "broken", now);
+  }
+
+  /** Handles the end of a probe of a server's address. */
+  #serverChecked(
+    { server, purpose, result, now }: EntryEvent & { kind: "server.checked" },
+  ): void {
+    const { crashDetector, fleet } = this.clusterState;
+    const change = this.reach.probed(server, result, now);
+    if (change !== null) this.#reachChanged(change);
+    if (purpose === "reach") return;
+    const isRefused = result === "refused";
+    this.clusterState.logDecision("server.probed", { server, isRefused });
+    if (!isRefused) return crashDetector.probeSucceeded(server);
+    return crashDetector.exited(fleet.get(server), now);
+  }
+
+  /**
+   * Logs whether this VM's own connections reach servers. The log of a VM that
+   * is partitioned from all servers would otherwise look like that of a VM whose
+   * servers are down.
+   */
+  #reachChanged({ state, detail }: ReachChange): void {
+    const decision = state === "direct"
+      ? "servers.reached"
+      : "servers.unreached";
+    this.#emit({ kind: "note", level: "warn", decision, detail });
+  }
+
   /** Applies a read of the registry. */
   #readServers(event: EntryEvent & { kind: "servers.read" }): void {
     const { fleet, registry } = this.clusterState;
@@ -419,6 +471,7 @@
     this.clusterState.quarantine.processStalled(duration);
     this.campaign.processStalled(duration);
     this.dispatcher.processStalled(duration);
+    this.reach.processStalled(duration);
   }
 
   /**
@@ -518,6 +571,11 @@
   }
 }
 
-function isOrder({ kind }: KeyspaceEffect): boolean {
-  return kind === "order.grant" || kind === "order.release";
+function isOrder(effect: KeyspaceEffect): effect is GrantOrder | ReleaseOrder {
+  return effect.kind === "order.grant" || effect.kind === "order.release";
+}
+
+/** Name of an order among everything that this VM sends to servers. */
+function orderName(order: number): string {
+  return `order ${order}`;
 }
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -15,7 +15,11 @@
 } from "./keyspace/index.ts";
 import type { EvacuationRead } from "./fleet/index.ts";
 import type { HolderAddress, PeerMessage } from "./peers/index.ts";
-import type { CrashRecord } from "./quarantine/index.ts";
+import type {
+  CrashRecord,
+  ProbeResult,
+  ServerProbe,
+} from "./quarantine/index.ts";
 import type { RegistryRead } from "./registry/index.ts";
 
 /** Name under which failed membership calls to the store are reported. */
@@ -91,11 +95,13 @@
    * arrive.
    */
   | { kind: "callers.closed" }
-  /**
-   * A probe of a server's address has ended; `isRefused` if the connection was
-   * refused.
-   */
-  | { kind: "server.checked"; server: string; isRefused: boolean }
+  /** A probe of a server's address has ended. */
+  | {
+    kind: "server.checked";
+    server: string;
+    purpose: ServerProbe["purpose"];
+    result: ProbeResult;
+  }
   /** An attempt to have a server run a request has ended. */
   | { kind: "attempt.ended"; attempt: number; outcome: AttemptOutcome }
   /**
--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -26,6 +26,10 @@
     /** Time since the last message from the holder. */
     holderSilence: number;
   };
+  /**
+   * Whether no server accepts direct connections of this VM.
+   */
+  isIsolated: boolean;
   servers: {
     id: string;
     service: string;
@@ -94,6 +98,7 @@
       holder: entry.peers.followerLink.holder,
       holderSilence: Math.round(entry.peers.followerLink.silence(now)),
     },
+    isIsolated: entry.reach.isIsolated,
     servers: entry.clusterState.fleet.all().map((server) => ({
       id: server.id,
       service: server.entry.service,
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -215,6 +215,11 @@
     return changes;
   }
 
+  /** Number of listed servers. */
+  get size(): number {
+    return this.#servers.size;
+  }
+
   /** All listed servers. */
   all(): TrackedServer[] {
     return [...this.#servers.values()];
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -22,7 +22,12 @@
    */
   | { kind: "withheld" }
   /** There was no valid answer. The server may still carry out the order. */
-  | { kind: "failed"; cause: string };
+  | {
+    kind: "failed";
+    cause: string;
+    /** Whether the server responded with an unexpected status. */
+    isAnswered?: boolean;
+  };
 
 /** Outcome of an order to a backend server. */
 export type OrderOutcome = OrderResult & {
--- a/src/core/quarantine/crash_detector.ts
+++ b/src/core/quarantine/crash_detector.ts
@@ -54,8 +54,16 @@
   kind: "server.check";
   server: string;
   address: string;
+  /**
+   * `crash` if the server may have crashed, `reach` if it is checked whether
+   * this VM's connections reach servers.
+   */
+  purpose: "crash" | "reach";
 }
 
+/** How the connection of a probe ended; `silent` if nothing responded. */
+export type ProbeResult = "connected" | "refused" | "silent";
+
 /** A request whose connection to the server broke. Its body is not kept. */
 export interface BrokenRequest {
   /** Request id that the caller assigned. */
@@ -283,5 +291,5 @@
 }
 
 function createProbe(server: string, { address }: ProcessState): ServerProbe {
-  return { kind: "server.check", server, address };
+  return { kind: "server.check", server, address, purpose: "crash" };
 }
--- /dev/null
+++ b/src/core/reach/index.ts
@@ -0,0 +1,1 @@
+export * from "./server_reach.ts";
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -16,18 +16,21 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { AttemptStart } from "../core/dispatch/index.ts";
-import type { ServerProbe } from "../core/quarantine/index.ts";
+import type { ProbeResult, ServerProbe } from "../core/quarantine/index.ts";
 import { errorText } from "../errors/index.ts";
 import { parseAddress } from "../settings/address.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { EventSink } from "./entry_loop.ts";
 import { limitConnectTime } from "./http_client.ts";
+import { afterPendingReads } from "./loop_lag.ts";
 
 /**
  * Connect timeout, in milliseconds. A host that is down sends nothing, not even
  * a refusal.
  */
 const CONNECT_TIMEOUT = 300;
+/** Timeout of a probe of a server's address, in milliseconds. */
+const PROBE_TIMEOUT = 200;
 /**
  * Maximum time for which an idle connection is kept, in milliseconds. A shorter
  * timeout that the server sends takes precedence.
@@ -178,22 +181,27 @@
    * Checks whether a process listens at a server's address. Pushes exactly one
    * `server.checked`.
    */
-  probe({ server, address }: ServerProbe): void {
+  probe({ server, address, purpose }: ServerProbe): void {
     const { host, port } = parseAddress(address);
     const socket = connect({ host, port });
-    socket.setTimeout(CONNECT_TIMEOUT);
-    const end = (isRefused: boolean) => {
+    socket.setTimeout(PROBE_TIMEOUT);
+    const end = (result: ProbeResult) => {
       socket.removeAllListeners();
       // Ignores errors after the result is known.
       socket.on("error", () => {});
       socket.destroy();
-      this.sink.push({ kind: "server.checked", server, isRefused });
+      this.sink.push({ kind: "server.checked", server, purpose, result });
     };
-    socket.once("connect", () => end(false));
-    socket.once("timeout", () => end(false));
+    socket.once("connect", () => end("connected"));
+    // A busy process may not have read yet that the connection is established.
+    socket.once("timeout", () =>
+      afterPendingReads(() => {
+        if (socket.listenerCount("connect") > 0) end("silent");
+      }));
     socket.once(
       "error",
-      (error: NodeJS.ErrnoException) => end(error.code === CONNECTION_REFUSED),
+      ({ code }: NodeJS.ErrnoException) =>
+        end(code === CONNECTION_REFUSED ? "refused" : "silent"),
     );
   }
 
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -304,6 +304,7 @@
     caller_requests_late_total: callers.late,
     vms: entry.vms ?? 0,
     requests_quarantined: entry.clusterState.quarantine.quarantinedCount,
+    servers_unreached: entry.reach.isIsolated ? 1 : 0,
     is_term_holder: entry.campaign.holder === null ? 0 : 1,
     log_lines_dropped: logger.dropped,
     processor_seconds: (user + system) / 1e6,
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -897,12 +897,14 @@
         this.#recordEvacuatedZoneSend(effect.server);
         return this.#report.load!.send(vm.index, effect);
       case "server.check": {
-        const { server, address } = effect;
+        const { server, address, purpose } = effect;
         const { restartCount } = vm;
         return this.#time.after(2 * ONE_WAY_DELAY, () => {
-          const isRefused = !this.#acceptsConnections(address);
+          const result = this.#acceptsConnections(address)
+            ? "connected"
+            : "refused";
           if (vm.restartCount !== restartCount) return;
-          this.#handle(vm, { kind: "server.checked", server, isRefused });
+          this.#handle(vm, { kind: "server.checked", server, purpose, result });
         });
       }
       case "attempt.cancel":
