--- a/src/core/reach/server_reach.ts
+++ b/src/core/reach/server_reach.ts
@@ -21,6 +21,12 @@
  */
 const OVERDUE_LATENCY_FACTOR = 1.5;
 const MINIMUM_OVERDUE_TIME = 250;
+/**
+ * Multiple of that time after which requests to a single server are checked.
+ * Most such requests are only slow, and a check costs other servers
+ * connections.
+ */
+const SINGLE_OVERDUE_FACTOR = 3;
 /** Time for which a failed connection counts, in milliseconds. */
 const FAILURE_LIFETIME = 1_000;
 /** Number of servers that a check connects to. */
@@ -283,17 +289,18 @@
     return servers.map(createProbe);
   }
 
-  /** When {@linkcode advance} must be called; Infinity if nothing is due. */
+  /**
+   * When {@linkcode advance} must be called; Infinity if nothing is due.
+   * Overdue requests have no time of their own: they are found with the next
+   * event or the next regular step.
+   */
   nextAt(): number {
     if (this.#isIsolated) {
       return this.#isProbing ? Infinity : this.#probedAt + PROBE_INTERVAL;
     }
-    if (this.#check !== null) return this.#check.startedAt + CHECK_TIMEOUT;
-    let next = Infinity;
-    for (const { startedAt, limit } of this.#attempts.values()) {
-      next = Math.min(next, Math.max(startedAt, this.#answeredAt) + limit);
-    }
-    return Math.max(next, this.#checkedAt + CHECK_PAUSE);
+    return this.#check === null
+      ? Infinity
+      : this.#check.startedAt + CHECK_TIMEOUT;
   }
 
   #probedWhileIsolated(result: ProbeResult, now: number): ReachChange | null {
@@ -360,7 +367,7 @@
     // A single server that refuses connections has most likely ended.
     return [...suspects].some((server) =>
       this.#failures.get(server)?.kind === "silent"
-    ) || this.#overdueServers(now).length > 0;
+    ) || this.#overdueServers(now, SINGLE_OVERDUE_FACTOR).length > 0;
   }
 
   /**
@@ -386,13 +393,14 @@
   }
 
   /**
-   * Servers with overdue requests, if no server has responded since these
-   * requests were sent.
+   * Servers with requests that are overdue by `factor`, if no server has
+   * responded since these requests were sent.
    */
-  #overdueServers(now: number): string[] {
+  #overdueServers(now: number, factor = 1): string[] {
     const overdue: string[] = [];
     for (const { server, startedAt, limit } of this.#attempts.values()) {
-      if (now - Math.max(startedAt, this.#answeredAt) <= limit) continue;
+      const silence = now - Math.max(startedAt, this.#answeredAt);
+      if (silence <= limit * factor) continue;
       overdue.push(server);
     }
     return overdue;
