--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -12,6 +12,7 @@
 } from "../../platform/index.ts";
 import { errorText } from "../errors/index.ts";
 import { EntryProcess } from "../runtime/entry_process.ts";
+import { RelayConnector } from "../runtime/relay_connector.ts";
 import {
   type EntrySettings,
   entrySettingsSchema,
@@ -44,7 +45,10 @@
     // the store expires the old ones.
     store: PlatformStore.create(address, settings.vm, settings.peer),
     headers: PlatformHeaderCodec.create(),
-    orders: PlatformOrderSender.create(),
+    orders: PlatformOrderSender.create(RelayConnector.create({
+      vm: settings.vm,
+      peerAddress: settings.peer,
+    })),
   };
   const starting = EntryProcess.start(
     settings,
--- a/src/core/dispatch/cold_admission_test.ts
+++ b/src/core/dispatch/cold_admission_test.ts
@@ -3,6 +3,7 @@
 import { Catalog, configurationSchema } from "../catalog/index.ts";
 import { Fleet } from "../fleet/index.ts";
 import { createUniformGenerator } from "../random.ts";
+import { ServerPaths, ServerReach } from "../reach/index.ts";
 import { RateTokens } from "../rates/index.ts";
 import { ColdAdmission } from "./cold_admission.ts";
 import { chooseServer } from "./server_choice.ts";
@@ -183,6 +184,7 @@
         () => 1,
         () => 0.5,
       ),
+      paths: ServerPaths.create(ServerReach.create(fleet, () => 0.5)),
       isUrgent: true,
       draw: () => 0.5,
     })!;
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -12,7 +12,7 @@
   Quarantine,
   RunPermits,
 } from "../quarantine/index.ts";
-import type { ServerReach } from "../reach/index.ts";
+import type { ServerPaths } from "../reach/index.ts";
 import type { ColdAdmission } from "./cold_admission.ts";
 import type { RateTokens } from "../rates/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
@@ -27,8 +27,8 @@
   detector: CrashDetector;
   permits: RunPermits;
   coldAdmission: ColdAdmission;
-  /** Whether this VM's own connections reach the servers. */
-  reach: ServerReach;
+  /** Paths of the connections to servers. */
+  paths: ServerPaths;
   tokens: RateTokens;
   /** Availability zone of this VM. */
   availabilityZone: string;
--- a/src/core/dispatch/dispatch_effect.ts
+++ b/src/core/dispatch/dispatch_effect.ts
@@ -19,6 +19,13 @@
   /** Id of the server. */
   server: string;
   address: string;
+  /**
+   * Peer address of the VM through which a connection is opened; null to
+   * connect directly.
+   */
+  relay: string | null;
+  /** Whether an open direct connection is preferred even if `relay` is set. */
+  mayReuseDirect: boolean;
   /** Milliseconds until the deadline. */
   remaining: number;
 }
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -17,6 +17,9 @@
 const CRASH_LIMIT_REACHED = "backend servers have ended under this request, " +
   "and no copy of it has been answered";
 
+/** Reason given when this VM has no path to any server. */
+const CUT_OFF = "no backend server can be reached from this VM";
+
 /** Whether and where a request can be sent now. */
 export type DispatchPlan =
   | { kind: "server"; server: TrackedServer }
@@ -32,7 +35,8 @@
   | { kind: "quarantined"; quarantined: QuarantinedRequest }
   /**
    * Refused because waiting would not help: the request has crashed a server
-   * and another copy of it is running, it has reached its crash limit, all
+   * and another copy of it is running, it has reached its crash limit, no server
+   * can be reached, all
    * servers are leaving or have requested a backoff, or a rate limit is reached
    * (`isRateLimited`).
    */
@@ -122,6 +126,7 @@
       now,
     );
     if (quarantined !== null) return { kind: "quarantined", quarantined };
+    if (this.context.paths.isCutOff(now)) return refusal(CUT_OFF);
     if (now < request.retryNotBefore) {
       return requestSpecificWait(
         "its server broke off",
@@ -133,7 +138,7 @@
     if (request.key !== null) {
       return this.#planKeyed(request, request.key, now);
     }
-    const { coldAdmission, tokens } = this.context;
+    const { coldAdmission, tokens, paths } = this.context;
     const vmCount = this.context.vmCount();
     const isUrgent = this.#isUrgent(request);
     const context = {
@@ -142,6 +147,7 @@
       vmCount,
       coldAdmission,
       tokens,
+      paths,
       isUrgent,
       draw,
     };
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -167,6 +167,34 @@
     }
   }
 
+  /**
+   * Handles that nothing arrives over this VM's direct connections any more.
+   * Idempotent requests in flight there are sent again on another path. Others
+   * may have run and keep waiting for their response, but do not count as load
+   * of their servers.
+   */
+  directConnectionsLost(now: number): DispatchEffect[] {
+    for (const request of [...this.#requests.values()]) {
+      for (const attempt of [...request.attempts]) {
+        if (attempt.relay !== null) continue;
+        this.context.fleet.get(attempt.server)?.cancelled(attempt.number);
+        if (request.route.isIdempotent) this.#abandon(request, attempt, now);
+      }
+    }
+    return this.#takeEffects();
+  }
+
+  /** Cancels an attempt and sends its idempotent request again. */
+  #abandon(request: PendingRequest, attempt: Attempt, now: number): void {
+    const { number } = attempt;
+    this.#byAttempt.delete(number);
+    this.context.paths.ended(attemptName(number));
+    request.attempts = request.attempts.filter((each) => each !== attempt);
+    this.#effects.push({ kind: "attempt.cancel", attempt: number });
+    const step = this.#outcomeReview.reviewAbandoned(request, attempt);
+    this.#applyStep(request, attempt, step, now);
+  }
+
   /** Cancels a request whose caller disconnected without a response. */
   callerDisconnected(exchange: number, now: number): DispatchEffect[] {
     const request = this.#requests.get(exchange);
@@ -293,9 +321,11 @@
     const number = this.#attemptCount;
     const range = this.#assignedRange(request);
     if (range !== null) this.#rangeBackoff.requestSent(range, now);
+    const { relay, mayReuseDirect } = this.context.paths.to(server.id, now);
     const attempt: Attempt = {
       number,
       server: server.id,
+      relay,
       startedAt: now,
       range,
       hedgeAt: this.#retryPolicy.hedgeAt(request, now),
@@ -310,15 +340,14 @@
       attempt: number,
       server: server.id,
       address: server.entry.address,
+      ...(relay === null ? {} : { relay }),
       load: Number(server.load(now).toFixed(1)),
       latency: server.latency === null ? null : Math.round(server.latency),
       vms: this.context.vmCount(),
       assignments: `${term}.${version}`,
     });
     server.started(number, now);
-    const latency = server.latency ??
-      this.context.fleet.meanLatency(request.service, now);
-    this.context.reach.started(attemptName(number), server.id, latency, now);
+    this.#recordPath(request, attempt, server, mayReuseDirect, now);
     this.context.coldAdmission.requestSent(server, now);
     this.context.tokens.requestSent(server, now);
     this.#effects.push({
@@ -327,10 +356,29 @@
       exchange: request.arrival.exchange,
       server: server.id,
       address: server.entry.address,
+      relay,
+      mayReuseDirect,
       remaining: Math.max(1, Math.floor(request.deadline - now)),
     });
   }
 
+  /** Records on which path an attempt is sent. */
+  #recordPath(
+    { service }: PendingRequest,
+    { number, relay }: Attempt,
+    server: TrackedServer,
+    mayReuseDirect: boolean,
+    now: number,
+  ): void {
+    const { fleet, paths } = this.context;
+    const latency = server.latency ?? fleet.meanLatency(service, now);
+    const name = attemptName(number);
+    if (relay === null || mayReuseDirect) {
+      paths.reach.started(name, server.id, latency, now);
+    }
+    if (relay !== null) paths.relays.started(name, relay, latency, now);
+  }
+
   /** The assigned range that contains the request's key, or null. */
   #assignedRange({ service, key }: PendingRequest): AssignedRange | null {
     if (key === null) return null;
@@ -590,7 +638,7 @@
     for (const { number, server } of request.attempts) {
       this.#byAttempt.delete(number);
       if (number === deliveredAttempt) continue;
-      this.context.reach.ended(attemptName(number));
+      this.context.paths.ended(attemptName(number));
       this.context.fleet.get(server)?.cancelled(number);
       this.#effects.push({ kind: "attempt.cancel", attempt: number });
     }
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -13,7 +13,7 @@
   RunPermits,
 } from "../quarantine/index.ts";
 import { RateTokens, type TokenAnswer } from "../rates/index.ts";
-import { ServerReach } from "../reach/index.ts";
+import { ServerPaths, ServerReach } from "../reach/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import { ColdAdmission } from "./cold_admission.ts";
 import { Dispatcher } from "./dispatcher.ts";
@@ -101,6 +101,7 @@
     () => vmCount,
     draw,
   );
+  const paths = ServerPaths.create(ServerReach.create(fleet, draw));
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
@@ -110,7 +111,7 @@
     detector,
     permits,
     coldAdmission: ColdAdmission.create(catalog, () => vmCount, draw),
-    reach: ServerReach.create(fleet, draw),
+    paths,
     tokens,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
@@ -144,6 +145,7 @@
     assign,
     keyLimits,
     quarantine,
+    paths,
   };
 }
 
@@ -625,7 +627,7 @@
       release: () => {},
     }),
     coldAdmission: ColdAdmission.create(catalog, () => null, () => 0),
-    reach: ServerReach.create(Fleet.create(), () => 0),
+    paths: ServerPaths.create(ServerReach.create(Fleet.create(), () => 0)),
     tokens: RateTokens.create(
       { requestToken: () => null },
       () => null,
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -34,6 +34,12 @@
  */
 const BROKEN_ATTEMPT_DELAY = 30;
 
+/**
+ * Number of times that a request is sent again on another path to a server
+ * because no connection could be opened.
+ */
+const MAXIMUM_PATH_FAILURES = 4;
+
 /**
  * Status of a server that is not the expected one or does not own the key.
  */
@@ -42,6 +48,9 @@
 /** Outcome of an attempt to which a server responded. */
 type ServerResponse = AttemptOutcome & { kind: "answered" };
 
+/** Outcome of an attempt to which no server responded. */
+type FailedOutcome = AttemptOutcome & { kind: "failed" };
+
 /** The step that follows an attempt. */
 export type NextStep =
   /** Pass the response to the caller. */
@@ -90,19 +99,32 @@
     outcome: AttemptOutcome,
     now: number,
   ): NextStep {
-    const { reach } = this.context;
+    const { paths } = this.context;
     const name = attemptName(attempt.number);
     if (outcome.kind === "failed") {
-      reach.failed(name, connectionFailure(outcome), now);
+      const failure = connectionFailure(outcome);
+      paths.failed(name, outcome.isRelayed ?? false, failure, now);
       return this.#handleFailure(request, attempt, outcome, now);
     }
-    reach.answered(name, now);
+    paths.answered(name, outcome.isRelayed ?? false, now);
     this.#applyStatement(attempt, outcome, now);
     return outcome.isNotRun
       ? this.#handleRefusal(request, attempt, outcome, now)
       : this.#handleResponse(request, attempt, outcome, now);
   }
 
+  /**
+   * Returns the next step of an idempotent request whose attempt was cancelled,
+   * because nothing arrives over this VM's direct connections.
+   */
+  reviewAbandoned(request: PendingRequest, { server }: Attempt): NextStep {
+    request.mayHaveRun = true;
+    const cause = "no server responds to this VM";
+    const detail = { server, cause };
+    const fallback: NextStep = { kind: "fail", reason: cause, detail };
+    return { kind: "retry", detail, fallback };
+  }
+
   /** Handles a response to a request that the server ran. */
   #handleResponse(
     request: PendingRequest,
@@ -203,7 +225,28 @@
       fingerprint: fingerprint.complete,
     };
     const probe = detector.connectionBroke(server, request, now);
-    if (probe !== null) this.emit(probe);
+    if (probe !== null) this.emit(this.context.paths.withPath(probe, now));
+  }
+
+  /**
+   * Records that a server's address refused the connection of an attempt. A
+   * direct connection may have been refused because of this VM's own links, so
+   * the exit of the server is confirmed through another VM if there is one.
+   */
+  #recordRefusedConnection(
+    attempt: Attempt,
+    isRelayed: boolean,
+    now: number,
+  ): void {
+    const server = this.context.fleet.get(attempt.server);
+    if (!server?.has(attempt.number)) return;
+    const confirmation = isRelayed
+      ? null
+      : this.context.paths.confirmation(server.id, server.entry.address, now);
+    if (confirmation === null) {
+      this.#recordExit(server, attempt, now);
+      server.connectionRefused();
+    } else if (confirmation !== "recent") this.emit(confirmation);
   }
 
   /**
@@ -239,23 +282,56 @@
   #handleFailure(
     request: PendingRequest,
     attempt: Attempt,
-    { mayHaveBeenSent, isConnectionRefused, cause }:
-      & AttemptOutcome
-      & { kind: "failed" },
+    outcome: FailedOutcome,
     now: number,
   ): NextStep {
-    const server = this.context.fleet.get(attempt.server);
-    if (mayHaveBeenSent) this.#recordBrokenAttempt(request, attempt, now);
-    else if (isConnectionRefused) {
-      this.#recordExit(server, attempt, now);
-      if (server?.has(attempt.number)) server.connectionRefused();
+    const { mayHaveBeenSent, cause } = outcome;
+    if (!mayHaveBeenSent) {
+      return this.#handleNotSent(request, attempt, outcome, now);
+    }
+    this.#recordBrokenAttempt(request, attempt, now);
+    this.context.fleet.get(attempt.server)?.failed(attempt.number, now);
+    return retryOrFail(request, attempt, cause, now);
+  }
+
+  /** Handles an attempt of which nothing has reached a server. */
+  #handleNotSent(
+    request: PendingRequest,
+    attempt: Attempt,
+    outcome: FailedOutcome,
+    now: number,
+  ): NextStep {
+    const { paths, fleet } = this.context;
+    const { isConnectionRefused, isRelayed = false, cause } = outcome;
+    const server = fleet.get(attempt.server);
+    if (outcome.isRelayFault) {
+      paths.relays.failed(attempt.relay!, now);
+      server?.cancelled(attempt.number);
+    } else if (isConnectionRefused) {
+      this.#recordRefusedConnection(attempt, isRelayed, now);
+    } else if (isRelayed) {
+      paths.relays.unanswered(attempt.relay!, now);
     }
     server?.failed(attempt.number, now);
-    if (mayHaveBeenSent) return retryOrFail(request, attempt, cause, now);
-    const detail = { server: attempt.server, cause };
-    this.log.write("info", "attempt.not_sent", request, now, detail);
+    this.log.write("info", "attempt.not_sent", request, now, {
+      server: attempt.server,
+      ...(isRelayed ? { relay: attempt.relay } : {}),
+      cause,
+    });
     // Nothing reached a server, so the next attempt is not a retry of this one.
     request.sentCount -= 1;
+    const hasOtherPath = request.pathFailures < MAXIMUM_PATH_FAILURES &&
+      paths.to(attempt.server, now).relay !== attempt.relay;
+    if (hasOtherPath) {
+      request.pathFailures += 1;
+      // If only this server is not reached, others are preferred.
+      if (request.key !== null || paths.reach.state(now) !== "direct") {
+        request.tried.splice(request.tried.indexOf(attempt.server), 1);
+      }
+      if (!request.mayHaveRun) return { kind: "dispatch" };
+      const fallback = { kind: "fail", reason: cause, detail: null } as const;
+      return { kind: "retry", detail: null, fallback };
+    }
     if (request.mayHaveRun) {
       return { kind: "fail", reason: "not sent again", detail: null };
     }
@@ -268,9 +344,7 @@
 
 /** Returns how the connection of an attempt without a response has failed. */
 function connectionFailure(
-  { mayHaveBeenSent, isConnectionRefused }:
-    & AttemptOutcome
-    & { kind: "failed" },
+  { mayHaveBeenSent, isConnectionRefused }: FailedOutcome,
 ): ConnectionFailure {
   if (mayHaveBeenSent) return "broken";
   return isConnectionRefused ? "refused" : "silent";
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -55,6 +55,11 @@
   number: number;
   /** Id of the server. */
   server: string;
+  /**
+   * Peer address of the VM through which it is sent, or null. With it, an open
+   * direct connection may be used instead.
+   */
+  relay: string | null;
   startedAt: number;
   /**
    * The assigned range that contained the request's key at the start of the
@@ -131,6 +136,8 @@
   tried: string[];
   /** Number of attempts that reached a server, or may have. */
   sentCount: number;
+  /** Number of attempts whose connection could not be opened on their path. */
+  pathFailures: number;
   /** Whether a server may have run it. */
   mayHaveRun: boolean;
   /** Whether its deadline may have passed, because the clock may be ahead. */
@@ -187,6 +194,7 @@
     attempts: [],
     tried: [],
     sentCount: 0,
+    pathFailures: 0,
     mayHaveRun: false,
     isDeadlineUncertain: false,
     retryNotBefore: -Infinity,
@@ -211,6 +219,8 @@
     server: string | null;
     /** What the server states of itself. */
     statement: ServerStatement;
+    /** Whether it was sent through another VM; false if omitted. */
+    isRelayed?: boolean;
   }
   | {
     kind: "failed";
@@ -220,6 +230,10 @@
      * Whether the server's address refused the connection; false if omitted.
      */
     isConnectionRefused?: boolean;
+    /** Whether it was sent through another VM; false if omitted. */
+    isRelayed?: boolean;
+    /** Whether that VM could not be used; false if omitted. */
+    isRelayFault?: boolean;
     /** Cause of the failure, for the log and the caller. */
     cause: string;
   };
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -52,6 +52,12 @@
 /** Minimum delay, in milliseconds. */
 const MINIMUM_DELAY = 20;
 
+/**
+ * Delay while this VM has no path to servers that other VMs reach, in
+ * milliseconds: another VM can accept the request immediately.
+ */
+const ELSEWHERE_DELAY = 20;
+
 /** See the module's comment. */
 export class RetryAfterPolicy {
   /**
@@ -81,6 +87,8 @@
    * until then.
    */
   delay(request: PendingRequest, now: number): number {
+    const { paths } = this.context;
+    if (paths.isCutOff(now) && !paths.relays.isEmpty) return ELSEWHERE_DELAY;
     const backoffEnd = this.#backoffEnd(request, now);
     if (backoffEnd !== null) return backoffEnd - now;
     const canMeetTarget = this.#isFirstAttempt(request) && !request.isShed;
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -6,6 +6,7 @@
  */
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
 import type { RateTokens } from "../rates/index.ts";
+import type { ServerPaths } from "../reach/index.ts";
 import type { ColdAdmission } from "./cold_admission.ts";
 
 /**
@@ -68,6 +69,8 @@
   vmCount: number | null;
   coldAdmission: ColdAdmission;
   tokens: RateTokens;
+  /** Paths of the connections to servers. */
+  paths: ServerPaths;
   /** Whether no route to the service is more urgent than the request's. */
   isUrgent: boolean;
   /** Returns a random number in [0, 1). */
@@ -103,8 +106,8 @@
 /**
  * Selects the server with the lowest expected cost among those with capacity
  * that were not tried. Servers that have requested a backoff are not
- * considered. Paused and unresponsive servers are considered only if
- * there are no others. Returns null if no server has capacity.
+ * considered. Paused and unresponsive servers, and those that only this VM does
+ * not reach, are considered only if there are no others. Returns null if no server has capacity.
  */
 export function chooseServer(
   service: string,
@@ -112,7 +115,7 @@
   now: number,
   context: ChoiceContext,
 ): TrackedServer | null {
-  const { fleet, vmCount, coldAdmission, tokens } = context;
+  const { fleet, vmCount, coldAdmission, tokens, paths } = context;
   const meanLatency = fleet.meanLatency(service, now);
   const usable = sample(fleet.serversOf(service), context.draw).filter((
     server,
@@ -120,7 +123,8 @@
     !server.isLeaving && !server.isBackedOff(now) && !tried.includes(server.id)
   );
   const healthy = usable.filter((server) =>
-    !server.isPaused(now) && !server.isUnresponsive(now, meanLatency)
+    !server.isPaused(now) && !server.isUnresponsive(now, meanLatency) &&
+    !paths.isDetoured(server.id, now)
   );
   const pool = healthy.length > 0 ? healthy : usable;
   const candidates = pool.filter((server) =>
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -25,7 +25,13 @@
 } from "./keyspace/index.ts";
 import { PeerExchange, QuarantineStorage } from "./exchange/index.ts";
 import { createUniformGenerator } from "./random.ts";
-import { type ReachChange, ServerReach } from "./reach/index.ts";
+import {
+  type ReachChange,
+  RelayGate,
+  type RelayRequest,
+  ServerPaths,
+  ServerReach,
+} from "./reach/index.ts";
 import { Shutdown } from "./shutdown.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -51,6 +57,8 @@
   readonly dispatcher: Dispatcher;
   /** Whether this VM's own connections reach the servers. */
   readonly reach: ServerReach;
+  readonly #paths: ServerPaths;
+  readonly #relayGate: RelayGate;
   readonly #loads = KeyLoads.create();
   readonly #shutdown: Shutdown;
   readonly #registryTiming: RegistryTiming;
@@ -65,6 +73,8 @@
   #effects: EntryEffect[] = [];
   /** Orders created in the current step. */
   #orders: KeyspaceEffect[] = [];
+  /** VMs through which orders in flight were sent, or null, by order. */
+  readonly #orderRelays = new Map<number, string | null>();
 
   private constructor(options: EntryOptions) {
     const emit = (...effects: EntryEffect[]) => this.#emit(...effects);
@@ -80,6 +90,8 @@
       fleet,
       createUniformGenerator(options.seed + 2),
     );
+    this.#paths = ServerPaths.create(this.reach);
+    this.#relayGate = RelayGate.create(fleet);
     this.#quarantineStorage = QuarantineStorage.create(quarantine);
     this.campaign = TermCampaign.create(
       options.leaseTiming,
@@ -95,6 +107,8 @@
       emit,
       options.peerAddress,
       options.seeds,
+      this.#paths.relays,
+      (now) => this.#isRelay(now) ? options.availabilityZone : undefined,
       createUniformGenerator(options.seed),
     );
     this.dispatcher = Dispatcher.create({
@@ -106,7 +120,7 @@
       detector: crashDetector,
       permits: this.peers.permitExchange.permits,
       tokens: this.peers.tokenExchange.tokens,
-      reach: this.reach,
+      paths: this.#paths,
       coldAdmission: ColdAdmission.create(
         catalog,
         () => this.vms,
@@ -254,7 +268,8 @@
         return this.#emit(...this.campaign.onWritten(term, outcome, now));
       }
       case "order.ended": {
-        const { order, outcome } = event;
+        const { order } = event;
+        const outcome = this.#withPathLoss(order, event.outcome, now);
         this.#recordOrderPath(order, outcome, now);
         if (outcome.statement !== undefined) {
           this.#applyOrderStatement(order, outcome.statement, now);
@@ -291,6 +306,10 @@
         );
       case "server.checked":
         return this.#serverChecked(event);
+      case "relay.requested":
+        return this.#relayRequested(event.request, now);
+      case "relay.ended":
+        return this.#relayGate.ended(event.connection);
       case "callers.closed":
         return this.#shutdown.callersClosed();
       case "shutdown":
@@ -314,12 +333,16 @@
     );
     this.#updateFeeds(now);
     this.peers.advance(now);
-    this.#emit(...this.clusterState.crashDetector.advance(now));
-    this.#emit(...this.reach.advance(now));
+    for (const probe of this.clusterState.crashDetector.advance(now)) {
+      this.#emit(this.#paths.withPath(probe, now));
+    }
+    this.#emit(...this.#paths.advance(now));
     this.#emit(...this.dispatcher.advance(now));
     if (this.#shutdown.isStopImminent(now)) this.#endPendingRequests(now);
     this.#updateReadiness();
-    this.#emit(...this.#shutdown.advance(this.dispatcher.pending, now));
+    // Connections of other VMs end with the requests that are sent there.
+    const pending = this.dispatcher.pending + this.#relayGate.connections;
+    this.#emit(...this.#shutdown.advance(pending, now));
   }
 
   /** Reads the registry when the local copy is too old. */
@@ -386,45 +409,135 @@
 
   /** Sends an order after all other effects of the step. */
   #sendOrder(order: GrantOrder | ReleaseOrder, now: number): void {
-    this.#orders.push(order);
+    const { relay } = this.#paths.to(order.server, now);
+    this.#orders.push({ ...order, relay });
+    this.#orderRelays.set(order.order, relay);
     // The response to a release may have to wait for running requests.
     if (order.kind !== "order.grant") return;
-    this.reach.started(orderName(order.order), order.server, 0, now);
+    const name = orderName(order.order);
+    if (relay === null) this.reach.started(name, order.server, 0, now);
+    else this.#paths.relays.started(name, relay, 0, now);
+  }
+
+  /**
+   * States whether an order failed because of its path: the VM through which it
+   * was sent, or this VM's own links.
+   */
+  #withPathLoss(order: number, outcome: OrderOutcome, now: number) {
+    if (outcome.kind !== "failed") return outcome;
+    const isDirect = (this.#orderRelays.get(order) ?? null) === null;
+    const isPathLost = isDirect
+      ? this.reach.state(now) !== "direct"
+      : outcome.isRelayFault;
+    return { ...outcome, isPathLost };
   }
 
   /** Records whether an order shows that the server is reached directly. */
   #recordOrderPath(order: number, outcome: OrderOutcome, now: number): void {
     const name = orderName(order);
-    if (outcome.kind === "withheld") this.reach.ended(name);
+    const relay = this.#orderRelays.get(order) ?? null;
+    this.#orderRelays.delete(order);
+    if (outcome.kind === "withheld") this.#paths.ended(name);
     else if (outcome.kind !== "failed" || outcome.isAnswered) {
-      this.reach.answered(name, now);
-    } else this.reach.failed(name, "broken", now);
+      this.#paths.answered(name, relay !== null, now);
+    } else {
+      this.#paths.failed(name, relay !== null, "broken", now);
+      if (outcome.isRelayFault) this.#paths.relays.failed(relay!, now);
+    }
   }
 
   /** Handles the end of a probe of a server's address. */
-  #serverChecked(
-    { server, purpose, result, now }: EntryEvent & { kind: "server.checked" },
-  ): void {
-    const { crashDetector, fleet } = this.clusterState;
-    const change = this.reach.probed(server, result, now);
-    if (change !== null) this.#reachChanged(change);
+  #serverChecked(event: EntryEvent & { kind: "server.checked" }): void {
+    const { server, relay, purpose, result, now } = event;
+    if (relay === null) {
+      const change = this.reach.probed(server, result, now);
+      if (change !== null) this.#reachChanged(change, now);
+    }
     if (purpose === "reach") return;
     const isRefused = result === "refused";
-    this.clusterState.logDecision("server.probed", { server, isRefused });
-    if (!isRefused) return crashDetector.probeSucceeded(server);
-    return crashDetector.exited(fleet.get(server), now);
+    this.clusterState.logDecision("server.probed", {
+      server,
+      isRefused,
+      ...(relay === null ? {} : { relay, result }),
+    });
+    if (isRefused) this.#connectionRefused(server, relay !== null, now);
+    else {
+      this.clusterState.crashDetector.probeSucceeded(server);
+      // Another VM reaches a server whose address has refused this VM.
+      if (relay !== null && result === "connected") {
+        this.reach.detour(server, now);
+      }
+    }
+  }
+
+  /**
+   * Handles that a server's address refused a connection. This VM's own links
+   * may be the cause, so the exit of the server is confirmed through another VM
+   * if there is one.
+   */
+  #connectionRefused(id: string, isConfirmed: boolean, now: number): void {
+    const { crashDetector, fleet } = this.clusterState;
+    const server = fleet.get(id);
+    if (server === undefined) return;
+    const { address } = server.entry;
+    const confirmation = isConfirmed
+      ? null
+      : this.#paths.confirmation(id, address, now);
+    if (confirmation === null) {
+      if (isConfirmed) server.connectionRefused();
+      this.reach.endDetour(id);
+      crashDetector.exited(server, now);
+    } else if (confirmation !== "recent") this.#emit(confirmation);
   }
 
   /**
-   * Logs whether this VM's own connections reach servers. The log of a VM that
-   * is partitioned from all servers would otherwise look like that of a VM whose
-   * servers are down.
+   * Whether other VMs may connect to servers through this VM: it reaches them
+   * directly and is not stopping.
    */
-  #reachChanged({ state, detail }: ReachChange): void {
+  #isRelay(now: number): boolean {
+    return this.#isReady && !this.#shutdown.isStarted &&
+      this.reach.state(now) === "direct";
+  }
+
+  /** Opens a connection to a server for another VM, or refuses to. */
+  #relayRequested(request: RelayRequest, now: number): void {
+    const decision = this.#relayGate.requested(
+      request,
+      this.reach.state(now) === "direct",
+      this.#shutdown.isStarted,
+    );
+    const { connection, vm, server } = request;
+    const reason = decision.kind === "relay.open" ? null : decision.reason;
+    const detail = { connection, by: vm, server, reason };
+    this.clusterState.logDecision("relay.requested", detail);
+    this.#emit(decision);
+  }
+
+  /**
+   * Handles that this VM's own connections no longer reach the servers, or do
+   * again. It is logged, since the log of a VM that is partitioned from all
+   * servers would otherwise look like that of a VM whose servers are down.
+   */
+  #reachChanged(change: ReachChange, now: number): void {
+    const { state, detail, isEstablishedUsable } = change;
     const decision = state === "direct"
       ? "servers.reached"
       : "servers.unreached";
-    this.#emit({ kind: "note", level: "warn", decision, detail });
+    const relays = this.#paths.relays.addresses.join(" ");
+    this.#emit({
+      kind: "note",
+      level: "warn",
+      decision,
+      detail: { ...detail, relays },
+    });
+    this.peers.followerLink.expedite();
+    this.clusterState.fleet.clearFailures();
+    if (state === "direct") return;
+    this.#emit({ kind: "connections.abandon", isEstablishedUsable });
+    if (isEstablishedUsable) return;
+    this.#emit(...this.dispatcher.directConnectionsLost(now));
+    // What other VMs send through this one would wait for nothing.
+    if (this.#relayGate.connections > 0) this.#emit({ kind: "relay.abort" });
   }
 
   /** Applies a read of the registry. */
@@ -471,7 +584,7 @@
     this.clusterState.quarantine.processStalled(duration);
     this.campaign.processStalled(duration);
     this.dispatcher.processStalled(duration);
-    this.reach.processStalled(duration);
+    this.#paths.processStalled(duration);
   }
 
   /**
@@ -564,6 +677,7 @@
     const detail = { pending, lateness: Math.round(lateness) };
     this.clusterState.logDecision("shutdown.started", detail);
     this.#emit({ kind: "callers.drain" }, ...this.campaign.retire());
+    this.peers.announceStop(this.#relayGate.users);
   }
 
   #emit(...effects: EntryEffect[]): void {
--- a/src/core/entry_effect.ts
+++ b/src/core/entry_effect.ts
@@ -9,6 +9,7 @@
 import type { AssignmentFetch, PeerSend } from "./peers/index.ts";
 import type { QuarantineWrite } from "./exchange/index.ts";
 import type { RegistryFetch } from "./registry/index.ts";
+import type { RelayOpen, RelayRefuse } from "./reach/index.ts";
 
 /** See the module's comment. */
 export type EntryEffect =
@@ -34,6 +35,22 @@
    * ones now, those in use after their response.
    */
   | { kind: "connections.close"; server: string }
+  /**
+   * Fail the attempts whose direct connections are not established yet. Unless
+   * established connections are usable, also close the idle ones to all
+   * servers, and those in use after their response, and end the orders in
+   * flight there as failed.
+   */
+  | { kind: "connections.abandon"; isEstablishedUsable: boolean }
+  | RelayOpen
+  | RelayRefuse
+  /** Reset all connections that other VMs have through this VM. */
+  | { kind: "relay.abort" }
+  /**
+   * Close the connections through the VM at `relay`, which is about to stop:
+   * idle ones now, those in use after their response.
+   */
+  | { kind: "relay.retire"; relay: string }
   /** Set the result of the load balancer's readiness checks. */
   | { kind: "readiness.set"; isReady: boolean }
   /** Close each caller connection after its last pending response. */
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -20,6 +20,7 @@
   ProbeResult,
   ServerProbe,
 } from "./quarantine/index.ts";
+import type { RelayRequest } from "./reach/index.ts";
 import type { RegistryRead } from "./registry/index.ts";
 
 /** Name under which failed membership calls to the store are reported. */
@@ -99,9 +100,15 @@
   | {
     kind: "server.checked";
     server: string;
+    /** Peer address of the VM through which it was made, or null. */
+    relay: string | null;
     purpose: ServerProbe["purpose"];
     result: ProbeResult;
   }
+  /** Another VM has requested a connection to a server. */
+  | { kind: "relay.requested"; request: RelayRequest }
+  /** A connection for another VM has ended or could not be opened. */
+  | { kind: "relay.ended"; connection: number }
   /** An attempt to have a server run a request has ended. */
   | { kind: "attempt.ended"; attempt: number; outcome: AttemptOutcome }
   /**
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -24,6 +24,7 @@
 import { PermitExchange } from "./permit_exchange.ts";
 import { StateExchange } from "./state_exchange.ts";
 import { TokenExchange } from "./token_exchange.ts";
+import { type RelayChoice, RelayRoster } from "../reach/index.ts";
 import type { RegistryUpdate } from "../registry/index.ts";
 import type { StoreHealth } from "../store_health.ts";
 import {
@@ -52,6 +53,7 @@
   #isAssignmentNeeded = false;
   #advancedAt = -Infinity;
   readonly #vmCount = VmCount.create();
+  readonly #roster = RelayRoster.create();
 
   private constructor(
     private readonly clusterState: ClusterState,
@@ -61,6 +63,8 @@
     private readonly emit: Emit,
     private readonly ownAddress: string,
     seeds: readonly string[],
+    private readonly relays: RelayChoice,
+    private readonly relayZone: (now: number) => string | undefined,
     private readonly draw: () => number,
   ) {
     this.followerLink = FollowerLink.create(campaign.fitness);
@@ -70,6 +74,7 @@
       loads,
       store,
       emit,
+      this.#roster,
     );
     this.permitExchange = PermitExchange.create(clusterState, emit, ownAddress);
     this.tokenExchange = TokenExchange.create(
@@ -95,8 +100,10 @@
   /**
    * Creates an exchange for the process at `ownAddress` that has received no
    * messages. `seeds` are the addresses of VMs to contact while no
-   * configuration is known or the term holder sends no messages. `draw` returns
-   * a random number in [0, 1).
+   * configuration is known or the term holder sends no messages. The VMs that
+   * reach the servers are recorded in `relays`; `relayZone` returns the
+   * availability zone of this VM while it is one of them. `draw` returns a
+   * random number in [0, 1).
    */
   static create(
     clusterState: ClusterState,
@@ -106,6 +113,8 @@
     emit: Emit,
     ownAddress: string,
     seeds: readonly string[],
+    relays: RelayChoice,
+    relayZone: (now: number) => string | undefined,
     draw: () => number,
   ): PeerExchange {
     return new PeerExchange(
@@ -116,6 +125,8 @@
       emit,
       ownAddress,
       seeds,
+      relays,
+      relayZone,
       draw,
     );
   }
@@ -252,6 +263,9 @@
       case "token.asked":
       case "token.told":
         return this.tokenExchange.receive(address, message, now);
+      case "relay.closing":
+        this.relays.remove(address);
+        return this.emit({ kind: "relay.retire", relay: address });
     }
   }
 
@@ -287,6 +301,20 @@
     });
   }
 
+  /**
+   * Announces to the VMs at `users` that this VM, through which they have
+   * connections to servers, is about to stop. The next report to the term
+   * holder is urgent, so that it names this VM to no other.
+   */
+  announceStop(users: readonly string[]): void {
+    const message: PeerMessage = {
+      kind: "relay.closing",
+      ...this.clusterState.senderState(),
+    };
+    for (const address of users) this.#send(address, message);
+    this.followerLink.expedite();
+  }
+
   /** Performs all actions that are due. */
   advance(now: number): void {
     const { store } = this;
@@ -308,8 +336,12 @@
     this.#shareQuarantine(now);
     const { holder } = this.campaign;
     if (holder !== null) {
+      this.#roster.reported(this.ownAddress, this.relayZone(now), now);
       this.#vmCount.observe(this.#publisher.vmCount(now), now);
-      return this.#publisher.advance(holder, now);
+      this.#publisher.advance(holder, now);
+      const relays = this.#publisher.relaysFor(this.ownAddress, now);
+      if (relays !== null) this.relays.replace(relays);
+      return;
     }
     const senderState = this.#reportState(now);
     const mayFetch = this.#isAssignmentNeeded && !store.isFailing(now);
@@ -384,6 +416,7 @@
       rates: fleet.takeUnsentRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS),
       leaving: fleet.stated.unsharedLeaving(),
       refusing: fleet.stated.refusing(now),
+      relayZone: this.relayZone(now),
     };
   }
 
@@ -431,7 +464,7 @@
   /** Applies the term holder's data on overloaded and leaving servers. */
   #applyOverload(
     address: string,
-    { limits = [], loads = [], rates, leaving = [] }: MessageOf<
+    { limits = [], loads = [], rates, leaving = [], relays }: MessageOf<
       "holder.alive"
     >,
     now: number,
@@ -442,6 +475,7 @@
     this.clusterState.applyPeerRates(rates ?? [], now);
     this.clusterState.applyPeerLeaving(leaving, now);
     this.clusterState.fleet.stated.confirmLeaving(leaving);
+    if (relays !== undefined) this.relays.replace(relays);
     this.tokenExchange.holderAnswered(rates !== undefined);
   }
 
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -25,6 +25,7 @@
   type PeerSend,
 } from "../peers/index.ts";
 import type { RegistryUpdate } from "../registry/index.ts";
+import type { RelayRoster } from "../reach/index.ts";
 import type { StoreHealth } from "../store_health.ts";
 
 /**
@@ -33,6 +34,10 @@
  * arrived.
  */
 const PROPAGATION_TIME = 120;
+/**
+ * Time after the start of a term until most VMs have reported, in milliseconds.
+ */
+const ROSTER_TIME = 1_000;
 /**
  * Maximum number of published versions that are kept. A follower with one of
  * them gets only the changes after it. Covers some seconds of a busy holder.
@@ -54,6 +59,9 @@
   /** Term and version of the assignments that were last published. */
   #published = { term: 0, version: 0 };
   #publishedAt = -Infinity;
+  /** The current term, and when it started. */
+  #term = 0;
+  #termStartedAt = Infinity;
   /** Published versions of this term, oldest first. */
   #versions: PublishedVersion[] = [];
   /** Registry position up to which changes were published, or null. */
@@ -81,19 +89,31 @@
     private readonly loads: KeyLoads,
     private readonly store: StoreHealth,
     private readonly emit: Emit,
+    private readonly roster: RelayRoster,
   ) {
     this.#overload = OverloadMonitor.create(clusterState, loads);
   }
 
-  /** Creates a publisher that has published nothing. */
+  /**
+   * Creates a publisher that has published nothing. It records in `roster`
+   * which VMs reach the servers, and names them to others.
+   */
   static create(
     clusterState: ClusterState,
     campaign: TermCampaign,
     loads: KeyLoads,
     store: StoreHealth,
     emit: Emit,
+    roster: RelayRoster,
   ): StatePublisher {
-    return new StatePublisher(clusterState, campaign, loads, store, emit);
+    return new StatePublisher(
+      clusterState,
+      campaign,
+      loads,
+      store,
+      emit,
+      roster,
+    );
   }
 
   /** Number of running VMs, including this one. */
@@ -117,6 +137,10 @@
    * assignments.
    */
   advance(holder: TermHolder, now: number): void {
+    if (holder.term !== this.#term) {
+      this.#term = holder.term;
+      this.#termStartedAt = now;
+    }
     this.#publishRegistry();
     this.#overload.advance(holder, now);
     if (!this.#isCurrent(holder)) this.clusterState.assign(holder.assignments);
@@ -141,6 +165,7 @@
     fleet.applyPeerRefusals(report.refusing ?? [], now);
     this.campaign.observeFitness(report.fitness, now);
     this.#link.reportReceived(address, report.isTold ?? false, now);
+    this.roster.reported(address, report.relayZone, now);
     const registryChanges = this.#registryChanges(report, now);
     this.emit(
       this.#link.answerReport(
@@ -149,6 +174,7 @@
         registryChanges,
         this.#overload.current,
         this.clusterState.fleet.stated.leaving(),
+        this.relaysFor(address, now),
         report.sentAt,
       ),
     );
@@ -157,6 +183,15 @@
     else this.#deferredReports.set(address, report);
   }
 
+  /**
+   * VMs through which the VM at `address` may connect to servers; null
+   * shortly after the start of the term, when few VMs have reported yet.
+   */
+  relaysFor(address: string, now: number): string[] | null {
+    if (now - this.#termStartedAt < ROSTER_TIME) return null;
+    return this.roster.relaysFor(address, now);
+  }
+
   /**
    * Records the latencies that the follower at `address` measured, except of
    * servers that have restarted since the registry position that the follower
--- a/src/core/exchange/state_publisher_test.ts
+++ b/src/core/exchange/state_publisher_test.ts
@@ -12,6 +12,7 @@
 } from "../keyspace/index.ts";
 import type { FollowerReport } from "../peers/index.ts";
 import { StoreHealth } from "../store_health.ts";
+import { RelayRoster } from "../reach/index.ts";
 import { StatePublisher } from "./state_publisher.ts";
 
 /** Creates the publisher of a term holder with 40 servers. */
@@ -36,6 +37,7 @@
     loads,
     StoreHealth.create(),
     (...some) => effects.push(...some),
+    RelayRoster.create(),
   );
   /**
    * Returns a report of a follower that has `version` of the assignments; 0 if
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -206,6 +206,13 @@
     }
   }
 
+  /**
+   * Forgets failures of all servers, which were failures of this VM's links.
+   */
+  clearFailures(): void {
+    for (const server of this.#servers.values()) server.clearFailures();
+  }
+
   /** Carries out deferred removals that are due. */
   expire(now: number): FleetChange[] {
     const changes: FleetChange[] = [];
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -396,6 +396,14 @@
       Math.min(MAXIMUM_PAUSE, INITIAL_PAUSE * 2 ** doublings);
   }
 
+  /** Forgets consecutive failures, which were not those of the server. */
+  clearFailures(): void {
+    this.#consecutiveFailures = 0;
+    this.#pausedUntil = 0;
+    this.#acceptanceRate = 1;
+    this.#isConnectionRefused = false;
+  }
+
   /**
    * Whether it should receive no requests for now after consecutive failures.
    */
--- a/src/core/keyspace/keyspace_effect.ts
+++ b/src/core/keyspace/keyspace_effect.ts
@@ -27,6 +27,13 @@
     cause: string;
     /** Whether the server responded with an unexpected status. */
     isAnswered?: boolean;
+    /** Whether the VM through which it was to be sent could not be used. */
+    isRelayFault?: boolean;
+    /**
+     * Whether it failed because of the path on which it was sent, so that it
+     * shows nothing about the server.
+     */
+    isPathLost?: boolean;
   };
 
 /** Outcome of an order to a backend server. */
@@ -60,6 +67,10 @@
    * of that term yet, and would accept an order of this older term.
    */
   mayConnect: boolean;
+  /**
+   * Peer address of the VM through which it is sent; null to send it directly.
+   */
+  relay: string | null;
 }
 
 /** Grants keys to a server, or renews the grant. */
--- a/src/core/keyspace/order_outcome_handler.ts
+++ b/src/core/keyspace/order_outcome_handler.ts
@@ -67,7 +67,7 @@
   ): KeyspaceEffect[] {
     const { table, range } = order;
     if (outcome.kind === "failed") {
-      this.#onFailure(order, now);
+      this.#onFailure(order, outcome.isPathLost ?? false, now);
       return [];
     }
     range.failures = 0;
@@ -116,7 +116,9 @@
    */
   #onMisdirected(order: PendingOrder, now: number): void {
     const { table, range } = order;
-    if (!this.servers.isEndProven(order)) return this.#onFailure(order, now);
+    if (!this.servers.isEndProven(order)) {
+      return this.#onFailure(order, false, now);
+    }
     this.servers.recordEnd(order);
     for (const each of table.ranges) {
       if (each.server !== range.server || each.order !== null) continue;
@@ -127,9 +129,17 @@
     }
   }
 
-  #onFailure({ range, sentAt, hold }: PendingOrder, now: number): void {
+  #onFailure(
+    { range, sentAt, hold }: PendingOrder,
+    isPathLost: boolean,
+    now: number,
+  ): void {
     const end = unansweredGrantEnd(sentAt, hold, this.timing);
     range.unansweredEnd = Math.max(range.unansweredEnd, end);
+    if (isPathLost) {
+      range.dueAt = now;
+      return;
+    }
     if (range.failures === 0) range.failingSince = now;
     range.failures += 1;
     range.dueAt = now + RETRY_DELAY;
@@ -146,6 +156,9 @@
     if (range.state === "expiring") return this.#onProbe(order, outcome, now);
     if (outcome.kind !== "accepted") {
       range.state = "expiring";
+      range.isPathLost = outcome.kind === "failed" &&
+        (outcome.isPathLost ?? false);
+      range.dueAt = now;
       return;
     }
     range.handover = outcome.handover;
@@ -160,7 +173,7 @@
 
   /**
    * Handles the outcome of a probe: a release order that checks whether the
-   * server still listens. If the server itself has accepted it, the keys are
+   * server still listens, or repeats one that was lost on its path. If the server itself has accepted it, the keys are
    * assigned to it again. Otherwise the range stays `expiring`.
    */
   #onProbe(
--- a/src/core/keyspace/order_tracker.ts
+++ b/src/core/keyspace/order_tracker.ts
@@ -138,6 +138,7 @@
       last: range.last,
       token,
       mayConnect: this.#mayConnect,
+      relay: null,
       hold,
       handover: range.handover,
     };
@@ -156,6 +157,7 @@
       last: range.last,
       token,
       mayConnect: this.#mayConnect,
+      relay: null,
     };
   }
 
--- a/src/core/keyspace/range_transitions.ts
+++ b/src/core/keyspace/range_transitions.ts
@@ -70,6 +70,7 @@
   reassign(table: RangeTable, range: TrackedRange, now: number): void {
     range.destination = null;
     range.failures = 0;
+    range.isPathLost = false;
     this.assign(table, range, range.server!, now);
     range.revision = Math.min(range.revision, table.recordedRevision);
   }
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -302,7 +302,7 @@
           this.#transitions.vacate(table, range);
         } else if (this.#servers.isRestarted(range)) {
           this.#regrant(table, range, now, hold);
-        } else if (now >= range.dueAt && this.#servers.isAddressReused(range)) {
+        } else if (now >= range.dueAt && this.#isProbeDue(range)) {
           this.#probe(table, range, now);
         }
     }
@@ -398,6 +398,14 @@
       now >= this.#nextMoveAt;
   }
 
+  /**
+   * Whether the server of an expiring range may accept orders: another server
+   * is listed at its address too, or the release was lost on its path.
+   */
+  #isProbeDue(range: TrackedRange): boolean {
+    return range.isPathLost || this.#servers.isAddressReused(range);
+  }
+
   /**
    * Checks whether the server of an expiring range still listens at its
    * address. The entry of another server at the address proves nothing, because
@@ -502,6 +510,9 @@
   #startMove(table: RangeTable, { piece, destination }: Move, now: number) {
     const range = table.ranges.find(({ last }) => piece.first <= last)!;
     if (this.#servers.isBackedOff(range.server!, now)) return;
+    // A grant without an answer may arrive after the release, so the keys would
+    // have no server until its lease has ended.
+    if (range.unansweredEnd > now) return;
     const moving = table.split(range, piece);
     moving.destination = destination;
     moving.state = "closing";
--- a/src/core/keyspace/tracked_range.ts
+++ b/src/core/keyspace/tracked_range.ts
@@ -81,6 +81,11 @@
   unansweredEnd: number;
   /** Hold time of the last grant that was sent, in milliseconds. */
   hold: number;
+  /**
+   * Whether the range expires only since an order was lost on its path, so that
+   * its server may respond on another one.
+   */
+  isPathLost: boolean;
   /** When the next order is due. */
   dueAt: number;
   /** Number of consecutive orders without an answer. */
@@ -119,6 +124,7 @@
     inheritedEnd: 0,
     unansweredEnd: 0,
     hold: 0,
+    isPathLost: false,
     dueAt: 0,
     failures: 0,
     failingSince: 0,
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -79,6 +79,11 @@
   leaving: readonly LeavingServer[];
   /** Servers that refuse requests for their keys. */
   refusing: readonly RefusingServer[];
+  /**
+   * Availability zone of this VM if other VMs may connect to servers through
+   * it.
+   */
+  relayZone?: string;
 }
 
 /** Nothing to report on servers. */
@@ -275,7 +280,7 @@
   #createReport(
     senderState: SenderState,
     position: number | null,
-    { latencies, rates, leaving, refusing }: ServerReports,
+    { latencies, rates, leaving, refusing, relayZone }: ServerReports,
     now: number,
   ): FollowerReport {
     const samples = [...this.#samples]
@@ -293,6 +298,7 @@
       ...(rates.length > 0 ? { rates: [...rates] } : {}),
       ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
       ...(refusing.length > 0 ? { refusing: [...refusing] } : {}),
+      ...(relayZone === undefined ? {} : { relayZone }),
     };
   }
 }
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -122,8 +122,9 @@
 
   /**
    * Returns the answer to the report that a follower sent at `answersTo` by its
-   * own clock. It contains registry changes, the state of overloaded servers
-   * and the servers that are leaving.
+   * own clock. It contains registry changes, the state of overloaded servers,
+   * the servers that are leaving, and the VMs through which the follower may
+   * connect to servers, or null while these are not known.
    */
   answerReport(
     address: string,
@@ -131,6 +132,7 @@
     registry: RegistryUpdate | null,
     { limits, loads, rates }: OverloadState,
     leaving: readonly LeavingServer[],
+    relays: readonly string[] | null,
     answersTo: number,
   ): PeerSend {
     const message: PeerMessage = {
@@ -142,6 +144,7 @@
       ...(loads.length > 0 ? { loads: [...loads] } : {}),
       rates: [...rates],
       ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
+      ...(relays === null ? {} : { relays: [...relays] }),
     };
     return { kind: "peer.send", address, message };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -129,6 +129,11 @@
   age: z.number().nonnegative(),
 });
 
+/** Maximum length of an address or of the name of a zone, in characters. */
+const MAXIMUM_NAME_LENGTH = 255;
+/** Maximum number of VMs that one message names as relays. */
+const MAXIMUM_RELAYS = 16;
+
 /** Maximum number of servers whose rate limits one message carries. */
 export const MAXIMUM_RATE_LIMITS = 256;
 
@@ -201,6 +206,11 @@
     }),
   )
     .max(MAXIMUM_REFUSING).optional(),
+  /**
+   * Availability zone of the sender if other VMs may connect to servers through
+   * it. Absent if they may not, and in messages of older versions.
+   */
+  relayZone: z.string().max(MAXIMUM_NAME_LENGTH).optional(),
 });
 
 /** See {@linkcode followerReportSchema}. */
@@ -223,6 +233,13 @@
   rates: ratesSchema,
   /** All leaving servers that the holder knows. */
   leaving: leavingSchema,
+  /**
+   * Peer addresses of VMs through which the receiver may connect to servers
+   * that it does not reach directly. Absent while the holder does not know them
+   * yet, and in messages of older versions.
+   */
+  relays: z.array(z.string().max(MAXIMUM_NAME_LENGTH)).max(MAXIMUM_RELAYS)
+    .optional(),
 });
 
 /** Sent by the holder when key ranges have changed. */
@@ -363,6 +380,14 @@
   ...tokenAnswerSchema.shape,
 });
 
+/**
+ * Sent by a VM that is about to stop to the VMs that have connections through
+ * it.
+ */
+const relayClosingSchema = senderStateSchema.extend({
+  kind: z.literal("relay.closing"),
+});
+
 /** Schema of {@linkcode PeerMessage}. */
 export const peerMessageSchema = z.discriminatedUnion("kind", [
   followerReportSchema,
@@ -381,6 +406,7 @@
   permitReturnedSchema,
   tokenAskedSchema,
   tokenToldSchema,
+  relayClosingSchema,
 ]);
 
 /** A message between the router processes of different VMs. */
--- a/src/core/quarantine/crash_detector.ts
+++ b/src/core/quarantine/crash_detector.ts
@@ -54,6 +54,10 @@
   kind: "server.check";
   server: string;
   address: string;
+  /**
+   * Peer address of the VM through which it is made; null to connect directly.
+   */
+  relay: string | null;
   /**
    * `crash` if the server may have crashed, `reach` if it is checked whether
    * this VM's connections reach servers.
@@ -61,8 +65,11 @@
   purpose: "crash" | "reach";
 }
 
-/** How the connection of a probe ended; `silent` if nothing responded. */
-export type ProbeResult = "connected" | "refused" | "silent";
+/**
+ * How the connection of a probe ended; `silent` if nothing responded, and
+ * `unknown` if the VM through which it was made could not be used.
+ */
+export type ProbeResult = "connected" | "refused" | "silent" | "unknown";
 
 /** A request whose connection to the server broke. Its body is not kept. */
 export interface BrokenRequest {
@@ -291,5 +298,11 @@
 }
 
 function createProbe(server: string, { address }: ProcessState): ServerProbe {
-  return { kind: "server.check", server, address, purpose: "crash" };
+  return {
+    kind: "server.check",
+    server,
+    address,
+    relay: null,
+    purpose: "crash",
+  };
 }
--- a/src/core/reach/server_reach.ts
+++ b/src/core/reach/server_reach.ts
@@ -412,6 +412,7 @@
     kind: "server.check",
     server: id,
     address: entry.address,
+    relay: null,
     purpose: "reach",
   };
 }
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -9,20 +9,23 @@
  * @module
  */
 import {
-  Agent,
   type ClientRequest,
   type IncomingMessage,
   request as httpRequest,
 } from "node:http";
-import { connect, type Socket } from "node:net";
+import { connect } from "node:net";
 import type { AttemptStart } from "../core/dispatch/index.ts";
 import type { ProbeResult, ServerProbe } from "../core/quarantine/index.ts";
 import { errorText } from "../errors/index.ts";
 import { parseAddress } from "../settings/address.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { EventSink } from "./entry_loop.ts";
-import { limitConnectTime } from "./http_client.ts";
+import { BackendAgent } from "./backend_agent.ts";
+import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
+import { detectReset } from "./orderly_end.ts";
+import { RelayAgent } from "./relay_agent.ts";
+import { type RelayConnector, RelayError } from "./relay_connector.ts";
 
 /**
  * Connect timeout, in milliseconds. A host that is down sends nothing, not even
@@ -36,6 +39,12 @@
  * timeout that the server sends takes precedence.
  */
 const IDLE_TIMEOUT = 8_000;
+/**
+ * Time after a request within which a server has to respond through another VM,
+ * in milliseconds. It exceeds the timeouts of requests: that VM only discards
+ * connections that were given up without its knowledge.
+ */
+const RELAYED_RESPONSE_TIMEOUT = 60_000;
 /** Lower values are not valid status codes (RFC 9110, 15). */
 const MINIMUM_STATUS = 100;
 /** Headers that apply to a single connection only (RFC 9110, 7.6.1). */
@@ -71,45 +80,12 @@
   body: Buffer;
 }
 
-/**
- * Keeps connections alive, and destroys an idle connection on which bytes
- * arrive, since they belong to no request.
- */
-class BackendAgent extends Agent {
-  #isRetired = false;
-
-  /**
-   * Destroys idle connections now, and connections in use after their response
-   * is complete.
-   */
-  retire(): void {
-    this.#isRetired = true;
-    for (const sockets of Object.values(this.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
-  }
-
-  override keepSocketAlive(socket: Socket): boolean {
-    if (this.#isRetired) return false;
-    // Node's types omit the returned boolean, which tells whether the socket is
-    // kept.
-    const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (isKept) socket.on("data", destroySocket);
-    return isKept;
-  }
-
-  override reuseSocket(socket: Socket, request: ClientRequest): void {
-    socket.off("data", destroySocket);
-    super.reuseSocket(socket, request);
-  }
-}
-
-function destroySocket(this: Socket): void {
-  this.destroy();
-}
-
 interface RunningAttempt {
   request: ClientRequest;
+  /** Peer address of the VM through which it is sent, or null. */
+  relay: string | null;
+  /** Whether its connection is established. */
+  isConnected: boolean;
   /** Set once the response is complete. */
   response: BackendResponse | null;
   /** Whether the response has ended and the check for a reset is pending. */
@@ -118,17 +94,28 @@
 
 /** See the module's comment. */
 export class BackendPool {
+  /** Direct connections, by server. */
   readonly #agents = new Map<string, BackendAgent>();
+  /** Connections through other VMs, by VM and server. */
+  readonly #relayAgents = new Map<string, Map<string, RelayAgent>>();
   readonly #attempts = new Map<number, RunningAttempt>();
 
   private constructor(
     private readonly codec: HeaderCodec,
     private readonly sink: EventSink,
+    private readonly connector: RelayConnector,
   ) {}
 
-  /** Creates a pool without connections. */
-  static create(codec: HeaderCodec, sink: EventSink): BackendPool {
-    return new BackendPool(codec, sink);
+  /**
+   * Creates a pool without connections, which opens those through other VMs
+   * with `connector`.
+   */
+  static create(
+    codec: HeaderCodec,
+    sink: EventSink,
+    connector: RelayConnector,
+  ): BackendPool {
+    return new BackendPool(codec, sink, connector);
   }
 
   /**
@@ -147,6 +134,7 @@
         outcome: {
           kind: "failed",
           mayHaveBeenSent: false,
+          isRelayed: start.relay !== null,
           cause: errorText(error),
         },
       });
@@ -155,6 +143,9 @@
 
   #startRequest(start: AttemptStart, outgoing: OutgoingRequest): void {
     const separator = start.address.lastIndexOf(":");
+    const relay = this.#relayOf(start);
+    const { server, address } = start;
+    const responseTimeout = RELAYED_RESPONSE_TIMEOUT;
     const request = httpRequest({
       host: start.address.slice(0, separator),
       port: Number(start.address.slice(separator + 1)),
@@ -164,11 +155,16 @@
         string,
         string
       >,
-      agent: this.#agentOf(start.server),
+      ...(relay === null ? { agent: this.#agentOf(server) } : {
+        agent: this.#relayAgentOf(relay, server),
+        relayTarget: { relay, server, address, responseTimeout },
+      }),
       setHost: false,
     });
     const running: RunningAttempt = {
       request,
+      relay,
+      isConnected: false,
       response: null,
       isVerifying: false,
     };
@@ -181,7 +177,9 @@
    * Checks whether a process listens at a server's address. Pushes exactly one
    * `server.checked`.
    */
-  probe({ server, address, purpose }: ServerProbe): void {
+  probe(probe: ServerProbe): void {
+    const { server, address, relay, purpose } = probe;
+    if (relay !== null) return this.#probeThrough(relay, probe);
     const { host, port } = parseAddress(address);
     const socket = connect({ host, port });
     socket.setTimeout(PROBE_TIMEOUT);
@@ -190,7 +188,8 @@
       // Ignores errors after the result is known.
       socket.on("error", () => {});
       socket.destroy();
-      this.sink.push({ kind: "server.checked", server, purpose, result });
+      const checked = { server, relay, purpose, result };
+      this.sink.push({ kind: "server.checked", ...checked });
     };
     socket.once("connect", () => end("connected"));
     // A busy process may not have read yet that the connection is established.
@@ -205,12 +204,56 @@
     );
   }
 
-  /** Cancels an attempt and closes its connection. */
+  /** Checks through another VM whether a process listens at an address. */
+  #probeThrough(
+    relay: string,
+    { server, address, purpose }: ServerProbe,
+  ): void {
+    const responseTimeout = PROBE_TIMEOUT;
+    const target = { relay, server, address, responseTimeout };
+    this.connector.open(target, (error, socket) => {
+      socket?.on("error", () => {});
+      socket?.destroy();
+      const result = error === null ? "connected" : probeResultOf(error);
+      const checked = { server, relay, purpose, result };
+      this.sink.push({ kind: "server.checked", ...checked });
+    });
+  }
+
+  /**
+   * Cancels an attempt and resets its connection, so that a request that is
+   * still in transit does not arrive later.
+   */
   cancel(attempt: number): void {
     const running = this.#attempts.get(attempt);
     if (running === undefined) return;
     this.#attempts.delete(attempt);
-    running.request.destroy();
+    abortRequest(running.request);
+  }
+
+  /**
+   * Fails the attempts whose direct connections are not established yet. Unless
+   * `isEstablishedUsable`, also closes the idle direct connections, and those
+   * in use after their response.
+   */
+  abandonDirect(isEstablishedUsable: boolean): void {
+    for (const [attempt, running] of [...this.#attempts]) {
+      if (running.relay !== null || running.isConnected) continue;
+      this.#failAttempt(attempt, running, "connection abandoned");
+    }
+    if (isEstablishedUsable) return;
+    for (const agent of this.#agents.values()) agent.retire();
+    this.#agents.clear();
+  }
+
+  /**
+   * Closes the connections through the VM at `relay`: idle ones now, those in
+   * use after their response.
+   */
+  retireRelay(relay: string): void {
+    const agents = this.#relayAgents.get(relay);
+    this.#relayAgents.delete(relay);
+    for (const agent of agents?.values() ?? []) agent.retire();
   }
 
   /** Returns and removes the response of an attempt; null if there is none. */
@@ -229,14 +272,37 @@
   closeConnections(server: string): void {
     this.#agents.get(server)?.retire();
     this.#agents.delete(server);
+    for (const agents of this.#relayAgents.values()) {
+      agents.get(server)?.retire();
+      agents.delete(server);
+    }
   }
 
   /** Closes all connections. */
   close(): void {
     for (const agent of this.#agents.values()) agent.destroy();
+    for (const agents of this.#relayAgents.values()) {
+      for (const agent of agents.values()) agent.destroy();
+    }
     for (const { request } of this.#attempts.values()) request.destroy();
   }
 
+  /** Returns the VM through which an attempt is sent, or null. */
+  #relayOf({ server, relay, mayReuseDirect }: AttemptStart): string | null {
+    const isReused = mayReuseDirect && this.#agents.get(server)?.hasIdle;
+    return isReused ? null : relay;
+  }
+
+  #relayAgentOf(relay: string, server: string): RelayAgent {
+    const agents = this.#relayAgents.get(relay) ??
+      new Map<string, RelayAgent>();
+    this.#relayAgents.set(relay, agents);
+    const agent = agents.get(server) ??
+      RelayAgent.create(this.connector, IDLE_TIMEOUT);
+    agents.set(server, agent);
+    return agent;
+  }
+
   #agentOf(server: string): BackendAgent {
     let agent = this.#agents.get(server);
     if (agent === undefined) {
@@ -273,22 +339,15 @@
     outgoing: OutgoingRequest,
   ): void {
     const { request } = running;
-    let isConnected = false;
     limitConnectTime(request, CONNECT_TIMEOUT);
     request.once("socket", (socket) => {
-      if (socket.connecting) socket.once("connect", () => isConnected = true);
-      else isConnected = true;
+      const setConnected = () => running.isConnected = true;
+      if (socket.connecting) socket.once("connect", setConnected);
+      else setConnected();
     });
     request.on(
       "error",
-      (error: NodeJS.ErrnoException) =>
-        this.#failAttempt(
-          attempt,
-          running,
-          isConnected,
-          errorText(error),
-          error.code === CONNECTION_REFUSED,
-        ),
+      (error) => this.#failAttempt(attempt, running, errorText(error), error),
     );
     request.once(
       "response",
@@ -296,8 +355,7 @@
     );
     request.once(
       "close",
-      () =>
-        this.#failAttempt(attempt, running, isConnected, "connection closed"),
+      () => this.#failAttempt(attempt, running, "connection closed"),
     );
   }
 
@@ -309,7 +367,7 @@
   ): void {
     const status = response.statusCode ?? 0;
     if (status < MINIMUM_STATUS) {
-      return this.#failAttempt(attempt, running, true, `status ${status}`);
+      return this.#failAttempt(attempt, running, `status ${status}`);
     }
     const metadata = this.codec.readResponse(
       status,
@@ -320,7 +378,7 @@
     response.on("data", (chunk: Buffer) => chunks.push(chunk));
     response.on(
       "error",
-      (error) => this.#failAttempt(attempt, running, true, errorText(error)),
+      (error) => this.#failAttempt(attempt, running, errorText(error)),
     );
     const succeed = () => {
       if (!metadata.isOwnExchange) running.request.destroy();
@@ -342,7 +400,7 @@
       void reset.then((error) => {
         if (error === null) return succeed();
         running.isVerifying = false;
-        this.#failAttempt(attempt, running, true, errorText(error));
+        this.#failAttempt(attempt, running, errorText(error));
       });
     });
   }
@@ -371,6 +429,7 @@
         isNotRun: metadata.isNotRun && metadata.isOwnExchange,
         server: metadata.server,
         statement: metadata.statement,
+        isRelayed: running.relay !== null,
       },
     });
     // The core has processed the event by then. A response that it has not
@@ -381,46 +440,44 @@
   #failAttempt(
     attempt: number,
     running: RunningAttempt,
-    mayHaveBeenSent: boolean,
     cause: string,
-    isRefused = false,
+    error?: NodeJS.ErrnoException,
   ): void {
     const isCurrent = this.#attempts.get(attempt) === running;
     if (!isCurrent || running.response !== null || running.isVerifying) return;
     this.#attempts.delete(attempt);
     running.request.destroy();
+    const relayError = error instanceof RelayError ? error : null;
     this.sink.push({
       kind: "attempt.ended",
       attempt,
       outcome: {
         kind: "failed",
-        mayHaveBeenSent,
-        isConnectionRefused: isRefused,
+        mayHaveBeenSent: running.isConnected,
+        isConnectionRefused: relayError?.isServerRefused ??
+          error?.code === CONNECTION_REFUSED,
+        isRelayed: running.relay !== null,
+        isRelayFault: relayError?.isRelayFault ?? false,
         cause,
       },
     });
   }
 }
 
+/** Result of a probe through another VM that did not reach the server. */
+function probeResultOf(
+  { isRelayFault, isServerRefused }: RelayError,
+): ProbeResult {
+  if (isRelayFault) return "unknown";
+  return isServerRefused ? "refused" : "silent";
+}
+
 /** Whether only the close of the connection marks the end of a response. */
 function isDelimitedByClose({ headers }: IncomingMessage): boolean {
   return headers["content-length"] === undefined &&
     headers["transfer-encoding"] === undefined;
 }
 
-/**
- * Resolves at the end of the connection: to null if the server closed it in
- * order, or to the error if it reset it. A reset that arrives together with the
- * last bytes is read as an orderly end, but writing zero bytes then fails.
- */
-function detectReset(socket: Socket): Promise<Error | null> {
-  return new Promise((resolve) => {
-    socket.prependOnceListener("end", () => {
-      socket.write("", (error) => resolve(error ?? null));
-    });
-  });
-}
-
 /** The status text if Node accepts it in a response, else an empty string. */
 function validStatusText(text = ""): string {
   return /^[\t\x20-\x7e\x80-\xff]*$/.test(text) ? text : "";
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -5,6 +5,7 @@
 import { PlatformHeaderCodec } from "../../platform/index.ts";
 import type { UntimedEvent } from "../core/entry_event.ts";
 import { BackendPool, type OutgoingRequest } from "./backend_pool.ts";
+import { RelayConnector } from "./relay_connector.ts";
 
 /** Maximum duration of an attempt, in milliseconds. */
 const TIMEOUT = 5_000;
@@ -45,7 +46,11 @@
     if (next === undefined) outcomes.push(event);
     else next(event);
   };
-  const pool = BackendPool.create(PlatformHeaderCodec.create(), { push });
+  const pool = BackendPool.create(
+    PlatformHeaderCodec.create(),
+    { push },
+    RelayConnector.create({ vm: "vm-1", peerAddress: "127.0.0.1:1" }),
+  );
   t.teardown(() => pool.close());
   let count = 0;
   const send = (id: string, body = ""): Promise<UntimedEvent> => {
@@ -63,6 +68,8 @@
       exchange: count,
       server: "server-1",
       address,
+      relay: null,
+      mayReuseDirect: true,
       remaining: 1_000,
     }, outgoing);
     return new Promise((resolve, reject) => {
--- a/src/runtime/effect_runner.ts
+++ b/src/runtime/effect_runner.ts
@@ -20,6 +20,7 @@
 import type { Logger } from "../logging/index.ts";
 import type { BackendPool } from "./backend_pool.ts";
 import type { CallerServer } from "./caller_server.ts";
+import type { ConnectionRelay } from "./connection_relay.ts";
 import type { EffectHandler, EventSink } from "./entry_loop.ts";
 import type { EntryMetrics } from "./entry_metrics.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
@@ -44,6 +45,8 @@
   callers: CallerServer;
   backends: BackendPool;
   orders: OrderSender;
+  /** Connections of other VMs to servers. */
+  relay: ConnectionRelay;
   orderTimeouts: OrderTimeouts;
   store: StoreLink;
   peers: PeerNetwork;
@@ -94,6 +97,18 @@
         return callers.applyLimits(effect.limits);
       case "connections.close":
         return backends.closeConnections(effect.server);
+      case "connections.abandon":
+        if (!effect.isEstablishedUsable) this.adapters.orders.abortDirect();
+        return backends.abandonDirect(effect.isEstablishedUsable);
+      case "relay.open":
+        return this.adapters.relay.open(effect);
+      case "relay.refuse":
+        return this.adapters.relay.refuse(effect);
+      case "relay.abort":
+        return this.adapters.relay.abort();
+      case "relay.retire":
+        backends.retireRelay(effect.relay);
+        return this.adapters.orders.retireRelay(effect.relay);
       case "readiness.set":
         return readiness.setReady(effect.isReady);
       case "callers.drain":
@@ -194,6 +209,7 @@
         outcome: outcome.kind,
         cause,
         mayConnect: order.mayConnect,
+        relay: order.relay,
         took: Math.round(took),
       },
     });
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -13,6 +13,7 @@
 import { AdminServer } from "./admin_server.ts";
 import { BackendPool } from "./backend_pool.ts";
 import { type CallerCounts, CallerServer } from "./caller_server.ts";
+import { ConnectionRelay } from "./connection_relay.ts";
 import type { ControlStore, Feed } from "./control_store.ts";
 import { EntryLoop } from "./entry_loop.ts";
 import { EntryMetrics } from "./entry_metrics.ts";
@@ -22,6 +23,7 @@
 import { LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import type { OrderSender } from "./order_sender.ts";
+import { RelayConnector } from "./relay_connector.ts";
 import { PeerNetwork, type PeerTraffic } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { StoreLink } from "./store_link.ts";
@@ -92,6 +94,7 @@
   readonly #readinessServer = ReadinessServer.create();
   readonly #adminServer: AdminServer;
   readonly #peerNetwork: PeerNetwork;
+  readonly #relay: ConnectionRelay;
   readonly #logger: Logger;
   readonly #metrics: EntryMetrics;
   #resolveStopped: () => void = () => {};
@@ -134,6 +137,7 @@
         this.#logger,
         this.#peerNetwork.traffic,
         this.#callerServer.counts,
+        this.#relay.count,
       )
     );
     this.#adminServer = AdminServer.create(
@@ -146,17 +150,27 @@
       metrics,
       this.#loopLag,
     );
-    this.#backendPool = BackendPool.create(platform.headers, this.#loop);
-    this.#peerNetwork = PeerNetwork.create(
-      { vm: settings.vm, peerAddress: settings.peer },
+    const identity = { vm: settings.vm, peerAddress: settings.peer };
+    this.#backendPool = BackendPool.create(
+      platform.headers,
+      this.#loop,
+      RelayConnector.create(identity),
+    );
+    this.#peerNetwork = PeerNetwork.create(identity, this.#loop, this.#logger);
+    this.#relay = ConnectionRelay.create(
       this.#loop,
+      this.#loopLag,
       this.#logger,
     );
+    this.#peerNetwork.onRelayOpen((socket, request) =>
+      this.#relay.accept(socket, request)
+    );
     this.#loop.connect(EffectRunner.create({
       sink: this.#loop,
       callers: this.#callerServer,
       backends: this.#backendPool,
       orders: platform.orders,
+      relay: this.#relay,
       orderTimeouts: {
         grant: settings.leases.orderTimeout,
         release: RELEASE_TIMEOUT,
@@ -289,6 +303,7 @@
   logger: Logger,
   traffic: PeerTraffic,
   callers: CallerCounts,
+  relayedConnections: number,
 ): Record<string, number> {
   const bytesByKind = [...traffic.bytesByKind].map(([kind, bytes]) =>
     [`peer_bytes_sent_total{kind="${kind}"}`, bytes] as const
@@ -304,6 +319,7 @@
     caller_requests_late_total: callers.late,
     vms: entry.vms ?? 0,
     requests_quarantined: entry.clusterState.quarantine.quarantinedCount,
+    relayed_connections: relayedConnections,
     servers_unreached: entry.reach.isIsolated ? 1 : 0,
     is_term_holder: entry.campaign.holder === null ? 0 : 1,
     log_lines_dropped: logger.dropped,
--- a/src/runtime/hostile_text_test.ts
+++ b/src/runtime/hostile_text_test.ts
@@ -11,6 +11,7 @@
 import { connectCaller } from "../../test/support/caller_connection.ts";
 import { loopbackAddress } from "../../test/support/loopback_address.ts";
 import { BackendPool, type BackendResponse } from "./backend_pool.ts";
+import { RelayConnector } from "./relay_connector.ts";
 import { listenAt } from "./listen.ts";
 
 /** Time for an attempt to end, in milliseconds. */
@@ -34,13 +35,15 @@
       outcomes.push(each.outcome.kind);
       response = pool.takeResponse(each.attempt);
     },
-  });
+  }, RelayConnector.create({ vm: "vm-1", peerAddress: "127.0.0.1:1" }));
   pool.send({
     kind: "attempt.start",
     attempt: 1,
     exchange: 1,
     server,
     address,
+    relay: null,
+    mayReuseDirect: true,
     remaining: 1_000,
   }, {
     id: "r",
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -17,6 +17,8 @@
 } from "node:http";
 import { parseAddress } from "../settings/address.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
+import { RelayAgent, type RelayedRequestOptions } from "./relay_agent.ts";
+import type { RelayConnector, RelayTarget } from "./relay_connector.ts";
 
 /** Options of the connections of a client. */
 export interface HttpClientOptions {
@@ -26,6 +28,8 @@
   maximumConnections: number;
   /** Maximum time for which an idle connection is kept, in milliseconds. */
   idleTimeout: number;
+  /** Opens connections through other VMs; needed for calls with `relay`. */
+  connector?: RelayConnector;
 }
 
 /**
@@ -66,6 +70,10 @@
    * {@linkcode NoConnectionError}.
    */
   connectWithin?: number;
+  /**
+   * The VM through which it is sent, and the server; sent directly if omitted.
+   */
+  relay?: Omit<RelayTarget, "address" | "responseTimeout">;
 }
 
 /**
@@ -102,6 +110,13 @@
  */
 export class HttpClient {
   readonly #agent: Agent;
+  /** Calls in flight that were not sent through another VM. */
+  readonly #directRequests = new Set<ClientRequest>();
+  /**
+   * Agents of connections through other VMs, by the VM and the timeout of the
+   * calls, after which the VM resets a connection without a response.
+   */
+  readonly #relayAgents = new Map<string, RelayAgent>();
 
   private constructor(private readonly options: HttpClientOptions) {
     this.#agent = new Agent({
@@ -134,7 +149,7 @@
       port,
       method,
       path,
-      agent: this.#agent,
+      ...this.#connectionOptions(address, call),
       headers: { ...headers, ...contentHeaders },
       signal,
     });
@@ -158,17 +173,70 @@
         if (monotonicNow() <= latestRefreshAt) timer.refresh();
       });
     });
+    if (call.relay === undefined) this.#directRequests.add(request);
     request.end(body);
     return receiveResponse(request)
       .catch((error: Error) => {
         throw isTimedOut ? new Error("response timed out") : error;
       })
-      .finally(() => clearTimeout(timer));
+      .finally(() => {
+        clearTimeout(timer);
+        this.#directRequests.delete(request);
+      });
+  }
+
+  /**
+   * Aborts all calls that were not sent through another VM, and resets their
+   * connections.
+   */
+  abortDirect(): void {
+    for (const request of this.#directRequests) abortRequest(request);
+    for (const sockets of Object.values(this.#agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  /** Options of a request that determine its connection. */
+  #connectionOptions(
+    address: string,
+    { relay, timeout, connectWithin = Infinity }: HttpCall,
+  ): Partial<RelayedRequestOptions> & { agent: Agent } {
+    const { connector, idleTimeout, maximumConnections } = this.options;
+    if (relay === undefined || connector === undefined) {
+      return { agent: this.#agent };
+    }
+    const name = `${relay.relay} ${timeout}`;
+    const agent = this.#relayAgents.get(name) ??
+      RelayAgent.create(connector, idleTimeout, {
+        maxSockets: maximumConnections,
+      });
+    this.#relayAgents.set(name, agent);
+    return {
+      agent,
+      relayTarget: { ...relay, address, responseTimeout: timeout },
+      connectUntil: {
+        at: monotonicNow() + connectWithin,
+        error: NoConnectionError.create(),
+      },
+    };
+  }
+
+  /**
+   * Closes the connections through the VM at `relay`: idle ones now, those in
+   * use after their response.
+   */
+  retireRelay(relay: string): void {
+    for (const [name, agent] of this.#relayAgents) {
+      if (!name.startsWith(`${relay} `)) continue;
+      this.#relayAgents.delete(name);
+      agent.retire();
+    }
   }
 
   /** Closes all connections. */
   close(): void {
     this.#agent.destroy();
+    for (const agent of this.#relayAgents.values()) agent.destroy();
   }
 
   /**
@@ -189,7 +257,7 @@
  * would still deliver bytes that are queued for a saturated link, long after
  * the call has failed.
  */
-function abortRequest(request: ClientRequest): void {
+export function abortRequest(request: ClientRequest): void {
   const { socket } = request;
   if (socket !== null && !socket.connecting) socket.resetAndDestroy();
   request.destroy();
--- a/src/runtime/order_sender.ts
+++ b/src/runtime/order_sender.ts
@@ -15,6 +15,16 @@
   abstract grant(order: GrantOrder, timeout: number): Promise<OrderOutcome>;
   /** Sends a release; resolves after `timeout` milliseconds at the latest. */
   abstract release(order: ReleaseOrder, timeout: number): Promise<OrderOutcome>;
+  /**
+   * Ends all orders that were not sent through another VM as failed, and resets
+   * their connections.
+   */
+  abstract abortDirect(): void;
+  /**
+   * Closes the connections through the VM at `relay`, which is about to stop:
+   * idle ones now, those in use after their response.
+   */
+  abstract retireRelay(relay: string): void;
   /** Closes all connections. */
   abstract close(): void;
 }
--- /dev/null
+++ b/src/runtime/orderly_end.ts
@@ -0,0 +1,19 @@
+/**
+ * Tells the orderly end of a connection from a reset.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+
+/**
+ * Resolves at the end of the connection: to null if the other side closed it in
+ * order, or to the error if it reset it. A reset that arrives together with the
+ * last bytes is read as an orderly end, but writing zero bytes then fails.
+ */
+export function detectReset(socket: Socket): Promise<Error | null> {
+  return new Promise((resolve) => {
+    socket.prependOnceListener("end", () => {
+      socket.write("", (error) => resolve(error ?? null));
+    });
+  });
+}
--- a/src/runtime/peer_network.ts
+++ b/src/runtime/peer_network.ts
@@ -15,6 +15,7 @@
 import { monotonicNow } from "./monotonic_clock.ts";
 import { errorText } from "../errors/index.ts";
 import { listenAt } from "./listen.ts";
+import { type RelayOpenFrame, relayOpenSchema } from "./relay_frame.ts";
 
 /** First frame of a connection: identifies the sender. */
 const helloSchema = z.object({
@@ -76,6 +77,12 @@
   bytesByKind: Map<string, number>;
 }
 
+/** Called with a connection and its first frame. */
+export type RelayOpenHandler = (
+  socket: Socket,
+  request: RelayOpenFrame,
+) => void;
+
 /** See the module's comment. */
 export class PeerNetwork {
   readonly #server: Server;
@@ -95,6 +102,7 @@
    * message, by whether the frame may be deflated.
    */
   readonly #encodedFrames = new WeakMap<PeerMessage, Map<boolean, Buffer>>();
+  #onRelayOpen: RelayOpenHandler = (socket) => socket.destroy();
   readonly traffic: PeerTraffic = {
     messagesSent: 0,
     bytesSent: 0,
@@ -120,6 +128,14 @@
     return new PeerNetwork(identity, sink, logger);
   }
 
+  /**
+   * Passes connections that other VMs open to servers through this one to
+   * `handler`; they are closed before this is called.
+   */
+  onRelayOpen(handler: RelayOpenHandler): void {
+    this.#onRelayOpen = handler;
+  }
+
   /** Accepts peers. Rejects if the address is in use. */
   listen(): Promise<void> {
     return listenAt(this.#server, this.identity.peerAddress);
@@ -224,6 +240,9 @@
       this.#unansweredSince.delete(socket);
       try {
         for (const value of decoder.push(bytes)) {
+          if (hello === null && isRelayOpen(value)) {
+            return this.#handOver(socket, relayOpenSchema.parse(value));
+          }
           if (hello === null) {
             hello = helloSchema.parse(value);
             this.#setConnection(hello.peerAddress, socket);
@@ -247,6 +266,14 @@
     socket.write(encodeFrame(ownHello));
   }
 
+  /** Passes on a connection that carries no messages. */
+  #handOver(socket: Socket, request: RelayOpenFrame): void {
+    socket.removeAllListeners();
+    socket.once("close", () => this.#sockets.delete(socket));
+    this.#unansweredSince.delete(socket);
+    this.#onRelayOpen(socket, request);
+  }
+
   /**
    * Uses this connection for messages to the peer at `address` from now on.
    */
@@ -278,3 +305,8 @@
     });
   }
 }
+
+/** Whether the first frame of a connection opens one to a server. */
+function isRelayOpen(value: unknown): boolean {
+  return (value as { kind?: unknown } | null)?.kind === "relay.open";
+}
--- a/test/order_sender_test.ts
+++ b/test/order_sender_test.ts
@@ -34,6 +34,7 @@
     address,
     token: 7,
     mayConnect: true,
+    relay: null,
   } as const;
 }
 
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -13,6 +13,7 @@
 } from "../../src/core/dispatch/index.ts";
 import type { Configuration } from "../../src/core/catalog/index.ts";
 import { fingerprintOf } from "../support/fingerprint.ts";
+import type { RelayedConnection, RelayResult } from "./model_relays.ts";
 import type { Timeline } from "./timeline.ts";
 
 /** One-way delay between a caller and a VM, in milliseconds. */
@@ -247,6 +248,14 @@
   crash(address: string): void;
   /** State of the links between a VM and all servers. */
   serverLinks(vm: number): ServerLinks;
+  /** Opens a connection of a VM to a server through another VM. */
+  openRelayed(
+    vm: number,
+    relay: string,
+    server: string,
+    address: string,
+    done: (result: RelayResult) => void,
+  ): void;
   /** Whether a VM and a server are in the same availability zone. */
   isSameZone(vm: number, server: string): boolean;
 }
@@ -291,6 +300,10 @@
   address: string;
   hasSlot: boolean;
   isEnded: boolean;
+  /** Whether it waits for a direct connection that hangs. */
+  isConnecting: boolean;
+  /** Its connection, if that goes through another VM. */
+  relayed: RelayedConnection | null;
 }
 
 /** Used slots and queue of one server. */
@@ -305,6 +318,10 @@
   readonly #exchanges = new Map<number, Exchange>();
   /** Number of idle connections, by VM and server. */
   readonly #idleConnections = new Map<string, number>();
+  /** Idle connections through other VMs, by VM, VM between and server. */
+  readonly #idleRelayed = new Map<string, RelayedConnection[]>();
+  /** Number of connections opened through other VMs. */
+  relayedConnections = 0;
   /** What is delivered once the links of a VM work again, by VM. */
   readonly #undelivered = new Map<number, (() => void)[]>();
   readonly #requests = new Map<string, ServerRequest>();
@@ -447,9 +464,86 @@
       deadline: this.time.now + remaining,
       hasSlot: false,
       isEnded: false,
+      isConnecting: false,
+      relayed: null,
     };
     this.#requests.set(nameOf(vm, attempt), request);
-    this.#transmit(start, request);
+    const idle = this.#idleConnections.get(nameOf(vm, server)) ?? 0;
+    const isDirect = start.relay === null || (start.mayReuseDirect && idle > 0);
+    if (isDirect) this.#transmit(start, request);
+    else this.#openRelayed(start, request, start.relay!);
+  }
+
+  /** Sends a request through another VM. */
+  #openRelayed(
+    start: AttemptStart,
+    request: ServerRequest,
+    relay: string,
+  ): void {
+    const { vm, server, address } = request;
+    const idle = this.#idleRelayed.get(`${vm}/${relay}/${server}`) ?? [];
+    const kept = idle.filter(({ isOpen, isRetired }) => isOpen && !isRetired);
+    this.#idleRelayed.set(`${vm}/${relay}/${server}`, kept);
+    const connection = kept.pop();
+    if (connection !== undefined) {
+      return this.#transmitRelayed(start, request, connection);
+    }
+    this.relayedConnections += 1;
+    this.system.openRelayed(vm, relay, server, address, (result) => {
+      if (result.kind === "opened") {
+        if (request.isEnded) return result.connection.close();
+        return this.#transmitRelayed(start, request, result.connection);
+      }
+      if (request.isEnded) return;
+      this.#end(request, {
+        kind: "failed",
+        mayHaveBeenSent: false,
+        isConnectionRefused: result.kind === "refused",
+        isRelayed: true,
+        isRelayFault: result.kind === "fault",
+        cause: result.kind,
+      });
+    });
+  }
+
+  #transmitRelayed(
+    start: AttemptStart,
+    request: ServerRequest,
+    connection: RelayedConnection,
+  ): void {
+    request.relayed = connection;
+    connection.onBroken = () => {
+      if (request.isEnded) return;
+      this.#end(request, {
+        kind: "failed",
+        mayHaveBeenSent: true,
+        isRelayed: true,
+        cause: "reset",
+      });
+    };
+    connection.toServer(() => {
+      if (!request.isEnded) this.#arrive(start, request);
+    });
+  }
+
+  /** Passes the response to a request through another VM. */
+  #respondRelayed(
+    request: ServerRequest,
+    connection: RelayedConnection,
+    outcome: AttemptOutcome & { kind: "answered" },
+  ): void {
+    connection.toVm(() => {
+      if (request.isEnded) return;
+      request.isEnded = true;
+      const { vm, server, relay } = { ...request, relay: connection.relay };
+      this.#requests.delete(nameOf(vm, request.attempt));
+      connection.onBroken = () => {};
+      if (connection.isRetired) connection.close();
+      const name = `${vm}/vm-${relay}/${server}`;
+      const idle = this.#idleRelayed.get(name) ?? [];
+      this.#idleRelayed.set(name, [...idle, connection]);
+      this.system.end(vm, request.attempt, { ...outcome, isRelayed: true });
+    });
   }
 
   /** Sends a request over an idle connection or a new one. */
@@ -470,6 +564,7 @@
         return this.time.after(SERVER_HOP, arrive);
       case "silent":
       case "one_way":
+        request.isConnecting = true;
         return this.time.after(
           CONNECT_TIMEOUT,
           () => this.#reject(request, "connection timed out", false),
@@ -490,6 +585,7 @@
     isConnectionRefused: boolean,
   ): void {
     if (request.isEnded) return;
+    request.isConnecting = false;
     const mayHaveBeenSent = false;
     const outcome = { mayHaveBeenSent, isConnectionRefused, cause };
     this.#end(request, { kind: "failed", ...outcome });
@@ -502,6 +598,31 @@
     this.#undelivered.set(vm, waiting);
   }
 
+  /**
+   * Fails the direct attempts of a VM whose connections are not established,
+   * and closes the idle ones unless they are usable.
+   */
+  abandonDirect(vm: number, isEstablishedUsable: boolean): void {
+    for (const request of [...this.#requests.values()]) {
+      if (request.vm === vm && request.isConnecting) {
+        this.#reject(request, "connection abandoned", false);
+      }
+    }
+    if (isEstablishedUsable) return;
+    for (const name of this.#idleConnections.keys()) {
+      if (name.startsWith(`${vm}/`)) this.#idleConnections.delete(name);
+    }
+  }
+
+  /** Closes the idle connections of a VM through another one. */
+  retireRelay(vm: number, relay: string): void {
+    for (const [name, connections] of this.#idleRelayed) {
+      if (!name.startsWith(`${vm}/${relay}/`)) continue;
+      this.#idleRelayed.delete(name);
+      for (const each of connections) each.close();
+    }
+  }
+
   /** Applies a change of the links between a VM and all servers. */
   serverLinksChanged(vm: number): void {
     const links = this.system.serverLinks(vm);
@@ -517,6 +638,7 @@
     }
     for (const request of [...this.#requests.values()]) {
       if (request.vm !== vm || request.isEnded) continue;
+      if (request.relayed !== null) continue;
       const mayHaveBeenSent = true;
       this.#end(request, { kind: "failed", mayHaveBeenSent, cause: "reset" });
     }
@@ -525,7 +647,9 @@
   /** Cancels an attempt of a VM: its connection is closed. */
   cancel(vm: number, attempt: number): void {
     const request = this.#requests.get(nameOf(vm, attempt));
-    if (request !== undefined) request.isEnded = true;
+    if (request === undefined) return;
+    request.isEnded = true;
+    request.relayed?.close();
   }
 
   /** Delivers a server's response from a VM to the caller. */
@@ -867,7 +991,11 @@
   }
 
   #end(request: ServerRequest, outcome: AttemptOutcome): void {
-    const { vm } = request;
+    const { vm, relayed } = request;
+    if (relayed !== null && outcome.kind === "answered") {
+      return this.#respondRelayed(request, relayed, outcome);
+    }
+    relayed?.close();
     const links = this.system.serverLinks(vm);
     const isLost = outcome.kind === "answered" &&
       (links === "silent" || links === "one_way");
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -44,6 +44,7 @@
   RequestLoad,
   type ServerLinks,
 } from "./request_load.ts";
+import { ModelRelays, type RelayedConnection } from "./model_relays.ts";
 import { ModelStore } from "./model_store.ts";
 import { Timeline } from "./timeline.ts";
 
@@ -64,6 +65,15 @@
 const RELEASE_TIME = 80;
 /** Timeout of a probe of a server's address, in milliseconds. */
 const PROBE_TIMEOUT = 200;
+/** Result of a probe through another VM, by how its connection ended. */
+const PROBE_RESULTS = {
+  opened: "connected",
+  fault: "unknown",
+  refused: "refused",
+  silent: "silent",
+} as const;
+/** Timeout of a release through another VM, in milliseconds. */
+const RELEASE_TIMEOUT = 3_000;
 /** Timeout of an order, in milliseconds. */
 const ORDER_TIMEOUT = 500;
 /** Maximum age at which an order may open a connection, in milliseconds. */
@@ -314,6 +324,12 @@
   evacuationLag: number;
 }
 
+/** A connection for orders through another VM, to one server process. */
+interface RelayedOrderConnection {
+  connection: RelayedConnection;
+  process: ModelServer;
+}
+
 /** A VM with its entry process. */
 class Vm {
   entry: Entry;
@@ -350,6 +366,10 @@
   suspendedTime = 0;
   /** Server processes with an open connection, by address. */
   readonly connections = new Map<string, ModelServer>();
+  /** Ends each order in flight over a direct connection, by its number. */
+  readonly directOrders = new Map<number, () => void>();
+  /** Connections for orders through other VMs, by VM, kind and address. */
+  readonly relayedConnections = new Map<string, RelayedOrderConnection>();
   timerAt = Infinity;
   /**
    * Age that the order being carried out will have when it is sent, in
@@ -408,6 +428,15 @@
     });
   }
 
+  /** Closes the connections for orders through a VM, except those in use. */
+  retireRelay(relay: string): void {
+    for (const [name, { connection }] of this.relayedConnections) {
+      if (!name.startsWith(`${relay} `)) continue;
+      this.relayedConnections.delete(name);
+      if (!connection.isInUse) connection.close();
+    }
+  }
+
   restart(): void {
     this.restartCount += 1;
     this.entry = this.createEntry();
@@ -417,6 +446,8 @@
     this.isPollLost = false;
     this.isStoreFailing = false;
     this.connections.clear();
+    this.relayedConnections.clear();
+    this.directOrders.clear();
     this.withheldOrders = [];
     this.timerAt = Infinity;
   }
@@ -438,6 +469,7 @@
   /** Tokens of first grants, for simulations in which renewals reuse them. */
   readonly #firstTokens = new Map<string, number>();
   readonly #draw: () => number;
+  readonly #relays: ModelRelays;
   readonly #report: SimulationReport = {
     violations: [],
     grants: 0,
@@ -476,6 +508,7 @@
   private constructor(private readonly options: SimulationOptions) {
     this.#draw = createUniformGenerator(options.seed);
     this.#store = ModelStore.create(!options.isStoreVolatile);
+    this.#relays = this.#createRelays();
     for (let i = 0; i < options.servers; i++) this.#addServer();
     for (let i = 0; i < options.vms; i++) {
       const vm = new Vm(i, options, this.#time);
@@ -510,6 +543,7 @@
               false,
           crash: (address) => this.#loseServer(this.#processAt(address)!),
           serverLinks: (vm) => this.#serverLinks(vm),
+          openRelayed: (...args) => this.#relays.open(...args),
           isSameZone: (vm, server) =>
             this.#zoneOf(vm) === this.#entries.get(server)?.availabilityZone,
         },
@@ -528,6 +562,22 @@
     }
   }
 
+  #createRelays(): ModelRelays {
+    return ModelRelays.create(this.#time, {
+      indexOf: (address) =>
+        this.#vms.find((each) => each.address === address)?.index,
+      addressOf: (vm) => this.#vms[vm].address,
+      isUp: (vm) => this.#vms[vm].isUp,
+      frozenFor: (vm) => this.#vms[vm].frozenUntil - this.#time.now,
+      areCut: (vm, other) =>
+        this.#isActive("vm.cut_from_peers", vm) ||
+        this.#isActive("vm.cut_from_peers", other),
+      serverLinks: (vm) => this.#serverLinks(vm),
+      acceptsConnections: (address) => this.#acceptsConnections(address),
+      handle: (vm, event) => this.#handle(this.#vms[vm], event),
+    });
+  }
+
   /** Runs a simulation to its end. */
   static runToEnd(options: SimulationOptions): SimulationReport {
     const simulation = new Simulation(options);
@@ -917,19 +967,53 @@
         this.#recordEvacuatedZoneSend(effect.server);
         return this.#report.load!.send(vm.index, effect);
       case "server.check": {
-        const { server, address, purpose } = effect;
+        const { server, address, relay, purpose } = effect;
         const { restartCount } = vm;
+        const end = (result: ProbeResult) => {
+          if (vm.restartCount !== restartCount) return;
+          const checked = { server, relay, purpose, result };
+          this.#handle(vm, { kind: "server.checked", ...checked });
+        };
+        if (relay !== null) {
+          return this.#relays.open(
+            vm.index,
+            relay,
+            server,
+            address,
+            (opened) => {
+              if (opened.kind === "opened") opened.connection.close();
+              end(PROBE_RESULTS[opened.kind]);
+            },
+          );
+        }
         const links = this.#serverLinks(vm.index);
         const isSilent = links === "silent" || links === "one_way";
         const delay = isSilent ? PROBE_TIMEOUT : 2 * ONE_WAY_DELAY;
-        return this.#time.after(delay, () => {
-          const result = this.#probe(address, links);
-          if (vm.restartCount !== restartCount) return;
-          this.#handle(vm, { kind: "server.checked", server, purpose, result });
-        });
+        return this.#time.after(
+          delay,
+          () => end(this.#probe(address, links)),
+        );
       }
       case "attempt.cancel":
         return this.#report.load!.cancel(vm.index, effect.attempt);
+      case "connections.abandon":
+        if (!effect.isEstablishedUsable) {
+          for (const end of [...vm.directOrders.values()]) end();
+        }
+        return this.#report.load?.abandonDirect(
+          vm.index,
+          effect.isEstablishedUsable,
+        );
+      case "relay.open":
+        return this.#relays.connect(effect);
+      case "relay.refuse":
+        return this.#relays.refuse(effect.connection);
+      case "relay.abort":
+        return this.#relays.breakAll(vm.index);
+      case "relay.retire":
+        this.#report.load?.retireRelay(vm.index, effect.relay);
+        vm.retireRelay(effect.relay);
+        return this.#relays.retire(vm.index, effect.relay);
       case "request.deliver":
         return this.#report.load!.deliver(effect.exchange, effect.attempt);
       case "request.refuse":
@@ -964,7 +1048,7 @@
         // The simulation has no caller connections to close.
         return this.#handle(vm, { kind: "callers.closed" });
       case "process.stop":
-        vm.isUp = false;
+        this.#endProcess(vm);
         return this.#time.after(300, () => this.#restart(vm));
     }
   }
@@ -1077,6 +1161,9 @@
     const end = (outcome: OrderOutcome | null, delay: number) =>
       this.#time.after(delay, () => {
         if (vm.restartCount !== restartCount) return;
+        if (!vm.directOrders.delete(order.order) && order.relay === null) {
+          return;
+        }
         const reported = outcome ?? { kind: "failed", cause: "no answer" };
         if (outcome === null) vm.connections.delete(order.address);
         this.#handle(vm, {
@@ -1086,6 +1173,12 @@
         });
       });
     this.#reuseToken(order);
+    if (order.relay === null) {
+      vm.directOrders.set(order.order, () => end(null, 0));
+    }
+    if (order.relay !== null) {
+      return this.#sendThrough(vm, order.relay, order, end);
+    }
     const connected = vm.connections.get(order.address);
     const mayArrive = links === "one_way" && !isUnreachable && connected?.isUp;
     if (isCut && !mayArrive) return end(null, ORDER_TIMEOUT);
@@ -1110,6 +1203,73 @@
     });
   }
 
+  /** Sends an order through another VM. */
+  #sendThrough(
+    vm: Vm,
+    relay: string,
+    order: GrantOrder | ReleaseOrder,
+    end: (outcome: OrderOutcome | null, delay: number) => void,
+  ): void {
+    const { server, address } = order;
+    const name = `${relay} ${order.kind} ${address}`;
+    const found = vm.relayedConnections.get(name);
+    if (found?.connection.isOpen && found.process.isUp) {
+      return this.#transmitThrough(vm, found, order, end);
+    }
+    const mayConnect = order.mayConnect && vm.orderAge <= MAXIMUM_CONNECT_AGE;
+    if (!mayConnect) return this.#withhold(vm, order);
+    this.#relays.open(vm.index, relay, server, address, (result) => {
+      if (result.kind !== "opened") {
+        const isRelayFault = result.kind === "fault";
+        return end({ kind: "failed", cause: result.kind, isRelayFault }, 0);
+      }
+      const opened = {
+        connection: result.connection,
+        process: this.#processAt(address)!,
+      };
+      if (!vm.relayedConnections.get(name)?.connection.isOpen) {
+        vm.relayedConnections.set(name, opened);
+      }
+      this.#transmitThrough(vm, opened, order, end);
+    });
+  }
+
+  #transmitThrough(
+    vm: Vm,
+    { connection, process }: RelayedOrderConnection,
+    order: GrantOrder | ReleaseOrder,
+    end: (outcome: OrderOutcome | null, delay: number) => void,
+  ): void {
+    let isEnded = false;
+    const finish = (outcome: OrderOutcome | null) => {
+      if (isEnded) return;
+      isEnded = true;
+      connection.isInUse = false;
+      const isKept = [...vm.relayedConnections.values()].some((each) =>
+        each.connection === connection
+      );
+      if (outcome === null || !isKept || connection.isRetired) {
+        connection.close();
+      }
+      end(outcome, 0);
+    };
+    connection.isInUse = true;
+    connection.onBroken = () => finish(null);
+    const timeout = order.kind === "order.grant"
+      ? ORDER_TIMEOUT
+      : RELEASE_TIMEOUT;
+    this.#time.after(timeout, () => finish(null));
+    connection.toServer(() =>
+      this.#transmit(
+        vm,
+        process,
+        order,
+        (outcome, delay) =>
+          this.#time.after(delay, () => connection.toVm(() => finish(outcome))),
+      )
+    );
+  }
+
   /**
    * Withholds an order. The VM reports all orders that are withheld in one turn
    * of its event loop together.
@@ -1222,7 +1382,7 @@
       this.#isActive("orders.late");
     const isLost = this.#isActive("orders.lost") && this.#draw() < 0.5;
     const isUnanswered = isLate || isLost ||
-      this.#serverLinks(vm.index) === "one_way";
+      (order.relay === null && this.#serverLinks(vm.index) === "one_way");
     const arrivedAt = this.#time.now + ONE_WAY_DELAY;
     const delay = isLate ? 2_000 + this.#draw() * 10_000 : ONE_WAY_DELAY;
     if (isUnanswered) end(null, ORDER_TIMEOUT);
@@ -1339,7 +1499,7 @@
         vm.timeOfDayOffset += duration;
         return this.#time.after(duration, () => vm.timeOfDayOffset -= duration);
       case "vm.kill":
-        vm.isUp = false;
+        this.#endProcess(vm);
         return this.#time.after(300 + duration / 4, () => this.#restart(vm));
       case "vm.cut_from_servers":
       case "vm.servers_one_way":
@@ -1394,6 +1554,12 @@
     }
   }
 
+  #endProcess(vm: Vm): void {
+    vm.isUp = false;
+    this.#relays.breakAll(vm.index);
+    this.#relays.closeAll(vm.index);
+  }
+
   #suspend(vm: Vm, duration: number): void {
     const { now } = this.#time;
     if (vm.frozenUntil > now) return;
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -761,6 +761,7 @@
     last: 9,
     address,
     mayConnect: true,
+    relay: null,
   };
   const grant = { ...keys, kind: "order.grant", token: 5 } as const;
   const leaseTerms = { hold: 1_000, handover: null };
@@ -803,6 +804,7 @@
       last: 9,
       token: 1,
       mayConnect,
+      relay: null,
       hold: 1_000,
       handover: null,
     }, 500);
--- a/test/unreached_servers_process_test.ts
+++ b/test/unreached_servers_process_test.ts
@@ -60,7 +60,9 @@
     }))
   );
   const results = await Promise.all([
-    runLoad(deployment.plan("stock", { ...overrides, keys: 40 })),
+    runLoad(
+      deployment.plan("stock", { ...overrides, keys: 40, method: "PUT" }),
+    ),
     runLoad(deployment.plan("orders", overrides)),
     burst,
   ]);
