--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -269,7 +269,7 @@
       }
       case "order.ended": {
         const { order } = event;
-        const outcome = this.#withPathLoss(order, event.outcome, now);
+        const outcome = this.#withPathLoss(order, event.outcome);
         this.#recordOrderPath(order, outcome, now);
         if (outcome.statement !== undefined) {
           this.#applyOrderStatement(order, outcome.statement, now);
@@ -423,12 +423,10 @@
    * States whether an order failed because of its path: the VM through which it
    * was sent, or this VM's own links.
    */
-  #withPathLoss(order: number, outcome: OrderOutcome, now: number) {
+  #withPathLoss(order: number, outcome: OrderOutcome): OrderOutcome {
     if (outcome.kind !== "failed") return outcome;
     const isDirect = (this.#orderRelays.get(order) ?? null) === null;
-    const isPathLost = isDirect
-      ? this.reach.state(now) !== "direct"
-      : outcome.isRelayFault;
+    const isPathLost = isDirect ? this.reach.isIsolated : outcome.isRelayFault;
     return { ...outcome, isPathLost };
   }
 
--- a/src/core/reach/server_reach.ts
+++ b/src/core/reach/server_reach.ts
@@ -69,7 +69,9 @@
 
 /**
  * Whether the direct connections work: `isolated` if servers accept no new
- * ones, and `suspected` while that is being checked.
+ * ones, and `suspected` while connections to several servers have failed and
+ * that is being checked. Requests that are only overdue do not make it
+ * `suspected`: servers and this VM may be slow.
  */
 export type ReachState = "direct" | "suspected" | "isolated";
 
@@ -155,8 +157,10 @@
   /** See {@linkcode ReachState}. */
   state(now: number): ReachState {
     if (this.#isIsolated) return "isolated";
-    const suspects = this.#suspects(now);
-    return suspects.size >= Math.min(2, this.fleet.size) && suspects.size > 0
+    // A server has just accepted a connection.
+    if (now - this.#checkedAt < CHECK_PAUSE) return "direct";
+    const failing = this.#failingServers(now).size;
+    return failing > 0 && failing >= this.#suspectsNeeded
       ? "suspected"
       : "direct";
   }
@@ -363,7 +367,7 @@
   }
 
   #isCheckDue(suspects: ReadonlySet<string>, now: number): boolean {
-    if (suspects.size >= Math.min(2, this.fleet.size)) return suspects.size > 0;
+    if (suspects.size >= this.#suspectsNeeded) return suspects.size > 0;
     // A single server that refuses connections has most likely ended.
     return [...suspects].some((server) =>
       this.#failures.get(server)?.kind === "silent"
@@ -382,14 +386,25 @@
     return [...others, ...rest].slice(0, CHECKED_SERVERS);
   }
 
+  /** Number of suspects from which on a check is due in any case. */
+  get #suspectsNeeded(): number {
+    return Math.min(2, this.fleet.size);
+  }
+
   /** Servers to which direct connections seem to fail. */
   #suspects(now: number): Set<string> {
-    const suspects = new Set(this.#overdueServers(now));
+    const failing = this.#failingServers(now);
+    return new Set([...failing, ...this.#overdueServers(now)]);
+  }
+
+  /** Servers to which direct connections have failed recently. */
+  #failingServers(now: number): Set<string> {
+    const failing = new Set<string>();
     for (const [server, { kind, at }] of this.#failures) {
       if (now - at > FAILURE_LIFETIME) this.#failures.delete(server);
-      else if (kind !== "broken" || at > this.#answeredAt) suspects.add(server);
+      else if (kind !== "broken" || at > this.#answeredAt) failing.add(server);
     }
-    return suspects;
+    return failing;
   }
 
   /**
--- a/src/runtime/connection_relay.ts
+++ b/src/runtime/connection_relay.ts
@@ -11,6 +11,7 @@
 import type { EventSink } from "./entry_loop.ts";
 import { encodeFrame } from "./frame.ts";
 import type { LoopLag } from "./loop_lag.ts";
+import { resetSocket } from "./socket_reset.ts";
 import { detectReset } from "./orderly_end.ts";
 import type {
   RelayAnswer,
@@ -54,14 +55,14 @@
 
   private constructor(
     private readonly sink: EventSink,
-    private readonly lag: LoopLag,
+    private readonly lag: Pick<LoopLag, "lateness">,
     private readonly logger: Logger,
   ) {}
 
   /** Creates a relay without connections. */
   static create(
     sink: EventSink,
-    lag: LoopLag,
+    lag: Pick<LoopLag, "lateness">,
     logger: Logger,
   ): ConnectionRelay {
     return new ConnectionRelay(sink, lag, logger);
@@ -176,8 +177,6 @@
     const found = this.#connections.get(connection);
     if (found === undefined) return;
     this.#connections.delete(connection);
-    found.client.removeAllListeners();
-    found.client.on("error", () => {});
     const answer: RelayAnswer = { kind: "relay.refused", why };
     found.client.end(encodeFrame(answer));
     this.#close(found.server);
@@ -203,8 +202,7 @@
   #close(socket: Socket | null): void {
     if (socket === null || socket.destroyed) return;
     socket.on("error", () => {});
-    if (socket.connecting) socket.destroy();
-    else socket.resetAndDestroy();
+    resetSocket(socket);
   }
 
   #report(
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -19,6 +19,7 @@
 import { monotonicNow } from "./monotonic_clock.ts";
 import { RelayAgent, type RelayedRequestOptions } from "./relay_agent.ts";
 import type { RelayConnector, RelayTarget } from "./relay_connector.ts";
+import { resetSocket } from "./socket_reset.ts";
 
 /** Options of the connections of a client. */
 export interface HttpClientOptions {
@@ -259,7 +260,7 @@
  */
 export function abortRequest(request: ClientRequest): void {
   const { socket } = request;
-  if (socket !== null && !socket.connecting) socket.resetAndDestroy();
+  if (socket !== null && !socket.connecting) resetSocket(socket);
   request.destroy();
 }
 
