A VM without any path to servers hands over the term and its callers

A term holder that reaches no server, neither directly nor through the VMs that it knows, kept the term while the store answered it, and all keys lost their servers; a VM in that state stayed ready for callers it had to refuse. After a second without any path to servers that other VMs reach, it leaves the electorate, reports fitness 0 and is not ready, until a path works again.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -66,6 +66,8 @@
   readonly #stallDetector = StallDetector.create();
   readonly #quarantineStorage: QuarantineStorage;
   #isReady = false;
+  /** Whether other VMs should do what this one is responsible for. */
+  #mustHandOver = false;
   /** Whether this VM reads the store's feeds: see the effect `feeds.follow`. */
   #isFollowingFeeds = true;
   /** Time of the first event, in milliseconds. */
@@ -333,6 +335,7 @@
     );
     this.#updateFeeds(now);
     this.peers.advance(now);
+    this.#updateHandover(now);
     for (const probe of this.clusterState.crashDetector.advance(now)) {
       this.#emit(this.#paths.withPath(probe, now));
     }
@@ -345,6 +348,18 @@
     this.#emit(...this.#shutdown.advance(pending, now));
   }
 
+  /**
+   * Leaves the election and the load balancer's rotation while this VM has no
+   * path to servers that other VMs reach.
+   */
+  #updateHandover(now: number): void {
+    const mustHandOver = this.#paths.mustHandOver(now);
+    if (mustHandOver === this.#mustHandOver) return;
+    this.#mustHandOver = mustHandOver;
+    this.campaign.setReachesServers(!mustHandOver);
+    this.clusterState.logDecision("servers.cut_off", { mustHandOver });
+  }
+
   /** Reads the registry when the local copy is too old. */
   #advanceRegistry(now: number): void {
     if (this.#store.isFailing(now)) return;
@@ -645,12 +660,13 @@
   }
 
   /**
-   * Reports this process as ready while it has a configuration and is not
-   * stopping.
+   * Reports this process as ready while it has a configuration, is not stopping
+   * and has a path to servers that other VMs reach.
    */
   #updateReadiness(): void {
     const isLoaded = this.clusterState.catalog.isLoaded;
-    const isReady = isLoaded && !this.#shutdown.isStarted;
+    const isReady = isLoaded && !this.#shutdown.isStarted &&
+      !this.#mustHandOver;
     if (isReady === this.#isReady) return;
     this.#isReady = isReady;
     this.clusterState.logDecision("readiness.changed", { isReady });
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -67,7 +67,7 @@
     private readonly relayZone: (now: number) => string | undefined,
     private readonly draw: () => number,
   ) {
-    this.followerLink = FollowerLink.create(campaign.fitness);
+    this.followerLink = FollowerLink.create(() => campaign.fitness);
     this.#publisher = StatePublisher.create(
       clusterState,
       campaign,
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -147,6 +147,8 @@
   #joinDueAt = -Infinity;
   #isJoining = false;
   #isRetired = false;
+  /** Whether this VM can send orders to servers. */
+  #reachesServers = true;
   #orderCount = 0;
 
   private constructor(
@@ -166,9 +168,9 @@
     return new TermCampaign(timing, fleet, loads, Candidacy.create(fitness));
   }
 
-  /** Fitness of this VM. */
+  /** Fitness of this VM; 0 while it cannot send orders to servers. */
   get fitness(): number {
-    return this.candidacy.fitness;
+    return this.#reachesServers ? this.candidacy.fitness : 0;
   }
 
   /** Returns the highest fitness among the known VMs, including this one. */
@@ -220,6 +222,14 @@
     return this.#phase.kind;
   }
 
+  /**
+   * Sets whether this VM can send orders to servers, directly or through other
+   * VMs. While it cannot, it is no candidate, and another VM is elected.
+   */
+  setReachesServers(reachesServers: boolean): void {
+    this.#reachesServers = reachesServers;
+  }
+
   /** Handles the answer to a membership call. */
   onJoined(membership: Membership, now: number): void {
     this.#isJoining = false;
@@ -422,7 +432,8 @@
    */
   #chooseGroup(now: number): KeyspaceEffect[] {
     const isElected = this.#phase.kind !== "follower";
-    const isCandidate = this.candidacy.isCandidate(now, isElected);
+    const isCandidate = this.#reachesServers &&
+      this.candidacy.isCandidate(now, isElected);
     const group = isCandidate ? "electorate" : "observers";
     if (group === this.#group) return [];
     const former = this.#group;
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -125,13 +125,13 @@
   /** Keys requested since the last report, by service. */
   readonly #samples = new Map<string, number[]>();
 
-  private constructor(private readonly fitness: number) {}
+  private constructor(private readonly fitness: () => number) {}
 
   /**
-   * Creates a link without a holder. `fitness` is this VM's fitness to hold the
-   * term.
+   * Creates a link without a holder. `fitness` returns this VM's fitness to
+   * hold the term.
    */
-  static create(fitness: number): FollowerLink {
+  static create(fitness: () => number): FollowerLink {
     return new FollowerLink(fitness);
   }
 
@@ -286,7 +286,7 @@
     const samples = [...this.#samples]
       .map(([service, keys]) => ({ service, keys }));
     this.#samples.clear();
-    const { fitness } = this;
+    const fitness = this.fitness();
     return {
       kind: "keys.asked",
       ...senderState,
--- a/src/core/reach/relay_choice.ts
+++ b/src/core/reach/relay_choice.ts
@@ -62,6 +62,15 @@
     return this.#relays.length === 0;
   }
 
+  /**
+   * Whether there are such VMs, and none of them could be used since the last
+   * response through it.
+   */
+  get areAllFailing(): boolean {
+    return this.#relays.length > 0 &&
+      this.#relays.every((relay) => this.#pauses.has(relay));
+  }
+
   /** Replaces the peer addresses of the VMs that reach the servers. */
   replace(relays: readonly string[]): void {
     this.#relays = relays;
--- a/src/core/reach/server_paths.ts
+++ b/src/core/reach/server_paths.ts
@@ -16,6 +16,12 @@
 /** Maximum number of servers whose confirmations are remembered. */
 const MAXIMUM_CONFIRMATIONS = 1_024;
 
+/**
+ * Time without any path to servers after which this VM hands over what it is
+ * responsible for, in milliseconds.
+ */
+const HANDOVER_DELAY = 1_000;
+
 /** Path of a connection to a server. */
 export interface ServerPath {
   /**
@@ -32,6 +38,8 @@
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class ServerPaths {
   readonly relays = RelayChoice.create();
+  /** Since when nothing can be sent; Infinity if something can. */
+  #cutOffSince = Infinity;
   /** When a refusal was last checked through another VM, by server. */
   readonly #confirmedAt = new Map<string, number>();
 
@@ -115,6 +123,16 @@
     return reach.isSilent && relays.choose("", now) === null;
   }
 
+  /**
+   * Whether nothing can be sent to servers that other VMs reach, for so long
+   * that another VM should take over what this one is responsible for.
+   */
+  mustHandOver(now: number): boolean {
+    const isCutOff = this.reach.isSilent && this.relays.areAllFailing;
+    this.#cutOffSince = isCutOff ? Math.min(this.#cutOffSince, now) : Infinity;
+    return now - this.#cutOffSince >= HANDOVER_DELAY;
+  }
+
   /** Sets the path of a probe of a server that may have crashed. */
   withPath(probe: ServerProbe, now: number): ServerProbe {
     return { ...probe, relay: this.to(probe.server, now).relay };
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -260,6 +260,8 @@
   exitTime?: number;
   /** Names of the log lines that the report contains; none if left out. */
   loggedDecisions?: readonly string[];
+  /** Whether VMs can open no connections through others. */
+  areRelaysBroken?: boolean;
   /** Whether every order may open a connection. */
   mayAlwaysConnect?: boolean;
   /**
@@ -570,6 +572,7 @@
       isUp: (vm) => this.#vms[vm].isUp,
       frozenFor: (vm) => this.#vms[vm].frozenUntil - this.#time.now,
       areCut: (vm, other) =>
+        (this.options.areRelaysBroken ?? false) ||
         this.#isActive("vm.cut_from_peers", vm) ||
         this.#isActive("vm.cut_from_peers", other),
       serverLinks: (vm) => this.#serverLinks(vm),
--- a/test/ownership/unreached_servers_test.ts
+++ b/test/ownership/unreached_servers_test.ts
@@ -269,3 +269,16 @@
   t.true(held < 0.05 * attempts.length, `${held} of ${attempts.length}`);
   t.true(share(load!, () => true, CUT_UNTIL + RECOVERY_TIME, UNTIL) > 0.98);
 });
+
+// Guards against a term holder that can order nothing, since no VM that it can
+// use reaches the servers, and keeps the term: all keys lost their servers.
+test("unreached servers: a term holder without any path hands over the term", (t) => {
+  const faults = cut("vm.cut_from_servers", [0], CUT_FROM, UNTIL);
+  const { load, violations, holders } = simulate(11, faults, {}, {
+    areRelaysBroken: true,
+  });
+  t.deepEqual(violations, []);
+  t.not(holders.at(-1), "vm-0");
+  const served = share(load!, (vm) => vm !== 0, CUT_UNTIL, UNTIL);
+  t.true(served >= MINIMUM_SHARE, `${served}`);
+});
