--- a/test/ownership/unreached_servers_test.ts
+++ b/test/ownership/unreached_servers_test.ts
@@ -273,7 +273,7 @@
 // Guards against a term holder that can order nothing, since no VM that it can
 // use reaches the servers, and keeps the term: all keys lost their servers.
 test("unreached servers: a term holder without any path hands over the term", (t) => {
-  const faults = cut("vm.cut_from_servers", [0], CUT_FROM, UNTIL);
+  const faults = cut("vm.cut_from_servers", [0], CUT_FROM, UNTIL + 3_000);
   const { load, violations, holders } = simulate(11, faults, {}, {
     areRelaysBroken: true,
   });
