--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -19,13 +19,13 @@
   type GrantOrder,
   KeyLoads,
   type KeyspaceEffect,
-  type OrderOutcome,
   type ReleaseOrder,
   TermCampaign,
 } from "./keyspace/index.ts";
 import { PeerExchange, QuarantineStorage } from "./exchange/index.ts";
 import { createUniformGenerator } from "./random.ts";
 import {
+  OrderPaths,
   type ReachChange,
   RelayGate,
   type RelayRequest,
@@ -58,6 +58,7 @@
   /** Whether this VM's own connections reach the servers. */
   readonly reach: ServerReach;
   readonly #paths: ServerPaths;
+  readonly #orderPaths: OrderPaths;
   readonly #relayGate: RelayGate;
   readonly #loads = KeyLoads.create();
   readonly #shutdown: Shutdown;
@@ -75,8 +76,6 @@
   #effects: EntryEffect[] = [];
   /** Orders created in the current step. */
   #orders: KeyspaceEffect[] = [];
-  /** VMs through which orders in flight were sent, or null, by order. */
-  readonly #orderRelays = new Map<number, string | null>();
 
   private constructor(options: EntryOptions) {
     const emit = (...effects: EntryEffect[]) => this.#emit(...effects);
@@ -93,6 +92,7 @@
       createUniformGenerator(options.seed + 2),
     );
     this.#paths = ServerPaths.create(this.reach);
+    this.#orderPaths = OrderPaths.create(this.#paths);
     this.#relayGate = RelayGate.create(fleet);
     this.#quarantineStorage = QuarantineStorage.create(quarantine);
     this.campaign = TermCampaign.create(
@@ -271,8 +271,7 @@
       }
       case "order.ended": {
         const { order } = event;
-        const outcome = this.#withPathLoss(order, event.outcome);
-        this.#recordOrderPath(order, outcome, now);
+        const outcome = this.#orderPaths.ended(order, event.outcome, now);
         if (outcome.statement !== undefined) {
           this.#applyOrderStatement(order, outcome.statement, now);
         }
@@ -397,8 +396,9 @@
       isTimerEvent,
     );
     for (const each of effects) {
-      if (isOrder(each)) this.#sendOrder(each, now);
-      else this.#emit(each);
+      if (isOrder(each)) {
+        this.#orders.push(this.#orderPaths.withPath(each, now));
+      } else this.#emit(each);
     }
     if (this.campaign.holder !== null && !this.#store.isFailing(now)) {
       const write = this.#quarantineStorage.advance(now);
@@ -422,43 +422,6 @@
     this.#emit({ kind: "feeds.follow", isOn: isFollowing });
   }
 
-  /** Sends an order after all other effects of the step. */
-  #sendOrder(order: GrantOrder | ReleaseOrder, now: number): void {
-    const { relay } = this.#paths.to(order.server, now);
-    this.#orders.push({ ...order, relay });
-    this.#orderRelays.set(order.order, relay);
-    // The response to a release may have to wait for running requests.
-    if (order.kind !== "order.grant") return;
-    const name = orderName(order.order);
-    if (relay === null) this.reach.started(name, order.server, 0, now);
-    else this.#paths.relays.started(name, relay, 0, now);
-  }
-
-  /**
-   * States whether an order failed because of its path: the VM through which it
-   * was sent, or this VM's own links.
-   */
-  #withPathLoss(order: number, outcome: OrderOutcome): OrderOutcome {
-    if (outcome.kind !== "failed") return outcome;
-    const isDirect = (this.#orderRelays.get(order) ?? null) === null;
-    const isPathLost = isDirect ? this.reach.isIsolated : outcome.isRelayFault;
-    return { ...outcome, isPathLost };
-  }
-
-  /** Records whether an order shows that the server is reached directly. */
-  #recordOrderPath(order: number, outcome: OrderOutcome, now: number): void {
-    const name = orderName(order);
-    const relay = this.#orderRelays.get(order) ?? null;
-    this.#orderRelays.delete(order);
-    if (outcome.kind === "withheld") this.#paths.ended(name);
-    else if (outcome.kind !== "failed" || outcome.isAnswered) {
-      this.#paths.answered(name, relay !== null, now);
-    } else {
-      this.#paths.failed(name, relay !== null, "broken", now);
-      if (outcome.isRelayFault) this.#paths.relays.failed(relay!, now);
-    }
-  }
-
   /** Handles the end of a probe of a server's address. */
   #serverChecked(event: EntryEvent & { kind: "server.checked" }): void {
     const { server, relay, purpose, result, now } = event;
@@ -473,6 +436,9 @@
       isRefused,
       ...(relay === null ? {} : { relay, result }),
     });
+    if (relay !== null && result === "unknown") {
+      this.#paths.relays.failed(relay, now);
+    }
     if (isRefused) this.#connectionRefused(server, relay !== null, now);
     else {
       this.clusterState.crashDetector.probeSucceeded(server);
@@ -544,8 +510,8 @@
       detail: { ...detail, relays },
     });
     this.peers.followerLink.expedite();
-    this.clusterState.fleet.clearFailures();
     if (state === "direct") return;
+    this.clusterState.fleet.clearFailures();
     this.#emit({ kind: "connections.abandon", isEstablishedUsable });
     if (isEstablishedUsable) return;
     this.#emit(...this.dispatcher.directConnectionsLost(now));
@@ -702,8 +668,3 @@
 function isOrder(effect: KeyspaceEffect): effect is GrantOrder | ReleaseOrder {
   return effect.kind === "order.grant" || effect.kind === "order.release";
 }
-
-/** Name of an order among everything that this VM sends to servers. */
-function orderName(order: number): string {
-  return `order ${order}`;
-}
--- a/src/core/reach/index.ts
+++ b/src/core/reach/index.ts
@@ -1,3 +1,4 @@
+export * from "./order_paths.ts";
 export * from "./relay_choice.ts";
 export * from "./relay_gate.ts";
 export * from "./relay_roster.ts";
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -4,15 +4,17 @@
  * other until COUNT seeds have run or M minutes have passed. Prints one line
  * per seed, with the broken guarantees and the folder of the logs.
  * `--weaken` with `second_try`, `no_wait` or `ignored_statements` runs a
- * mutation of the program, which the checks must detect. `--extended` adds requests that crash their
- * servers, and suspensions of VMs; `--statements` adds servers that state that
- * they are leaving, or refuse requests with `Retry-After`.
+ * mutation of the program, which the checks must detect. `--extended` adds
+ * requests that crash their servers, and suspensions of VMs; `--statements` adds
+ * servers that state that they are leaving, or refuse requests with
+ * `Retry-After`; `--cuts` adds entries that are cut from all servers.
  *
  * @module
  */
 import { parseArgs } from "node:util";
 import { type MutationName, MUTATIONS } from "../support/bundled_program.ts";
 import {
+  createCutPlan,
   createExtendedPlan,
   createPlan,
   createStatementPlan,
@@ -31,6 +33,7 @@
     weaken: { type: "string" },
     extended: { type: "boolean", default: false },
     statements: { type: "boolean", default: false },
+    cuts: { type: "boolean", default: false },
   },
 });
 
@@ -42,6 +45,7 @@
 }
 
 function selectPlan(): typeof createPlan {
+  if (values.cuts) return createCutPlan;
   if (values.statements) return createStatementPlan;
   return values.extended ? createExtendedPlan : createPlan;
 }
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -63,12 +63,24 @@
   "server.backoff",
 ] as const;
 
+/**
+ * Cuts of half of the entries from all servers, which cut plans add to the plan
+ * of a seed; the states of `severable_links.cjs`.
+ */
+export const CUTS = [
+  "cut.silent",
+  "cut.one_way",
+  "cut.reset",
+  "cut.refused",
+] as const;
+
 /** A planned operation or a failure. */
 export type FaultKind =
   | typeof PLANNED_OPERATIONS[number]
   | typeof UNPLANNED_FAULTS[number]
   | typeof EXTENDED_FAULTS[number]
-  | typeof STATEMENTS[number];
+  | typeof STATEMENTS[number]
+  | typeof CUTS[number];
 
 /** A fault that begins `at` milliseconds after the start of the load. */
 export interface SoakFault {
@@ -147,6 +159,17 @@
   return { ...plan, faults: [...plan.faults, ...added] };
 }
 
+/** Creates the plan of a seed with additional {@linkcode CUTS}. */
+export function createCutPlan(seed: number, loadDuration: number): SoakPlan {
+  const plan = createPlan(seed, loadDuration);
+  const added = drawAddedFaults(CUTS, seed, loadDuration);
+  return {
+    ...plan,
+    isPlannedOnly: false,
+    faults: [...plan.faults, ...added],
+  };
+}
+
 function drawAddedFaults(
   kinds: readonly FaultKind[],
   seed: number,
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -22,6 +22,7 @@
   type DeployedProcess,
   Deployment,
   HOST,
+  type ServerLinks,
 } from "../support/deployment.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 import type { SoakFault, SoakPlan } from "./soak_plan.ts";
@@ -250,6 +251,11 @@
         return this.#sendCrashingRequests(fault);
       case "configuration":
         return this.#publish();
+      case "cut":
+        return this.#recordEntryFault(
+          null,
+          this.#cutEntries(action as ServerLinks, fault),
+        );
       case "store":
         return this.#injectStoreFault(store, action, fault.duration);
       default:
@@ -315,6 +321,19 @@
     await this.#waitUntilReady(entry);
   }
 
+  /** Cuts every second entry from all servers. */
+  async #cutEntries(
+    links: ServerLinks,
+    { duration, target }: SoakFault,
+  ): Promise<void> {
+    const cut = this.#deployment.entries.filter((_, i) =>
+      (i + target) % 2 === 0
+    );
+    for (const each of cut) this.#deployment.setServerLinks(each, links);
+    await delay(duration);
+    for (const each of cut) this.#deployment.setServerLinks(each, "open");
+  }
+
   async #waitUntilReady(entry: DeployedProcess): Promise<void> {
     const end = Date.now() + RECOVERY_TIMEOUT;
     while (Date.now() < end) {
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import {
+  createCutPlan,
   createExtendedPlan,
   createPlan,
   createStatementPlan,
@@ -37,6 +38,16 @@
   t.true(report.served > report.calls / 3, JSON.stringify(report));
 });
 
+// Guards against guarantees that are broken while entries send through others.
+test.serial("soak: cut seed 9 breaks no guarantee", async (t) => {
+  const plan = createCutPlan(9, LOAD_DURATION);
+  const kinds = plan.faults.map(({ kind }) => kind);
+  t.true(kinds.some((each) => each.startsWith("cut.")));
+  const report = await SoakRun.execute(plan);
+  t.deepEqual(report.breaches, []);
+  t.true(report.served > report.calls / 3, JSON.stringify(report));
+});
+
 test.serial("soak: statement seed 16 breaks no guarantee", async (t) => {
   const plan = createStatementPlan(16, LOAD_DURATION);
   const kinds = plan.faults.map(({ kind }) => kind);
