--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -207,7 +207,7 @@
   }
 
   /**
-   * Forgets failures of all servers, which were failures of this VM's links.
+   * Resets the failures of all servers, which were failures of this VM's links.
    */
   clearFailures(): void {
     for (const server of this.#servers.values()) server.clearFailures();
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -396,7 +396,7 @@
       Math.min(MAXIMUM_PAUSE, INITIAL_PAUSE * 2 ** doublings);
   }
 
-  /** Forgets consecutive failures, which were not those of the server. */
+  /** Resets its failures, which were not those of the server. */
   clearFailures(): void {
     this.#consecutiveFailures = 0;
     this.#pausedUntil = 0;
--- a/src/core/reach/server_reach.ts
+++ b/src/core/reach/server_reach.ts
@@ -34,7 +34,7 @@
 /** Minimum time between two checks, in milliseconds. */
 const CHECK_PAUSE = 500;
 /**
- * Time after which a check whose probes have not all ended is given up, in
+ * Time after which a check ends whose probes have not all ended, in
  * milliseconds. It exceeds the timeout of a probe.
  */
 const CHECK_TIMEOUT = 1_000;
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -42,7 +42,7 @@
 /**
  * Time after a request within which a server has to respond through another VM,
  * in milliseconds. It exceeds the timeouts of requests: that VM only discards
- * connections that were given up without its knowledge.
+ * connections that the other VM has closed without its knowledge.
  */
 const RELAYED_RESPONSE_TIMEOUT = 60_000;
 /** Lower values are not valid status codes (RFC 9110, 15). */
--- a/src/runtime/connection_relay.ts
+++ b/src/runtime/connection_relay.ts
@@ -29,8 +29,8 @@
 const IDLE_TIMEOUT = 60_000;
 /**
  * Delay of the event loop after which bytes for a server are discarded with
- * their connection, in milliseconds. Their sender may have given them up
- * meanwhile, and an order must not arrive later than that.
+ * their connection, in milliseconds. Their sender may have timed out meanwhile,
+ * and an order must not arrive later than that.
  */
 const MAXIMUM_DELAY = 250;
 /** Error code of a connection to an address at which no process listens. */
--- a/src/runtime/connection_relay_test.ts
+++ b/src/runtime/connection_relay_test.ts
@@ -174,7 +174,7 @@
 for (
   const refusal of ["stopping", "isolated", "unknown_server", "busy"] as const
 ) {
-  test(`relay: a VM that refuses with ${refusal} is told from a server that refuses`, async (t) => {
+  test(`relay: a VM that refuses with ${refusal} is distinguished from a server that refuses`, async (t) => {
     const relay = await startRelay(t, refusal);
     const error = await failureOf(open(relay.address, "127.0.0.1:1"));
     t.is(error.failure, refusal);
@@ -183,7 +183,7 @@
   });
 }
 
-// Guards against an order that reaches its server after it was given up, since
+// Guards against an order that reaches its server after it has timed out, since
 // the reset by its sender was lost between the VMs.
 test("relay: a server that does not respond in time: both connections are reset", async (t) => {
   let end: Promise<unknown> = Promise.resolve();
--- a/test/ownership/model_relays.ts
+++ b/test/ownership/model_relays.ts
@@ -10,9 +10,9 @@
 
 /** One-way delay between two VMs, or a VM and a server, in milliseconds. */
 const HOP = 2;
-/** Time until a VM gives up opening a connection, in milliseconds. */
+/** Timeout for opening a connection through another VM, in milliseconds. */
 const OPEN_TIMEOUT = 400;
-/** Time until the VM between gives up connecting, in milliseconds. */
+/** Connect timeout of the VM between, in milliseconds. */
 const CONNECT_TIMEOUT = 250;
 /**
  * Delay after which the VM between discards bytes with their connection, in
--- a/test/ownership/unreached_servers_test.ts
+++ b/test/ownership/unreached_servers_test.ts
@@ -190,8 +190,8 @@
   });
 }
 
-// Guards against links that work and fail in turn: neither may requests be sent
-// into the silence again and again, nor may any run twice.
+// Guards against links that work and fail in turn: requests must neither be
+// lost on them again and again, nor run twice.
 test("unreached servers: the links of a zone flap", (t) => {
   const vms = zoneVms(11, 0);
   const faults: Fault[] = [];
