--- a/test/soak/loopback_proxy.ts
+++ b/test/soak/loopback_proxy.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer, type Server, Socket } from "node:net";
+import { resetSocket } from "../../src/runtime/socket_reset.ts";
 import { parseAddress } from "../../src/settings/index.ts";
 import { loopbackAddress } from "../support/loopback_address.ts";
 
@@ -60,7 +61,7 @@
   #connect(client: Socket, target: string): void {
     if (this.#mode === "reset") {
       client.on("error", () => {});
-      client.resetAndDestroy();
+      resetSocket(client);
       return;
     }
     const upstream = new Socket();
@@ -113,7 +114,7 @@
   /** Resets the connections on both sides. */
   reset(): void {
     for (const socket of [this.from, this.to]) {
-      if (!socket.destroyed) socket.resetAndDestroy();
+      if (!socket.destroyed) resetSocket(socket);
     }
   }
 }
