Log the era of the store, and how records differ from what a VM knows

The header with the era is decoded with every answer; a change, and a statement that cannot be used, get a log line (the latter once a minute for each reason) and the metric store_era. A term that begins logs the number of keys whose recorded server differs (term.read). No decision depends on it yet. The stand-in states its era and can return from an older copy.

platform_test.ts, 'store era': passes.

--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -53,6 +53,8 @@
     this.quarantine,
     (crash) => this.#reportCrash(crash),
   );
+  /** Era of the store that this VM knows, or null. */
+  era: number | null = null;
   #holder: HolderAddress | null = null;
 
   private constructor(
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -21,6 +21,7 @@
   type KeyspaceEffect,
   type ReleaseOrder,
   TermCampaign,
+  type TermRecords,
 } from "./keyspace/index.ts";
 import { PeerExchange, QuarantineStorage } from "./exchange/index.ts";
 import { createUniformGenerator } from "./random.ts";
@@ -46,6 +47,11 @@
  * milliseconds. The orders of the current step are sent before that.
  */
 const ORDER_INTERVAL = 1;
+/**
+ * Minimum time between two log lines on eras that were ignored for the same
+ * reason, in milliseconds.
+ */
+const ERA_LOG_INTERVAL = 60_000;
 /** Maximum time between two steps of a follower, in milliseconds. */
 const IDLE_INTERVAL = 250;
 
@@ -66,6 +72,8 @@
   readonly #store = StoreHealth.create();
   readonly #stallDetector = StallDetector.create();
   readonly #quarantineStorage: QuarantineStorage;
+  /** When the next line on an ignored era may be logged, by its reason. */
+  readonly #eraLogDueAt = new Map<string, number>();
   #isReady = false;
   /** Whether other VMs should do what this one is responsible for. */
   #mustHandOver = false;
@@ -254,11 +262,16 @@
         return this.#storeAnswered(event.sentAt, now);
       case "store.failed":
         return this.#storeFailed(event.step, event.cause, now);
+      case "store.era":
+        return this.#eraChanged(event.era);
+      case "store.era_ignored":
+        return this.#eraIgnored(event.reason, event.value, now);
       case "group.joined":
         return this.campaign.onJoined(event.membership, now);
       case "group.failed":
         return this.campaign.onJoinFailed(now);
       case "term.read":
+        this.#logRecords(event.records);
         return this.#emit(...this.campaign.onRecordsRead(event.records, now));
       case "term.claimed": {
         const { term, outcome } = event;
@@ -583,6 +596,28 @@
     this.dispatcher.extendDeadlines(gap);
   }
 
+  /**
+   * Logs how the records from which the next term continues differ from the
+   * assignments that this VM knows.
+   */
+  #logRecords(records: TermRecords | null): void {
+    if (records === null) return;
+    const { directory, era } = this.clusterState;
+    const { term, end, assignments } = records;
+    for (const { service, version, ranges } of assignments) {
+      this.clusterState.logDecision("term.read", {
+        service,
+        term,
+        end,
+        era,
+        version,
+        ranges: ranges.length,
+        known: directory.versionOf(service),
+        keysDiffering: directory.countDiffering(service, ranges),
+      });
+    }
+  }
+
   /**
    * Handles the result of claiming a term. A new holder requests the previous
    * holder's grants.
@@ -600,6 +635,30 @@
     this.clusterState.storeRegained(now);
   }
 
+  /** Handles that the store's answers state a newer era. */
+  #eraChanged(era: number): void {
+    const { clusterState } = this;
+    const former = clusterState.era;
+    if (former !== null && era <= former) return;
+    clusterState.era = era;
+    const { version: configuration } = clusterState.catalog;
+    const { term, version } = clusterState.directory.position;
+    const detail = { era, former, configuration, term, version };
+    clusterState.logDecision("store.era_changed", detail);
+  }
+
+  /** Logs an unusable statement of the era, at a limited frequency. */
+  #eraIgnored(reason: string, value: string | null, now: number): void {
+    if (now < (this.#eraLogDueAt.get(reason) ?? -Infinity)) return;
+    this.#eraLogDueAt.set(reason, now + ERA_LOG_INTERVAL);
+    this.#emit({
+      kind: "note",
+      level: "warn",
+      decision: "store.era_ignored",
+      detail: { reason, value, era: this.clusterState.era },
+    });
+  }
+
   /** Logs the first failure of each step since the store last answered. */
   #storeFailed(step: string, cause: string, now: number): void {
     if (!this.#store.failed(step, now)) return;
--- a/src/core/entry_event.ts
+++ b/src/core/entry_event.ts
@@ -62,6 +62,13 @@
   | { kind: "peer.received"; address: string; message: PeerMessage }
   /** The store answered a call that was sent at `sentAt`. */
   | { kind: "store.answered"; sentAt: number }
+  /** Answers of the store state a newer era than before. */
+  | { kind: "store.era"; era: number }
+  /**
+   * An answer of the store was ignored or not used since the era that it states
+   * is not acceptable.
+   */
+  | { kind: "store.era_ignored"; reason: string; value: string | null }
   /**
    * A call to the store failed; `step` names the operation that it was part of.
    */
--- a/src/core/keyspace/key_directory.ts
+++ b/src/core/keyspace/key_directory.ts
@@ -64,6 +64,29 @@
     return { term: oldest?.term ?? 0, version: oldest?.version ?? 0 };
   }
 
+  /** Term and version of the known assignment of a service, as `term.version`. */
+  versionOf(service: string): string | null {
+    const known = this.#assignments.get(service);
+    return known === undefined ? null : `${known.term}.${known.version}`;
+  }
+
+  /**
+   * Returns the number of keys that `ranges` assign to another server than the
+   * known assignment of a service; 0 if none is known.
+   */
+  countDiffering(service: string, ranges: readonly AssignedRange[]): number {
+    const known = this.#assignments.get(service)?.ranges ?? [];
+    let count = 0;
+    for (const a of known) {
+      for (const b of ranges) {
+        const first = Math.max(a.first, b.first);
+        const last = Math.min(a.last, b.last);
+        if (first <= last && a.server !== b.server) count += last - first + 1;
+      }
+    }
+    return count;
+  }
+
   /**
    * Returns the range that contains `key`, or undefined if no assignment is
    * known.
--- a/src/runtime/control_store.ts
+++ b/src/runtime/control_store.ts
@@ -14,6 +14,7 @@
 } from "../core/keyspace/index.ts";
 import type { CrashRecord } from "../core/quarantine/index.ts";
 import type { RegistryRead } from "../core/registry/index.ts";
+import type { StoreEra } from "./store_era.ts";
 
 /**
  * Feeds of the store that a process follows: `configuration` has the
@@ -79,6 +80,8 @@
  * step and the peer.
  */
 export abstract class ControlStore {
+  /** Era of the store, as its answers state it. */
+  abstract get era(): StoreEra;
   /** Reads all current records of a feed. */
   abstract readAll(feed: Feed): Promise<FeedRead>;
   /**
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -226,6 +226,7 @@
 
   async #start(): Promise<void> {
     const { settings } = this;
+    this.#listenToEra();
     await this.#readinessServer.listen(settings.readiness);
     await this.#callerServer.listen(settings.listen);
     await this.#adminServer.listen(settings.admin);
@@ -248,6 +249,14 @@
     this.#loop.push({ kind: "timer" });
   }
 
+  /** Reports the eras that the store states to the core. */
+  #listenToEra(): void {
+    this.platform.store.era.listen(
+      (era) => this.#loop.push({ kind: "store.era", era }),
+      (ignored) => this.#loop.push({ kind: "store.era_ignored", ...ignored }),
+    );
+  }
+
   #follow(
     feed: Feed,
     timing: FeedTiming,
@@ -322,6 +331,7 @@
     relayed_connections: relayedConnections,
     servers_unreached: entry.reach.isIsolated ? 1 : 0,
     is_term_holder: entry.campaign.holder === null ? 0 : 1,
+    store_era: entry.clusterState.era ?? -1,
     log_lines_dropped: logger.dropped,
     processor_seconds: (user + system) / 1e6,
     memory_bytes: process.memoryUsage.rss(),
--- a/src/stand_ins/producer_table.ts
+++ b/src/stand_ins/producer_table.ts
@@ -45,6 +45,15 @@
     return new ProducerTable();
   }
 
+  /** Returns a copy that does not change with this table. */
+  copy(): ProducerTable {
+    const copy = new ProducerTable();
+    for (const [name, { epoch, answers }] of this.#producers) {
+      copy.#producers.set(name, { epoch, answers: new Map(answers) });
+    }
+    return copy;
+  }
+
   /**
    * Returns the answer to the append that this one repeats, if there is one.
    */
--- a/src/stand_ins/store_service.ts
+++ b/src/stand_ins/store_service.ts
@@ -9,9 +9,15 @@
 import { setTimeout as delay } from "node:timers/promises";
 import * as z from "zod";
 import { addressSchema } from "../settings/address.ts";
-import { ProducerTable } from "./producer_table.ts";
 import { readBody, readJson, sendJson, StandIn } from "./stand_in.ts";
-import { frameRecord, REGISTRY_TOPIC } from "./wire.ts";
+import {
+  createTopic,
+  type Group,
+  StoreCopies,
+  type StoreState,
+  type Topic,
+} from "./store_copies.ts";
+import { frameRecord, HEADER, OPERATOR_TOPIC, REGISTRY_TOPIC } from "./wire.ts";
 
 /** Settings of the stand-in. Durations are milliseconds. */
 export const storeServiceSchema = z.strictObject({
@@ -39,11 +45,39 @@
    * Number of newest log records kept, besides the newest record of each key.
    */
   retention: z.number().int().nonnegative().default(10_000),
+  /**
+   * Values of the header that states the era; null for one with the actual era,
+   * and empty for no header.
+   */
+  statedEra: z.array(z.string()).nullable().default(null),
 });
 
 /** See {@linkcode storeFaultsSchema}. */
 export type StoreFaults = z.infer<typeof storeFaultsSchema>;
 
+/** A return of the store from an older copy. Durations are milliseconds. */
+export const storeRestoreSchema = z.strictObject({
+  /** Age of the copy when the store becomes unavailable. */
+  age: z.number().nonnegative(),
+  /** Time for which the store is unavailable. */
+  away: z.number().nonnegative(),
+  /**
+   * Time after the return until operators and servers write again what was
+   * lost.
+   */
+  rewriteAfter: z.number().nonnegative().default(250),
+});
+
+/** See {@linkcode storeRestoreSchema}. */
+export type StoreRestore = z.infer<typeof storeRestoreSchema>;
+
+/** Path of the calls that make the store return from an older copy. */
+export const RESTORE_PATH = "/stand-in/restore";
+/** Interval between two copies of the store, in milliseconds. */
+const COPY_INTERVAL = 100;
+/** Topics whose lost records their writers write again. */
+const REWRITTEN_TOPICS = [OPERATOR_TOPIC, REGISTRY_TOPIC];
+
 /** Path of the calls that set the faults. */
 export const FAULTS_PATH = "/stand-in/faults";
 /** Interval between checks for expired entries, in milliseconds. */
@@ -51,28 +85,6 @@
 /** Size of a record's length field, in bytes. */
 const LENGTH_BYTES = 4;
 
-interface Topic {
-  /** Offset of the oldest record that is retained. */
-  first: number;
-  /** Contents of the retained records, oldest first. */
-  records: Buffer[];
-  /**
-   * Newest record of each key; `at` is when it was written, in Unix
-   * milliseconds.
-   */
-  newest: Map<string, { value: Buffer; offset: number; at: number }>;
-  producers: ProducerTable;
-  /** Called after each append, to end long polls. */
-  waiters: Set<() => void>;
-}
-
-interface Group {
-  /** Number that grows with each change of the members. */
-  generation: number;
-  /** When each membership expires, in Unix milliseconds, by the member's id. */
-  members: Map<string, number>;
-}
-
 const joinSchema = z.object({
   group: z.string(),
   member: z.string(),
@@ -85,18 +97,22 @@
 
 /** See the module's comment. */
 export class StoreService extends StandIn {
-  readonly #topics = new Map<string, Topic>();
-  readonly #groups = new Map<string, Group>();
-  readonly #expiryTimer: NodeJS.Timeout;
+  #state: StoreState = { topics: new Map(), groups: new Map() };
+  #era = 1;
+  /** Whether it is unavailable until it returns from a copy. */
+  #isAway = false;
+  readonly #copies = StoreCopies.create();
+  readonly #timers: NodeJS.Timeout[];
   #faults: StoreFaults = storeFaultsSchema.parse({});
 
   private constructor(private readonly settings: StoreServiceSettings) {
     super();
-    this.#expiryTimer = setInterval(
-      () => this.#removeExpiredEntries(),
-      EXPIRY_INTERVAL,
-    );
-    this.#expiryTimer.unref();
+    this.#copies.add(this.#state, Date.now());
+    this.#timers = [
+      setInterval(() => this.#removeExpiredEntries(), EXPIRY_INTERVAL),
+      setInterval(() => this.#copy(), COPY_INTERVAL),
+    ];
+    for (const timer of this.#timers) timer.unref();
   }
 
   /** Starts the stand-in and resolves when it listens. */
@@ -107,7 +123,7 @@
   }
 
   override close(): void {
-    clearInterval(this.#expiryTimer);
+    for (const timer of this.#timers) clearInterval(timer);
     super.close();
   }
 
@@ -116,6 +132,54 @@
     this.#faults = { ...this.#faults, ...faults };
   }
 
+  /**
+   * Makes the store unavailable, then lets it return from a copy. Its era is
+   * then one higher. Resolves when it has returned.
+   */
+  async restore({ age, away, rewriteAfter }: StoreRestore): Promise<void> {
+    const lost = this.#state;
+    const copiedAt = Date.now() - age;
+    this.#isAway = true;
+    this.#resumeAll(lost);
+    await delay(away);
+    this.#state = this.#copies.stateAt(copiedAt, Date.now());
+    this.#era += 1;
+    this.#isAway = false;
+    setTimeout(() => this.#rewrite(lost), rewriteAfter).unref();
+  }
+
+  #copy(): void {
+    if (!this.#isAway) this.#copies.add(this.#state, Date.now());
+  }
+
+  /** Ends all long polls. */
+  #resumeAll({ topics }: StoreState): void {
+    for (const { waiters } of topics.values()) {
+      for (const resume of waiters) resume();
+    }
+  }
+
+  /** Writes again what operators and servers had written to a lost state. */
+  #rewrite(lost: StoreState): void {
+    for (const name of REWRITTEN_TOPICS) {
+      const before = lost.topics.get(name)?.newest ?? new Map();
+      const topic = this.#getTopic(name);
+      for (const [key, { value }] of before) {
+        const current = topic.newest.get(key)?.value;
+        if (current === undefined || !value.equals(current)) {
+          this.#write(topic, frameRecord(key, "").subarray(4), value);
+        }
+      }
+      for (const key of [...topic.newest.keys()]) {
+        const isOperators = name === OPERATOR_TOPIC;
+        if (isOperators && !before.has(key)) {
+          this.#write(topic, frameRecord(key, "").subarray(4));
+        }
+      }
+      for (const resume of topic.waiters) resume();
+    }
+  }
+
   protected override async handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -125,9 +189,15 @@
       this.#faults = storeFaultsSchema.parse(await readJson(request));
       return sendJson(response, 200, this.#faults);
     }
-    const { outage, delay: latency } = this.#faults;
+    if (url.pathname === RESTORE_PATH) {
+      const restore = storeRestoreSchema.parse(await readJson(request));
+      void this.restore(restore);
+      return sendJson(response, 200, restore);
+    }
+    const { outage, delay: latency, statedEra } = this.#faults;
     if (latency > 0) await delay(latency);
-    if (outage) return void request.socket.destroy();
+    if (outage || this.#isAway) return void request.socket.destroy();
+    response.setHeader(HEADER.era, statedEra ?? [String(this.#era)]);
     const query = url.searchParams;
     switch (url.pathname) {
       case "/-/log-append":
@@ -178,7 +248,8 @@
   }
 
   /** Writes a record and removes the oldest ones that exceed the retention. */
-  #write(topic: Topic, content: Buffer): void {
+  #write(topic: Topic, start: Buffer, rest: Buffer = Buffer.alloc(0)): void {
+    const content = Buffer.concat([start, rest]);
     const offset = topic.first + topic.records.length;
     topic.records.push(content);
     const length = content.readUInt8(0);
@@ -199,8 +270,11 @@
     if (from >= topic.first + topic.records.length && wait > 0) {
       await this.#waitForAppend(topic, wait, response);
     }
-    if (this.#faults.outage) return void response.socket?.destroy();
-    if (from < topic.first) {
+    const isLost = topic !== this.#getTopic(query.get("topic") ?? "");
+    if (this.#faults.outage || this.#isAway || isLost) {
+      return void response.socket?.destroy();
+    }
+    if (from < topic.first || from > topic.first + topic.records.length) {
       return sendJson(response, 410, { first: topic.first });
     }
     const offsets = Buffer.alloc(16);
@@ -244,9 +318,9 @@
     { group: name, member, topics, timeToLive }: z.infer<typeof joinSchema>,
     response: ServerResponse,
   ): void {
-    const group = this.#groups.get(name) ??
-      { generation: 0, members: new Map<string, number>() };
-    this.#groups.set(name, group);
+    const group = this.#state.groups.get(name) ??
+      { generation: 0, members: new Map<string, number>() } satisfies Group;
+    this.#state.groups.set(name, group);
     const now = Date.now();
     for (const [id, expiresAt] of group.members) {
       if (expiresAt >= now) continue;
@@ -267,14 +341,14 @@
     { group, member }: z.infer<typeof leaveSchema>,
     response: ServerResponse,
   ): void {
-    const existing = this.#groups.get(group);
+    const existing = this.#state.groups.get(group);
     if (existing?.members.delete(member)) existing.generation += 1;
     sendJson(response, 200, {});
   }
 
   /** Deletes the entries of backend servers whose heartbeats have stopped. */
   #removeExpiredEntries(): void {
-    const topic = this.#topics.get(REGISTRY_TOPIC);
+    const topic = this.#state.topics.get(REGISTRY_TOPIC);
     if (topic === undefined) return;
     const oldest = Date.now() - this.settings.entryLifetime;
     for (const [key, { at }] of topic.newest) {
@@ -283,16 +357,10 @@
   }
 
   #getTopic(name: string): Topic {
-    let topic = this.#topics.get(name);
+    let topic = this.#state.topics.get(name);
     if (topic === undefined) {
-      topic = {
-        first: 0,
-        records: [],
-        newest: new Map(),
-        producers: ProducerTable.create(),
-        waiters: new Set(),
-      };
-      this.#topics.set(name, topic);
+      topic = createTopic();
+      this.#state.topics.set(name, topic);
     }
     return topic;
   }
--- a/src/stand_ins/wire.ts
+++ b/src/stand_ins/wire.ts
@@ -21,10 +21,13 @@
   retryAfter: "retry-after",
   key: "x-plumloft-shard-key",
   handover: "x-plumloft-handover",
+  era: "store-era",
 } as const;
 
 /** Topic in which backend servers register themselves. */
 export const REGISTRY_TOPIC = "keyed.servers";
+/** Topic to which operators write. */
+export const OPERATOR_TOPIC = "keyed.op";
 
 /**
  * Encodes a record of a keyed topic: a four-byte big-endian length, a one-byte
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -834,3 +834,25 @@
   const damaged = Buffer.from("not a record");
   t.throws(() => decodeQuarantine(damaged, 0));
 });
+
+test("store era: a new era, and one that cannot be used, are reported", async (t) => {
+  const store = await startStore(t);
+  const client = createClient(t, store.address);
+  const eras: number[] = [];
+  const ignored: unknown[] = [];
+  client.era.listen((era) => eras.push(era), (each) => ignored.push(each));
+  const read = (statedEra: string[] | null) => {
+    store.setFaults({ statedEra });
+    return client.readNewest(TOPIC).catch(() => null);
+  };
+  for (const stated of [["3"], ["3"], ["4"], ["x"], ["4", "4"], ["2"], []]) {
+    await read(stated);
+  }
+  t.deepEqual(eras, [3, 4]);
+  t.deepEqual(ignored, [
+    { reason: "invalid", value: "x" },
+    { reason: "invalid", value: "4, 4" },
+    { reason: "lower", value: "2" },
+    { reason: "absent", value: null },
+  ]);
+});
