Tests of a store that returns from an older copy, failing

The model's store, and the stand-in, go away and return from a copy some seconds old: log, groups and producers are as they were, offsets are given out again, operators and servers write again what was lost 250 ms later.

--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -21,6 +21,9 @@
 import { frameRecord, HEADER, REGISTRY_TOPIC } from "./wire.ts";
 import { WorkQueue } from "./work_queue.ts";
 
+/** Path of the calls that return the ranges of keys that the server holds. */
+export const LEASES_PATH = "/stand-in/leases";
+
 /** Settings of the stand-in. Durations are milliseconds. */
 export const backendServiceSchema = z.strictObject({
   /** Id of the server; it may stay the same when the process restarts. */
@@ -108,7 +111,7 @@
 const releaseSchema = grantSchema.omit({ holdTime: true });
 
 /** A range of keys with a lease; `expiresAt` is in Unix milliseconds. */
-interface GrantedRange {
+export interface GrantedRange {
   from: number;
   target: number;
   token: number;
@@ -154,6 +157,13 @@
     return this.#runs;
   }
 
+  /** The ranges of keys that it holds now. */
+  get leases(): GrantedRange[] {
+    return this.#grantedRanges.filter(({ expiresAt }) =>
+      expiresAt > Date.now()
+    );
+  }
+
   /** Sets the given faults and leaves the others as they are. */
   setFaults(faults: Partial<BackendFaults>): void {
     this.#faults = { ...this.#faults, ...faults };
@@ -189,6 +199,8 @@
           releaseSchema.parse(await readJson(request)),
           response,
         );
+      case LEASES_PATH:
+        return sendJson(response, 200, this.leases);
       case FAULTS_PATH:
         this.setFaults(backendFaultsSchema.parse(await readJson(request)));
         return sendJson(response, 200, this.#faults);
--- a/test/ownership/model_server.ts
+++ b/test/ownership/model_server.ts
@@ -102,7 +102,7 @@
 }
 
 /** Returns `grants` without the keys of the range `keys`. */
-function without<T extends KeyGrant>(
+export function without<T extends KeyGrant>(
   grants: readonly T[],
   keys: { first: number; last: number },
 ): T[] {
--- a/test/ownership/model_store.ts
+++ b/test/ownership/model_store.ts
@@ -18,6 +18,22 @@
 /** Number of most recent appends of a producer that the store deduplicates. */
 const DEDUPLICATED_APPENDS = 5;
 
+/** All that a store keeps, as it was at some time. */
+export interface ModelStoreCopy {
+  at: number;
+  end: number;
+  epoch: number;
+  sequence: number;
+  appended: number[];
+  term: number;
+  generation: number;
+  elected: string | null;
+  members: Member[];
+  assignments: Assignment[];
+  termEra: number | null;
+  eras: Map<string, number | null>;
+}
+
 /** See the module's comment. */
 export class ModelStore {
   /** Position after the last record of the log. */
@@ -31,6 +47,10 @@
   #elected: string | null = null;
   readonly #members = new Map<string, Member>();
   readonly #assignments = new Map<string, Assignment>();
+  /** Era in which the newest term was claimed, as its record states. */
+  #termEra: number | null = null;
+  /** Era that the record of each service states. */
+  #eras = new Map<string, number | null>();
 
   private constructor(private readonly isDurable: boolean) {}
 
@@ -50,6 +70,51 @@
     };
   }
 
+  /**
+   * Returns the store as it is now, for {@linkcode ModelStore.restore}. `now`
+   * is the time.
+   */
+  copy(now: number): ModelStoreCopy {
+    return {
+      at: now,
+      end: this.end,
+      epoch: this.#epoch,
+      sequence: this.#sequence,
+      appended: [...this.#appended],
+      term: this.#term,
+      generation: this.#generation,
+      elected: this.#elected,
+      members: [...this.#members.values()].map((each) => ({ ...each })),
+      assignments: [...this.#assignments.values()],
+      termEra: this.#termEra,
+      eras: new Map(this.#eras),
+    };
+  }
+
+  /**
+   * Returns to a copy. All that was written since is lost. Memberships have as
+   * long left as they had then.
+   */
+  restore(copy: ModelStoreCopy, now: number): void {
+    this.end = copy.end;
+    this.#epoch = copy.epoch;
+    this.#sequence = copy.sequence;
+    this.#appended = [...copy.appended];
+    this.#term = copy.term;
+    this.#generation = copy.generation;
+    this.#elected = copy.elected;
+    this.#termEra = copy.termEra;
+    this.#eras = new Map(copy.eras);
+    this.#members.clear();
+    for (const { id, joinedAt } of copy.members) {
+      this.#members.set(id, { id, joinedAt: joinedAt + now - copy.at });
+    }
+    this.#assignments.clear();
+    for (const each of copy.assignments) {
+      this.#assignments.set(each.service, each);
+    }
+  }
+
   /**
    * Claims a term if the log still ends at `expectedEnd`. All VMs append as the
    * same producer, so the store treats a claim with the same term and sequence
--- a/test/ownership/schedule.ts
+++ b/test/ownership/schedule.ts
@@ -198,6 +198,35 @@
   },
 );
 
+/** A return of the store from a copy. */
+const restoration = fc.record({
+  kind: fc.constant<Fault["kind"]>("store.restored"),
+  at: fc.integer({ min: 5_000, max: 20_000 }),
+  duration: fc.oneof(
+    fc.integer({ min: 50, max: 1_000 }),
+    fc.integer({ min: 1_000, max: 8_000 }),
+  ),
+  target: fc.constant(0),
+  age: fc.integer({ min: 300, max: 6_000 }),
+});
+
+/**
+ * Simulations in which the store returns from an older copy, once or several
+ * times, in addition to other faults.
+ */
+export const restorationSchedules: fc.Arbitrary<SimulationOptions> = fc.record({
+  vms: fc.integer({ min: 1, max: 4 }),
+  servers: fc.integer({ min: 2, max: 5 }),
+  faults: fc.tuple(
+    fc.array(restoration, { minLength: 1, maxLength: 3 }),
+    fc.array(fault, { maxLength: 7 }),
+    fc.array(restart, { maxLength: 2 }),
+    fc.option(holderIsolation, { nil: [] }),
+  ).map((faults) => faults.flat()),
+  duration: fc.constant(36_000),
+  seed: fc.nat(),
+});
+
 const suspension = fc.record({
   kind: fc.constant<Fault["kind"]>("vm.suspend"),
   at: fc.integer({ min: 3_000, max: 22_000 }),
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -38,6 +38,7 @@
   type KeyLease,
   ModelServer,
   overlap,
+  without,
 } from "./model_server.ts";
 import {
   type LoadOptions,
@@ -45,8 +46,9 @@
   type ServerLinks,
 } from "./request_load.ts";
 import { ModelRelays, type RelayedConnection } from "./model_relays.ts";
-import { ModelStore } from "./model_store.ts";
+import { ModelStore, type ModelStoreCopy } from "./model_store.ts";
 import { Timeline } from "./timeline.ts";
+import { StoreEra } from "../../src/runtime/store_era.ts";
 
 const SERVICE = "stock";
 /**
@@ -105,6 +107,15 @@
 const ENTRY_LIFETIME = 2_600;
 /** Time between a VM's reads of the term holder, in milliseconds. */
 const HOLDER_INTERVAL = 900;
+/** Interval between two copies of the store, in milliseconds. */
+const COPY_INTERVAL = 100;
+/**
+ * Time after the return of the store from a copy until operators and servers
+ * write again what was lost, in milliseconds.
+ */
+const REWRITE_DELAY = 250;
+/** Default age of a copy from which the store returns, in milliseconds. */
+const COPY_AGE = 3_000;
 /** Time between two samples of keys, in milliseconds. */
 const SAMPLE_INTERVAL = 40;
 /**
@@ -190,6 +201,12 @@
     /** Operators evacuate the availability zone with the index `target`. */
     | "zone.evacuated"
     | "store.down"
+    /**
+     * The store is unavailable for `duration` and returns from a copy that was
+     * `age` milliseconds old when the fault began. Operators and servers write
+     * again what was lost, 250 ms after the return.
+     */
+    | "store.restored"
     | "store.loses_answers"
     | "store.rebalance"
     | "orders.late"
@@ -198,6 +215,21 @@
   duration: number;
   /** Index of the VM or server, taken modulo their number. */
   target: number;
+  /** Age of the copy for `store.restored`, in milliseconds. */
+  age?: number;
+}
+
+/** What the model's store keeps, as it was at some time. */
+interface StoreCopy {
+  at: number;
+  store: ModelStoreCopy;
+  entries: Map<string, BackendServer>;
+  registryLength: number;
+  holder: HolderAddress | null;
+  quarantine: { records: CrashRecord[]; at: number } | null;
+  version: number;
+  evacuated: Map<string, number>;
+  operatorPosition: number;
 }
 
 /** Options of a simulation. */
@@ -286,6 +318,18 @@
   holders: string[];
   /** Share of the sampled keys on which the assigned server held a lease. */
   heldShare: number;
+  /** Time of each sample, and whether the key was held. */
+  samples: { at: number; isHeld: boolean }[];
+  /** Time of each grant that gave keys to another server than before. */
+  handovers: { at: number; keys: number; to: string }[];
+  /**
+   * Configurations that went back at a VM, evacuations that ended there although
+   * operators have not ended them, and running servers that it removed. Recorded
+   * only in simulations in which the store returns from a copy.
+   */
+  regressions: string[];
+  /** Times of all reads of the store by VMs. */
+  readTimes: number[];
   /**
    * Longest time for which a VM without a fault lacked a version of the
    * configuration, in milliseconds.
@@ -372,6 +416,8 @@
   readonly directOrders = new Map<number, () => void>();
   /** Connections for orders through other VMs, by VM, kind and address. */
   readonly relayedConnections = new Map<string, RelayedOrderConnection>();
+  /** Era of the store as this process knows it. */
+  era = StoreEra.create();
   timerAt = Infinity;
   /**
    * Age that the order being carried out will have when it is sent, in
@@ -443,6 +489,7 @@
     this.restartCount += 1;
     this.entry = this.createEntry();
     this.clock = this.#createClock();
+    this.era = StoreEra.create();
     this.isUp = true;
     this.isFollowing = true;
     this.isPollLost = false;
@@ -465,7 +512,7 @@
   /** Entries of the registry, by server id. */
   readonly #entries = new Map<string, BackendServer>();
   /** Log of the registry: ids of the entries written or removed, in order. */
-  readonly #registryLog: string[] = [];
+  #registryLog: string[] = [];
   /** Time at which each fault ends, by the name that `#faultName` returns. */
   readonly #activeUntil = new Map<string, number>();
   /** Tokens of first grants, for simulations in which renewals reuse them. */
@@ -478,6 +525,10 @@
     moves: 0,
     holders: [],
     heldShare: 0,
+    samples: [],
+    handovers: [],
+    regressions: [],
+    readTimes: [],
     configurationLag: 0,
     storeCalls: new Map(),
     load: null,
@@ -491,10 +542,23 @@
     staleOrders: 0,
     withheldOrders: 0,
   };
+  /** Era that the store states. */
+  #era = 1;
+  /** Copies of the store, oldest first. */
+  readonly #copies: StoreCopy[] = [];
+  /** Server to which each range was granted last. */
+  #grantees: (KeyGrant & { server: string })[] = [];
   #sampleCount = 0;
   #replacementCount = 0;
   #copyCount = 0;
   #heldCount = 0;
+  /** Zones that operators want to be evacuated. */
+  readonly #intendedEvacuations = new Set<string>();
+  /** What each process of a VM was known to know. */
+  readonly #knowledge = new Map<
+    string,
+    { version: number; zones: string[]; servers: string[] }
+  >();
   /** Evacuated zones with the time of their evacuation. */
   readonly #evacuated = new Map<string, number>();
   /** End of the feed of operators' requests. */
@@ -506,6 +570,8 @@
   #recordedQuarantine: { records: CrashRecord[]; at: number } | null = null;
   /** Publication times of the configuration versions. */
   readonly #publications: number[] = [0];
+  /** Newest version in the store. */
+  #storedVersion = 1;
 
   private constructor(private readonly options: SimulationOptions) {
     this.#draw = createUniformGenerator(options.seed);
@@ -562,6 +628,128 @@
     for (const fault of options.faults) {
       this.#time.after(fault.at, () => this.#inject(fault));
     }
+    if (options.faults.some(({ kind }) => kind === "store.restored")) {
+      this.#copyStore();
+      this.#checkKnowledge();
+    }
+  }
+
+  /** Records what VMs have forgotten since the last check. */
+  #checkKnowledge(): void {
+    for (const vm of this.#vms) {
+      if (!vm.isUp || vm.frozenUntil > this.#time.now) continue;
+      const { catalog, fleet } = vm.entry.clusterState;
+      const known = {
+        version: catalog.version,
+        zones: fleet.evacuations.zones,
+        servers: fleet.all().map(({ id }) => id),
+      };
+      const before = this.#knowledge.get(vm.id) ?? known;
+      this.#knowledge.set(vm.id, known);
+      const forgotten = [
+        ...(known.version < before.version
+          ? [`version ${before.version}`]
+          : []),
+        ...before.zones.filter((each) =>
+          !known.zones.includes(each) && this.#intendedEvacuations.has(each)
+        ),
+        ...before.servers.filter((each) =>
+          !known.servers.includes(each) && this.#isRunning(each)
+        ),
+      ];
+      const at = Math.round(this.#time.now);
+      this.#report.regressions.push(
+        ...forgotten.map((each) => `${at} ms: ${vm.id} forgot ${each}`),
+      );
+    }
+    this.#time.after(COMPARE_INTERVAL, () => this.#checkKnowledge());
+  }
+
+  /** Whether the newest process of a server runs and is not leaving. */
+  #isRunning(id: string): boolean {
+    const server = this.#servers.findLast((each) => each.id === id);
+    return server !== undefined && server.isUp && !server.isLeaving;
+  }
+
+  /** Copies the store at regular intervals. */
+  #copyStore(): void {
+    const { now } = this.#time;
+    if (!this.#isActive("store.down")) {
+      this.#copies.push({
+        at: now,
+        store: this.#store.copy(now),
+        entries: new Map(this.#entries),
+        registryLength: this.#registryLog.length,
+        holder: this.#holder,
+        quarantine: this.#recordedQuarantine,
+        version: this.#storedVersion,
+        evacuated: new Map(this.#evacuated),
+        operatorPosition: this.#operatorPosition,
+      });
+    }
+    this.#time.after(COPY_INTERVAL, () => this.#copyStore());
+  }
+
+  /** Makes the store unavailable and lets it return from an older copy. */
+  #restoreStore({ duration, age = COPY_AGE }: Fault): void {
+    const { now } = this.#time;
+    const copy = this.#copies.findLast(({ at }) => at <= now - age) ??
+      this.#copies[0];
+    const until = this.#activeUntil.get("store.down") ?? -1;
+    this.#activeUntil.set("store.down", Math.max(until, now + duration));
+    this.#time.after(duration, () => this.#returnFromCopy(copy));
+  }
+
+  #returnFromCopy(copy: StoreCopy): void {
+    const lost = {
+      entries: new Map(this.#entries),
+      version: this.#storedVersion,
+      evacuated: new Map(this.#evacuated),
+    };
+    this.#store.restore(copy.store, this.#time.now);
+    this.#entries.clear();
+    for (const [id, entry] of copy.entries) this.#entries.set(id, entry);
+    this.#registryLog = this.#registryLog.slice(0, copy.registryLength);
+    this.#holder = copy.holder;
+    this.#recordedQuarantine = copy.quarantine;
+    this.#storedVersion = copy.version;
+    this.#evacuated.clear();
+    for (const [zone, at] of copy.evacuated) this.#evacuated.set(zone, at);
+    this.#operatorPosition = copy.operatorPosition;
+    this.#era += 1;
+    const era = this.#era;
+    this.#time.after(REWRITE_DELAY, () => {
+      if (this.#era === era) this.#rewrite(lost);
+    });
+  }
+
+  /** Writes again what operators and servers had written to a lost store. */
+  #rewrite(
+    { entries, version, evacuated }: {
+      entries: Map<string, BackendServer>;
+      version: number;
+      evacuated: Map<string, number>;
+    },
+  ): void {
+    for (const [id, entry] of entries) {
+      const found = this.#servers.findLast((each) => each.id === id);
+      if (found === undefined || found.isUp) this.#writeEntry(id, entry);
+    }
+    for (const id of this.#entries.keys()) {
+      if (entries.has(id)) continue;
+      this.#time.after(ENTRY_LIFETIME, () => {
+        const found = this.#servers.findLast((each) => each.id === id);
+        if (!found?.isUp) this.#writeEntry(id, null);
+      });
+    }
+    this.#storedVersion = Math.max(this.#storedVersion, version);
+    this.#pushConfiguration();
+    const zones = new Set([...evacuated.keys(), ...this.#evacuated.keys()]);
+    for (const zone of zones) {
+      const since = evacuated.get(zone);
+      if (this.#evacuated.has(zone) === (since !== undefined)) continue;
+      this.#evacuate(zone, since !== undefined, since);
+    }
   }
 
   #createRelays(): ModelRelays {
@@ -602,7 +790,7 @@
     this.#handle(vm, {
       kind: "configuration.read",
       configuration: {
-        version: this.#publications.length,
+        version: this.#storedVersion,
         routes: this.options.load === undefined
           ? []
           : RequestLoad.routes(SERVICE, this.options.load),
@@ -641,9 +829,9 @@
    * Writes an operator's request to evacuate or restore a zone, and answers the
    * long polls that wait for it.
    */
-  #evacuate(zone: string, isOn: boolean): void {
+  #evacuate(zone: string, isOn: boolean, since = this.#time.now): void {
     const { now } = this.#time;
-    if (isOn) this.#evacuated.set(zone, now);
+    if (isOn) this.#evacuated.set(zone, since);
     else this.#evacuated.delete(zone);
     this.#operatorPosition += 1;
     for (const vm of this.#vms) {
@@ -682,6 +870,13 @@
    */
   #publishConfiguration(interval: number): void {
     this.#publications.push(this.#time.now);
+    this.#storedVersion = this.#publications.length;
+    this.#pushConfiguration();
+    this.#time.after(interval, () => this.#publishConfiguration(interval));
+  }
+
+  /** Answers the long polls that wait for a configuration. */
+  #pushConfiguration(): void {
     for (const vm of this.#vms) {
       if (!vm.isUp || !vm.isFollowing || !this.#reachesStore(vm)) continue;
       const isLost = this.#isActive("store.loses_answers") ||
@@ -689,7 +884,6 @@
       if (isLost) vm.isPollLost = true;
       else if (!vm.isPollLost) this.#readConfiguration(vm);
     }
-    this.#time.after(interval, () => this.#publishConfiguration(interval));
   }
 
   /** Reads the configuration for a VM if it can reach the store. */
@@ -699,7 +893,10 @@
     if (!this.#reachesStore(vm)) return;
     if (this.#isActive("store.loses_answers")) return;
     this.#time.after(2 * ONE_WAY_DELAY, () => {
-      if (vm.restartCount === restartCount) this.#sendConfiguration(vm);
+      if (vm.restartCount !== restartCount) return;
+      if (!this.#reachesStore(vm)) return;
+      this.#observeEra(vm);
+      this.#sendConfiguration(vm);
     });
   }
 
@@ -733,6 +930,7 @@
   #countCall(kind: string): void {
     const { storeCalls } = this.#report;
     storeCalls.set(kind, (storeCalls.get(kind) ?? 0) + 1);
+    if (kind !== "join") this.#report.readTimes.push(this.#time.now);
   }
 
   /**
@@ -742,6 +940,7 @@
     if (vm.restartCount !== restartCount) return;
     if (vm.isFollowing) this.#countCall("holder");
     const mayRead = this.#reachesStore(vm) && vm.isFollowing;
+    if (mayRead) this.#observeEra(vm);
     if (mayRead && this.#holder !== null) {
       this.#handle(vm, { kind: "holder.announced", holder: this.#holder });
     }
@@ -759,11 +958,12 @@
 
   /**
    * Reads the changes of the registry since position `from`; all entries if
-   * null.
+   * null. Returns null if the log ends before `from`.
    */
-  #readRegistry(from: number | null): RegistryRead {
+  #readRegistry(from: number | null): RegistryRead | null {
     const position = this.#registryLog.length;
-    if (from === null) {
+    if (from === null || from > position) {
+      if (from !== null) return null;
       const entries = [...this.#entries.values()];
       return { entries, removed: [], unreadable: [], isWhole: true, position };
     }
@@ -794,7 +994,9 @@
       server.leases.some((each) =>
         each.first <= key && key <= each.last && each.until > this.#time.now
       );
-    if (isHeld && range?.isOpen) this.#heldCount += 1;
+    const isOpenAndHeld = (isHeld ?? false) && (range?.isOpen ?? false);
+    if (isOpenAndHeld) this.#heldCount += 1;
+    this.#report.samples.push({ at: this.#time.now, isHeld: isOpenAndHeld });
     this.#time.after(SAMPLE_INTERVAL, () => this.#sampleKey());
   }
 
@@ -901,7 +1103,7 @@
           () => this.#readRegistry(effect.from),
           (read, sentAt) =>
             read === null
-              ? { kind: "servers.failed", isExpired: false }
+              ? { kind: "servers.failed", isExpired: !this.#isStoreLost(vm) }
               : { kind: "servers.read", read, sentAt },
         );
       case "assignments.fetch":
@@ -1094,6 +1296,20 @@
     return this.#store.join(vm.id, this.#time.now, TIME_TO_LIVE);
   }
 
+  /** Whether a VM's calls to the store are not answered now. */
+  #isStoreLost(vm: Vm): boolean {
+    return !this.#reachesStore(vm) || this.#isActive("store.loses_answers");
+  }
+
+  /** Passes the era that the store states to a VM. */
+  #observeEra(vm: Vm): void {
+    vm.era.listen(
+      (era) => this.#handle(vm, { kind: "store.era", era }),
+      () => {},
+    );
+    vm.era.observe({ kind: "stated", era: this.#era });
+  }
+
   /** Calls the store. Active faults can lose the call or its answer. */
   #callStore<T>(
     vm: Vm,
@@ -1104,6 +1320,7 @@
     const isDone = this.#reachesStore(vm);
     const isAnswered = isDone && !this.#isActive("store.loses_answers");
     const reply = (value: T | null) => {
+      if (value !== null) this.#observeEra(vm);
       const event = answer(value, sentAt);
       if (value !== null) this.#handle(vm, { kind: "store.answered", sentAt });
       if (event !== null) this.#handle(vm, event);
@@ -1454,6 +1671,7 @@
   #checkOwnership(server: ModelServer, lease: KeyLease): void {
     const { now } = this.#time;
     this.#report.grants += 1;
+    this.#recordHandover(server, lease);
     for (const other of this.#servers) {
       if (other === server) continue;
       for (const held of other.isUp ? other.leases : []) {
@@ -1468,6 +1686,19 @@
     }
   }
 
+  /** Records whether a grant gives keys to another server than before. */
+  #recordHandover({ id: to }: ModelServer, lease: KeyLease): void {
+    const { first, last, token } = lease;
+    let keys = 0;
+    for (const each of this.#grantees) {
+      if (each.server === to || !overlap(each, lease)) continue;
+      keys += Math.min(last, each.last) - Math.max(first, each.first) + 1;
+    }
+    if (keys > 0) this.#report.handovers.push({ at: this.#time.now, keys, to });
+    const others = without(this.#grantees, lease);
+    this.#grantees = [...others, { first, last, token, server: to }];
+  }
+
   #reportViolation(
     server: ModelServer,
     lease: KeyLease,
@@ -1539,8 +1770,12 @@
         return this.#addServer();
       case "zone.evacuated": {
         const zone = this.#zoneOf(fault.target);
+        this.#intendedEvacuations.add(zone);
         this.#evacuate(zone, true);
-        return this.#time.after(duration, () => this.#evacuate(zone, false));
+        return this.#time.after(duration, () => {
+          this.#intendedEvacuations.delete(zone);
+          this.#evacuate(zone, false);
+        });
       }
       case "server.restart":
         return this.#replace(server, server.id, duration);
@@ -1554,6 +1789,8 @@
         return this.#copyEntry(server, duration);
       case "store.rebalance":
         return this.#store.rebalance(this.#draw);
+      case "store.restored":
+        return this.#restoreStore(fault);
     }
   }
 
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -32,6 +32,11 @@
   type Run,
   runSchema,
 } from "../../src/load/index.ts";
+import {
+  type GrantedRange,
+  LEASES_PATH,
+  RESTORE_PATH,
+} from "../../src/stand_ins/index.ts";
 import { bundledProgram, type MutationName } from "./bundled_program.ts";
 import { loopbackAddress } from "./loopback_address.ts";
 
@@ -301,6 +306,29 @@
     await response.body.dump();
   }
 
+  /**
+   * Makes the store unavailable for `away` milliseconds, after which it returns
+   * from a copy that was `age` milliseconds old.
+   */
+  async restoreStore(age: number, away: number): Promise<void> {
+    const response = await request(`http://${this.store}${RESTORE_PATH}`, {
+      method: "POST",
+      body: JSON.stringify({ age, away }),
+    });
+    await response.body.dump();
+  }
+
+  /** Returns the ranges of keys that a server holds; none if it has ended. */
+  async leases(server: DeployedProcess): Promise<GrantedRange[]> {
+    try {
+      const url = `http://${server.address}${LEASES_PATH}`;
+      const { body } = await request(url);
+      return await body.json() as GrantedRange[];
+    } catch {
+      return [];
+    }
+  }
+
   /** Kills all processes. */
   stop(): void {
     for (const child of this.#children) child.kill("SIGKILL");
