Tests of eras: state by state, bad input, older versions; lost configurations shown

What a VM does when the store returns from a copy is tested without a system: answers of earlier eras, an era that is missing, no number, repeated, lower or far above, and each kind of state that is kept. plumloft status, a metric (configuration_lost) and config publish --vm show a configuration that the store has lost, which operators have to publish again; a publication during whose call the store returned is reported as possibly lost.

--- a/src/cli/config_command.ts
+++ b/src/cli/config_command.ts
@@ -10,6 +10,7 @@
 import { siteConfiguration } from "../core/declaration/index.ts";
 import type { ControlStore } from "../runtime/control_store.ts";
 import { InvalidInput, readDeclaration } from "../settings/index.ts";
+import { readStatus } from "./status_command.ts";
 import { EXIT_CODE } from "./exit_code.ts";
 
 interface StoreOptions {
@@ -21,6 +22,10 @@
   site: string;
 }
 
+interface PublishOptions extends SiteOptions {
+  vm: string | undefined;
+}
+
 /** Registers the command and its subcommands with `yargs`. */
 export function addConfigCommand(yargs: Argv): Argv {
   return yargs.command(
@@ -45,7 +50,9 @@
           "publish <folder>",
           "publish the configuration of a site",
           (command) =>
-            addStoreOption(addSiteOption(addFolderArgument(command))),
+            addVmOption(
+              addStoreOption(addSiteOption(addFolderArgument(command))),
+            ),
           (options) => publish(options),
         )
         .command(
@@ -83,6 +90,14 @@
   });
 }
 
+function addVmOption<T>(yargs: Argv<T>) {
+  return yargs.option("vm", {
+    type: "string",
+    describe: "admin address of a VM whose version the new one must exceed, " +
+      "in case the store has lost versions",
+  });
+}
+
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
 }
@@ -120,7 +135,9 @@
   });
 }
 
-async function publish({ folder, site, store }: SiteOptions): Promise<void> {
+async function publish(
+  { folder, site, store, vm }: PublishOptions,
+): Promise<void> {
   const declaration = readDeclaration(folder);
   const sites = declaration.overlays.map((overlay) => overlay.site);
   if (!sites.includes(site)) {
@@ -133,11 +150,26 @@
   }
   await withControlStore(store, async (controlStore) => {
     const { configuration, end } = await controlStore.readConfiguration();
-    const version = (configuration?.version ?? 0) + 1;
+    const stored = configuration?.version ?? 0;
+    const active = vm === undefined
+      ? 0
+      : (await readStatus(vm)).configuration.version;
+    if (active > stored) {
+      print(`the store lacks version ${active}, which is in force at ${vm}`);
+    }
+    const version = Math.max(stored, active) + 1;
     const next = siteConfiguration(declaration, site, version);
     try {
       await controlStore.publish(next, end);
     } catch (error) {
+      if (controlStore.isRestored(error)) {
+        print(
+          `version ${version} may be lost, check it with \`config show\`: ` +
+            (error as Error).message,
+        );
+        process.exitCode = EXIT_CODE.failed;
+        return;
+      }
       if (!controlStore.isConflict(error)) throw error;
       print(`publication rejected: ${(error as Error).message}`);
       process.exitCode = EXIT_CODE.failed;
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -53,7 +53,8 @@
   } while (watch);
 }
 
-async function readStatus(vm: string): Promise<EntryStatus> {
+/** Reads the status of the VM whose admin address is `vm`. */
+export async function readStatus(vm: string): Promise<EntryStatus> {
   try {
     const { body } = await request(`http://${vm}/status`);
     return await body.json() as EntryStatus;
@@ -75,6 +76,11 @@
     `VMs            ${status.vms ?? "unknown"}`,
     `pending        ${status.pending} requests`,
   ];
+  if (configuration.isLost) {
+    lines.push(
+      `lost           the store lacks version ${configuration.version}, which stays in force; publish it again`,
+    );
+  }
   for (const zone of status.evacuatedZones) {
     lines.push(`evacuated      ${zone}`);
   }
--- a/src/core/entry_status.ts
+++ b/src/core/entry_status.ts
@@ -7,7 +7,17 @@
 
 /** See the module's comment. Ages are milliseconds. */
 export interface EntryStatus {
-  configuration: { version: number; routes: number };
+  configuration: {
+    version: number;
+    routes: number;
+    /**
+     * Whether the store has returned from a copy that lacks this version, so
+     * that it has to be published again.
+     */
+    isLost: boolean;
+  };
+  /** Newest known era of the store; null if it states none. */
+  storeEra: number | null;
   isReady: boolean;
   /** Number of requests without a final response. */
   pending: number;
@@ -88,7 +98,9 @@
     configuration: {
       version: entry.clusterState.catalog.version,
       routes: entry.clusterState.catalog.routeCount,
+      isLost: entry.clusterState.isConfigurationLost,
     },
+    storeEra: entry.clusterState.era,
     isReady: entry.isReady,
     pending: entry.dispatcher.pending,
     vms: entry.vms,
--- a/src/core/fleet/evacuations_test.ts
+++ b/src/core/fleet/evacuations_test.ts
@@ -49,3 +49,70 @@
     restored: [],
   });
 });
+
+/** Evacuations that were read in era 1: `kept` and, earlier, `ended`. */
+function createInEra1(): Evacuations {
+  const evacuations = Evacuations.create();
+  evacuations.applyRead(read(4, ["ended"], [], true), 1);
+  evacuations.applyRead(read(6, ["kept"], ["ended"]), 1);
+  return evacuations;
+}
+
+// Guards against evacuations that end, and restored zones that are evacuated
+// again, when the store returns from a copy that lacks what operators wrote.
+test("evacuations: what the store has lost stays in force", (t) => {
+  const evacuations = createInEra1();
+  const change = evacuations.applyRead(read(4, ["ended"], [], true), 2);
+  t.deepEqual(change, { evacuated: [], restored: [] });
+  t.deepEqual(evacuations.zones, ["kept"]);
+});
+
+test("evacuations: operators end what the store has lost", (t) => {
+  const evacuations = createInEra1();
+  evacuations.applyRead(read(4, ["ended"], [], true), 2);
+  t.deepEqual(evacuations.applyRead(read(5, [], ["kept"]), 2).restored, [
+    "kept",
+  ]);
+  t.deepEqual(evacuations.applyRead(read(6, ["ended"]), 2).evacuated, [
+    "ended",
+  ]);
+  t.deepEqual(evacuations.zones, ["ended"]);
+});
+
+test("evacuations: a zone that is written again ends like any other", (t) => {
+  const evacuations = createInEra1();
+  evacuations.applyRead(read(4, [], [], true), 2);
+  evacuations.applyRead(read(5, ["kept"]), 2);
+  evacuations.applyRead(read(7, [], [], true), 2);
+  t.deepEqual(evacuations.zones, []);
+});
+
+test("evacuations: a VM that starts later learns of what the store has lost", (t) => {
+  const holder = createInEra1();
+  holder.applyRead(read(4, [], [], true), 2);
+  const started = Evacuations.create();
+  started.applyRead(read(4, [], [], true), 2);
+  t.deepEqual(started.applySnapshot(holder.snapshot!).evacuated, ["kept"]);
+  holder.applyRead(read(5, [], ["kept"]), 2);
+  t.deepEqual(started.applySnapshot(holder.snapshot!).restored, ["kept"]);
+});
+
+test("evacuations: a VM that reads no feed continues in the holder's era", (t) => {
+  const observer = createInEra1();
+  const holder = Evacuations.create();
+  holder.applyRead(read(2, ["other"], [], true), 2);
+  observer.applySnapshot(holder.snapshot!);
+  t.deepEqual(observer.zones, ["other", "kept"]);
+  holder.applyRead(read(3, [], ["kept", "other"]), 2);
+  observer.applySnapshot(holder.snapshot!);
+  t.deepEqual(observer.zones, []);
+});
+
+test("evacuations: a state of an earlier era, or of an older version, is ignored", (t) => {
+  const evacuations = Evacuations.create();
+  evacuations.applyRead(read(2, ["a"], [], true), 2);
+  for (const era of [undefined, 1]) {
+    const change = evacuations.applySnapshot({ position: 9, zones: [], era });
+    t.deepEqual(change, { evacuated: [], restored: [] });
+  }
+});
--- a/src/core/registry/registry_replica_test.ts
+++ b/src/core/registry/registry_replica_test.ts
@@ -301,3 +301,50 @@
   );
   t.pass();
 });
+
+// Guards against servers that are gone being listed again, and against known
+// ones being replaced by older entries, when the store returns from a copy.
+test("registry: a complete read after a loss lists nothing from the past", (t) => {
+  const replica = replicaOf(10, [server("gone"), server("a", false, 1)]);
+  replica.applyRead(read(12, [server("a", true, 2)], ["gone"]), 100);
+  replica.storeRestored();
+  t.is(replica.position, null);
+  t.is(replica.dueAt(1_000), -Infinity);
+  const copy = read(
+    10,
+    [server("gone"), server("a", false, 1), server("b")],
+    [],
+    true,
+  );
+  const reconciled = replica.reconcile(copy);
+  t.deepEqual(reconciled.entries, [server("a", true, 2), server("b")]);
+  replica.applyRead(reconciled, 200);
+  t.is(replica.position, 10);
+  // A server that writes its entry again is running.
+  const next = read(11, [server("gone")]);
+  t.is(replica.reconcile(next), next);
+  replica.applyRead(next, 300);
+  t.true(replica.isListed("gone"));
+});
+
+test("registry: a known server that drains in the copy is draining", (t) => {
+  const replica = replicaOf(10, [server("a")]);
+  replica.storeRestored();
+  const copy = read(11, [server("a", true)], [], true);
+  t.true(replica.reconcile(copy).entries[0].isDraining);
+});
+
+test("registry: a process that has read nothing before a loss lists the copy", (t) => {
+  const replica = RegistryReplica.create();
+  replica.storeRestored();
+  const copy = read(11, [server("a")], [], true);
+  t.is(replica.reconcile(copy), copy);
+});
+
+test("registry: no update spans a loss", (t) => {
+  const replica = replicaOf(10, [server("a")]);
+  replica.storeRestored();
+  t.is(replica.updateSince(10, null), null);
+  replica.applyRead(read(6, [server("a")], [], true), 100);
+  t.is(replica.updateSince(5, null), null);
+});
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -333,6 +333,7 @@
     relayed_connections: relayedConnections,
     servers_unreached: entry.reach.isIsolated ? 1 : 0,
     is_term_holder: entry.campaign.holder === null ? 0 : 1,
+    configuration_lost: entry.clusterState.isConfigurationLost ? 1 : 0,
     store_era: entry.clusterState.era ?? -1,
     log_lines_dropped: logger.dropped,
     processor_seconds: (user + system) / 1e6,
