--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -275,6 +275,13 @@
    * has ended.
    */
   isForeignEntryTrusted?: boolean;
+  /** Whether the store states no era, like older stores. */
+  isEraHidden?: boolean;
+  /**
+   * Number of VMs, from the first one on, that know no era, like those of older
+   * versions. They neither read it nor exchange it with others.
+   */
+  vmsWithoutEra?: number;
   /** Whether a renewal reuses the token of the grant that it renews. */
   isTokenReused?: boolean;
   /**
@@ -1230,6 +1237,7 @@
         this.#countMessage(effect.message.kind);
         this.#recordCrashMessage(effect.message);
         if (this.options.isStoreSilenceHidden) hideStoreSilence(effect.message);
+        if (this.#isWithoutEra(vm, effect.address)) hideEra(effect.message);
         return this.#sendPeer(vm, effect.address, {
           kind: "peer.received",
           address: vm.address,
@@ -1309,6 +1317,8 @@
    * the VM uses the answer to a call that it sent when it knew `sentIn`.
    */
   #acceptsEra(vm: Vm, sentIn: number | null, era = this.#era): boolean {
+    const { isEraHidden, vmsWithoutEra = 0 } = this.options;
+    if (isEraHidden || vm.index < vmsWithoutEra) return true;
     const before = vm.era.current;
     const reason = vm.era.accept({ kind: "stated", era }, sentIn);
     const { current } = vm.era;
@@ -1363,6 +1373,13 @@
     if (vm.isFollowing) this.#readConfiguration(vm);
   }
 
+  /** Whether the sender or the receiver of a message knows no era. */
+  #isWithoutEra(vm: Vm, address: string): boolean {
+    const { vmsWithoutEra = 0 } = this.options;
+    const peer = this.#vms.find((each) => each.address === address);
+    return vm.index < vmsWithoutEra || (peer?.index ?? 0) < vmsWithoutEra;
+  }
+
   #sendPeer(vm: Vm, address: string, event: UntimedEvent): void {
     const peer = this.#vms.find((each) => each.address === address);
     const isCut = this.#isActive("vm.cut_from_peers", vm.index) ||
@@ -1994,3 +2011,9 @@
 function hideStoreSilence(message: PeerMessage): void {
   if (message.kind === "holder.alive") message.storeSilence = 0;
 }
+
+/** Removes the era from a message, as in those of older versions. */
+function hideEra(message: PeerMessage): void {
+  delete message.era;
+  if (message.evacuation !== undefined) delete message.evacuation.era;
+}
--- a/test/ownership/store_restored_test.ts
+++ b/test/ownership/store_restored_test.ts
@@ -85,6 +85,39 @@
   t.pass();
 });
 
+// A store that returns from a copy without stating an era breaks its promise;
+// this shows that the simulation detects what the era prevents.
+test("restored store: VMs that do not learn of it are detected", (t) => {
+  const isDetected = fc.sample(restorationSchedules, { numRuns: 20, seed: 14 })
+    .some((options) =>
+      Simulation.runToEnd({ ...options, isEraHidden: true }).violations.length >
+        0
+    );
+  t.true(isDetected);
+});
+
+// VMs of older versions learn of no era. The others must neither be misled by
+// them nor stop serving.
+test("restored store: observers of an older version beside others", (t) => {
+  const violations: string[] = [];
+  const shares: number[] = [];
+  for (const seed of [1, 2, 3]) {
+    const report = simulate([restored({ duration: 1_500 })], {
+      vms: 12,
+      vmsWithoutEra: 4,
+      seed,
+      fitness: Array.from({ length: 12 }, (_, i) => i < 4 ? 1 : 5),
+    });
+    violations.push(...report.violations, ...report.regressions);
+    shares.push(heldShare(report, LOST_AT, LOST_AT + 6_500));
+  }
+  t.deepEqual(violations.slice(0, 2), []);
+  t.true(
+    shares.every((share) => share >= MINIMUM_HELD_SHARE),
+    shares.join(),
+  );
+});
+
 // Guards against a term that is claimed twice: by a VM that has counted it from
 // a term that the store has lost, and by its next process, which knows only the
 // record.
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,7 +7,8 @@
  * mutation of the program, which the checks must detect. `--extended` adds
  * requests that crash their servers, and suspensions of VMs; `--statements` adds
  * servers that state that they are leaving, or refuse requests with
- * `Retry-After`; `--cuts` adds entries that are cut from all servers.
+ * `Retry-After`; `--cuts` adds entries that are cut from all servers, and
+ * `--restores` a store that returns from older copies.
  *
  * @module
  */
@@ -17,6 +18,7 @@
   createCutPlan,
   createExtendedPlan,
   createPlan,
+  createRestorePlan,
   createStatementPlan,
 } from "./soak_plan.ts";
 import { SoakRun } from "./soak_run.ts";
@@ -34,6 +36,7 @@
     extended: { type: "boolean", default: false },
     statements: { type: "boolean", default: false },
     cuts: { type: "boolean", default: false },
+    restores: { type: "boolean", default: false },
   },
 });
 
@@ -45,6 +48,7 @@
 }
 
 function selectPlan(): typeof createPlan {
+  if (values.restores) return createRestorePlan;
   if (values.cuts) return createCutPlan;
   if (values.statements) return createStatementPlan;
   return values.extended ? createExtendedPlan : createPlan;
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -3,6 +3,7 @@
   createCutPlan,
   createExtendedPlan,
   createPlan,
+  createRestorePlan,
   createStatementPlan,
 } from "./soak_plan.ts";
 import { SoakRun } from "./soak_run.ts";
@@ -56,3 +57,13 @@
   t.deepEqual(report.breaches, []);
   t.true(report.served > report.calls / 3, JSON.stringify(report));
 });
+
+// Guards against guarantees that are broken after the store has lost records.
+test.serial("soak: restore seed 5 breaks no guarantee", async (t) => {
+  const plan = createRestorePlan(5, LOAD_DURATION);
+  const kinds = plan.faults.map(({ kind }) => kind);
+  t.true(kinds.includes("store.restored"));
+  const report = await SoakRun.execute(plan);
+  t.deepEqual(report.breaches, []);
+  t.true(report.served > report.calls / 3, JSON.stringify(report));
+});
