--- a/src/stand_ins/store_service.ts
+++ b/src/stand_ins/store_service.ts
@@ -102,6 +102,13 @@
   /** Whether it is unavailable until it returns from a copy. */
   #isAway = false;
   readonly #copies = StoreCopies.create();
+  /**
+   * What operators and servers want each of their records to be, by topic and
+   * key: the content that they wrote last, also if the store has lost it.
+   */
+  readonly #intended = new Map<string, Map<string, Buffer>>(
+    REWRITTEN_TOPICS.map((name) => [name, new Map()]),
+  );
   readonly #timers: NodeJS.Timeout[];
   #faults: StoreFaults = storeFaultsSchema.parse({});
 
@@ -137,10 +144,9 @@
    * then one higher. Resolves when it has returned.
    */
   async restore({ age, away, rewriteAfter }: StoreRestore): Promise<void> {
-    const lost = this.#state;
     const copiedAt = Date.now() - age;
     this.#isAway = true;
-    this.#resumeAll(lost);
+    this.#resumeAll(this.#state);
     await delay(away);
     this.#state = this.#copies.stateAt(copiedAt, Date.now());
     this.#era += 1;
@@ -148,7 +154,11 @@
     const ends = new Map(
       [...this.#state.topics].map(([name, topic]) => [name, endOf(topic)]),
     );
-    setTimeout(() => this.#rewrite(lost, ends), rewriteAfter).unref();
+    const era = this.#era;
+    const rewrite = () => {
+      if (this.#era === era && !this.#isAway) this.#rewrite(ends);
+    };
+    setTimeout(rewrite, rewriteAfter).unref();
   }
 
   #copy(): void {
@@ -163,27 +173,19 @@
   }
 
   /**
-   * Writes again what operators and servers had written to a lost state, unless
-   * they have written it since the return. `ends` are the offsets at which the
-   * topics ended then.
+   * Writes again what operators and servers have written and the store has lost,
+   * unless they have written it since the return. `ends` are the offsets at
+   * which the topics ended then.
    */
-  #rewrite(lost: StoreState, ends: ReadonlyMap<string, number>): void {
-    for (const name of REWRITTEN_TOPICS) {
-      const before = lost.topics.get(name)?.newest ?? new Map();
+  #rewrite(ends: ReadonlyMap<string, number>): void {
+    for (const [name, records] of this.#intended) {
       const topic = this.#getTopic(name);
-      for (const [key, { value }] of before) {
-        const current = topic.newest.get(key);
-        const isNewer = (current?.offset ?? -1) >= (ends.get(name) ?? 0);
-        if (!isNewer && !(current?.value.equals(value) ?? false)) {
-          this.#write(topic, frameRecord(key, "").subarray(4), value);
-        }
-      }
-      for (const key of [...topic.newest.keys()]) {
-        const isOperators = name === OPERATOR_TOPIC;
-        const isOld = topic.newest.get(key)!.offset < (ends.get(name) ?? 0);
-        if (isOperators && isOld && !before.has(key)) {
-          this.#write(topic, frameRecord(key, "").subarray(4));
-        }
+      const end = ends.get(name) ?? 0;
+      for (const [key, content] of records) {
+        const { offset = -1, value } = topic.newest.get(key) ?? {};
+        const intended = valueOf(content);
+        const isSame = intended.equals(value ?? Buffer.alloc(0));
+        if (offset < end && !isSame) this.#write(name, topic, content);
       }
       for (const resume of topic.waiters) resume();
     }
@@ -232,7 +234,8 @@
     body: Buffer,
     response: ServerResponse,
   ): void {
-    const topic = this.#getTopic(query.get("topic") ?? "");
+    const name = query.get("topic") ?? "";
+    const topic = this.#getTopic(name);
     const { producers } = topic;
     // Checked before the condition on the offset: the first execution of a
     // repeated append has already moved the end of the log.
@@ -245,7 +248,7 @@
     }
     const refusal = producers.checkAppend(query);
     if (refusal !== null) return sendJson(response, 409, refusal);
-    for (const content of splitRecords(body)) this.#write(topic, content);
+    for (const content of splitRecords(body)) this.#write(name, topic, content);
     for (const resume of topic.waiters) resume();
     const end = topic.first + topic.records.length;
     producers.recordAppend(query, { offset, end });
@@ -257,13 +260,13 @@
   }
 
   /** Writes a record and removes the oldest ones that exceed the retention. */
-  #write(topic: Topic, start: Buffer, rest: Buffer = Buffer.alloc(0)): void {
-    const content = Buffer.concat([start, rest]);
+  #write(name: string, topic: Topic, content: Buffer): void {
     const offset = topic.first + topic.records.length;
     topic.records.push(content);
     const length = content.readUInt8(0);
     const key = content.toString("utf8", 1, 1 + length);
-    const value = content.subarray(1 + length);
+    const value = valueOf(content);
+    this.#intended.get(name)?.set(key, content);
     if (value.length === 0) topic.newest.delete(key);
     else topic.newest.set(key, { value, offset, at: Date.now() });
     const excess = topic.records.length - this.#faults.retention;
@@ -361,7 +364,9 @@
     if (topic === undefined) return;
     const oldest = Date.now() - this.settings.entryLifetime;
     for (const [key, { at }] of topic.newest) {
-      if (at < oldest) this.#write(topic, frameRecord(key, "").subarray(4));
+      if (at < oldest) {
+        this.#write(REGISTRY_TOPIC, topic, frameRecord(key, "").subarray(4));
+      }
     }
   }
 
@@ -375,6 +380,11 @@
   }
 }
 
+/** Returns the value in the content of a keyed record; empty for a removal. */
+function valueOf(content: Buffer): Buffer {
+  return content.subarray(1 + content.readUInt8(0));
+}
+
 /** Returns the offset at which a topic ends. */
 function endOf({ first, records }: Topic): number {
   return first + records.length;
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -559,8 +559,10 @@
   #replacementCount = 0;
   #copyCount = 0;
   #heldCount = 0;
-  /** Zones that operators want to be evacuated. */
-  readonly #intendedEvacuations = new Set<string>();
+  /** Zones that operators want to be evacuated, and since when. */
+  readonly #intendedEvacuations = new Map<string, number>();
+  /** Entries that servers have written last, also if the store has lost them. */
+  readonly #intendedEntries = new Map<string, BackendServer>();
   /** What each process of a VM was known to know. */
   readonly #knowledge = new Map<
     string,
@@ -708,11 +710,6 @@
   }
 
   #returnFromCopy(copy: StoreCopy): void {
-    const lost = {
-      entries: new Map(this.#entries),
-      version: this.#storedVersion,
-      evacuated: new Map(this.#evacuated),
-    };
     this.#store.restore(copy.store, this.#time.now);
     this.#entries.clear();
     for (const [id, entry] of copy.entries) this.#entries.set(id, entry);
@@ -726,34 +723,29 @@
     this.#era += 1;
     const era = this.#era;
     this.#time.after(REWRITE_DELAY, () => {
-      if (this.#era === era) this.#rewrite(lost);
+      if (this.#era === era) this.#rewrite();
     });
   }
 
-  /** Writes again what operators and servers had written to a lost store. */
-  #rewrite(
-    { entries, version, evacuated }: {
-      entries: Map<string, BackendServer>;
-      version: number;
-      evacuated: Map<string, number>;
-    },
-  ): void {
-    for (const [id, entry] of entries) {
+  /** Writes again what operators and servers have written and the store lost. */
+  #rewrite(): void {
+    for (const [id, entry] of this.#intendedEntries) {
       const found = this.#servers.findLast((each) => each.id === id);
       if (found === undefined || found.isUp) this.#writeEntry(id, entry);
     }
     for (const id of this.#entries.keys()) {
-      if (entries.has(id)) continue;
+      if (this.#intendedEntries.has(id)) continue;
       this.#time.after(ENTRY_LIFETIME, () => {
         const found = this.#servers.findLast((each) => each.id === id);
         if (!found?.isUp) this.#writeEntry(id, null);
       });
     }
-    this.#storedVersion = Math.max(this.#storedVersion, version);
+    this.#storedVersion = this.#publications.length;
     this.#pushConfiguration();
-    const zones = new Set([...evacuated.keys(), ...this.#evacuated.keys()]);
+    const intended = this.#intendedEvacuations;
+    const zones = new Set([...intended.keys(), ...this.#evacuated.keys()]);
     for (const zone of zones) {
-      const since = evacuated.get(zone);
+      const since = intended.get(zone);
       if (this.#evacuated.has(zone) === (since !== undefined)) continue;
       this.#evacuate(zone, since !== undefined, since);
     }
@@ -982,8 +974,13 @@
 
   /** Writes a server's entry to the registry, or removes it (null). */
   #writeEntry(id: string, entry: BackendServer | null): void {
-    if (entry === null) this.#entries.delete(id);
-    else this.#entries.set(id, entry);
+    if (entry === null) {
+      this.#entries.delete(id);
+      this.#intendedEntries.delete(id);
+    } else {
+      this.#entries.set(id, entry);
+      this.#intendedEntries.set(id, entry);
+    }
     this.#registryLog.push(id);
   }
 
@@ -1799,7 +1796,7 @@
         return this.#addServer();
       case "zone.evacuated": {
         const zone = this.#zoneOf(fault.target);
-        this.#intendedEvacuations.add(zone);
+        this.#intendedEvacuations.set(zone, this.#time.now);
         this.#evacuate(zone, true);
         return this.#time.after(duration, () => {
           this.#intendedEvacuations.delete(zone);
