--- a/src/runtime/feed_follower_test.ts
+++ b/src/runtime/feed_follower_test.ts
@@ -29,8 +29,9 @@
   };
   let readCount = 0;
   let readAllCount = 0;
+  const era = StoreEra.create();
   const store = {
-    era: StoreEra.create(),
+    era,
     readAll: () => {
       readAllCount += 1;
       return Promise.resolve(read);
@@ -59,7 +60,7 @@
     Logger.create("vm", "error", output),
     EntryMetrics.create(() => ({})),
   );
-  return { follower, timeouts, readAll: () => readAllCount };
+  return { follower, timeouts, readAll: () => readAllCount, era };
 }
 
 test("feed follower: uses the long-poll timeout while no read has failed", async (t) => {
@@ -105,3 +106,13 @@
   follower.stop();
   t.deepEqual(timeouts, [LONG_POLL_TIMEOUT, 500, LONG_POLL_TIMEOUT]);
 });
+
+// Guards against a position in a log that the store has lost: the log grows past
+// it again, and what is new below it would never be read.
+test("feed follower: reads all records again when the store has returned from a copy", async (t) => {
+  const { follower, readAll, era } = startFollower(["update", "failure"]);
+  era.learn(1);
+  await new Promise((next) => setTimeout(next, 400));
+  t.is(readAll(), 2);
+  follower.stop();
+});
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -490,6 +490,7 @@
       );
       return status !== null && isRunning && known === ids &&
         status.configuration.version === this.#publishedVersion &&
+        status.assignments.length > 0 &&
         status.assignments.every(({ ranges, open, unconfirmed }) =>
           ranges === open && unconfirmed === 0
         );
