--- a/src/runtime/feed_follower.ts
+++ b/src/runtime/feed_follower.ts
@@ -144,7 +144,8 @@
   /** Reads once; returns whether the read succeeded. */
   async #read(sentAt: number): Promise<boolean> {
     this.#isReading = true;
-    if (this.#era !== this.store.era.current) this.#nextPosition = null;
+    const sentIn = this.store.era.current;
+    if (this.#era !== sentIn) this.#nextPosition = null;
     try {
       const read = this.#nextPosition === null
         ? await this.store.readAll(this.feed)
@@ -155,7 +156,7 @@
         );
       if (this.#isStopped) return true;
       this.#nextPosition = read.next;
-      this.#era = this.store.era.current;
+      this.#era = sentIn ?? this.store.era.current;
       this.#applyRead(read, sentAt);
       return true;
     } catch (error) {
--- a/src/runtime/feed_follower_test.ts
+++ b/src/runtime/feed_follower_test.ts
@@ -111,6 +111,7 @@
 // it again, and what is new below it would never be read.
 test("feed follower: reads all records again when the store has returned from a copy", async (t) => {
   const { follower, readAll, era } = startFollower(["update", "failure"]);
+  await new Promise((next) => setTimeout(next, 20));
   era.learn(1);
   await new Promise((next) => setTimeout(next, 400));
   t.is(readAll(), 2);
