--- a/src/core/keyspace/index.ts
+++ b/src/core/keyspace/index.ts
@@ -1,5 +1,6 @@
 export * from "./assignment.ts";
 export * from "./candidacy.ts";
+export * from "./former_term.ts";
 export * from "./key_directory.ts";
 export * from "./key_limits.ts";
 export * from "./key_load.ts";
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -28,11 +28,8 @@
   KeyspaceEffect,
   OrderOutcome,
 } from "./keyspace_effect.ts";
-import {
-  confirmationEnd,
-  type LeaseTiming,
-  predecessorGrantsEnd,
-} from "./lease_timing.ts";
+import { FormerTerm, type TermYield } from "./former_term.ts";
+import { confirmationEnd, type LeaseTiming } from "./lease_timing.ts";
 import type { OutstandingLease } from "./outstanding_lease.ts";
 import { TermHolder } from "./term_holder.ts";
 
@@ -153,15 +150,6 @@
   | { kind: "adopting"; holder: TermHolder; until: number }
   | { kind: "leading"; holder: TermHolder };
 
-/** What a former term holder sends to its successor. */
-export interface TermYield {
-  /** Address of the VM that holds the newer term. */
-  address: string;
-  toTerm: number;
-  leases: readonly OutstandingLease[];
-  confirmed: readonly ConfirmedRange[];
-}
-
 /** Runs the election of this VM; see the module's comment. */
 export class TermCampaign {
   #phase: Phase = { kind: "follower" };
@@ -196,11 +184,8 @@
   #highestTerm = 0;
   /** When the last membership call was sent that confirmed the current term. */
   #termConfirmedAt = -Infinity;
-  /** This VM's former term, while its ranges are being confirmed. */
-  #confirming: TermHolder | null = null;
-  #confirmationEnd = -Infinity;
-  /** The successor that waits for the confirmed ranges, or null. */
-  #successor: { address: string; term: number } | null = null;
+  /** This VM's former term after the store has returned from a copy. */
+  #formerTerm: FormerTerm | null = null;
 
   private constructor(
     private readonly timing: LeaseTiming,
@@ -260,12 +245,13 @@
    * confirm the ranges of its former one.
    */
   get sendsOrders(): boolean {
-    return this.holder !== null || this.#confirming !== null;
+    return this.holder !== null || this.#formerTerm !== null;
   }
 
   /** See {@linkcode TermHolder.hasDeferredOrders}. */
   get hasDeferredOrders(): boolean {
-    return (this.holder ?? this.#confirming)?.hasDeferredOrders ?? false;
+    const holder = this.holder ?? this.#formerTerm?.holder;
+    return holder?.hasDeferredOrders ?? false;
   }
 
   /** Records that a term was claimed, by any VM. */
@@ -304,7 +290,15 @@
   storeRestored(era: number, now: number): void {
     const phase = this.#phase;
     const isCurrent = phase.kind === "leading" || phase.kind === "adopting";
-    if (isCurrent || this.#canConfirmLatest(now)) this.#beginConfirmation(now);
+    const latest = this.#latestHolder;
+    if (latest !== null && (isCurrent || this.#canConfirm(latest, now))) {
+      this.#formerTerm = FormerTerm.create(
+        latest,
+        this.#termConfirmedAt,
+        this.timing,
+        now,
+      );
+    }
     this.#era = era;
     this.#hasSeenRestoration = true;
     this.#phase = { kind: "follower" };
@@ -315,20 +309,12 @@
     this.#unconfirmedSince = null;
   }
 
-  #beginConfirmation(now: number): void {
-    this.#confirming = this.#latestHolder;
-    this.#confirming?.beginConfirmation(now);
-    const { timing } = this;
-    this.#confirmationEnd = confirmationEnd(this.#termConfirmedAt, timing);
-  }
-
   /**
-   * Whether this VM has a former term whose ranges can still be confirmed: no
-   * other VM has taken it over, as far as is known.
+   * Whether the ranges of this VM's latest term can still be confirmed: no other
+   * VM has taken it over, as far as is known.
    */
-  #canConfirmLatest(now: number): boolean {
-    const latest = this.#latestHolder;
-    return latest !== null && latest !== this.#confirming &&
+  #canConfirm(latest: TermHolder, now: number): boolean {
+    return latest !== this.#formerTerm?.holder &&
       latest.term >= this.#highestTerm &&
       now < confirmationEnd(this.#termConfirmedAt, this.timing);
   }
@@ -465,9 +451,9 @@
     if (former?.term === formerTerm && isTrusted) {
       holder.applyOutstandingLeases(former.outstandingLeases(now), now);
     }
-    if (this.#confirming !== null) {
-      holder.adopt(this.#confirming.confirmedRanges(now), now);
-      this.#confirming = null;
+    if (this.#formerTerm !== null) {
+      holder.adopt(this.#formerTerm.holder.confirmedRanges(now), now);
+      this.#formerTerm = null;
     }
     this.#latestHolder = holder;
     this.#termConfirmedAt = this.#confirmedAt;
@@ -503,11 +489,11 @@
     now: number,
   ): KeyspaceEffect[] {
     const { holder } = this;
-    const confirming = this.#confirming;
-    if (confirming?.pendingOrder(id) !== undefined) {
+    const former = this.#formerTerm?.holder;
+    if (former?.pendingOrder(id) !== undefined) {
       // A server has received a token of a newer term, so this VM does not know
       // which servers hold the keys.
-      if (!confirming.onOrderEnded(id, outcome, now)) this.#confirming = null;
+      if (!former.onOrderEnded(id, outcome, now)) this.#formerTerm = null;
       return [];
     }
     if (holder === null || holder.onOrderEnded(id, outcome, now)) return [];
@@ -546,16 +532,14 @@
       const group = this.#group;
       effects.push({ kind: "group.join", group, generation: this.#generation });
     }
-    this.#expireConfirmation(now);
-    if (this.#confirming !== null && now < this.#confirmationEnd) {
-      effects.push(...this.#confirming.advanceConfirmation(now, isTimerEvent));
-    }
+    if (this.#formerTerm?.isExpired(now)) this.#formerTerm = null;
+    effects.push(...this.#formerTerm?.advance(now, isTimerEvent) ?? []);
     const phase = this.#phase;
     if (phase.kind !== "follower" && now >= this.#authorityEnd) {
       this.#phase = { kind: "follower" };
     } else if (phase.kind === "settling") {
       const isSettled = now - phase.since >= SETTLE_TIME;
-      if (isSettled && this.#isConfirmationSettled(now)) {
+      if (isSettled && (this.#formerTerm?.isSettled(now) ?? true)) {
         effects.push(...this.#startRead());
       }
     } else if (phase.kind === "adopting") {
@@ -605,10 +589,7 @@
    */
   confirmFor(address: string, term: number, formerTerm: number): boolean {
     this.observeTerm(term);
-    const isOfFormer = this.#confirming?.term === formerTerm;
-    if (!isOfFormer || term <= formerTerm) return false;
-    this.#successor = { address, term };
-    return true;
+    return this.#formerTerm?.setSuccessor(address, term, formerTerm) ?? false;
   }
 
   /**
@@ -616,18 +597,9 @@
    * This VM sends no more orders of its former term then.
    */
   takeYield(now: number): TermYield | null {
-    const successor = this.#successor;
-    if (successor === null || !this.#isConfirmationSettled(now)) return null;
-    const former = this.#confirming;
-    this.#successor = null;
-    this.#confirming = null;
-    if (former === null) return null;
-    return {
-      address: successor.address,
-      toTerm: successor.term,
-      leases: former.outstandingLeases(now),
-      confirmed: former.confirmedRanges(now),
-    };
+    const yielded = this.#formerTerm?.yield(now) ?? null;
+    if (yielded !== null) this.#formerTerm = null;
+    return yielded;
   }
 
   /**
@@ -651,22 +623,6 @@
     return true;
   }
 
-  /**
-   * Forgets the confirmed ranges once a successor may have assigned them, since
-   * all leases of this VM's former term have ended.
-   */
-  #expireConfirmation(now: number): void {
-    const end = predecessorGrantsEnd(this.#termConfirmedAt, this.timing);
-    if (now >= end) this.#confirming = null;
-  }
-
-  /** Whether no range of this VM's former term waits for its confirmation. */
-  #isConfirmationSettled(now: number): boolean {
-    const confirming = this.#confirming;
-    return confirming === null || confirming.isConfirmationComplete ||
-      now >= this.#confirmationEnd;
-  }
-
   /**
    * Gives up the term because the clock may have jumped ahead. Servers may then
    * hold keys for longer than this VM's clock shows, so all lease ends that it
@@ -676,7 +632,7 @@
   onClockJumped(): void {
     this.#phase = { kind: "follower" };
     this.#latestHolder = null;
-    this.#confirming = null;
+    this.#formerTerm = null;
     this.#authorityEnd = -Infinity;
     this.#confirmedAt = -Infinity;
     this.#joinDueAt = -Infinity;
