Replicas of the registry have what the store has; a VM's list holds the copy back

Replicas left out entries of the copy that they took for outdated, so two replicas at one position could differ, and the term holder did not send the removal of an entry that only its followers had. Replicas are exact again. The fleet applies an entry of the copy of a server that it had removed, or of another incarnation than the known one, only after 5 s, unless the entry is removed or written again before; the store removes one of a server that does not run within three heartbeats.

Model: 'all VMs list the servers that run' failed while a complete read kept entries that were held back, and passes.

--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -14,7 +14,7 @@
 import type { EntryEffect } from "./entry_effect.ts";
 import type { EntryEvent } from "./entry_event.ts";
 import type { EntryOptions, RegistryTiming } from "./entry_options.ts";
-import type { ServerStatement } from "./fleet/index.ts";
+import type { FleetChange, ServerStatement } from "./fleet/index.ts";
 import {
   type GrantOrder,
   KeyLoads,
@@ -545,16 +545,16 @@
   /** Applies a read of the registry. */
   #readServers(event: EntryEvent & { kind: "servers.read" }): void {
     const { fleet, registry } = this.clusterState;
-    const { sentAt, now } = event;
-    const read = registry.reconcile(event.read);
+    const { read, sentAt, now } = event;
     const { entries, removed, unreadable, isWhole } = read;
+    const { isOutdated } = registry;
     if (!registry.applyRead(read, sentAt)) return;
-    this.clusterState.applyServerChanges(
-      isWhole
-        ? fleet.replace(entries, now, unreadable)
-        : fleet.apply(entries, removed, now, unreadable),
-      now,
-    );
+    let changes: FleetChange[];
+    if (!isWhole) changes = fleet.apply(entries, removed, now, unreadable);
+    else if (isOutdated) {
+      changes = fleet.replaceFromCopy(entries, now, unreadable);
+    } else changes = fleet.replace(entries, now, unreadable);
+    this.clusterState.applyServerChanges(changes, now);
     fleet.confirmPeerEntries((id) => registry.isListed(id), now);
   }
 
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -30,6 +30,15 @@
  */
 const REWRITE_TIME = 2_000;
 
+/**
+ * Time after which an entry from a copy of the registry that may be outdated is
+ * believed, in milliseconds: by then the store has removed the entry of a server
+ * that does not run.
+ */
+const COPY_TIMEOUT = 5_000;
+/** Maximum number of removed servers whose ids are kept. */
+const MAXIMUM_REMOVED = 1_024;
+
 /**
  * Time for which a server is still used after its entry became unreadable, in
  * milliseconds: one heartbeat, with which a running server rewrites its entry,
@@ -92,6 +101,13 @@
   readonly #unconfirmed = new Set<string>();
   /** When deferred removals are due, by the server's id. */
   readonly #deferredRemovals = new Map<string, number>();
+  /** Entries that may be outdated, and when they apply, by the server's id. */
+  readonly #deferredEntries = new Map<
+    string,
+    { entry: BackendServer; at: number }
+  >();
+  /** Ids of the servers that were removed last, oldest first. */
+  readonly #removedIds = new Set<string>();
   readonly #meanLatencies = new Map<
     string,
     { latency: number; until: number }
@@ -139,8 +155,14 @@
   ): FleetChange[] {
     const changes: FleetChange[] = [];
     for (const id of unreadable) this.#removeLater(id, now);
-    for (const id of removed) this.#removeOrDefer(id, now, changes);
-    for (const entry of entries) this.#upsert(entry, now, changes);
+    for (const id of removed) {
+      this.#deferredEntries.delete(id);
+      this.#removeOrDefer(id, now, changes);
+    }
+    for (const entry of entries) {
+      this.#deferredEntries.delete(entry.id);
+      this.#upsert(entry, now, changes);
+    }
     return changes;
   }
 
@@ -193,9 +215,43 @@
       ...unreadable,
     ]);
     const missing = [...this.#servers.keys()].filter((id) => !listed.has(id));
+    this.#deferredEntries.clear();
     return this.apply(entries, missing, now, unreadable);
   }
 
+  /**
+   * Applies a complete list from a copy of the registry that may be older than
+   * what is known. Servers that it does not contain get time to register again.
+   * An entry of a server that was removed, or of another incarnation than the
+   * known one, may be from the past: it applies only after
+   * {@linkcode COPY_TIMEOUT}, unless another one is read before.
+   */
+  replaceFromCopy(
+    entries: readonly BackendServer[],
+    now: number,
+    unreadable: readonly string[] = [],
+  ): FleetChange[] {
+    const deferred: BackendServer[] = [];
+    const current = entries.flatMap((entry) => {
+      const known = this.get(entry.id)?.entry;
+      if (known === undefined) {
+        if (!this.#removedIds.has(entry.id)) return [entry];
+        deferred.push(entry);
+        return [];
+      }
+      const isSame = known.incarnation === entry.incarnation;
+      if (!isSame) deferred.push(entry);
+      const isDraining = known.isDraining || (isSame && entry.isDraining);
+      return [{ ...known, isDraining }];
+    });
+    const changes = this.replace(current, now, unreadable);
+    const at = now + COPY_TIMEOUT;
+    for (const entry of deferred) {
+      this.#deferredEntries.set(entry.id, { entry, at });
+    }
+    return changes;
+  }
+
   /**
    * Records that this process has stalled for `duration` milliseconds until
    * now.
@@ -213,9 +269,14 @@
     for (const server of this.#servers.values()) server.clearFailures();
   }
 
-  /** Carries out deferred removals that are due. */
+  /** Applies deferred entries and carries out deferred removals that are due. */
   expire(now: number): FleetChange[] {
     const changes: FleetChange[] = [];
+    for (const [id, { entry, at }] of this.#deferredEntries) {
+      if (at > now) continue;
+      this.#deferredEntries.delete(id);
+      this.#upsert(entry, now, changes);
+    }
     for (const [id, at] of this.#deferredRemovals) {
       if (at <= now) this.#remove(id, now, changes);
     }
@@ -413,6 +474,7 @@
     const statements = this.stated.statementsOf(entry, now);
     const server = TrackedServer.create(entry, statements);
     this.stated.listed(server);
+    this.#removedIds.delete(entry.id);
     server.update(entry, now);
     server.setEvacuated(this.evacuations.has(entry.availabilityZone), now);
     this.#servers.set(entry.id, server);
@@ -451,6 +513,11 @@
     const server = this.#servers.get(id);
     if (server === undefined) return;
     this.#unlist(server, now);
+    this.#removedIds.add(id);
+    const [oldest] = this.#removedIds;
+    if (this.#removedIds.size > MAXIMUM_REMOVED) {
+      this.#removedIds.delete(oldest);
+    }
     changes.push({ kind: "removed", server: server.entry });
   }
 }
--- a/src/core/fleet/fleet_test.ts
+++ b/src/core/fleet/fleet_test.ts
@@ -233,3 +233,69 @@
   server.failed(10, 5_030);
   t.false(server.isPaused(5_031));
 });
+
+/** A fleet that knows a restarted, a running and a removed server. */
+function fleetBeforeRestoration(): Fleet {
+  const fleet = Fleet.create();
+  const ids = ["restarted", "running", "gone"];
+  fleet.apply(ids.map((id) => entry(id, { incarnation: 1 })), [], 0);
+  fleet.apply([entry("restarted", { incarnation: 2 })], ["gone"], 10);
+  return fleet;
+}
+
+const COPY = ["restarted", "gone", "new"].map((id) =>
+  entry(id, { incarnation: 1 })
+);
+
+// Guards against servers that are gone being listed again, known ones being
+// replaced by older entries, and running ones being removed, when the store
+// returns from a copy.
+test("fleet: entries of a copy change nothing that is known to be newer", (t) => {
+  const fleet = fleetBeforeRestoration();
+  fleet.recovered(100);
+  const changes = fleet.replaceFromCopy(COPY, 100);
+  t.deepEqual(changes.map(({ kind, server: { id } }) => [kind, id]), [
+    ["joined", "new"],
+  ]);
+  t.is(fleet.get("restarted")!.entry.incarnation, 2);
+  t.not(fleet.get("running"), undefined);
+  t.deepEqual(
+    fleet.expire(2_100).map(({ kind, server: { id } }) => [kind, id]),
+    [["removed", "running"]],
+  );
+});
+
+test("fleet: an entry of a copy that remains is believed after a while", (t) => {
+  const fleet = fleetBeforeRestoration();
+  fleet.replaceFromCopy(COPY, 100);
+  t.deepEqual(fleet.expire(5_099), []);
+  t.deepEqual(
+    fleet.expire(5_100).map(({ kind, server: { id } }) => [kind, id]),
+    [["restarted", "restarted"], ["joined", "gone"]],
+  );
+});
+
+test("fleet: an entry of a copy that is removed or written again is not believed", (t) => {
+  const fleet = fleetBeforeRestoration();
+  fleet.replaceFromCopy(COPY, 100);
+  fleet.apply([entry("restarted", { incarnation: 2 })], ["gone"], 200);
+  t.deepEqual(fleet.expire(10_000), []);
+  t.is(fleet.get("restarted")!.entry.incarnation, 2);
+  t.is(fleet.get("gone"), undefined);
+});
+
+test("fleet: a removed server that writes its entry again is listed at once", (t) => {
+  const fleet = fleetBeforeRestoration();
+  fleet.replaceFromCopy(COPY, 100);
+  t.deepEqual(fleet.apply([entry("gone")], [], 200).length, 1);
+});
+
+test("fleet: a server that drains in a copy is draining", (t) => {
+  const fleet = fleetBeforeRestoration();
+  const draining = entry("running", { incarnation: 1, isDraining: true });
+  t.deepEqual(
+    fleet.replaceFromCopy([draining], 100).map(({ kind }) => kind)
+      .filter((kind) => kind === "draining"),
+    ["draining"],
+  );
+});
--- a/src/core/registry/registry_replica.ts
+++ b/src/core/registry/registry_replica.ts
@@ -36,9 +36,6 @@
  */
 const MAXIMUM_VERSIONS = 64;
 
-/** Maximum number of removed servers whose ids are kept. */
-const MAXIMUM_REMOVED = 1_024;
-
 const NO_CHANGES: RegistryChanges = {
   entries: [],
   removed: [],
@@ -89,8 +86,6 @@
   readonly #unreadable = new Set<string>();
   /** Oldest first; the last one is the current version. */
   #versions: Version[] = [];
-  /** Ids of the servers that were removed last, oldest first. */
-  readonly #removed = new Set<string>();
   /**
    * Whether the store has returned from a copy, and the registry was not read
    * since.
@@ -112,6 +107,14 @@
     return this.#position;
   }
 
+  /**
+   * Whether the store has returned from a copy, and the registry was not read
+   * since.
+   */
+  get isOutdated(): boolean {
+    return this.#isOutdated;
+  }
+
   /** Latest time at which the replica is known to have been up to date. */
   get knownAt(): number {
     return this.#knownAt;
@@ -161,26 +164,6 @@
     }
   }
 
-  /**
-   * Returns a complete read without what the store's copy has from the past.
-   * Servers that were removed since are left out until they write their entry
-   * again, and known servers keep their entry, unless the copy shows that they
-   * are draining.
-   */
-  reconcile(read: RegistryRead): RegistryRead {
-    if (!this.#isOutdated || !read.isWhole) return read;
-    const entries = read.entries.flatMap((entry) => {
-      const known = this.#servers.get(entry.id);
-      if (known === undefined) return this.#removed.has(entry.id) ? [] : entry;
-      const isSame = known.incarnation === entry.incarnation;
-      return {
-        ...known,
-        isDraining: known.isDraining || (isSame && entry.isDraining),
-      };
-    });
-    return { ...read, entries };
-  }
-
   /**
    * Applies the result of a read that was requested at `sentAt`. Returns false
    * if it is older than the replica because an update has arrived in the
@@ -303,7 +286,6 @@
   #put(entry: BackendServer, position: number): boolean {
     const known = this.#servers.get(entry.id);
     this.#servers.set(entry.id, entry);
-    this.#removed.delete(entry.id);
     this.#unreadable.delete(entry.id);
     if (known?.incarnation !== entry.incarnation) {
       this.#incarnationSince.set(entry.id, position);
@@ -315,15 +297,7 @@
   #delete(id: string): boolean {
     this.#incarnationSince.delete(id);
     const wasUnreadable = this.#unreadable.delete(id);
-    const wasListed = this.#servers.delete(id);
-    if (wasListed) this.#recordRemoval(id);
-    return wasListed || wasUnreadable;
-  }
-
-  #recordRemoval(id: string): void {
-    this.#removed.add(id);
-    const [oldest] = this.#removed;
-    if (this.#removed.size > MAXIMUM_REMOVED) this.#removed.delete(oldest);
+    return this.#servers.delete(id) || wasUnreadable;
   }
 
   /**
--- a/src/core/registry/registry_replica_test.ts
+++ b/src/core/registry/registry_replica_test.ts
@@ -302,43 +302,26 @@
   t.pass();
 });
 
-// Guards against servers that are gone being listed again, and against known
-// ones being replaced by older entries, when the store returns from a copy.
-test("registry: a complete read after a loss lists nothing from the past", (t) => {
+// Guards against replicas that differ at one position: the changes that one VM
+// sends another would leave out what only that one has.
+test("registry: after a loss the replica has what the store has", (t) => {
   const replica = replicaOf(10, [server("gone"), server("a", false, 1)]);
   replica.applyRead(read(12, [server("a", true, 2)], ["gone"]), 100);
   replica.storeRestored();
+  t.true(replica.isOutdated);
   t.is(replica.position, null);
   t.is(replica.dueAt(1_000), -Infinity);
-  const copy = read(
-    10,
-    [server("gone"), server("a", false, 1), server("b")],
-    [],
-    true,
-  );
-  const reconciled = replica.reconcile(copy);
-  t.deepEqual(reconciled.entries, [server("a", true, 2), server("b")]);
-  replica.applyRead(reconciled, 200);
+  replica.applyRead(read(10, [server("gone"), server("b")], [], true), 200);
+  t.false(replica.isOutdated);
   t.is(replica.position, 10);
-  // A server that writes its entry again is running.
-  const next = read(11, [server("gone")]);
-  t.is(replica.reconcile(next), next);
-  replica.applyRead(next, 300);
-  t.true(replica.isListed("gone"));
-});
-
-test("registry: a known server that drains in the copy is draining", (t) => {
-  const replica = replicaOf(10, [server("a")]);
-  replica.storeRestored();
-  const copy = read(11, [server("a", true)], [], true);
-  t.true(replica.reconcile(copy).entries[0].isDraining);
+  replica.applyRead(read(11, [], ["gone"]), 300);
+  t.deepEqual(replica.updateSince(10, null)?.removed, ["gone"]);
 });
 
-test("registry: a process that has read nothing before a loss lists the copy", (t) => {
+test("registry: a process that has read nothing before a loss takes the copy as it is", (t) => {
   const replica = RegistryReplica.create();
   replica.storeRestored();
-  const copy = read(11, [server("a")], [], true);
-  t.is(replica.reconcile(copy), copy);
+  t.false(replica.isOutdated);
 });
 
 test("registry: no update spans a loss", (t) => {
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -335,6 +335,11 @@
    * only in simulations in which the store returns from a copy.
    */
   regressions: string[];
+  /**
+   * At the end, the servers that a running VM lists although they do not run, or
+   * that run and it does not list; one line each.
+   */
+  listingFaults: string[];
   /** Times of all reads of the store by VMs. */
   readTimes: number[];
   /**
@@ -535,6 +540,7 @@
     samples: [],
     handovers: [],
     regressions: [],
+    listingFaults: [],
     readTimes: [],
     configurationLag: 0,
     storeCalls: new Map(),
@@ -674,6 +680,19 @@
     this.#time.after(COMPARE_INTERVAL, () => this.#checkKnowledge());
   }
 
+  #checkListings(): void {
+    const ids = new Set(this.#servers.map(({ id }) => id));
+    for (const { id, isUp, entry } of this.#vms) {
+      if (!isUp) continue;
+      for (const server of ids) {
+        const isListed = entry.clusterState.fleet.get(server) !== undefined;
+        if (isListed === this.#isRunning(server)) continue;
+        const fault = isListed ? "lists" : "does not list";
+        this.#report.listingFaults.push(`${id} ${fault} ${server}`);
+      }
+    }
+  }
+
   /** Whether the newest process of a server runs and is not leaving. */
   #isRunning(id: string): boolean {
     const server = this.#servers.findLast((each) => each.id === id);
@@ -773,6 +792,7 @@
     const simulation = new Simulation(options);
     simulation.#sampleKey();
     simulation.#time.runUntil(options.duration);
+    simulation.#checkListings();
     simulation.#report.heldShare = simulation.#heldCount /
       Math.max(1, simulation.#sampleCount);
     return simulation.#report;
--- a/test/ownership/store_restored_test.ts
+++ b/test/ownership/store_restored_test.ts
@@ -276,6 +276,28 @@
   t.deepEqual(regressions.slice(0, 4), []);
 });
 
+// Guards against VMs whose lists of servers differ for good: one that had left
+// out an entry of the copy did not send its removal to others.
+test("restored store: all VMs list the servers that run", (t) => {
+  const faults: string[] = [];
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    const report = simulate([
+      { kind: "server.crash", at: LOST_AT - 2_900, duration: 0, target: 0 },
+      { kind: "server.crash", at: LOST_AT - 1_000, duration: 0, target: 1 },
+      {
+        kind: "server.replaced",
+        at: LOST_AT - 4_000,
+        duration: 100,
+        target: 2,
+      },
+      restored({ duration: 100 * seed, age: 700 * seed }),
+      restored({ at: LOST_AT + 150 * seed, duration: 200, age: 2_000 }),
+    ], { seed, vms: 8, servers: 6, fitness: [4, 4, 4, 1, 1, 1, 1, 1] });
+    faults.push(...report.listingFaults);
+  }
+  t.deepEqual(faults.slice(0, 4), []);
+});
+
 // Guards against a burst of reads with which the VMs would exceed what the
 // store allows them.
 test("restored store: 195 VMs read all anew within the store's limits", (t) => {
