Keys whose server has not confirmed them stay with it until all leases have ended

After a return of the store, a former holder that half of the servers had confirmed also yielded changes that it had not recorded: keys whose lease had ended by its own account, because it did not reach their server. A term that the store had lost could have renewed them there. Only ranges that are as in each possible record are yielded now, and those whose server has not confirmed them keep the wait for all leases.

--- a/src/core/keyspace/assignment.ts
+++ b/src/core/keyspace/assignment.ts
@@ -57,9 +57,12 @@
   address: z.string().nullable(),
   /** Incarnation of the server when it was granted the keys; 0 if unknown. */
   incarnation: z.number().int().nonnegative(),
-  /** Whether the server has stopped answering, so that its lease has to end. */
-  isExpiring: z.boolean(),
-  /** Milliseconds until the last lease of the keys ends. */
+  /**
+   * Whether the server itself has confirmed that it holds the keys. Otherwise it
+   * is the only one that may hold them, also by a lease that is not known.
+   */
+  isHeld: z.boolean(),
+  /** Milliseconds until the last lease of the keys ends, if `isHeld`. */
   remaining: z.number().nonnegative(),
 });
 
--- a/src/core/keyspace/range_table.ts
+++ b/src/core/keyspace/range_table.ts
@@ -24,8 +24,8 @@
   revision = 0;
   /** Newest revision that the store has confirmed. */
   recordedRevision = 0;
-  /** Servers that the newest record names. */
-  recordedServers: ReadonlySet<string> = new Set();
+  /** The newest record; null if there is none. */
+  recorded: Assignment | null = null;
   /** Servers that the record named when this term began. */
   #inheritedServers: ReadonlySet<string> = new Set();
   /**
@@ -78,8 +78,8 @@
       return range;
     });
     const table = new RangeTable(assignment.service, ranges);
-    table.recordedServers = serversOf(assignment);
-    table.#inheritedServers = table.recordedServers;
+    table.recorded = assignment;
+    table.#inheritedServers = serversOf(assignment);
     table.#assignableAt = predecessorEnd;
     return table;
   }
@@ -161,12 +161,14 @@
       if (server === null) Object.assign(range, vacantRange(range, 0));
       else {
         Object.assign(range, {
-          state: confirmed.isExpiring ? "expiring" : "held",
+          state: "held",
           server,
           address,
           addresses: address === null ? [] : [address],
           incarnation,
-          inheritedEnd: now + confirmed.remaining,
+          inheritedEnd: confirmed.isHeld
+            ? now + confirmed.remaining
+            : range.inheritedEnd,
           dueAt: now,
         });
       }
--- a/src/core/keyspace/record_writer.ts
+++ b/src/core/keyspace/record_writer.ts
@@ -7,7 +7,7 @@
  */
 import type { Assignment } from "./assignment.ts";
 import type { AssignmentWrite } from "./keyspace_effect.ts";
-import { type RangeTable, serversOf } from "./range_table.ts";
+import type { RangeTable } from "./range_table.ts";
 
 /** Delay before an unanswered write is repeated, in milliseconds. */
 const RETRY_DELAY = 150;
@@ -95,7 +95,7 @@
       table.recordedRevision = revision;
       table.isRecordLost = false;
       const recorded = this.pendingAssignment(table.service);
-      if (recorded !== undefined) table.recordedServers = serversOf(recorded);
+      if (recorded !== undefined) table.recorded = recorded;
     }
     this.#write = null;
   }
--- a/src/core/keyspace/term_holder.ts
+++ b/src/core/keyspace/term_holder.ts
@@ -165,7 +165,7 @@
    * the keys only after the server had received its token, or after all leases
    * of this term had ended. It would have assigned any keys only after more than
    * half of the servers had received its token (`RangeTable.mayAssign`), so if
-   * half of them accept, all ranges of the table are confirmed.
+   * half of them accept, no keys can be at another server than the recorded one.
    */
   beginConfirmation(now: number): void {
     this.#confirmingSince = now;
@@ -195,14 +195,20 @@
     );
   }
 
-  /** Returns the ranges that are confirmed. */
+  /**
+   * Returns the ranges of which it is proved which server may hold them: those
+   * that their servers have confirmed, and, if half of the recorded servers have
+   * confirmed some, all that are as recorded. Another term holder, whose term
+   * the store may have lost, can have renewed the latter at their server.
+   */
   confirmedRanges(now: number): ConfirmedRange[] {
     return this.#allTables.flatMap((table) => {
-      const isWhole = this.#isConfirmed(table);
+      const records = this.#possibleRecords(table);
+      const isConfirmedByHalf = !table.isRecordLost && records.length > 0 &&
+        records.every((record) => isConfirmedBy(table.ranges, record));
       return table.ranges.filter((range) =>
         isConfirmed(range) ||
-        (isWhole && range.state !== "unconfirmed" &&
-          this.#isAsRecorded(table, range))
+        (isConfirmedByHalf && records.every((each) => isAsIn(each, range)))
       ).map((range) => ({
         service: table.service,
         first: range.first,
@@ -210,41 +216,19 @@
         server: range.server,
         address: range.address,
         incarnation: range.incarnation,
-        isExpiring: range.state === "expiring",
+        isHeld: isConfirmed(range),
         remaining: Math.max(0, this.#orders.heldUntil(range) - now),
       }));
     });
   }
 
   /**
-   * Whether all ranges of a table are confirmed, by half of the servers that its
-   * record names, whichever the newest record is.
-   */
-  #isConfirmed(table: RangeTable): boolean {
-    if (table.isRecordLost) return false;
-    const pending = this.recordWriter.pendingAssignment(table.service);
-    const records = [
-      table.recordedServers,
-      ...(pending === undefined ? [] : [serversOf(pending)]),
-    ];
-    const confirmed = new Set(
-      table.ranges.filter(isConfirmed).map(({ server }) => server!),
-    );
-    return records.every((servers) => {
-      const count = [...servers].filter((each) => confirmed.has(each)).length;
-      return count > 0 && count * 2 >= servers.size;
-    });
-  }
-
-  /**
-   * Whether an unconfirmed write, if the store has recorded it, names no other
-   * server for a range, to which another term holder could have granted it.
+   * Returns the newest record of a table, and that of an unconfirmed write,
+   * which the store may have recorded.
    */
-  #isAsRecorded({ service }: RangeTable, range: TrackedRange): boolean {
+  #possibleRecords({ service, recorded }: RangeTable): Assignment[] {
     const pending = this.recordWriter.pendingAssignment(service);
-    return pending?.ranges.every(({ first, last, server }) =>
-      server === range.server || first > range.last || last < range.first
-    ) ?? true;
+    return [recorded, pending].flatMap((each) => each ?? []);
   }
 
   /**
@@ -728,6 +712,26 @@
   return [...ranges].sort((a, b) => a.dueAt - b.dueAt);
 }
 
+/** Whether half of the servers that a record names have confirmed ranges. */
+function isConfirmedBy(
+  ranges: readonly TrackedRange[],
+  record: Assignment,
+): boolean {
+  const servers = serversOf(record);
+  const confirmed = new Set(
+    ranges.filter(isConfirmed).map(({ server }) => server!),
+  );
+  const count = [...servers].filter((each) => confirmed.has(each)).length;
+  return count > 0 && count * 2 >= servers.size;
+}
+
+/** Whether a record names the same server for all keys of a range. */
+function isAsIn(record: Assignment, range: TrackedRange): boolean {
+  return record.ranges.every(({ first, last, server }) =>
+    server === range.server || first > range.last || last < range.first
+  );
+}
+
 /** Whether the server of a range has proved that it still holds the keys. */
 function isConfirmed({ confirmation, state }: TrackedRange): boolean {
   return confirmation === "confirmed" && state === "held";
