Test: crash records are written again when the store has returned from a copy

The test passes; without QuarantineStorage.storeRestored it could not be written. Only this test file changes.

--- a/src/core/exchange/quarantine_storage_test.ts
+++ b/src/core/exchange/quarantine_storage_test.ts
@@ -59,3 +59,15 @@
   // If it becomes the term holder it has nothing to write.
   t.is(storage.advance(60), null);
 });
+
+// Guards against quarantined requests that nobody writes again after the store
+// has lost their records.
+test("quarantine storage: records are written again when the store has returned from a copy", (t) => {
+  const { storage, quarantineRequest } = createStorage();
+  quarantineRequest();
+  storage.advance(QUARANTINED_AT);
+  storage.written(true, 1_100);
+  t.is(storage.advance(1_500), null);
+  storage.storeRestored();
+  t.is(storage.advance(1_600)?.records.length, 1);
+});
