Log what each retry takes from its budget, and the turn of each request to a cold server

Two incidents could not be told apart by the logs: which VM's turn let a request go to a cold server, when that turn was determined and by what number of VMs; and what each retry took from the budget that all VMs share.

server.cold_request and retry.withdrawn state both, with the counts that the decision was based on.

--- a/src/core/dispatch/cold_admission.ts
+++ b/src/core/dispatch/cold_admission.ts
@@ -12,7 +12,7 @@
  */
 import type { Catalog } from "../catalog/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
-import { RateShare } from "../rates/index.ts";
+import { RateShare, type Turn } from "../rates/index.ts";
 
 /**
  * Number of VMs that are assumed to share a server while the actual number is
@@ -52,11 +52,19 @@
     return this.rateShare.maySend(server.id, interval, now);
   }
 
-  /** Records that a request was sent to a server. */
-  requestSent(server: TrackedServer, now: number): void {
+  /**
+   * Records that a request was sent to a server. Returns the turn that it used;
+   * null if the server is not limited or no turn was drawn.
+   */
+  requestSent(server: TrackedServer, now: number): Turn | null {
     const interval = this.#interval(server, now);
-    if (interval === null) this.rateShare.remove(server.id);
-    else this.rateShare.requestSent(server.id, interval, now);
+    if (interval === null) {
+      this.rateShare.remove(server.id);
+      return null;
+    }
+    const turn = this.rateShare.turn(server.id);
+    this.rateShare.requestSent(server.id, interval, now);
+    return turn;
   }
 
   /**
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -308,13 +308,35 @@
    * the budget.
    */
   #send(request: PendingRequest, server: TrackedServer, now: number): boolean {
-    if (request.sentCount > 0 && !this.#retryPolicy.withdraw(request, now)) {
-      return false;
+    if (request.sentCount > 0) {
+      const isPermitted = this.#retryPolicy.withdraw(request, now);
+      this.#logWithdrawal(request, server, isPermitted, now);
+      if (!isPermitted) return false;
     }
     this.#start(request, server, now);
     return true;
   }
 
+  /** Logs a retry with what it has taken from the retry budget. */
+  #logWithdrawal(
+    request: PendingRequest,
+    server: TrackedServer,
+    isPermitted: boolean,
+    now: number,
+  ): void {
+    const { service, sentCount } = request;
+    const balance = this.#retryPolicy.balance(service, now);
+    this.#log.write("info", "retry.withdrawn", request, now, {
+      server: server.id,
+      isPermitted,
+      sent: sentCount,
+      requests: balance.requests,
+      retries: balance.retries,
+      remaining: Number(balance.remaining.toFixed(2)),
+      vms: this.context.vmCount(),
+    });
+  }
+
   /** Starts an attempt at a server. */
   #start(request: PendingRequest, server: TrackedServer, now: number): void {
     this.#attemptCount += 1;
@@ -348,8 +370,7 @@
     });
     server.started(number, now);
     this.#recordPath(request, attempt, server, mayReuseDirect, now);
-    this.context.coldAdmission.requestSent(server, now);
-    this.context.tokens.requestSent(server, now);
+    this.#recordLimitedSend(request, server, now);
     this.#effects.push({
       kind: "attempt.start",
       attempt: number,
@@ -362,6 +383,28 @@
     });
   }
 
+  /**
+   * Records an attempt at a server whose requests are limited. Logs the turn
+   * that an attempt at a cold server has used.
+   */
+  #recordLimitedSend(
+    request: PendingRequest,
+    server: TrackedServer,
+    now: number,
+  ): void {
+    const { coldAdmission, tokens, vmCount } = this.context;
+    const isCold = coldAdmission.isCold(server, now);
+    const turn = coldAdmission.requestSent(server, now);
+    tokens.requestSent(server, now);
+    if (!isCold) return;
+    this.#log.write("info", "server.cold_request", request, now, {
+      server: server.id,
+      drawnAgo: turn === null ? null : Math.round(now - turn.drawnAt),
+      dueAgo: turn === null ? null : Math.round(now - turn.at),
+      vms: vmCount(),
+    });
+  }
+
   /** Records on which path an attempt is sent. */
   #recordPath(
     { service }: PendingRequest,
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -45,6 +45,14 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Counts in the window from which the remaining retries follow. */
+export interface RetryBalance {
+  requests: number;
+  retries: number;
+  /** Number of retries that this VM has left. */
+  remaining: number;
+}
+
 /** Counters of one bucket. */
 interface Bucket {
   /** Number of the bucket's time interval, counted from time 0. */
@@ -88,6 +96,11 @@
 
   /** Number of retries that one of `vmCount` VMs has left. */
   remaining(now: number, vmCount: number): number {
+    return this.balance(now, vmCount).remaining;
+  }
+
+  /** The counts in the window, and what one of `vmCount` VMs has left. */
+  balance(now: number, vmCount: number): RetryBalance {
     const bucket = this.#bucket(now);
     let requests = 0;
     let retries = 0;
@@ -97,8 +110,9 @@
       retries += each.retries;
     }
     const vmMinimum = this.limits.minimum / Math.max(1, vmCount);
-    return SAFETY_FACTOR * this.limits.ratio * requests +
+    const remaining = SAFETY_FACTOR * this.limits.ratio * requests +
       this.#minimumFactor(now) * vmMinimum - retries;
+    return { requests, retries, remaining };
   }
 
   /** Share of its minimum that this VM may use now. */
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -6,7 +6,7 @@
  */
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { type RetryBalance, RetryBudget } from "./retry_budget.ts";
 
 /**
  * A request is hedged after this multiple of the mean latency of its service,
@@ -98,6 +98,12 @@
     return this.#budget(request.service).withdraw(now, vmCount);
   }
 
+  /** State of the retry budget of a service, as this VM knows it. */
+  balance(service: string, now: number): RetryBalance {
+    const vmCount = this.context.vmCount() ?? ASSUMED_VM_COUNT;
+    return this.#budget(service).balance(now, vmCount);
+  }
+
   /**
    * Whether enough time is left that a response before the deadline is likely.
    */
--- a/src/core/rates/rate_share.ts
+++ b/src/core/rates/rate_share.ts
@@ -13,10 +13,17 @@
 /** Maximum number of servers for which the time of the next request is kept. */
 const MAXIMUM_SERVERS = 1_024;
 
+/** The time from which a request may be sent to a server. */
+export interface Turn {
+  at: number;
+  /** When it was determined. */
+  drawnAt: number;
+}
+
 /** See the module's comment. Times are milliseconds. */
 export class RateShare {
-  /** When the next request may be sent to a server, by the server's id. */
-  readonly #nextAt = new Map<string, number>();
+  /** The next turn of each server, by the server's id. */
+  readonly #turns = new Map<string, Turn>();
 
   private constructor(private readonly draw: () => number) {}
 
@@ -31,27 +38,33 @@
    * request.
    */
   maySend(server: string, interval: number, now: number): boolean {
-    const known = this.#nextAt.get(server);
+    const known = this.#turns.get(server)?.at;
     // A time more than an interval ago is outdated: this VM has not sent to the
     // server for a while, or the rate limit has changed.
     if (known !== undefined && now < known + interval) return now >= known;
-    if (this.#nextAt.size >= MAXIMUM_SERVERS) this.#evictOldest();
-    this.#nextAt.set(server, now + this.draw() * interval);
+    if (this.#turns.size >= MAXIMUM_SERVERS) this.#evictOldest();
+    const at = now + this.draw() * interval;
+    this.#turns.set(server, { at, drawnAt: now });
     return false;
   }
 
+  /** The next turn of a server, or null if none was drawn. */
+  turn(server: string): Turn | null {
+    return this.#turns.get(server) ?? null;
+  }
+
   /** Records that a request was sent to a server. */
   requestSent(server: string, interval: number, now: number): void {
-    this.#nextAt.set(server, now + interval);
+    this.#turns.set(server, { at: now + interval, drawnAt: now });
   }
 
   /** Removes the state of a server that no longer has a limit. */
   remove(server: string): void {
-    this.#nextAt.delete(server);
+    this.#turns.delete(server);
   }
 
   #evictOldest(): void {
-    const [oldest] = this.#nextAt.keys();
-    this.#nextAt.delete(oldest);
+    const [oldest] = this.#turns.keys();
+    this.#turns.delete(oldest);
   }
 }
