--- a/test/ownership/model_server.ts
+++ b/test/ownership/model_server.ts
@@ -36,6 +36,8 @@
   lostAt = -Infinity;
   /** Whether it states that it is leaving. */
   isLeaving = false;
+  /** When it last became cold after its start; -Infinity if it has not. */
+  becameColdAt = -Infinity;
   leases: KeyLease[] = [];
   /** The latest grant of every key on which it has ever held a lease. */
   grants: KeyGrant[] = [];
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -177,6 +177,12 @@
   isLimitKnown: boolean;
 }
 
+/** A request that reached a cold server. */
+export interface ColdArrival {
+  server: string;
+  at: number;
+}
+
 /** Warm-up of a server. */
 export interface ServerWarmUp {
   /** Time for which the server is cold after its start, in milliseconds. */
@@ -278,6 +284,8 @@
   startedAt: number;
   /** Number of servers that have begun to run it. */
   runs: number;
+  /** Number of times that it has reached a server. */
+  arrivals: number;
   /** Whether the VM has stated that it has not run. */
   isRefused: boolean;
   /**
@@ -340,13 +348,22 @@
   misdirected = 0;
   /** Requests that reached a server. */
   arrivals = 0;
+  /** When callers sent requests, retries included, oldest first. */
+  readonly requestTimes: number[] = [];
+  /**
+   * Times of the arrivals at servers beyond the first of each request, oldest
+   * first.
+   */
+  readonly repeatTimes: number[] = [];
   /** Requests that reached a server from another availability zone. */
   zoneCrossings = 0;
   /** Maximum number of requests that reached a cold server within a second. */
   highestColdRate = 0;
+  /** Requests that reached cold servers. */
+  readonly coldArrivals: ColdArrival[] = [];
   /** Cold servers that crashed because they received too many requests. */
   coldCrashes = 0;
-  readonly #coldArrivals = new Map<string, number[]>();
+  readonly #recentColdArrivals = new Map<string, number[]>();
   /** Result of each caller's request. */
   readonly results: (Caller & { name: string; took: number })[] = [];
   /**
@@ -732,6 +749,7 @@
 
   #submit(caller: Caller): void {
     caller.attempts += 1;
+    this.requestTimes.push(this.time.now);
     this.#countsOf(caller).attempts += 1;
     const vms = this.system.vms();
     const vm = vms[Math.floor(this.draw() * vms.length)];
@@ -754,6 +772,7 @@
         startedAt,
         isDelayed,
         runs: 0,
+        arrivals: 0,
         isRefused: false,
       });
       this.system.arrive(vm, {
@@ -772,7 +791,7 @@
     if (request.isEnded) return;
     const isHeld = this.system.holds(server, address, request.caller.key);
     if (isHeld === null) return this.#end(request, notSent());
-    this.arrivals += 1;
+    this.#recordArrival(request);
     this.#recordLimited(request);
     this.#recordLeaving(request);
     this.#countInBackoffs(request.vm, server);
@@ -807,6 +826,12 @@
     });
   }
 
+  #recordArrival({ exchange }: ServerRequest): void {
+    this.arrivals += 1;
+    exchange.arrivals += 1;
+    if (exchange.arrivals > 1) this.repeatTimes.push(this.time.now);
+  }
+
   /** Records a request that reaches a server that reports a limit. */
   #recordLimited({ server, vm }: ServerRequest): void {
     if (this.#rateLimit(server) === null) return;
@@ -882,10 +907,11 @@
     const { warmUp } = this.options;
     if (warmUp === undefined || !this.system.isCold(server)) return false;
     const { now } = this.time;
-    const recent = (this.#coldArrivals.get(server) ?? [])
+    const recent = (this.#recentColdArrivals.get(server) ?? [])
       .filter((at) => now - at < 1_000);
     recent.push(now);
-    this.#coldArrivals.set(server, recent);
+    this.#recentColdArrivals.set(server, recent);
+    this.coldArrivals.push({ server, at: now });
     this.highestColdRate = Math.max(this.highestColdRate, recent.length);
     return recent.length > warmUp.crashRate;
   }
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -25,7 +25,7 @@
   type OrderOutcome,
   type ReleaseOrder,
 } from "../../src/core/keyspace/index.ts";
-import type { LogLine } from "../../src/core/dispatch/index.ts";
+import type { LogLine, RetryLimits } from "../../src/core/dispatch/index.ts";
 import type {
   CrashRecord,
   ProbeResult,
@@ -114,6 +114,8 @@
  * write again what was lost, in milliseconds.
  */
 const REWRITE_DELAY = 250;
+/** Default limits of the retries that reach servers. */
+const DEFAULT_RETRY_LIMITS = { ratio: 0.1, windowSeconds: 10, minimum: 10 };
 /** Default age of a copy from which the store returns, in milliseconds. */
 const COPY_AGE = 3_000;
 /** Time between two samples of keys, in milliseconds. */
@@ -198,7 +200,10 @@
      * that is not configured.
      */
     | "registry.foreign_entry"
-    /** Operators evacuate the availability zone with the index `target`. */
+    /**
+     * Operators evacuate the availability zone with the index `target`. Its
+     * servers are cold when the zone is restored, if servers warm up.
+     */
     | "zone.evacuated"
     | "store.down"
     /**
@@ -241,6 +246,11 @@
   seed: number;
   /** Fitness of each VM to hold the term; the same for all if left out. */
   fitness?: readonly number[];
+  /**
+   * Limits of the retries that reach the servers;
+   * {@linkcode DEFAULT_RETRY_LIMITS} if left out.
+   */
+  retryLimits?: RetryLimits;
   /**
    * Lease timing of the first VM where it differs from the default. Tests use
    * it to break a rule that the simulation must then report.
@@ -480,7 +490,7 @@
       availabilityZone: `zone-${this.index % (this.options.zones ?? 1)}`,
       leaseTiming: leaseTimingSchema.parse({ ...timing }),
       fitness: this.options.fitness?.[this.index] ?? 1,
-      retryLimits: { ratio: 0.1, windowSeconds: 10, minimum: 10 },
+      retryLimits: this.options.retryLimits ?? DEFAULT_RETRY_LIMITS,
       shutdown: { closeAfter: 500, stopAfter: 1_000 },
       registryTiming: { interval: 450, maximumAge: 1_200 },
       drainTime: 2_000,
@@ -1820,6 +1830,7 @@
         this.#evacuate(zone, true);
         return this.#time.after(duration, () => {
           this.#intendedEvacuations.delete(zone);
+          this.#coolServers(zone);
           this.#evacuate(zone, false);
         });
       }
@@ -1993,7 +2004,17 @@
 
   #isCold(id: string): boolean {
     const found = this.#servers.findLast((each) => each.id === id);
-    return found !== undefined && this.#warmUpLeft(found.startedAt) > 0;
+    if (found === undefined) return false;
+    const { startedAt, becameColdAt } = found;
+    return this.#warmUpLeft(Math.max(startedAt, becameColdAt)) > 0;
+  }
+
+  /** Makes the servers of a zone cold again. */
+  #coolServers(zone: string): void {
+    for (const server of this.#servers) {
+      const isInZone = this.#entries.get(server.id)?.availabilityZone === zone;
+      if (isInZone) server.becameColdAt = this.#time.now;
+    }
   }
 
   /** Removes the entry of a process unless a later one has the same id. */
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -20,6 +20,7 @@
 import { request } from "undici";
 import { stringify } from "yaml";
 import { PlatformHeaderCodec, PlatformStore } from "../../platform/index.ts";
+import type { Configuration } from "../../src/core/catalog/index.ts";
 import {
   declarationSchema,
   siteConfiguration,
@@ -108,8 +109,13 @@
   link?: (from: string, name: string, to: string) => string;
   /** Mutation of the program that the checks must detect. */
   mutation?: MutationName | null;
+  /** Warm-up of the servers; none if left out. */
+  warmUp?: Configuration["services"][number]["warmUp"];
 }
 
+/** Availability zone of all processes. */
+export const ZONE = "a";
+
 /** A running system. */
 export class Deployment {
   readonly entries: DeployedProcess[] = [];
@@ -122,6 +128,7 @@
     private readonly program: string,
     readonly store: string,
     private readonly link: (from: string, name: string, to: string) => string,
+    private readonly warmUp: DeploymentOptions["warmUp"],
   ) {}
 
   /**
@@ -135,6 +142,7 @@
       await bundledProgram(options.mutation ?? null),
       store,
       options.link ?? ((_from, _name, to) => to),
+      options.warmUp,
     );
     deployment.#spawn("store", { address: store }, ["stand-in", "store"], {
       listen: store,
@@ -212,7 +220,7 @@
     const addresses = { address: listen, readiness, peer, admin };
     return this.#spawn(vm, addresses, ["serve"], {
       vm,
-      availabilityZone: "a",
+      availabilityZone: ZONE,
       listen,
       readiness,
       peer,
@@ -413,6 +421,13 @@
     target.process = this.#start(command, settingsFile, logFile);
   }
 
+  /** Evacuates {@linkcode ZONE}, or restores it. */
+  async evacuate(isEvacuated: boolean): Promise<void> {
+    const store = PlatformStore.create(this.store, "test", "test");
+    await store.evacuate(ZONE, isEvacuated);
+    store.close();
+  }
+
   /** Publishes the configuration of the test as version `version`. */
   async publish(version: number): Promise<void> {
     const declaration = declarationSchema.parse({
@@ -431,15 +446,17 @@
       },
       overlays: [],
     });
+    const configuration = siteConfiguration(declaration, "", version);
+    const services = configuration.services.map((each) => ({
+      ...each,
+      ...(this.warmUp === undefined ? {} : { warmUp: this.warmUp }),
+    }));
     const store = PlatformStore.create(this.store, "test", "test");
     const end = Date.now() + MAXIMUM_WAIT;
     while (true) {
       try {
         const read = await store.readConfiguration();
-        await store.publish(
-          siteConfiguration(declaration, "", version),
-          read.end,
-        );
+        await store.publish({ ...configuration, services }, read.end);
         return store.close();
       } catch (error) {
         if (Date.now() > end) throw error;
