Requests to cold servers use tokens of the term holder

Cause: each VM had a turn in every 14 s (61 VMs) to send to a cold server, and a turn that was due stayed usable for a whole interval. While the zone is evacuated no VM can use its turns; after it, all that became due are used as fast as callers arrive.

Change: a server's limit is the rate that it reports or, while it is cold, the rate that operators permit (ServerLimits). Requests to both use tokens of the term holder (RateTokens, TokenBuckets), which exist for reported limits. The sum of all VMs is bounded by the bucket, so neither the number of VMs nor what any of them remembers matters: - Only the VM with the authority of the term grants tokens for cold servers. Without one nothing is sent to them; they count as warm after the warm-up. - A token expires by the time of the request for it. Capacity and lifetime follow from the bound, 1.5 times the rate and 8, for any rate. - A bucket counts as empty when the holder learned of the warm-up, since VMs that learn of it later may send without a limit. - A VM asks for a token for the server that it would choose, at most once in 1 ms per VM for freely chosen ones. - A keyed request waits for a token of a cold server, or is refused at once if none can be free before its wait ends. Shares of reported limits, used while the holder does not answer, had the same cause: a turn lapses after 1 s, and without a number of VMs there is no share (64 were assumed).

Turns that lapse leave servers idle and rest on the number of VMs.

Tests: cold_admission_test.ts tested a class that is gone.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -13,7 +13,6 @@
   RunPermits,
 } from "../quarantine/index.ts";
 import type { ServerPaths } from "../reach/index.ts";
-import type { ColdAdmission } from "./cold_admission.ts";
 import type { RateTokens } from "../rates/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
@@ -26,7 +25,6 @@
   quarantine: Quarantine;
   detector: CrashDetector;
   permits: RunPermits;
-  coldAdmission: ColdAdmission;
   /** Paths of the connections to servers. */
   paths: ServerPaths;
   tokens: RateTokens;
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -93,6 +93,25 @@
   };
 }
 
+/**
+ * A wait until `until`, when a token for the cold server of the request's key
+ * may be available, or a refusal if that is too late.
+ */
+function waitForColdServer(
+  { waitEnd }: PendingRequest,
+  until: number,
+): DispatchPlan {
+  const reason = "the key's server is cold";
+  if (until >= waitEnd) return refusal(reason, true);
+  return {
+    kind: "wait",
+    reason,
+    isTransient: false,
+    isRequestSpecific: false,
+    until,
+  };
+}
+
 /** A refusal of a request for which waiting would not help. */
 function refusal(reason: string, isRateLimited = false): DispatchPlan {
   return { kind: "refuse", reason, isRateLimited };
@@ -138,14 +157,13 @@
     if (request.key !== null) {
       return this.#planKeyed(request, request.key, now);
     }
-    const { coldAdmission, tokens, paths } = this.context;
+    const { tokens, paths } = this.context;
     const vmCount = this.context.vmCount();
     const isUrgent = this.#isUrgent(request);
     const context = {
       fleet,
       availabilityZone,
       vmCount,
-      coldAdmission,
       tokens,
       paths,
       isUrgent,
@@ -208,7 +226,7 @@
    * another one; otherwise null.
    */
   #sharedServer(request: PendingRequest, now: number): TrackedServer | null {
-    const { fleet, coldAdmission, tokens } = this.context;
+    const { fleet, tokens } = this.context;
     const id = this.copies.sharedServer(request);
     const server = id === null ? undefined : fleet.get(id);
     if (server === undefined || request.tried.includes(server.id)) return null;
@@ -216,8 +234,7 @@
     const isHealthy = !server.isLeaving && !server.isBackedOff(now) &&
       !server.isPaused(now) && !server.isUnresponsive(now, meanLatency);
     const isAvailable = isHealthy && tokens.isReady(server, now) &&
-      hasCapacity(server, now, this.context.vmCount()) &&
-      coldAdmission.maySend(server, now);
+      hasCapacity(server, now, this.context.vmCount());
     return isAvailable ? server : null;
   }
 
@@ -278,16 +295,13 @@
     if (now > fleet.drainPolicy.keysServedUntil(server)) {
       return transientWait("the key's server is leaving");
     }
-    if (!this.context.coldAdmission.maySend(server, now)) {
-      return openEndedWait("the key's server is cold");
-    }
     if (!hasCapacity(server, now, this.context.vmCount())) {
       return openEndedWait("the key's server has no room");
     }
     return this.#checkRateLimit(request, server, now);
   }
 
-  /** Plans to send a keyed request if the rate limit of its server permits. */
+  /** Plans to send a keyed request if a limit of its server permits. */
   #checkRateLimit(
     request: PendingRequest,
     server: TrackedServer,
@@ -304,7 +318,9 @@
         return transientWait(reason, admission.until);
       }
       case "denied":
-        return refusal("the key's server limits its requests", true);
+        return tokens.isCold(server, now)
+          ? waitForColdServer(request, admission.until)
+          : refusal("the key's server limits its requests", true);
     }
   }
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -384,7 +384,7 @@
   }
 
   /**
-   * Records an attempt at a server whose requests are limited. Logs the turn
+   * Records an attempt at a server whose requests are limited. Logs the token
    * that an attempt at a cold server has used.
    */
   #recordLimitedSend(
@@ -392,16 +392,14 @@
     server: TrackedServer,
     now: number,
   ): void {
-    const { coldAdmission, tokens, vmCount } = this.context;
-    const isCold = coldAdmission.isCold(server, now);
-    const turn = coldAdmission.requestSent(server, now);
-    tokens.requestSent(server, now);
-    if (!isCold) return;
+    const use = this.context.tokens.requestSent(server, now);
+    if (use === null || !use.limit.isWarmUp) return;
     this.#log.write("info", "server.cold_request", request, now, {
       server: server.id,
-      drawnAgo: turn === null ? null : Math.round(now - turn.drawnAt),
-      dueAgo: turn === null ? null : Math.round(now - turn.at),
-      vms: vmCount(),
+      tokenAge: use.age === null ? null : Math.round(use.age),
+      limit: use.limit.requestsPerSecond,
+      term: this.context.directory.position.term,
+      vms: this.context.vmCount(),
     });
   }
 
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -12,10 +12,9 @@
   Quarantine,
   RunPermits,
 } from "../quarantine/index.ts";
-import { RateTokens, type TokenAnswer } from "../rates/index.ts";
+import { RateTokens, ServerLimits, type TokenAnswer } from "../rates/index.ts";
 import { ServerPaths, ServerReach } from "../reach/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
-import { ColdAdmission } from "./cold_admission.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
 
@@ -97,6 +96,7 @@
     release: () => {},
   });
   const tokens = RateTokens.create(
+    ServerLimits.create(catalog),
     { requestToken: () => tokenAnswer() },
     () => vmCount,
     draw,
@@ -110,7 +110,6 @@
     quarantine,
     detector,
     permits,
-    coldAdmission: ColdAdmission.create(catalog, () => vmCount, draw),
     paths,
     tokens,
     availabilityZone: "a",
@@ -626,9 +625,9 @@
       requestPermit: () => null,
       release: () => {},
     }),
-    coldAdmission: ColdAdmission.create(catalog, () => null, () => 0),
     paths: ServerPaths.create(ServerReach.create(Fleet.create(), () => 0)),
     tokens: RateTokens.create(
+      ServerLimits.create(catalog),
       { requestToken: () => null },
       () => null,
       () => 0,
@@ -860,7 +859,8 @@
   const { arrive, fleet, dispatcher, tokens } = createDispatcher();
   fleet.get("stock-1")!.rateLimit.applyResponse(2, 0, 0);
   t.deepEqual(summarize(arrive("/lookup/", 10)), []);
-  tokens.applyAnswer("stock-1", { isGranted: true, left: 0 }, 13);
+  const server = fleet.get("stock-1")!;
+  tokens.applyAnswer(server, { isGranted: true, left: 0 }, 13);
   t.deepEqual(summarize(dispatcher.advance(13)), [
     "start stock-1, 497 ms left",
   ]);
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -1,4 +1,3 @@
-export * from "./cold_admission.ts";
 export * from "./dispatch_context.ts";
 export * from "./dispatch_effect.ts";
 export * from "./dispatcher.ts";
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -7,7 +7,6 @@
 import type { Fleet, TrackedServer } from "../fleet/index.ts";
 import type { RateTokens } from "../rates/index.ts";
 import type { ServerPaths } from "../reach/index.ts";
-import type { ColdAdmission } from "./cold_admission.ts";
 
 /**
  * Maximum number of requests of all VMs at a server, per slot of the server.
@@ -67,7 +66,6 @@
   availabilityZone: string;
   /** Number of VMs that share the servers, or null when unknown. */
   vmCount: number | null;
-  coldAdmission: ColdAdmission;
   tokens: RateTokens;
   /** Paths of the connections to servers. */
   paths: ServerPaths;
@@ -115,7 +113,7 @@
   now: number,
   context: ChoiceContext,
 ): TrackedServer | null {
-  const { fleet, vmCount, coldAdmission, tokens, paths } = context;
+  const { fleet, vmCount, tokens, paths } = context;
   const meanLatency = fleet.meanLatency(service, now);
   const usable = sample(fleet.serversOf(service), context.draw).filter((
     server,
@@ -127,40 +125,44 @@
     !paths.isDetoured(server.id, now)
   );
   const pool = healthy.length > 0 ? healthy : usable;
-  const candidates = pool.filter((server) =>
-    hasCapacity(server, now, vmCount) && coldAdmission.maySend(server, now)
-  );
-  requestToken(candidates, now, context);
+  const candidates = pool.filter((server) => hasCapacity(server, now, vmCount));
   let best: TrackedServer | null = null;
   let lowest = Infinity;
+  let unpermitted: TrackedServer | null = null;
+  let lowestUnpermitted = Infinity;
   for (const server of candidates) {
-    if (!tokens.isReady(server, now)) continue;
-    const isRestricted = coldAdmission.isCold(server, now) ||
-      tokens.isLimited(server, now);
-    const isSameZone =
-      server.entry.availabilityZone === context.availabilityZone;
-    const cost = (server.cost(now, meanLatency) + 1) *
-      (isSameZone ? 1 : REMOTE_ZONE_FACTOR) *
-      (isRestricted ? RESTRICTED_FACTOR : 1) *
-      (1 + JITTER * context.draw());
-    if (cost >= lowest) continue;
-    lowest = cost;
-    best = server;
+    const cost = expectedCost(server, meanLatency, now, context);
+    if (tokens.isReady(server, now)) {
+      if (cost >= lowest) continue;
+      lowest = cost;
+      best = server;
+    } else if (tokens.mayRequest(server, context.isUrgent, now)) {
+      if (cost >= lowestUnpermitted) continue;
+      lowestUnpermitted = cost;
+      unpermitted = server;
+    }
+  }
+  // A token that is granted too late for this request is available to a later
+  // one, for which the server is likely to be the best one too.
+  if (unpermitted !== null && lowestUnpermitted < lowest) {
+    tokens.check(unpermitted, context.isUrgent, now);
+    if (tokens.isReady(unpermitted, now)) return unpermitted;
   }
   return best;
 }
 
-/**
- * Requests a token for one of the rate-limited servers. A token that is granted
- * too late for this request is available to a later one.
- */
-function requestToken(
-  servers: readonly TrackedServer[],
+/** Expected cost of a request at a server. */
+function expectedCost(
+  server: TrackedServer,
+  meanLatency: number,
   now: number,
-  { tokens, isUrgent }: ChoiceContext,
-): void {
-  const next = servers.find((each) => tokens.mayRequest(each, isUrgent, now));
-  if (next !== undefined) tokens.check(next, isUrgent, now);
+  { availabilityZone, tokens, draw }: ChoiceContext,
+): number {
+  const isSameZone = server.entry.availabilityZone === availabilityZone;
+  return (server.cost(now, meanLatency) + 1) *
+    (isSameZone ? 1 : REMOTE_ZONE_FACTOR) *
+    (tokens.isLimited(server, now) ? RESTRICTED_FACTOR : 1) *
+    (1 + JITTER * draw());
 }
 
 /**
--- a/src/core/dispatch/server_choice_test.ts
+++ b/src/core/dispatch/server_choice_test.ts
@@ -1,7 +1,10 @@
 import test from "ava";
 import { backendServer } from "../../../test/support/backend_server.ts";
-import { type ReportedLoad, TrackedServer } from "../fleet/index.ts";
-import { hasCapacity } from "./server_choice.ts";
+import { Catalog, configurationSchema } from "../catalog/index.ts";
+import { Fleet, type ReportedLoad, TrackedServer } from "../fleet/index.ts";
+import { RateTokens, ServerLimits } from "../rates/index.ts";
+import { ServerPaths, ServerReach } from "../reach/index.ts";
+import { chooseServer, hasCapacity } from "./server_choice.ts";
 
 /**
  * Number of requests that one of eight VMs may send at `now` to a server with 3
@@ -52,3 +55,56 @@
   t.is(countAccepted(overloaded, 1, 400), 1);
   t.is(countAccepted(overloaded, 10, 1_000), 2);
 });
+
+test("server choice: a cold server is preferred to equal warm ones once a token is granted, for one request", (t) => {
+  const catalog = Catalog.create();
+  catalog.apply(configurationSchema.parse({
+    version: 1,
+    routes: [],
+    services: [{
+      name: "s",
+      maximumConnections: 9,
+      isKeyed: false,
+      warmUp: { duration: 3_000, requestsPerSecond: 4.3 },
+    }],
+    limits: {
+      maximumHeaderBytes: 1,
+      maximumBodyBytes: 1,
+      headerTimeout: 1,
+      idleTimeout: 1,
+    },
+  }));
+  const fleet = Fleet.create();
+  const warm = ["a", "b", "c"].map((id) => backendServer(id));
+  const cold = backendServer("cold", { warmUp: 3_000 });
+  fleet.apply([...warm, cold], [], 0);
+  let requested = 0;
+  const tokens = RateTokens.create(
+    ServerLimits.create(catalog),
+    {
+      requestToken: () => {
+        requested += 1;
+        return null;
+      },
+    },
+    () => 1,
+    () => 0.5,
+  );
+  const choose = (now: number) =>
+    chooseServer("s", [], now, {
+      fleet,
+      availabilityZone: "a",
+      vmCount: 1,
+      tokens,
+      paths: ServerPaths.create(ServerReach.create(fleet, () => 0.5)),
+      isUrgent: true,
+      draw: () => 0.5,
+    })!;
+  t.not(choose(0).id, "cold");
+  t.is(requested, 1);
+  const server = fleet.get("cold")!;
+  tokens.applyAnswer(server, { isGranted: true, left: 0 }, 4);
+  t.is(choose(5).id, "cold");
+  tokens.requestSent(server, 5);
+  t.not(choose(6).id, "cold");
+});
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -9,7 +9,7 @@
  * @module
  */
 import { ClusterState } from "./cluster_state.ts";
-import { ColdAdmission, Dispatcher } from "./dispatch/index.ts";
+import { Dispatcher } from "./dispatch/index.ts";
 import type { RequestArrival } from "./dispatch/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import type { EntryEvent } from "./entry_event.ts";
@@ -25,6 +25,7 @@
 } from "./keyspace/index.ts";
 import { PeerExchange, QuarantineStorage } from "./exchange/index.ts";
 import { createUniformGenerator } from "./random.ts";
+import { ServerLimits } from "./rates/index.ts";
 import {
   OrderPaths,
   type ReachChange,
@@ -115,6 +116,7 @@
       this.clusterState,
       this.campaign,
       this.#loads,
+      ServerLimits.create(catalog),
       this.#store,
       emit,
       options.peerAddress,
@@ -133,11 +135,6 @@
       permits: this.peers.permitExchange.permits,
       tokens: this.peers.tokenExchange.tokens,
       paths: this.#paths,
-      coldAdmission: ColdAdmission.create(
-        catalog,
-        () => this.vms,
-        createUniformGenerator(options.seed + 1),
-      ),
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -24,6 +24,7 @@
 import { PermitExchange } from "./permit_exchange.ts";
 import { StateExchange } from "./state_exchange.ts";
 import { TokenExchange } from "./token_exchange.ts";
+import type { ServerLimits } from "../rates/index.ts";
 import { type RelayChoice, RelayRoster } from "../reach/index.ts";
 import type { RegistryUpdate } from "../registry/index.ts";
 import type { StoreHealth } from "../store_health.ts";
@@ -67,6 +68,7 @@
     private readonly clusterState: ClusterState,
     private readonly campaign: TermCampaign,
     loads: KeyLoads,
+    limits: ServerLimits,
     private readonly store: StoreHealth,
     private readonly emit: Emit,
     private readonly ownAddress: string,
@@ -87,6 +89,8 @@
     this.permitExchange = PermitExchange.create(clusterState, emit, ownAddress);
     this.tokenExchange = TokenExchange.create(
       clusterState,
+      limits,
+      (now) => campaign.authorityTerm(now),
       emit,
       ownAddress,
       () => this.vms,
@@ -107,8 +111,9 @@
 
   /**
    * Creates an exchange for the process at `ownAddress` that has received no
-   * messages. `seeds` are the addresses of VMs to contact while no
-   * configuration is known or the term holder sends no messages. The VMs that
+   * messages. Tokens are requested for servers with `limits`. `seeds` are the
+   * addresses of VMs to contact while no configuration is known or the term
+   * holder sends no messages. The VMs that
    * reach the servers are recorded in `relays`; `relayZone` returns the
    * availability zone of this VM while it is one of them. `draw` returns a
    * random number in [0, 1).
@@ -117,6 +122,7 @@
     clusterState: ClusterState,
     campaign: TermCampaign,
     loads: KeyLoads,
+    limits: ServerLimits,
     store: StoreHealth,
     emit: Emit,
     ownAddress: string,
@@ -129,6 +135,7 @@
       clusterState,
       campaign,
       loads,
+      limits,
       store,
       emit,
       ownAddress,
@@ -207,7 +214,7 @@
     const isOwn = address === this.ownAddress;
     if (!isOwn) this.emit(...this.#publisher.announceSuccessor(holder));
     this.permitExchange.follow(address, now);
-    this.tokenExchange.follow(address, now);
+    this.tokenExchange.holderChanged();
     const chance = this.draw();
     this.followerLink.follow(isOwn ? null : address, this.vms, chance, now);
     this.campaign.observeFitness(fitness, now);
@@ -392,6 +399,7 @@
     if (holder !== null) {
       this.#roster.reported(this.ownAddress, this.relayZone(now), now);
       this.#vmCount.observe(this.#publisher.vmCount(now), now);
+      this.tokenExchange.advance(now);
       this.#publisher.advance(holder, now);
       const relays = this.#publisher.relaysFor(this.ownAddress, now);
       if (relays !== null) this.relays.replace(relays);
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -122,6 +122,11 @@
   #mayBeColdSince = -Infinity;
   /** Whether the last connection to its address was refused. */
   #isConnectionRefused = false;
+  /**
+   * When this VM last learned that it is or may be cold; -Infinity if it has
+   * not.
+   */
+  coldSince = -Infinity;
   /** Number of this VM's requests that it has not completed. */
   inFlight = 0;
   /** When it last refused a request or responded with a failure. */
@@ -199,7 +204,9 @@
   update(entry: BackendServer, now: number): void {
     this.entry = entry;
     if (entry.isDraining) this.drainingSince ??= now;
-    if (entry.warmUp > 0) this.#coldUntil = now + entry.warmUp;
+    if (entry.warmUp === 0) return;
+    if (!this.isWarming(now)) this.coldSince = now;
+    this.#coldUntil = now + entry.warmUp;
   }
 
   /** The rate limit that it reports. */
@@ -232,6 +239,7 @@
     } else if (this.evacuatedSince !== null) {
       this.evacuatedSince = null;
       this.#mayBeColdSince = now;
+      this.coldSince = now;
     }
   }
 
@@ -468,7 +476,10 @@
   #recordResponse(now: number, load: ReportedLoad | null): void {
     this.#lastResponseAt = now;
     this.lastSeenAt = now;
-    if (this.#isConnectionRefused) this.#mayBeColdSince = now;
+    if (this.#isConnectionRefused) {
+      this.#mayBeColdSince = now;
+      this.coldSince = now;
+    }
     this.#isConnectionRefused = false;
     this.#hasResponded = true;
     if (load === null) return;
--- a/src/core/keyspace/term_campaign.ts
+++ b/src/core/keyspace/term_campaign.ts
@@ -276,6 +276,14 @@
     return isClaimed ? phase.holder.term : null;
   }
 
+  /**
+   * The term of which this VM has the authority now, or null. No other VM has
+   * authority at the same time.
+   */
+  authorityTerm(now: number): number | null {
+    return now < this.#authorityEnd ? this.holder?.term ?? null : null;
+  }
+
   /** Records the era of the store before anything was read from it. */
   setInitialEra(era: number): void {
     this.#era = era;
--- a/src/core/rates/index.ts
+++ b/src/core/rates/index.ts
@@ -1,3 +1,4 @@
 export * from "./rate_share.ts";
 export * from "./rate_tokens.ts";
+export * from "./server_limits.ts";
 export * from "./token_bucket.ts";
--- a/src/core/rates/rate_share.ts
+++ b/src/core/rates/rate_share.ts
@@ -5,25 +5,21 @@
  * Each VM sends at an equal share of the rate: the rate divided by the number
  * of VMs. Its first request is delayed by a random part of the interval, so
  * that VMs that learn of a server at the same time do not send to it at the
- * same time.
+ * same time. A turn that is not used in time lapses: after a pause in which no
+ * VM could send, as many turns are usable as at any other time.
  *
  * @module
  */
 
-/** Maximum number of servers for which the time of the next request is kept. */
+/** Maximum number of servers for which the next turn is kept. */
 const MAXIMUM_SERVERS = 1_024;
-
-/** The time from which a request may be sent to a server. */
-export interface Turn {
-  at: number;
-  /** When it was determined. */
-  drawnAt: number;
-}
+/** Time for which a turn may be used, in milliseconds. */
+const TURN_LIFETIME = 1_000;
 
 /** See the module's comment. Times are milliseconds. */
 export class RateShare {
-  /** The next turn of each server, by the server's id. */
-  readonly #turns = new Map<string, Turn>();
+  /** Time from which a request may be sent to a server, by the server's id. */
+  readonly #nextAt = new Map<string, number>();
 
   private constructor(private readonly draw: () => number) {}
 
@@ -38,33 +34,29 @@
    * request.
    */
   maySend(server: string, interval: number, now: number): boolean {
-    const known = this.#turns.get(server)?.at;
-    // A time more than an interval ago is outdated: this VM has not sent to the
-    // server for a while, or the rate limit has changed.
-    if (known !== undefined && now < known + interval) return now >= known;
-    if (this.#turns.size >= MAXIMUM_SERVERS) this.#evictOldest();
-    const at = now + this.draw() * interval;
-    this.#turns.set(server, { at, drawnAt: now });
-    return false;
-  }
-
-  /** The next turn of a server, or null if none was drawn. */
-  turn(server: string): Turn | null {
-    return this.#turns.get(server) ?? null;
+    const at = this.#nextTurn(server, interval, now);
+    this.#nextAt.set(server, at);
+    return now >= at;
   }
 
   /** Records that a request was sent to a server. */
   requestSent(server: string, interval: number, now: number): void {
-    this.#turns.set(server, { at: now + interval, drawnAt: now });
+    this.#nextAt.set(server, now + interval);
   }
 
-  /** Removes the state of a server that no longer has a limit. */
-  remove(server: string): void {
-    this.#turns.delete(server);
+  /** Time of the first turn that has not lapsed. */
+  #nextTurn(server: string, interval: number, now: number): number {
+    const known = this.#nextAt.get(server);
+    if (known === undefined) {
+      if (this.#nextAt.size >= MAXIMUM_SERVERS) this.#evictOldest();
+      return now + this.draw() * interval;
+    }
+    const lapsed = Math.floor((now - known - TURN_LIFETIME) / interval) + 1;
+    return known + Math.max(0, lapsed) * interval;
   }
 
   #evictOldest(): void {
-    const [oldest] = this.#turns.keys();
-    this.#turns.delete(oldest);
+    const [oldest] = this.#nextAt.keys();
+    this.#nextAt.delete(oldest);
   }
 }
--- a/src/core/rates/rate_tokens.ts
+++ b/src/core/rates/rate_tokens.ts
@@ -1,11 +1,16 @@
 /**
- * Keeps the requests of all VMs to a rate-limited server within its limit.
+ * Keeps the requests of all VMs to a server with a limit
+ * ({@linkcode ServerLimits}) within it.
  *
  * Each request to such a server uses a token that the term holder has granted
- * ({@linkcode TokenBuckets}). Fixed shares per VM would leave most of a low
- * limit unused when there are many VMs or their loads differ. A VM therefore
- * uses a fixed share ({@linkcode RateShare}) only while the term holder does
- * not answer.
+ * ({@linkcode TokenBuckets}), so that the bound holds for any number of VMs,
+ * whichever of them restart, were suspended or return. Fixed shares per VM would
+ * leave most of a low limit unused when there are many VMs or their loads
+ * differ.
+ *
+ * While the term holder does not answer, a VM uses a fixed share
+ * ({@linkcode RateShare}) of a limit that a server reports, if it knows the
+ * number of VMs. It sends nothing to a cold server then, which is soon warm.
  *
  * ```ts
  * switch (tokens.check(server, isUrgent, now).kind) {
@@ -18,7 +23,8 @@
  */
 import type { TrackedServer } from "../fleet/index.ts";
 import { RateShare } from "./rate_share.ts";
-import type { TokenAnswer } from "./token_bucket.ts";
+import type { ServerLimit, ServerLimits } from "./server_limits.ts";
+import { type TokenAnswer, tokenLifetime } from "./token_bucket.ts";
 
 /** Timeout of a token request, in milliseconds. */
 const ANSWER_TIMEOUT = 250;
@@ -27,21 +33,17 @@
  * not be sent, in milliseconds.
  */
 const SHARE_DURATION = 1_000;
-/**
- * Time for which a granted token is valid, in milliseconds. Another request may
- * use it if the one that needed it has ended.
- */
-const TOKEN_LIFETIME = 1_000;
 /**
  * Maximum time for which a denial applies, in milliseconds, since the limit may
  * change in the meantime.
  */
 const MAXIMUM_DENIAL = 500;
 /**
- * Number of VMs that are assumed to share a server while the actual number is
- * unknown.
+ * Minimum time between two requests of a VM for tokens for cold servers that are
+ * chosen freely, in milliseconds per VM. It limits what the term holder receives
+ * from all VMs together while many servers are cold.
  */
-const ASSUMED_VM_COUNT = 64;
+const COLD_INTERVAL_PER_VM = 1;
 /** Number of servers from which on expired states are removed. */
 const MAXIMUM_SERVERS = 1_024;
 /** Milliseconds in a second. */
@@ -75,21 +77,32 @@
 
 type TokenState =
   | { kind: "none" }
-  | { kind: "asked"; until: number; isUrgent: boolean }
-  | { kind: "granted"; until: number }
+  | { kind: "asked"; askedAt: number; until: number; isUrgent: boolean }
+  | { kind: "granted"; askedAt: number; until: number }
   | { kind: "denied"; until: number; isUrgent: boolean }
   /**
    * The term holder did not answer or is unreachable; this VM uses its share.
    */
   | { kind: "shared"; until: number };
 
+/** The token or the share that a request to a server with a limit has used. */
+export interface LimitUse {
+  kind: "token" | "share";
+  /** Time since the token was requested, in milliseconds; null for a share. */
+  age: number | null;
+  limit: ServerLimit;
+}
+
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class RateTokens {
   /** Token states by the server's id. */
   readonly #states = new Map<string, TokenState>();
   readonly #share: RateShare;
+  /** Time from which a token for a freely chosen cold server is requested. */
+  #mayRequestAt = -Infinity;
 
   private constructor(
+    private readonly limits: ServerLimits,
     private readonly channel: TokenChannel,
     private readonly vmCount: () => number | null,
     draw: () => number,
@@ -98,21 +111,28 @@
   }
 
   /**
-   * Starts without tokens. They are requested over `channel`; while the term
-   * holder does not answer, the rate is divided among `vmCount` VMs (null when
-   * unknown). `draw` returns random numbers in [0, 1).
+   * Starts without tokens for the servers with `limits`. They are requested
+   * over `channel`; while the term holder does not answer, a reported limit is
+   * divided among `vmCount` VMs (null when unknown). `draw` returns random
+   * numbers in [0, 1).
    */
   static create(
+    limits: ServerLimits,
     channel: TokenChannel,
     vmCount: () => number | null,
     draw: () => number,
   ): RateTokens {
-    return new RateTokens(channel, vmCount, draw);
+    return new RateTokens(limits, channel, vmCount, draw);
   }
 
-  /** Whether a server currently has a rate limit. */
+  /** Whether the requests to a server are limited now. */
   isLimited(server: TrackedServer, now: number): boolean {
-    return server.rateLimit.current(now) !== null;
+    return this.limits.of(server, now) !== null;
+  }
+
+  /** Whether they are limited because the server is cold or may be. */
+  isCold(server: TrackedServer, now: number): boolean {
+    return this.limits.of(server, now)?.isWarmUp ?? false;
   }
 
   /**
@@ -120,22 +140,23 @@
    * first.
    */
   isReady(server: TrackedServer, now: number): boolean {
-    const limit = server.rateLimit.current(now);
+    const limit = this.limits.of(server, now);
     if (limit === null) return true;
-    const { kind } = this.#current(server.id, now);
+    const { kind } = this.#current(server.id, limit, now);
     if (kind === "granted") return true;
-    return kind === "shared" &&
-      this.#share.maySend(server.id, this.#interval(limit), now);
+    return kind === "shared" && this.#mayUseShare(server.id, limit, now);
   }
 
   /**
-   * Whether a token for a server should be requested: the server has a rate
-   * limit, and no token is granted, requested or denied. For an urgent request,
-   * the denial of a token for a less urgent one does not count.
+   * Whether a token for a server should be requested: the server has a limit,
+   * and no token is granted, requested or denied. For an urgent request, the
+   * denial of a token for a less urgent one does not count.
    */
   mayRequest(server: TrackedServer, isUrgent: boolean, now: number): boolean {
-    if (!this.isLimited(server, now)) return false;
-    const state = this.#current(server.id, now);
+    const limit = this.limits.of(server, now);
+    if (limit === null) return false;
+    if (limit.isWarmUp && now < this.#mayRequestAt) return false;
+    const state = this.#current(server.id, limit, now);
     if (state.kind === "denied") return isUrgent && !state.isUrgent;
     return state.kind === "none";
   }
@@ -144,8 +165,9 @@
    * Time until which tokens for a server are denied; -Infinity if they are not.
    */
   deniedUntil(server: TrackedServer, now: number): number {
-    if (!this.isLimited(server, now)) return -Infinity;
-    const state = this.#current(server.id, now);
+    const limit = this.limits.of(server, now);
+    if (limit === null) return -Infinity;
+    const state = this.#current(server.id, limit, now);
     return state.kind === "denied" ? state.until : -Infinity;
   }
 
@@ -154,12 +176,12 @@
    * necessary. `isUrgent` permits the use of the reserved token.
    */
   check(server: TrackedServer, isUrgent: boolean, now: number): Admission {
-    const limit = server.rateLimit.current(now);
+    const limit = this.limits.of(server, now);
     if (limit === null) {
       this.#states.delete(server.id);
       return { kind: "ready" };
     }
-    const state = this.#current(server.id, now);
+    const state = this.#current(server.id, limit, now);
     switch (state.kind) {
       case "none":
         return this.#request(server, isUrgent, now);
@@ -171,46 +193,48 @@
           : state;
       case "asked":
         return state;
-      case "shared": {
-        const interval = this.#interval(limit);
-        const maySend = this.#share.maySend(server.id, interval, now);
-        return maySend
+      case "shared":
+        return this.#mayUseShare(server.id, limit, now)
           ? { kind: "ready" }
           : { kind: "denied", until: state.until };
-      }
     }
   }
 
   /**
    * Records that a request was sent to a server, which uses the token or the
-   * share.
+   * share. Returns what it has used; null if the server has no limit.
    */
-  requestSent(server: TrackedServer, now: number): void {
-    const limit = server.rateLimit.current(now);
-    if (limit === null) return;
+  requestSent(server: TrackedServer, now: number): LimitUse | null {
+    const limit = this.limits.of(server, now);
+    if (limit === null) return null;
     const state = this.#states.get(server.id);
-    if (state?.kind === "granted") this.#states.delete(server.id);
-    if (state?.kind !== "shared") return;
-    this.#share.requestSent(server.id, this.#interval(limit), now);
+    if (state?.kind === "granted") {
+      this.#states.delete(server.id);
+      return { kind: "token", age: now - state.askedAt, limit };
+    }
+    const interval = this.#interval(limit);
+    if (interval !== null) this.#share.requestSent(server.id, interval, now);
+    return { kind: "share", age: null, limit };
   }
 
   /** Applies the term holder's answer to a token request. */
   applyAnswer(
-    server: string,
+    server: TrackedServer,
     { isGranted, left }: TokenAnswer,
     now: number,
   ): void {
-    const state = this.#states.get(server);
+    const state = this.#states.get(server.id);
     if (state?.kind !== "asked") return;
-    const { isUrgent } = state;
-    const until = now +
-      (isGranted ? TOKEN_LIFETIME : Math.min(left, MAXIMUM_DENIAL));
-    this.#states.set(
-      server,
-      isGranted
-        ? { kind: "granted", until }
-        : { kind: "denied", until, isUrgent },
-    );
+    const { isUrgent, askedAt } = state;
+    if (!isGranted) {
+      const until = now + Math.min(left, MAXIMUM_DENIAL);
+      this.#states.set(server.id, { kind: "denied", until, isUrgent });
+      return;
+    }
+    const limit = this.limits.of(server, now);
+    // The holder has granted the token after the request for it was sent.
+    const until = askedAt + tokenLifetime(limit?.requestsPerSecond ?? 1);
+    this.#states.set(server.id, { kind: "granted", askedAt, until });
   }
 
   /**
@@ -218,38 +242,51 @@
    * longer count and a token request that timed out has led to the use of the
    * share.
    */
-  #current(server: string, now: number): TokenState {
+  #current(server: string, limit: ServerLimit, now: number): TokenState {
     const state = this.#states.get(server);
     if (state === undefined) return { kind: "none" };
     if (state.kind === "none" || now < state.until) return state;
     if (state.kind !== "asked") return { kind: "none" };
-    const shared: TokenState = { kind: "shared", until: now + SHARE_DURATION };
-    this.#states.set(server, shared);
-    return shared;
+    const next = withoutHolder(limit, now);
+    this.#states.set(server, next);
+    return next;
   }
 
   #request(server: TrackedServer, isUrgent: boolean, now: number): Admission {
     if (this.#states.size >= MAXIMUM_SERVERS) this.#removeExpired(now);
     const until = now + ANSWER_TIMEOUT;
-    this.#states.set(server.id, { kind: "asked", until, isUrgent });
+    this.#states.set(server.id, {
+      kind: "asked",
+      askedAt: now,
+      until,
+      isUrgent,
+    });
+    this.#mayRequestAt = now + COLD_INTERVAL_PER_VM * (this.vmCount() ?? 0);
     const answer = this.channel.requestToken(server, isUrgent, now);
     if (answer === null) return { kind: "asked", until };
     if (answer === "unreachable") {
-      const shared = { kind: "shared", until: now + SHARE_DURATION } as const;
-      this.#states.set(server.id, shared);
+      const limit = this.limits.of(server, now)!;
+      this.#states.set(server.id, withoutHolder(limit, now));
     } else {
-      this.applyAnswer(server.id, answer, now);
+      this.applyAnswer(server, answer, now);
     }
     return this.check(server, isUrgent, now);
   }
 
+  /** Whether this VM may send a request to a server by its share of a limit. */
+  #mayUseShare(server: string, limit: ServerLimit, now: number): boolean {
+    const interval = this.#interval(limit);
+    return interval !== null && this.#share.maySend(server, interval, now);
+  }
+
   /**
    * Time between two requests of this VM at its share of a limit, in
-   * milliseconds.
+   * milliseconds; null if it may not use a share.
    */
-  #interval(requestsPerSecond: number): number {
-    return MILLISECONDS_PER_SECOND * (this.vmCount() ?? ASSUMED_VM_COUNT) /
-      requestsPerSecond;
+  #interval({ requestsPerSecond, isWarmUp }: ServerLimit): number | null {
+    const vmCount = this.vmCount();
+    if (isWarmUp || vmCount === null) return null;
+    return MILLISECONDS_PER_SECOND * vmCount / requestsPerSecond;
   }
 
   #removeExpired(now: number): void {
@@ -259,3 +296,10 @@
     }
   }
 }
+
+/** State of a server whose token request the term holder has not answered. */
+function withoutHolder({ isWarmUp }: ServerLimit, now: number): TokenState {
+  return isWarmUp
+    ? { kind: "denied", until: now + MAXIMUM_DENIAL, isUrgent: true }
+    : { kind: "shared", until: now + SHARE_DURATION };
+}
--- a/src/core/rates/token_bucket.ts
+++ b/src/core/rates/token_bucket.ts
@@ -1,11 +1,18 @@
 /**
  * Token buckets that limit the rate of the requests that all VMs together send
- * to each rate-limited server. The term holder maintains them.
+ * to each server with a limit. The term holder maintains them.
  *
  * Implements the generic cell rate algorithm: a bucket is represented by the
  * time at which it is full again if no token is taken (its theoretical arrival
  * time).
  *
+ * Operators permit {@linkcode PERMITTED_FACTOR} times the limit and
+ * {@linkcode PERMITTED_EXCESS} requests in a second. The requests of a second
+ * use tokens that were granted in it or at most one lifetime before, and a
+ * bucket grants at most its capacity in addition to the rate. The capacity and
+ * the lifetime are chosen so that the sum is permitted, whichever VMs use the
+ * tokens.
+ *
  * @module
  */
 import * as z from "zod";
@@ -16,10 +23,21 @@
  * refusals.
  */
 const BURST_TIME = 500;
-/** Minimum number of unreserved tokens in a full bucket. */
+/** Bounds of the number of unreserved tokens in a full bucket. */
 const MINIMUM_BURST = 2;
+const MAXIMUM_BURST = 6;
 /** Number of additional tokens reserved for the most urgent requests. */
 const RESERVED_TOKENS = 1;
+/** Requests permitted in a second: this multiple of the limit, ... */
+const PERMITTED_FACTOR = 1.5;
+/** ... and this number in addition. */
+const PERMITTED_EXCESS = 8;
+/**
+ * Bounds of the lifetime of a token, in milliseconds. A request may use a token
+ * for which another one asked, if that one has ended.
+ */
+const MINIMUM_LIFETIME = 500;
+const MAXIMUM_LIFETIME = 1_000;
 /** Number of buckets from which on full ones are removed. */
 const MAXIMUM_BUCKETS = 1_024;
 /** Milliseconds in a second. */
@@ -52,10 +70,7 @@
     return new TokenBuckets();
   }
 
-  /**
-   * Empties all buckets when this VM becomes the term holder, since the tokens
-   * that the previous term holder granted are unknown.
-   */
+  /** Empties all buckets. */
   reset(now: number): void {
     this.#buckets.clear();
     this.#termStartedAt = now;
@@ -63,19 +78,25 @@
 
   /**
    * Takes a token for a server with a limit of `requestsPerSecond`, if one is
-   * available. `isUrgent` permits the use of the reserved token.
+   * available. `isUrgent` permits the use of the reserved token. The bucket
+   * counts as empty at `emptyAt`.
    */
   take(
     server: string,
     requestsPerSecond: number,
     isUrgent: boolean,
     now: number,
+    emptyAt = -Infinity,
   ): TokenAnswer {
     const interval = MILLISECONDS_PER_SECOND / requestsPerSecond;
-    const capacity = Math.max(MINIMUM_BURST, BURST_TIME / interval) +
-      RESERVED_TOKENS;
+    const capacity = capacityOf(requestsPerSecond);
     const reserved = isUrgent ? 0 : RESERVED_TOKENS;
-    const fullAt = Math.max(now, this.#fullAt(server, capacity * interval));
+    const refillTime = capacity * interval;
+    const fullAt = Math.max(
+      now,
+      Math.max(emptyAt, this.#termStartedAt) + refillTime,
+      this.#buckets.get(server) ?? -Infinity,
+    );
     const left = fullAt + interval - (now + (capacity - reserved) * interval);
     if (left > 0) return { isGranted: false, left };
     if (this.#buckets.size >= MAXIMUM_BUCKETS) this.#removeFull(now);
@@ -83,17 +104,28 @@
     return { isGranted: true, left: 0 };
   }
 
-  /**
-   * Time at which a server's bucket is full; an empty bucket takes `refillTime`
-   * to fill.
-   */
-  #fullAt(server: string, refillTime: number): number {
-    return this.#buckets.get(server) ?? this.#termStartedAt + refillTime;
-  }
-
   #removeFull(now: number): void {
     for (const [server, fullAt] of this.#buckets) {
       if (fullAt <= now) this.#buckets.delete(server);
     }
   }
 }
+
+/** Number of tokens in a full bucket, including the reserved one. */
+function capacityOf(requestsPerSecond: number): number {
+  const burst = requestsPerSecond * BURST_TIME / MILLISECONDS_PER_SECOND;
+  return Math.min(MAXIMUM_BURST, Math.max(MINIMUM_BURST, burst)) +
+    RESERVED_TOKENS;
+}
+
+/**
+ * Time after its request for which a token for a server with a limit of
+ * `requestsPerSecond` may be used, in milliseconds.
+ */
+export function tokenLifetime(requestsPerSecond: number): number {
+  const capacity = capacityOf(requestsPerSecond);
+  const excess = (PERMITTED_FACTOR - 1) * requestsPerSecond +
+    PERMITTED_EXCESS - capacity;
+  const lifetime = MILLISECONDS_PER_SECOND * excess / requestsPerSecond;
+  return Math.min(MAXIMUM_LIFETIME, Math.max(MINIMUM_LIFETIME, lifetime));
+}
