The retry budget holds at any number of VMs, known or not, and across restarts

Causes, each shown by retry_policy_test.ts, where all VMs take every retry that they may: - A VM forgot its retries after 9.5 s. With servers that fail again and again all VMs used their shares twice within a window (21 to 116 beyond, also without any fault of a VM). Before, no test had requests that failed in bursts. - A restarted VM had its full share in proportion to requests at once, while its earlier retries still counted (up to 470 beyond; with processes 67 and 42). - The minimum was divided by 64 VMs while their number was unknown (410 beyond at 300 VMs), and by what the term holder had counted within 10 s, of which VMs that are cut off are no part although they use theirs (371 beyond).

Change, one rule: what a VM may send again follows from what it has counted itself, in proportion to its requests, and adds up to the budget for any number of VMs. - Retries count for a whole window, requests for at most one. - In the first 10 s of a process it may use a quarter of the ratio, later three quarters; the two add up to 1 whatever was used before a restart. - The minimum is divided only by a number of VMs that is known. Half of it is used, a part that grows over the first 10 s in which the number is known. A larger number is kept for five minutes instead of 10 s.

Tests: retry_budget_test.ts expected 5 and 3 retries of a share of which less is used now (3 and 1); its rule, that all VMs stay within the budget, stands. dispatcher_test.ts has a minimum of 100 instead of 50, so that its steps are as before with half of it. vm_count_test.ts asks for 300 s where it asked for 10.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -14,7 +14,7 @@
 } from "../quarantine/index.ts";
 import type { ServerPaths } from "../reach/index.ts";
 import type { RateTokens } from "../rates/index.ts";
-import type { RetryLimits } from "./retry_budget.ts";
+import type { RetryLimits, VmEstimate } from "./retry_budget.ts";
 
 /** See the module's comment. */
 export interface DispatchContext {
@@ -35,6 +35,8 @@
   startedAt(): number;
   /** Number of VMs, or null when unknown. */
   vmCount(): number | null;
+  /** The same with the time since which it is known. */
+  vms(): VmEstimate | null;
   /**
    * Called when a server refused a key that is assigned to it in `directory`:
    * the assignment may be outdated.
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -18,6 +18,9 @@
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
 
+/** Retries of all VMs that are permitted whatever the number of requests. */
+const MINIMUM_RETRIES = 100;
+
 /**
  * Creates a dispatcher with a keyed service, `stock`, and two others, `orders`
  * and `reads`, with two servers each. The keys are assigned to `stock-1`.
@@ -113,9 +116,10 @@
     paths,
     tokens,
     availabilityZone: "a",
-    retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
+    retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: MINIMUM_RETRIES },
     startedAt: () => -Infinity,
     vmCount: () => vmCount,
+    vms: () => vmCount === null ? null : { count: vmCount, since: -Infinity },
     keyRefused,
     applyStatement: (server, statement, sentAt, now) =>
       void server.statements.apply(statement, sentAt, now),
@@ -484,7 +488,8 @@
         ).length;
       for (const each of retries) {
         const used = countInWindow(retries, each);
-        const allowed = 0.2 * countInWindow(requests, each) + 50 / 8;
+        const allowed = 0.2 * countInWindow(requests, each) +
+          MINIMUM_RETRIES / 8;
         most = Math.max(most, used);
         if (used > allowed) throw new Error(`${used} of ${allowed}`);
       }
@@ -636,6 +641,7 @@
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
     vmCount: () => null,
+    vms: () => null,
     keyRefused: () => {},
     applyStatement: (server, statement, sentAt, now) =>
       void server.statements.apply(statement, sentAt, now),
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -25,26 +25,38 @@
 
 /**
  * Number of buckets into which a window is divided. Requests and retries are
- * counted per bucket, so the sums over the sliding window are accurate to one
- * bucket.
+ * counted per bucket. Retries in the bucket in which the window begins count,
+ * requests in it do not.
  */
 const BUCKETS = 20;
 /**
- * Share of the budget that is used. The rest is a margin, because VMs count
- * requests at slightly different times and the number of VMs is an estimate.
+ * Share of the retries in proportion to requests that is used. The rest is a
+ * margin for restarts ({@linkcode INITIAL_FACTOR}).
  */
-const SAFETY_FACTOR = 0.75;
+const RATIO_FACTOR = 0.75;
 /**
- * Share of its minimum that a VM may use in its first window, in proportion to
- * the time since its start. A restarted VM has lost the count of its earlier
- * retries, which still count against the budget. This share and
- * {@linkcode SAFETY_FACTOR} add up to 1, so that a VM stays within its minimum
- * however often it restarts.
+ * Share of the minimum that is used. With half of it, all VMs stay within the
+ * minimum even if VMs that are cut off from each other know half of their
+ * number.
  */
-const INITIAL_SHARE = 1 - SAFETY_FACTOR;
+const MINIMUM_FACTOR = 0.5;
+/**
+ * Share of the retries that a VM may use in its first window, in place of the
+ * other two. A restarted VM has lost the count of its earlier retries, which
+ * still count against the budget. This share and {@linkcode RATIO_FACTOR} add up
+ * to 1, so that a VM stays within its share however often it restarts.
+ */
+const INITIAL_FACTOR = 1 - RATIO_FACTOR;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** The number of VMs that share a budget, as one of them knows it. */
+export interface VmEstimate {
+  count: number;
+  /** When this VM first knew a number, in milliseconds. */
+  since: number;
+}
+
 /** Counts in the window from which the remaining retries follow. */
 export interface RetryBalance {
   requests: number;
@@ -64,9 +76,14 @@
 /**
  * One VM's share of the retry budget of one service. Times are milliseconds.
  *
+ * The share in proportion to requests follows from the requests that this VM
+ * has counted, so the shares of any number of VMs add up to the budget. The
+ * share of the minimum follows from the number of VMs, and there is none while
+ * that is unknown.
+ *
  * ```ts
  * budget.recordRequest(now);
- * if (budget.withdraw(now, vmCount)) retry();
+ * if (budget.withdraw(now, vms)) retry();
  * ```
  */
 export class RetryBudget {
@@ -87,39 +104,58 @@
     this.#bucket(now).requests += 1;
   }
 
-  /** Takes a retry from one of `vmCount` VMs' shares; false if none is left. */
-  withdraw(now: number, vmCount: number): boolean {
-    if (this.remaining(now, vmCount) < 1) return false;
+  /**
+   * Takes a retry from this VM's share, which is that of one of `vms` (null
+   * while their number is unknown); false if none is left.
+   */
+  withdraw(now: number, vms: VmEstimate | null): boolean {
+    if (this.remaining(now, vms) < 1) return false;
     this.#bucket(now).retries += 1;
     return true;
   }
 
-  /** Number of retries that one of `vmCount` VMs has left. */
-  remaining(now: number, vmCount: number): number {
-    return this.balance(now, vmCount).remaining;
+  /** Number of retries that this VM has left of its share. */
+  remaining(now: number, vms: VmEstimate | null): number {
+    return this.balance(now, vms).remaining;
   }
 
-  /** The counts in the window, and what one of `vmCount` VMs has left. */
-  balance(now: number, vmCount: number): RetryBalance {
-    const bucket = this.#bucket(now);
+  /** The counts in the window, and what is left of the share. */
+  balance(now: number, vms: VmEstimate | null): RetryBalance {
+    const { index } = this.#bucket(now);
     let requests = 0;
     let retries = 0;
     for (const each of this.#buckets) {
-      if (each.index <= bucket.index - BUCKETS) continue;
-      requests += each.requests;
-      retries += each.retries;
+      if (each.index > index - BUCKETS) requests += each.requests;
+      if (each.index >= index - BUCKETS) retries += each.retries;
     }
-    const vmMinimum = this.limits.minimum / Math.max(1, vmCount);
-    const remaining = SAFETY_FACTOR * this.limits.ratio * requests +
-      this.#minimumFactor(now) * vmMinimum - retries;
-    return { requests, retries, remaining };
+    const share = this.#ratioFactor(now) * this.limits.ratio * requests +
+      this.#minimumShare(vms, now);
+    return { requests, retries, remaining: share - retries };
+  }
+
+  #ratioFactor(now: number): number {
+    return this.#windowsSince(this.startedAt, now) < 1
+      ? INITIAL_FACTOR
+      : RATIO_FACTOR;
+  }
+
+  /**
+   * This VM's share of the minimum. It grows in the first window in which the
+   * number of VMs is known, since the term holder may not have counted all of
+   * them at first.
+   */
+  #minimumShare(vms: VmEstimate | null, now: number): number {
+    if (vms === null) return 0;
+    const since = Math.max(this.startedAt, vms.since);
+    const windows = this.#windowsSince(since, now);
+    const factor = windows < 1 ? INITIAL_FACTOR * windows : MINIMUM_FACTOR;
+    return factor * this.limits.minimum / Math.max(1, vms.count);
   }
 
-  /** Share of its minimum that this VM may use now. */
-  #minimumFactor(now: number): number {
-    const age = (now - this.startedAt) /
+  /** Time from `since` to `now`, in windows. */
+  #windowsSince(since: number, now: number): number {
+    return (now - since) /
       (this.limits.windowSeconds * MILLISECONDS_PER_SECOND);
-    return age < 1 ? INITIAL_SHARE * age : SAFETY_FACTOR;
   }
 
   #bucket(now: number): Bucket {
@@ -130,8 +166,6 @@
     if (last !== undefined && last.index >= index) return last;
     const bucket = { index, requests: 0, retries: 0 };
     this.#buckets.push(bucket);
-    // Bounds memory. `remaining` counts the current bucket and those of the
-    // `BUCKETS - 1` intervals before, not the one in which the window begins.
     while (this.#buckets.length > BUCKETS + 1) this.#buckets.shift();
     return bucket;
   }
--- a/src/core/dispatch/retry_budget_test.ts
+++ b/src/core/dispatch/retry_budget_test.ts
@@ -1,9 +1,14 @@
 import test from "ava";
 import fc from "fast-check";
-import { RetryBudget } from "./retry_budget.ts";
+import { RetryBudget, type VmEstimate } from "./retry_budget.ts";
 
 const LIMITS = { ratio: 0.2, windowSeconds: 10, minimum: 56 };
 
+/** A number of VMs that has been known for long. */
+function known(count: number): VmEstimate {
+  return { count, since: -Infinity };
+}
+
 test("retry budget: all VMs together stay within the budget in every window", (t) => {
   const arrivals = fc.array(fc.integer({ min: 0, max: 60 }), {
     minLength: 50,
@@ -24,7 +29,7 @@
         budget.recordRequest(now);
         requests.push(now);
         for (let i = 0; i < 3; i++) {
-          if (budget.withdraw(now, vmCount)) retries.push(now);
+          if (budget.withdraw(now, known(vmCount))) retries.push(now);
         }
       }
       const countInWindow = (times: number[], end: number) =>
@@ -102,7 +107,9 @@
         budget.recordRequest(now);
         simulation.requests.push(now);
       }
-      while (budget.withdraw(now, assumedVmCount)) simulation.retries.push(now);
+      while (budget.withdraw(now, known(assumedVmCount))) {
+        simulation.retries.push(now);
+      }
     }
   }
   return simulation;
@@ -155,19 +162,28 @@
   }
 });
 
-test("retry budget: a VM that has just started may use some of its share", (t) => {
+test("retry budget: a VM that has just started may use a third of its share", (t) => {
   const budget = RetryBudget.create(LIMITS, 0);
   for (let i = 0; i < 20; i++) budget.recordRequest(100);
   let withdrawn = 0;
-  while (budget.withdraw(100, 8)) withdrawn += 1;
-  t.is(withdrawn, 3);
+  while (budget.withdraw(100, known(8))) withdrawn += 1;
+  t.is(withdrawn, 1);
 });
 
 test("retry budget: retries are available again after a window has passed", (t) => {
   const budget = RetryBudget.create(LIMITS);
   let withdrawn = 0;
-  while (budget.withdraw(0, 8)) withdrawn += 1;
-  t.is(withdrawn, 5);
-  t.false(budget.withdraw(9_000, 8));
-  t.true(budget.withdraw(10_500, 8));
+  while (budget.withdraw(0, known(8))) withdrawn += 1;
+  t.is(withdrawn, 3);
+  t.false(budget.withdraw(9_000, known(8)));
+  t.true(budget.withdraw(10_500, known(8)));
+});
+
+// Guards against retries that a VM forgets before the window has passed.
+test("retry budget: no retry of a full budget is available again within a window", (t) => {
+  for (let at = 0; at < 500; at += 10) {
+    const budget = RetryBudget.create(LIMITS);
+    while (budget.withdraw(at, known(8)));
+    t.false(budget.withdraw(at + 9_990, known(8)), `used at ${at} ms`);
+  }
 });
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -21,11 +21,6 @@
  * request is no longer retried.
  */
 const CRASHES_TO_STOP_RETRIES = 2;
-/**
- * Number of VMs that are assumed to share the retry budget while their number
- * is unknown. It is high, because too few retries are safer than too many.
- */
-const ASSUMED_VM_COUNT = 64;
 
 /** See the module's comment. */
 export class RetryPolicy {
@@ -86,22 +81,21 @@
 
   /** Whether a retry is left in this VM's share of the budget. */
   mayWithdraw(request: PendingRequest, now: number): boolean {
-    const vmCount = this.context.vmCount() ?? ASSUMED_VM_COUNT;
-    return this.#budget(request.service).remaining(now, vmCount) >= 1;
+    const budget = this.#budget(request.service);
+    return budget.remaining(now, this.context.vms()) >= 1;
   }
 
   /**
    * Takes a retry from this VM's share of the budget; false if none is left.
    */
   withdraw(request: PendingRequest, now: number): boolean {
-    const vmCount = this.context.vmCount() ?? ASSUMED_VM_COUNT;
-    return this.#budget(request.service).withdraw(now, vmCount);
+    const budget = this.#budget(request.service);
+    return budget.withdraw(now, this.context.vms());
   }
 
   /** State of the retry budget of a service, as this VM knows it. */
   balance(service: string, now: number): RetryBalance {
-    const vmCount = this.context.vmCount() ?? ASSUMED_VM_COUNT;
-    return this.#budget(service).balance(now, vmCount);
+    return this.#budget(service).balance(now, this.context.vms());
   }
 
   /**
--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -7,7 +7,7 @@
 import { retryExcess } from "../../../test/support/retry_excess.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import type { RetryLimits } from "./retry_budget.ts";
+import type { RetryLimits, VmEstimate } from "./retry_budget.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 
 const SERVICE = "stock";
@@ -39,9 +39,9 @@
 function createPolicy(
   retryLimits: RetryLimits,
   startedAt: number,
-  vmCount: () => number | null,
+  vms: () => VmEstimate | null,
 ): RetryPolicy {
-  const context = { retryLimits, startedAt: () => startedAt, vmCount };
+  const context = { retryLimits, startedAt: () => startedAt, vms };
   return RetryPolicy.create(context as unknown as DispatchContext);
 }
 
@@ -49,13 +49,19 @@
 function simulate(situation: Situation, limits: RetryLimits): number {
   const { vms, rate, isFailing, countOf, restartsOf, isAway } = situation;
   let now = 0;
-  const create = (vm: number) =>
-    createPolicy(limits, now, () => countOf(vm, now));
+  const knownSince: (number | null)[] = [];
+  const create = (vm: number) => {
+    knownSince[vm] = null;
+    return createPolicy(limits, now, () => {
+      const count = countOf(vm, now);
+      return count === null ? null : { count, since: knownSince[vm] ?? now };
+    });
+  };
   const policies = Array.from({ length: vms }, (_, vm) => create(vm));
   const requests: number[] = [];
   const retries: number[] = [];
   const backlog = new Array<number>(vms).fill(0);
-  const request = { service: SERVICE } as PendingRequest;
+  const request = { service: SERVICE, key: null } as PendingRequest;
   for (; now < UNTIL; now += STEP) {
     const present = policies.filter((_, vm) => !isAway(vm, now)).length;
     for (let vm = 0; vm < vms; vm++) {
@@ -63,6 +69,7 @@
         at >= now && at < now + STEP
       );
       if (isRestarting) policies[vm] = create(vm);
+      if (countOf(vm, now) !== null) knownSince[vm] ??= now;
       if (isAway(vm, now)) continue;
       backlog[vm] += rate * STEP / 1_000 / present;
       for (; backlog[vm] >= 1; backlog[vm] -= 1) {
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -139,6 +139,7 @@
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
       vmCount: () => this.vms,
+      vms: () => this.peers.vmEstimate,
       keyRefused: () => this.peers.keyRefused(),
       applyStatement: (server, statement, sentAt, now) =>
         this.peers.applyStatement(server, statement, sentAt, now),
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -151,6 +151,11 @@
     return this.#vmCount.value;
   }
 
+  /** The same with the time since which it is known, or null. */
+  get vmEstimate(): { count: number; since: number } | null {
+    return this.#vmCount.estimate;
+  }
+
   /**
    * Whether this VM receives store updates from the term holder instead of
    * reading them from the store. Only observers do, the VMs that are not
--- a/src/core/peers/vm_count.ts
+++ b/src/core/peers/vm_count.ts
@@ -8,13 +8,16 @@
  */
 
 /**
- * Time for which a larger count is kept, in milliseconds: the default window of
- * the retry budget, in which the retries of VMs that have stopped still count.
+ * Time for which a larger count is kept, in milliseconds. VMs that the term
+ * holder has not heard of for a while may only be cut off from it, and still use
+ * their shares. A count that is too high only makes shares smaller.
  */
-const RETENTION_TIME = 10_000;
+const RETENTION_TIME = 300_000;
 
 /** See the module's comment. Times are milliseconds. */
 export class VmCount {
+  /** Time of the first observation, or null before it. */
+  #knownSince: number | null = null;
   #largest: number | null = null;
   #largestAt = -Infinity;
   /**
@@ -35,11 +38,18 @@
     return this.#largest;
   }
 
+  /** The estimated count with the time of the first observation, or null. */
+  get estimate(): { count: number; since: number } | null {
+    if (this.#largest === null || this.#knownSince === null) return null;
+    return { count: this.#largest, since: this.#knownSince };
+  }
+
   /**
    * Records a count of the running VMs that this VM or the term holder has
    * made.
    */
   observe(count: number, now: number): void {
+    this.#knownSince ??= now;
     if (this.#largest === null || count >= this.#largest) {
       this.#largest = count;
       this.#largestAt = now;
--- a/src/core/peers/vm_count_test.ts
+++ b/src/core/peers/vm_count_test.ts
@@ -12,15 +12,17 @@
   t.is(vms.value, 11);
 });
 
-test("VM count: it falls once all counts of a whole window are lower", (t) => {
+// Guards against shares that grow while VMs are only cut off from the term
+// holder and still use theirs.
+test("VM count: it falls once all counts of five minutes are lower", (t) => {
   const vms = VmCount.create();
   vms.observe(11, 0);
-  for (let now = 500; now < 10_000; now += 500) {
+  for (let now = 500; now < 300_000; now += 500) {
     vms.observe(8, now);
     t.is(vms.value, 11);
   }
-  vms.observe(7, 10_000);
+  vms.observe(7, 300_000);
   t.is(vms.value, 8);
-  vms.observe(12, 10_500);
+  vms.observe(12, 300_500);
   t.is(vms.value, 12);
 });
