Repeats to a server that refuses leave half of the retry budget to others

What callers saw: while a server refuses keys, their requests use up the retry budget of its service at that server, and a request that another server could run is refused for it. The users' record has a request that reached the same server four times within 0.43 s, 421 each time.

Change: such a request may use half of this VM's share; beyond it, it is refused at once. When its key is at another server it may use all of the share.

--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -500,6 +500,39 @@
   t.true(most > 10, `${most}`);
 });
 
+// Guards against requests that use up the retry budget of a service at a server
+// that refuses them, so that requests for keys that have moved are refused too.
+test("dispatch: requests that go again to a server that refuses them leave half of the budget to others", (t) => {
+  const { dispatcher, arrive, assign } = createDispatcher();
+  const sent = new Map<number, number>();
+  let now = 0;
+  const record = (effects: readonly DispatchEffect[]) => {
+    for (const effect of effects) {
+      if (effect.kind !== "attempt.start") continue;
+      sent.set(effect.exchange, (sent.get(effect.exchange) ?? 0) + 1);
+      record(dispatcher.attemptEnded(effect.attempt, MISDIRECTED, now));
+    }
+  };
+  for (let i = 0; i < 40; i++) {
+    // The range of a new assignment has no backoff.
+    assign(2 + i, true);
+    record(arrive("/lookup/", now));
+    // Until the request has waited for as long as it may.
+    for (const end = now + 150; now < end; now += 5) {
+      record(dispatcher.advance(now));
+    }
+  }
+  const repeats = [...sent.values()].reduce((sum, each) => sum + each - 1, 0);
+  // This VM's share is 0.75 x 0.2 x 40 + 0.5 x 100 / 8 = 12.25.
+  t.true(repeats >= 4 && repeats <= 6, `${repeats} repeats`);
+  const [first] = arrive("/lookup/", now);
+  t.is(first.kind, "attempt.start");
+  const { attempt } = first as { attempt: number };
+  assign(50, true, "stock-2");
+  const effects = dispatcher.attemptEnded(attempt, MISDIRECTED, now);
+  t.deepEqual(summarize(effects), ["start stock-2, 500 ms left"]);
+});
+
 test("dispatch: a non-idempotent request that may have run fails with 502 and is never retried", (t) => {
   const { dispatcher, arrive } = createDispatcher();
   t.is(summarize(arrive("/order/", 0)).length, 1);
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -106,21 +106,22 @@
 
   /**
    * Takes a retry from this VM's share, which is that of one of `vms` (null
-   * while their number is unknown); false if none is left.
+   * while their number is unknown); false if none is left. Only `part` of the
+   * share, from 0 to 1, may be used.
    */
-  withdraw(now: number, vms: VmEstimate | null): boolean {
-    if (this.remaining(now, vms) < 1) return false;
+  withdraw(now: number, vms: VmEstimate | null, part = 1): boolean {
+    if (this.remaining(now, vms, part) < 1) return false;
     this.#bucket(now).retries += 1;
     return true;
   }
 
-  /** Number of retries that this VM has left of its share. */
-  remaining(now: number, vms: VmEstimate | null): number {
-    return this.balance(now, vms).remaining;
+  /** Number of retries that this VM has left of a part of its share. */
+  remaining(now: number, vms: VmEstimate | null, part = 1): number {
+    return this.balance(now, vms, part).remaining;
   }
 
-  /** The counts in the window, and what is left of the share. */
-  balance(now: number, vms: VmEstimate | null): RetryBalance {
+  /** The counts in the window, and what is left of a part of the share. */
+  balance(now: number, vms: VmEstimate | null, part = 1): RetryBalance {
     const { index } = this.#bucket(now);
     let requests = 0;
     let retries = 0;
@@ -130,7 +131,7 @@
     }
     const share = this.#ratioFactor(now) * this.limits.ratio * requests +
       this.#minimumShare(vms, now);
-    return { requests, retries, remaining: share - retries };
+    return { requests, retries, remaining: part * share - retries };
   }
 
   #ratioFactor(now: number): number {
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -22,6 +22,13 @@
  */
 const CRASHES_TO_STOP_RETRIES = 2;
 
+/**
+ * Part of the retry budget that requests may use which go again to the server
+ * that has refused them. They are less likely to succeed than those that go to
+ * another server, to which the rest is left.
+ */
+const REFUSED_PART = 0.5;
+
 /** See the module's comment. */
 export class RetryPolicy {
   readonly #budgets = new Map<string, RetryBudget>();
@@ -82,7 +89,8 @@
   /** Whether a retry is left in this VM's share of the budget. */
   mayWithdraw(request: PendingRequest, now: number): boolean {
     const budget = this.#budget(request.service);
-    return budget.remaining(now, this.context.vms()) >= 1;
+    const part = this.#usablePart(request);
+    return budget.remaining(now, this.context.vms(), part) >= 1;
   }
 
   /**
@@ -90,7 +98,8 @@
    */
   withdraw(request: PendingRequest, now: number): boolean {
     const budget = this.#budget(request.service);
-    return budget.withdraw(now, this.context.vms());
+    const part = this.#usablePart(request);
+    return budget.withdraw(now, this.context.vms(), part);
   }
 
   /** State of the retry budget of a service, as this VM knows it. */
@@ -98,6 +107,13 @@
     return this.#budget(service).balance(now, this.context.vms());
   }
 
+  /** Part of the retry budget that a request may use. */
+  #usablePart({ service, key, refusal }: PendingRequest): number {
+    if (key === null || refusal === null) return 1;
+    const range = this.context.directory.find(service, key);
+    return range?.server === refusal.server ? REFUSED_PART : 1;
+  }
+
   /**
    * Whether enough time is left that a response before the deadline is likely.
    */
