VMs learn of a restored zone also if they did not know that it was evacuated

Cause: the servers of a zone count as cold when it changes from evacuated to not evacuated at a VM. One that learns of both in one read, or in one message of another VM, sees no change.

Change: a read that names a restored zone which was not known as evacuated, and messages of VMs, which name the position of each restoration (restoredAt), report it, if the VM knew an earlier position. The zone's servers may then be cold. A VM that has just started goes by the entries of the registry.

The model's feed of operators is read from the known position on, as the platform's is, and entries of servers show within a heartbeat that they are cold.

--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -192,6 +192,11 @@
   #applyEvacuation(change: EvacuationChange, now: number): void {
     const { position } = this.fleet.evacuations;
     this.fleet.applyEvacuations(change, now);
+    const missed = this.fleet.evacuations.takeMissed();
+    this.fleet.zonesReturned(missed, now);
+    for (const zone of missed) {
+      this.logDecision("zone.restored", { zone, position, isMissed: true });
+    }
     for (const zone of change.evacuated) {
       this.logDecision("zone.evacuated", { zone, position });
     }
--- a/src/core/fleet/evacuations.ts
+++ b/src/core/fleet/evacuations.ts
@@ -41,6 +41,16 @@
   kept: zonesSchema.optional(),
   /** Zones that were restored, as far as known. */
   restored: zonesSchema.optional(),
+  /**
+   * Zones with the position at which they were last restored, as far as known.
+   * Absent in messages of older versions.
+   */
+  restoredAt: z.array(
+    z.tuple([
+      z.string().max(MAXIMUM_NAME_LENGTH),
+      z.number().int().nonnegative(),
+    ]),
+  ).max(MAXIMUM_ZONES).optional(),
 });
 
 /** The evacuated zones, as one VM sends them to another. */
@@ -72,6 +82,10 @@
   #kept: ReadonlySet<string> = new Set();
   /** Zones that were restored. */
   #restored: ReadonlySet<string> = new Set();
+  /** Position at which zones were last restored in this era. */
+  readonly #restoredAt = new Map<string, number>();
+  /** Zones of which {@linkcode takeMissed} informs. */
+  #missed: string[] = [];
   /** Era of the store to which the position belongs, or null if unknown. */
   #era: number | null = null;
   #position = -1;
@@ -110,9 +124,23 @@
       ...(this.#era === null ? {} : { era: this.#era }),
       ...(this.#kept.size === 0 ? {} : { kept: [...this.#kept] }),
       ...(this.#restored.size === 0 ? {} : { restored: [...this.#restored] }),
+      ...(this.#restoredAt.size === 0
+        ? {}
+        : { restoredAt: [...this.#restoredAt] }),
     };
   }
 
+  /**
+   * Returns the zones that were evacuated and restored since the last call
+   * without having been known as evacuated here. Their servers may be cold like
+   * those of other restored zones.
+   */
+  takeMissed(): string[] {
+    const missed = this.#missed;
+    this.#missed = [];
+    return missed;
+  }
+
   /**
    * Applies the result of a read of the feed in an era of the store, unless a
    * later state is known.
@@ -122,6 +150,7 @@
     era: number | null = null,
   ): EvacuationChange {
     const before = this.zones;
+    const since = this.#positionIn(era);
     if (era !== this.#era) this.#enterEra(era);
     if (position < this.#position) return this.#changeSince(before);
     const listed = evacuated.filter(isValidName);
@@ -133,7 +162,9 @@
       this.#zones = limit(zones);
       this.#restored = limit(without(this.#restored, this.#zones));
       this.#kept = limit(without(this.#kept, this.#zones));
-      return this.#changeSince(before);
+      const change = this.#changeSince(before);
+      for (const zone of change.restored) this.#recordRestored(zone, position);
+      return change;
     }
     const ended = restored.filter(isValidName);
     this.#zones = limit(without([...this.#zones, ...listed], new Set(ended)));
@@ -141,6 +172,8 @@
     this.#restored = limit(
       without([...this.#restored, ...ended], new Set(listed)),
     );
+    for (const zone of ended) this.#recordRestored(zone, position);
+    this.#recordMissed(ended.map((zone) => [zone, position]), since, before);
     return this.#changeSince(before);
   }
 
@@ -149,9 +182,13 @@
     const { position, era = null, kept = [], restored = [] } = snapshot;
     const before = this.zones;
     if (isOlder(era, this.#era)) return { evacuated: [], restored: [] };
+    const since = this.#positionIn(era);
     if (era !== this.#era) this.#enterEra(era);
     const ended = new Set(restored);
     if (position > this.#position) {
+      const { restoredAt = [] } = snapshot;
+      for (const [zone, at] of restoredAt) this.#recordRestored(zone, at);
+      this.#recordMissed(restoredAt, since, before);
       this.#position = position;
       this.#zones = limit(without(snapshot.zones, new Set(kept)));
       this.#restored = limit(
@@ -167,8 +204,40 @@
     return this.#changeSince(before);
   }
 
+  #recordRestored(zone: string, position: number): void {
+    const known = this.#restoredAt.get(zone) ?? -1;
+    if (known < 0 && this.#restoredAt.size >= MAXIMUM_ZONES) return;
+    this.#restoredAt.set(zone, Math.max(known, position));
+  }
+
+  /**
+   * Records the zones that were restored after position `since` and were not
+   * known as evacuated `before`. A VM that knew no position has missed nothing:
+   * it has just learned of all servers, with what their entries state.
+   */
+  #recordMissed(
+    restoredAt: readonly (readonly [string, number])[],
+    since: number,
+    before: readonly string[],
+  ): void {
+    if (since < 0) return;
+    for (const [zone, position] of restoredAt) {
+      const isKnown = position <= since || before.includes(zone);
+      if (!isKnown) this.#missed.push(zone);
+    }
+  }
+
+  /**
+   * Known position in an era, or -1. A position that was known before any era
+   * belongs to the first one.
+   */
+  #positionIn(era: number | null): number {
+    return this.#era === null || era === this.#era ? this.#position : -1;
+  }
+
   /** Continues in a new era, in which no position is known yet. */
   #enterEra(era: number | null): void {
+    this.#restoredAt.clear();
     const isFirst = this.#position < 0;
     this.#era = era;
     this.#position = -1;
--- a/src/core/fleet/evacuations_test.ts
+++ b/src/core/fleet/evacuations_test.ts
@@ -116,3 +116,33 @@
     t.deepEqual(change, { evacuated: [], restored: [] });
   }
 });
+
+// Guards against VMs that send to cold servers without a limit, since they have
+// learned of the evacuation of their zone and of its end in one moment.
+test("evacuations: zones that were restored without being known as evacuated are reported once", (t) => {
+  const reader = Evacuations.create();
+  const follower = Evacuations.create();
+  reader.applyRead(read(1, [], [], true));
+  follower.applySnapshot(reader.snapshot!);
+  reader.applyRead(read(3, [], ["a"]));
+  t.deepEqual(reader.takeMissed(), ["a"]);
+  t.deepEqual(reader.takeMissed(), []);
+  t.deepEqual(follower.applySnapshot(reader.snapshot!).restored, []);
+  t.deepEqual(follower.takeMissed(), ["a"]);
+  // Later evacuations of other zones say nothing new of it.
+  reader.applyRead(read(5, ["b"]));
+  follower.applySnapshot(reader.snapshot!);
+  t.deepEqual([reader.takeMissed(), follower.takeMissed()], [[], []]);
+  reader.applyRead(read(6, [], ["b"]));
+  follower.applySnapshot(reader.snapshot!);
+  t.deepEqual([reader.takeMissed(), follower.takeMissed()], [[], []]);
+});
+
+test("evacuations: a VM that has just learned of a position has missed no restoration", (t) => {
+  const reader = Evacuations.create();
+  reader.applyRead(read(1, ["a"], [], true));
+  reader.applyRead(read(3, [], ["a"]));
+  const started = Evacuations.create();
+  started.applySnapshot(reader.snapshot!);
+  t.deepEqual(started.takeMissed(), []);
+});
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -143,6 +143,18 @@
     }
   }
 
+  /**
+   * Marks the servers of zones as possibly cold, which were evacuated and
+   * restored without this VM having known of the evacuation.
+   */
+  zonesReturned(zones: readonly string[], now: number): void {
+    for (const server of this.#servers.values()) {
+      if (zones.includes(server.entry.availabilityZone)) {
+        server.mayHaveRestarted(now);
+      }
+    }
+  }
+
   /**
    * Applies new and changed `entries`, `removed` server ids, and ids of servers
    * whose entry became `unreadable`. Returns the resulting changes to the list.
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -238,11 +238,16 @@
       this.evacuatedSince ??= now;
     } else if (this.evacuatedSince !== null) {
       this.evacuatedSince = null;
-      this.#mayBeColdSince = now;
-      this.coldSince = now;
+      this.mayHaveRestarted(now);
     }
   }
 
+  /** Records that it may have restarted recently, and may be cold. */
+  mayHaveRestarted(now: number): void {
+    this.#mayBeColdSince = now;
+    this.coldSince = now;
+  }
+
   /**
    * Whether it may be cold, that is, able to handle only few requests: it is
    * warming up according to its entry, or may have restarted recently, which
@@ -476,10 +481,7 @@
   #recordResponse(now: number, load: ReportedLoad | null): void {
     this.#lastResponseAt = now;
     this.lastSeenAt = now;
-    if (this.#isConnectionRefused) {
-      this.#mayBeColdSince = now;
-      this.coldSince = now;
-    }
+    if (this.#isConnectionRefused) this.mayHaveRestarted(now);
     this.#isConnectionRefused = false;
     this.#hasResponded = true;
     if (load === null) return;
--- a/test/ownership/restored_zone_test.ts
+++ b/test/ownership/restored_zone_test.ts
@@ -154,6 +154,34 @@
       ...toVms("vm.suspend", RESTORED_AT - 3_000, 3_200, vms, 4, 3),
     ],
   ],
+  [
+    "VMs are suspended during the whole evacuation",
+    (vms) => [
+      ...LOST,
+      evacuation(RESTORED_AT - 3_000, RESTORED_AT),
+      ...toVms("vm.suspend", RESTORED_AT - 3_200, 3_600, vms, 4, 2),
+    ],
+  ],
+  [
+    "VMs are cut off during the whole evacuation",
+    (vms) => [
+      ...LOST,
+      evacuation(RESTORED_AT - 3_000, RESTORED_AT),
+      ...toVms("vm.cut_from_peers", RESTORED_AT - 3_500, 5_000, vms, 4, 2),
+      ...toVms("vm.cut_from_store", RESTORED_AT - 3_500, 5_000, vms, 4, 2),
+    ],
+  ],
+  [
+    "evacuated for a moment",
+    () => [...LOST, evacuation(RESTORED_AT - 100, RESTORED_AT)],
+  ],
+  [
+    "VMs join after it was restored",
+    (vms) => [
+      evacuation(EVACUATED_AT, RESTORED_AT),
+      ...toVms("vm.kill", RESTORED_AT - 300, 4_000, vms, 4, 2),
+    ],
+  ],
   [
     "the term holder is killed when it is restored",
     () => [
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -105,6 +105,8 @@
  * renews it, in milliseconds.
  */
 const ENTRY_LIFETIME = 2_600;
+/** Time between two writes of a server's entry, in milliseconds. */
+const HEARTBEAT_INTERVAL = 870;
 /** Time between a VM's reads of the term holder, in milliseconds. */
 const HOLDER_INTERVAL = 900;
 /** Interval between two copies of the store, in milliseconds. */
@@ -234,7 +236,7 @@
   quarantine: { records: CrashRecord[]; at: number } | null;
   version: number;
   evacuated: Map<string, number>;
-  operatorPosition: number;
+  operatorLogLength: number;
 }
 
 /** Options of a simulation. */
@@ -586,8 +588,8 @@
   >();
   /** Evacuated zones with the time of their evacuation. */
   readonly #evacuated = new Map<string, number>();
-  /** End of the feed of operators' requests. */
-  #operatorPosition = 0;
+  /** Feed of operators' requests: zones and whether they are evacuated. */
+  #operatorLog: { zone: string; isOn: boolean }[] = [];
   /** VMs whose claim of a term succeeded, by term. */
   readonly #claims = new Map<number, string>();
   #holder: HolderAddress | null = null;
@@ -722,7 +724,7 @@
         quarantine: this.#recordedQuarantine,
         version: this.#storedVersion,
         evacuated: new Map(this.#evacuated),
-        operatorPosition: this.#operatorPosition,
+        operatorLogLength: this.#operatorLog.length,
       });
     }
     this.#time.after(COPY_INTERVAL, () => this.#copyStore());
@@ -748,7 +750,7 @@
     this.#storedVersion = copy.version;
     this.#evacuated.clear();
     for (const [zone, at] of copy.evacuated) this.#evacuated.set(zone, at);
-    this.#operatorPosition = copy.operatorPosition;
+    this.#operatorLog = this.#operatorLog.slice(0, copy.operatorLogLength);
     this.#era += 1;
     const era = this.#era;
     this.#time.after(REWRITE_DELAY, () => {
@@ -847,10 +849,25 @@
   }
 
   #sendEvacuations(vm: Vm): void {
-    if (this.#operatorPosition === 0 || !this.#reachesStore(vm)) return;
-    const evacuated = [...this.#evacuated.keys()];
-    const position = this.#operatorPosition;
-    const read = { position, evacuated, restored: [], isWhole: true };
+    if (!this.#reachesStore(vm)) return;
+    const position = this.#operatorLog.length;
+    const from = vm.entry.clusterState.fleet.evacuations.position;
+    if (from < 0 || from > position) {
+      const evacuated = [...this.#evacuated.keys()];
+      const read = { position, evacuated, restored: [], isWhole: true };
+      return this.#handle(vm, { kind: "evacuations.read", read });
+    }
+    const latest = new Map(
+      this.#operatorLog.slice(from).map(({ zone, isOn }) => [zone, isOn]),
+    );
+    const zones = (isOn: boolean) =>
+      [...latest.keys()].filter((zone) => latest.get(zone) === isOn);
+    const read = {
+      position,
+      evacuated: zones(true),
+      restored: zones(false),
+      isWhole: false,
+    };
     this.#handle(vm, { kind: "evacuations.read", read });
   }
 
@@ -862,12 +879,12 @@
     const { now } = this.#time;
     if (isOn) this.#evacuated.set(zone, since);
     else this.#evacuated.delete(zone);
-    this.#operatorPosition += 1;
+    this.#operatorLog.push({ zone, isOn });
     for (const vm of this.#vms) {
       if (!vm.isUp || !vm.isFollowing || vm.isPollLost) continue;
       this.#time.after(2 * ONE_WAY_DELAY, () => this.#sendEvacuations(vm));
     }
-    this.#checkEvacuations(now, this.#operatorPosition);
+    this.#checkEvacuations(now, this.#operatorLog.length);
   }
 
   /**
@@ -875,7 +892,7 @@
    * requests up to `position`; stops when a later request has been written.
    */
   #checkEvacuations(since: number, position: number): void {
-    if (position !== this.#operatorPosition) return;
+    if (position !== this.#operatorLog.length) return;
     const isKnown = this.#vms.every((vm) =>
       !vm.isUp || vm.frozenUntil > this.#time.now ||
       vm.entry.clusterState.fleet.evacuations.position >= position
@@ -2009,11 +2026,23 @@
     return this.#warmUpLeft(Math.max(startedAt, becameColdAt)) > 0;
   }
 
-  /** Makes the servers of a zone cold again. */
+  /**
+   * Makes the servers of a zone cold again. Their entries show it after the next
+   * heartbeat.
+   */
   #coolServers(zone: string): void {
+    const { now } = this.#time;
     for (const server of this.#servers) {
-      const isInZone = this.#entries.get(server.id)?.availabilityZone === zone;
-      if (isInZone) server.becameColdAt = this.#time.now;
+      const entry = this.#entries.get(server.id);
+      if (entry?.availabilityZone !== zone) continue;
+      server.becameColdAt = now;
+      if (this.options.load?.warmUp === undefined) continue;
+      this.#time.after(this.#draw() * HEARTBEAT_INTERVAL, () => {
+        const current = this.#entries.get(server.id);
+        if (current?.incarnation !== entry.incarnation) return;
+        const warmUp = Math.round(this.#warmUpLeft(now));
+        this.#writeEntry(server.id, { ...current, warmUp });
+      });
     }
   }
 
