--- a/src/core/exchange/token_exchange.ts
+++ b/src/core/exchange/token_exchange.ts
@@ -24,7 +24,10 @@
   | MessageOf<"token.asked">
   | MessageOf<"token.told">;
 
-/** Time after which a VM without authority may be asked again. */
+/**
+ * Time after which a VM without authority may be asked for a token again, in
+ * milliseconds.
+ */
 const NO_AUTHORITY_DENIAL = 250;
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
--- a/src/core/rates/token_bucket.ts
+++ b/src/core/rates/token_bucket.ts
@@ -28,9 +28,9 @@
 const MAXIMUM_BURST = 6;
 /** Number of additional tokens reserved for the most urgent requests. */
 const RESERVED_TOKENS = 1;
-/** Requests permitted in a second: this multiple of the limit, ... */
+/** Multiple of a limit that operators permit in a second. */
 const PERMITTED_FACTOR = 1.5;
-/** ... and this number in addition. */
+/** Number of requests that they permit in a second in addition. */
 const PERMITTED_EXCESS = 8;
 /**
  * Bounds of the lifetime of a token, in milliseconds. A request may use a token
