--- a/test/ownership/restored_zone_test.ts
+++ b/test/ownership/restored_zone_test.ts
@@ -4,6 +4,7 @@
  * leave them idle.
  */
 import test from "ava";
+import { setImmediate as yieldToRunner } from "node:timers/promises";
 import type { ColdArrival, LoadOptions, RequestLoad } from "./request_load.ts";
 import { type Fault, Simulation } from "./simulation.ts";
 
@@ -239,8 +240,9 @@
 // a cold server that they had not used before it.
 for (const [name, faults] of FAULT_CASES) {
   for (const vms of [4, 11, 61]) {
-    test(`a restored zone: ${name}, ${vms} VMs: no cold server is overloaded`, (t) => {
+    test.serial(`a restored zone: ${name}, ${vms} VMs: no cold server is overloaded`, async (t) => {
       for (const seed of [1, 2, 3]) {
+        await yieldToRunner();
         const { highestColdRate } = simulate(vms, faults(vms), seed);
         t.true(
           highestColdRate <= MAXIMUM_PER_SECOND,
@@ -253,7 +255,8 @@
 }
 
 for (const vms of [195, 300]) {
-  test(`a restored zone: ${vms} VMs: no cold server is overloaded`, (t) => {
+  test.serial(`a restored zone: ${vms} VMs: no cold server is overloaded`, async (t) => {
+    await yieldToRunner();
     const { highestColdRate } = simulate(vms, ONCE[1](vms), 1);
     t.true(
       highestColdRate <= MAXIMUM_PER_SECOND,
@@ -265,7 +268,8 @@
 // Guards against cold servers that are idle although callers need them, because
 // the VMs whose turn it is have no requests.
 for (const vms of [4, 11, 61, 195]) {
-  test(`a restored zone: ${vms} VMs: its cold servers are used at once and to their rate`, (t) => {
+  test.serial(`a restored zone: ${vms} VMs: its cold servers are used at once and to their rate`, async (t) => {
+    await yieldToRunner();
     const { coldArrivals } = simulate(vms, ONCE[1](vms), 1);
     const restored = coldArrivals.filter(({ at }) => at >= RESTORED_AT);
     const use = useOfRate(restored, RESTORED_AT);
--- a/test/ownership/retry_budget_test.ts
+++ b/test/ownership/retry_budget_test.ts
@@ -4,6 +4,7 @@
  * configure.
  */
 import test from "ava";
+import { setImmediate as yieldToRunner } from "node:timers/promises";
 import { retryExcess } from "../support/retry_excess.ts";
 import type { LoadOptions, RequestLoad } from "./request_load.ts";
 import { type Fault, Simulation } from "./simulation.ts";
@@ -160,8 +161,9 @@
 // of VMs that is too low.
 for (const each of CASES) {
   for (const [vms, minimum] of SIZES) {
-    test(`retries: ${each.name}, ${vms} VMs: they stay within the budget`, (t) => {
+    test.serial(`retries: ${each.name}, ${vms} VMs: they stay within the budget`, async (t) => {
       for (const seed of [1, 2]) {
+        await yieldToRunner();
         const { load, excess } = simulate(each, vms, minimum, seed);
         t.log(`${load.repeatTimes.length} repeats, ${excess} beyond`);
         t.true(excess <= 0, `seed ${seed}: ${excess} beyond the budget`);
