No number of VMs is assumed for the capacity of a server

Cause: while a VM does not know the number of VMs, its share of the slots of a server that has just refused a request followed from 8 assumed VMs, 3 of 6 slots with 195 or 300 VMs that all do the same.

Change: the share is one request while the number is unknown. With a known load, or without a refusal, nothing changes: those limits do not depend on the number.

--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -22,6 +22,8 @@
  * it has not just refused a request ({@linkcode UNKNOWN_LOAD_SHARE}).
  */
 const LOCAL_SHARE_FACTOR = 4;
+/** This VM's share of the slots while the number of VMs is unknown. */
+const MINIMUM_SHARE = 1;
 /**
  * Share of all slots of a server that this VM may fill while the load of the
  * server is unknown, unless the server has just refused a request. With 91 VMs,
@@ -37,11 +39,6 @@
 const RECENT_REFUSAL_TIME = 500;
 /** Maximum number of servers that one selection considers. */
 const SAMPLE_SIZE = 24;
-/**
- * Number of VMs that are assumed to share the servers while the actual number
- * is unknown.
- */
-const ASSUMED_VM_COUNT = 8;
 /**
  * Cost factor of a server in another availability zone: traffic between zones
  * is billed and has a higher latency.
@@ -93,9 +90,9 @@
   vmCount: number | null,
 ): number {
   const { slots } = server.entry;
-  const share = Math.ceil(
-    slots * LOCAL_SHARE_FACTOR / (vmCount ?? ASSUMED_VM_COUNT),
-  );
+  const share = vmCount === null
+    ? MINIMUM_SHARE
+    : Math.ceil(slots * LOCAL_SHARE_FACTOR / vmCount);
   if (server.isLoadKnown(now)) return Math.max(share, slots);
   if (now - server.refusedAt < RECENT_REFUSAL_TIME) return share;
   return Math.max(share, Math.ceil(slots * UNKNOWN_LOAD_SHARE));
--- a/src/core/dispatch/server_choice_test.ts
+++ b/src/core/dispatch/server_choice_test.ts
@@ -56,6 +56,19 @@
   t.is(countAccepted(overloaded, 10, 1_000), 2);
 });
 
+// Guards against a share that is computed with a number of VMs that is assumed,
+// which 195 or 300 VMs exceed.
+test("server capacity: a VM that does not know the number of VMs sends one request to a server that has just refused one", (t) => {
+  const server = TrackedServer.create(
+    backendServer("i", { address: "h:1", slots: 6 }),
+  );
+  server.started(0, 0);
+  server.refused(0, 5, null);
+  t.true(hasCapacity(server, 400, null));
+  server.started(1, 400);
+  t.false(hasCapacity(server, 400, null));
+});
+
 test("server choice: a cold server is preferred to equal warm ones once a token is granted, for one request", (t) => {
   const catalog = Catalog.create();
   catalog.apply(configurationSchema.parse({
--- a/src/core/peers/vm_count.ts
+++ b/src/core/peers/vm_count.ts
@@ -8,9 +8,9 @@
  */
 
 /**
- * Time for which a larger count is kept, in milliseconds. VMs that the term
- * holder has not heard of for a while may only be cut off from it, and still use
- * their shares. A count that is too high only makes shares smaller.
+ * Time for which a larger count is kept, in milliseconds. VMs that have not
+ * reported to the term holder for some seconds may be partitioned from it, and
+ * still use their shares. A count that is too high makes shares smaller.
  */
 const RETENTION_TIME = 300_000;
 
--- a/src/core/rates/rate_tokens.ts
+++ b/src/core/rates/rate_tokens.ts
@@ -39,9 +39,9 @@
  */
 const MAXIMUM_DENIAL = 500;
 /**
- * Minimum time between two requests of a VM for tokens for cold servers that are
- * chosen freely, in milliseconds per VM. It limits what the term holder receives
- * from all VMs together while many servers are cold.
+ * Minimum time between two requests of a VM for tokens for cold servers of
+ * services without keys, in milliseconds per VM. It limits what the term holder
+ * receives from all VMs together while many servers are cold.
  */
 const COLD_INTERVAL_PER_VM = 1;
 /** Number of servers from which on expired states are removed. */
@@ -98,7 +98,7 @@
   /** Token states by the server's id. */
   readonly #states = new Map<string, TokenState>();
   readonly #share: RateShare;
-  /** Time from which a token for a freely chosen cold server is requested. */
+  /** Time from which {@linkcode mayRequest} applies to cold servers. */
   #mayRequestAt = -Infinity;
 
   private constructor(
--- a/src/core/rates/token_bucket.ts
+++ b/src/core/rates/token_bucket.ts
@@ -10,7 +10,7 @@
  * {@linkcode PERMITTED_EXCESS} requests in a second. The requests of a second
  * use tokens that were granted in it or at most one lifetime before, and a
  * bucket grants at most its capacity in addition to the rate. The capacity and
- * the lifetime are chosen so that the sum is permitted, whichever VMs use the
+ * the lifetime keep the sum within what is permitted, whichever VMs use the
  * tokens.
  *
  * @module
