retry.withdrawn states what was left for the request; one type of VM estimate

Read afresh: a request that may use only half of the share (it goes again to the server that has refused it) was logged with what is left of the whole share, so a line with isPermitted=false could have remaining above 1. It has what is left of the part that applies now. The estimate of the number of VMs was declared in three places, and a wait for a cold server repeated openEndedWait; each stands once.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -14,7 +14,8 @@
 } from "../quarantine/index.ts";
 import type { ServerPaths } from "../reach/index.ts";
 import type { RateTokens } from "../rates/index.ts";
-import type { RetryLimits, VmEstimate } from "./retry_budget.ts";
+import type { VmEstimate } from "../peers/index.ts";
+import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
 export interface DispatchContext {
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -59,15 +59,15 @@
 
 /**
  * A wait of unknown duration, for example until a server has capacity or
- * registers again.
+ * registers again. The request is checked again at `until`.
  */
-function openEndedWait(reason: string): DispatchPlan {
+function openEndedWait(reason: string, until = Infinity): DispatchPlan {
   return {
     kind: "wait",
     reason,
     isTransient: false,
     isRequestSpecific: false,
-    until: Infinity,
+    until,
   };
 }
 
@@ -102,14 +102,7 @@
   until: number,
 ): DispatchPlan {
   const reason = "the key's server is cold";
-  if (until >= waitEnd) return refusal(reason, true);
-  return {
-    kind: "wait",
-    reason,
-    isTransient: false,
-    isRequestSpecific: false,
-    until,
-  };
+  return until < waitEnd ? openEndedWait(reason, until) : refusal(reason, true);
 }
 
 /** A refusal of a request for which waiting would not help. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -324,12 +324,11 @@
     isPermitted: boolean,
     now: number,
   ): void {
-    const { service, sentCount } = request;
-    const balance = this.#retryPolicy.balance(service, now);
+    const balance = this.#retryPolicy.balance(request, now);
     this.#log.write("info", "retry.withdrawn", request, now, {
       server: server.id,
       isPermitted,
-      sent: sentCount,
+      sent: request.sentCount,
       requests: balance.requests,
       retries: balance.retries,
       remaining: Number(balance.remaining.toFixed(2)),
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import * as z from "zod";
+import type { VmEstimate } from "../peers/index.ts";
 
 /** Schema of {@linkcode RetryLimits}: the limits that all VMs share. */
 export const retryLimitsSchema = z.object({
@@ -50,13 +51,6 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** The number of VMs that share a budget, as one of them knows it. */
-export interface VmEstimate {
-  count: number;
-  /** When this VM first knew a number, in milliseconds. */
-  since: number;
-}
-
 /** Counts in the window from which the remaining retries follow. */
 export interface RetryBalance {
   requests: number;
--- a/src/core/dispatch/retry_budget_test.ts
+++ b/src/core/dispatch/retry_budget_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
-import { RetryBudget, type VmEstimate } from "./retry_budget.ts";
+import type { VmEstimate } from "../peers/index.ts";
+import { RetryBudget } from "./retry_budget.ts";
 
 const LIMITS = { ratio: 0.2, windowSeconds: 10, minimum: 56 };
 
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -102,9 +102,11 @@
     return budget.withdraw(now, this.context.vms(), part);
   }
 
-  /** State of the retry budget of a service, as this VM knows it. */
-  balance(service: string, now: number): RetryBalance {
-    return this.#budget(service).balance(now, this.context.vms());
+  /** The counts of this VM, and what is left of its share for a request. */
+  balance(request: PendingRequest, now: number): RetryBalance {
+    const budget = this.#budget(request.service);
+    const part = this.#usablePart(request);
+    return budget.balance(now, this.context.vms(), part);
   }
 
   /** Part of the retry budget that a request may use. */
--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -7,7 +7,8 @@
 import { retryExcess } from "../../../test/support/retry_excess.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import type { RetryLimits, VmEstimate } from "./retry_budget.ts";
+import type { VmEstimate } from "../peers/index.ts";
+import type { RetryLimits } from "./retry_budget.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 
 const SERVICE = "stock";
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -19,6 +19,7 @@
   type SenderState,
   type ServerReports,
   VmCount,
+  type VmEstimate,
 } from "../peers/index.ts";
 import { ConfigurationWatch } from "./configuration_watch.ts";
 import { PermitExchange } from "./permit_exchange.ts";
@@ -152,7 +153,7 @@
   }
 
   /** The same with the time since which it is known, or null. */
-  get vmEstimate(): { count: number; since: number } | null {
+  get vmEstimate(): VmEstimate | null {
     return this.#vmCount.estimate;
   }
 
--- a/src/core/peers/vm_count.ts
+++ b/src/core/peers/vm_count.ts
@@ -14,6 +14,13 @@
  */
 const RETENTION_TIME = 300_000;
 
+/** An estimated number of VMs. */
+export interface VmEstimate {
+  count: number;
+  /** When this VM first knew a number, in milliseconds. */
+  since: number;
+}
+
 /** See the module's comment. Times are milliseconds. */
 export class VmCount {
   /** Time of the first observation, or null before it. */
@@ -39,7 +46,7 @@
   }
 
   /** The estimated count with the time of the first observation, or null. */
-  get estimate(): { count: number; since: number } | null {
+  get estimate(): VmEstimate | null {
     if (this.#largest === null || this.#knownSince === null) return null;
     return { count: this.#largest, since: this.#knownSince };
   }
