Missed restorations are part of an evacuation change; the number of VMs stands once

Read afresh: zones that were restored without being known as evacuated were kept in a field of Evacuations, which its caller had to take after each change, and were applied to the fleet by a method of their own. They are part of the change now, and applied with it. The context of the dispatcher had the number of VMs twice, and LimitUse a kind that follows from the age of the token.

No decision changes. Tests: evacuations_test.ts expects the missed zones in the changes themselves, also of a zone whose restoration is read without its evacuation ("never"), which it did not state before. 426 tests of src/core pass.

--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -192,17 +192,15 @@
   #applyEvacuation(change: EvacuationChange, now: number): void {
     const { position } = this.fleet.evacuations;
     this.fleet.applyEvacuations(change, now);
-    const missed = this.fleet.evacuations.takeMissed();
-    this.fleet.zonesReturned(missed, now);
-    for (const zone of missed) {
-      this.logDecision("zone.restored", { zone, position, isMissed: true });
-    }
     for (const zone of change.evacuated) {
       this.logDecision("zone.evacuated", { zone, position });
     }
     for (const zone of change.restored) {
       this.logDecision("zone.restored", { zone, position });
     }
+    for (const zone of change.missed ?? []) {
+      this.logDecision("zone.restored", { zone, position, isMissed: true });
+    }
   }
 
   /** Applies rate limits that other VMs have received from servers. */
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -35,8 +35,6 @@
   /** Time at which this process started, in milliseconds of its clock. */
   startedAt(): number;
   /** Number of VMs, or null when unknown. */
-  vmCount(): number | null;
-  /** The same with the time since which it is known. */
   vms(): VmEstimate | null;
   /**
    * Called when a server refused a key that is assigned to it in `directory`:
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -151,7 +151,7 @@
       return this.#planKeyed(request, request.key, now);
     }
     const { tokens, paths } = this.context;
-    const vmCount = this.context.vmCount();
+    const vmCount = this.#vmCount;
     const isUrgent = this.#isUrgent(request);
     const context = {
       fleet,
@@ -227,10 +227,15 @@
     const isHealthy = !server.isLeaving && !server.isBackedOff(now) &&
       !server.isPaused(now) && !server.isUnresponsive(now, meanLatency);
     const isAvailable = isHealthy && tokens.isReady(server, now) &&
-      hasCapacity(server, now, this.context.vmCount());
+      hasCapacity(server, now, this.#vmCount);
     return isAvailable ? server : null;
   }
 
+  /** Number of VMs, or null when unknown. */
+  get #vmCount(): number | null {
+    return this.context.vms()?.count ?? null;
+  }
+
   /** Whether no route to the service is more urgent than the request's. */
   #isUrgent({ route, service }: PendingRequest): boolean {
     return this.context.catalog.isMostUrgent(route, service);
@@ -288,7 +293,7 @@
     if (now > fleet.drainPolicy.keysServedUntil(server)) {
       return transientWait("the key's server is leaving");
     }
-    if (!hasCapacity(server, now, this.context.vmCount())) {
+    if (!hasCapacity(server, now, this.#vmCount)) {
       return openEndedWait("the key's server has no room");
     }
     return this.#checkRateLimit(request, server, now);
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -332,7 +332,7 @@
       requests: balance.requests,
       retries: balance.retries,
       remaining: Number(balance.remaining.toFixed(2)),
-      vms: this.context.vmCount(),
+      vms: this.context.vms()?.count ?? null,
     });
   }
 
@@ -364,7 +364,7 @@
       ...(relay === null ? {} : { relay }),
       load: Number(server.load(now).toFixed(1)),
       latency: server.latency === null ? null : Math.round(server.latency),
-      vms: this.context.vmCount(),
+      vms: this.context.vms()?.count ?? null,
       assignments: `${term}.${version}`,
     });
     server.started(number, now);
@@ -395,10 +395,10 @@
     if (use === null || !use.limit.isWarmUp) return;
     this.#log.write("info", "server.cold_request", request, now, {
       server: server.id,
-      tokenAge: use.age === null ? null : Math.round(use.age),
+      tokenAge: use.tokenAge === null ? null : Math.round(use.tokenAge),
       limit: use.limit.requestsPerSecond,
       term: this.context.directory.position.term,
-      vms: this.context.vmCount(),
+      vms: this.context.vms()?.count ?? null,
     });
   }
 
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -118,7 +118,6 @@
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: MINIMUM_RETRIES },
     startedAt: () => -Infinity,
-    vmCount: () => vmCount,
     vms: () => vmCount === null ? null : { count: vmCount, since: -Infinity },
     keyRefused,
     applyStatement: (server, statement, sentAt, now) =>
@@ -673,7 +672,6 @@
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
-    vmCount: () => null,
     vms: () => null,
     keyRefused: () => {},
     applyStatement: (server, statement, sentAt, now) =>
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -138,7 +138,6 @@
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
-      vmCount: () => this.vms,
       vms: () => this.peers.vmEstimate,
       keyRefused: () => this.peers.keyRefused(),
       applyStatement: (server, statement, sentAt, now) =>
--- a/src/core/fleet/evacuations.ts
+++ b/src/core/fleet/evacuations.ts
@@ -72,6 +72,12 @@
 export interface EvacuationChange {
   evacuated: string[];
   restored: string[];
+  /**
+   * Zones that were restored without having been known as evacuated here. Their
+   * servers may be cold like those of other restored zones. Absent if there are
+   * none.
+   */
+  missed?: string[];
 }
 
 /** The evacuated zones as known to this VM; see the module's comment. */
@@ -84,8 +90,6 @@
   #restored: ReadonlySet<string> = new Set();
   /** Position at which zones were last restored in this era. */
   readonly #restoredAt = new Map<string, number>();
-  /** Zones of which {@linkcode takeMissed} informs. */
-  #missed: string[] = [];
   /** Era of the store to which the position belongs, or null if unknown. */
   #era: number | null = null;
   #position = -1;
@@ -130,17 +134,6 @@
     };
   }
 
-  /**
-   * Returns the zones that were evacuated and restored since the last call
-   * without having been known as evacuated here. Their servers may be cold like
-   * those of other restored zones.
-   */
-  takeMissed(): string[] {
-    const missed = this.#missed;
-    this.#missed = [];
-    return missed;
-  }
-
   /**
    * Applies the result of a read of the feed in an era of the store, unless a
    * later state is known.
@@ -173,8 +166,8 @@
       without([...this.#restored, ...ended], new Set(listed)),
     );
     for (const zone of ended) this.#recordRestored(zone, position);
-    this.#recordMissed(ended.map((zone) => [zone, position]), since, before);
-    return this.#changeSince(before);
+    const restorations = ended.map((zone) => [zone, position] as const);
+    return this.#changeSince(before, missedSince(since, restorations, before));
   }
 
   /** Applies the state that another VM sent, unless a later one is known. */
@@ -185,10 +178,11 @@
     const since = this.#positionIn(era);
     if (era !== this.#era) this.#enterEra(era);
     const ended = new Set(restored);
+    let missed: string[] = [];
     if (position > this.#position) {
       const { restoredAt = [] } = snapshot;
       for (const [zone, at] of restoredAt) this.#recordRestored(zone, at);
-      this.#recordMissed(restoredAt, since, before);
+      missed = missedSince(since, restoredAt, before);
       this.#position = position;
       this.#zones = limit(without(snapshot.zones, new Set(kept)));
       this.#restored = limit(
@@ -201,7 +195,7 @@
         new Set([...this.#zones, ...this.#restored]),
       ),
     );
-    return this.#changeSince(before);
+    return this.#changeSince(before, missed);
   }
 
   #recordRestored(zone: string, position: number): void {
@@ -210,23 +204,6 @@
     this.#restoredAt.set(zone, Math.max(known, position));
   }
 
-  /**
-   * Records the zones that were restored after position `since` and were not
-   * known as evacuated `before`. A VM that knew no position has missed nothing:
-   * it has just learned of all servers, with what their entries state.
-   */
-  #recordMissed(
-    restoredAt: readonly (readonly [string, number])[],
-    since: number,
-    before: readonly string[],
-  ): void {
-    if (since < 0) return;
-    for (const [zone, position] of restoredAt) {
-      const isKnown = position <= since || before.includes(zone);
-      if (!isKnown) this.#missed.push(zone);
-    }
-  }
-
   /**
    * Known position in an era, or -1. A position that was known before any era
    * belongs to the first one.
@@ -247,15 +224,35 @@
     this.#zones = new Set();
   }
 
-  #changeSince(before: readonly string[]): EvacuationChange {
+  #changeSince(
+    before: readonly string[],
+    missed: string[] = [],
+  ): EvacuationChange {
     const after = this.zones;
     return {
       evacuated: after.filter((zone) => !before.includes(zone)),
       restored: before.filter((zone) => !after.includes(zone)),
+      ...(missed.length === 0 ? {} : { missed }),
     };
   }
 }
 
+/**
+ * Returns the zones that were restored after position `since` and were not known
+ * as evacuated `before`. A VM that knew no position has missed nothing: it has
+ * just learned of all servers, with what their entries state.
+ */
+function missedSince(
+  since: number,
+  restorations: readonly (readonly [string, number])[],
+  before: readonly string[],
+): string[] {
+  if (since < 0) return [];
+  return restorations.filter(([zone, position]) =>
+    position > since && !before.includes(zone)
+  ).map(([zone]) => zone);
+}
+
 /** Whether era `a` is older than `b`; a state without an era is the oldest. */
 function isOlder(a: number | null, b: number | null): boolean {
   return b !== null && (a === null || a < b);
--- a/src/core/fleet/evacuations_test.ts
+++ b/src/core/fleet/evacuations_test.ts
@@ -22,6 +22,7 @@
   t.deepEqual(evacuations.applyRead(read(3, [], ["a", "never"])), {
     evacuated: [],
     restored: ["a"],
+    missed: ["never"],
   });
   t.deepEqual(evacuations.zones, ["unknown", "b"]);
 });
@@ -124,18 +125,20 @@
   const follower = Evacuations.create();
   reader.applyRead(read(1, [], [], true));
   follower.applySnapshot(reader.snapshot!);
-  reader.applyRead(read(3, [], ["a"]));
-  t.deepEqual(reader.takeMissed(), ["a"]);
-  t.deepEqual(reader.takeMissed(), []);
-  t.deepEqual(follower.applySnapshot(reader.snapshot!).restored, []);
-  t.deepEqual(follower.takeMissed(), ["a"]);
+  const missed = { evacuated: [], restored: [], missed: ["a"] };
+  t.deepEqual(reader.applyRead(read(3, [], ["a"])), missed);
+  t.deepEqual(follower.applySnapshot(reader.snapshot!), missed);
+  t.deepEqual(follower.applySnapshot(reader.snapshot!), {
+    evacuated: [],
+    restored: [],
+  });
   // Later evacuations of other zones say nothing new of it.
-  reader.applyRead(read(5, ["b"]));
-  follower.applySnapshot(reader.snapshot!);
-  t.deepEqual([reader.takeMissed(), follower.takeMissed()], [[], []]);
-  reader.applyRead(read(6, [], ["b"]));
-  follower.applySnapshot(reader.snapshot!);
-  t.deepEqual([reader.takeMissed(), follower.takeMissed()], [[], []]);
+  const evacuated = { evacuated: ["b"], restored: [] };
+  t.deepEqual(reader.applyRead(read(5, ["b"])), evacuated);
+  t.deepEqual(follower.applySnapshot(reader.snapshot!), evacuated);
+  const restored = { evacuated: [], restored: ["b"] };
+  t.deepEqual(reader.applyRead(read(6, [], ["b"])), restored);
+  t.deepEqual(follower.applySnapshot(reader.snapshot!), restored);
 });
 
 test("evacuations: a VM that has just learned of a position has missed no restoration", (t) => {
@@ -143,6 +146,8 @@
   reader.applyRead(read(1, ["a"], [], true));
   reader.applyRead(read(3, [], ["a"]));
   const started = Evacuations.create();
-  started.applySnapshot(reader.snapshot!);
-  t.deepEqual(started.takeMissed(), []);
+  t.deepEqual(started.applySnapshot(reader.snapshot!), {
+    evacuated: [],
+    restored: [],
+  });
 });
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -133,25 +133,14 @@
 
   /** Marks the servers of zones that were evacuated or restored. */
   applyEvacuations(
-    { evacuated, restored }: EvacuationChange,
+    { evacuated, restored, missed = [] }: EvacuationChange,
     now: number,
   ): void {
     for (const server of this.#servers.values()) {
       const { availabilityZone } = server.entry;
       if (evacuated.includes(availabilityZone)) server.setEvacuated(true, now);
       if (restored.includes(availabilityZone)) server.setEvacuated(false, now);
-    }
-  }
-
-  /**
-   * Marks the servers of zones as possibly cold, which were evacuated and
-   * restored without this VM having known of the evacuation.
-   */
-  zonesReturned(zones: readonly string[], now: number): void {
-    for (const server of this.#servers.values()) {
-      if (zones.includes(server.entry.availabilityZone)) {
-        server.mayHaveRestarted(now);
-      }
+      if (missed.includes(availabilityZone)) server.mayHaveRestarted(now);
     }
   }
 
--- a/src/core/rates/rate_tokens.ts
+++ b/src/core/rates/rate_tokens.ts
@@ -85,11 +85,13 @@
    */
   | { kind: "shared"; until: number };
 
-/** The token or the share that a request to a server with a limit has used. */
+/** What a request to a server with a limit has used. */
 export interface LimitUse {
-  kind: "token" | "share";
-  /** Time since the token was requested, in milliseconds; null for a share. */
-  age: number | null;
+  /**
+   * Time since its token was requested, in milliseconds; null if it has used a
+   * share.
+   */
+  tokenAge: number | null;
   limit: ServerLimit;
 }
 
@@ -210,11 +212,11 @@
     const state = this.#states.get(server.id);
     if (state?.kind === "granted") {
       this.#states.delete(server.id);
-      return { kind: "token", age: now - state.askedAt, limit };
+      return { tokenAge: now - state.askedAt, limit };
     }
     const interval = this.#interval(limit);
     if (interval !== null) this.#share.requestSent(server.id, interval, now);
-    return { kind: "share", age: null, limit };
+    return { tokenAge: null, limit };
   }
 
   /** Applies the term holder's answer to a token request. */
