--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -189,6 +189,9 @@
     const { number } = attempt;
     this.#byAttempt.delete(number);
     this.context.paths.ended(attemptName(number));
+    if (attempt.isRepeat) {
+      this.#logRepeatEnd(request, attempt, "cancelled", now);
+    }
     request.attempts = request.attempts.filter((each) => each !== attempt);
     this.#effects.push({ kind: "attempt.cancel", attempt: number });
     const step = this.#outcomeReview.reviewAbandoned(request, attempt);
@@ -216,6 +219,9 @@
     this.#byAttempt.delete(number);
     const attempt = request.attempts.find((each) => each.number === number)!;
     request.attempts = request.attempts.filter((each) => each !== attempt);
+    if (attempt.isRepeat) {
+      this.#logRepeatEnd(request, attempt, outcome.kind, now);
+    }
     const step = this.#outcomeReview.review(request, attempt, outcome, now);
     this.#applyStep(request, attempt, step, now);
     this.#drain(request.service, now);
@@ -329,6 +335,7 @@
       server: server.id,
       isPermitted,
       sent: request.sentCount,
+      left: Math.round(request.deadline - now),
       requests: balance.requests,
       retries: balance.retries,
       remaining: Number(balance.remaining.toFixed(2)),
@@ -336,6 +343,21 @@
     });
   }
 
+  /** Logs by when a repeat has reached its server, if it has. */
+  #logRepeatEnd(
+    request: PendingRequest,
+    { number, server, startedAt }: Attempt,
+    outcome: AttemptOutcome["kind"] | "cancelled",
+    now: number,
+  ): void {
+    this.#log.write("info", "retry.ended", request, now, {
+      attempt: number,
+      server,
+      outcome,
+      duration: Math.round(now - startedAt),
+    });
+  }
+
   /** Starts an attempt at a server. */
   #start(request: PendingRequest, server: TrackedServer, now: number): void {
     this.#attemptCount += 1;
@@ -348,6 +370,7 @@
       server: server.id,
       relay,
       startedAt: now,
+      isRepeat: request.sentCount > 0,
       range,
       hedgeAt: this.#retryPolicy.hedgeAt(request, now),
     };
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -61,6 +61,8 @@
    */
   relay: string | null;
   startedAt: number;
+  /** Whether another attempt of the request may have reached a server before. */
+  isRepeat: boolean;
   /**
    * The assigned range that contained the request's key at the start of the
    * attempt; null without a key, or if no assignment was known.
