Tests of the retry budget while callers move and arrivals are held back, failing

The requests of 10 s are counted by the VM that callers leave and, as they go on, by the one that they move to.

--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -18,6 +18,8 @@
 const FAULT_AT = 20_400;
 /** Number of retries that each request needs while servers fail. */
 const RETRIES_PER_REQUEST = 3;
+/** Timeout of a request, in milliseconds; its connection is closed then. */
+const TIMEOUT = 2_000;
 
 /** Numbers of VMs, each with the minimum of the budget. */
 const SIZES = [[4, 56], [11, 62], [61, 162], [195, 430], [300, 430]];
@@ -32,8 +34,10 @@
   countOf: (vm: number, now: number) => number | null;
   /** Times at which a VM restarts. */
   restartsOf: (vm: number) => readonly number[];
-  /** Whether a VM gets no requests at a time. */
+  /** Whether a VM gets no requests at a time; its callers use the others. */
   isAway: (vm: number, now: number) => boolean;
+  /** When a retry that a VM sends at a time reaches a server; at once if absent. */
+  arrivalOf?: (vm: number, now: number) => number;
 }
 
 /** Returns the policy of a process that starts at `startedAt`. */
@@ -49,6 +53,7 @@
 /** Returns by how many the retries of all VMs exceed the budget. */
 function simulate(situation: Situation, limits: RetryLimits): number {
   const { vms, rate, isFailing, countOf, restartsOf, isAway } = situation;
+  const arrivalOf = situation.arrivalOf ?? ((_, at) => at);
   let now = 0;
   const knownSince: (number | null)[] = [];
   const create = (vm: number) => {
@@ -62,7 +67,6 @@
   const requests: number[] = [];
   const retries: number[] = [];
   const backlog = new Array<number>(vms).fill(0);
-  const request = { service: SERVICE, key: null } as PendingRequest;
   for (; now < UNTIL; now += STEP) {
     const present = policies.filter((_, vm) => !isAway(vm, now)).length;
     for (let vm = 0; vm < vms; vm++) {
@@ -77,8 +81,12 @@
         policies[vm].recordRequest(SERVICE, now);
         requests.push(now);
         if (!isFailing(now)) continue;
+        const deadline = now + TIMEOUT;
+        const request = { service: SERVICE, key: null, deadline };
         for (let i = 0; i < RETRIES_PER_REQUEST; i++) {
-          if (policies[vm].withdraw(request, now)) retries.push(now);
+          if (!policies[vm].withdraw(request as PendingRequest, now)) break;
+          const arrival = arrivalOf(vm, now);
+          if (arrival <= deadline) retries.push(arrival);
         }
       }
     }
@@ -98,6 +106,63 @@
 
 type Case = (vms: number) => Omit<Situation, "vms" | "rate">;
 
+/** Whether a VM is one of a share of the VMs, which are spread evenly. */
+function isPart(vm: number, share: number): boolean {
+  return Math.floor((vm + 1) * share) > Math.floor(vm * share);
+}
+
+/** Cases in which callers move to other VMs while all servers fail. */
+function movements(): Record<string, Case> {
+  const shares = { half: 1 / 2, "two thirds": 2 / 3, "nine in ten": 9 / 10 };
+  const cases: Record<string, Case> = {
+    "callers move between halves in turn": (vms) => ({
+      ...KNOWN(vms),
+      isAway: (vm, now) =>
+        now >= FAULT_AT + 600 &&
+        isPart(vm, 1 / 2) === (Math.floor((now - FAULT_AT) / 2_000) % 2 === 0),
+    }),
+    "callers move between zones in turn": (vms) => ({
+      ...KNOWN(vms),
+      isAway: (vm, now) =>
+        now >= FAULT_AT + 600 &&
+        vm % 3 !== Math.floor((now - FAULT_AT) / 3_000) % 3,
+    }),
+    "callers move, and the VMs that they move to restart": (vms) => ({
+      ...KNOWN(vms),
+      isAway: (vm, now) => isPart(vm, 2 / 3) && now >= FAULT_AT + 600,
+      restartsOf: (vm) => isPart(vm, 2 / 3) ? [] : [FAULT_AT + 700],
+    }),
+    "callers move twice while VMs restart and others are cut off": (vms) => ({
+      ...KNOWN(vms),
+      countOf: (vm, now) =>
+        vm % 2 === 0 && now >= FAULT_AT ? Math.ceil(vms / 2) : vms,
+      isAway: (vm, now) =>
+        now < FAULT_AT + 4_000
+          ? isPart(vm, 2 / 3) && now >= FAULT_AT + 600
+          : !isPart(vm, 2 / 3),
+      restartsOf: (vm) => vm % 4 === 0 ? [FAULT_AT + 2_000] : [],
+    }),
+  };
+  for (const [name, share] of Object.entries(shares)) {
+    for (const after of [600, 2_500]) {
+      cases[`${name} of the VMs lose their callers after ${after} ms`] = (
+        vms,
+      ) => ({
+        ...KNOWN(vms),
+        isAway: (vm, now) => isPart(vm, share) && now >= FAULT_AT + after,
+      });
+    }
+    cases[`${name} of the VMs lose their callers and get them back`] = (
+      vms,
+    ) => ({
+      ...KNOWN(vms),
+      isAway: (vm, now) =>
+        isPart(vm, share) && now >= FAULT_AT + 600 && now < FAULT_AT + 6_600,
+    });
+  }
+  return cases;
+}
+
 const KNOWN: Case = (vms) => ({
   isFailing: steady,
   countOf: () => vms,
@@ -146,6 +211,16 @@
     isAway: (vm, now) =>
       vm % 3 === 0 && now >= FAULT_AT - 3_000 && now < FAULT_AT + 6_000,
   }),
+  ...movements(),
+  "retries that silent links hold back arrive at once": (vms) => ({
+    ...KNOWN(vms),
+    arrivalOf: (_, at) => Math.max(at, FAULT_AT + TIMEOUT),
+  }),
+  "links are silent in turn, and callers move": (vms) => ({
+    ...KNOWN(vms),
+    isAway: (vm, now) => isPart(vm, 2 / 3) && now >= FAULT_AT + 3_500,
+    arrivalOf: (_, at) => Math.ceil(at / TIMEOUT) * TIMEOUT,
+  }),
   "several at once": (vms) => ({
     isFailing: (now) => bursts(now) || now >= FAULT_AT + 14_000,
     countOf: (vm, now) => {
@@ -159,13 +234,14 @@
 };
 
 // Guards against retries beyond the budget of all VMs together: those that a VM
-// forgets before the window has passed or as it restarts, and shares by a
-// number of VMs that is not known.
+// forgets before the window has passed or as it restarts, shares by a number of
+// VMs that is not known, requests that two VMs count as callers move from one to
+// the other, and retries that arrive later than they are sent.
 for (const [name, create] of Object.entries(CASES)) {
   for (const [vms, minimum] of SIZES) {
     test(`retry policy: ${name}, ${vms} VMs: all together stay within the budget`, (t) => {
       const limits = { ratio: 0.2, windowSeconds: 10, minimum };
-      for (const rate of [8, 120, 600]) {
+      for (const rate of [8, 120, 600, 1_000]) {
         const excess = simulate({ ...create(vms), vms, rate }, limits);
         t.true(excess <= 0, `${rate} requests per second: ${excess} beyond`);
       }
