Tests of the retry budget while callers move, in the model and with processes, failing

The model gets a fault by which callers do not reach a VM and use others, and servers that fail all requests for a time.

The load generator took the callers of a killed entry for requests that fail at once, so it did not move them; the tests name the entries that are avoided.

--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -91,6 +91,11 @@
   rateLimit?: ReportedRateLimit;
   /** Backoff that servers request; none if left out. */
   backoff?: RequestedBackoff;
+  /**
+   * Time in which all servers respond with status 500 at once, in milliseconds;
+   * never if left out.
+   */
+  failure?: { from: number; until: number };
 }
 
 /**
@@ -787,6 +792,13 @@
     });
   }
 
+  /** Whether all servers respond with status 500. */
+  #isFailing(): boolean {
+    const { failure } = this.options;
+    if (failure === undefined) return false;
+    return this.time.now >= failure.from && this.time.now < failure.until;
+  }
+
   #arrive({ server, address }: AttemptStart, request: ServerRequest): void {
     if (request.isEnded) return;
     const isHeld = this.system.holds(server, address, request.caller.key);
@@ -802,6 +814,9 @@
       this.misdirected += 1;
       return this.#end(request, this.#createResponse(server, 421, true));
     }
+    if (this.#isFailing()) {
+      return this.#end(request, this.#createResponse(server, 500, false));
+    }
     if (this.#isRefusing(server)) return this.#refuseWithBackoff(request);
     if (this.#isOverloadedCold(server)) {
       this.coldCrashes += 1;
--- a/test/ownership/retry_budget_test.ts
+++ b/test/ownership/retry_budget_test.ts
@@ -11,6 +11,8 @@
 
 const FAILED_FROM = 22_000;
 const FAILED_UNTIL = 36_000;
+/** When callers move, after VMs have sent requests again for some time. */
+const MOVED_AT = FAILED_FROM + 1_800;
 const UNTIL = 40_000;
 const SERVERS = 24;
 const LOAD: LoadOptions = {
@@ -29,6 +31,9 @@
 /** Numbers of VMs, each with the minimum of the budget. */
 const SIZES = [[4, 56], [11, 62], [61, 162]];
 
+/** The same for cases in which callers move. */
+const MOVEMENT_SIZES = [...SIZES, [195, 430], [300, 430]];
+
 /** Applies a fault to the VMs with the given indexes. */
 function toVms(
   kind: Fault["kind"],
@@ -76,6 +81,8 @@
   name: string;
   faults: (vms: number) => Fault[];
   isKeyed?: boolean;
+  /** Whether all servers fail all requests that reach them. */
+  isFailing?: boolean;
   /** Requests per second. */
   rate?: number;
 }
@@ -132,13 +139,98 @@
   },
 ];
 
+/** The first VMs, as many as are a share of all. */
+function part(vms: number, share: number): number[] {
+  return indexes(Math.floor(vms * share));
+}
+
+/** The VMs that are not among {@linkcode part}. */
+function rest(vms: number, share: number): number[] {
+  return indexes(vms, Math.floor(vms * share));
+}
+
+const SHARES = { half: 1 / 2, "two thirds": 2 / 3, "nine in ten": 9 / 10 };
+
+/** Cases in which callers move to other VMs while all servers fail. */
+const MOVEMENTS: Case[] = ([
+  ...Object.entries(SHARES).map(([name, share]): Case => ({
+    name: `callers leave ${name} of the VMs`,
+    faults: (vms) =>
+      toVms("vm.cut_from_callers", MOVED_AT, 16_000, part(vms, share)),
+  })),
+  {
+    name: "callers leave two thirds of the VMs and return",
+    faults: (vms) =>
+      toVms("vm.cut_from_callers", MOVED_AT, 5_000, part(vms, 2 / 3)),
+  },
+  {
+    name: "callers move between halves in turn",
+    faults: (vms) =>
+      [0, 6_000].flatMap((after) => [
+        ...toVms(
+          "vm.cut_from_callers",
+          MOVED_AT + after,
+          3_000,
+          part(vms, 0.5),
+        ),
+        ...toVms(
+          "vm.cut_from_callers",
+          MOVED_AT + after + 3_000,
+          3_000,
+          rest(vms, 0.5),
+        ),
+      ]),
+  },
+  {
+    name: "two thirds of the VMs lose power",
+    faults: (vms) => toVms("vm.kill", MOVED_AT, 24_000, part(vms, 2 / 3)),
+  },
+  {
+    name: "two thirds of the VMs are suspended",
+    faults: (vms) => [
+      ...toVms("vm.suspend", MOVED_AT, 5_000, part(vms, 2 / 3)),
+      ...toVms("vm.cut_from_callers", MOVED_AT + 300, 5_500, part(vms, 2 / 3)),
+    ],
+  },
+  {
+    name: "two thirds of the VMs leave",
+    faults: (vms) => toVms("vm.shutdown", MOVED_AT, 1, part(vms, 2 / 3)),
+  },
+  {
+    name: "callers of VMs that are cut off and restart move",
+    faults: (vms) => [
+      ...toVms("vm.cut_from_peers", MOVED_AT - 4_000, 9_000, part(vms, 1 / 3)),
+      ...toVms("vm.cut_from_callers", MOVED_AT, 3_000, part(vms, 2 / 3)),
+      ...toVms("vm.kill", MOVED_AT + 3_000, 1_200, rest(vms, 2 / 3)),
+      ...toVms(
+        "vm.cut_from_callers",
+        MOVED_AT + 4_500,
+        6_000,
+        part(vms, 1 / 3),
+      ),
+    ],
+  },
+  {
+    name: "links to servers are silent, and callers move",
+    faults: (vms) => [
+      ...toVms("vm.cut_from_servers", FAILED_FROM + 400, 1_400, indexes(vms)),
+      ...toVms("vm.cut_from_callers", MOVED_AT, 8_000, part(vms, 2 / 3)),
+    ],
+  },
+] satisfies Case[]).map((each) => ({
+  ...each,
+  isKeyed: false,
+  isFailing: true,
+}));
+
 function simulate(
-  { faults, isKeyed = true, rate = LOAD.rate }: Case,
+  { faults, isKeyed = true, isFailing = false, rate = LOAD.rate }: Case,
   vms: number,
   minimum: number,
   seed: number,
 ): { load: RequestLoad; excess: number } {
   const retryLimits = { ratio: 0.2, windowSeconds: 10, minimum };
+  const failure = { from: FAILED_FROM, until: FAILED_UNTIL };
   const { load, violations } = Simulation.runToEnd({
     vms,
     servers: SERVERS,
@@ -146,7 +238,7 @@
     duration: UNTIL + 2_000,
     seed,
     fitness: Array.from({ length: vms }, (_, i) => i < 4 ? 5 : 1),
-    load: { ...LOAD, isKeyed, rate },
+    load: { ...LOAD, isKeyed, rate, ...(isFailing ? { failure } : {}) },
     retryLimits,
     faults: faults(vms),
   });
@@ -159,10 +251,11 @@
 // Guards against retries that are forgotten before the window has passed, so
 // that all VMs use their shares twice within it, and against shares by a number
 // of VMs that is too low.
-for (const each of CASES) {
-  for (const [vms, minimum] of SIZES) {
+for (const each of [...CASES, ...MOVEMENTS]) {
+  const sizes = each.isFailing ? MOVEMENT_SIZES : SIZES;
+  for (const [vms, minimum] of sizes) {
     test.serial(`retries: ${each.name}, ${vms} VMs: they stay within the budget`, async (t) => {
-      for (const seed of [1, 2]) {
+      for (const seed of each.isFailing ? [1] : [1, 2]) {
         await yieldToRunner();
         const { load, excess } = simulate(each, vms, minimum, seed);
         t.log(`${load.repeatTimes.length} repeats, ${excess} beyond`);
--- a/test/ownership/simulation.ts
+++ b/test/ownership/simulation.ts
@@ -172,6 +172,8 @@
      */
     | "vm.servers_refuse"
     | "vm.cut_from_peers"
+    /** Callers do not reach the VM and send their requests to others. */
+    | "vm.cut_from_callers"
     | "vm.shutdown"
     | "server.crash"
     /** The server states that it is leaving, and registers as draining. */
@@ -617,7 +619,9 @@
         this.#draw,
         {
           vms: () =>
-            this.#vms.filter((each) => each.isUp).map((vm) => vm.index),
+            this.#vms.filter(({ isUp, index }) =>
+              isUp && !this.#isActive("vm.cut_from_callers", index)
+            ).map((vm) => vm.index),
           arrive: (vm, arrival) =>
             this.#handle(this.#vms[vm], { kind: "request.arrived", arrival }),
           isRunning: (vm) => this.#vms[vm].frozenUntil <= this.#time.now,
--- a/test/retry_budget_process_test.ts
+++ b/test/retry_budget_process_test.ts
@@ -16,9 +16,13 @@
 const LOAD_SECONDS = 24;
 /** When all servers refuse requests, in milliseconds after the start. */
 const REFUSED_FROM = 10_400;
-const REFUSED_UNTIL = 22_000;
-/** When entries are killed, in milliseconds after the start. */
-const KILLED_AT = 12_000;
+const REFUSED_UNTIL = 22_500;
+/** When entries are killed or paused, in milliseconds after the start. */
+const DISRUPTED_AT = 11_300;
+/** Number of entries that lose their callers at the same time. */
+const LOST_ENTRIES = 3;
+/** Time for which they are stopped, in milliseconds. */
+const LOSS_DURATION = 10_500;
 /** Limits that entries use without settings of their own. */
 const LIMITS = retryLimitsSchema.parse({});
 /**
@@ -60,46 +64,95 @@
     ).length;
 }
 
+/** Names of the tests, by what happens to the entries. */
+const NAMES = {
+  none: "refuse",
+  "restarts in turn": "refuse requests, and VMs are killed",
+  loss: "refuse requests, and three of four VMs are killed for some time",
+  pause: "refuse requests, and three of four VMs are paused",
+};
+
+type Disruption = keyof typeof NAMES;
+
+/**
+ * Disrupts entries; returns when entries were killed. Callers do not use those
+ * in `avoided`.
+ */
+async function disrupt(
+  deployment: Deployment,
+  disruption: Disruption,
+  avoided: Set<string>,
+): Promise<number[]> {
+  const { entries } = deployment;
+  const lost = entries.slice(0, LOST_ENTRIES);
+  if (disruption === "loss" || disruption === "pause") {
+    for (const { address } of lost) avoided.add(address);
+    // The last requests of their callers are answered first.
+    await delay(200);
+  }
+  const kills: number[] = [];
+  const kill = async ({ process }: DeployedProcess) => {
+    process.kill("SIGKILL");
+    await once(process, "exit");
+    kills.push(Date.now());
+  };
+  switch (disruption) {
+    case "none":
+      break;
+    case "restarts in turn":
+      for (const each of entries) {
+        await kill(each);
+        await delay(100);
+        deployment.restart(each);
+      }
+      break;
+    case "loss":
+      await Promise.all(lost.map(kill));
+      await delay(LOSS_DURATION);
+      for (const each of lost) deployment.restart(each);
+      break;
+    case "pause":
+      for (const each of lost) each.process.kill("SIGSTOP");
+      await delay(LOSS_DURATION);
+      for (const each of lost) each.process.kill("SIGCONT");
+      break;
+  }
+  return kills;
+}
+
 async function loadWhileRefused(
   deployment: Deployment,
   service: "stock" | "orders",
   servers: readonly DeployedProcess[],
-  isKilling: boolean,
+  disruption: Disruption,
 ): Promise<{ calls: Call[]; kills: number[] }> {
-  const kills: number[] = [];
+  const avoided = new Set<string>();
   const running = runLoad(deployment.plan(service, {
+    isReady: (target) => !avoided.has(target),
     callers: 6 * ENTRIES,
     pause: 60,
     method: service === "stock" ? "PUT" : "POST",
     keys: service === "stock" ? 40 : 0,
     seconds: LOAD_SECONDS,
   }));
+  const startedAt = Date.now();
   const setRefusal = (shed: boolean) =>
     Promise.all(
       servers.map(({ address }) => deployment.setFaults(address, { shed })),
     );
   await delay(REFUSED_FROM);
   await setRefusal(true);
-  if (isKilling) {
-    await delay(KILLED_AT - REFUSED_FROM);
-    for (const each of deployment.entries) {
-      each.process.kill("SIGKILL");
-      await once(each.process, "exit");
-      kills.push(Date.now());
-      await delay(100);
-      deployment.restart(each);
-    }
-  }
-  await delay(REFUSED_UNTIL - (isKilling ? KILLED_AT : REFUSED_FROM));
+  await delay(DISRUPTED_AT - REFUSED_FROM);
+  const kills = await disrupt(deployment, disruption, avoided);
+  await delay(Math.max(0, startedAt + REFUSED_UNTIL - Date.now()));
   await setRefusal(false);
   return { calls: (await running).calls, kills };
 }
 
 // Guards against retries that reach servers beyond the budget that all VMs
-// share, or without being counted.
-for (const isKilling of [false, true]) {
+// share, or without being counted: by VMs that lose their callers to others, too.
+for (const [disruption, name] of Object.entries(NAMES)) {
   for (const service of ["stock", "orders"] as const) {
-    const name = isKilling ? "refuse requests, and VMs are killed" : "refuse";
     test(`retries, processes: servers of ${service} ${name}: they stay within the budget`, async (t) => {
       const deployment = await Deployment.start({
         entries: ENTRIES,
@@ -113,7 +166,7 @@
         deployment,
         service,
         servers,
-        isKilling,
+        disruption as Disruption,
       );
       const repeats = repeatTimes(deployment, servers);
       const requests = calls.map(({ startedAt }) => startedAt);
