Each request permits half of the ratio of retries once, at the VM that has it

Cause: a VM's share followed from the requests that it had counted in the last 10 s. Callers that left a VM after it had used its share were counted once more by the VMs that they moved to, so that the retries of one window had up to 20 s of requests behind them: 0.15 x 2 of the requests of a window, where 0.2 are allowed. The class: parts of a common bound that are taken from what each VM has counted in a window of its own.

Now a request permits half of the ratio, once, at the VM that has read it, for one window after it was sent; the oldest requests are used first. The retries that reach servers in a window belong to requests of that window and of the one before, at most twice those of the larger of the two, which the rule counts. That needs no number of VMs and holds whichever VMs callers use, restart or are cut off, so the part of a process that has just started is no smaller any more. A retry uses only requests whose window lasts until its connection is closed (half a window at most), since a silent link may hold it back until then, and requests that are read after a stall count as sent when it began.

The minimum was divided by the number of VMs that a VM knows. Without a holder there is no minimum. An older version ignores the new field, and gives none.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -14,7 +14,6 @@
 } from "../quarantine/index.ts";
 import type { ServerPaths } from "../reach/index.ts";
 import type { RateTokens } from "../rates/index.ts";
-import type { VmEstimate } from "../peers/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
 /** See the module's comment. */
@@ -35,7 +34,12 @@
   /** Time at which this process started, in milliseconds of its clock. */
   startedAt(): number;
   /** Number of VMs, or null when unknown. */
-  vms(): VmEstimate | null;
+  vms(): number | null;
+  /**
+   * Part of the minimum of the retry budget that the term holder grants to this
+   * VM now, from 0 to 1.
+   */
+  minimumShare(now: number): number;
   /**
    * Called when a server refused a key that is assigned to it in `directory`:
    * the assignment may be outdated.
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -233,7 +233,7 @@
 
   /** Number of VMs, or null when unknown. */
   get #vmCount(): number | null {
-    return this.context.vms()?.count ?? null;
+    return this.context.vms();
   }
 
   /** Whether no route to the service is more urgent than the request's. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -160,7 +160,8 @@
    * now. Responses and the results of probes may be waiting to be read, so
    * hedges and retries are delayed by as much.
    */
-  processStalled(duration: number): void {
+  processStalled(duration: number, now: number): void {
+    this.#retryPolicy.processStalled(duration, now);
     for (const request of this.#requests.values()) {
       request.retryNotBefore += duration;
       for (const each of request.attempts) each.hedgeAt += duration;
@@ -339,7 +340,7 @@
       requests: balance.requests,
       retries: balance.retries,
       remaining: Number(balance.remaining.toFixed(2)),
-      vms: this.context.vms()?.count ?? null,
+      minimumShare: Number(this.context.minimumShare(now).toFixed(4)),
     });
   }
 
@@ -387,7 +388,7 @@
       ...(relay === null ? {} : { relay }),
       load: Number(server.load(now).toFixed(1)),
       latency: server.latency === null ? null : Math.round(server.latency),
-      vms: this.context.vms()?.count ?? null,
+      vms: this.context.vms(),
       assignments: `${term}.${version}`,
     });
     server.started(number, now);
@@ -421,7 +422,7 @@
       tokenAge: use.tokenAge === null ? null : Math.round(use.tokenAge),
       limit: use.limit.requestsPerSecond,
       term: this.context.directory.position.term,
-      vms: this.context.vms()?.count ?? null,
+      vms: this.context.vms(),
     });
   }
 
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -118,7 +118,8 @@
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: MINIMUM_RETRIES },
     startedAt: () => -Infinity,
-    vms: () => vmCount === null ? null : { count: vmCount, since: -Infinity },
+    vms: () => vmCount,
+    minimumShare: () => vmCount === null ? 0 : 0.5 / vmCount,
     keyRefused,
     applyStatement: (server, statement, sentAt, now) =>
       void server.statements.apply(statement, sentAt, now),
@@ -418,7 +419,7 @@
     }
     retries += Math.max(0, reached - 1);
   }
-  // 75% of (0.2 * 20 requests + a minimum of 50 / 8 VMs).
+  // 0.2 * 20 requests + 50 / 8 VMs is 10, 0.1 * 20 + 0.5 * 100 / 8 is 8.
   t.true(retries <= 7, `${retries}`);
 });
 
@@ -522,7 +523,7 @@
     }
   }
   const repeats = [...sent.values()].reduce((sum, each) => sum + each - 1, 0);
-  // This VM's share is 0.75 x 0.2 x 40 + 0.5 x 100 / 8 = 12.25.
+  // This VM's part is 0.1 x 40 + 0.5 x 100 / 8 = 10.25.
   t.true(repeats >= 4 && repeats <= 6, `${repeats} repeats`);
   const [first] = arrive("/lookup/", now);
   t.is(first.kind, "attempt.start");
@@ -541,7 +542,7 @@
   t.is(dispatcher.pending, 0);
 });
 
-test("dispatch: retries are limited while the number of VMs is unknown", (t) => {
+test("dispatch: retries are limited while no share of the minimum is granted", (t) => {
   const { dispatcher, arrive } = createDispatcher(null);
   arrive("/order/", 0);
   t.snapshot(summarize(dispatcher.attemptEnded(1, NOT_RUN, 10)));
@@ -617,7 +618,7 @@
 test("dispatch: a request is not hedged because this process stalled", (t) => {
   const { dispatcher, arrive } = createDispatcher();
   arrive("/read/", 0);
-  dispatcher.processStalled(300);
+  dispatcher.processStalled(300, 300);
   t.deepEqual(summarize(dispatcher.advance(399)), []);
   t.is(summarize(dispatcher.advance(400)).length, 1);
 });
@@ -626,7 +627,7 @@
   const { dispatcher, arrive } = createDispatcher();
   arrive("/read/", 0);
   dispatcher.attemptEnded(1, LOST, 10);
-  dispatcher.processStalled(200);
+  dispatcher.processStalled(200, 210);
   t.deepEqual(summarize(dispatcher.advance(211)), []);
   t.is(summarize(dispatcher.advance(240)).length, 1);
 });
@@ -673,6 +674,7 @@
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
     vms: () => null,
+    minimumShare: () => 0,
     keyRefused: () => {},
     applyStatement: (server, statement, sentAt, now) =>
       void server.statements.apply(statement, sentAt, now),
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -1,12 +1,19 @@
 /**
  * Limits the retries that reach a service, in proportion to its requests. All
- * VMs share one budget per service, and each VM enforces its own share without
+ * VMs share one budget per service, and each VM keeps to its part of it without
  * coordination.
  *
+ * Operators permit, in any window, `ratio` retries per request in that window
+ * or in the one before it, and `minimum` in addition. Each request therefore
+ * permits `ratio / 2` retries, once, at the VM that has received it and within
+ * one window after it was sent. Retries that reach servers in a window belong
+ * to requests of that window and of the one before it, which are at most twice
+ * as many as those of the larger of the two. This holds whichever VMs callers
+ * use, however many there are, and whichever of them restart or are cut off.
+ *
  * @module
  */
 import * as z from "zod";
-import type { VmEstimate } from "../peers/index.ts";
 
 /** Schema of {@linkcode RetryLimits}: the limits that all VMs share. */
 export const retryLimitsSchema = z.object({
@@ -25,29 +32,24 @@
 export type RetryLimits = z.infer<typeof retryLimitsSchema>;
 
 /**
- * Number of buckets into which a window is divided. Requests and retries are
- * counted per bucket. Retries in the bucket in which the window begins count,
- * requests in it do not.
- */
-const BUCKETS = 20;
-/**
- * Share of the retries in proportion to requests that is used. The rest is a
- * margin for restarts ({@linkcode INITIAL_FACTOR}).
+ * Number of buckets into which a window is divided. A request counts as sent at
+ * the start of its bucket.
  */
-const RATIO_FACTOR = 0.75;
+const BUCKETS = 40;
+/** Windows whose requests may permit the retries of one window. */
+const COUNTED_WINDOWS = 2;
 /**
- * Share of the minimum that is used. With half of it, all VMs stay within the
- * minimum even if VMs that are cut off from each other know half of their
- * number.
+ * Maximum time for which a retry counts as on its way to a server, in windows.
+ * A link that is silent for longer may hold back retries of requests whose
+ * deadline is later.
  */
-const MINIMUM_FACTOR = 0.5;
+const MAXIMUM_TRANSIT = 0.5;
 /**
- * Share of the retries that a VM may use in its first window, in place of the
- * other two. A restarted VM has lost the count of its earlier retries, which
- * still count against the budget. This share and {@linkcode RATIO_FACTOR} add up
- * to 1, so that a VM stays within its share however often it restarts.
+ * Time after the start of a process in which it uses no share of the minimum,
+ * in windows. Retries of an earlier process at its address, which had the same
+ * share, count until then.
  */
-const INITIAL_FACTOR = 1 - RATIO_FACTOR;
+const MINIMUM_DELAY = 1 + MAXIMUM_TRANSIT;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -59,109 +61,183 @@
   remaining: number;
 }
 
+/** What a retry needs that is sent now. */
+export interface RetryTerms {
+  /** Time by which the retry reaches its server if it ever does. */
+  arrivesBy: number;
+  /**
+   * Part of the minimum that the term holder grants to this VM, from 0 to 1.
+   */
+  minimumShare: number;
+  /**
+   * Part of the permitted retries that the request may use, from 0 to 1; all
+   * of them if absent.
+   */
+  part?: number;
+}
+
 /** Counters of one bucket. */
 interface Bucket {
   /** Number of the bucket's time interval, counted from time 0. */
   index: number;
   requests: number;
   retries: number;
+  /** Requests whose permission for retries is unused. */
+  unused: number;
+}
+
+/** A part of the minimum that was used. */
+interface MinimumUse {
+  /** Time until which it counts. */
+  until: number;
+  retries: number;
 }
 
 /**
- * One VM's share of the retry budget of one service. Times are milliseconds.
- *
- * The share in proportion to requests follows from the requests that this VM
- * has counted, so the shares of any number of VMs add up to the budget. The
- * share of the minimum follows from the number of VMs, and there is none while
- * that is unknown.
+ * One VM's part of the retry budget of one service. Times are milliseconds.
  *
  * ```ts
  * budget.recordRequest(now);
- * if (budget.withdraw(now, vms)) retry();
+ * if (budget.withdraw(now, { arrivesBy, minimumShare })) retry();
  * ```
  */
 export class RetryBudget {
   readonly #buckets: Bucket[] = [];
+  #minimumUses: MinimumUse[] = [];
+  /** Length of the window. */
+  readonly #window: number;
+  /** Number of requests that permit one retry. */
+  readonly #requestsPerRetry: number;
 
   private constructor(
     private readonly limits: RetryLimits,
     private readonly startedAt: number,
-  ) {}
+  ) {
+    this.#window = limits.windowSeconds * MILLISECONDS_PER_SECOND;
+    this.#requestsPerRetry = COUNTED_WINDOWS / limits.ratio;
+  }
 
   /** Creates an empty budget for a process that started at `startedAt`. */
   static create(limits: RetryLimits, startedAt = -Infinity): RetryBudget {
     return new RetryBudget(limits, startedAt);
   }
 
-  /** Counts a request for the service. */
-  recordRequest(now: number): void {
-    this.#bucket(now).requests += 1;
+  /** Counts a request for the service that was sent at `sentAt` or later. */
+  recordRequest(sentAt: number, now: number): void {
+    const index = this.#indexOf(sentAt);
+    const bucket = this.#bucket(index, now);
+    if (bucket === null) return;
+    bucket.requests += 1;
+    bucket.unused += 1;
   }
 
-  /**
-   * Takes a retry from this VM's share, which is that of one of `vms` (null
-   * while their number is unknown); false if none is left. Only `part` of the
-   * share, from 0 to 1, may be used.
-   */
-  withdraw(now: number, vms: VmEstimate | null, part = 1): boolean {
-    if (this.remaining(now, vms, part) < 1) return false;
-    this.#bucket(now).retries += 1;
+  /** Takes a retry from this VM's part; false if none is left. */
+  withdraw(now: number, terms: RetryTerms): boolean {
+    if (this.remaining(now, terms) < 1) return false;
+    this.#bucket(this.#indexOf(now), now)!.retries += 1;
+    const arrivesBy = this.#arrivesBy(now, terms);
+    let needed = this.#requestsPerRetry;
+    for (const bucket of this.#buckets) {
+      if (!this.#isUsable(bucket, arrivesBy)) continue;
+      const used = Math.min(needed, bucket.unused);
+      bucket.unused -= used;
+      needed -= used;
+    }
+    if (needed > 0) {
+      this.#minimumUses.push({
+        until: arrivesBy + this.#window,
+        retries: this.#minimumNeeded(needed),
+      });
+    }
     return true;
   }
 
-  /** Number of retries that this VM has left of a part of its share. */
-  remaining(now: number, vms: VmEstimate | null, part = 1): number {
-    return this.balance(now, vms, part).remaining;
+  /** Number of retries that this VM has left. */
+  remaining(now: number, terms: RetryTerms): number {
+    return this.balance(now, terms).remaining;
   }
 
-  /** The counts in the window, and what is left of a part of the share. */
-  balance(now: number, vms: VmEstimate | null, part = 1): RetryBalance {
-    const { index } = this.#bucket(now);
+  /** The counts in the window, and what is left of them. */
+  balance(now: number, terms: RetryTerms): RetryBalance {
+    this.#removeExpired(now);
+    const arrivesBy = this.#arrivesBy(now, terms);
+    const { part = 1 } = terms;
     let requests = 0;
     let retries = 0;
-    for (const each of this.#buckets) {
-      if (each.index > index - BUCKETS) requests += each.requests;
-      if (each.index >= index - BUCKETS) retries += each.retries;
+    let unused = 0;
+    for (const bucket of this.#buckets) {
+      requests += bucket.requests;
+      retries += bucket.retries;
+      if (this.#isUsable(bucket, arrivesBy)) unused += bucket.unused;
     }
-    const share = this.#ratioFactor(now) * this.limits.ratio * requests +
-      this.#minimumShare(vms, now);
-    return { requests, retries, remaining: part * share - retries };
+    const minimum = this.#minimumShare(terms.minimumShare, now);
+    const used = this.#minimumUses.reduce((sum, each) => sum + each.retries, 0);
+    const left = unused / this.#requestsPerRetry + Math.max(0, minimum - used);
+    const ofPart = part * (requests / this.#requestsPerRetry + minimum) -
+      retries;
+    return {
+      requests,
+      retries,
+      remaining: part < 1 ? Math.min(left, ofPart) : left,
+    };
   }
 
-  #ratioFactor(now: number): number {
-    return this.#windowsSince(this.startedAt, now) < 1
-      ? INITIAL_FACTOR
-      : RATIO_FACTOR;
+  /** Time by which a retry reaches its server, as far as it is counted. */
+  #arrivesBy(now: number, { arrivesBy }: RetryTerms): number {
+    return Math.min(arrivesBy, now + MAXIMUM_TRANSIT * this.#window);
+  }
+
+  /**
+   * Whether the requests of a bucket permit a retry that arrives until a time:
+   * they are in each window in which it may arrive, or in the one before it.
+   */
+  #isUsable({ index }: Bucket, arrivesBy: number): boolean {
+    return arrivesBy < this.#startOf(index) + this.#window;
   }
 
   /**
-   * This VM's share of the minimum. It grows in the first window in which the
-   * number of VMs is known, since the term holder may not have counted all of
-   * them at first.
+   * Retries of the minimum that replace `requests` that are missing for one.
+   * Without a ratio, a whole one.
    */
-  #minimumShare(vms: VmEstimate | null, now: number): number {
-    if (vms === null) return 0;
-    const since = Math.max(this.startedAt, vms.since);
-    const windows = this.#windowsSince(since, now);
-    const factor = windows < 1 ? INITIAL_FACTOR * windows : MINIMUM_FACTOR;
-    return factor * this.limits.minimum / Math.max(1, vms.count);
+  #minimumNeeded(requests: number): number {
+    return Number.isFinite(this.#requestsPerRetry)
+      ? requests / this.#requestsPerRetry
+      : 1;
   }
 
-  /** Time from `since` to `now`, in windows. */
-  #windowsSince(since: number, now: number): number {
-    return (now - since) /
-      (this.limits.windowSeconds * MILLISECONDS_PER_SECOND);
+  /** Retries of the minimum that this VM may use in a window. */
+  #minimumShare(share: number, now: number): number {
+    const delay = MINIMUM_DELAY * this.#window;
+    return now - this.startedAt < delay ? 0 : share * this.limits.minimum;
   }
 
-  #bucket(now: number): Bucket {
-    const index = Math.floor(
-      now * BUCKETS / (this.limits.windowSeconds * MILLISECONDS_PER_SECOND),
-    );
-    const last = this.#buckets.at(-1);
-    if (last !== undefined && last.index >= index) return last;
-    const bucket = { index, requests: 0, retries: 0 };
-    this.#buckets.push(bucket);
-    while (this.#buckets.length > BUCKETS + 1) this.#buckets.shift();
+  #indexOf(time: number): number {
+    return Math.floor(time * BUCKETS / this.#window);
+  }
+
+  #startOf(index: number): number {
+    return index * this.#window / BUCKETS;
+  }
+
+  /** Returns the bucket with an index; null if its window has passed. */
+  #bucket(index: number, now: number): Bucket | null {
+    this.#removeExpired(now);
+    if (index < this.#indexOf(now) - BUCKETS) return null;
+    const at = this.#buckets.findLastIndex((each) => each.index <= index);
+    if (at >= 0 && this.#buckets[at].index === index) return this.#buckets[at];
+    const bucket = { index, requests: 0, retries: 0, unused: 0 };
+    this.#buckets.splice(at + 1, 0, bucket);
     return bucket;
   }
+
+  /** Removes what no longer counts. Retries count for a whole window. */
+  #removeExpired(now: number): void {
+    const first = this.#indexOf(now) - BUCKETS;
+    while (this.#buckets.length > 0 && this.#buckets[0].index < first) {
+      this.#buckets.shift();
+    }
+    const hasExpired = this.#minimumUses.some(({ until }) => until <= now);
+    if (!hasExpired) return;
+    this.#minimumUses = this.#minimumUses.filter(({ until }) => until > now);
+  }
 }
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -6,7 +6,12 @@
  */
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import { type RetryBalance, RetryBudget } from "./retry_budget.ts";
+import { DEADLINE_GRACE } from "./request_times.ts";
+import {
+  type RetryBalance,
+  RetryBudget,
+  type RetryTerms,
+} from "./retry_budget.ts";
 
 /**
  * A request is hedged after this multiple of the mean latency of its service,
@@ -29,9 +34,18 @@
  */
 const REFUSED_PART = 0.5;
 
+/** A stall of this process. Times are milliseconds. */
+interface Stall {
+  from: number;
+  /** Time until which requests may be read that were sent during the stall. */
+  readUntil: number;
+}
+
 /** See the module's comment. */
 export class RetryPolicy {
   readonly #budgets = new Map<string, RetryBudget>();
+  /** The last stall, or null. */
+  #stall: Stall | null = null;
 
   private constructor(private readonly context: DispatchContext) {}
 
@@ -40,9 +54,31 @@
     return new RetryPolicy(context);
   }
 
-  /** Counts a request, which raises the retry budget of its service. */
+  /** Counts a request, which permits a part of a retry for its service. */
   recordRequest(service: string, now: number): void {
-    this.#budget(service).recordRequest(now);
+    this.#budget(service).recordRequest(this.#sentAt(now), now);
+  }
+
+  /** Records that this process has stalled for `duration` until `now`. */
+  processStalled(duration: number, now: number): void {
+    const from = now - duration;
+    const readUntil = now + duration;
+    const previous = this.#stall;
+    this.#stall = previous === null || previous.readUntil < from
+      ? { from, readUntil }
+      : {
+        from: previous.from,
+        readUntil: Math.max(previous.readUntil, readUntil),
+      };
+  }
+
+  /**
+   * Earliest time at which a request can have been sent that is read now. After
+   * a stall, requests that were sent during it may be waiting to be read.
+   */
+  #sentAt(now: number): number {
+    if (this.#stall === null || now >= this.#stall.readUntil) return now;
+    return this.#stall.from;
   }
 
   /** Whether a request has attempts and time left for a retry. */
@@ -86,27 +122,33 @@
       );
   }
 
-  /** Whether a retry is left in this VM's share of the budget. */
+  /** Whether a retry is left in this VM's part of the budget. */
   mayWithdraw(request: PendingRequest, now: number): boolean {
-    const budget = this.#budget(request.service);
-    const part = this.#usablePart(request);
-    return budget.remaining(now, this.context.vms(), part) >= 1;
+    const terms = this.#terms(request, now);
+    return this.#budget(request.service).remaining(now, terms) >= 1;
   }
 
   /**
-   * Takes a retry from this VM's share of the budget; false if none is left.
+   * Takes a retry from this VM's part of the budget; false if none is left.
    */
   withdraw(request: PendingRequest, now: number): boolean {
-    const budget = this.#budget(request.service);
-    const part = this.#usablePart(request);
-    return budget.withdraw(now, this.context.vms(), part);
+    const terms = this.#terms(request, now);
+    return this.#budget(request.service).withdraw(now, terms);
   }
 
-  /** The counts of this VM, and what is left of its share for a request. */
+  /** The counts of this VM, and what is left of its part for a request. */
   balance(request: PendingRequest, now: number): RetryBalance {
-    const budget = this.#budget(request.service);
-    const part = this.#usablePart(request);
-    return budget.balance(now, this.context.vms(), part);
+    const terms = this.#terms(request, now);
+    return this.#budget(request.service).balance(now, terms);
+  }
+
+  #terms(request: PendingRequest, now: number): RetryTerms {
+    return {
+      // The connection of an attempt is closed then.
+      arrivesBy: request.deadline + DEADLINE_GRACE,
+      minimumShare: this.context.minimumShare(now),
+      part: this.#usablePart(request),
+    };
   }
 
   /** Part of the retry budget that a request may use. */
--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -7,7 +7,7 @@
 import { retryExcess } from "../../../test/support/retry_excess.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import type { VmEstimate } from "../peers/index.ts";
+import { SHARE_LIFETIME, ShareLedger } from "../exchange/share_ledger.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 
@@ -30,68 +30,127 @@
   rate: number;
   /** Whether servers fail all requests at a time. */
   isFailing: (now: number) => boolean;
-  /** Number of VMs that a VM knows; null if none. */
-  countOf: (vm: number, now: number) => number | null;
+  /** When terms start, ascending; the last one before a time is its term. */
+  terms: readonly number[];
+  /** Whether the reports of a VM reach the term holder at a time. */
+  isHeard: (vm: number, now: number) => boolean;
   /** Times at which a VM restarts. */
   restartsOf: (vm: number) => readonly number[];
   /** Whether a VM gets no requests at a time; its callers use the others. */
   isAway: (vm: number, now: number) => boolean;
   /** When a retry that a VM sends at a time reaches a server; at once if absent. */
   arrivalOf?: (vm: number, now: number) => number;
+  /** When a VM stalls; requests that it is sent wait to be read; or null. */
+  stallOf?: (vm: number) => { from: number; until: number } | null;
 }
 
+/** Time between two reports of a VM to the term holder. */
+const REPORT_INTERVAL = 500;
+
 /** Returns the policy of a process that starts at `startedAt`. */
 function createPolicy(
   retryLimits: RetryLimits,
   startedAt: number,
-  vms: () => VmEstimate | null,
+  minimumShare: (now: number) => number,
 ): RetryPolicy {
-  const context = { retryLimits, startedAt: () => startedAt, vms };
+  const context = { retryLimits, startedAt: () => startedAt, minimumShare };
   return RetryPolicy.create(context as unknown as DispatchContext);
 }
 
-/** Returns by how many the retries of all VMs exceed the budget. */
-function simulate(situation: Situation, limits: RetryLimits): number {
-  const { vms, rate, isFailing, countOf, restartsOf, isAway } = situation;
+/** The term holders, which grant shares of the minimum one after the other. */
+class Holders {
+  #term = -1;
+  #ledger: ShareLedger;
+
+  constructor(
+    private readonly terms: readonly number[],
+    private readonly windowSeconds: number,
+  ) {
+    this.#ledger = ShareLedger.create(windowSeconds);
+  }
+
+  /** Answers the report of a VM with its share. */
+  answer(vm: number, now: number): number {
+    const term = this.terms.findLastIndex((startsAt) => startsAt <= now);
+    if (term < 0) return 0;
+    if (term !== this.#term) {
+      this.#ledger = ShareLedger.create(this.windowSeconds);
+      this.#ledger.startTerm(this.terms[term]);
+    }
+    this.#term = term;
+    return this.#ledger.renew(`vm-${vm}`, now);
+  }
+}
+
+/** Times of the requests and of the arrivals of their retries. */
+interface Arrivals {
+  requests: number[];
+  retries: number[];
+}
+
+/** Returns what all VMs send. */
+function simulate(situation: Situation, limits: RetryLimits): Arrivals {
+  const { vms, rate, isFailing, isHeard, restartsOf, isAway } = situation;
   const arrivalOf = situation.arrivalOf ?? ((_, at) => at);
+  const stallOf = situation.stallOf ?? (() => null);
+  const holders = new Holders(situation.terms, limits.windowSeconds);
   let now = 0;
-  const knownSince: (number | null)[] = [];
-  const create = (vm: number) => {
-    knownSince[vm] = null;
-    return createPolicy(limits, now, () => {
-      const count = countOf(vm, now);
-      return count === null ? null : { count, since: knownSince[vm] ?? now };
-    });
-  };
+  const shares = Array.from(
+    { length: vms },
+    () => ({ share: 0, expiresAt: -Infinity }),
+  );
+  const create = (vm: number) =>
+    createPolicy(
+      limits,
+      now === 0 ? -60_000 : now,
+      (at) => at < shares[vm].expiresAt ? shares[vm].share : 0,
+    );
   const policies = Array.from({ length: vms }, (_, vm) => create(vm));
   const requests: number[] = [];
   const retries: number[] = [];
   const backlog = new Array<number>(vms).fill(0);
+  const unread = Array.from({ length: vms }, (): number[] => []);
+  /** Sends a request again as often as permitted; returns the arrivals. */
+  const retry = (vm: number): number[] => {
+    const deadline = now + TIMEOUT;
+    const request = { service: SERVICE, key: null, refusal: null, deadline };
+    const arrivals: number[] = [];
+    for (let i = 0; i < RETRIES_PER_REQUEST; i++) {
+      if (!policies[vm].withdraw(request as PendingRequest, now)) break;
+      const arrival = arrivalOf(vm, now);
+      if (arrival <= deadline) arrivals.push(arrival);
+    }
+    return arrivals;
+  };
   for (; now < UNTIL; now += STEP) {
     const present = policies.filter((_, vm) => !isAway(vm, now)).length;
     for (let vm = 0; vm < vms; vm++) {
-      const isRestarting = restartsOf(vm).some((at) =>
-        at >= now && at < now + STEP
-      );
-      if (isRestarting) policies[vm] = create(vm);
-      if (countOf(vm, now) !== null) knownSince[vm] ??= now;
-      if (isAway(vm, now)) continue;
-      backlog[vm] += rate * STEP / 1_000 / present;
+      if (restartsOf(vm).some((at) => at >= now && at < now + STEP)) {
+        policies[vm] = create(vm);
+      }
+      if (now % REPORT_INTERVAL === 0 && isHeard(vm, now)) {
+        const share = holders.answer(vm, now);
+        shares[vm] = { share, expiresAt: now + SHARE_LIFETIME };
+      }
+      if (!isAway(vm, now)) backlog[vm] += rate * STEP / 1_000 / present;
       for (; backlog[vm] >= 1; backlog[vm] -= 1) {
-        policies[vm].recordRequest(SERVICE, now);
+        unread[vm].push(now);
         requests.push(now);
-        if (!isFailing(now)) continue;
-        const deadline = now + TIMEOUT;
-        const request = { service: SERVICE, key: null, deadline };
-        for (let i = 0; i < RETRIES_PER_REQUEST; i++) {
-          if (!policies[vm].withdraw(request as PendingRequest, now)) break;
-          const arrival = arrivalOf(vm, now);
-          if (arrival <= deadline) retries.push(arrival);
-        }
+      }
+      const stall = stallOf(vm);
+      if (stall !== null && now >= stall.from && now < stall.until) continue;
+      if (now === stall?.until) {
+        policies[vm].processStalled(now - stall.from, now);
+      }
+      for (const sentAt of unread[vm].splice(0)) {
+        // The caller has left.
+        if (sentAt < now - TIMEOUT) continue;
+        policies[vm].recordRequest(SERVICE, now);
+        if (isFailing(now)) retries.push(...retry(vm));
       }
     }
   }
-  return retryExcess(requests, retries, limits);
+  return { requests, retries };
 }
 
 /** Servers fail all requests from `FAULT_AT` on. */
@@ -134,8 +193,7 @@
     }),
     "callers move twice while VMs restart and others are cut off": (vms) => ({
       ...KNOWN(vms),
-      countOf: (vm, now) =>
-        vm % 2 === 0 && now >= FAULT_AT ? Math.ceil(vms / 2) : vms,
+      isHeard: (vm, now) => vm % 2 !== 0 || now < FAULT_AT,
       isAway: (vm, now) =>
         now < FAULT_AT + 4_000
           ? isPart(vm, 2 / 3) && now >= FAULT_AT + 600
@@ -165,7 +223,8 @@
 
 const KNOWN: Case = (vms) => ({
   isFailing: steady,
-  countOf: () => vms,
+  terms: [-60_000],
+  isHeard: () => true,
   restartsOf: never,
   isAway: nowhere,
 });
@@ -173,22 +232,32 @@
 const CASES: Record<string, Case> = {
   "all is known": KNOWN,
   "servers fail repeatedly": (vms) => ({ ...KNOWN(vms), isFailing: bursts }),
-  "the number of VMs is unknown": (vms) => ({
+  "no term holder is heard": (vms) => ({ ...KNOWN(vms), isHeard: () => false }),
+  "few VMs are heard by a new term holder at first": (vms) => ({
     ...KNOWN(vms),
-    countOf: () => null,
+    terms: [FAULT_AT - 17_000],
+    isHeard: (vm, now) => now >= FAULT_AT - 2_000 + 40 * vm,
   }),
-  "the number of VMs becomes known late, and is low at first": (vms) => ({
+  "the term holder changes repeatedly": (vms) => ({
     ...KNOWN(vms),
-    // The term holder counts the VMs that have reported to it by then.
-    countOf: (vm, now) => {
-      if (now < FAULT_AT + 2_000) return null;
-      return now < FAULT_AT + 2_600 ? vm + 1 : vms;
-    },
+    terms: [-60_000, FAULT_AT - 18_000, FAULT_AT, FAULT_AT + 2_000],
   }),
-  "half of the VMs are cut off, and others are counted only": (vms) => ({
+  "half of the VMs are cut off from the term holder": (vms) => ({
     ...KNOWN(vms),
-    countOf: (vm, now) =>
-      vm % 2 === 0 && now >= 12_000 ? Math.ceil(vms / 2) : vms,
+    isHeard: (vm, now) => vm % 2 !== 0 || now < 12_000,
+  }),
+  "VMs are heard in three groups in turn": (vms) => ({
+    ...KNOWN(vms),
+    isHeard: (vm, now) => vm % 3 === Math.floor(now / 6_000) % 3,
+  }),
+  "VMs read what waited for them after a stall": (vms) => ({
+    ...KNOWN(vms),
+    stallOf: () => ({ from: FAULT_AT + 4_000, until: FAULT_AT + 8_000 }),
+  }),
+  "VMs stall, and their callers move": (vms) => ({
+    ...KNOWN(vms),
+    isAway: (vm, now) => isPart(vm, 2 / 3) && now >= FAULT_AT + 7_000,
+    stallOf: () => ({ from: FAULT_AT + 4_000, until: FAULT_AT + 7_000 }),
   }),
   "all VMs restart after a burst": (vms) => ({
     ...KNOWN(vms),
@@ -223,26 +292,30 @@
   }),
   "several at once": (vms) => ({
     isFailing: (now) => bursts(now) || now >= FAULT_AT + 14_000,
-    countOf: (vm, now) => {
-      if (vm % 3 === 0 && now < FAULT_AT + 4_000) return null;
-      return vm % 3 === 1 ? Math.ceil(vms * 2 / 3) : vms;
-    },
+    terms: [-60_000, FAULT_AT - 17_000, FAULT_AT + 3_000],
+    isHeard: (vm, now) =>
+      vm % 3 !== 0 || now < 12_000 || now >= FAULT_AT + 4_000,
     restartsOf: (vm) => vm % 2 === 0 ? [FAULT_AT + 900, FAULT_AT + 3_000] : [],
     isAway: (vm, now) =>
       vm % 5 === 0 && now >= FAULT_AT + 1_000 && now < FAULT_AT + 5_000,
+    arrivalOf: (vm, at) => vm % 4 === 0 ? Math.ceil(at / 1_500) * 1_500 : at,
+    stallOf: (vm) =>
+      vm % 7 === 0 ? { from: FAULT_AT + 5_000, until: FAULT_AT + 6_500 } : null,
   }),
 };
 
 // Guards against retries beyond the budget of all VMs together: those that a VM
-// forgets before the window has passed or as it restarts, shares by a number of
-// VMs that is not known, requests that two VMs count as callers move from one to
+// forgets before the window has passed or as it restarts, shares of the minimum
+// of VMs that are not known to the holder, requests that two VMs count as callers move from one to
 // the other, and retries that arrive later than they are sent.
 for (const [name, create] of Object.entries(CASES)) {
   for (const [vms, minimum] of SIZES) {
     test(`retry policy: ${name}, ${vms} VMs: all together stay within the budget`, (t) => {
       const limits = { ratio: 0.2, windowSeconds: 10, minimum };
       for (const rate of [8, 120, 600, 1_000]) {
-        const excess = simulate({ ...create(vms), vms, rate }, limits);
+        const situation = { ...create(vms), vms, rate };
+        const { requests, retries } = simulate(situation, limits);
+        const excess = retryExcess(requests, retries, limits);
         t.true(excess <= 0, `${rate} requests per second: ${excess} beyond`);
       }
     });
@@ -256,7 +329,21 @@
     const rate = 600;
     const situation = { ...KNOWN(vms), vms, rate };
     const allowed = limits.ratio * rate * limits.windowSeconds + minimum;
-    const excess = simulate(situation, limits);
+    const { requests, retries } = simulate(situation, limits);
+    const excess = retryExcess(requests, retries, limits);
     t.true(excess > -0.5 * allowed, `${excess} of ${allowed}`);
   });
 }
+
+// Guards against a budget that a short failure of all servers cannot use.
+for (const [vms, minimum] of SIZES) {
+  test(`retry policy: ${vms} VMs: the first second of a failure may use a third of the budget`, (t) => {
+    const limits = { ratio: 0.2, windowSeconds: 10, minimum };
+    const rate = 600;
+    const { retries } = simulate({ ...KNOWN(vms), vms, rate }, limits);
+    const used = retries.filter((at) => at < FAULT_AT + 1_000).length;
+    const allowed = limits.ratio * rate * limits.windowSeconds + minimum;
+    t.log(`${used} of ${allowed}`);
+    t.true(used > allowed / 3, `${used} of ${allowed}`);
+  });
+}
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -124,6 +124,7 @@
       this.#paths.relays,
       (now) => this.#isRelay(now) ? options.availabilityZone : undefined,
       createUniformGenerator(options.seed),
+      options.retryLimits.windowSeconds,
     );
     this.dispatcher = Dispatcher.create({
       catalog,
@@ -138,7 +139,8 @@
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
-      vms: () => this.peers.vmEstimate,
+      vms: () => this.peers.vms,
+      minimumShare: (now) => this.peers.retryShares.minimumShare(now),
       keyRefused: () => this.peers.keyRefused(),
       applyStatement: (server, statement, sentAt, now) =>
         this.peers.applyStatement(server, statement, sentAt, now),
@@ -177,7 +179,7 @@
   step(event: EntryEvent): EntryEffect[] {
     this.#startedAt = Math.min(this.#startedAt, event.now);
     const stall = this.#stallDetector.detect(event.now);
-    if (stall > 0) this.#processStalled(stall);
+    if (stall > 0) this.#processStalled(stall, event.now);
     this.#shutdown.setLateness(this.#stallDetector.recentLateness);
     this.#reduce(event);
     this.#advance(event.now, event.kind === "timer");
@@ -577,13 +579,13 @@
    * servers, requests and other VMs, whose responses and messages may be waiting
    * to be read.
    */
-  #processStalled(duration: number): void {
+  #processStalled(duration: number, now: number): void {
     const detail = { duration: Math.round(duration) };
     this.clusterState.logDecision("process.stalled", detail);
     this.clusterState.fleet.processStalled(duration);
     this.clusterState.quarantine.processStalled(duration);
     this.campaign.processStalled(duration);
-    this.dispatcher.processStalled(duration);
+    this.dispatcher.processStalled(duration, now);
     this.#paths.processStalled(duration);
   }
 
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -19,10 +19,10 @@
   type SenderState,
   type ServerReports,
   VmCount,
-  type VmEstimate,
 } from "../peers/index.ts";
 import { ConfigurationWatch } from "./configuration_watch.ts";
 import { PermitExchange } from "./permit_exchange.ts";
+import { RetryShares } from "./retry_shares.ts";
 import { StateExchange } from "./state_exchange.ts";
 import { TokenExchange } from "./token_exchange.ts";
 import type { ServerLimits } from "../rates/index.ts";
@@ -53,6 +53,7 @@
   readonly followerLink: FollowerLink;
   readonly permitExchange: PermitExchange;
   readonly tokenExchange: TokenExchange;
+  readonly retryShares: RetryShares;
   readonly #publisher: StatePublisher;
   readonly #stateExchange: StateExchange;
   readonly #configurationWatch: ConfigurationWatch;
@@ -77,7 +78,12 @@
     private readonly relays: RelayChoice,
     private readonly relayZone: (now: number) => string | undefined,
     private readonly draw: () => number,
+    retryWindowSeconds: number,
   ) {
+    this.retryShares = RetryShares.create(
+      retryWindowSeconds,
+      (now) => campaign.authorityTerm(now),
+    );
     this.followerLink = FollowerLink.create(() => campaign.fitness);
     this.#publisher = StatePublisher.create(
       clusterState,
@@ -86,6 +92,7 @@
       store,
       emit,
       this.#roster,
+      this.retryShares,
     );
     this.permitExchange = PermitExchange.create(clusterState, emit, ownAddress);
     this.tokenExchange = TokenExchange.create(
@@ -117,7 +124,8 @@
    * holder sends no messages. The VMs that
    * reach the servers are recorded in `relays`; `relayZone` returns the
    * availability zone of this VM while it is one of them. `draw` returns a
-   * random number in [0, 1).
+   * random number in [0, 1). `retryWindowSeconds` is the window of the retry
+   * budget.
    */
   static create(
     clusterState: ClusterState,
@@ -131,6 +139,7 @@
     relays: RelayChoice,
     relayZone: (now: number) => string | undefined,
     draw: () => number,
+    retryWindowSeconds: number,
   ): PeerExchange {
     return new PeerExchange(
       clusterState,
@@ -144,6 +153,7 @@
       relays,
       relayZone,
       draw,
+      retryWindowSeconds,
     );
   }
 
@@ -152,11 +162,6 @@
     return this.#vmCount.value;
   }
 
-  /** The same with the time since which it is known, or null. */
-  get vmEstimate(): VmEstimate | null {
-    return this.#vmCount.estimate;
-  }
-
   /**
    * Whether this VM receives store updates from the term holder instead of
    * reading them from the store. Only observers do, the VMs that are not
@@ -406,6 +411,8 @@
       this.#roster.reported(this.ownAddress, this.relayZone(now), now);
       this.#vmCount.observe(this.#publisher.vmCount(now), now);
       this.tokenExchange.advance(now);
+      const retryShare = this.retryShares.grant(this.ownAddress, now);
+      this.retryShares.receive(retryShare, now, now);
       this.#publisher.advance(holder, now);
       const relays = this.#publisher.relaysFor(this.ownAddress, now);
       if (relays !== null) this.relays.replace(relays);
@@ -527,9 +534,10 @@
     message: MessageOf<"holder.alive">,
     now: number,
   ): void {
-    const { answersTo, storeSilence } = message;
+    const { answersTo, storeSilence, retryShare = 0 } = message;
     const isOfHolder = address === this.followerLink.holder;
     if (!isOfHolder || answersTo === undefined) return;
+    this.retryShares.receive(retryShare, answersTo, now);
     // The age of the store contact counts from when this VM sent the report,
     // because the answer may have been delayed.
     const isCurrent = this.#isOfSameEra(message);
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { ClusterState, Emit } from "../cluster_state.ts";
+import type { RetryShares } from "./retry_shares.ts";
 import { OverloadMonitor } from "./overload_monitor.ts";
 import type { ServerSamples } from "../fleet/index.ts";
 import type { KeyLoads, TermCampaign, TermHolder } from "../keyspace/index.ts";
@@ -90,13 +91,15 @@
     private readonly store: StoreHealth,
     private readonly emit: Emit,
     private readonly roster: RelayRoster,
+    private readonly retryShares: RetryShares,
   ) {
     this.#overload = OverloadMonitor.create(clusterState, loads);
   }
 
   /**
    * Creates a publisher that has published nothing. It records in `roster`
-   * which VMs reach the servers, and names them to others.
+   * which VMs reach the servers, and names them to others. It grants the shares
+   * in `retryShares`.
    */
   static create(
     clusterState: ClusterState,
@@ -105,6 +108,7 @@
     store: StoreHealth,
     emit: Emit,
     roster: RelayRoster,
+    retryShares: RetryShares,
   ): StatePublisher {
     return new StatePublisher(
       clusterState,
@@ -113,6 +117,7 @@
       store,
       emit,
       roster,
+      retryShares,
     );
   }
 
@@ -175,6 +180,7 @@
         this.#overload.current,
         this.clusterState.fleet.stated.leaving(),
         this.relaysFor(address, now),
+        this.retryShares.grant(address, now),
         report.sentAt,
       ),
     );
--- a/src/core/exchange/state_publisher_test.ts
+++ b/src/core/exchange/state_publisher_test.ts
@@ -13,6 +13,7 @@
 import type { FollowerReport } from "../peers/index.ts";
 import { StoreHealth } from "../store_health.ts";
 import { RelayRoster } from "../reach/index.ts";
+import { RetryShares } from "./retry_shares.ts";
 import { StatePublisher } from "./state_publisher.ts";
 
 /** Creates the publisher of a term holder with 40 servers. */
@@ -38,6 +39,7 @@
     StoreHealth.create(),
     (...some) => effects.push(...some),
     RelayRoster.create(),
+    RetryShares.create(10, () => null),
   );
   /**
    * Returns a report of a follower that has `version` of the assignments; 0 if
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -123,8 +123,9 @@
   /**
    * Returns the answer to the report that a follower sent at `answersTo` by its
    * own clock. It contains registry changes, the state of overloaded servers,
-   * the servers that are leaving, and the VMs through which the follower may
-   * connect to servers, or null while these are not known.
+   * the servers that are leaving, the VMs through which the follower may
+   * connect to servers, or null while these are not known, and its share of the
+   * minimum of the retry budget.
    */
   answerReport(
     address: string,
@@ -133,6 +134,7 @@
     { limits, loads, rates }: OverloadState,
     leaving: readonly LeavingServer[],
     relays: readonly string[] | null,
+    retryShare: number,
     answersTo: number,
   ): PeerSend {
     const message: PeerMessage = {
@@ -145,6 +147,7 @@
       rates: [...rates],
       ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
       ...(relays === null ? {} : { relays: [...relays] }),
+      ...(retryShare > 0 ? { retryShare } : {}),
     };
     return { kind: "peer.send", address, message };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -246,6 +246,11 @@
    */
   relays: z.array(z.string().max(MAXIMUM_NAME_LENGTH)).max(MAXIMUM_RELAYS)
     .optional(),
+  /**
+   * Part of the minimum of the retry budget that the receiver may use, from 0
+   * to 1. Absent if it is none, and in messages of older versions.
+   */
+  retryShare: z.number().min(0).max(1).optional(),
 });
 
 /** Sent by the holder when key ranges have changed. */
--- a/src/core/peers/vm_count.ts
+++ b/src/core/peers/vm_count.ts
@@ -1,8 +1,8 @@
 /**
- * Estimates the number of VMs that share the capacity of the servers and the
- * retry budget. A new term holder has received reports from few VMs at first,
- * and with too low a count every VM would use too large a share. The estimate
- * is therefore the largest recent count.
+ * Estimates the number of VMs that share the capacity of the servers. A new
+ * term holder has received reports from few VMs at first, and with too low a
+ * count every VM would use too large a share. The estimate is therefore the
+ * largest recent count.
  *
  * @module
  */
@@ -14,17 +14,8 @@
  */
 const RETENTION_TIME = 300_000;
 
-/** An estimated number of VMs. */
-export interface VmEstimate {
-  count: number;
-  /** When this VM first knew a number, in milliseconds. */
-  since: number;
-}
-
 /** See the module's comment. Times are milliseconds. */
 export class VmCount {
-  /** Time of the first observation, or null before it. */
-  #knownSince: number | null = null;
   #largest: number | null = null;
   #largestAt = -Infinity;
   /**
@@ -45,18 +36,11 @@
     return this.#largest;
   }
 
-  /** The estimated count with the time of the first observation, or null. */
-  get estimate(): VmEstimate | null {
-    if (this.#largest === null || this.#knownSince === null) return null;
-    return { count: this.#largest, since: this.#knownSince };
-  }
-
   /**
    * Records a count of the running VMs that this VM or the term holder has
    * made.
    */
   observe(count: number, now: number): void {
-    this.#knownSince ??= now;
     if (this.#largest === null || count >= this.#largest) {
       this.#largest = count;
       this.#largestAt = now;
