A repeat that is in flight for half a window takes another retry

A retry counts as on its way until the deadline of its request, but for half a window at most, so that requests with long timeouts can be sent again at all. A link that is silent for longer could hold back repeats beyond that, an assumption that a deployment with timeouts of more than 5 s does not have to meet. Such a repeat takes another retry after half a window, and is cancelled with a reset of its connection if none is left.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -187,6 +187,13 @@
 
   /** Cancels an attempt and sends its idempotent request again. */
   #abandon(request: PendingRequest, attempt: Attempt, now: number): void {
+    this.#cancel(request, attempt, now);
+    const step = this.#outcomeReview.reviewAbandoned(request, attempt);
+    this.#applyStep(request, attempt, step, now);
+  }
+
+  /** Cancels an attempt: its connection is reset. */
+  #cancel(request: PendingRequest, attempt: Attempt, now: number): void {
     const { number } = attempt;
     this.#byAttempt.delete(number);
     this.context.paths.ended(attemptName(number));
@@ -195,8 +202,6 @@
     }
     request.attempts = request.attempts.filter((each) => each !== attempt);
     this.#effects.push({ kind: "attempt.cancel", attempt: number });
-    const step = this.#outcomeReview.reviewAbandoned(request, attempt);
-    this.#applyStep(request, attempt, step, now);
   }
 
   /** Cancels a request whose caller disconnected without a response. */
@@ -315,25 +320,30 @@
    * the budget.
    */
   #send(request: PendingRequest, server: TrackedServer, now: number): boolean {
-    if (request.sentCount > 0) {
-      const isPermitted = this.#retryPolicy.withdraw(request, now);
-      this.#logWithdrawal(request, server, isPermitted, now);
-      if (!isPermitted) return false;
+    if (request.sentCount > 0 && !this.#withdraw(request, server.id, now)) {
+      return false;
     }
     this.#start(request, server, now);
     return true;
   }
 
+  /** Takes a retry from the retry budget; false if it is used up. */
+  #withdraw(request: PendingRequest, server: string, now: number): boolean {
+    const isPermitted = this.#retryPolicy.withdraw(request, now);
+    this.#logWithdrawal(request, server, isPermitted, now);
+    return isPermitted;
+  }
+
   /** Logs a retry with what it has taken from the retry budget. */
   #logWithdrawal(
     request: PendingRequest,
-    server: TrackedServer,
+    server: string,
     isPermitted: boolean,
     now: number,
   ): void {
     const balance = this.#retryPolicy.balance(request, now);
     this.#log.write("info", "retry.withdrawn", request, now, {
-      server: server.id,
+      server,
       isPermitted,
       sent: request.sentCount,
       left: Math.round(request.deadline - now),
@@ -366,12 +376,16 @@
     const range = this.#assignedRange(request);
     if (range !== null) this.#rangeBackoff.requestSent(range, now);
     const { relay, mayReuseDirect } = this.context.paths.to(server.id, now);
+    const isRepeat = request.sentCount > 0;
     const attempt: Attempt = {
       number,
       server: server.id,
       relay,
       startedAt: now,
-      isRepeat: request.sentCount > 0,
+      isRepeat,
+      coveredUntil: isRepeat
+        ? this.#retryPolicy.coveredUntil(request, now)
+        : Infinity,
       range,
       hedgeAt: this.#retryPolicy.hedgeAt(request, now),
     };
@@ -555,7 +569,28 @@
       this.#fail(request, 504, "no answer in time", now);
       return;
     }
-    this.#hedge(request, now);
+    if (this.#coverRepeats(request, now)) this.#hedge(request, now);
+  }
+
+  /**
+   * Takes another retry for each repeat that the retry budget no longer covers:
+   * a silent link may still hold it back. Cancels repeats for which none is
+   * left; returns false if that ends the request.
+   */
+  #coverRepeats(request: PendingRequest, now: number): boolean {
+    for (const attempt of [...request.attempts]) {
+      if (now < attempt.coveredUntil) continue;
+      if (this.#withdraw(request, attempt.server, now)) {
+        attempt.coveredUntil = this.#retryPolicy.coveredUntil(request, now);
+      } else if (request.attempts.length > 1) {
+        this.context.fleet.get(attempt.server)?.cancelled(attempt.number);
+        this.#cancel(request, attempt, now);
+      } else {
+        this.#fail(request, 504, RETRY_BUDGET_EXHAUSTED, now);
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Ends a request that can be neither sent nor queued. */
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -31,6 +31,7 @@
   keyRefused = () => {},
   permitAnswer = (): PermitAnswer | null => ({ isGranted: true, left: 2_000 }),
   tokenAnswer = (): TokenAnswer | null => null,
+  windowSeconds = 10,
 ) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
@@ -116,7 +117,7 @@
     paths,
     tokens,
     availabilityZone: "a",
-    retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: MINIMUM_RETRIES },
+    retryLimits: { ratio: 0.2, windowSeconds, minimum: MINIMUM_RETRIES },
     startedAt: () => -Infinity,
     vms: () => vmCount,
     minimumShare: () => vmCount === null ? 0 : 0.5 / vmCount,
@@ -500,6 +501,29 @@
   t.true(most > 10, `${most}`);
 });
 
+// Guards against repeats that a silent link holds back for longer than the retry
+// budget counts them.
+test("dispatch: a repeat that is in flight for half a window takes another retry or is cancelled", (t) => {
+  /** Sends a request again, of which this VM has `retries` in 400 ms. */
+  const repeat = (retries: number) => {
+    const vms = 0.5 * MINIMUM_RETRIES / retries;
+    const { dispatcher, arrive } = createDispatcher(
+      ...[vms, undefined, undefined, undefined, undefined, 0.4] as const,
+    );
+    arrive("/order/", 0);
+    const [start] = summarize(dispatcher.attemptEnded(1, NOT_RUN, 10));
+    t.regex(start, /^start orders-2/);
+    t.is(dispatcher.nextAt(), 210);
+    return { dispatcher, ended: summarize(dispatcher.advance(210)) };
+  };
+  const covered = repeat(2);
+  t.deepEqual(covered.ended, []);
+  t.is(covered.dispatcher.nextAt(), 410);
+  const uncovered = repeat(1);
+  t.snapshot(uncovered.ended);
+  t.is(uncovered.dispatcher.pending, 0);
+});
+
 // Guards against requests that use up the retry budget of a service at a server
 // that refuses them, so that requests for keys that have moved are refused too.
 test("dispatch: requests that go again to a server that refuses them leave half of the budget to others", (t) => {
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -63,6 +63,11 @@
   startedAt: number;
   /** Whether another attempt of the request may have reached a server before. */
   isRepeat: boolean;
+  /**
+   * Time until which the retry budget covers the attempt; Infinity if it covers
+   * it until the deadline of the request, or if the attempt is no repeat.
+   */
+  coveredUntil: number;
   /**
    * The assigned range that contained the request's key at the start of the
    * attempt; null without a key, or if no assignment was known.
--- a/src/core/dispatch/request_times.ts
+++ b/src/core/dispatch/request_times.ts
@@ -25,7 +25,8 @@
 /**
  * Time at which the next timer of a request expires: the end of its wait, or of
  * the condition that it waits for, if it has no attempt in flight; otherwise
- * the end of the time in which a response is accepted, or the start of a hedge.
+ * the end of the time in which a response is accepted, the start of a hedge, or
+ * the time until which the retry budget covers a repeat.
  */
 export function nextCheckAt(request: PendingRequest): number {
   if (request.attempts.length === 0) {
@@ -35,6 +36,9 @@
     const ends = [waitEnd, transientWaitEnd, deadline];
     return Math.min(ends.find((end) => checkedAt < end) ?? deadline, checkAt);
   }
-  const hedgeAt = Math.min(...request.attempts.map((each) => each.hedgeAt));
-  return Math.min(request.deadline + DEADLINE_GRACE, hedgeAt);
+  const checks = request.attempts.flatMap(({ hedgeAt, coveredUntil }) => [
+    hedgeAt,
+    coveredUntil,
+  ]);
+  return Math.min(request.deadline + DEADLINE_GRACE, ...checks);
 }
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -39,9 +39,8 @@
 /** Windows whose requests may permit the retries of one window. */
 const COUNTED_WINDOWS = 2;
 /**
- * Maximum time for which a retry counts as on its way to a server, in windows.
- * A link that is silent for longer may hold back retries of requests whose
- * deadline is later.
+ * Maximum time for which one retry counts as on its way to a server, in
+ * windows. A request that is in flight for longer takes another one.
  */
 const MAXIMUM_TRANSIT = 0.5;
 /**
@@ -63,7 +62,10 @@
 
 /** What a retry needs that is sent now. */
 export interface RetryTerms {
-  /** Time by which the retry reaches its server if it ever does. */
+  /**
+   * Time by which the retry reaches its server if it ever does. It counts only
+   * until {@linkcode RetryBudget.countedUntil}.
+   */
   arrivesBy: number;
   /**
    * Part of the minimum that the term holder grants to this VM, from 0 to 1.
@@ -135,7 +137,7 @@
   withdraw(now: number, terms: RetryTerms): boolean {
     if (this.remaining(now, terms) < 1) return false;
     this.#bucket(this.#indexOf(now), now)!.retries += 1;
-    const arrivesBy = this.#arrivesBy(now, terms);
+    const arrivesBy = this.countedUntil(now, terms);
     let needed = this.#requestsPerRetry;
     for (const bucket of this.#buckets) {
       if (!this.#isUsable(bucket, arrivesBy)) continue;
@@ -152,6 +154,11 @@
     return true;
   }
 
+  /** Time until which a retry that is sent now counts as on its way. */
+  countedUntil(now: number, { arrivesBy }: RetryTerms): number {
+    return Math.min(arrivesBy, now + MAXIMUM_TRANSIT * this.#window);
+  }
+
   /** Number of retries that this VM has left. */
   remaining(now: number, terms: RetryTerms): number {
     return this.balance(now, terms).remaining;
@@ -160,7 +167,7 @@
   /** The counts in the window, and what is left of them. */
   balance(now: number, terms: RetryTerms): RetryBalance {
     this.#removeExpired(now);
-    const arrivesBy = this.#arrivesBy(now, terms);
+    const arrivesBy = this.countedUntil(now, terms);
     const { part = 1 } = terms;
     let requests = 0;
     let retries = 0;
@@ -182,11 +189,6 @@
     };
   }
 
-  /** Time by which a retry reaches its server, as far as it is counted. */
-  #arrivesBy(now: number, { arrivesBy }: RetryTerms): number {
-    return Math.min(arrivesBy, now + MAXIMUM_TRANSIT * this.#window);
-  }
-
   /**
    * Whether the requests of a bucket permit a retry that arrives until a time:
    * they are in each window in which it may arrive, or in the one before it.
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -136,6 +136,16 @@
     return this.#budget(request.service).withdraw(now, terms);
   }
 
+  /**
+   * Time until which the budget covers a retry that was withdrawn now; Infinity
+   * if it covers it until its deadline.
+   */
+  coveredUntil(request: PendingRequest, now: number): number {
+    const terms = this.#terms(request, now);
+    const until = this.#budget(request.service).countedUntil(now, terms);
+    return until < terms.arrivesBy ? until : Infinity;
+  }
+
   /** The counts of this VM, and what is left of its part for a request. */
   balance(request: PendingRequest, now: number): RetryBalance {
     const terms = this.#terms(request, now);
--- a/test/ownership/rate_limit_test.ts
+++ b/test/ownership/rate_limit_test.ts
@@ -139,6 +139,19 @@
     results.length;
 }
 
+/**
+ * All VMs are cut off from each other, and callers use a third of them, then
+ * all, then the same third. VMs use fixed shares of a limit then.
+ */
+function movingCallers(vms: number): Fault[] {
+  return Array.from({ length: vms }, (_, target): Fault[] => [
+    { kind: "vm.cut_from_peers", at: 12_000, duration: 9_000, target },
+    ...(target % 3 === 0 ? [] : [14_000, 18_000]).map((at): Fault => (
+      { kind: "vm.cut_from_callers", at, duration: 2_000, target }
+    )),
+  ]).flat();
+}
+
 /** Numbers of VMs, each with a limit in requests per second. */
 const LIMIT_CASES = [[11, 6], [11, 1.8], [61, 1.8]];
 
@@ -164,6 +177,19 @@
     }
   }
 
+  // Guards against shares of a limit that grow with the requests of callers that
+  // have left other VMs.
+  for (const isKeyed of [true, false]) {
+    const kind = isKeyed ? "keyed" : "without keys";
+    test(`a limit of ${requestsPerSecond} requests per second, ${vms} VMs, ${kind}, while callers move between VMs that are cut off: it is respected`, (t) => {
+      const faults = movingCallers(vms);
+      const report = simulate(vms, requestsPerSecond, isKeyed, faults);
+      t.deepEqual(report.violations, []);
+      const most = mostInWindow(report.load!.limitedArrivals);
+      t.true(most <= allowed(requestsPerSecond), `${most} in ${WINDOW} ms`);
+    });
+  }
+
   // Guards against requests for keys that are refused as long as their server
   // reports a limit, although other servers have spare capacity.
   test(`keys move away from servers with a limit of ${requestsPerSecond} requests per second, ${vms} VMs`, (t) => {
--- a/test/ownership/request_load.ts
+++ b/test/ownership/request_load.ts
@@ -91,11 +91,8 @@
   rateLimit?: ReportedRateLimit;
   /** Backoff that servers request; none if left out. */
   backoff?: RequestedBackoff;
-  /**
-   * Time in which all servers respond with status 500 at once, in milliseconds;
-   * never if left out.
-   */
-  failure?: { from: number; until: number };
+  /** Failure of servers; none if left out. */
+  failure?: ServerFailure;
 }
 
 /**
@@ -126,6 +123,14 @@
   /** Established connections work, new ones are refused. */
   | "refused";
 
+/** Servers that respond with status 500 at once. Times are milliseconds. */
+export interface ServerFailure {
+  from: number;
+  until: number;
+  /** Number of servers that fail; all if left out. */
+  servers?: number;
+}
+
 /** The first attempt of a caller at a VM. */
 export interface FirstAttempt {
   vm: number;
@@ -395,6 +400,8 @@
   readonly backoffs: Backoff[] = [];
   /** Requests that reached leaving servers. */
   readonly leavingArrivals: LeavingArrival[] = [];
+  /** Attempts to which a failing server has responded, by VM and attempt. */
+  readonly #failedAttempts = new Set<string>();
   /** Leaving servers of responses, by VM and attempt. */
   readonly #leavingResponses = new Map<string, string>();
   /**
@@ -684,7 +691,9 @@
       this.#leavingPassedOnAt.set(name, passedOnAt);
     }
     const took = this.time.now + CALLER_HOP - caller.startedAt;
-    const name = took <= this.options.target ? "inTime" : "late";
+    const isFailed = this.#failedAttempts.has(nameOf(vm, attempt));
+    const served = took <= this.options.target ? "inTime" : "late";
+    const name = isFailed ? "failed" : served;
     this.#countsOf(caller)[name] += 1;
     this.results.push({ ...caller, name, took });
   }
@@ -792,11 +801,14 @@
     });
   }
 
-  /** Whether all servers respond with status 500. */
-  #isFailing(): boolean {
+  /** Whether a server responds to all requests with status 500. */
+  #isFailing(server: string): boolean {
     const { failure } = this.options;
     if (failure === undefined) return false;
-    return this.time.now >= failure.from && this.time.now < failure.until;
+    const { from, until, servers } = failure;
+    const { now } = this.time;
+    return now >= from && now < until &&
+      (servers === undefined || this.#isAmongFirst(server, servers));
   }
 
   #arrive({ server, address }: AttemptStart, request: ServerRequest): void {
@@ -814,7 +826,8 @@
       this.misdirected += 1;
       return this.#end(request, this.#createResponse(server, 421, true));
     }
-    if (this.#isFailing()) {
+    if (this.#isFailing(server)) {
+      this.#failedAttempts.add(nameOf(request.vm, request.attempt));
       return this.#end(request, this.#createResponse(server, 500, false));
     }
     if (this.#isRefusing(server)) return this.#refuseWithBackoff(request);
--- a/test/ownership/retry_budget_test.ts
+++ b/test/ownership/retry_budget_test.ts
@@ -264,3 +264,33 @@
     });
   }
 }
+
+// Guards against a budget that a short failure of many servers cannot use.
+for (const [vms, minimum] of SIZES) {
+  test.serial(`retries: half of the servers fail for a second, ${vms} VMs: most requests are served by others`, (t) => {
+    const failure = {
+      from: FAILED_FROM,
+      until: FAILED_FROM + 1_000,
+      servers: SERVERS / 2,
+    };
+    const { load } = Simulation.runToEnd({
+      vms,
+      servers: SERVERS,
+      seedVms: 3,
+      duration: UNTIL + 2_000,
+      seed: 1,
+      fitness: Array.from({ length: vms }, (_, i) => i < 4 ? 5 : 1),
+      load: { ...LOAD, isKeyed: false, failure },
+      retryLimits: { ratio: 0.2, windowSeconds: 10, minimum },
+      faults: [],
+    });
+    const results = load!.results.filter(({ startedAt }) =>
+      startedAt >= failure.from && startedAt < failure.until
+    );
+    const inTime = results.filter(({ name }) => name === "inTime").length;
+    const share = inTime / results.length;
+    t.log(`${share} served in time`);
+    // Half of the requests fail first; most of those are made up for.
+    t.true(share > 0.75, `${share} served in time`);
+  });
+}
