--- a/src/core/exchange/share_ledger.ts
+++ b/src/core/exchange/share_ledger.ts
@@ -27,6 +27,9 @@
  */
 const DIVIDED_PART = 0.5;
 
+/** Time between two removals of what no longer counts, in milliseconds. */
+const REMOVAL_INTERVAL = 500;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** The share of one VM. */
@@ -43,6 +46,7 @@
   readonly #grants = new Map<string, Grant>();
   readonly #retention: number;
   #grantsFrom = Infinity;
+  #removedAt = -Infinity;
 
   private constructor(windowSeconds: number) {
     this.#retention = RETENTION * windowSeconds * MILLISECONDS_PER_SECOND;
@@ -94,6 +98,8 @@
   }
 
   #removeExpired(now: number): void {
+    if (now - this.#removedAt < REMOVAL_INTERVAL) return;
+    this.#removedAt = now;
     for (const [address, grant] of this.#grants) {
       const { former, expiresAt } = grant;
       if (now >= expiresAt + this.#retention) this.#grants.delete(address);
