--- a/test/retry_budget_process_test.ts
+++ b/test/retry_budget_process_test.ts
@@ -70,10 +70,19 @@
   "restarts in turn": "refuse requests, and VMs are killed",
   loss: "refuse requests, and three of four VMs are killed for some time",
   pause: "refuse requests, and three of four VMs are paused",
+  silence: "refuse requests, and links hold back what is sent to them",
 };
 
 type Disruption = keyof typeof NAMES;
 
+/** Number of times that links are silent. */
+const SILENCES = 3;
+/**
+ * Time for which they are silent, and open afterwards, in milliseconds; shorter
+ * than the timeout of requests.
+ */
+const SILENCE_DURATION = 1_200;
+
 /**
  * Disrupts entries; returns when entries were killed. Callers do not use those
  * in `avoided`.
@@ -116,10 +125,25 @@
       await delay(LOSS_DURATION);
       for (const each of lost) each.process.kill("SIGCONT");
       break;
+    case "silence":
+      await silenceLinks(deployment);
+      break;
   }
   return kills;
 }
 
+/** The links of all entries to all servers are silent from time to time. */
+async function silenceLinks(deployment: Deployment): Promise<void> {
+  for (let i = 0; i < SILENCES; i++) {
+    for (const state of ["silent", "open"] as const) {
+      for (const each of deployment.entries) {
+        deployment.setServerLinks(each, state);
+      }
+      await delay(SILENCE_DURATION);
+    }
+  }
+}
+
 async function loadWhileRefused(
   deployment: Deployment,
   service: "stock" | "orders",
