--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -202,3 +202,29 @@
   const { send } = createPool(t, address);
   t.is(outcomeKind(await send("a")), "failed, not sent");
 });
+
+// Guards against a cancelled attempt whose bytes a silent link delivers later,
+// when the retry budget no longer counts it.
+test("backend pool: a cancelled attempt resets its connection", async (t) => {
+  const ends: string[] = [];
+  const { server, address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    if (id === "first") {
+      socket.write(responseHead(id, ["Content-Length: 2"]) + "ok");
+    }
+  });
+  server.on("connection", (socket) => {
+    socket.once("error", (error: NodeJS.ErrnoException) => {
+      ends.push(error.code ?? "");
+    });
+    socket.once("end", () => ends.push("orderly end"));
+  });
+  const { pool, send } = createPool(t, address);
+  // The second attempt uses the kept connection of the first one.
+  t.is(outcomeKind(await send("first")), "genuine");
+  void send("second").catch(() => {});
+  await delay(50);
+  pool.cancel(2);
+  for (let i = 0; i < 100 && ends.length === 0; i++) await delay(10);
+  t.deepEqual(ends, ["ECONNRESET"]);
+});
