--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -420,7 +420,7 @@
     }
     retries += Math.max(0, reached - 1);
   }
-  // 0.2 * 20 requests + 50 / 8 VMs is 10, 0.1 * 20 + 0.5 * 100 / 8 is 8.
+  // Half of 0.2 * 20 requests + a minimum of 50 / 8 VMs.
   t.true(retries <= 7, `${retries}`);
 });
 
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -99,7 +99,7 @@
  * One VM's part of the retry budget of one service. Times are milliseconds.
  *
  * ```ts
- * budget.recordRequest(now);
+ * budget.recordRequest(sentAt, now);
  * if (budget.withdraw(now, { arrivesBy, minimumShare })) retry();
  * ```
  */
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -411,8 +411,7 @@
       this.#roster.reported(this.ownAddress, this.relayZone(now), now);
       this.#vmCount.observe(this.#publisher.vmCount(now), now);
       this.tokenExchange.advance(now);
-      const retryShare = this.retryShares.grant(this.ownAddress, now);
-      this.retryShares.receive(retryShare, now, now);
+      this.retryShares.renewOwn(this.ownAddress, now);
       this.#publisher.advance(holder, now);
       const relays = this.#publisher.relaysFor(this.ownAddress, now);
       if (relays !== null) this.relays.replace(relays);
--- a/src/core/exchange/retry_shares.ts
+++ b/src/core/exchange/retry_shares.ts
@@ -6,6 +6,12 @@
  */
 import { SHARE_LIFETIME, ShareLedger } from "./share_ledger.ts";
 
+/**
+ * Time after which the VM that grants the shares renews its own one, in
+ * milliseconds.
+ */
+const OWN_RENEWAL_INTERVAL = 500;
+
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class RetryShares {
   readonly #ledger: ShareLedger;
@@ -13,6 +19,8 @@
   #term: number | null = null;
   /** The share of this VM. */
   #granted = { share: 0, expiresAt: -Infinity };
+  /** When this VM last renewed its own share. */
+  #renewedAt = -Infinity;
 
   private constructor(
     windowSeconds: number,
@@ -47,6 +55,13 @@
     return this.#ledger.renew(address, now);
   }
 
+  /** Renews the share of this VM at `address` if it has the authority. */
+  renewOwn(address: string, now: number): void {
+    if (now < this.#renewedAt + OWN_RENEWAL_INTERVAL) return;
+    this.#renewedAt = now;
+    this.receive(this.grant(address, now), now, now);
+  }
+
   /**
    * Applies the share that this VM was granted in an answer to the report that
    * it sent at `sentAt`. The holder has granted it after that.
