--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -34,8 +34,8 @@
   terms: readonly number[];
   /** Whether the reports of a VM reach the term holder at a time. */
   isHeard: (vm: number, now: number) => boolean;
-  /** Times at which a VM restarts. */
-  restartsOf: (vm: number) => readonly number[];
+  /** Times at which a VM, one of `vms`, restarts. */
+  restartsOf: (vm: number, vms: number) => readonly number[];
   /** Whether a VM gets no requests at a time; its callers use the others. */
   isAway: (vm: number, now: number) => boolean;
   /** When a retry that a VM sends at a time reaches a server; at once if absent. */
@@ -125,7 +125,7 @@
   for (; now < UNTIL; now += STEP) {
     const present = policies.filter((_, vm) => !isAway(vm, now)).length;
     for (let vm = 0; vm < vms; vm++) {
-      if (restartsOf(vm).some((at) => at >= now && at < now + STEP)) {
+      if (restartsOf(vm, vms).some((at) => at >= now && at < now + STEP)) {
         policies[vm] = create(vm);
       }
       if (now % REPORT_INTERVAL === 0 && isHeard(vm, now)) {
@@ -163,7 +163,7 @@
 const never = () => [];
 const nowhere = () => false;
 
-type Case = (vms: number) => Omit<Situation, "vms" | "rate">;
+type Case = Omit<Situation, "vms" | "rate">;
 
 /** Whether a VM is one of a share of the VMs, which are spread evenly. */
 function isPart(vm: number, share: number): boolean {
@@ -174,123 +174,119 @@
 function movements(): Record<string, Case> {
   const shares = { half: 1 / 2, "two thirds": 2 / 3, "nine in ten": 9 / 10 };
   const cases: Record<string, Case> = {
-    "callers move between halves in turn": (vms) => ({
-      ...KNOWN(vms),
+    "callers move between halves in turn": {
+      ...KNOWN,
       isAway: (vm, now) =>
         now >= FAULT_AT + 600 &&
         isPart(vm, 1 / 2) === (Math.floor((now - FAULT_AT) / 2_000) % 2 === 0),
-    }),
-    "callers move between zones in turn": (vms) => ({
-      ...KNOWN(vms),
+    },
+    "callers move between zones in turn": {
+      ...KNOWN,
       isAway: (vm, now) =>
         now >= FAULT_AT + 600 &&
         vm % 3 !== Math.floor((now - FAULT_AT) / 3_000) % 3,
-    }),
-    "callers move, and the VMs that they move to restart": (vms) => ({
-      ...KNOWN(vms),
+    },
+    "callers move, and the VMs that they move to restart": {
+      ...KNOWN,
       isAway: (vm, now) => isPart(vm, 2 / 3) && now >= FAULT_AT + 600,
       restartsOf: (vm) => isPart(vm, 2 / 3) ? [] : [FAULT_AT + 700],
-    }),
-    "callers move twice while VMs restart and others are cut off": (vms) => ({
-      ...KNOWN(vms),
+    },
+    "callers move twice while VMs restart and others are cut off": {
+      ...KNOWN,
       isHeard: (vm, now) => vm % 2 !== 0 || now < FAULT_AT,
       isAway: (vm, now) =>
         now < FAULT_AT + 4_000
           ? isPart(vm, 2 / 3) && now >= FAULT_AT + 600
           : !isPart(vm, 2 / 3),
       restartsOf: (vm) => vm % 4 === 0 ? [FAULT_AT + 2_000] : [],
-    }),
+    },
   };
   for (const [name, share] of Object.entries(shares)) {
     for (const after of [600, 2_500]) {
-      cases[`${name} of the VMs lose their callers after ${after} ms`] = (
-        vms,
-      ) => ({
-        ...KNOWN(vms),
+      cases[`${name} of the VMs lose their callers after ${after} ms`] = {
+        ...KNOWN,
         isAway: (vm, now) => isPart(vm, share) && now >= FAULT_AT + after,
-      });
+      };
     }
-    cases[`${name} of the VMs lose their callers and get them back`] = (
-      vms,
-    ) => ({
-      ...KNOWN(vms),
+    cases[`${name} of the VMs lose their callers and get them back`] = {
+      ...KNOWN,
       isAway: (vm, now) =>
         isPart(vm, share) && now >= FAULT_AT + 600 && now < FAULT_AT + 6_600,
-    });
+    };
   }
   return cases;
 }
 
-const KNOWN: Case = (vms) => ({
+const KNOWN: Case = {
   isFailing: steady,
   terms: [-60_000],
   isHeard: () => true,
   restartsOf: never,
   isAway: nowhere,
-});
+};
 
 const CASES: Record<string, Case> = {
   "all is known": KNOWN,
-  "servers fail repeatedly": (vms) => ({ ...KNOWN(vms), isFailing: bursts }),
-  "no term holder is heard": (vms) => ({ ...KNOWN(vms), isHeard: () => false }),
-  "few VMs are heard by a new term holder at first": (vms) => ({
-    ...KNOWN(vms),
+  "servers fail repeatedly": { ...KNOWN, isFailing: bursts },
+  "no term holder is heard": { ...KNOWN, isHeard: () => false },
+  "few VMs are heard by a new term holder at first": {
+    ...KNOWN,
     terms: [FAULT_AT - 17_000],
     isHeard: (vm, now) => now >= FAULT_AT - 2_000 + 40 * vm,
-  }),
-  "the term holder changes repeatedly": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "the term holder changes repeatedly": {
+    ...KNOWN,
     terms: [-60_000, FAULT_AT - 18_000, FAULT_AT, FAULT_AT + 2_000],
-  }),
-  "half of the VMs are cut off from the term holder": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "half of the VMs are cut off from the term holder": {
+    ...KNOWN,
     isHeard: (vm, now) => vm % 2 !== 0 || now < 12_000,
-  }),
-  "VMs are heard in three groups in turn": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "VMs are heard in three groups in turn": {
+    ...KNOWN,
     isHeard: (vm, now) => vm % 3 === Math.floor(now / 6_000) % 3,
-  }),
-  "VMs read what waited for them after a stall": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "VMs read what waited for them after a stall": {
+    ...KNOWN,
     stallOf: () => ({ from: FAULT_AT + 4_000, until: FAULT_AT + 8_000 }),
-  }),
-  "VMs stall, and their callers move": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "VMs stall, and their callers move": {
+    ...KNOWN,
     isAway: (vm, now) => isPart(vm, 2 / 3) && now >= FAULT_AT + 7_000,
     stallOf: () => ({ from: FAULT_AT + 4_000, until: FAULT_AT + 7_000 }),
-  }),
-  "all VMs restart after a burst": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "all VMs restart after a burst": {
+    ...KNOWN,
     restartsOf: () => [FAULT_AT + 1_000],
-  }),
-  "VMs restart in turn": (vms) => ({
-    ...KNOWN(vms),
-    restartsOf: (vm) => [
+  },
+  "VMs restart in turn": {
+    ...KNOWN,
+    restartsOf: (vm, vms) => [
       FAULT_AT + 500 + 8_000 * vm / vms,
       FAULT_AT + 10_500 + 8_000 * vm / vms,
     ],
-  }),
-  "VMs restart repeatedly": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "VMs restart repeatedly": {
+    ...KNOWN,
     restartsOf: () => [1, 2, 4, 5, 7, 9, 12].map((s) => FAULT_AT + s * 1_000),
-  }),
-  "a third of the VMs leave and return": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "a third of the VMs leave and return": {
+    ...KNOWN,
     isFailing: bursts,
     isAway: (vm, now) =>
       vm % 3 === 0 && now >= FAULT_AT - 3_000 && now < FAULT_AT + 6_000,
-  }),
+  },
   ...movements(),
-  "retries that silent links hold back arrive at once": (vms) => ({
-    ...KNOWN(vms),
+  "retries that silent links hold back arrive at once": {
+    ...KNOWN,
     arrivalOf: (_, at) => Math.max(at, FAULT_AT + TIMEOUT),
-  }),
-  "links are silent in turn, and callers move": (vms) => ({
-    ...KNOWN(vms),
+  },
+  "links are silent in turn, and callers move": {
+    ...KNOWN,
     isAway: (vm, now) => isPart(vm, 2 / 3) && now >= FAULT_AT + 3_500,
     arrivalOf: (_, at) => Math.ceil(at / TIMEOUT) * TIMEOUT,
-  }),
-  "several at once": (vms) => ({
+  },
+  "several at once": {
     isFailing: (now) => bursts(now) || now >= FAULT_AT + 14_000,
     terms: [-60_000, FAULT_AT - 17_000, FAULT_AT + 3_000],
     isHeard: (vm, now) =>
@@ -301,19 +297,19 @@
     arrivalOf: (vm, at) => vm % 4 === 0 ? Math.ceil(at / 1_500) * 1_500 : at,
     stallOf: (vm) =>
       vm % 7 === 0 ? { from: FAULT_AT + 5_000, until: FAULT_AT + 6_500 } : null,
-  }),
+  },
 };
 
 // Guards against retries beyond the budget of all VMs together: those that a VM
 // forgets before the window has passed or as it restarts, shares of the minimum
 // of VMs that are not known to the holder, requests that two VMs count as callers move from one to
 // the other, and retries that arrive later than they are sent.
-for (const [name, create] of Object.entries(CASES)) {
+for (const [name, each] of Object.entries(CASES)) {
   for (const [vms, minimum] of SIZES) {
     test(`retry policy: ${name}, ${vms} VMs: all together stay within the budget`, (t) => {
       const limits = { ratio: 0.2, windowSeconds: 10, minimum };
       for (const rate of [8, 120, 600, 1_000]) {
-        const situation = { ...create(vms), vms, rate };
+        const situation = { ...each, vms, rate };
         const { requests, retries } = simulate(situation, limits);
         const excess = retryExcess(requests, retries, limits);
         t.true(excess <= 0, `${rate} requests per second: ${excess} beyond`);
@@ -327,7 +323,7 @@
   test(`retry policy: ${vms} VMs: more than half of the budget can be used`, (t) => {
     const limits = { ratio: 0.2, windowSeconds: 10, minimum };
     const rate = 600;
-    const situation = { ...KNOWN(vms), vms, rate };
+    const situation = { ...KNOWN, vms, rate };
     const allowed = limits.ratio * rate * limits.windowSeconds + minimum;
     const { requests, retries } = simulate(situation, limits);
     const excess = retryExcess(requests, retries, limits);
@@ -340,7 +336,7 @@
   test(`retry policy: ${vms} VMs: the first second of a failure may use a third of the budget`, (t) => {
     const limits = { ratio: 0.2, windowSeconds: 10, minimum };
     const rate = 600;
-    const { retries } = simulate({ ...KNOWN(vms), vms, rate }, limits);
+    const { retries } = simulate({ ...KNOWN, vms, rate }, limits);
     const used = retries.filter((at) => at < FAULT_AT + 1_000).length;
     const allowed = limits.ratio * rate * limits.windowSeconds + minimum;
     t.log(`${used} of ${allowed}`);
