--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -318,6 +318,26 @@
   }
 }
 
+// Guards against requests that were sent during a stall and count as sent when
+// they are read.
+test("retry policy: requests that are read after a stall count as sent when it began", (t) => {
+  const limits = { ratio: 0.2, windowSeconds: 10, minimum: 0 };
+  const retryAt = (readAt: number, now: number): boolean => {
+    const policy = createPolicy(limits, -60_000, () => 0);
+    policy.processStalled(4_000, 20_000);
+    for (let i = 0; i < 20; i++) policy.recordRequest(SERVICE, readAt);
+    const request = { service: SERVICE, key: null, refusal: null };
+    const deadline = now;
+    return policy.withdraw({ ...request, deadline } as PendingRequest, now);
+  };
+  t.true(retryAt(20_100, 25_900));
+  t.false(retryAt(20_100, 26_000));
+  t.true(retryAt(23_999, 25_900));
+  t.false(retryAt(23_999, 26_000));
+  t.true(retryAt(24_000, 33_900));
+  t.false(retryAt(24_000, 34_000));
+});
+
 // Guards against margins that leave the budget unused.
 for (const [vms, minimum] of SIZES) {
   test(`retry policy: ${vms} VMs: more than half of the budget can be used`, (t) => {
