Retries: one class takes and logs them, the counts are read once, one constant for their time

Read afresh: the dispatcher withdrew, logged and counted by itself, and computed the balance twice for each retry, permitted or not. Repeats does it, with the counts before the withdrawal, so that isPermitted is remaining >= 1. The time for which a retry counts stood in two files; it is in rates/, with the share ledger. When the holder last renewed its own share follows from when that expires. The next check of a request made an array for each event.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -29,6 +29,7 @@
   type WaitPlan,
 } from "./dispatch_planner.ts";
 import { RangeBackoff } from "./range_backoff.ts";
+import { Repeats } from "./repeats.ts";
 import { RetryAfterPolicy } from "./retry_after_policy.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 import { WaitQueues } from "./wait_queues.ts";
@@ -56,6 +57,7 @@
   readonly #copies = CopiesInFlight.create();
   readonly #planner: DispatchPlanner;
   readonly #retryPolicy: RetryPolicy;
+  readonly #repeats: Repeats;
   readonly #log: RequestLog;
   readonly #outcomeReview: OutcomeReview;
   readonly #responses: LocalResponses;
@@ -75,6 +77,11 @@
       () => context.catalog.version,
       (...lines) => this.#effects.push(...lines),
     );
+    this.#repeats = Repeats.create(
+      this.#retryPolicy,
+      this.#log,
+      (now) => context.minimumShare(now),
+    );
     this.#responses = LocalResponses.create(
       context,
       this.#log,
@@ -197,9 +204,7 @@
     const { number } = attempt;
     this.#byAttempt.delete(number);
     this.context.paths.ended(attemptName(number));
-    if (attempt.isRepeat) {
-      this.#logRepeatEnd(request, attempt, "cancelled", now);
-    }
+    this.#repeats.attemptEnded(request, attempt, "cancelled", now);
     request.attempts = request.attempts.filter((each) => each !== attempt);
     this.#effects.push({ kind: "attempt.cancel", attempt: number });
   }
@@ -225,9 +230,7 @@
     this.#byAttempt.delete(number);
     const attempt = request.attempts.find((each) => each.number === number)!;
     request.attempts = request.attempts.filter((each) => each !== attempt);
-    if (attempt.isRepeat) {
-      this.#logRepeatEnd(request, attempt, outcome.kind, now);
-    }
+    this.#repeats.attemptEnded(request, attempt, outcome.kind, now);
     const step = this.#outcomeReview.review(request, attempt, outcome, now);
     this.#applyStep(request, attempt, step, now);
     this.#drain(request.service, now);
@@ -320,55 +323,14 @@
    * the budget.
    */
   #send(request: PendingRequest, server: TrackedServer, now: number): boolean {
-    if (request.sentCount > 0 && !this.#withdraw(request, server.id, now)) {
+    const isRepeat = request.sentCount > 0;
+    if (isRepeat && !this.#repeats.withdraw(request, server.id, now)) {
       return false;
     }
     this.#start(request, server, now);
     return true;
   }
 
-  /** Takes a retry from the retry budget; false if it is used up. */
-  #withdraw(request: PendingRequest, server: string, now: number): boolean {
-    const isPermitted = this.#retryPolicy.withdraw(request, now);
-    this.#logWithdrawal(request, server, isPermitted, now);
-    return isPermitted;
-  }
-
-  /** Logs a retry with what it has taken from the retry budget. */
-  #logWithdrawal(
-    request: PendingRequest,
-    server: string,
-    isPermitted: boolean,
-    now: number,
-  ): void {
-    const balance = this.#retryPolicy.balance(request, now);
-    this.#log.write("info", "retry.withdrawn", request, now, {
-      server,
-      isPermitted,
-      sent: request.sentCount,
-      left: Math.round(request.deadline - now),
-      requests: balance.requests,
-      retries: balance.retries,
-      remaining: Number(balance.remaining.toFixed(2)),
-      minimumShare: Number(this.context.minimumShare(now).toFixed(4)),
-    });
-  }
-
-  /** Logs by when a repeat has reached its server, if it has. */
-  #logRepeatEnd(
-    request: PendingRequest,
-    { number, server, startedAt }: Attempt,
-    outcome: AttemptOutcome["kind"] | "cancelled",
-    now: number,
-  ): void {
-    this.#log.write("info", "retry.ended", request, now, {
-      attempt: number,
-      server,
-      outcome,
-      duration: Math.round(now - startedAt),
-    });
-  }
-
   /** Starts an attempt at a server. */
   #start(request: PendingRequest, server: TrackedServer, now: number): void {
     this.#attemptCount += 1;
@@ -580,7 +542,7 @@
   #coverRepeats(request: PendingRequest, now: number): boolean {
     for (const attempt of [...request.attempts]) {
       if (now < attempt.coveredUntil) continue;
-      if (this.#withdraw(request, attempt.server, now)) {
+      if (this.#repeats.withdraw(request, attempt.server, now)) {
         attempt.coveredUntil = this.#retryPolicy.coveredUntil(request, now);
       } else if (request.attempts.length > 1) {
         this.context.fleet.get(attempt.server)?.cancelled(attempt.number);
--- a/src/core/dispatch/request_times.ts
+++ b/src/core/dispatch/request_times.ts
@@ -36,9 +36,9 @@
     const ends = [waitEnd, transientWaitEnd, deadline];
     return Math.min(ends.find((end) => checkedAt < end) ?? deadline, checkAt);
   }
-  const checks = request.attempts.flatMap(({ hedgeAt, coveredUntil }) => [
-    hedgeAt,
-    coveredUntil,
-  ]);
-  return Math.min(request.deadline + DEADLINE_GRACE, ...checks);
+  let checkAt = request.deadline + DEADLINE_GRACE;
+  for (const { hedgeAt, coveredUntil } of request.attempts) {
+    checkAt = Math.min(checkAt, hedgeAt, coveredUntil);
+  }
+  return checkAt;
 }
--- a/src/core/dispatch/retry_budget.ts
+++ b/src/core/dispatch/retry_budget.ts
@@ -14,6 +14,7 @@
  * @module
  */
 import * as z from "zod";
+import { MAXIMUM_TRANSIT, RETENTION } from "../rates/index.ts";
 
 /** Schema of {@linkcode RetryLimits}: the limits that all VMs share. */
 export const retryLimitsSchema = z.object({
@@ -38,17 +39,6 @@
 const BUCKETS = 40;
 /** Windows whose requests may permit the retries of one window. */
 const COUNTED_WINDOWS = 2;
-/**
- * Maximum time for which one retry counts as on its way to a server, in
- * windows. A request that is in flight for longer takes another one.
- */
-const MAXIMUM_TRANSIT = 0.5;
-/**
- * Time after the start of a process in which it uses no share of the minimum,
- * in windows. Retries of an earlier process at its address, which had the same
- * share, count until then.
- */
-const MINIMUM_DELAY = 1 + MAXIMUM_TRANSIT;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -60,6 +50,11 @@
   remaining: number;
 }
 
+/** Result of {@linkcode RetryBudget.withdraw}, with the counts before it. */
+export interface RetryWithdrawal extends RetryBalance {
+  isPermitted: boolean;
+}
+
 /** What a retry needs that is sent now. */
 export interface RetryTerms {
   /**
@@ -100,7 +95,7 @@
  *
  * ```ts
  * budget.recordRequest(sentAt, now);
- * if (budget.withdraw(now, { arrivesBy, minimumShare })) retry();
+ * if (budget.withdraw(now, { arrivesBy, minimumShare }).isPermitted) retry();
  * ```
  */
 export class RetryBudget {
@@ -133,9 +128,15 @@
     bucket.unused += 1;
   }
 
-  /** Takes a retry from this VM's part; false if none is left. */
-  withdraw(now: number, terms: RetryTerms): boolean {
-    if (this.remaining(now, terms) < 1) return false;
+  /** Takes a retry from this VM's part unless none is left. */
+  withdraw(now: number, terms: RetryTerms): RetryWithdrawal {
+    const balance = this.balance(now, terms);
+    const isPermitted = balance.remaining >= 1;
+    if (isPermitted) this.#take(now, terms);
+    return { ...balance, isPermitted };
+  }
+
+  #take(now: number, terms: RetryTerms): void {
     this.#bucket(this.#indexOf(now), now)!.retries += 1;
     const arrivesBy = this.countedUntil(now, terms);
     let needed = this.#requestsPerRetry;
@@ -151,7 +152,6 @@
         retries: this.#minimumNeeded(needed),
       });
     }
-    return true;
   }
 
   /** Time until which a retry that is sent now counts as on its way. */
@@ -159,11 +159,6 @@
     return Math.min(arrivesBy, now + MAXIMUM_TRANSIT * this.#window);
   }
 
-  /** Number of retries that this VM has left. */
-  remaining(now: number, terms: RetryTerms): number {
-    return this.balance(now, terms).remaining;
-  }
-
   /** The counts in the window, and what is left of them. */
   balance(now: number, terms: RetryTerms): RetryBalance {
     this.#removeExpired(now);
@@ -207,9 +202,13 @@
       : 1;
   }
 
-  /** Retries of the minimum that this VM may use in a window. */
+  /**
+   * Retries of the minimum that this VM may use in a window. A process that has
+   * just started uses none: those of an earlier process at its address, which
+   * had the same share, may still count.
+   */
   #minimumShare(share: number, now: number): number {
-    const delay = MINIMUM_DELAY * this.#window;
+    const delay = RETENTION * this.#window;
     return now - this.startedAt < delay ? 0 : share * this.limits.minimum;
   }
 
--- a/src/core/dispatch/retry_budget_test.ts
+++ b/src/core/dispatch/retry_budget_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { retryExcess } from "../../../test/support/retry_excess.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { RetryBudget, type RetryTerms } from "./retry_budget.ts";
 
 const LIMITS = { ratio: 0.2, windowSeconds: 10, minimum: 56 };
 /** Number of VMs among which the minimum is divided. */
@@ -14,6 +14,15 @@
   return { arrivesBy: now, minimumShare };
 }
 
+/** Whether a retry is permitted. */
+function withdraw(
+  budget: RetryBudget,
+  now: number,
+  retry: RetryTerms,
+): boolean {
+  return budget.withdraw(now, retry).isPermitted;
+}
+
 // Guards against requests that permit retries of two VMs, and against retries
 // that count when they are sent although they arrive later.
 test("retry budget: all VMs together stay within the budget whichever VMs requests use, restart or hold back arrivals", (t) => {
@@ -55,7 +64,7 @@
           for (let j = 0; j < step.retries; j++) {
             const arrivesBy = now + step.transit;
             const retry = { arrivesBy, minimumShare: SHARE };
-            if (!budget.withdraw(now, retry)) break;
+            if (!withdraw(budget, now, retry)) break;
             arrivals.push(arrivesBy);
           }
         }
@@ -109,7 +118,7 @@
         budget.recordRequest(now, now);
         simulation.requests.push(now);
       }
-      while (budget.withdraw(now, terms(now))) simulation.retries.push(now);
+      while (withdraw(budget, now, terms(now))) simulation.retries.push(now);
     }
   }
   return simulation;
@@ -156,49 +165,52 @@
   const budget = RetryBudget.create(LIMITS, 0);
   for (let i = 0; i < 20; i++) budget.recordRequest(100, 100);
   let withdrawn = 0;
-  while (budget.withdraw(100, terms(100))) withdrawn += 1;
+  while (withdraw(budget, 100, terms(100))) withdrawn += 1;
   t.is(withdrawn, 2);
   for (let i = 0; i < 20; i++) budget.recordRequest(100, 3_000);
-  t.true(budget.withdraw(9_900, terms(9_900)));
-  t.false(budget.withdraw(10_100, terms(10_100)));
+  t.true(withdraw(budget, 9_900, terms(9_900)));
+  t.false(withdraw(budget, 10_100, terms(10_100)));
 });
 
 test("retry budget: a retry that may arrive after the window of a request does not use it", (t) => {
   const budget = RetryBudget.create(LIMITS);
   for (let i = 0; i < 20; i++) budget.recordRequest(0, 0);
   const retry = { arrivesBy: 10_000, minimumShare: 0 };
-  t.false(budget.withdraw(7_000, retry));
-  t.true(budget.withdraw(7_000, { ...retry, arrivesBy: 9_900 }));
+  t.false(withdraw(budget, 7_000, retry));
+  t.true(withdraw(budget, 7_000, { ...retry, arrivesBy: 9_900 }));
 });
 
 test("retry budget: the minimum is not used before earlier retries of the address are forgotten", (t) => {
   const budget = RetryBudget.create(LIMITS, 0);
-  t.false(budget.withdraw(14_999, terms(14_999)));
-  t.true(budget.withdraw(15_000, terms(15_000)));
+  t.false(withdraw(budget, 14_999, terms(14_999)));
+  t.true(withdraw(budget, 15_000, terms(15_000)));
 });
 
 test("retry budget: without a ratio, only the minimum permits retries", (t) => {
   const budget = RetryBudget.create({ ...LIMITS, ratio: 0 });
   for (let i = 0; i < 1_000; i++) budget.recordRequest(0, 0);
   let withdrawn = 0;
-  while (budget.withdraw(0, terms(0))) withdrawn += 1;
+  while (withdraw(budget, 0, terms(0))) withdrawn += 1;
   t.is(withdrawn, LIMITS.minimum / VMS);
 });
 
 test("retry budget: the minimum is available again after a window has passed", (t) => {
   const budget = RetryBudget.create(LIMITS);
   let withdrawn = 0;
-  while (budget.withdraw(0, terms(0))) withdrawn += 1;
+  while (withdraw(budget, 0, terms(0))) withdrawn += 1;
   t.is(withdrawn, LIMITS.minimum / VMS);
-  t.false(budget.withdraw(9_999, terms(9_999)));
-  t.true(budget.withdraw(10_000, terms(10_000)));
+  t.false(withdraw(budget, 9_999, terms(9_999)));
+  t.true(withdraw(budget, 10_000, terms(10_000)));
 });
 
 // Guards against retries that a VM forgets before the window has passed.
 test("retry budget: no retry of a full budget is available again within a window", (t) => {
   for (let at = 0; at < 500; at += 10) {
     const budget = RetryBudget.create(LIMITS);
-    while (budget.withdraw(at, terms(at)));
-    t.false(budget.withdraw(at + 9_990, terms(at + 9_990)), `used at ${at} ms`);
+    while (withdraw(budget, at, terms(at)));
+    t.false(
+      withdraw(budget, at + 9_990, terms(at + 9_990)),
+      `used at ${at} ms`,
+    );
   }
 });
--- a/src/core/dispatch/retry_policy.ts
+++ b/src/core/dispatch/retry_policy.ts
@@ -8,9 +8,9 @@
 import type { PendingRequest } from "./request.ts";
 import { DEADLINE_GRACE } from "./request_times.ts";
 import {
-  type RetryBalance,
   RetryBudget,
   type RetryTerms,
+  type RetryWithdrawal,
 } from "./retry_budget.ts";
 
 /**
@@ -125,13 +125,11 @@
   /** Whether a retry is left in this VM's part of the budget. */
   mayWithdraw(request: PendingRequest, now: number): boolean {
     const terms = this.#terms(request, now);
-    return this.#budget(request.service).remaining(now, terms) >= 1;
+    return this.#budget(request.service).balance(now, terms).remaining >= 1;
   }
 
-  /**
-   * Takes a retry from this VM's part of the budget; false if none is left.
-   */
-  withdraw(request: PendingRequest, now: number): boolean {
+  /** Takes a retry from this VM's part of the budget unless none is left. */
+  withdraw(request: PendingRequest, now: number): RetryWithdrawal {
     const terms = this.#terms(request, now);
     return this.#budget(request.service).withdraw(now, terms);
   }
@@ -146,12 +144,6 @@
     return until < terms.arrivesBy ? until : Infinity;
   }
 
-  /** The counts of this VM, and what is left of its part for a request. */
-  balance(request: PendingRequest, now: number): RetryBalance {
-    const terms = this.#terms(request, now);
-    return this.#budget(request.service).balance(now, terms);
-  }
-
   #terms(request: PendingRequest, now: number): RetryTerms {
     return {
       // The connection of an attempt is closed then.
--- a/src/core/dispatch/retry_policy_test.ts
+++ b/src/core/dispatch/retry_policy_test.ts
@@ -7,7 +7,7 @@
 import { retryExcess } from "../../../test/support/retry_excess.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
-import { SHARE_LIFETIME, ShareLedger } from "../exchange/share_ledger.ts";
+import { SHARE_LIFETIME, ShareLedger } from "../rates/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 import { RetryPolicy } from "./retry_policy.ts";
 
@@ -33,7 +33,7 @@
   /** When terms start, ascending; the last one before a time is its term. */
   terms: readonly number[];
   /** Whether the reports of a VM reach the term holder at a time. */
-  isHeard: (vm: number, now: number) => boolean;
+  isReporting: (vm: number, now: number) => boolean;
   /** Times at which a VM, one of `vms`, restarts. */
   restartsOf: (vm: number, vms: number) => readonly number[];
   /** Whether a VM gets no requests at a time; its callers use the others. */
@@ -90,7 +90,7 @@
 
 /** Returns what all VMs send. */
 function simulate(situation: Situation, limits: RetryLimits): Arrivals {
-  const { vms, rate, isFailing, isHeard, restartsOf, isAway } = situation;
+  const { vms, rate, isFailing, isReporting, restartsOf, isAway } = situation;
   const arrivalOf = situation.arrivalOf ?? ((_, at) => at);
   const stallOf = situation.stallOf ?? (() => null);
   const holders = new Holders(situation.terms, limits.windowSeconds);
@@ -116,7 +116,11 @@
     const request = { service: SERVICE, key: null, refusal: null, deadline };
     const arrivals: number[] = [];
     for (let i = 0; i < RETRIES_PER_REQUEST; i++) {
-      if (!policies[vm].withdraw(request as PendingRequest, now)) break;
+      const { isPermitted } = policies[vm].withdraw(
+        request as PendingRequest,
+        now,
+      );
+      if (!isPermitted) break;
       const arrival = arrivalOf(vm, now);
       if (arrival <= deadline) arrivals.push(arrival);
     }
@@ -128,7 +132,7 @@
       if (restartsOf(vm, vms).some((at) => at >= now && at < now + STEP)) {
         policies[vm] = create(vm);
       }
-      if (now % REPORT_INTERVAL === 0 && isHeard(vm, now)) {
+      if (now % REPORT_INTERVAL === 0 && isReporting(vm, now)) {
         const share = holders.answer(vm, now);
         shares[vm] = { share, expiresAt: now + SHARE_LIFETIME };
       }
@@ -193,7 +197,7 @@
     },
     "callers move twice while VMs restart and others are cut off": {
       ...KNOWN,
-      isHeard: (vm, now) => vm % 2 !== 0 || now < FAULT_AT,
+      isReporting: (vm, now) => vm % 2 !== 0 || now < FAULT_AT,
       isAway: (vm, now) =>
         now < FAULT_AT + 4_000
           ? isPart(vm, 2 / 3) && now >= FAULT_AT + 600
@@ -220,7 +224,7 @@
 const KNOWN: Case = {
   isFailing: steady,
   terms: [-60_000],
-  isHeard: () => true,
+  isReporting: () => true,
   restartsOf: never,
   isAway: nowhere,
 };
@@ -228,11 +232,11 @@
 const CASES: Record<string, Case> = {
   "all is known": KNOWN,
   "servers fail repeatedly": { ...KNOWN, isFailing: bursts },
-  "no term holder is heard": { ...KNOWN, isHeard: () => false },
-  "few VMs are heard by a new term holder at first": {
+  "no reports reach a term holder": { ...KNOWN, isReporting: () => false },
+  "reports of few VMs reach a new term holder at first": {
     ...KNOWN,
     terms: [FAULT_AT - 17_000],
-    isHeard: (vm, now) => now >= FAULT_AT - 2_000 + 40 * vm,
+    isReporting: (vm, now) => now >= FAULT_AT - 2_000 + 40 * vm,
   },
   "the term holder changes repeatedly": {
     ...KNOWN,
@@ -240,11 +244,11 @@
   },
   "half of the VMs are cut off from the term holder": {
     ...KNOWN,
-    isHeard: (vm, now) => vm % 2 !== 0 || now < 12_000,
+    isReporting: (vm, now) => vm % 2 !== 0 || now < 12_000,
   },
-  "VMs are heard in three groups in turn": {
+  "reports of three groups of VMs reach the term holder in turn": {
     ...KNOWN,
-    isHeard: (vm, now) => vm % 3 === Math.floor(now / 6_000) % 3,
+    isReporting: (vm, now) => vm % 3 === Math.floor(now / 6_000) % 3,
   },
   "VMs read what waited for them after a stall": {
     ...KNOWN,
@@ -289,7 +293,7 @@
   "several at once": {
     isFailing: (now) => bursts(now) || now >= FAULT_AT + 14_000,
     terms: [-60_000, FAULT_AT - 17_000, FAULT_AT + 3_000],
-    isHeard: (vm, now) =>
+    isReporting: (vm, now) =>
       vm % 3 !== 0 || now < 12_000 || now >= FAULT_AT + 4_000,
     restartsOf: (vm) => vm % 2 === 0 ? [FAULT_AT + 900, FAULT_AT + 3_000] : [],
     isAway: (vm, now) =>
@@ -328,7 +332,8 @@
     for (let i = 0; i < 20; i++) policy.recordRequest(SERVICE, readAt);
     const request = { service: SERVICE, key: null, refusal: null };
     const deadline = now;
-    return policy.withdraw({ ...request, deadline } as PendingRequest, now);
+    return policy.withdraw({ ...request, deadline } as PendingRequest, now)
+      .isPermitted;
   };
   t.true(retryAt(20_100, 25_900));
   t.false(retryAt(20_100, 26_000));
--- a/src/core/exchange/retry_shares.ts
+++ b/src/core/exchange/retry_shares.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { SHARE_LIFETIME, ShareLedger } from "./share_ledger.ts";
+import { SHARE_LIFETIME, ShareLedger } from "../rates/index.ts";
 
 /**
  * Time after which the VM that grants the shares renews its own one, in
@@ -19,8 +19,6 @@
   #term: number | null = null;
   /** The share of this VM. */
   #granted = { share: 0, expiresAt: -Infinity };
-  /** When this VM last renewed its own share. */
-  #renewedAt = -Infinity;
 
   private constructor(
     windowSeconds: number,
@@ -57,8 +55,8 @@
 
   /** Renews the share of this VM at `address` if it has the authority. */
   renewOwn(address: string, now: number): void {
-    if (now < this.#renewedAt + OWN_RENEWAL_INTERVAL) return;
-    this.#renewedAt = now;
+    const renewedAt = this.#granted.expiresAt - SHARE_LIFETIME;
+    if (now < renewedAt + OWN_RENEWAL_INTERVAL) return;
     this.receive(this.grant(address, now), now, now);
   }
 
--- a/src/core/exchange/share_ledger.ts
+++ b/src/core/rates/share_ledger.ts
@@ -2,25 +2,27 @@
  * Divides the minimum of the retry budget, which does not depend on the number
  * of requests, among the VMs that report to the term holder.
  *
- * A VM that is not heard from may use its share until the share expires, and
- * what it has used counts for a window after that. Its share is granted again
- * only then, so that the shares that count in any window add up to at most 1,
+ * A VM whose reports no longer arrive may use its share until the share expires,
+ * and what it has used counts for {@linkcode RETENTION} after that. Its share is
+ * granted again only then, so that the shares that count in any window add up to at most 1,
  * whichever VMs start, stop or are cut off. A new term holder does not know the
  * shares that its predecessor has granted and waits until none of them counts.
  *
  * @module
  */
 
+/**
+ * Maximum time for which one retry counts as on its way to a server, in
+ * windows. A request that is in flight for longer takes another one.
+ */
+export const MAXIMUM_TRANSIT = 0.5;
+/** Time for which a retry counts after it was sent, in windows. */
+export const RETENTION = 1 + MAXIMUM_TRANSIT;
 /**
  * Time for which a VM may use a share after the report that was answered with
  * it, in milliseconds.
  */
 export const SHARE_LIFETIME = 1_500;
-/**
- * Time for which a share counts after it has expired, in windows: a window, and
- * the maximum time for which a retry may be on its way.
- */
-const RETENTION = 1.5;
 /**
  * Part of the minimum that is divided equally. The rest is for VMs that report
  * for the first time before others' shares are reduced.
--- a/src/core/exchange/share_ledger_test.ts
+++ b/src/core/rates/share_ledger_test.ts
@@ -65,7 +65,7 @@
   t.is(at(40_500), 1 / 16);
 });
 
-test("share ledger: a VM that was not heard from keeps its share from others", (t) => {
+test("share ledger: the share of a VM that stops reporting is not granted to others until it no longer counts", (t) => {
   const ledger = ShareLedger.create(WINDOW_SECONDS);
   ledger.startTerm(-60_000);
   t.is(ledger.renew("a", 0), 0.5);
