--- a/test/ownership/retry_budget_test.ts
+++ b/test/ownership/retry_budget_test.ts
@@ -151,13 +151,26 @@
 
 const SHARES = { half: 1 / 2, "two thirds": 2 / 3, "nine in ten": 9 / 10 };
 
+/** Ways in which VMs lose their callers to others. */
+const LOSSES: Record<string, (vms: readonly number[]) => Fault[]> = {
+  "lose their callers": (vms) =>
+    toVms("vm.cut_from_callers", MOVED_AT, 16_000, vms),
+  "lose power": (vms) => toVms("vm.kill", MOVED_AT, 24_000, vms),
+  "are suspended": (vms) => [
+    ...toVms("vm.suspend", MOVED_AT, 5_000, vms),
+    ...toVms("vm.cut_from_callers", MOVED_AT + 300, 5_500, vms),
+  ],
+  "leave": (vms) => toVms("vm.shutdown", MOVED_AT, 1, vms),
+};
+
 /** Cases in which callers move to other VMs while all servers fail. */
 const MOVEMENTS: Case[] = ([
-  ...Object.entries(SHARES).map(([name, share]): Case => ({
-    name: `callers leave ${name} of the VMs`,
-    faults: (vms) =>
-      toVms("vm.cut_from_callers", MOVED_AT, 16_000, part(vms, share)),
-  })),
+  ...Object.entries(SHARES).flatMap(([share, number]) =>
+    Object.entries(LOSSES).map(([loss, faults]): Case => ({
+      name: `${share} of the VMs ${loss}`,
+      faults: (vms) => faults(part(vms, number)),
+    }))
+  ),
   {
     name: "callers leave two thirds of the VMs and return",
     faults: (vms) =>
@@ -181,21 +194,6 @@
         ),
       ]),
   },
-  {
-    name: "two thirds of the VMs lose power",
-    faults: (vms) => toVms("vm.kill", MOVED_AT, 24_000, part(vms, 2 / 3)),
-  },
-  {
-    name: "two thirds of the VMs are suspended",
-    faults: (vms) => [
-      ...toVms("vm.suspend", MOVED_AT, 5_000, part(vms, 2 / 3)),
-      ...toVms("vm.cut_from_callers", MOVED_AT + 300, 5_500, part(vms, 2 / 3)),
-    ],
-  },
-  {
-    name: "two thirds of the VMs leave",
-    faults: (vms) => toVms("vm.shutdown", MOVED_AT, 1, part(vms, 2 / 3)),
-  },
   {
     name: "callers of VMs that are cut off and restart move",
     faults: (vms) => [
