Features: settings, options and message fields for admission, returns, loads and pace

Demand above capacity, unequal servers and slow endpoints need state that VMs exchange. This adds what they share: switches in the settings (all off), their options of the core, optional fields of reports and answers, and a meter of the demand by service and priority, which reports contain only with admission by priority.

No decision changes. Tests of dispatch, admission, exchange, peers and settings pass.

--- /dev/null
+++ b/src/core/admission/index.ts
@@ -0,0 +1,1 @@
+export * from "./demand_meter.ts";
--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { DemandMeter } from "./admission/index.ts";
 import { Catalog, type Configuration, NamedVersions } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import {
@@ -19,6 +20,7 @@
   type TrackedServer,
 } from "./fleet/index.ts";
 import { type Assignment, KeyDirectory, KeyLimits } from "./keyspace/index.ts";
+import { type Features, NO_FEATURES } from "./features.ts";
 import type { HolderAddress, SenderState } from "./peers/index.ts";
 import {
   type CrashAttribution,
@@ -41,6 +43,8 @@
   readonly directory = KeyDirectory.create();
   readonly keyLimits = KeyLimits.create();
   readonly registry = RegistryReplica.create();
+  /** Requests that this VM has received since its last report. */
+  readonly demand = DemandMeter.create();
   readonly quarantine = Quarantine.create(({ kind, crashes }) =>
     this.logDecision(`quarantine.${kind}`, {
       fingerprint: crashes.request,
@@ -68,19 +72,23 @@
     private readonly emit: Emit,
     private readonly onCrash: (crash: CrashAttribution) => void,
     readonly fleet: Fleet,
+    /** Optional behaviour of this VM. */
+    readonly features: Features,
   ) {}
 
   /**
    * Creates an empty state that passes its effects to `emit`. `onCrash` is
    * called for each request that a server was running when it crashed. Leaving
-   * servers get no requests after `drainTime` milliseconds.
+   * servers get no requests after `drainTime` milliseconds. `features` is the
+   * optional behaviour of this VM.
    */
   static create(
     emit: Emit,
     onCrash: (crash: CrashAttribution) => void = () => {},
     drainTime?: number,
+    features: Features = NO_FEATURES,
   ): ClusterState {
-    return new ClusterState(emit, onCrash, Fleet.create(drainTime));
+    return new ClusterState(emit, onCrash, Fleet.create(drainTime), features);
   }
 
   /** The announced term holder with the highest term, or null. */
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { DemandMeter } from "../admission/index.ts";
 import type { Catalog } from "../catalog/index.ts";
 import type { Fleet, ServerStatement, TrackedServer } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
@@ -12,6 +13,7 @@
   Quarantine,
   RunPermits,
 } from "../quarantine/index.ts";
+import type { Features } from "../features.ts";
 import type { ServerPaths } from "../reach/index.ts";
 import type { RateTokens } from "../rates/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
@@ -28,6 +30,10 @@
   /** Paths of the connections to servers. */
   paths: ServerPaths;
   tokens: RateTokens;
+  /** Counts the requests that this VM receives. */
+  demand: DemandMeter;
+  /** Optional behaviour of this VM. */
+  features: Features;
   /** Availability zone of this VM. */
   availabilityZone: string;
   retryLimits: RetryLimits;
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -276,6 +276,11 @@
     this.#requests.set(arrival.exchange, request);
     this.#retryPolicy.recordRequest(service, now);
     this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
+    this.context.demand.arrived(
+      service,
+      route.priority,
+      this.#retryAfterPolicy.isReturn(request),
+    );
     this.#log.defer("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { DemandMeter } from "../admission/index.ts";
+import { NO_FEATURES } from "../features.ts";
 import { fingerprintOf } from "../../../test/support/fingerprint.ts";
 import { backendServer } from "../../../test/support/backend_server.ts";
 import { serverStatement } from "../../../test/support/server_statement.ts";
@@ -116,6 +118,8 @@
     permits,
     paths,
     tokens,
+    demand: DemandMeter.create(),
+    features: NO_FEATURES,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds, minimum: MINIMUM_RETRIES },
     startedAt: () => -Infinity,
@@ -694,6 +698,8 @@
       () => null,
       () => 0,
     ),
+    demand: DemandMeter.create(),
+    features: NO_FEATURES,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
     startedAt: () => -Infinity,
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -137,6 +137,11 @@
     return slack * EARLY_RETRY_SHARE;
   }
 
+  /** Whether a request seems to be the retry of a caller that was refused. */
+  isReturn(request: PendingRequest): boolean {
+    return request.arrival.timeout !== null && !this.#isFirstAttempt(request);
+  }
+
   /**
    * Whether a request seems to be the first attempt of its caller, not a retry.
    */
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -95,6 +95,7 @@
       ({ request: { id, fingerprint } }) =>
         this.peers.permitExchange.permits.serverCrashed(fingerprint, id),
       options.drainTime,
+      options.features,
     );
     const { catalog, fleet, directory, keyLimits } = this.clusterState;
     const { quarantine, crashDetector } = this.clusterState;
@@ -136,6 +137,8 @@
       permits: this.peers.permitExchange.permits,
       tokens: this.peers.tokenExchange.tokens,
       paths: this.#paths,
+      demand: this.clusterState.demand,
+      features: this.clusterState.features,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
       startedAt: () => this.#startedAt,
--- a/src/core/entry_options.ts
+++ b/src/core/entry_options.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RetryLimits } from "./dispatch/index.ts";
+import type { Features } from "./features.ts";
 import type { LeaseTiming } from "./keyspace/index.ts";
 
 /** Times of a shutdown, in milliseconds after it was requested. */
@@ -51,6 +52,8 @@
    * milliseconds.
    */
   drainTime: number;
+  /** Optional behaviour; none if left out. */
+  features?: Features;
   /** Seed of all random numbers that the core draws. */
   seed: number;
 }
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -32,7 +32,12 @@
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class OverloadMonitor {
-  #current: OverloadState = { limits: [], loads: [], rates: [] };
+  #current: OverloadState = {
+    limits: [],
+    loads: [],
+    rates: [],
+    admissions: [],
+  };
   #checkedAt = -Infinity;
 
   private constructor(
@@ -72,7 +77,7 @@
       .slice(0, MAXIMUM_LOADS);
     this.#logChanges(overloads, limits, now);
     const rates = fleet.reportedRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS);
-    this.#current = { limits, loads, rates };
+    this.#current = { limits, loads, rates, admissions: [] };
     keyLimits.replace(limits, now);
   }
 
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -482,7 +482,7 @@
   /** If a report is due, returns what it contains on servers. */
   #takeServerReports(now: number): ServerReports {
     if (!this.followerLink.isReportDue(now)) return NO_SERVER_REPORTS;
-    const { catalog, fleet } = this.clusterState;
+    const { catalog, demand, features, fleet } = this.clusterState;
     return {
       latencies: catalog.keyedServices.flatMap(({ name }) =>
         fleet.takeSamples(name, now)
@@ -491,6 +491,7 @@
       leaving: fleet.stated.unsharedLeaving(),
       refusing: fleet.stated.refusing(now),
       relayZone: this.relayZone(now),
+      ...(features.admitsByPriority ? { demand: demand.take() } : {}),
     };
   }
 
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -178,6 +178,7 @@
         this.#holderState(now),
         registryChanges,
         this.#overload.current,
+        [],
         this.clusterState.fleet.stated.leaving(),
         this.relaysFor(address, now),
         this.retryShares.grant(address, now),
--- /dev/null
+++ b/src/core/features.ts
@@ -0,0 +1,28 @@
+/**
+ * Optional behaviour of the core, which the settings switch on.
+ *
+ * @module
+ */
+
+/** See the module's comment. Without a feature, this VM acts as without it. */
+export interface Features {
+  /** Admits the most urgent requests if a service cannot run all. */
+  admitsByPriority: boolean;
+  /** Plans when refused callers return; needs `admitsByPriority`. */
+  schedulesReturns: boolean;
+  /** Exchanges latencies and loads of the servers of all services. */
+  sharesLoads: boolean;
+  /** Moves busy keys before their server is full. */
+  spreadsKeys: boolean;
+  /** Limits the requests to servers that have just started or recovered. */
+  pacesStarts: boolean;
+}
+
+/** No optional behaviour. */
+export const NO_FEATURES: Features = {
+  admitsByPriority: false,
+  schedulesReturns: false,
+  sharesLoads: false,
+  spreadsKeys: false,
+  pacesStarts: false,
+};
--- a/src/core/keyspace/key_limits.ts
+++ b/src/core/keyspace/key_limits.ts
@@ -62,6 +62,11 @@
   service: z.string(),
   /** Share of the requests for these keys that is admitted, below 1. */
   share: z.number().min(0).max(1),
+  /**
+   * Requests for these keys with a rank below it are admitted, whatever
+   * `share` is. Absent in messages of older versions.
+   */
+  threshold: z.number().nonnegative().optional(),
 });
 
 /** A limit on requests for a range of keys. */
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -15,7 +15,12 @@
   ServerRateLimit,
   ServerSamples,
 } from "../fleet/index.ts";
-import type { FollowerReport, PeerSend, SenderState } from "./peer_message.ts";
+import type {
+  FollowerReport,
+  PeerSend,
+  PriorityDemand,
+  SenderState,
+} from "./peer_message.ts";
 
 /**
  * Time between two reports, in milliseconds. It limits how soon the holder
@@ -84,6 +89,8 @@
    * it.
    */
   relayZone?: string;
+  /** Demand since the last report; none if left out. */
+  demand?: readonly PriorityDemand[];
 }
 
 /** Nothing to report on servers. */
@@ -280,7 +287,8 @@
   #createReport(
     senderState: SenderState,
     position: number | null,
-    { latencies, rates, leaving, refusing, relayZone }: ServerReports,
+    { latencies, rates, leaving, refusing, relayZone, demand = [] }:
+      ServerReports,
     now: number,
   ): FollowerReport {
     const samples = [...this.#samples]
@@ -299,6 +307,7 @@
       ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
       ...(refusing.length > 0 ? { refusing: [...refusing] } : {}),
       ...(relayZone === undefined ? {} : { relayZone }),
+      ...(demand.length > 0 ? { demand: [...demand] } : {}),
     };
   }
 }
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -19,6 +19,8 @@
   PeerMessage,
   PeerSend,
   SenderState,
+  ServerState,
+  ServiceAdmission,
 } from "./peer_message.ts";
 import { compactAssignment } from "./compact_assignment.ts";
 
@@ -56,6 +58,8 @@
    * reports that a limit ended.
    */
   rates: readonly ServerRateLimit[];
+  /** Admission of services that cannot run all requests. */
+  admissions: readonly ServiceAdmission[];
 }
 
 /** Changes of the assignments after version `since`. */
@@ -124,14 +128,15 @@
    * Returns the answer to the report that a follower sent at `answersTo` by its
    * own clock. It contains registry changes, the state of overloaded servers,
    * the servers that are leaving, the VMs through which the follower may
-   * connect to servers, or null while these are not known, and its share of the
-   * minimum of the retry budget.
+   * connect to servers, or null while these are not known, its share of the
+   * minimum of the retry budget, and the state of some `servers`.
    */
   answerReport(
     address: string,
     holderState: HolderState,
     registry: RegistryUpdate | null,
-    { limits, loads, rates }: OverloadState,
+    { limits, loads, rates, admissions }: OverloadState,
+    servers: readonly ServerState[],
     leaving: readonly LeavingServer[],
     relays: readonly string[] | null,
     retryShare: number,
@@ -148,6 +153,8 @@
       ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
       ...(relays === null ? {} : { relays: [...relays] }),
       ...(retryShare > 0 ? { retryShare } : {}),
+      ...(admissions.length > 0 ? { admissions: [...admissions] } : {}),
+      ...(servers.length > 0 ? { servers: [...servers] } : {}),
     };
     return { kind: "peer.send", address, message };
   }
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -162,6 +162,72 @@
 )
   .max(MAXIMUM_LEAVING).optional();
 
+/** Maximum number of entries on services in one message. */
+export const MAXIMUM_SERVICE_ENTRIES = 64;
+/** Maximum number of servers whose state one answer contains. */
+export const MAXIMUM_SERVER_STATES = 96;
+/** Maximum number of priorities for which an answer plans returns. */
+const MAXIMUM_RETURN_WINDOWS = 8;
+
+/** Requests that a VM has received for a service at one priority. */
+const priorityDemandSchema = z.object({
+  service: z.string(),
+  priority: count,
+  /** Requests since the last report. */
+  arrived: count,
+  /** Those of them that are returns of callers that were refused before. */
+  returned: count,
+  /** Requests since the last report that were refused with a retry delay. */
+  refused: count,
+});
+
+/** See {@linkcode priorityDemandSchema}. */
+export type PriorityDemand = z.infer<typeof priorityDemandSchema>;
+
+/**
+ * Time in which refused callers of a priority should return, in milliseconds
+ * after the message was received.
+ */
+const returnWindowSchema = z.object({
+  priority: count,
+  from: z.number().nonnegative(),
+  until: z.number().nonnegative(),
+});
+
+/** See {@linkcode returnWindowSchema}. */
+export type ReturnWindow = z.infer<typeof returnWindowSchema>;
+
+/** Which requests of a service all VMs admit. */
+const serviceAdmissionSchema = z.object({
+  service: z.string(),
+  /** Requests with a rank below it are admitted; all if absent. */
+  threshold: z.number().nonnegative().optional(),
+  /** Expected time that an admitted request waits for a slot, in milliseconds. */
+  wait: z.number().nonnegative(),
+  /** When refused callers should return, by priority. */
+  returns: z.array(returnWindowSchema).max(MAXIMUM_RETURN_WINDOWS).optional(),
+});
+
+/** See {@linkcode serviceAdmissionSchema}. */
+export type ServiceAdmission = z.infer<typeof serviceAdmissionSchema>;
+
+/** What the term holder knows of a server from the reports of all VMs. */
+const serverStateSchema = z.object({
+  server: z.string(),
+  /** Mean latency, in milliseconds. */
+  latency: z.number().positive().optional(),
+  /** Its last load report. */
+  load: reportedLoadSchema.optional(),
+  /**
+   * Share of the requests of a usual server that it should receive; 1 if
+   * absent.
+   */
+  pace: z.number().min(0).max(1).optional(),
+});
+
+/** See {@linkcode serverStateSchema}. */
+export type ServerState = z.infer<typeof serverStateSchema>;
+
 /**
  * A follower's report to the term holder on the keys that were requested
  * recently.
@@ -217,6 +283,11 @@
    * it. Absent if they may not, and in messages of older versions.
    */
   relayZone: z.string().max(MAXIMUM_NAME_LENGTH).optional(),
+  /**
+   * Demand by service and priority. Absent without admission by priority, and
+   * in messages of older versions.
+   */
+  demand: z.array(priorityDemandSchema).max(MAXIMUM_SERVICE_ENTRIES).optional(),
 });
 
 /** See {@linkcode followerReportSchema}. */
@@ -251,6 +322,18 @@
    * to 1. Absent if it is none, and in messages of older versions.
    */
   retryShare: z.number().min(0).max(1).optional(),
+  /**
+   * Admission of services whose demand exceeds what their servers can do, or
+   * whose requests wait. Absent if there are none, and in messages of older
+   * versions.
+   */
+  admissions: z.array(serviceAdmissionSchema).max(MAXIMUM_SERVICE_ENTRIES)
+    .optional(),
+  /**
+   * State of some servers; an answer has those that follow the ones of the
+   * answer before. Absent in messages of older versions.
+   */
+  servers: z.array(serverStateSchema).max(MAXIMUM_SERVER_STATES).optional(),
 });
 
 /** Sent by the holder when key ranges have changed. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -128,6 +128,13 @@
         interval: settings.drainTime * REGISTRY_INTERVAL_SHARE,
         maximumAge: settings.drainTime * REGISTRY_MAXIMUM_AGE_SHARE,
       },
+      features: {
+        admitsByPriority: settings.admission.byPriority,
+        schedulesReturns: settings.admission.scheduleReturns,
+        sharesLoads: settings.balancing.sharedLoads,
+        spreadsKeys: settings.balancing.spreadKeys,
+        pacesStarts: settings.balancing.startPace,
+      },
       seed,
     });
     this.#loop = EntryLoop.create(entry);
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -58,6 +58,28 @@
   drainTime: z.number().positive().default(2_000),
   /** Time from a shutdown request until the process is terminated forcibly. */
   shutdownTimeoutSeconds: z.number().positive().default(6),
+  /** What callers are admitted if servers cannot run all requests. */
+  admission: z.object({
+    /** Whether the most urgent requests are admitted first, on all VMs alike. */
+    byPriority: z.boolean().default(false),
+    /**
+     * Whether refused callers receive a time at which room is expected; needs
+     * `byPriority`.
+     */
+    scheduleReturns: z.boolean().default(false),
+  }).prefault({}).refine(
+    ({ byPriority, scheduleReturns }) => byPriority || !scheduleReturns,
+    { path: ["scheduleReturns"], message: "needs admission.byPriority" },
+  ),
+  /** How requests and keys are divided among servers. */
+  balancing: z.object({
+    /** Whether VMs exchange latencies and loads of the servers of all services. */
+    sharedLoads: z.boolean().default(false),
+    /** Whether busy keys move before their server is full. */
+    spreadKeys: z.boolean().default(false),
+    /** Whether started and recovered servers receive few requests at first. */
+    startPace: z.boolean().default(false),
+  }).prefault({}),
   logging: z.object({
     level: z.enum(["error", "warn", "info"]).default("info"),
   }).prefault({}),
