A handover ends only with a response: VMs that were not tried yet are no path

Cause: the VM that takes over names other VMs to it. None of them had failed yet, so the cut VM counted as having a path, was ready and reported its full fitness again. The new holder learned of a fitter VM and stepped down after 1.5 s, while the cut VM had found that the new ones fail too; nobody held the term for 2.6 s.

Now a VM that has handed over has a path again only when a server responds, directly or through another VM.

--- a/src/core/reach/relay_choice.ts
+++ b/src/core/reach/relay_choice.ts
@@ -44,6 +44,7 @@
   readonly #attempts = new Map<string, RelayedAttempt>();
   /** When a response last arrived through a VM. */
   readonly #answeredAt = new Map<string, number>();
+  #lastAnsweredAt = -Infinity;
 
   private constructor() {}
 
@@ -71,6 +72,11 @@
       this.#relays.every((relay) => this.#pauses.has(relay));
   }
 
+  /** When a response last arrived through any VM; -Infinity if none has. */
+  get lastAnsweredAt(): number {
+    return this.#lastAnsweredAt;
+  }
+
   /** Replaces the peer addresses of the VMs that reach the servers. */
   replace(relays: readonly string[]): void {
     this.#relays = relays;
@@ -115,6 +121,7 @@
     if (attempt === undefined) return;
     this.#attempts.delete(name);
     this.#answeredAt.set(attempt.relay, now);
+    this.#lastAnsweredAt = now;
     this.#pauses.delete(attempt.relay);
   }
 
--- a/src/core/reach/server_paths.ts
+++ b/src/core/reach/server_paths.ts
@@ -126,13 +126,26 @@
   /**
    * Whether nothing can be sent to servers that other VMs reach, for so long
    * that another VM should take over what this one is responsible for.
+   *
+   * Once that is so, it ends only with a response. A new term holder names other
+   * VMs, which this one has not tried yet: if it took them for usable, it would
+   * report its full fitness again, and the new holder would step down for it.
    */
   mustHandOver(now: number): boolean {
-    const isCutOff = this.reach.isSilent && this.relays.areAllFailing;
-    this.#cutOffSince = isCutOff ? Math.min(this.#cutOffSince, now) : Infinity;
+    if (this.reach.isSilent && this.relays.areAllFailing) {
+      this.#cutOffSince = Math.min(this.#cutOffSince, now);
+    } else if (this.#hasPath(now)) this.#cutOffSince = Infinity;
     return now - this.#cutOffSince >= HANDOVER_DELAY;
   }
 
+  /** Whether a path to servers is known or, before a handover, may work. */
+  #hasPath(now: number): boolean {
+    const { reach, relays } = this;
+    const isHandedOver = now - this.#cutOffSince >= HANDOVER_DELAY;
+    return !reach.isSilent || !isHandedOver ||
+      relays.lastAnsweredAt > this.#cutOffSince;
+  }
+
   /** Sets the path of a probe of a server that may have crashed. */
   withPath(probe: ServerProbe, now: number): ServerProbe {
     return { ...probe, relay: this.to(probe.server, now).relay };
