Returns: the term holder plans when refused callers return

Cause: Retry-After followed from the caller's own time alone. A return that meets the same overload is refused for good, and one that is not made leaves free capacity unused.

Change: ReturnPlanner (term holder) plans windows of free capacity by priority from the reported demand, its period or the mean before the overload, and the returns that are promised already. ReturnPolicy (each VM) draws a time in the window, or finds that there is none in the caller's time. RetryAfterPolicy asks it for requests that are refused for lack of capacity. Everything needs the feature schedulesReturns.

The load patterns are not measured yet.

--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -87,6 +87,24 @@
     return this.#services.get(name);
   }
 
+  /** Names of all services. */
+  get serviceNames(): string[] {
+    return [...this.#services.keys()];
+  }
+
+  /**
+   * Shortest timeout of the routes of a priority to `service`, in milliseconds;
+   * null without such a route, or if none states a timeout.
+   */
+  shortestTimeout(service: string, priority: number): number | null {
+    const routes = (this.#configuration?.routes ?? []).filter((each) =>
+      each.priority === priority && each.timeout > 0 &&
+      each.destinations.some((other) => other.service === service)
+    );
+    if (routes.length === 0) return null;
+    return Math.min(...routes.map((each) => each.timeout));
+  }
+
   /**
    * Whether `route` has the most urgent priority among the routes to `service`.
    */
--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -28,6 +28,7 @@
   Quarantine,
 } from "./quarantine/index.ts";
 import { RegistryReplica } from "./registry/index.ts";
+import { ReturnPolicy } from "./returns/index.ts";
 
 /** Queues effects for the runtime to carry out. */
 export type Emit = (...effects: EntryEffect[]) => void;
@@ -45,6 +46,8 @@
   readonly registry = RegistryReplica.create();
   /** Requests that this VM has received since its last report. */
   readonly demand = DemandMeter.create();
+  /** Planned returns of refused callers, as the term holder has stated them. */
+  readonly returns = ReturnPolicy.create();
   readonly quarantine = Quarantine.create(({ kind, crashes }) =>
     this.logDecision(`quarantine.${kind}`, {
       fingerprint: crashes.request,
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -15,6 +15,7 @@
 } from "../quarantine/index.ts";
 import type { Features } from "../features.ts";
 import type { ServerPaths } from "../reach/index.ts";
+import type { ReturnPolicy } from "../returns/index.ts";
 import type { RateTokens } from "../rates/index.ts";
 import type { RetryLimits } from "./retry_budget.ts";
 
@@ -32,6 +33,8 @@
   tokens: RateTokens;
   /** Counts the requests that this VM receives. */
   demand: DemandMeter;
+  /** Decides when refused callers return, with `schedulesReturns`. */
+  returns: ReturnPolicy;
   /** Optional behaviour of this VM. */
   features: Features;
   /** Availability zone of this VM. */
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -50,6 +50,8 @@
     isTransient: boolean;
     /** Whether the condition affects only this request. */
     isRequestSpecific: boolean;
+    /** Whether the condition is that all servers that may run it are busy. */
+    lacksCapacity: boolean;
     /** When the condition ends by itself; Infinity if it does not. */
     until: number;
   };
@@ -58,8 +60,7 @@
 export type WaitPlan = DispatchPlan & { kind: "wait" };
 
 /**
- * A wait of unknown duration, for example until a server has capacity or
- * registers again. The request is checked again at `until`.
+ * A wait of unknown duration, for example until a server registers again. The request is checked again at `until`.
  */
 function openEndedWait(reason: string, until = Infinity): DispatchPlan {
   return {
@@ -67,10 +68,23 @@
     reason,
     isTransient: false,
     isRequestSpecific: false,
+    lacksCapacity: false,
     until,
   };
 }
 
+/** A wait until a server that may run the request has capacity. */
+function capacityWait(reason: string): DispatchPlan {
+  return {
+    kind: "wait",
+    reason,
+    isTransient: false,
+    isRequestSpecific: false,
+    lacksCapacity: true,
+    until: Infinity,
+  };
+}
+
 /** A wait that is expected to end soon, for example while a key moves. */
 function transientWait(reason: string, until = Infinity): DispatchPlan {
   return {
@@ -78,6 +92,7 @@
     reason,
     isTransient: true,
     isRequestSpecific: false,
+    lacksCapacity: false,
     until,
   };
 }
@@ -89,6 +104,7 @@
     reason,
     isTransient: true,
     isRequestSpecific: true,
+    lacksCapacity: false,
     until,
   };
 }
@@ -179,7 +195,7 @@
     if (usable.length > 0 && usable.every(isTokenDenied)) {
       return refusal("all servers of the service limit their requests", true);
     }
-    return openEndedWait("no server has room");
+    return capacityWait("no server has room");
   }
 
   /**
@@ -294,7 +310,7 @@
       return transientWait("the key's server is leaving");
     }
     if (!hasCapacity(server, now, this.#vmCount)) {
-      return openEndedWait("the key's server has no room");
+      return capacityWait("the key's server has no room");
     }
     return this.#checkRateLimit(request, server, now);
   }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -276,11 +276,11 @@
     this.#requests.set(arrival.exchange, request);
     this.#retryPolicy.recordRequest(service, now);
     this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
-    this.context.demand.arrived(
-      service,
-      route.priority,
-      this.#retryAfterPolicy.isReturn(request),
-    );
+    const isReturn = this.#retryAfterPolicy.isReturn(request);
+    this.context.demand.arrived(service, route.priority, isReturn);
+    if (isReturn && this.context.features.schedulesReturns) {
+      this.context.returns.returned(service);
+    }
     this.#log.defer("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
@@ -304,6 +304,7 @@
     } else if (
       now >= waitLimit(request, plan) || queue.length >= MAXIMUM_QUEUE_LENGTH
     ) {
+      request.lacksCapacity = plan.lacksCapacity;
       this.#refuseOrFail(request, plan.reason, now);
     } else {
       const { reason } = plan;
@@ -525,6 +526,7 @@
       }
       if (now >= waitLimit(request, plan)) {
         this.#queues.remove(request);
+        request.lacksCapacity = plan.lacksCapacity;
         this.#refuseOrFail(request, plan.reason, now);
       }
       return;
@@ -573,6 +575,7 @@
         return this.#refuseQuarantined(request, plan, now);
       case "refuse":
         request.isShed ||= plan.isRateLimited;
+        request.lacksCapacity = false;
         return this.#refuseOrFail(request, plan.reason, now);
     }
   }
@@ -584,6 +587,7 @@
     now: number,
   ): void {
     request.isShed = true;
+    request.lacksCapacity = true;
     const detail = {
       share: Number(share.toFixed(3)),
       chance: Number(request.chance.toFixed(3)),
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -16,6 +16,7 @@
 } from "../quarantine/index.ts";
 import { RateTokens, ServerLimits, type TokenAnswer } from "../rates/index.ts";
 import { ServerPaths, ServerReach } from "../reach/index.ts";
+import { ReturnPolicy } from "../returns/index.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AttemptOutcome } from "./request.ts";
@@ -119,6 +120,7 @@
     paths,
     tokens,
     demand: DemandMeter.create(),
+    returns: ReturnPolicy.create(),
     features: NO_FEATURES,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds, minimum: MINIMUM_RETRIES },
@@ -699,6 +701,7 @@
       () => 0,
     ),
     demand: DemandMeter.create(),
+    returns: ReturnPolicy.create(),
     features: NO_FEATURES,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
--- a/src/core/dispatch/local_responses.ts
+++ b/src/core/dispatch/local_responses.ts
@@ -44,8 +44,13 @@
     reason: string,
     now: number,
   ): DispatchEffect {
-    const retryAfter = this.retryAfterPolicy.delay(request, now);
-    const detail = { reason, retryAfter: Math.round(retryAfter) };
+    const { delay: retryAfter, window } = this.retryAfterPolicy
+      .choose(request, now);
+    const detail = {
+      reason,
+      retryAfter: Math.round(retryAfter),
+      ...(window === null ? {} : { window }),
+    };
     this.log.write("warn", "request.refused", request, now, detail);
     return {
       kind: "request.refuse",
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -195,6 +195,7 @@
       const { load, backoff } = statement;
       const hasBackoff = backoff !== null && backoff > 0;
       server?.refused(attempt.number, now, load, hasBackoff);
+      request.lacksCapacity = !hasBackoff;
     }
     const detail = { server: attempt.server, status };
     this.log.write("info", "attempt.not_run", request, now, detail);
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -133,6 +133,8 @@
    * reached. Such overload does not end within the target latency.
    */
   isShed: boolean;
+  /** Whether it is refused because its service cannot run all requests. */
+  lacksCapacity: boolean;
   /** Attempts in flight. */
   attempts: Attempt[];
   /**
@@ -198,6 +200,7 @@
     refusal: null,
     chance,
     isShed: false,
+    lacksCapacity: false,
     attempts: [],
     tried: [],
     sentCount: 0,
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -11,9 +11,13 @@
  *
  * ```ts
  * policy.recordTimeout(route, timeout);
- * const delay = policy.delay(request, now); // milliseconds
+ * const { delay } = policy.choose(request, now); // milliseconds
  * ```
  *
+ * With the feature `schedulesReturns`, the delays of callers that are refused
+ * because their service cannot run all requests are those that the term holder
+ * has planned, if it has.
+ *
  * @module
  */
 import type { Route } from "../catalog/index.ts";
@@ -58,6 +62,24 @@
  */
 const ELSEWHERE_DELAY = 20;
 
+/** When a refused caller should retry. */
+export interface RetryDelay {
+  /** Milliseconds after the refusal. */
+  delay: number;
+  /**
+   * Window from which the delay was drawn, as `FROM-UNTIL` in milliseconds
+   * after the refusal, or `none` if no free capacity is expected in the
+   * caller's time. Null without a plan.
+   */
+  window: string | null;
+}
+
+/** The part of the dispatcher's dependencies that the policy uses. */
+export type RetryAfterContext = Pick<
+  DispatchContext,
+  "fleet" | "directory" | "paths" | "demand" | "returns" | "features" | "draw"
+>;
+
 /** See the module's comment. */
 export class RetryAfterPolicy {
   /**
@@ -66,10 +88,10 @@
    */
   readonly #longestTimeouts = new Map<string, number>();
 
-  private constructor(private readonly context: DispatchContext) {}
+  private constructor(private readonly context: RetryAfterContext) {}
 
   /** Creates a policy that knows no timeouts. */
-  static create(context: DispatchContext): RetryAfterPolicy {
+  static create(context: RetryAfterContext): RetryAfterPolicy {
     return new RetryAfterPolicy(context);
   }
 
@@ -82,15 +104,45 @@
   }
 
   /**
-   * Milliseconds after which the caller of a refused request should retry. If
-   * the request cannot be served before the end of a backoff, that is the time
-   * until then.
+   * Chooses when the caller of a refused request should retry. If the request
+   * cannot be served before the end of a backoff, it is then.
    */
-  delay(request: PendingRequest, now: number): number {
+  choose(request: PendingRequest, now: number): RetryDelay {
     const { paths } = this.context;
-    if (paths.isCutOff(now) && !paths.relays.isEmpty) return ELSEWHERE_DELAY;
+    if (paths.isCutOff(now) && !paths.relays.isEmpty) {
+      return { delay: ELSEWHERE_DELAY, window: null };
+    }
     const backoffEnd = this.#backoffEnd(request, now);
-    if (backoffEnd !== null) return backoffEnd - now;
+    if (backoffEnd !== null) return { delay: backoffEnd - now, window: null };
+    return this.#plannedDelay(request, now) ??
+      { delay: this.#unplannedDelay(request, now), window: null };
+  }
+
+  /**
+   * Delay that the term holder has planned; null without a plan. Without free
+   * capacity in the caller's time, it is the whole of this time, so that the
+   * caller does not return in vain.
+   */
+  #plannedDelay(request: PendingRequest, now: number): RetryDelay | null {
+    const { features, returns, demand, draw } = this.context;
+    if (!features.schedulesReturns || !request.lacksCapacity) return null;
+    const { service, route: { priority }, arrival, arrivedAt } = request;
+    const end = arrival.timeout === null
+      ? request.deadline
+      : arrivedAt + arrival.timeout;
+    const remaining = Math.max(0, end - now);
+    const isReturn = this.isReturn(request);
+    const caller = { service, priority, remaining, isReturn };
+    const choice = returns.choose(caller, draw(), now);
+    if (choice === null) return null;
+    if (choice.kind === "none") return { delay: remaining, window: "none" };
+    demand.refused(service, priority);
+    const { delay, from, until } = choice;
+    return { delay, window: `${Math.round(from)}-${Math.round(until)}` };
+  }
+
+  /** Delay without a plan, in milliseconds. */
+  #unplannedDelay(request: PendingRequest, now: number): number {
     const canMeetTarget = this.#isFirstAttempt(request) && !request.isShed;
     const delay = canMeetTarget
       ? this.#earlyDelay(request, now) ?? lateDelay(request, now)
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -18,6 +18,7 @@
   type PeerMessage,
   type SenderState,
   type ServerReports,
+  type ServiceAdmission,
   VmCount,
 } from "../peers/index.ts";
 import { ConfigurationWatch } from "./configuration_watch.ts";
@@ -413,6 +414,7 @@
       this.tokenExchange.advance(now);
       this.retryShares.renewOwn(this.ownAddress, now);
       this.#publisher.advance(holder, now);
+      this.#applyReturns(this.#publisher.admissions(now), now);
       const relays = this.#publisher.relaysFor(this.ownAddress, now);
       if (relays !== null) this.relays.replace(relays);
       return;
@@ -550,15 +552,21 @@
     this.clusterState.storeRegained(now);
   }
 
+  /** Applies the planned returns of refused callers. */
+  #applyReturns(admissions: readonly ServiceAdmission[], now: number): void {
+    const { features, returns } = this.clusterState;
+    if (features.schedulesReturns) returns.receive(admissions, now);
+  }
+
   /** Applies the term holder's data on overloaded and leaving servers. */
   #applyOverload(
     address: string,
-    { limits = [], loads = [], rates, leaving = [], relays }: MessageOf<
-      "holder.alive"
-    >,
+    { limits = [], loads = [], rates, leaving = [], relays, admissions = [] }:
+      MessageOf<"holder.alive">,
     now: number,
   ): void {
     if (address !== this.followerLink.holder) return;
+    this.#applyReturns(admissions, now);
     this.clusterState.keyLimits.replace(limits, now);
     this.clusterState.fleet.applyPeerLoads(loads, now);
     this.clusterState.applyPeerRates(rates ?? [], now);
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -24,8 +24,11 @@
   type HolderState,
   MessagePacing,
   type PeerSend,
+  type PriorityDemand,
+  type ServiceAdmission,
 } from "../peers/index.ts";
 import type { RegistryUpdate } from "../registry/index.ts";
+import { ReturnPlanner, serviceCapacity } from "../returns/index.ts";
 import type { RelayRoster } from "../reach/index.ts";
 import type { StoreHealth } from "../store_health.ts";
 
@@ -45,6 +48,12 @@
  */
 const MAXIMUM_VERSIONS = 256;
 
+/**
+ * Time between two records of the requests that this VM has received itself, in
+ * milliseconds: the report interval of the followers.
+ */
+const OWN_DEMAND_INTERVAL = 500;
+
 /** A published version of the assignments. */
 interface PublishedVersion {
   version: number;
@@ -84,6 +93,9 @@
    */
   readonly #deferredReports = new Map<string, FollowerReport>();
 
+  readonly #returnPlanner: ReturnPlanner;
+  #ownDemandAt = -Infinity;
+
   private constructor(
     private readonly clusterState: ClusterState,
     private readonly campaign: TermCampaign,
@@ -94,6 +106,9 @@
     private readonly retryShares: RetryShares,
   ) {
     this.#overload = OverloadMonitor.create(clusterState, loads);
+    this.#returnPlanner = ReturnPlanner.create((service, priority) =>
+      clusterState.catalog.shortestTimeout(service, priority)
+    );
   }
 
   /**
@@ -145,7 +160,9 @@
     if (holder.term !== this.#term) {
       this.#term = holder.term;
       this.#termStartedAt = now;
+      this.#returnPlanner.reset();
     }
+    this.#recordOwnDemand(now);
     this.#publishRegistry();
     this.#overload.advance(holder, now);
     if (!this.#isCurrent(holder)) this.clusterState.assign(holder.assignments);
@@ -165,6 +182,7 @@
       for (const key of keys) this.loads.of(service).record(key, now);
     }
     this.#recordLatencies(address, report, now);
+    this.#observeDemand(report.demand ?? [], now);
     this.clusterState.applyPeerRates(report.rates ?? [], now);
     this.clusterState.applyPeerLeaving(report.leaving ?? [], now);
     fleet.applyPeerRefusals(report.refusing ?? [], now);
@@ -177,7 +195,7 @@
         address,
         this.#holderState(now),
         registryChanges,
-        this.#overload.current,
+        { ...this.#overload.current, admissions: this.admissions(now) },
         [],
         this.clusterState.fleet.stated.leaving(),
         this.relaysFor(address, now),
@@ -199,6 +217,35 @@
     return this.roster.relaysFor(address, now);
   }
 
+  /** Which requests of overloaded services all VMs admit, and their returns. */
+  admissions(now: number): readonly ServiceAdmission[] {
+    const { catalog, features, fleet } = this.clusterState;
+    const { admissions } = this.#overload.current;
+    if (!features.schedulesReturns) return admissions;
+    const capacities = catalog.serviceNames.map((name) =>
+      [name, serviceCapacity(fleet, name, now)] as const
+    );
+    return this.#returnPlanner
+      .addWindows(admissions, new Map(capacities), now);
+  }
+
+  /** Records the requests that this VM has received itself, when it is due. */
+  #recordOwnDemand(now: number): void {
+    const { demand, features } = this.clusterState;
+    if (!features.schedulesReturns) return;
+    if (now - this.#ownDemandAt < OWN_DEMAND_INTERVAL) return;
+    this.#ownDemandAt = now;
+    this.#observeDemand(demand.take(), now);
+  }
+
+  /** Passes the demand at one VM to the planner of returns. */
+  #observeDemand(demand: readonly PriorityDemand[], now: number): void {
+    if (!this.clusterState.features.schedulesReturns) return;
+    for (const { service, priority, ...counts } of demand) {
+      this.#returnPlanner.observe(service, priority, counts, now);
+    }
+  }
+
   /**
    * Records the latencies that the follower at `address` measured, except of
    * servers that have restarted since the registry position that the follower
--- /dev/null
+++ b/src/core/returns/index.ts
@@ -0,0 +1,3 @@
+export * from "./return_planner.ts";
+export * from "./return_policy.ts";
+export * from "./service_capacity.ts";
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -315,6 +315,21 @@
   }
 }
 
+/** Counters of the returns of refused callers, by name with labels. */
+function returnCounts(entry: Entry): [name: string, count: number][] {
+  return [...entry.clusterState.returns.counts].flatMap(
+    ([service, { promised, returned, refusedAgain }]) => {
+      const nameOf = (result: string) =>
+        `returns_total{service="${service}",result="${result}"}`;
+      return [
+        [nameOf("promised"), promised],
+        [nameOf("returned"), returned],
+        [nameOf("refused_again"), refusedAgain],
+      ] as [string, number][];
+    },
+  );
+}
+
 /** Gauges of the core and of the process. */
 function readGauges(
   entry: Entry,
@@ -347,6 +362,7 @@
     memory_bytes: process.memoryUsage.rss(),
     peer_bytes_received_total: traffic.bytesReceived,
     peer_messages_dropped_total: traffic.dropped,
+    ...Object.fromEntries(returnCounts(entry)),
     ...Object.fromEntries(bytesByKind),
   };
 }
