--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -54,6 +54,12 @@
  */
 const OWN_DEMAND_INTERVAL = 500;
 
+/**
+ * Time for which the computed capacities of the services are used, in
+ * milliseconds. The holder steps at each of its requests and messages.
+ */
+const CAPACITY_LIFETIME = 100;
+
 /** A published version of the assignments. */
 interface PublishedVersion {
   version: number;
@@ -95,6 +101,8 @@
 
   readonly #returnPlanner: ReturnPlanner;
   #ownDemandAt = -Infinity;
+  /** Requests per second that the servers of each service can run. */
+  #capacities = { values: new Map<string, number>(), at: -Infinity };
 
   private constructor(
     private readonly clusterState: ClusterState,
@@ -222,11 +230,14 @@
     const { catalog, features, fleet } = this.clusterState;
     const { admissions } = this.#overload.current;
     if (!features.schedulesReturns) return admissions;
-    const capacities = catalog.serviceNames.map((name) =>
-      [name, serviceCapacity(fleet, name, now)] as const
-    );
+    if (now - this.#capacities.at >= CAPACITY_LIFETIME) {
+      const values = catalog.serviceNames.map((name) =>
+        [name, serviceCapacity(fleet, name, now)] as const
+      );
+      this.#capacities = { values: new Map(values), at: now };
+    }
     return this.#returnPlanner
-      .addWindows(admissions, new Map(capacities), now);
+      .addWindows(admissions, this.#capacities.values, now);
   }
 
   /** Records the requests that this VM has received itself, when it is due. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -26,6 +26,7 @@
 import { RelayConnector } from "./relay_connector.ts";
 import { PeerNetwork, type PeerTraffic } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { returnMetrics } from "./return_metrics.ts";
 import { StoreLink } from "./store_link.ts";
 
 /**
@@ -315,21 +316,6 @@
   }
 }
 
-/** Counters of the returns of refused callers, by name with labels. */
-function returnCounts(entry: Entry): [name: string, count: number][] {
-  return [...entry.clusterState.returns.counts].flatMap(
-    ([service, { promised, returned, refusedAgain }]) => {
-      const nameOf = (result: string) =>
-        `returns_total{service="${service}",result="${result}"}`;
-      return [
-        [nameOf("promised"), promised],
-        [nameOf("returned"), returned],
-        [nameOf("refused_again"), refusedAgain],
-      ] as [string, number][];
-    },
-  );
-}
-
 /** Gauges of the core and of the process. */
 function readGauges(
   entry: Entry,
@@ -362,7 +348,7 @@
     memory_bytes: process.memoryUsage.rss(),
     peer_bytes_received_total: traffic.bytesReceived,
     peer_messages_dropped_total: traffic.dropped,
-    ...Object.fromEntries(returnCounts(entry)),
+    ...returnMetrics(entry.clusterState.returns.counts),
     ...Object.fromEntries(bytesByKind),
   };
 }
