Returns: the demand is compared with the capacity once in each step

Cause: the present demand changes once in 100 ms, but was summed at each call, which is each step of the term holder.

Change: the planner compares them at most every 100 ms; the priorities of a service are sorted when one is added.

--- a/src/core/returns/demand_history.ts
+++ b/src/core/returns/demand_history.ts
@@ -46,6 +46,7 @@
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class DemandHistory {
   readonly #series = new Map<number, Series>();
+  #priorities: readonly number[] = [];
   /** Number of the latest step, and of the first one with a report. */
   #latest = -Infinity;
   #first = Infinity;
@@ -58,8 +59,8 @@
   }
 
   /** Priorities with reports, the most urgent first. */
-  get priorities(): number[] {
-    return [...this.#series.keys()].sort((a, b) => a - b);
+  get priorities(): readonly number[] {
+    return this.#priorities;
   }
 
   /** Time since the first report, in milliseconds; negative without one. */
@@ -80,6 +81,7 @@
       const create = () => new Float64Array(STEP_COUNT);
       series = { fresh: create(), returned: create(), promised: create() };
       this.#series.set(priority, series);
+      this.#priorities = [...this.#series.keys()].sort((a, b) => a - b);
     }
     const index = this.#latest % STEP_COUNT;
     series.fresh[index] += Math.max(0, arrived - returned);
--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -88,6 +88,8 @@
 interface ServiceState {
   history: DemandHistory;
   promised: PromisedReturns;
+  /** When the demand was last compared with the capacity. */
+  updatedAt: number;
   /** Since when the demand exceeds the capacity; null if it does not. */
   overloadedSince: number | null;
   /** When the demand last exceeded the capacity. */
@@ -154,7 +156,10 @@
   plan(service: string, capacity: number, now: number): ReturnWindow[] | null {
     const state = this.#services.get(service);
     if (state === undefined || capacity <= 0) return null;
-    updateOverload(state, capacity, now);
+    if (now - state.updatedAt >= HISTORY_STEP) {
+      state.updatedAt = now;
+      updateOverload(state, capacity, now);
+    }
     if (state.overloadedSince === null) return null;
     if (now - state.periodSoughtAt >= PERIOD_INTERVAL) {
       state.periodSoughtAt = now;
@@ -229,6 +234,7 @@
   return {
     history: DemandHistory.create(),
     promised: PromisedReturns.create(),
+    updatedAt: -Infinity,
     overloadedSince: null,
     exceededAt: -Infinity,
     baseline: null,
