--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -26,6 +26,7 @@
 import { RelayConnector } from "./relay_connector.ts";
 import { PeerNetwork, type PeerTraffic } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { returnMetrics } from "./return_metrics.ts";
 import { StoreLink } from "./store_link.ts";
 
 /**
@@ -347,6 +348,7 @@
     memory_bytes: process.memoryUsage.rss(),
     peer_bytes_received_total: traffic.bytesReceived,
     peer_messages_dropped_total: traffic.dropped,
+    ...returnMetrics(entry.clusterState.returns.counts),
     ...Object.fromEntries(bytesByKind),
   };
 }
