Responses: a head or body that does not end is cut off

A faulty server may send bytes that are not a response until its connection is closed. They were collected until the deadline of the request; Node limits a head to 16 KB, but counts neither empty lines before it nor interim responses.

Responses to requests and orders, direct and through another VM, are limited to 64 KB of head and 64 MB of body (section `responses` of the settings). A longer one resets its connection, fails its attempt as one that may have run, and is logged and counted as `response.cut`, also if it is incomplete at the deadline. Bytes on an idle connection of the client for orders close it, as they do for requests.

The section `memory` of the settings is checked, but has no effect yet.

--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -13,6 +13,7 @@
 import { errorText } from "../errors/index.ts";
 import { EntryProcess } from "../runtime/entry_process.ts";
 import { RelayConnector } from "../runtime/relay_connector.ts";
+import { responseLimitsOf } from "../runtime/response_limits.ts";
 import {
   type EntrySettings,
   entrySettingsSchema,
@@ -45,10 +46,10 @@
     // the store expires the old ones.
     store: PlatformStore.create(address, settings.vm, settings.peer),
     headers: PlatformHeaderCodec.create(),
-    orders: PlatformOrderSender.create(RelayConnector.create({
-      vm: settings.vm,
-      peerAddress: settings.peer,
-    })),
+    orders: PlatformOrderSender.create(
+      RelayConnector.create({ vm: settings.vm, peerAddress: settings.peer }),
+      responseLimitsOf(settings.responses),
+    ),
   };
   const starting = EntryProcess.start(
     settings,
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -23,9 +23,19 @@
 import { BackendAgent } from "./backend_agent.ts";
 import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import { detectReset } from "./orderly_end.ts";
 import { RelayAgent } from "./relay_agent.ts";
 import { type RelayConnector, RelayError } from "./relay_connector.ts";
+import {
+  type CutListener,
+  DEFAULT_RESPONSE_LIMITS,
+  describeCut,
+  ResponseBody,
+  type ResponseCut,
+  ResponseGuard,
+  type ResponseLimits,
+} from "./response_limits.ts";
 
 /**
  * Connect timeout, in milliseconds. A host that is down sends nothing, not even
@@ -80,8 +90,24 @@
   body: Buffer;
 }
 
+/** Limits of a pool, and who is told of responses that exceed them. */
+export interface BackendPoolOptions {
+  responseLimits: ResponseLimits;
+  onResponseCut: CutListener;
+}
+
+const DEFAULT_OPTIONS: BackendPoolOptions = {
+  responseLimits: DEFAULT_RESPONSE_LIMITS,
+  onResponseCut: () => {},
+};
+
 interface RunningAttempt {
+  /** Id of the server. */
+  server: string;
+  /** Time by which its response must be complete. */
+  deadline: number;
   request: ClientRequest;
+  guard: ResponseGuard;
   /** Peer address of the VM through which it is sent, or null. */
   relay: string | null;
   /** Whether its connection is established. */
@@ -104,6 +130,7 @@
     private readonly codec: HeaderCodec,
     private readonly sink: EventSink,
     private readonly connector: RelayConnector,
+    private readonly options: BackendPoolOptions,
   ) {}
 
   /**
@@ -114,8 +141,9 @@
     codec: HeaderCodec,
     sink: EventSink,
     connector: RelayConnector,
+    options: BackendPoolOptions = DEFAULT_OPTIONS,
   ): BackendPool {
-    return new BackendPool(codec, sink, connector);
+    return new BackendPool(codec, sink, connector, options);
   }
 
   /**
@@ -160,9 +188,17 @@
         relayTarget: { relay, server, address, responseTimeout },
       }),
       setHost: false,
+      maxHeaderSize: this.options.responseLimits.headBytes,
     });
     const running: RunningAttempt = {
+      server,
+      deadline: monotonicNow() + start.remaining,
       request,
+      guard: ResponseGuard.watch(
+        request,
+        this.options.responseLimits,
+        (cut) => this.#cutResponse(start.attempt, running, cut),
+      ),
       relay,
       isConnected: false,
       response: null,
@@ -229,6 +265,10 @@
     if (running === undefined) return;
     this.#attempts.delete(attempt);
     abortRequest(running.request);
+    const { server, deadline, guard, response } = running;
+    const isOverdue = response === null && monotonicNow() >= deadline;
+    const cut = isOverdue ? guard.progress : null;
+    if (cut !== null) this.options.onResponseCut(server, cut);
   }
 
   /**
@@ -374,8 +414,8 @@
       response.headers,
       outgoing.id,
     );
-    const chunks: Buffer[] = [];
-    response.on("data", (chunk: Buffer) => chunks.push(chunk));
+    const body = ResponseBody.create();
+    response.on("data", (chunk: Buffer) => body.add(chunk));
     response.on(
       "error",
       (error) => this.#failAttempt(attempt, running, errorText(error)),
@@ -387,7 +427,7 @@
         running,
         response,
         metadata,
-        Buffer.concat(chunks),
+        body.take(),
       );
     };
     const reset = isDelimitedByClose(response)
@@ -437,6 +477,21 @@
     setImmediate(() => this.#attempts.delete(attempt));
   }
 
+  /**
+   * Resets the connection of a response that exceeds a limit. Its attempt fails
+   * as one that may have run.
+   */
+  #cutResponse(
+    attempt: number,
+    running: RunningAttempt,
+    cut: ResponseCut,
+  ): void {
+    if (this.#attempts.get(attempt) !== running) return;
+    abortRequest(running.request);
+    this.options.onResponseCut(running.server, cut);
+    this.#failAttempt(attempt, running, describeCut(cut));
+  }
+
   #failAttempt(
     attempt: number,
     running: RunningAttempt,
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -26,6 +26,7 @@
 import { RelayConnector } from "./relay_connector.ts";
 import { PeerNetwork, type PeerTraffic } from "./peer_network.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { type ResponseCut, responseLimitsOf } from "./response_limits.ts";
 import { StoreLink } from "./store_link.ts";
 
 /**
@@ -162,7 +163,13 @@
       platform.headers,
       this.#loop,
       RelayConnector.create(identity),
+      {
+        responseLimits: responseLimitsOf(settings.responses),
+        onResponseCut: (server, cut) => this.#recordCut(server, cut),
+      },
     );
+    platform.orders.onResponseCut = (server, cut) =>
+      this.#recordCut(server, cut);
     this.#peerNetwork = PeerNetwork.create(identity, this.#loop, this.#logger);
     this.#relay = ConnectionRelay.create(
       this.#loop,
@@ -257,6 +264,12 @@
     this.#loop.push({ kind: "timer" });
   }
 
+  /** Logs and counts a response of a server that was cut off. */
+  #recordCut(server: string, cut: ResponseCut): void {
+    this.#metrics.count("responses_cut_total", `part="${cut.part}"`);
+    this.#logger.write("warn", "response.cut", { server, ...cut });
+  }
+
   /** Reports the eras that the store states to the core. */
   #listenToEra(): void {
     const { era: storeEra } = this.platform.store;
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -17,8 +17,16 @@
 } from "node:http";
 import { parseAddress } from "../settings/address.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
+import { BackendAgent } from "./backend_agent.ts";
 import { RelayAgent, type RelayedRequestOptions } from "./relay_agent.ts";
 import type { RelayConnector, RelayTarget } from "./relay_connector.ts";
+import {
+  describeCut,
+  ResponseBody,
+  type ResponseCut,
+  ResponseGuard,
+  type ResponseLimits,
+} from "./response_limits.ts";
 import { resetSocket } from "./socket_reset.ts";
 
 /** Options of the connections of a client. */
@@ -31,6 +39,11 @@
   idleTimeout: number;
   /** Opens connections through other VMs; needed for calls with `relay`. */
   connector?: RelayConnector;
+  /**
+   * Longest responses; a longer one resets its connection and its call rejects.
+   * Unlimited if omitted.
+   */
+  responseLimits?: ResponseLimits;
 }
 
 /**
@@ -62,6 +75,11 @@
   transfer?: TransferTimeouts;
   /** Called when the headers of the response have arrived. */
   onResponse?: () => void;
+  /**
+   * Called if the response is cut off because it exceeds a limit or is not
+   * complete in time; needs `responseLimits`.
+   */
+  onCut?: (cut: ResponseCut) => void;
   /** Aborts the call and closes its connection. */
   signal?: AbortSignal;
   /**
@@ -120,7 +138,7 @@
   readonly #relayAgents = new Map<string, RelayAgent>();
 
   private constructor(private readonly options: HttpClientOptions) {
-    this.#agent = new Agent({
+    this.#agent = new BackendAgent({
       keepAlive: true,
       maxSockets: options.maximumConnections,
       scheduling: "lifo",
@@ -153,12 +171,20 @@
       ...this.#connectionOptions(address, call),
       headers: { ...headers, ...contentHeaders },
       signal,
+      maxHeaderSize: this.options.responseLimits?.headBytes,
+    });
+    let cause: string | null = null;
+    const guard = this.#guard(request, (cut) => {
+      cause = describeCut(cut);
+      abortRequest(request);
+      call.onCut?.(cut);
     });
     limitConnectTime(request, this.options.connectTimeout);
     limitConnectStart(request, call.connectWithin ?? Infinity);
-    let isTimedOut = false;
     const onTimeout = () => {
-      isTimedOut = true;
+      cause = "response timed out";
+      const cut = guard?.progress ?? null;
+      if (cut !== null) call.onCut?.(cut);
       abortRequest(request);
       this.#closeIdleConnections(host, port);
     };
@@ -178,7 +204,7 @@
     request.end(body);
     return receiveResponse(request)
       .catch((error: Error) => {
-        throw isTimedOut ? new Error("response timed out") : error;
+        throw cause === null ? error : new Error(cause);
       })
       .finally(() => {
         clearTimeout(timer);
@@ -197,6 +223,16 @@
     }
   }
 
+  /** Watches the response to a call if its size is limited. */
+  #guard(
+    request: ClientRequest,
+    onExceeded: (cut: ResponseCut) => void,
+  ): ResponseGuard | null {
+    const { responseLimits } = this.options;
+    if (responseLimits === undefined) return null;
+    return ResponseGuard.watch(request, responseLimits, onExceeded);
+  }
+
   /** Options of a request that determine its connection. */
   #connectionOptions(
     address: string,
@@ -299,15 +335,15 @@
   return new Promise((resolve, reject) => {
     request.on("error", reject);
     request.once("response", (response) => {
-      const chunks: Buffer[] = [];
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      const body = ResponseBody.create();
+      response.on("data", (chunk: Buffer) => body.add(chunk));
       response.once("error", reject);
       response.once("end", () => {
         if (!response.complete) return;
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
-          body: Buffer.concat(chunks),
+          body: body.take(),
         });
       });
     });
--- a/src/runtime/order_sender.ts
+++ b/src/runtime/order_sender.ts
@@ -9,8 +9,13 @@
   ReleaseOrder,
 } from "../core/keyspace/index.ts";
 
+import type { CutListener } from "./response_limits.ts";
+
 /** See the module's comment. Calls never reject. */
 export abstract class OrderSender {
+  /** Called when the response to an order is cut off. */
+  onResponseCut: CutListener = () => {};
+
   /** Sends a grant; resolves after `timeout` milliseconds at the latest. */
   abstract grant(order: GrantOrder, timeout: number): Promise<OrderOutcome>;
   /** Sends a release; resolves after `timeout` milliseconds at the latest. */
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -10,6 +10,14 @@
 import { leaseTimingSchema } from "../core/keyspace/lease_timing.ts";
 import { addressSchema } from "./address.ts";
 
+/** Schema of a number in a range, whose error message names the range. */
+function numberBetween(minimum: number, maximum: number) {
+  return z.number().refine(
+    (value) => value >= minimum && value <= maximum,
+    `a number from ${minimum} to ${maximum}`,
+  );
+}
+
 /** Schema of {@linkcode EntrySettings}; unknown fields are ignored. */
 export const entrySettingsSchema = z.object({
   vm: z.string().min(1),
@@ -80,6 +88,23 @@
     /** Whether started and recovered servers receive few requests at first. */
     startPace: z.boolean().default(false),
   }).prefault({}),
+  /** Memory held for callers and servers that are slow. */
+  memory: z.object({
+    /**
+     * Memory that the process may use; without it, held bytes are counted but
+     * not limited.
+     */
+    processMegabytes: numberBetween(64, 65_536).optional(),
+    /** Part of it that bytes held for callers and servers may take. */
+    heldShare: numberBetween(0.05, 0.8).default(0.25),
+    /** Bytes that are held for one connection. */
+    connectionKilobytes: numberBetween(64, 1_048_576).default(4_096),
+  }).prefault({}),
+  /** Longest responses of servers; longer ones are cut off. */
+  responses: z.object({
+    maximumHeadKilobytes: numberBetween(1, 1_024).default(64),
+    maximumBodyMegabytes: numberBetween(1, 1_024).default(64),
+  }).prefault({}),
   logging: z.object({
     level: z.enum(["error", "warn", "info"]).default("info"),
   }).prefault({}),
--- a/src/settings/yaml_file_test.ts
+++ b/src/settings/yaml_file_test.ts
@@ -40,6 +40,38 @@
   });
 });
 
+// An operator must see the allowed range, not only the bound that was missed.
+test("parseYaml: reports the range of limits on memory and responses", (t) => {
+  const message = (section: string) =>
+    parseMessage("vm: v", `vm: v\n${section}`);
+  t.is(
+    message("memory: { processMegabytes: 63 }"),
+    "vm.yaml:2: memory.processMegabytes: " +
+      "expected a number from 64 to 65536, found 63",
+  );
+  t.is(
+    message("memory: { heldShare: 0.9 }"),
+    "vm.yaml:2: memory.heldShare: " +
+      "expected a number from 0.05 to 0.8, found 0.9",
+  );
+  for (
+    const section of [
+      "memory: { processMegabytes: 65537 }",
+      "memory: { heldShare: 0.04 }",
+      "memory: { connectionKilobytes: 63 }",
+      "memory: { connectionKilobytes: 1048577 }",
+      "responses: { maximumHeadKilobytes: 0 }",
+      "responses: { maximumHeadKilobytes: 1025 }",
+      "responses: { maximumBodyMegabytes: 0.5 }",
+      "responses: { maximumBodyMegabytes: 1025 }",
+    ]
+  ) {
+    t.regex(message(section), /expected a number from [\d.]+ to \d/);
+  }
+  t.is(message("memory: { processMegabytes: 64, heldShare: 0.8 }"), "accepted");
+  t.is(message("responses: { maximumHeadKilobytes: 1024 }"), "accepted");
+});
+
 test("parseYaml: reports the line of a nested value", (t) => {
   const text = `site: s
 services:
