Memory: bytes held for slow callers and servers are counted and bounded

A caller that sends or reads slowly keeps its request and response in memory, and nothing bounded the sum. A server could receive more bytes of requests, over all VMs, than its memory takes.

`HeldBytes` counts request bodies, responses being received and responses not yet read. With `memory.processMegabytes`, requests are refused with 503 above three quarters of the bound (the least urgent) or at the bound (all); the core decides, since it knows the route. Connections above their limit are paused, the largest incoming response is cut off at the bound, and `UploadQueue` delays requests whose bodies exceed this VM's share of what a server may receive. Without the setting bytes are only counted.

--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -24,6 +24,8 @@
    * service, by its name.
    */
   #topPriorities = new Map<string, number>();
+  /** Least urgent priority, that is, the highest number, among all routes. */
+  #lastPriority = 0;
 
   private constructor() {}
 
@@ -72,6 +74,10 @@
     this.#services = new Map(next.services.map((each) => [each.name, each]));
     this.#rotations = new Map();
     this.#topPriorities = topPriorities(next.routes);
+    this.#lastPriority = next.routes.reduce(
+      (last, { priority }) => Math.max(last, priority),
+      0,
+    );
     return true;
   }
 
@@ -94,6 +100,11 @@
     return priority <= (this.#topPriorities.get(service) ?? priority);
   }
 
+  /** Whether `route` has the least urgent priority among all routes. */
+  isLeastUrgent({ priority }: Route): boolean {
+    return priority >= this.#lastPriority;
+  }
+
   /**
    * Chooses the service for the next request on `route` and returns its name.
    */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -11,6 +11,7 @@
 import { CopiesInFlight } from "./copies_in_flight.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
+import { isRefusedForMemory, REFUSED_FOR_MEMORY } from "./memory_pressure.ts";
 import {
   type Attempt,
   attemptName,
@@ -113,7 +114,9 @@
       this.#effects.push(...this.#responses.unroutedRefusal(arrival));
     } else {
       const request = this.#register(arrival, route, now);
-      this.#dispatch(request, now);
+      if (isRefusedForMemory(arrival, route, catalog)) {
+        this.#refuse(request, REFUSED_FOR_MEMORY, now);
+      } else this.#dispatch(request, now);
     }
     return this.#takeEffects();
   }
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -48,6 +48,12 @@
    * fingerprint, other requests have another one.
    */
   fingerprint: Fingerprint;
+  /**
+   * Bytes that this process holds for slow callers and servers, as a share of
+   * their bound; 0 or omitted without a bound. At 1 and above the request must
+   * be refused: its body may be incomplete.
+   */
+  memoryShare?: number;
 }
 
 /** One attempt to send a request to a server. */
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -21,6 +21,8 @@
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { EventSink } from "./entry_loop.ts";
 import { BackendAgent } from "./backend_agent.ts";
+import { BodyBuffer } from "./body_buffer.ts";
+import { HeldBytes, type ResponseBytes } from "./held_bytes.ts";
 import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
@@ -31,11 +33,11 @@
   type CutListener,
   DEFAULT_RESPONSE_LIMITS,
   describeCut,
-  ResponseBody,
   type ResponseCut,
   ResponseGuard,
   type ResponseLimits,
 } from "./response_limits.ts";
+import { UploadQueue } from "./upload_queue.ts";
 
 /**
  * Connect timeout, in milliseconds. A host that is down sends nothing, not even
@@ -94,12 +96,21 @@
 export interface BackendPoolOptions {
   responseLimits: ResponseLimits;
   onResponseCut: CutListener;
+  /** Counts the responses that are being received. */
+  held: HeldBytes;
+  /** Bytes of request bodies that may be in flight to a server. */
+  requestBytesLimit(server: string): number;
 }
 
-const DEFAULT_OPTIONS: BackendPoolOptions = {
-  responseLimits: DEFAULT_RESPONSE_LIMITS,
-  onResponseCut: () => {},
-};
+/** Returns the options that apply unless others are given. */
+function defaultOptions(): BackendPoolOptions {
+  return {
+    responseLimits: DEFAULT_RESPONSE_LIMITS,
+    onResponseCut: () => {},
+    held: HeldBytes.create(null),
+    requestBytesLimit: () => Infinity,
+  };
+}
 
 interface RunningAttempt {
   /** Id of the server. */
@@ -108,6 +119,8 @@
   deadline: number;
   request: ClientRequest;
   guard: ResponseGuard;
+  /** Counts what is held of its response. */
+  bytes: ResponseBytes;
   /** Peer address of the VM through which it is sent, or null. */
   relay: string | null;
   /** Whether its connection is established. */
@@ -125,13 +138,16 @@
   /** Connections through other VMs, by VM and server. */
   readonly #relayAgents = new Map<string, Map<string, RelayAgent>>();
   readonly #attempts = new Map<number, RunningAttempt>();
+  readonly #uploads: UploadQueue;
 
   private constructor(
     private readonly codec: HeaderCodec,
     private readonly sink: EventSink,
     private readonly connector: RelayConnector,
     private readonly options: BackendPoolOptions,
-  ) {}
+  ) {
+    this.#uploads = UploadQueue.create(options.requestBytesLimit);
+  }
 
   /**
    * Creates a pool without connections, which opens those through other VMs
@@ -141,21 +157,33 @@
     codec: HeaderCodec,
     sink: EventSink,
     connector: RelayConnector,
-    options: BackendPoolOptions = DEFAULT_OPTIONS,
+    options: Partial<BackendPoolOptions> = {},
   ): BackendPool {
-    return new BackendPool(codec, sink, connector, options);
+    const all = { ...defaultOptions(), ...options };
+    return new BackendPool(codec, sink, connector, all);
   }
 
   /**
-   * Sends a request. Pushes exactly one `attempt.ended`, unless the attempt is
-   * cancelled.
+   * Sends a request, once the server can take the bytes of its body. Pushes
+   * exactly one `attempt.ended`, unless the attempt is cancelled.
    */
   send(start: AttemptStart, outgoing: OutgoingRequest): void {
+    const { attempt, server } = start;
+    const deadline = monotonicNow() + start.remaining;
+    this.#uploads.add(attempt, server, outgoing.body.length, () => {
+      const left = Math.floor(deadline - monotonicNow());
+      const remaining = Math.min(start.remaining, Math.max(1, left + 1));
+      this.#sendNow({ ...start, remaining }, outgoing);
+    });
+  }
+
+  #sendNow(start: AttemptStart, outgoing: OutgoingRequest): void {
     try {
       this.#startRequest(start, outgoing);
     } catch (error) {
       // Node throws on what it cannot send, and entries of the registry may
       // contain any text. An exception from here would end the process.
+      this.#uploads.end(start.attempt);
       this.sink.push({
         kind: "attempt.ended",
         attempt: start.attempt,
@@ -199,6 +227,10 @@
         this.options.responseLimits,
         (cut) => this.#cutResponse(start.attempt, running, cut),
       ),
+      bytes: this.options.held.openResponse(() => {
+        const cut = running.guard.progress ?? { part: "head", bytes: 0 };
+        this.#cutResponse(start.attempt, running, cut);
+      }),
       relay,
       isConnected: false,
       response: null,
@@ -261,9 +293,11 @@
    * still in transit does not arrive later.
    */
   cancel(attempt: number): void {
+    this.#uploads.end(attempt);
     const running = this.#attempts.get(attempt);
     if (running === undefined) return;
     this.#attempts.delete(attempt);
+    running.bytes.end();
     abortRequest(running.request);
     const { server, deadline, guard, response } = running;
     const isOverdue = response === null && monotonicNow() >= deadline;
@@ -414,8 +448,12 @@
       response.headers,
       outgoing.id,
     );
-    const body = ResponseBody.create();
-    response.on("data", (chunk: Buffer) => body.add(chunk));
+    const body = BodyBuffer.create();
+    response.on("data", (chunk: Buffer) => {
+      running.bytes.add(chunk.length);
+      // Counting the chunk may have cut off this response.
+      if (this.#attempts.get(attempt) === running) body.add(chunk);
+    });
     response.on(
       "error",
       (error) => this.#failAttempt(attempt, running, errorText(error)),
@@ -435,6 +473,8 @@
       : null;
     response.once("end", () => {
       if (!response.complete) return;
+      // A complete response is not cut off.
+      running.bytes.end();
       if (reset === null) return succeed();
       running.isVerifying = true;
       void reset.then((error) => {
@@ -453,6 +493,7 @@
     body: Buffer,
   ): void {
     if (this.#attempts.get(attempt) !== running) return;
+    this.#uploads.end(attempt);
     running.response = {
       status: response.statusCode ?? 0,
       statusText: validStatusText(response.statusMessage),
@@ -501,6 +542,8 @@
     const isCurrent = this.#attempts.get(attempt) === running;
     if (!isCurrent || running.response !== null || running.isVerifying) return;
     this.#attempts.delete(attempt);
+    this.#uploads.end(attempt);
+    running.bytes.end();
     running.request.destroy();
     const relayError = error instanceof RelayError ? error : null;
     this.sink.push({
--- a/src/runtime/caller_connection.ts
+++ b/src/runtime/caller_connection.ts
@@ -6,6 +6,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { type ConnectionBytes, HeldBytes } from "./held_bytes.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 
 /**
@@ -27,6 +28,10 @@
 
 /** See the module's comment. */
 export class CallerConnection {
+  /** Bytes that are held for it. */
+  readonly bytes: ConnectionBytes;
+  /** Whether it is not read from until it has drained. */
+  #isPaused = false;
   readonly #pending: PendingResponse[] = [];
   /** Whether no further requests are accepted. */
   #isEnding = false;
@@ -40,7 +45,13 @@
   private constructor(
     readonly socket: Socket,
     private readonly onClosed: () => void,
+    held: HeldBytes,
   ) {
+    this.bytes = held.openConnection((isPaused) => this.#setPaused(isPaused));
+    // Node resumes a connection when a part of a request has been processed.
+    socket.on("resume", () => {
+      if (this.#isPaused) socket.pause();
+    });
     // Node also ends the writable side, after the data written so far. No later
     // response can be sent.
     socket.once("end", () => this.#callerEnded());
@@ -49,9 +60,16 @@
     socket.destroySoon = () => this.#closeGracefully("");
   }
 
-  /** Wraps `socket`; calls `onClosed` when it has closed. */
-  static create(socket: Socket, onClosed: () => void): CallerConnection {
-    return new CallerConnection(socket, onClosed);
+  /**
+   * Wraps `socket`; calls `onClosed` when it has closed. Its bytes are counted
+   * in `held`.
+   */
+  static create(
+    socket: Socket,
+    onClosed: () => void,
+    held = HeldBytes.create(null),
+  ): CallerConnection {
+    return new CallerConnection(socket, onClosed, held);
   }
 
   /**
@@ -116,6 +134,12 @@
     else this.#closeGracefully(finalBytes);
   }
 
+  #setPaused(isPaused: boolean): void {
+    this.#isPaused = isPaused;
+    if (isPaused) this.socket.pause();
+    else if (!this.socket.destroyed) this.socket.resume();
+  }
+
   /** A response was sent completely, or its connection has closed. */
   #responseClosed(response: ServerResponse): void {
     const index = this.#pending.findIndex((each) => each.response === response);
@@ -154,6 +178,7 @@
   #socketClosed(): void {
     this.#isEnding = true;
     this.#isClosing = false;
+    this.bytes.close();
     for (const { onLost } of this.#pending.splice(0)) onLost();
     this.onClosed();
   }
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -19,6 +19,7 @@
 import type { BackendResponse, OutgoingRequest } from "./backend_pool.ts";
 import type { EventSink } from "./entry_loop.ts";
 import type { HeaderCodec } from "./header_codec.ts";
+import { HeldBytes } from "./held_bytes.ts";
 import { listenAt } from "./listen.ts";
 import { afterPendingReads, type LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
@@ -72,6 +73,12 @@
   outgoing: OutgoingRequest;
   /** When the headers of the request were read. */
   arrivedAt: number;
+  /** Bytes that are held of the body. */
+  heldBytes: number;
+  /** Whether the whole body has been received. */
+  isReceived: boolean;
+  /** Whether it was passed to the core. */
+  isForwarded: boolean;
 }
 
 /** Records every response in the metrics. */
@@ -119,6 +126,7 @@
     private readonly sink: EventSink,
     private readonly observer: ResponseObserver,
     private readonly lag: LoopLag,
+    private readonly held: HeldBytes,
   ) {
     this.#server = createServer({
       maxHeaderSize: MAXIMUM_HEADER_SIZE,
@@ -151,14 +159,18 @@
     this.#server.closeIdleConnections = () => {};
   }
 
-  /** Creates a server that does not listen yet. */
+  /**
+   * Creates a server that does not listen yet. The bytes of its connections are
+   * counted in `held`.
+   */
   static create(
     codec: HeaderCodec,
     sink: EventSink,
     observer: ResponseObserver,
     lag: LoopLag,
+    held = HeldBytes.create(null),
   ): CallerServer {
-    return new CallerServer(codec, sink, observer, lag);
+    return new CallerServer(codec, sink, observer, lag, held);
   }
 
   /** Accepts callers at `address`. Rejects if it cannot listen there. */
@@ -216,7 +228,7 @@
     const connection = CallerConnection.create(socket, () => {
       this.#connections.delete(socket);
       this.#reportClosed();
-    });
+    }, this.held);
     this.#connections.set(socket, connection);
     if (this.#isClosed) connection.end();
   }
@@ -271,6 +283,9 @@
     if (exchange === undefined) return;
     this.#exchanges.delete(id);
     const { response, connection, arrivedAt } = exchange;
+    connection.bytes.add(body.length);
+    response.once("close", () => connection.bytes.release(body.length, false));
+    connection.bytes.release(exchange.heldBytes, !exchange.isReceived);
     const isLast = connection.isLast(id);
     if (this.#isDraining && isLast) connection.end();
     const head = [...headers, "Content-Length", String(body.length)];
@@ -302,6 +317,9 @@
         body: Buffer.alloc(0),
       },
       arrivedAt: monotonicNow(),
+      heldBytes: 0,
+      isReceived: false,
+      isForwarded: false,
     };
     this.#exchanges.set(id, exchange);
     connection.addRequest(
@@ -313,15 +331,32 @@
     if (rejection !== null) return this.#reject(id, rejection);
     if (!canMeetExpectation(request)) this.#sendError(id, EXPECTATION_FAILED);
     readBody(request, () => this.#limits?.maximumBodyBytes ?? Infinity, {
+      onChunk: (bytes) => this.#countChunk(id, exchange, bytes),
       onTooLarge: () => this.#reject(id, BODY_TOO_LARGE),
       onComplete: (body) => {
-        if (!this.#exchanges.has(id)) return;
+        if (!this.#exchanges.has(id) || exchange.isForwarded) return;
+        exchange.isReceived = true;
+        connection.bytes.received(exchange.heldBytes);
         exchange.outgoing.body = body;
         this.#requestReceived(id, exchange);
       },
     });
   }
 
+  /**
+   * Counts bytes of a body that is being received; returns whether it is still
+   * needed. When the held bytes reach their bound, the core refuses the request
+   * before it is complete: its caller may be slow.
+   */
+  #countChunk(id: number, exchange: Exchange, bytes: number): boolean {
+    if (!this.#exchanges.has(id) || exchange.isForwarded) return false;
+    exchange.heldBytes += bytes;
+    exchange.connection.bytes.receive(bytes);
+    if (this.held.share < 1) return true;
+    this.#forward(id, exchange, monotonicNow());
+    return false;
+  }
+
   /**
    * Forwards a complete request once all bytes that are pending on connections
    * have been read. The end of a caller's connection may be unread behind its
@@ -357,6 +392,7 @@
       return this.#sendError(id, READ_TOO_LATE);
     }
     exchange.outgoing.id = metadata.id;
+    exchange.isForwarded = true;
     this.sink.push({
       kind: "request.arrived",
       arrival: {
@@ -365,11 +401,18 @@
         target: exchange.outgoing.target,
         timeout: remaining,
         fingerprint: fingerprintOf(exchange),
+        ...this.#memoryShare(exchange),
         ...metadata,
       },
     });
   }
 
+  /** Held bytes as part of a request's arrival; none without a bound. */
+  #memoryShare({ isReceived }: Exchange): { memoryShare?: number } {
+    if (!isReceived) return { memoryShare: 1 };
+    return this.held.share > 0 ? { memoryShare: this.held.share } : {};
+  }
+
   /** Responds to a request that is not forwarded and closes its connection. */
   #reject(id: number, rejection: RequestRejection): void {
     this.#exchanges.get(id)?.connection.end();
@@ -424,7 +467,11 @@
 
   /** Ends an exchange whose response can no longer be sent. */
   #callerDisconnected(id: number): void {
-    if (!this.#exchanges.delete(id)) return;
+    const exchange = this.#exchanges.get(id);
+    if (exchange === undefined) return;
+    this.#exchanges.delete(id);
+    const { connection, heldBytes, isReceived } = exchange;
+    connection.bytes.release(heldBytes, !isReceived);
     this.sink.push({ kind: "request.left", exchange: id });
   }
 }
--- a/src/runtime/effect_runner.ts
+++ b/src/runtime/effect_runner.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import type { EntryEffect } from "../core/entry_effect.ts";
-import type {
-  AttemptStart,
-  Delivery,
-  ErrorResponse,
-  LogLine,
+import {
+  type AttemptStart,
+  type Delivery,
+  type ErrorResponse,
+  type LogLine,
+  REFUSED_FOR_MEMORY,
 } from "../core/dispatch/index.ts";
 import type {
   GrantOrder,
@@ -167,6 +168,9 @@
   }
 
   #sendErrorResponse(effect: ErrorResponse): void {
+    if (effect.reason === REFUSED_FOR_MEMORY) {
+      this.adapters.metrics.count("requests_refused_for_memory_total");
+    }
     this.adapters.metrics.count("refusals_total", `reason="${effect.reason}"`);
     this.adapters.callers.refuse(effect);
   }
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -20,6 +20,7 @@
 import { EffectRunner } from "./effect_runner.ts";
 import { FeedFollower, type FeedTiming } from "./feed_follower.ts";
 import type { HeaderCodec } from "./header_codec.ts";
+import { HeldBytes, heldLimitsOf, requestBytesLimit } from "./held_bytes.ts";
 import { LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import type { OrderSender } from "./order_sender.ts";
@@ -98,6 +99,7 @@
   readonly #relay: ConnectionRelay;
   readonly #logger: Logger;
   readonly #metrics: EntryMetrics;
+  readonly #held: HeldBytes;
   #resolveStopped: () => void = () => {};
 
   private constructor(
@@ -146,8 +148,14 @@
         this.#peerNetwork.traffic,
         this.#callerServer.counts,
         this.#relay.count,
+        this.#held.held,
       )
     );
+    const heldLimits = heldLimitsOf(settings.memory);
+    const held = this.#held = HeldBytes.create(
+      heldLimits,
+      (change) => this.#logger.write("warn", "memory.pressure", { ...change }),
+    );
     this.#adminServer = AdminServer.create(
       metrics,
       () => this.status(),
@@ -157,6 +165,7 @@
       this.#loop,
       metrics,
       this.#loopLag,
+      held,
     );
     const identity = { vm: settings.vm, peerAddress: settings.peer };
     this.#backendPool = BackendPool.create(
@@ -166,6 +175,12 @@
       {
         responseLimits: responseLimitsOf(settings.responses),
         onResponseCut: (server, cut) => this.#recordCut(server, cut),
+        held,
+        requestBytesLimit: (server) => {
+          if (heldLimits === null) return Infinity;
+          const slots = entry.clusterState.fleet.get(server)?.entry.slots ?? 1;
+          return requestBytesLimit(heldLimits, slots, entry.vms);
+        },
       },
     );
     platform.orders.onResponseCut = (server, cut) =>
@@ -335,6 +350,7 @@
   traffic: PeerTraffic,
   callers: CallerCounts,
   relayedConnections: number,
+  heldBytes: number,
 ): Record<string, number> {
   const bytesByKind = [...traffic.bytesByKind].map(([kind, bytes]) =>
     [`peer_bytes_sent_total{kind="${kind}"}`, bytes] as const
@@ -357,6 +373,7 @@
     store_era: entry.clusterState.era ?? -1,
     log_lines_dropped: logger.dropped,
     processor_seconds: (user + system) / 1e6,
+    held_bytes: heldBytes,
     memory_bytes: process.memoryUsage.rss(),
     peer_bytes_received_total: traffic.bytesReceived,
     peer_messages_dropped_total: traffic.dropped,
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -18,11 +18,11 @@
 import { parseAddress } from "../settings/address.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import { BackendAgent } from "./backend_agent.ts";
+import { BodyBuffer } from "./body_buffer.ts";
 import { RelayAgent, type RelayedRequestOptions } from "./relay_agent.ts";
 import type { RelayConnector, RelayTarget } from "./relay_connector.ts";
 import {
   describeCut,
-  ResponseBody,
   type ResponseCut,
   ResponseGuard,
   type ResponseLimits,
@@ -335,7 +335,7 @@
   return new Promise((resolve, reject) => {
     request.on("error", reject);
     request.once("response", (response) => {
-      const body = ResponseBody.create();
+      const body = BodyBuffer.create();
       response.on("data", (chunk: Buffer) => body.add(chunk));
       response.once("error", reject);
       response.once("end", () => {
--- a/src/runtime/request_body.ts
+++ b/src/runtime/request_body.ts
@@ -4,17 +4,23 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
+import { BodyBuffer } from "./body_buffer.ts";
 
 /**
  * Receives the result of reading a body. `onComplete` is not called if the body
  * is truncated.
  */
 export interface BodyHandler {
+  /**
+   * Called with the size of each chunk within the limit; returns whether the
+   * body is still needed.
+   */
+  onChunk(bytes: number): boolean;
   /** Called, possibly more than once, if the body exceeds the limit. */
   onTooLarge(): void;
   /**
-   * Called when the body was read to its end. After `onTooLarge`, `body` is
-   * incomplete.
+   * Called when the body was read to its end. If it was too large or no longer
+   * needed, `body` is incomplete.
    */
   onComplete(body: Buffer): void;
 }
@@ -28,14 +34,18 @@
   maximumBytes: () => number,
   handler: BodyHandler,
 ): void {
-  const chunks: Buffer[] = [];
+  const body = BodyBuffer.create();
   let size = 0;
   request.on("data", (chunk: Buffer) => {
     size += chunk.length;
-    if (size > maximumBytes()) return handler.onTooLarge();
-    chunks.push(chunk);
+    if (size > maximumBytes()) {
+      body.take();
+      return handler.onTooLarge();
+    }
+    if (handler.onChunk(chunk.length)) body.add(chunk);
+    else body.take();
   });
-  request.once("end", () => handler.onComplete(Buffer.concat(chunks)));
+  request.once("end", () => handler.onComplete(body.take()));
   // A truncated body closes the response, which reports that the caller has
   // disconnected.
   request.on("error", () => {});
--- a/test/support/caller_connection.ts
+++ b/test/support/caller_connection.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits } from "../../src/core/catalog/index.ts";
 import type { UntimedEvent } from "../../src/core/entry_event.ts";
 import { CallerServer } from "../../src/runtime/caller_server.ts";
+import { HeldBytes } from "../../src/runtime/held_bytes.ts";
 import { LoopLag } from "../../src/runtime/loop_lag.ts";
 import { parseAddress } from "../../src/settings/index.ts";
 import { loopbackAddress } from "./loopback_address.ts";
@@ -30,6 +31,7 @@
 export async function connectCaller(
   t: ExecutionContext,
   limits: CallerLimits,
+  held = HeldBytes.create(null),
 ): Promise<ConnectedCaller> {
   const events: UntimedEvent[] = [];
   const lag = LoopLag.create();
@@ -38,6 +40,7 @@
     { push: (each) => void events.push(each) },
     { recordResponse: () => {} },
     lag,
+    held,
   );
   const address = loopbackAddress();
   await server.listen(address);
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -111,6 +111,8 @@
   mutation?: MutationName | null;
   /** Warm-up of the servers; none if left out. */
   warmUp?: Configuration["services"][number]["warmUp"];
+  /** Settings of the entries besides those that each test needs. */
+  settings?: object;
 }
 
 /** Availability zone of all processes. */
@@ -129,6 +131,7 @@
     readonly store: string,
     private readonly link: (from: string, name: string, to: string) => string,
     private readonly warmUp: DeploymentOptions["warmUp"],
+    private readonly settings: object,
   ) {}
 
   /**
@@ -143,6 +146,7 @@
       store,
       options.link ?? ((_from, _name, to) => to),
       options.warmUp,
+      options.settings ?? {},
     );
     deployment.#spawn("store", { address: store }, ["stand-in", "store"], {
       listen: store,
@@ -228,6 +232,7 @@
       seeds: this.entries.map((entry) => entry.peer),
       store: { address: this.link(vm, "store", this.store) },
       shutdownTimeoutSeconds: 3,
+      ...this.settings,
     });
   }
 
