--- a/src/runtime/endless_response_test.ts
+++ b/src/runtime/endless_response_test.ts
@@ -304,6 +304,36 @@
   t.is(server.open, 0);
 });
 
+/** Returns an order that releases keys of the server at `address`. */
+function releaseOrder(address: string) {
+  return {
+    kind: "order.release",
+    order: 1,
+    service: "stock",
+    first: 0,
+    last: 9,
+    server: "server-1",
+    address,
+    token: 7,
+    mayConnect: true,
+    relay: null,
+  } as const;
+}
+
+test.serial("endless response: bytes on an idle connection for orders close it", async (t) => {
+  const server = await startServer(t, (socket) => {
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    setTimeout(() => sendEndlessly(socket, Buffer.alloc(9_000, "x")), 20);
+  });
+  const orders = PlatformOrderSender.create();
+  t.teardown(() => orders.close());
+  const order = releaseOrder(server.address);
+  t.is((await orders.release(order, CUT_TIME)).kind, "accepted");
+  const end = performance.now() + CUT_TIME;
+  while (server.open > 0 && performance.now() < end) await delay(1);
+  t.is(server.open, 0);
+});
+
 // Orders are sent by another HTTP client than requests.
 for (const [name, [part, start, piece]] of Object.entries(ENDLESS)) {
   test.serial(`endless response to an order: ${name}`, async (t) => {
@@ -315,18 +345,7 @@
     t.teardown(() => orders.close());
     const parts: string[] = [];
     orders.onResponseCut = (_, cut) => parts.push(cut.part);
-    const order = {
-      kind: "order.release",
-      order: 1,
-      service: "stock",
-      first: 0,
-      last: 9,
-      server: "server-1",
-      address: server.address,
-      token: 7,
-      mayConnect: true,
-      relay: null,
-    } as const;
+    const order = releaseOrder(server.address);
     t.is((await orders.release(order, CUT_TIME)).kind, "failed");
     t.deepEqual(parts, [part]);
     while (server.open > 0) await delay(1);
