Memory: tests of the pool for bytes in flight and for cuts at the bound

The queue of requests with large bodies and the cut of the largest response were tested alone, but not with the pool that uses them.

--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -4,7 +4,12 @@
 import test, { type ExecutionContext } from "ava";
 import { PlatformHeaderCodec } from "../../platform/index.ts";
 import type { UntimedEvent } from "../core/entry_event.ts";
-import { BackendPool, type OutgoingRequest } from "./backend_pool.ts";
+import {
+  BackendPool,
+  type BackendPoolOptions,
+  type OutgoingRequest,
+} from "./backend_pool.ts";
+import { HeldBytes } from "./held_bytes.ts";
 import { RelayConnector } from "./relay_connector.ts";
 
 /** Maximum duration of an attempt, in milliseconds. */
@@ -38,7 +43,11 @@
  * Creates a pool. `send` resolves to the next outcome of any attempt; outcomes
  * that nothing waits for are collected in `outcomes`.
  */
-function createPool(t: ExecutionContext, address: string) {
+function createPool(
+  t: ExecutionContext,
+  address: string,
+  options: Partial<BackendPoolOptions> = {},
+) {
   const outcomes: UntimedEvent[] = [];
   const waiters: ((outcome: UntimedEvent) => void)[] = [];
   const push = (event: UntimedEvent) => {
@@ -50,6 +59,7 @@
     PlatformHeaderCodec.create(),
     { push },
     RelayConnector.create({ vm: "vm-1", peerAddress: "127.0.0.1:1" }),
+    options,
   );
   t.teardown(() => pool.close());
   let count = 0;
@@ -228,3 +238,51 @@
   for (let i = 0; i < 100 && ends.length === 0; i++) await delay(10);
   t.deepEqual(ends, ["ECONNRESET"]);
 });
+
+// Guards against a server that is sent more than its memory takes, and against
+// a request that is sent after it was cancelled.
+test("backend pool: a request waits while too many bytes are in flight to its server", async (t) => {
+  const received: [id: string, remaining: number, socket: Socket][] = [];
+  const { address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const remaining = /deadline-ms: (\d+)/i.exec(request)![1];
+    received.push([id, Number(remaining), socket]);
+  });
+  const { pool, send } = createPool(t, address, {
+    requestBytesLimit: () => 10,
+  });
+  const first = send("first", "12345678");
+  void send("cancelled", "12345678").catch(() => {});
+  void send("last", "12345678").catch(() => {});
+  await delay(100);
+  t.deepEqual(received.map(([id]) => id), ["first"]);
+  pool.cancel(2);
+  received[0][2].write(responseHead("first", ["Content-Length: 0"]));
+  t.is(outcomeKind(await first), "genuine");
+  for (let i = 0; i < 100 && received.length < 2; i++) await delay(10);
+  t.deepEqual(received.map(([id]) => id), ["first", "last"]);
+  const [[, atOnce], [, waited]] = received;
+  t.is(atOnce, 1_000);
+  t.true(waited <= 905, `${waited}`);
+});
+
+test("backend pool: at the bound on held bytes a response is cut off, a complete one is not", async (t) => {
+  const size = 300 * 1_024;
+  const cuts: string[] = [];
+  const held = HeldBytes.create({ total: size + 1, connection: size });
+  const { address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const length = id === "complete" ? size : 2 * size;
+    socket.write(responseHead(id, [`Content-Length: ${length}`]));
+    socket.write("x".repeat(length));
+  });
+  const { send } = createPool(t, address, {
+    held,
+    onResponseCut: (server, { part }) => cuts.push(`${server} ${part}`),
+  });
+  t.is(outcomeKind(await send("complete")), "genuine");
+  t.deepEqual(cuts, []);
+  t.is(outcomeKind(await send("large")), "failed, sent");
+  t.deepEqual(cuts, ["server-1 body"]);
+  t.is(held.held, 0);
+});
