--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -21,11 +21,23 @@
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { EventSink } from "./entry_loop.ts";
 import { BackendAgent } from "./backend_agent.ts";
+import { BodyBuffer } from "./body_buffer.ts";
+import { HeldBytes, type ResponseBytes } from "./held_bytes.ts";
 import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
+import { monotonicNow } from "./monotonic_clock.ts";
 import { detectReset } from "./orderly_end.ts";
 import { RelayAgent } from "./relay_agent.ts";
 import { type RelayConnector, RelayError } from "./relay_connector.ts";
+import {
+  type CutListener,
+  DEFAULT_RESPONSE_LIMITS,
+  describeCut,
+  type ResponseCut,
+  ResponseGuard,
+  type ResponseLimits,
+} from "./response_limits.ts";
+import { UploadQueue } from "./upload_queue.ts";
 
 /**
  * Connect timeout, in milliseconds. A host that is down sends nothing, not even
@@ -80,8 +92,35 @@
   body: Buffer;
 }
 
+/** Limits of a pool, and who is told of responses that exceed them. */
+export interface BackendPoolOptions {
+  responseLimits: ResponseLimits;
+  onResponseCut: CutListener;
+  /** Counts the responses that are being received. */
+  held: HeldBytes;
+  /** Bytes of request bodies that may be in flight to a server. */
+  requestBytesLimit(server: string): number;
+}
+
+/** Returns the options that apply unless others are given. */
+function defaultOptions(): BackendPoolOptions {
+  return {
+    responseLimits: DEFAULT_RESPONSE_LIMITS,
+    onResponseCut: () => {},
+    held: HeldBytes.create(null),
+    requestBytesLimit: () => Infinity,
+  };
+}
+
 interface RunningAttempt {
+  /** Id of the server. */
+  server: string;
+  /** Time by which its response must be complete. */
+  deadline: number;
   request: ClientRequest;
+  guard: ResponseGuard;
+  /** Counts what is held of its response. */
+  bytes: ResponseBytes;
   /** Peer address of the VM through which it is sent, or null. */
   relay: string | null;
   /** Whether its connection is established. */
@@ -99,12 +138,16 @@
   /** Connections through other VMs, by VM and server. */
   readonly #relayAgents = new Map<string, Map<string, RelayAgent>>();
   readonly #attempts = new Map<number, RunningAttempt>();
+  readonly #uploads: UploadQueue;
 
   private constructor(
     private readonly codec: HeaderCodec,
     private readonly sink: EventSink,
     private readonly connector: RelayConnector,
-  ) {}
+    private readonly options: BackendPoolOptions,
+  ) {
+    this.#uploads = UploadQueue.create(options.requestBytesLimit);
+  }
 
   /**
    * Creates a pool without connections, which opens those through other VMs
@@ -114,20 +157,33 @@
     codec: HeaderCodec,
     sink: EventSink,
     connector: RelayConnector,
+    options: Partial<BackendPoolOptions> = {},
   ): BackendPool {
-    return new BackendPool(codec, sink, connector);
+    const all = { ...defaultOptions(), ...options };
+    return new BackendPool(codec, sink, connector, all);
   }
 
   /**
-   * Sends a request. Pushes exactly one `attempt.ended`, unless the attempt is
-   * cancelled.
+   * Sends a request, once the server can take the bytes of its body. Pushes
+   * exactly one `attempt.ended`, unless the attempt is cancelled.
    */
   send(start: AttemptStart, outgoing: OutgoingRequest): void {
+    const { attempt, server } = start;
+    const deadline = monotonicNow() + start.remaining;
+    this.#uploads.add(attempt, server, outgoing.body.length, () => {
+      const left = Math.floor(deadline - monotonicNow());
+      const remaining = Math.min(start.remaining, Math.max(1, left + 1));
+      this.#sendNow({ ...start, remaining }, outgoing);
+    });
+  }
+
+  #sendNow(start: AttemptStart, outgoing: OutgoingRequest): void {
     try {
       this.#startRequest(start, outgoing);
     } catch (error) {
       // Node throws on what it cannot send, and entries of the registry may
       // contain any text. An exception from here would end the process.
+      this.#uploads.end(start.attempt);
       this.sink.push({
         kind: "attempt.ended",
         attempt: start.attempt,
@@ -160,9 +216,21 @@
         relayTarget: { relay, server, address, responseTimeout },
       }),
       setHost: false,
+      maxHeaderSize: this.options.responseLimits.headBytes,
     });
     const running: RunningAttempt = {
+      server,
+      deadline: monotonicNow() + start.remaining,
       request,
+      guard: ResponseGuard.watch(
+        request,
+        this.options.responseLimits,
+        (cut) => this.#cutResponse(start.attempt, running, cut),
+      ),
+      bytes: this.options.held.openResponse(() => {
+        const cut = running.guard.progress ?? { part: "head", bytes: 0 };
+        this.#cutResponse(start.attempt, running, cut);
+      }),
       relay,
       isConnected: false,
       response: null,
@@ -225,10 +293,16 @@
    * still in transit does not arrive later.
    */
   cancel(attempt: number): void {
+    this.#uploads.end(attempt);
     const running = this.#attempts.get(attempt);
     if (running === undefined) return;
     this.#attempts.delete(attempt);
+    running.bytes.end();
     abortRequest(running.request);
+    const { server, deadline, guard, response } = running;
+    const isOverdue = response === null && monotonicNow() >= deadline;
+    const cut = isOverdue ? guard.progress : null;
+    if (cut !== null) this.options.onResponseCut(server, cut);
   }
 
   /**
@@ -374,8 +448,12 @@
       response.headers,
       outgoing.id,
     );
-    const chunks: Buffer[] = [];
-    response.on("data", (chunk: Buffer) => chunks.push(chunk));
+    const body = BodyBuffer.create();
+    response.on("data", (chunk: Buffer) => {
+      running.bytes.add(chunk.length);
+      // Counting the chunk may have cut off this response.
+      if (this.#attempts.get(attempt) === running) body.add(chunk);
+    });
     response.on(
       "error",
       (error) => this.#failAttempt(attempt, running, errorText(error)),
@@ -387,7 +465,7 @@
         running,
         response,
         metadata,
-        Buffer.concat(chunks),
+        body.take(),
       );
     };
     const reset = isDelimitedByClose(response)
@@ -395,6 +473,8 @@
       : null;
     response.once("end", () => {
       if (!response.complete) return;
+      // A complete response is not cut off.
+      running.bytes.end();
       if (reset === null) return succeed();
       running.isVerifying = true;
       void reset.then((error) => {
@@ -413,6 +493,7 @@
     body: Buffer,
   ): void {
     if (this.#attempts.get(attempt) !== running) return;
+    this.#uploads.end(attempt);
     running.response = {
       status: response.statusCode ?? 0,
       statusText: validStatusText(response.statusMessage),
@@ -437,6 +518,21 @@
     setImmediate(() => this.#attempts.delete(attempt));
   }
 
+  /**
+   * Resets the connection of a response that exceeds a limit. Its attempt fails
+   * as one that may have run.
+   */
+  #cutResponse(
+    attempt: number,
+    running: RunningAttempt,
+    cut: ResponseCut,
+  ): void {
+    if (this.#attempts.get(attempt) !== running) return;
+    abortRequest(running.request);
+    this.options.onResponseCut(running.server, cut);
+    this.#failAttempt(attempt, running, describeCut(cut));
+  }
+
   #failAttempt(
     attempt: number,
     running: RunningAttempt,
@@ -446,6 +542,8 @@
     const isCurrent = this.#attempts.get(attempt) === running;
     if (!isCurrent || running.response !== null || running.isVerifying) return;
     this.#attempts.delete(attempt);
+    this.#uploads.end(attempt);
+    running.bytes.end();
     running.request.destroy();
     const relayError = error instanceof RelayError ? error : null;
     this.sink.push({
