--- /dev/null
+++ b/src/core/admission/admission_load_test.ts
@@ -0,0 +1,270 @@
+/**
+ * Load pattern: demand of a service above the capacity of its servers for some
+ * seconds, received by many VMs, each of which sees a small part of it.
+ *
+ * The model has real policies, links and a real controller. Servers have slots
+ * and a queue; a message arrives with the next step.
+ *
+ * @module
+ */
+import test from "ava";
+import { backendServer } from "../../../test/support/backend_server.ts";
+import { Fleet } from "../fleet/index.ts";
+import { FollowerLink, NO_SERVER_REPORTS } from "../peers/index.ts";
+import { createUniformGenerator } from "../random.ts";
+import { AdmissionController } from "./admission_controller.ts";
+import { AdmissionPolicy } from "./admission_policy.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import { requestRank } from "./request_rank.ts";
+
+/** Time between two steps, in milliseconds. */
+const STEP = 5;
+const SLOTS = 4;
+const SERVERS = 30;
+/** Share of each priority in the demand; at 2.4, the first is 0.72. */
+const MIX = [0.3, 0.3, 0.4];
+const BASE_DEMAND = 0.75;
+const BURST_START = 2_000;
+/** Time after the burst, in milliseconds. */
+const TAIL = 2_500;
+const SENDER = { term: 1, version: 1, configuration: 1 };
+
+interface Pattern {
+  vms: number;
+  /** Demand as a multiple of the capacity, and its duration in ms. */
+  demand: number;
+  duration: number;
+  /** Mean work, target and timeout, in milliseconds. */
+  work: number;
+  target: number;
+  timeout: number;
+  /** Share of requests that servers refuse, whatever their load. */
+  refusedShare?: number;
+  /** Share of VMs that report no demand and admit all requests. */
+  olderShare?: number;
+  /** Interval in which the holder answers nothing, in ms. */
+  silence?: [number, number];
+  /** When another VM becomes the holder, in ms. */
+  newHolderAt?: number;
+}
+
+interface Request {
+  priority: number;
+  arrivedAt: number;
+  waitEnd: number;
+  vm: number;
+}
+
+const URGENT: Pick<Pattern, "work" | "target" | "timeout"> = {
+  work: 120,
+  target: 500,
+  timeout: 2_000,
+};
+const SLOW = { work: 710, target: 4_000, timeout: 8_000 };
+
+/** Runs a pattern and returns its result. */
+function run(pattern: Pattern) {
+  const { vms, work, target, timeout, duration } = pattern;
+  const draw = createUniformGenerator(vms * 31 + Math.round(duration + work));
+  const burstEnd = BURST_START + duration;
+  const capacity = SERVERS * SLOTS / work;
+  let controller = AdmissionController.create();
+  controller.startTerm(1, -1_000);
+  const nodes = Array.from({ length: vms }, (_, index) => {
+    const fleet = Fleet.create();
+    fleet.apply(entries, [], 0);
+    const link = FollowerLink.create(() => 1);
+    link.follow("holder", 1, 0, 500 * draw());
+    const isOlder = index / vms < (pattern.olderShare ?? 0);
+    const queue: Request[] = [];
+    const meter = DemandMeter.create();
+    const policy = AdmissionPolicy.create();
+    return { fleet, link, isOlder, queue, meter, policy };
+  });
+  const holderFleet = nodes[0].fleet;
+  holderFleet.addPeerSamples(
+    entries.map(({ id }) => ({ server: id, mean: work, count: 20 })),
+    "vm",
+    0,
+  );
+  const servers = entries.map(({ id }) => ({
+    id,
+    running: [] as { request: Request; endsAt: number }[],
+    waiting: [] as Request[],
+  }));
+  const result = {
+    served: 0,
+    urgent: 0,
+    urgentServed: 0,
+    denied: 0,
+    deniedAfter: 0,
+    longHeld: 0,
+    refusedByModel: 0,
+    firstDenialAt: Infinity,
+    lastThresholdAt: -Infinity,
+    changes: 0,
+  };
+  let admissions: Parameters<AdmissionPolicy["replace"]>[0] = [];
+  const place = (request: Request, now: number): boolean => {
+    const [a, b] = [0, 1].map(() => servers[Math.floor(draw() * SERVERS)]);
+    const load = (each: typeof a) => each.running.length + each.waiting.length;
+    const server = load(a) <= load(b) ? a : b;
+    if (load(server) >= 2 * SLOTS) return false;
+    if (draw() < (pattern.refusedShare ?? 0)) {
+      result.refusedByModel += 1;
+      state(server, request.vm, now);
+      return true;
+    }
+    server.waiting.push(request);
+    start(server, now);
+    return true;
+  };
+  const start = (server: typeof servers[number], now: number) => {
+    while (server.running.length < SLOTS && server.waiting.length > 0) {
+      const request = server.waiting.shift()!;
+      const endsAt = now + work * (0.5 + draw());
+      server.running.push({ request, endsAt });
+    }
+  };
+  /** States the load of a server to a VM, which has it reported. */
+  const state = (
+    { id, running, waiting }: typeof servers[number],
+    vm: number,
+    now: number,
+  ) => {
+    const load = {
+      running: running.length,
+      waiting: waiting.length,
+      slots: SLOTS,
+    };
+    const tracked = nodes[vm].fleet.get(id)!;
+    tracked.started(0, now);
+    tracked.refused(0, now, load);
+    if (load.waiting >= SLOTS) nodes[vm].policy.overloadSeen(now);
+  };
+  const arrive = (priority: number, vm: number, now: number) => {
+    const { policy, meter, fleet, queue, isOlder } = nodes[vm];
+    const isBurst = now >= BURST_START && now < burstEnd;
+    if (priority === 0 && isBurst) result.urgent += 1;
+    meter.arrived("s", priority, false);
+    const described = {
+      service: "s",
+      rank: requestRank(priority, draw(), false),
+      arrivedAt: now,
+      deadline: now + timeout,
+      targetLatency: target,
+    };
+    const denial = isOlder ? null : policy.check(described, work, now);
+    const isPermitted = denial === null || fleet.serversOf("s")
+      .some((server) => server.takeFreeSlotStatement(now));
+    if (!isPermitted) {
+      result.denied += 1;
+      if (now > burstEnd + 1_000) result.deniedAfter += 1;
+      result.firstDenialAt = Math.min(result.firstDenialAt, now);
+      return;
+    }
+    const waitEnd = policy.waitEnd(described, work, now) ?? now + 0.22 * target;
+    const request = { priority, arrivedAt: now, waitEnd, vm };
+    if (!place(request, now)) queue.push(request);
+  };
+  for (let now = 0; now < burstEnd + TAIL; now += STEP) {
+    for (const server of servers) {
+      for (const { request, endsAt } of [...server.running]) {
+        if (endsAt > now) continue;
+        server.running = server.running.filter((each) =>
+          each.request !== request
+        );
+        start(server, now);
+        state(server, request.vm, now);
+        const { arrivedAt, priority } = request;
+        if (now - arrivedAt > target) continue;
+        const isLate = now > burstEnd + work;
+        if (now >= BURST_START + work && !isLate) result.served += 1;
+        const isOfBurst = arrivedAt >= BURST_START && arrivedAt < burstEnd;
+        if (isOfBurst && priority === 0) result.urgentServed += 1;
+      }
+    }
+    const isBurst = now >= BURST_START && now < burstEnd;
+    const rate = capacity * (isBurst ? pattern.demand : BASE_DEMAND) * STEP;
+    // Each of many callers sends a request with a small probability.
+    for (let i = 0; i < 4 * rate; i++) {
+      if (draw() >= 0.25 * Math.min(1, 4 * rate - i)) continue;
+      const kind = draw();
+      const priority = kind < MIX[0] ? 0 : kind < MIX[0] + MIX[1] ? 1 : 2;
+      arrive(priority, Math.floor(draw() * vms), now);
+    }
+    for (const { queue, isOlder, fleet, link, meter, policy } of nodes) {
+      queue.sort((a, b) => a.priority - b.priority);
+      while (queue.length > 0 && place(queue[0], now)) queue.shift();
+      for (const request of queue.filter(({ waitEnd }) => now >= waitEnd)) {
+        queue.splice(queue.indexOf(request), 1);
+        const isHeld = now - request.arrivedAt > target / 8;
+        if (isHeld) result.longHeld += 1;
+      }
+      if (policy.isBusy(now) && !isOlder) link.hasten(vms, now);
+      if (!link.isReportDue(now)) continue;
+      const demand = isOlder ? [] : meter.take();
+      const servers = { ...NO_SERVER_REPORTS, demand };
+      link.advance(now, SENDER, null, servers, false, false);
+      controller.reported(
+        String(nodes.indexOf(nodes.find((each) => each.meter === meter)!)),
+        demand,
+        now,
+        now,
+      );
+      const samples = fleet === holderFleet ? [] : fleet.takeSamples("s", now);
+      holderFleet.addPeerSamples(samples, "vm", now);
+      if (!isSilent(pattern, now)) policy.replace(admissions, now);
+    }
+    if (pattern.newHolderAt === now) {
+      controller = AdmissionController.create();
+      controller.startTerm(2, now);
+    }
+    const update = controller.advance(holderFleet, now);
+    if (update === null) continue;
+    admissions = update.admissions;
+    if (admissions.some(({ threshold }) => threshold !== undefined)) {
+      result.lastThresholdAt = now;
+    }
+    result.changes += update.changes.length;
+    if (update.changes.length === 0 || isSilent(pattern, now)) continue;
+    for (const { policy } of nodes) policy.replace(admissions, now);
+  }
+  return {
+    ...result,
+    /** Served within target, as a share of the capacity. */
+    throughput: result.served / (capacity * duration),
+    urgentShare: result.urgentServed / Math.max(1, result.urgent),
+    /** Milliseconds from the rise to the first refusal. */
+    effectAfter: result.firstDenialAt - BURST_START,
+    /** Milliseconds from the end of the burst to the end of the limit. */
+    endAfter: result.lastThresholdAt - burstEnd,
+  };
+}
+
+const entries = Array.from(
+  { length: SERVERS },
+  (_, index) => backendServer(`s-${index}`, { slots: SLOTS }),
+);
+
+function isSilent({ silence = [0, 0] }: Pattern, now: number): boolean {
+  return now >= silence[0] && now < silence[1];
+}
+
+for (const vms of [4, 11, 74, 195]) {
+  for (const [name, kind] of [["urgent", URGENT], ["slow", SLOW]] as const) {
+    test(`admission: ${vms} VMs, ${name} work`, (t) => {
+      for (const demand of [1.2, 1.6, 2.4]) {
+        for (const duration of [3_000, 7_000, 15_000]) {
+          const r = run({ vms, demand, duration, ...kind });
+          t.log(
+            `${demand} ${duration} thr ${r.throughput.toFixed(3)} urg ${
+              r.urgentShare.toFixed(3)
+            } effect ${r.effectAfter} end ${r.endAfter} den ${r.denied} after ${r.deniedAfter} held ${r.longHeld} ch ${r.changes}`,
+          );
+        }
+      }
+      t.pass();
+    });
+  }
+}
--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -56,6 +56,10 @@
     return this.#configuration?.limits ?? null;
   }
 
+  get services(): Service[] {
+    return [...this.#services.values()];
+  }
+
   /** Services of which each key is owned by exactly one server. */
   get keyedServices(): Service[] {
     return [...this.#services.values()].filter((each) => each.isKeyed);
--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { DemandMeter } from "./admission/index.ts";
+import { AdmissionPolicy, DemandMeter } from "./admission/index.ts";
 import { Catalog, type Configuration, NamedVersions } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import {
@@ -45,6 +45,8 @@
   readonly registry = RegistryReplica.create();
   /** Requests that this VM has received since its last report. */
   readonly demand = DemandMeter.create();
+  /** Which requests of services above their capacity this VM admits. */
+  readonly admission = AdmissionPolicy.create();
   readonly quarantine = Quarantine.create(({ kind, crashes }) =>
     this.logDecision(`quarantine.${kind}`, {
       fingerprint: crashes.request,
--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { DemandMeter } from "../admission/index.ts";
+import type { AdmissionPolicy, DemandMeter } from "../admission/index.ts";
 import type { Catalog } from "../catalog/index.ts";
 import type { Fleet, ServerStatement, TrackedServer } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
@@ -32,6 +32,8 @@
   tokens: RateTokens;
   /** Counts the requests that this VM receives. */
   demand: DemandMeter;
+  /** Which requests of services above their capacity are admitted. */
+  admission: AdmissionPolicy;
   /** Optional behaviour of this VM. */
   features: Features;
   /** Availability zone of this VM. */
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { AdmissionDenial, AdmissionRequest } from "../admission/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { QuarantinedRequest } from "../quarantine/index.ts";
 import type { CopiesInFlight } from "./copies_in_flight.ts";
@@ -28,6 +29,8 @@
    * admitted, according to a limit that is `age` milliseconds old.
    */
   | { kind: "shed"; reason: string; share: number; age: number }
+  /** Refused on arrival because its service has more urgent requests. */
+  | { kind: "unadmitted"; denial: AdmissionDenial }
   /**
    * Refused because the request is quarantined: servers crashed while they ran
    * it.
@@ -105,6 +108,14 @@
   return until < waitEnd ? openEndedWait(reason, until) : refusal(reason, true);
 }
 
+/** What the admission of a request depends on. */
+function admissionRequest(
+  { service, rank, arrivedAt, deadline, route }: PendingRequest,
+): AdmissionRequest {
+  const { targetLatency } = route;
+  return { service, rank, arrivedAt, deadline, targetLatency };
+}
+
 /** A refusal of a request for which waiting would not help. */
 function refusal(reason: string, isRateLimited = false): DispatchPlan {
   return { kind: "refuse", reason, isRateLimited };
@@ -130,6 +141,48 @@
     return new DispatchPlanner(context, rangeBackoff, copies);
   }
 
+  /**
+   * Decides whether a request that has just arrived is admitted; null if it is.
+   * A server that has just stated free slots to this VM permits one more
+   * request. A quarantined request is left to {@linkcode plan}, which refuses it
+   * with the reason that its caller needs.
+   */
+  planArrival(
+    request: PendingRequest,
+    now: number,
+  ): DispatchPlan & { kind: "unadmitted" } | null {
+    const { admission, features, fleet, paths, quarantine } = this.context;
+    if (!features.admitsByPriority) return null;
+    const meanLatency = fleet.meanLatency(request.service, now);
+    const described = admissionRequest(request);
+    const denial = admission.check(described, meanLatency, now);
+    if (denial === null || paths.isCutOff(now)) return null;
+    const { fingerprint } = request.arrival;
+    if (quarantine.quarantinedRequest(fingerprint, now) !== null) return null;
+    const isPermitted = this.#possibleServers(request).some((server) =>
+      server.takeFreeSlotStatement(now)
+    );
+    return isPermitted ? null : { kind: "unadmitted", denial };
+  }
+
+  /** Extends the wait limit of a request that an admission in force permits. */
+  extendWait(request: PendingRequest, now: number): void {
+    const { admission, features, fleet } = this.context;
+    if (!features.admitsByPriority) return;
+    const meanLatency = fleet.meanLatency(request.service, now);
+    const described = admissionRequest(request);
+    const end = admission.waitEnd(described, meanLatency, now);
+    if (end !== null) request.waitEnd = Math.max(request.waitEnd, end);
+  }
+
+  /** Servers that can run a request: the owner of its key, or all. */
+  #possibleServers({ service, key }: PendingRequest): readonly TrackedServer[] {
+    const { fleet, directory } = this.context;
+    if (key === null) return fleet.serversOf(service);
+    const owner = fleet.get(directory.find(service, key)?.server ?? "");
+    return owner === undefined ? [] : [owner];
+  }
+
   /** Decides whether and where `request` can be sent now. */
   plan(request: PendingRequest, now: number): DispatchPlan {
     const { fleet, availabilityZone, draw, quarantine } = this.context;
@@ -242,19 +295,19 @@
   }
 
   /**
-   * Share of the requests for a key that is admitted, from 0 to 1. A load that
-   * the server has just reported to this VM takes precedence over the limit on
-   * the key.
+   * Whether a limit on the request's key refuses it. A load that the server has
+   * just reported to this VM takes precedence over the limit.
    */
-  #admittedShare(
-    service: string,
+  #isShed(
+    request: PendingRequest,
     key: number,
     server: string | null,
     now: number,
-  ): number {
-    const { fleet, keyLimits } = this.context;
-    if (server !== null && fleet.get(server)?.isLoadKnown(now)) return 1;
-    return keyLimits.admittedShare(service, key, now);
+  ): boolean {
+    const { features, fleet, keyLimits } = this.context;
+    if (server !== null && fleet.get(server)?.isLoadKnown(now)) return false;
+    const rank = features.admitsByPriority ? request.rank : null;
+    return !keyLimits.admits(request.service, key, request.chance, rank, now);
   }
 
   /** Decides whether a keyed request can be sent to the server of its key. */
@@ -266,9 +319,10 @@
     }
     // The limit also applies while the key moves; otherwise all queued requests
     // would reach the new owner at the same time.
-    const share = this.#admittedShare(request.service, key, range.server, now);
-    if (request.chance >= share) {
+    if (this.#isShed(request, key, range.server, now)) {
       const reason = "the key is asked for more than its server can do";
+      const { keyLimits } = this.context;
+      const share = keyLimits.admittedShare(request.service, key, now);
       const age = this.context.keyLimits.age(now);
       return { kind: "shed", reason, share, age };
     }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { requestRank } from "../admission/index.ts";
 import type { Route } from "../catalog/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { AssignedRange } from "../keyspace/index.ts";
@@ -113,7 +114,12 @@
       this.#effects.push(...this.#responses.unroutedRefusal(arrival));
     } else {
       const request = this.#register(arrival, route, now);
-      this.#dispatch(request, now);
+      const denied = this.#planner.planArrival(request, now);
+      if (denied !== null) this.#refuseUnsent(request, denied, now);
+      else {
+        this.#planner.extendWait(request, now);
+        this.#dispatch(request, now);
+      }
     }
     return this.#takeEffects();
   }
@@ -276,11 +282,9 @@
     this.#requests.set(arrival.exchange, request);
     this.#retryPolicy.recordRequest(service, now);
     this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
-    this.context.demand.arrived(
-      service,
-      route.priority,
-      this.#retryAfterPolicy.isReturn(request),
-    );
+    const isReturn = this.#retryAfterPolicy.isReturn(request);
+    request.rank = requestRank(route.priority, request.chance, isReturn);
+    this.context.demand.arrived(service, route.priority, isReturn);
     this.#log.defer("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
@@ -523,6 +527,9 @@
         this.#queues.remove(request);
         return this.#refuseUnsent(request, plan, now);
       }
+      if (now >= waitLimit(request, plan)) {
+        this.#planner.extendWait(request, now);
+      }
       if (now >= waitLimit(request, plan)) {
         this.#queues.remove(request);
         this.#refuseOrFail(request, plan.reason, now);
@@ -569,6 +576,8 @@
     switch (plan.kind) {
       case "shed":
         return this.#shed(request, plan, now);
+      case "unadmitted":
+        return this.#refuseUnadmitted(request, plan, now);
       case "quarantined":
         return this.#refuseQuarantined(request, plan, now);
       case "refuse":
@@ -593,6 +602,25 @@
     this.#refuseOrFail(request, reason, now);
   }
 
+  /** Refuses a request that is not admitted, before it is queued or sent. */
+  #refuseUnadmitted(
+    request: PendingRequest,
+    { denial: { reason, threshold, age } }: DispatchPlan & {
+      kind: "unadmitted";
+    },
+    now: number,
+  ): void {
+    const { service, route, rank } = request;
+    request.isShed = true;
+    this.context.admission.denied(service, route.priority);
+    this.#log.write("info", "request.not_admitted", request, now, {
+      rank: Number(rank.toFixed(3)),
+      threshold: threshold === null ? null : Number(threshold.toFixed(3)),
+      thresholdAge: Math.round(age),
+    });
+    this.#refuse(request, reason, now);
+  }
+
   /** Ends a quarantined request, so that it cannot crash another server. */
   #refuseQuarantined(
     request: PendingRequest,
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { DemandMeter } from "../admission/index.ts";
+import { AdmissionPolicy, DemandMeter } from "../admission/index.ts";
 import { NO_FEATURES } from "../features.ts";
 import { fingerprintOf } from "../../../test/support/fingerprint.ts";
 import { backendServer } from "../../../test/support/backend_server.ts";
@@ -119,6 +119,7 @@
     paths,
     tokens,
     demand: DemandMeter.create(),
+    admission: AdmissionPolicy.create(),
     features: NO_FEATURES,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds, minimum: MINIMUM_RETRIES },
@@ -699,6 +700,7 @@
       () => 0,
     ),
     demand: DemandMeter.create(),
+    admission: AdmissionPolicy.create(),
     features: NO_FEATURES,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds: 10, minimum: 50 },
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -108,6 +108,7 @@
     }
     paths.answered(name, outcome.isRelayed ?? false, now);
     this.#applyStatement(attempt, outcome, now);
+    if (showsFullServer(outcome)) this.context.admission.overloadSeen(now);
     return outcome.isNotRun
       ? this.#handleRefusal(request, attempt, outcome, now)
       : this.#handleResponse(request, attempt, outcome, now);
@@ -364,6 +365,19 @@
   return isGenuine || isNotRun ? null : "not signed for this request";
 }
 
+/**
+ * Whether a response shows that its server is full: as many requests wait there
+ * as it has slots, or it refused a request without free slots. A server that
+ * refuses although it states free slots is not full.
+ */
+function showsFullServer({ status, isNotRun, statement }: ServerResponse) {
+  const { load, backoff } = statement;
+  if (load !== null && load.waiting >= load.slots) return true;
+  const isRefusal = isNotRun && status !== MISDIRECTED && backoff === null;
+  if (!isRefusal) return false;
+  return load === null || load.running + load.waiting >= load.slots;
+}
+
 /**
  * Handles an attempt without a valid response: the request may have run, so it
  * is retried only if it is idempotent.
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { requestRank } from "../admission/index.ts";
 import type { Route } from "../catalog/index.ts";
 import type { LogLine } from "./dispatch_effect.ts";
 import type { Fingerprint } from "../quarantine/index.ts";
@@ -128,9 +129,11 @@
    * admitted, the request is admitted if this number is below the share.
    */
   chance: number;
+  /** Its rank for admission by priority; see `requestRank`. */
+  rank: number;
   /**
-   * Whether it was refused because its key is overloaded or a rate limit is
-   * reached. Such overload does not end within the target latency.
+   * Whether it was refused because its service or key is overloaded or a rate
+   * limit is reached. Such overload does not end within the target latency.
    */
   isShed: boolean;
   /** Attempts in flight. */
@@ -197,6 +200,7 @@
     checkAt: Infinity,
     refusal: null,
     chance,
+    rank: requestRank(route.priority, chance, false),
     isShed: false,
     attempts: [],
     tried: [],
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -138,6 +138,7 @@
       tokens: this.peers.tokenExchange.tokens,
       paths: this.#paths,
       demand: this.clusterState.demand,
+      admission: this.clusterState.admission,
       features: this.clusterState.features,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -5,6 +5,10 @@
  *
  * @module
  */
+import {
+  AdmissionController,
+  type AdmissionUpdate,
+} from "../admission/index.ts";
 import type { ClusterState } from "../cluster_state.ts";
 import {
   DEMAND_WINDOW,
@@ -14,7 +18,11 @@
   type ServerOverload,
   type TermHolder,
 } from "../keyspace/index.ts";
-import { MAXIMUM_RATE_LIMITS, type OverloadState } from "../peers/index.ts";
+import {
+  type FollowerReport,
+  MAXIMUM_RATE_LIMITS,
+  type OverloadState,
+} from "../peers/index.ts";
 
 /**
  * Time between two checks, in milliseconds: half of the time between two
@@ -27,6 +35,13 @@
  * receive its load.
  */
 const LOAD_THRESHOLD = 2;
+/**
+ * Time between two counts of this VM's own demand, in milliseconds, as that
+ * between the reports of other VMs.
+ */
+const OWN_DEMAND_INTERVAL = 200;
+/** Name of this VM in the demand of all VMs. */
+const OWN_NAME = "";
 /** Maximum number of server loads in one answer; bounds its size. */
 const MAXIMUM_LOADS = 64;
 
@@ -39,6 +54,8 @@
     admissions: [],
   };
   #checkedAt = -Infinity;
+  readonly #controller = AdmissionController.create();
+  #ownDemandAt = -Infinity;
 
   private constructor(
     private readonly clusterState: ClusterState,
@@ -55,6 +72,44 @@
     return this.#current;
   }
 
+  /** Records the demand in a report of the VM at `address`. */
+  reportReceived(
+    address: string,
+    { demand = [], sentAt }: FollowerReport,
+    now: number,
+  ): void {
+    if (!this.clusterState.features.admitsByPriority) return;
+    this.#controller.reported(address, demand, sentAt, now);
+  }
+
+  /**
+   * Repeats the calculation of the admissions if it is due, and applies them on
+   * this VM. Returns true if a threshold has changed so much that the followers
+   * need it before their next reports.
+   */
+  advanceAdmissions(holder: TermHolder, now: number): boolean {
+    const { admission, demand, features, fleet } = this.clusterState;
+    if (!features.admitsByPriority) return false;
+    this.#controller.startTerm(holder.term, now);
+    if (now - this.#ownDemandAt >= OWN_DEMAND_INTERVAL) {
+      this.#ownDemandAt = now;
+      this.#controller.reported(OWN_NAME, demand.take(), now, now);
+    }
+    const update = this.#controller.advance(fleet, now);
+    if (update === null) return false;
+    const { admissions } = update;
+    this.#current = { ...this.#current, admissions };
+    admission.replace(admissions, now);
+    this.#logAdmissions(update);
+    return update.changes.length > 0;
+  }
+
+  #logAdmissions({ changes }: AdmissionUpdate): void {
+    for (const change of changes) {
+      this.clusterState.logDecision("admission.changed", { ...change });
+    }
+  }
+
   /**
    * Repeats the check if it is due, and applies the resulting limits on this
    * VM. The followers receive them with the holder's answers.
@@ -70,17 +125,30 @@
       return findOverloads(service, ranges, keys, DEMAND_WINDOW, fleet, now)
         .filter((each) => this.#isConfirmed(each, now));
     });
-    const limits = overloads.flatMap((each) => each.limits);
+    const limits = overloads.flatMap((each) => each.limits)
+      .map((limit) => this.#withThreshold(limit));
     const loads = services.flatMap((service) =>
       this.#loadsAtCapacity(service, now)
     )
       .slice(0, MAXIMUM_LOADS);
     this.#logChanges(overloads, limits, now);
     const rates = fleet.reportedRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS);
-    this.#current = { limits, loads, rates, admissions: [] };
+    const { admissions } = this.#current;
+    this.#current = { limits, loads, rates, admissions };
     keyLimits.replace(limits, now);
   }
 
+  /**
+   * Adds the threshold that admits the share of a limit, if this VM admits by
+   * priority. The keys are assumed to have the priorities of their service.
+   */
+  #withThreshold(limit: KeyLimit): KeyLimit {
+    if (!this.clusterState.features.admitsByPriority) return limit;
+    const { service, share } = limit;
+    const threshold = this.#controller.thresholdOfShare(service, share);
+    return threshold === null ? limit : { ...limit, threshold };
+  }
+
   /**
    * Whether a server's overload is to be limited. The capacity follows from a
    * latency that VMs measure, and the demand from requests that may have waited
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -388,6 +388,7 @@
   /** Performs all actions that are due. */
   advance(now: number): void {
     const { store } = this;
+    const { admission, features } = this.clusterState;
     this.#repeatRequest(now);
     this.#sendYield(now);
     // Messages sent during a suspension may have been lost together with the
@@ -417,6 +418,9 @@
       if (relays !== null) this.relays.replace(relays);
       return;
     }
+    if (features.admitsByPriority && admission.isBusy(now)) {
+      this.followerLink.hasten(this.vms, now);
+    }
     const senderState = this.#reportState(now);
     const mayFetch = this.#isAssignmentNeeded && !store.isFailing(now);
     const { position } = this.clusterState.registry;
@@ -483,10 +487,12 @@
   #takeServerReports(now: number): ServerReports {
     if (!this.followerLink.isReportDue(now)) return NO_SERVER_REPORTS;
     const { catalog, demand, features, fleet } = this.clusterState;
+    // Admission by priority needs the loads of the servers of all services.
+    const services = features.admitsByPriority
+      ? catalog.services
+      : catalog.keyedServices;
     return {
-      latencies: catalog.keyedServices.flatMap(({ name }) =>
-        fleet.takeSamples(name, now)
-      ),
+      latencies: services.flatMap(({ name }) => fleet.takeSamples(name, now)),
       rates: fleet.takeUnsentRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS),
       leaving: fleet.stated.unsharedLeaving(),
       refusing: fleet.stated.refusing(now),
@@ -553,12 +559,15 @@
   /** Applies the term holder's data on overloaded and leaving servers. */
   #applyOverload(
     address: string,
-    { limits = [], loads = [], rates, leaving = [], relays }: MessageOf<
-      "holder.alive"
-    >,
+    message: MessageOf<"holder.alive">,
     now: number,
   ): void {
     if (address !== this.followerLink.holder) return;
+    const { limits = [], loads = [], rates, leaving = [], relays } = message;
+    const { admission, features } = this.clusterState;
+    if (features.admitsByPriority) {
+      admission.replace(message.admissions ?? [], now);
+    }
     this.clusterState.keyLimits.replace(limits, now);
     this.clusterState.fleet.applyPeerLoads(loads, now);
     this.clusterState.applyPeerRates(rates ?? [], now);
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -60,6 +60,9 @@
   /** Term and version of the assignments that were last published. */
   #published = { term: 0, version: 0 };
   #publishedAt = -Infinity;
+  /** Whether the followers lack a change of a threshold. */
+  #areAdmissionsDue = false;
+  #admissionsSentAt = -Infinity;
   /** The current term, and when it started. */
   #term = 0;
   #termStartedAt = Infinity;
@@ -148,6 +151,7 @@
     }
     this.#publishRegistry();
     this.#overload.advance(holder, now);
+    this.#publishAdmissions(holder, now);
     if (!this.#isCurrent(holder)) this.clusterState.assign(holder.assignments);
     const isDue = now >= this.#publishedAt + this.#link.publishInterval;
     if (isDue) this.#publish(holder, now);
@@ -161,6 +165,7 @@
     now: number,
   ): void {
     const { fleet } = this.clusterState;
+    this.#overload.reportReceived(address, report, now);
     for (const { service, keys } of report.samples) {
       for (const key of keys) this.loads.of(service).record(key, now);
     }
@@ -323,6 +328,28 @@
     return { since: version, assignments: holder.changesSince(revisions) };
   }
 
+  /**
+   * Sends the state of overloaded servers to all followers if a threshold has
+   * changed much. With their next reports, they would receive it up to 0.5 s
+   * later.
+   */
+  #publishAdmissions(holder: TermHolder, now: number): void {
+    if (this.#overload.advanceAdmissions(holder, now)) {
+      this.#areAdmissionsDue = true;
+    }
+    const isDue = now >= this.#admissionsSentAt + this.#link.publishInterval;
+    if (!this.#areAdmissionsDue || !isDue) return;
+    this.#areAdmissionsDue = false;
+    this.#admissionsSentAt = now;
+    this.emit(
+      ...this.#link.publishOverload(
+        this.#holderState(now),
+        this.#overload.current,
+        this.clusterState.fleet.stated.leaving(),
+      ),
+    );
+  }
+
   #publishRegistry(): void {
     const { registry } = this.clusterState;
     const since = this.#publishedPosition;
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -19,6 +19,11 @@
  * which a report counts as recent.
  */
 const LOAD_DECAY_TIME = 300;
+/**
+ * Time for which a server's statement of free slots permits a request of this
+ * VM, in milliseconds. Other VMs fill the slots by then.
+ */
+const FREE_SLOTS_LIFETIME = 100;
 /**
  * Time for which a load report to another VM is used, in milliseconds. The term
  * holder relays such reports, which takes half a second in each direction.
@@ -161,6 +166,11 @@
   /** Moving average of the number of requests in its load reports. */
   #meanReportedRequests: number | null = null;
   #lastResponseAt = -Infinity;
+  /**
+   * When it last stated free slots to this VM; -Infinity if it has not, or if a
+   * request was sent to it since.
+   */
+  #freeSlotsAt = -Infinity;
   /** Attempts in flight, oldest first, by attempt number. */
   readonly #attempts = new Map<number, AttemptTiming>();
 
@@ -272,6 +282,7 @@
   /** Records that a request was sent to it. */
   started(attempt: number, now: number): void {
     this.inFlight += 1;
+    this.#freeSlotsAt = -Infinity;
     this.#attempts.set(attempt, { startedAt: now, hasStalled: false });
   }
 
@@ -440,6 +451,18 @@
     return false;
   }
 
+  /**
+   * Whether it has just stated free slots to this VM and no request of this VM
+   * was sent to it since. Each statement counts once.
+   */
+  takeFreeSlotStatement(now: number): boolean {
+    const isCurrent = now - this.#freeSlotsAt <= FREE_SLOTS_LIFETIME;
+    const isUsable = isCurrent && !this.isLeaving && !this.isPaused(now) &&
+      !this.isBackedOff(now);
+    if (isUsable) this.#freeSlotsAt = -Infinity;
+    return isUsable;
+  }
+
   /** Whether it has reported its load to this VM recently. */
   isLoadKnown(now: number): boolean {
     return now - this.#ownReportAt <= LOAD_DECAY_TIME;
@@ -489,6 +512,8 @@
       0,
       load.running + load.waiting - this.inFlight,
     );
+    const hasFreeSlots = load.running + load.waiting < load.slots;
+    this.#freeSlotsAt = hasFreeSlots ? now : -Infinity;
     this.#ownReportAt = now;
     this.#recordLoadReport(load.running + load.waiting, now);
   }
--- a/src/core/keyspace/key_limits.ts
+++ b/src/core/keyspace/key_limits.ts
@@ -174,10 +174,34 @@
 
   /** Returns the share of the requests for `key` that is admitted. */
   admittedShare(service: string, key: number, now: number): number {
-    if (this.age(now) > LIMIT_LIFETIME) return 1;
-    const limit = this.#limits.find((each) =>
+    return this.#find(service, key, now)?.share ?? 1;
+  }
+
+  /**
+   * Whether a request for `key` is admitted: by its `rank` if the limit has a
+   * threshold and the rank is not null, otherwise by `chance`, a random number
+   * in [0, 1).
+   */
+  admits(
+    service: string,
+    key: number,
+    chance: number,
+    rank: number | null,
+    now: number,
+  ): boolean {
+    const limit = this.#find(service, key, now);
+    if (limit === undefined) return true;
+    const { share, threshold } = limit;
+    return rank === null || threshold === undefined
+      ? chance < share
+      : rank < threshold;
+  }
+
+  /** Returns the limit in force on a key, or undefined. */
+  #find(service: string, key: number, now: number): KeyLimit | undefined {
+    if (this.age(now) > LIMIT_LIFETIME) return undefined;
+    return this.#limits.find((each) =>
       each.service === service && each.first <= key && key <= each.last
     );
-    return limit?.share ?? 1;
   }
 }
--- a/src/core/peers/follower_link.ts
+++ b/src/core/peers/follower_link.ts
@@ -35,6 +35,15 @@
  * interval.
  */
 const URGENT_REPORT_INTERVAL = 60;
+/**
+ * Minimum time between two reports while a service is above its capacity, in
+ * milliseconds, and the same per VM, which limits the reports per second that
+ * the holder receives. Admission is to follow a burst within 0.5 s.
+ */
+const BUSY_REPORT_INTERVAL = 200;
+const BUSY_REPORT_INTERVAL_PER_VM = 1.5;
+/** Time until the first of these reports, in milliseconds. */
+const FIRST_BUSY_REPORT_DELAY = 60;
 /** Number of VMs whose first reports a new holder can answer without delay. */
 const IMMEDIATE_REPORTS = 20;
 /**
@@ -129,6 +138,11 @@
   #reportedAt = -Infinity;
   #fetchedAt = -Infinity;
   #urgentReport: UrgentReport | null = null;
+  /**
+   * When the next report is due because a service is above its capacity, until
+   * when this counts, and the time between two reports; null otherwise.
+   */
+  #busyReport: { dueAt: number; until: number; interval: number } | null = null;
   /** Keys requested since the last report, by service. */
   readonly #samples = new Map<string, number[]>();
 
@@ -169,6 +183,7 @@
     const delayedVms = Math.max(0, (vmCount ?? 0) - IMMEDIATE_REPORTS);
     const spread = Math.min(REPORT_INTERVAL, delayedVms * REPORT_SPREAD_PER_VM);
     this.#reportedAt = now - REPORT_INTERVAL + spread * chance;
+    this.#busyReport = null;
     this.#followingSince = now;
   }
 
@@ -187,6 +202,22 @@
     };
   }
 
+  /**
+   * Makes reports more frequent for the time of a regular interval, because a
+   * service is above its capacity or seems to be.
+   */
+  hasten(vmCount: number | null, now: number): void {
+    const interval = Math.min(
+      REPORT_INTERVAL,
+      Math.max(
+        BUSY_REPORT_INTERVAL,
+        (vmCount ?? 0) * BUSY_REPORT_INTERVAL_PER_VM,
+      ),
+    );
+    const dueAt = this.#busyReport?.dueAt ?? now + FIRST_BUSY_REPORT_DELAY;
+    this.#busyReport = { dueAt, until: now + REPORT_INTERVAL, interval };
+  }
+
   /**
    * Whether the store data received from the holder is recent enough to replace
    * this VM's own reads of the store.
@@ -211,19 +242,23 @@
   /** Whether a report to the holder is due. */
   isReportDue(now: number): boolean {
     const interval = this.#urgentReport?.interval ?? REPORT_INTERVAL;
-    return now - this.#reportedAt >= interval;
+    return now - this.#reportedAt >= interval ||
+      now >= (this.#busyReport?.dueAt ?? Infinity);
   }
 
   /**
-   * When an urgent report or the first report to a new holder is due; Infinity
-   * if neither is.
+   * When an urgent report, one because of a busy service or the first report to
+   * a new holder is due; Infinity if none is.
    */
   nextAt(): number {
     if (this.#holder === null) return Infinity;
     const isFirst = this.#reportedAt < this.#followingSince;
     const interval = this.#urgentReport?.interval ??
       (isFirst ? REPORT_INTERVAL : Infinity);
-    return this.#reportedAt + interval;
+    return Math.min(
+      this.#reportedAt + interval,
+      this.#busyReport?.dueAt ?? Infinity,
+    );
   }
 
   /** Records that a key was requested. */
@@ -266,6 +301,11 @@
 
   #recordReport(now: number): void {
     this.#reportedAt = now;
+    const busy = this.#busyReport;
+    if (busy !== null) {
+      if (now > busy.until) this.#busyReport = null;
+      else busy.dueAt = now + busy.interval;
+    }
     const urgent = this.#urgentReport;
     if (urgent === null) return;
     if (urgent.sentAt === Infinity) urgent.sentAt = now;
--- a/src/core/peers/holder_link.ts
+++ b/src/core/peers/holder_link.ts
@@ -159,6 +159,27 @@
     return { kind: "peer.send", address, message };
   }
 
+  /**
+   * Returns messages with the state of overloaded servers and the servers that
+   * are leaving to all followers. Unlike an answer, they confirm no report.
+   */
+  publishOverload(
+    holderState: HolderState,
+    { limits, loads, rates, admissions }: OverloadState,
+    leaving: readonly LeavingServer[],
+  ): PeerSend[] {
+    return this.#sendToAll({
+      kind: "holder.alive",
+      ...holderState,
+      registry: null,
+      ...(limits.length > 0 ? { limits: [...limits] } : {}),
+      ...(loads.length > 0 ? { loads: [...loads] } : {}),
+      rates: [...rates],
+      ...(leaving.length > 0 ? { leaving: [...leaving] } : {}),
+      ...(admissions.length > 0 ? { admissions: [...admissions] } : {}),
+    });
+  }
+
   /** Returns a message with the active configuration to a follower. */
   sendConfiguration(
     address: string,
