Admission: queued requests of the start of a burst, earlier signs

Cause: until the first answers of a burst, queued requests of low priority took slots from urgent ones, and few VMs saw a full server. Change: a request that waits is checked again for an eighth of its target; a full server is one with as many waiting requests as slots, counting the one that it has just answered; the holder sends a changed threshold at once.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -90,7 +90,7 @@
  * Time in which the correction of a service within its capacity falls to a
  * third, in milliseconds.
  */
-const CORRECTION_LIFETIME = 2_000;
+const CORRECTION_LIFETIME = 1_000;
 /** Age up to which a server's load report counts, in milliseconds. */
 const LOAD_LIFETIME = 600;
 /**
@@ -149,15 +149,32 @@
   isLimited: boolean;
   /** When the limit began. */
   limitedSince: number;
-  /** Threshold that was last in {@linkcode AdmissionController.advance}. */
+  /** Whether VMs report more often because of the service. */
+  isWatched: boolean;
+  /** Threshold that was last logged; null without one. */
   announced: number | null;
 }
 
+function createControl(now: number): ServiceControl {
+  return {
+    correction: 1,
+    isLimited: false,
+    limitedSince: now,
+    isWatched: false,
+    announced: null,
+  };
+}
+
 /** Result of a calculation. */
 export interface AdmissionUpdate {
   admissions: readonly ServiceAdmission[];
-  /** Notable changes since the last calculation. */
+  /** Notable changes of thresholds since the last calculation. */
   changes: readonly AdmissionChange[];
+  /**
+   * Whether the followers need this before their next reports: a threshold has
+   * changed much, or they are to report more often.
+   */
+  isUrgent: boolean;
 }
 
 /** See the module's comment. Times are milliseconds of this VM's clock. */
@@ -212,6 +229,7 @@
     this.#demands = this.#smooth(this.#ledger.rates(now));
     const admissions: ServiceAdmission[] = [];
     const changes: AdmissionChange[] = [];
+    let isUrgent = false;
     const services = new Set([
       ...this.#demands.keys(),
       ...this.#controls.keys(),
@@ -220,7 +238,7 @@
     for (const service of services) {
       const capacity = measureCapacity(service, fleet, now);
       if (capacity === null || now - this.#startedAt < START_TIME) continue;
-      const { admission, change } = this.#control(
+      const { admission, change, isNewlyWatched } = this.#control(
         service,
         capacity,
         seconds,
@@ -228,10 +246,12 @@
       );
       if (admission !== null) admissions.push(admission);
       if (change !== null) changes.push(change);
+      isUrgent ||= change !== null || isNewlyWatched;
     }
     return {
       admissions: admissions.slice(0, MAXIMUM_SERVICE_ENTRIES),
       changes,
+      isUrgent,
     };
   }
 
@@ -250,9 +270,13 @@
     measured: ServiceCapacity,
     seconds: number,
     now: number,
-  ): { admission: ServiceAdmission | null; change: AdmissionChange | null } {
+  ): {
+    admission: ServiceAdmission | null;
+    change: AdmissionChange | null;
+    isNewlyWatched: boolean;
+  } {
     const control = this.#controls.get(service) ??
-      { correction: 1, isLimited: false, limitedSince: now, announced: null };
+      createControl(now);
     this.#controls.set(service, control);
     const demands = this.#demands.get(service) ?? [];
     const offered = total(demands);
@@ -265,26 +289,30 @@
       backlog * 1_000 / BACKLOG_TIME,
     );
     const limit = control.isLimited ? LIMIT_END : LIMIT_START;
-    const wasLimited = control.isLimited;
-    control.isLimited = offered > limit * rate &&
-      (wasLimited || !isDisproved(offered, rate, measured));
+    const { isLimited: wasLimited, isWatched: wasWatched } = control;
+    const isCredible = wasLimited || !isDisproved(offered, rate, measured);
+    // After a burst, a correction that is too low must not keep the limit.
+    const hasEnded = offered < LIMIT_END * measured.rate &&
+      waiting < USUAL_WAITING / 2;
+    control.isLimited = offered > limit * rate && isCredible && !hasEnded;
     if (!wasLimited) control.limitedSince = now;
     // What is reserved for waiting requests is not taken from the most urgent
     // ones: they would be refused for the sake of less urgent ones.
     const target = rate * TARGET_UTILIZATION;
-    const mostUrgent = Math.min(target, mostUrgentRate(demands));
+    const mostUrgent = Math.min(rate, mostUrgentRate(demands));
     const threshold = control.isLimited
       ? thresholdFor(demands, Math.max(mostUrgent, target - reserved))
       : null;
     const wait = Math.round(waiting * measured.latency);
-    const isWatched = control.isLimited || offered > WATCH_START * rate ||
-      waiting > NOTABLE_WAITING;
-    const admission = isWatched
+    control.isWatched = control.isLimited || waiting > NOTABLE_WAITING ||
+      (offered > WATCH_START * rate && isCredible);
+    const isNewlyWatched = control.isWatched && !wasWatched;
+    const admission = control.isWatched
       ? { service, ...(threshold === null ? {} : { threshold }), wait }
       : null;
     const isChanged = (threshold === null) !== (control.announced === null) ||
       Math.abs((threshold ?? 0) - (control.announced ?? 0)) >= NOTABLE_CHANGE;
-    if (!isChanged) return { admission, change: null };
+    if (!isChanged) return { admission, change: null, isNewlyWatched };
     control.announced = threshold;
     const change = {
       service,
@@ -293,7 +321,7 @@
       capacity: Math.round(rate),
       wait,
     };
-    return { admission, change };
+    return { admission, change, isNewlyWatched };
   }
 
   /** Corrects the capacity of a service by the load of its servers. */
--- a/src/core/admission/admission_load_test.ts
+++ b/src/core/admission/admission_load_test.ts
@@ -13,7 +13,11 @@
 import { FollowerLink, NO_SERVER_REPORTS } from "../peers/index.ts";
 import { createUniformGenerator } from "../random.ts";
 import { AdmissionController } from "./admission_controller.ts";
-import { AdmissionPolicy } from "./admission_policy.ts";
+import {
+  AdmissionPolicy,
+  type AdmissionRequest,
+  isFull,
+} from "./admission_policy.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { requestRank } from "./request_rank.ts";
 
@@ -53,6 +57,7 @@
   arrivedAt: number;
   waitEnd: number;
   vm: number;
+  described: AdmissionRequest;
 }
 
 const URGENT: Pick<Pattern, "work" | "target" | "timeout"> = {
@@ -140,7 +145,7 @@
     const tracked = nodes[vm].fleet.get(id)!;
     tracked.started(0, now);
     tracked.refused(0, now, load);
-    if (load.waiting >= SLOTS) nodes[vm].policy.overloadSeen(now);
+    if (isFull(load)) nodes[vm].policy.overloadSeen(now);
   };
   const arrive = (priority: number, vm: number, now: number) => {
     const { policy, meter, fleet, queue, isOlder } = nodes[vm];
@@ -164,8 +169,10 @@
       return;
     }
     const waitEnd = policy.waitEnd(described, work, now) ?? now + 0.22 * target;
-    const request = { priority, arrivedAt: now, waitEnd, vm };
-    if (!place(request, now)) queue.push(request);
+    const request = { priority, arrivedAt: now, waitEnd, vm, described };
+    if (place(request, now)) return;
+    queue.push(request);
+    policy.overloadSeen(now);
   };
   for (let now = 0; now < burstEnd + TAIL; now += STEP) {
     for (const server of servers) {
@@ -194,9 +201,19 @@
       arrive(priority, Math.floor(draw() * vms), now);
     }
     for (const { queue, isOlder, fleet, link, meter, policy } of nodes) {
+      for (const request of [...queue]) {
+        const isRecent = now - request.arrivedAt <= target / 8;
+        if (!isRecent || isOlder) continue;
+        if (policy.check(request.described, work, now) === null) continue;
+        queue.splice(queue.indexOf(request), 1);
+        result.denied += 1;
+      }
       queue.sort((a, b) => a.priority - b.priority);
       while (queue.length > 0 && place(queue[0], now)) queue.shift();
       for (const request of queue.filter(({ waitEnd }) => now >= waitEnd)) {
+        const end = policy.waitEnd(request.described, work, now) ?? 0;
+        request.waitEnd = Math.max(request.waitEnd, end);
+        if (now < request.waitEnd) continue;
         queue.splice(queue.indexOf(request), 1);
         const isHeld = now - request.arrivedAt > target / 8;
         if (isHeld) result.longHeld += 1;
@@ -227,7 +244,7 @@
       result.lastThresholdAt = now;
     }
     result.changes += update.changes.length;
-    if (update.changes.length === 0 || isSilent(pattern, now)) continue;
+    if (!update.isUrgent || isSilent(pattern, now)) continue;
     for (const { policy } of nodes) policy.replace(admissions, now);
   }
   return {
--- a/src/core/admission/admission_policy.ts
+++ b/src/core/admission/admission_policy.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+import type { ReportedLoad } from "../fleet/index.ts";
 import type { ServiceAdmission } from "../peers/peer_message.ts";
 
 /** Time for which an answer counts, in milliseconds. */
@@ -51,6 +52,15 @@
   count: number;
 }
 
+/**
+ * Whether a server that states this load with a response is full: as many
+ * requests wait there as it has slots. The request of the response counts too,
+ * since VMs send no further ones to a server with as many.
+ */
+export function isFull({ running, waiting, slots }: ReportedLoad): boolean {
+  return running + waiting + 1 >= 2 * slots;
+}
+
 /** See the module's comment. Times are milliseconds of this VM's clock. */
 export class AdmissionPolicy {
   #admissions = new Map<string, ServiceAdmission>();
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -21,6 +21,12 @@
 /** Reason given when this VM has no path to any server. */
 const CUT_OFF = "no backend server can be reached from this VM";
 
+/**
+ * Longest time for which a request is queued and then refused because it is not
+ * admitted, as a share of its target latency.
+ */
+const HELD_SHARE = 1 / 8;
+
 /** Whether and where a request can be sent now. */
 export type DispatchPlan =
   | { kind: "server"; server: TrackedServer }
@@ -165,6 +171,22 @@
     return isPermitted ? null : { kind: "unadmitted", denial };
   }
 
+  /**
+   * Decides the same for a request that has been queued since its arrival: one
+   * of the start of a burst would otherwise take a slot from a more urgent one.
+   * It is not refused if it has waited for long, or may have reached a server.
+   */
+  planQueued(
+    request: PendingRequest,
+    now: number,
+  ): DispatchPlan & { kind: "unadmitted" } | null {
+    const { arrivedAt, route, sentCount, mayHaveRun } = request;
+    const isRecent = now - arrivedAt <= route.targetLatency * HELD_SHARE;
+    return isRecent && sentCount === 0 && !mayHaveRun
+      ? this.planArrival(request, now)
+      : null;
+  }
+
   /** Extends the wait limit of a request that an admission in force permits. */
   extendWait(request: PendingRequest, now: number): void {
     const { admission, features, fleet } = this.context;
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -310,7 +310,8 @@
     ) {
       this.#refuseOrFail(request, plan.reason, now);
     } else {
-      const { reason } = plan;
+      const { reason, isTransient } = plan;
+      if (!isTransient) this.context.admission.overloadSeen(now);
       this.#log.defer("request.waits", request, now, {
         reason,
         ahead: queue.length,
@@ -678,6 +679,11 @@
     let isAtCapacity = false;
     const stillQueued: PendingRequest[] = [];
     for (const request of [...queue]) {
+      const denied = this.#planner.planQueued(request, now);
+      if (denied !== null) {
+        this.#refuseUnsent(request, denied, now);
+        continue;
+      }
       const { fingerprint } = request.arrival;
       const isQuarantined =
         this.context.quarantine.quarantinedRequest(fingerprint, now) !== null;
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { isFull } from "../admission/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect, LogLine } from "./dispatch_effect.ts";
@@ -366,13 +367,13 @@
 }
 
 /**
- * Whether a response shows that its server is full: as many requests wait there
- * as it has slots, or it refused a request without free slots. A server that
- * refuses although it states free slots is not full.
+ * Whether a response shows that its server is full: by the load that it states,
+ * or since it refused a request. A server that refuses although it states free
+ * slots is not full.
  */
 function showsFullServer({ status, isNotRun, statement }: ServerResponse) {
   const { load, backoff } = statement;
-  if (load !== null && load.waiting >= load.slots) return true;
+  if (load !== null && isFull(load)) return true;
   const isRefusal = isNotRun && status !== MISDIRECTED && backoff === null;
   if (!isRefusal) return false;
   return load === null || load.running + load.waiting >= load.slots;
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -84,8 +84,7 @@
 
   /**
    * Repeats the calculation of the admissions if it is due, and applies them on
-   * this VM. Returns true if a threshold has changed so much that the followers
-   * need it before their next reports.
+   * this VM. Returns true if the followers need them before their next reports.
    */
   advanceAdmissions(holder: TermHolder, now: number): boolean {
     const { admission, demand, features, fleet } = this.clusterState;
@@ -101,7 +100,7 @@
     this.#current = { ...this.#current, admissions };
     admission.replace(admissions, now);
     this.#logAdmissions(update);
-    return update.changes.length > 0;
+    return update.isUrgent;
   }
 
   #logAdmissions({ changes }: AdmissionUpdate): void {
