Metrics: gauges of admission by priority as a function with a test

Cause: the gauges were built in the process, where no test reaches them. Change: admissionGauges in the module of admission; entry_process.ts calls it.

--- a/src/core/admission/admission_policy_test.ts
+++ b/src/core/admission/admission_policy_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { admissionGauges } from "./admission_gauges.ts";
 import { AdmissionPolicy, isFull } from "./admission_policy.ts";
 
 const REQUEST = {
@@ -48,3 +49,22 @@
   t.true(policy.isBusy(1_500));
   t.false(policy.isBusy(1_501));
 });
+
+// Guards against a threshold that is shown after it has expired.
+test("admission gauges: thresholds in force and requests that were not admitted", (t) => {
+  const policy = AdmissionPolicy.create();
+  policy.replace([
+    { service: "s", threshold: 1.4, wait: 50 },
+    { service: "other", wait: 50 },
+  ], 0);
+  policy.denied("s", 2);
+  policy.denied("s", 2);
+  const denials = {
+    'requests_not_admitted_total{service="s",priority="2"}': 2,
+  };
+  t.deepEqual(admissionGauges(policy, 1_200), {
+    'admission_threshold{service="s"}': 1.4,
+    ...denials,
+  });
+  t.deepEqual(admissionGauges(policy, 1_201), denials);
+});
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,4 +1,5 @@
 export * from "./admission_controller.ts";
+export * from "./admission_gauges.ts";
 export * from "./admission_policy.ts";
 export * from "./demand_ledger.ts";
 export * from "./demand_meter.ts";
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Writable } from "node:stream";
+import { admissionGauges } from "../core/admission/index.ts";
 import { Entry } from "../core/entry.ts";
 import { describeEntry, type EntryStatus } from "../core/entry_status.ts";
 import { capHoldTimes, fitnessOf } from "../core/keyspace/index.ts";
@@ -327,16 +328,6 @@
     [`peer_bytes_sent_total{kind="${kind}"}`, bytes] as const
   );
   const { user, system } = process.cpuUsage();
-  const { admission } = entry.clusterState;
-  const thresholds = admission.current(monotonicNow()).flatMap((each) =>
-    each.threshold === undefined
-      ? []
-      : [[`admission_threshold{service="${each.service}"}`, each.threshold]]
-  );
-  const denials = admission.denials.map(({ service, priority, count }) => [
-    `requests_not_admitted_total{service="${service}",priority="${priority}"}`,
-    count,
-  ]);
   return {
     configuration_version: entry.clusterState.catalog.version,
     configuration_version_named: entry.clusterState.namedVersions.newest,
@@ -358,7 +349,6 @@
     peer_bytes_received_total: traffic.bytesReceived,
     peer_messages_dropped_total: traffic.dropped,
     ...Object.fromEntries(bytesByKind),
-    ...Object.fromEntries(thresholds),
-    ...Object.fromEntries(denials),
+    ...admissionGauges(entry.clusterState.admission, monotonicNow()),
   };
 }
