--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { DemandMeter } from "../admission/index.ts";
+import type { AdmissionPolicy, DemandMeter } from "../admission/index.ts";
 import type { Catalog } from "../catalog/index.ts";
 import type { Fleet, ServerStatement, TrackedServer } from "../fleet/index.ts";
 import type { KeyDirectory, KeyLimits } from "../keyspace/index.ts";
@@ -35,6 +35,8 @@
   demand: DemandMeter;
   /** Decides when refused callers return, with `schedulesReturns`. */
   returns: ReturnPolicy;
+  /** Which requests of services above their capacity are admitted. */
+  admission: AdmissionPolicy;
   /** Optional behaviour of this VM. */
   features: Features;
   /** Availability zone of this VM. */
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -5,6 +5,10 @@
  *
  * @module
  */
+import {
+  AdmissionController,
+  type AdmissionUpdate,
+} from "../admission/index.ts";
 import type { ClusterState } from "../cluster_state.ts";
 import {
   DEMAND_WINDOW,
@@ -14,7 +18,11 @@
   type ServerOverload,
   type TermHolder,
 } from "../keyspace/index.ts";
-import { MAXIMUM_RATE_LIMITS, type OverloadState } from "../peers/index.ts";
+import {
+  MAXIMUM_RATE_LIMITS,
+  type OverloadState,
+  type PriorityDemand,
+} from "../peers/index.ts";
 
 /**
  * Time between two checks, in milliseconds: half of the time between two
@@ -27,6 +35,11 @@
  * receive its load.
  */
 const LOAD_THRESHOLD = 2;
+/**
+ * Factor by which the share that a limit on keys admits must be below that of
+ * the service for the limit to count besides it.
+ */
+const COMMON_SHARE_FACTOR = 1.4;
 /** Maximum number of server loads in one answer; bounds its size. */
 const MAXIMUM_LOADS = 64;
 
@@ -39,6 +52,7 @@
     admissions: [],
   };
   #checkedAt = -Infinity;
+  readonly #controller = AdmissionController.create();
 
   private constructor(
     private readonly clusterState: ClusterState,
@@ -55,6 +69,48 @@
     return this.#current;
   }
 
+  /**
+   * Records the demand that the VM at `address` has reported at `sentAt` of its
+   * own clock.
+   */
+  demandReported(
+    address: string,
+    demand: readonly PriorityDemand[],
+    sentAt: number,
+    now: number,
+  ): void {
+    if (!this.clusterState.features.admitsByPriority) return;
+    this.#controller.reported(address, demand, sentAt, now);
+  }
+
+  /** Requests per second that the servers of each service can run. */
+  get capacities(): ReadonlyMap<string, number> {
+    return this.#controller.capacities;
+  }
+
+  /**
+   * Repeats the calculation of the admissions if it is due, and applies them on
+   * this VM. Returns true if the followers need them before their next reports.
+   */
+  advanceAdmissions(holder: TermHolder, now: number): boolean {
+    const { admission, features, fleet } = this.clusterState;
+    if (!features.admitsByPriority) return false;
+    this.#controller.startTerm(holder.term, now);
+    const update = this.#controller.advance(fleet, now);
+    if (update === null) return false;
+    const { admissions } = update;
+    this.#current = { ...this.#current, admissions };
+    admission.replace(admissions, now);
+    this.#logAdmissions(update);
+    return update.isUrgent;
+  }
+
+  #logAdmissions({ changes }: AdmissionUpdate): void {
+    for (const change of changes) {
+      this.clusterState.logDecision("admission.changed", { ...change });
+    }
+  }
+
   /**
    * Repeats the check if it is due, and applies the resulting limits on this
    * VM. The followers receive them with the holder's answers.
@@ -70,17 +126,50 @@
       return findOverloads(service, ranges, keys, DEMAND_WINDOW, fleet, now)
         .filter((each) => this.#isConfirmed(each, now));
     });
-    const limits = overloads.flatMap((each) => each.limits);
+    const limits = overloads.flatMap((each) => each.limits)
+      .map((limit) => this.#withThreshold(limit));
     const loads = services.flatMap((service) =>
       this.#loadsAtCapacity(service, now)
     )
       .slice(0, MAXIMUM_LOADS);
     this.#logChanges(overloads, limits, now);
     const rates = fleet.reportedRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS);
-    this.#current = { limits, loads, rates, admissions: [] };
+    const { admissions } = this.#current;
+    this.#current = { limits, loads, rates, admissions };
     keyLimits.replace(limits, now);
   }
 
+  /**
+   * Adds the threshold that admits the share of a limit, if this VM admits by
+   * priority. The keys are assumed to have the priorities of their service.
+   *
+   * While the service is limited, so are nearly all of its servers, since keys
+   * count when they are requested. Only servers with clearly more demand than
+   * the others get a lower threshold: the shares of the others differ at random,
+   * and the lower of two thresholds would leave slots free at each of them.
+   */
+  #withThreshold(limit: KeyLimit): KeyLimit {
+    if (!this.clusterState.features.admitsByPriority) return limit;
+    const { service, share } = limit;
+    const threshold = this.#controller.thresholdOfShare(service, share);
+    if (threshold === null) return limit;
+    const admission = this.#current.admissions.find((each) =>
+      each.service === service
+    );
+    const common = admission?.threshold ?? Infinity;
+    const raised = this.#controller.thresholdOfShare(
+      service,
+      share * COMMON_SHARE_FACTOR,
+    );
+    const isCommon = raised === null || raised >= common;
+    return {
+      ...limit,
+      threshold: isCommon && common < Infinity
+        ? Math.max(threshold, common)
+        : threshold,
+    };
+  }
+
   /**
    * Whether a server's overload is to be limited. The capacity follows from a
    * latency that VMs measure, and the demand from requests that may have waited
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -28,7 +28,7 @@
   type ServiceAdmission,
 } from "../peers/index.ts";
 import type { RegistryUpdate } from "../registry/index.ts";
-import { ReturnPlanner, serviceCapacity } from "../returns/index.ts";
+import { ReturnPlanner } from "../returns/index.ts";
 import type { RelayRoster } from "../reach/index.ts";
 import type { StoreHealth } from "../store_health.ts";
 
@@ -50,15 +50,11 @@
 
 /**
  * Time between two records of the requests that this VM has received itself, in
- * milliseconds: the report interval of the followers.
+ * milliseconds: that between the reports of the followers during an overload.
  */
-const OWN_DEMAND_INTERVAL = 500;
-
-/**
- * Time for which the computed capacities of the services are used, in
- * milliseconds. The holder steps at each of its requests and messages.
- */
-const CAPACITY_LIFETIME = 100;
+const OWN_DEMAND_INTERVAL = 200;
+/** Name of this VM in the demand of all VMs. */
+const OWN_NAME = "";
 
 /** A published version of the assignments. */
 interface PublishedVersion {
@@ -75,6 +71,9 @@
   /** Term and version of the assignments that were last published. */
   #published = { term: 0, version: 0 };
   #publishedAt = -Infinity;
+  /** Whether the followers lack a change of a threshold. */
+  #areAdmissionsDue = false;
+  #admissionsSentAt = -Infinity;
   /** The current term, and when it started. */
   #term = 0;
   #termStartedAt = Infinity;
@@ -101,8 +100,6 @@
 
   readonly #returnPlanner: ReturnPlanner;
   #ownDemandAt = -Infinity;
-  /** Requests per second that the servers of each service can run. */
-  #capacities = { values: new Map<string, number>(), at: -Infinity };
 
   private constructor(
     private readonly clusterState: ClusterState,
@@ -173,6 +170,7 @@
     this.#recordOwnDemand(now);
     this.#publishRegistry();
     this.#overload.advance(holder, now);
+    this.#publishAdmissions(holder, now);
     if (!this.#isCurrent(holder)) this.clusterState.assign(holder.assignments);
     const isDue = now >= this.#publishedAt + this.#link.publishInterval;
     if (isDue) this.#publish(holder, now);
@@ -190,7 +188,7 @@
       for (const key of keys) this.loads.of(service).record(key, now);
     }
     this.#recordLatencies(address, report, now);
-    this.#observeDemand(report.demand ?? [], now);
+    this.#recordDemand(address, report.demand ?? [], report.sentAt, now);
     this.clusterState.applyPeerRates(report.rates ?? [], now);
     this.clusterState.applyPeerLeaving(report.leaving ?? [], now);
     fleet.applyPeerRefusals(report.refusing ?? [], now);
@@ -227,30 +225,32 @@
 
   /** Which requests of overloaded services all VMs admit, and their returns. */
   admissions(now: number): readonly ServiceAdmission[] {
-    const { catalog, features, fleet } = this.clusterState;
     const { admissions } = this.#overload.current;
-    if (!features.schedulesReturns) return admissions;
-    if (now - this.#capacities.at >= CAPACITY_LIFETIME) {
-      const values = catalog.serviceNames.map((name) =>
-        [name, serviceCapacity(fleet, name, now)] as const
-      );
-      this.#capacities = { values: new Map(values), at: now };
-    }
+    if (!this.clusterState.features.schedulesReturns) return admissions;
     return this.#returnPlanner
-      .addWindows(admissions, this.#capacities.values, now);
+      .addWindows(admissions, this.#overload.capacities, now);
   }
 
   /** Records the requests that this VM has received itself, when it is due. */
   #recordOwnDemand(now: number): void {
     const { demand, features } = this.clusterState;
-    if (!features.schedulesReturns) return;
+    if (!features.admitsByPriority) return;
     if (now - this.#ownDemandAt < OWN_DEMAND_INTERVAL) return;
     this.#ownDemandAt = now;
-    this.#observeDemand(demand.take(), now);
+    this.#recordDemand(OWN_NAME, demand.take(), now, now);
   }
 
-  /** Passes the demand at one VM to the planner of returns. */
-  #observeDemand(demand: readonly PriorityDemand[], now: number): void {
+  /**
+   * Records the demand at one VM, sent at `sentAt` of its clock, for the
+   * admission and the planned returns.
+   */
+  #recordDemand(
+    address: string,
+    demand: readonly PriorityDemand[],
+    sentAt: number,
+    now: number,
+  ): void {
+    this.#overload.demandReported(address, demand, sentAt, now);
     if (!this.clusterState.features.schedulesReturns) return;
     for (const { service, priority, ...counts } of demand) {
       this.#returnPlanner.observe(service, priority, counts, now);
@@ -381,6 +381,28 @@
     return { since: version, assignments: holder.changesSince(revisions) };
   }
 
+  /**
+   * Sends the state of overloaded servers to all followers if a threshold has
+   * changed much. With their next reports, they would receive it up to 0.5 s
+   * later.
+   */
+  #publishAdmissions(holder: TermHolder, now: number): void {
+    if (this.#overload.advanceAdmissions(holder, now)) {
+      this.#areAdmissionsDue = true;
+    }
+    const isDue = now >= this.#admissionsSentAt + this.#link.publishInterval;
+    if (!this.#areAdmissionsDue || !isDue) return;
+    this.#areAdmissionsDue = false;
+    this.#admissionsSentAt = now;
+    this.emit(
+      ...this.#link.publishOverload(
+        this.#holderState(now),
+        { ...this.#overload.current, admissions: this.admissions(now) },
+        this.clusterState.fleet.stated.leaving(),
+      ),
+    );
+  }
+
   #publishRegistry(): void {
     const { registry } = this.clusterState;
     const since = this.#publishedPosition;
--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -179,8 +179,9 @@
   }
 
   /**
-   * Adds the windows of overloaded services to their admissions. `capacities`
-   * has the requests per second that the servers of each service run.
+   * Adds the windows of services with a threshold to their admissions: callers
+   * of the others are refused for other reasons. `capacities` has the requests
+   * per second that the servers of each service run.
    */
   addWindows(
     admissions: readonly ServiceAdmission[],
@@ -190,8 +191,8 @@
     const complete = new Map(admissions.map((each) => [each.service, each]));
     for (const [service, capacity] of capacities) {
       const returns = this.plan(service, capacity, now);
-      if (returns === null) continue;
-      const admission = complete.get(service) ?? { service, wait: 0 };
+      const admission = complete.get(service);
+      if (returns === null || admission?.threshold === undefined) continue;
       complete.set(service, { ...admission, returns });
     }
     return [...complete.values()];
