Admission: targets decide how long requests may wait; capacity is not taken from waits

Causes, from the log of all VMs: - First attempts on connections with pipelined requests state up to 0.15 less time, and counted as returns: with more returns than capacity all requests were admitted or none. A return has less than 0.82 of the longest timeout now. - Latencies include the wait at busy servers, so the capacity fell from 157 to 52 requests a second while all slots were in use. While requests wait, it counts at least 0.85 of what it was before. - The excess was refused as soon as it exceeded the capacity, although the target left seconds to wait. Requests may now wait half of the time between latency and target (at most 1.5 latencies), and VMs send a server up to three requests a slot while its service is limited. - Without a known end of the overload, callers whose returns do not fit the forecast were told not to return; they return late now.

--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -71,6 +71,30 @@
  * bounds the effect of a backlog that remains after a burst.
  */
 const MAXIMUM_BACKLOG_SHARE = 0.25;
+/**
+ * Share of the time between a latency and the target that admitted requests may
+ * wait for a slot. The rest is left for the variation of work and servers.
+ */
+const WAIT_SHARE = 0.5;
+/**
+ * Maximum time of that wait, in multiples of the latency: VMs send a server no
+ * more requests than that while the service is limited.
+ */
+const MAXIMUM_WAIT_FACTOR = 1.5;
+/**
+ * Maximum rate above the capacity that is admitted while requests may wait
+ * longer, as a share of the capacity.
+ */
+const MAXIMUM_FILL_SHARE = 0.5;
+/** Share of the demand from which the target of a priority counts. */
+const NOTABLE_DEMAND_SHARE = 0.05;
+/**
+ * Lowest capacity of a service while its requests wait, as a share of that when
+ * few waited. Latencies that are measured then include the wait at the server.
+ */
+const MINIMUM_BUSY_SHARE = 0.85;
+/** Weight of a capacity in the moving average while few requests wait. */
+const CALM_WEIGHT = 0.1;
 /** Share of used slots below which most servers have free slots. */
 const FULL_UTILIZATION = 0.88;
 /**
@@ -164,6 +188,8 @@
   isWatched: boolean;
   /** Threshold that was last logged; null without one. */
   announced: number | null;
+  /** Requests per second and slot while few wait; null if unknown. */
+  calmRate: number | null;
 }
 
 function createControl(now: number): ServiceControl {
@@ -175,6 +201,7 @@
     lastCalmAt: now,
     isWatched: false,
     announced: null,
+    calmRate: null,
   };
 }
 
@@ -200,11 +227,21 @@
   #startedAt = -Infinity;
   #calculatedAt = -Infinity;
 
-  private constructor() {}
+  private constructor(
+    private readonly target: (service: string, priority: number) =>
+      | number
+      | null,
+  ) {}
 
-  /** Creates a controller that knows no demand. */
-  static create(): AdmissionController {
-    return new AdmissionController();
+  /**
+   * Creates a controller that knows no demand. `target` returns the shortest
+   * target latency of a service's requests of a priority in milliseconds, or
+   * null. Without targets, requests are not to wait.
+   */
+  static create(
+    target: (service: string, priority: number) => number | null = () => null,
+  ): AdmissionController {
+    return new AdmissionController(target);
   }
 
   /** Requests per second that the servers of each service can run. */
@@ -300,15 +337,21 @@
     this.#controls.set(service, control);
     const demands = this.#demands.get(service) ?? [];
     const offered = total(demands);
-    this.#correct(control, measured, seconds, now);
-    const rate = measured.rate * control.correction;
-    this.#capacities.set(service, rate);
     const waiting = measured.waiting ?? 0;
-    const backlog = Math.max(0, waiting - USUAL_WAITING) * measured.slots;
+    const allowed = this.#allowedWaiting(service, demands, measured.latency);
+    this.#correct(control, measured, allowed, seconds, now);
+    const rate = stableRate(control, measured) * control.correction;
+    this.#capacities.set(service, rate);
+    const usual = Math.max(USUAL_WAITING, allowed);
+    const backlog = Math.max(0, waiting - usual) * measured.slots;
     const reserved = Math.min(
       rate * MAXIMUM_BACKLOG_SHARE,
       backlog * 1_000 / BACKLOG_TIME,
     );
+    const fill = Math.min(
+      rate * MAXIMUM_FILL_SHARE,
+      Math.max(0, allowed - waiting) * measured.slots * 1_000 / BACKLOG_TIME,
+    );
     const limit = control.isLimited
       ? LIMIT_END
       : LIMIT_START + restartMargin(control.limitedAt, offered, now);
@@ -322,7 +365,7 @@
     if (control.isLimited) control.limitedAt = now;
     // What is reserved for waiting requests is not taken from the most urgent
     // ones: they would be refused for the sake of less urgent ones.
-    const target = rate * TARGET_UTILIZATION;
+    const target = rate * TARGET_UTILIZATION + fill;
     const mostUrgent = Math.min(rate, mostUrgentRate(demands));
     const threshold = control.isLimited
       ? thresholdFor(demands, Math.max(mostUrgent, target - reserved))
@@ -352,19 +395,22 @@
   #correct(
     control: ServiceControl,
     { waiting, utilization }: ServiceCapacity,
+    allowed: number,
     seconds: number,
     now: number,
   ): void {
     if (waiting === null || utilization === null) return;
     const isFull = utilization >= FULL_UTILIZATION;
-    if (waiting < NOTABLE_WAITING || !isFull) control.lastCalmAt = now;
+    const notable = Math.max(NOTABLE_WAITING, allowed);
+    if (waiting < notable || !isFull) control.lastCalmAt = now;
     // Without a limit, free slots do not show a wrong capacity: demand is low.
     if (!control.isLimited && control.lastCalmAt === now) {
       const share = Math.min(1, seconds * 1_000 / CORRECTION_LIFETIME);
       control.correction += share * (1 - control.correction);
       return;
     }
-    const excess = Math.min(1, waiting) - USUAL_WAITING;
+    const usual = Math.max(USUAL_WAITING, allowed);
+    const excess = Math.min(usual + 1 - USUAL_WAITING, waiting) - usual;
     const calmAt = control.isLimited
       ? control.limitedSince
       : control.lastCalmAt;
@@ -382,6 +428,28 @@
     );
   }
 
+  /**
+   * Returns how many requests may wait for each slot of a service: as many as
+   * the shortest target of those that it receives permits.
+   */
+  #allowedWaiting(
+    service: string,
+    demands: readonly RankedDemand[],
+    latency: number,
+  ): number {
+    const offered = total(demands);
+    let allowed = Infinity;
+    for (const { priority, arrived } of demands) {
+      if (arrived < offered * NOTABLE_DEMAND_SHARE) continue;
+      const target = this.target(service, priority);
+      if (target === null) return 0;
+      allowed = Math.min(allowed, WAIT_SHARE * (target / latency - 1));
+    }
+    return allowed === Infinity
+      ? 0
+      : Math.min(MAXIMUM_WAIT_FACTOR, Math.max(0, allowed));
+  }
+
   /**
    * Returns the rates of all services with small changes smoothed; see
    * {@linkcode SIGNIFICANCE}.
@@ -441,6 +509,23 @@
   };
 }
 
+/**
+ * Returns the requests per second that a service can run: the measured rate, but
+ * while requests wait not much less than before.
+ */
+function stableRate(
+  control: ServiceControl,
+  { rate, slots, waiting }: ServiceCapacity,
+): number {
+  const perSlot = rate / slots;
+  if (waiting === null || waiting < USUAL_WAITING) {
+    const last = control.calmRate ?? perSlot;
+    control.calmRate = last + CALM_WEIGHT * (perSlot - last);
+  }
+  const lowest = MINIMUM_BUSY_SHARE * (control.calmRate ?? 0) * slots;
+  return Math.max(rate, lowest);
+}
+
 /** Returns the moving average of a demand, or the demand if it differs much. */
 function smoothedDemand(
   last: RankedDemand,
--- a/src/core/admission/admission_policy.ts
+++ b/src/core/admission/admission_policy.ts
@@ -98,6 +98,11 @@
     return now - this.#signAt <= SIGN_LIFETIME || this.current(now).length > 0;
   }
 
+  /** Whether an admission of a service is in force. */
+  isLimited(service: string, now: number): boolean {
+    return this.#of(service, now) !== null;
+  }
+
   /**
    * Decides whether a request is admitted; null if it is. `meanLatency` is that
    * of the service's servers.
--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -115,6 +115,20 @@
     return Math.min(...routes.map((each) => each.timeout));
   }
 
+  /**
+   * Shortest target latency of the routes of a priority to `service`, in
+   * milliseconds; null without such a route.
+   */
+  shortestTarget(service: string, priority: number): number | null {
+    const targets = (this.#configuration?.routes ?? []).flatMap((each) =>
+      each.priority === priority && each.targetLatency > 0 &&
+        each.destinations.some((other) => other.service === service)
+        ? [each.targetLatency]
+        : []
+    );
+    return targets.length === 0 ? null : Math.min(...targets);
+  }
+
   /**
    * Whether `route` has the most urgent priority among the routes to `service`.
    */
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -12,7 +12,11 @@
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { RangeBackoff } from "./range_backoff.ts";
 import type { PendingRequest } from "./request.ts";
-import { chooseServer, hasCapacity } from "./server_choice.ts";
+import {
+  chooseServer,
+  hasCapacity,
+  requestsPerSlotAbove,
+} from "./server_choice.ts";
 
 /** Reason given when a request has reached its crash limit. */
 const CRASH_LIMIT_REACHED = "backend servers have ended under this request, " +
@@ -213,6 +217,21 @@
     if (end !== null) request.waitEnd = Math.max(request.waitEnd, end);
   }
 
+  /**
+   * Maximum number of requests per slot of a server while the request's service
+   * is above its capacity; undefined for the usual one.
+   */
+  #requestsPerSlot(
+    { service, route }: PendingRequest,
+    now: number,
+  ): number | undefined {
+    const { admission, features, fleet } = this.context;
+    if (!features.admitsByPriority) return undefined;
+    if (!admission.isLimited(service, now)) return undefined;
+    const latency = fleet.meanLatency(service, now);
+    return requestsPerSlotAbove(latency, route.targetLatency);
+  }
+
   /** Servers that can run a request: the owner of its key, or all. */
   #possibleServers({ service, key }: PendingRequest): readonly TrackedServer[] {
     const { fleet, directory } = this.context;
@@ -251,6 +270,7 @@
       tokens,
       paths,
       isUrgent,
+      requestsPerSlot: this.#requestsPerSlot(request, now),
       draw,
     };
     const server = this.#sharedServer(request, now) ??
@@ -385,7 +405,8 @@
     if (now > fleet.drainPolicy.keysServedUntil(server)) {
       return transientWait("the key's server is leaving");
     }
-    if (!hasCapacity(server, now, this.#vmCount)) {
+    const requestsPerSlot = this.#requestsPerSlot(request, now);
+    if (!hasCapacity(server, now, this.#vmCount, requestsPerSlot)) {
       return capacityWait("the key's server has no room");
     }
     return this.#checkRateLimit(request, server, now);
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -48,6 +48,13 @@
  * than the longest timeout of its route by at most this share of the longest.
  */
 const FIRST_ATTEMPT_TOLERANCE = 0.05;
+/**
+ * A request counts as the return of a refused caller if its timeout is below
+ * this share of the longest one of its route. Callers whose requests wait for
+ * others on their connection state up to 0.15 less with the first attempt, and
+ * planned returns come after a fifth of the time or more.
+ */
+const RETURN_SHARE = 0.82;
 /**
  * Maximum random reduction of a delay, as a share of it, so that callers that
  * were refused together do not retry together.
@@ -190,8 +197,9 @@
   }
 
   /** Whether a request seems to be the retry of a caller that was refused. */
-  isReturn(request: PendingRequest): boolean {
-    return request.arrival.timeout !== null && !this.#isFirstAttempt(request);
+  isReturn({ arrival, route }: PendingRequest): boolean {
+    const longest = this.#longestTimeouts.get(route.name) ?? 0;
+    return arrival.timeout !== null && arrival.timeout < longest * RETURN_SHARE;
   }
 
   /**
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -14,6 +14,14 @@
  * server's own queue never fills.
  */
 const REQUESTS_PER_SLOT = 2;
+/**
+ * Maximum of the same while the service is above its capacity and the target
+ * permits longer waits. Servers queue four requests per slot or more, but a load
+ * that VMs do not know of may be there already.
+ */
+const MAXIMUM_REQUESTS_PER_SLOT = 3;
+/** Share of the target latency for which requests may wait at a server then. */
+const WAIT_SHARE = 0.5;
 /**
  * Minimum of the limit on this VM's requests at a server, in multiples of the
  * VM's equal share of the slots. It exceeds 1, since callers are spread
@@ -68,6 +76,11 @@
   paths: ServerPaths;
   /** Whether no route to the service is more urgent than the request's. */
   isUrgent: boolean;
+  /**
+   * Maximum number of requests of all VMs at a server, per slot; the usual one
+   * if left out.
+   */
+  requestsPerSlot?: number;
   /** Returns a random number in [0, 1). */
   draw(): number;
 }
@@ -77,12 +90,29 @@
   server: TrackedServer,
   now: number,
   vmCount: number | null,
+  requestsPerSlot = REQUESTS_PER_SLOT,
 ): boolean {
-  const limit = server.entry.slots * REQUESTS_PER_SLOT;
+  const limit = server.entry.slots * requestsPerSlot;
   if (server.inFlight >= localLimit(server, now, vmCount)) return false;
   return server.load(now) < limit;
 }
 
+/**
+ * Maximum number of requests of all VMs at a server, per slot, while its service
+ * is above its capacity: `latency` is the mean of the service, and
+ * `targetLatency` that of the request, in milliseconds.
+ */
+export function requestsPerSlotAbove(
+  latency: number,
+  targetLatency: number,
+): number {
+  const waits = latency > 0 ? WAIT_SHARE * targetLatency / latency : 0;
+  return Math.min(
+    MAXIMUM_REQUESTS_PER_SLOT,
+    Math.max(REQUESTS_PER_SLOT, 1 + waits),
+  );
+}
+
 /** Maximum requests of this VM at a server now. */
 function localLimit(
   server: TrackedServer,
@@ -122,7 +152,10 @@
     !paths.isDetoured(server.id, now)
   );
   const pool = healthy.length > 0 ? healthy : usable;
-  const candidates = pool.filter((server) => hasCapacity(server, now, vmCount));
+  const { requestsPerSlot } = context;
+  const candidates = pool.filter((server) =>
+    hasCapacity(server, now, vmCount, requestsPerSlot)
+  );
   let best: TrackedServer | null = null;
   let lowest = Infinity;
   let unpermitted: TrackedServer | null = null;
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -52,12 +52,16 @@
     admissions: [],
   };
   #checkedAt = -Infinity;
-  readonly #controller = AdmissionController.create();
+  readonly #controller: AdmissionController;
 
   private constructor(
     private readonly clusterState: ClusterState,
     private readonly loads: KeyLoads,
-  ) {}
+  ) {
+    this.#controller = AdmissionController.create((service, priority) =>
+      clusterState.catalog.shortestTarget(service, priority)
+    );
+  }
 
   /** Creates a monitor that has not checked yet. */
   static create(clusterState: ClusterState, loads: KeyLoads): OverloadMonitor {
--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -220,7 +220,14 @@
         reach,
         now,
       );
-      if (choice === null) continue;
+      if (choice === null) {
+        // Nothing shows that the overload lasts, so callers return late, unless
+        // the more urgent ones need the whole capacity.
+        const mayEnd = state.period === null &&
+          rankBound(state, priority, capacity, now) > 0;
+        if (mayEnd) windows.push(lateWindow(priority, reach, now));
+        continue;
+      }
       const { from, until, count } = choice;
       state.promised.add(priority, from, until, count, now);
       const share = count / needed;
@@ -306,6 +313,17 @@
   });
 }
 
+/** The latest window that callers of a priority honour. */
+function lateWindow(
+  priority: number,
+  reach: number,
+  now: number,
+): PlannedWindow {
+  const until = now + PLAN_AGE + reach;
+  const from = until - (1 - LATE_START) * reach;
+  return { priority, from, until, share: 1 };
+}
+
 /**
  * Chooses the window in which `needed` callers of a priority return, or fewer
  * if there is not enough free capacity; null if there is none.
