--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -24,6 +24,8 @@
    * service, by its name.
    */
   #topPriorities = new Map<string, number>();
+  /** Least urgent priority, that is, the highest number, among all routes. */
+  #lastPriority = 0;
 
   private constructor() {}
 
@@ -72,6 +74,10 @@
     this.#services = new Map(next.services.map((each) => [each.name, each]));
     this.#rotations = new Map();
     this.#topPriorities = topPriorities(next.routes);
+    this.#lastPriority = next.routes.reduce(
+      (last, { priority }) => Math.max(last, priority),
+      0,
+    );
     return true;
   }
 
@@ -87,6 +93,24 @@
     return this.#services.get(name);
   }
 
+  /** Names of all services. */
+  get serviceNames(): string[] {
+    return [...this.#services.keys()];
+  }
+
+  /**
+   * Shortest timeout of the routes of a priority to `service`, in milliseconds;
+   * null without such a route, or if none states a timeout.
+   */
+  shortestTimeout(service: string, priority: number): number | null {
+    const routes = (this.#configuration?.routes ?? []).filter((each) =>
+      each.priority === priority && each.timeout > 0 &&
+      each.destinations.some((other) => other.service === service)
+    );
+    if (routes.length === 0) return null;
+    return Math.min(...routes.map((each) => each.timeout));
+  }
+
   /**
    * Whether `route` has the most urgent priority among the routes to `service`.
    */
@@ -94,6 +118,11 @@
     return priority <= (this.#topPriorities.get(service) ?? priority);
   }
 
+  /** Whether `route` has the least urgent priority among all routes. */
+  isLeastUrgent({ priority }: Route): boolean {
+    return priority >= this.#lastPriority;
+  }
+
   /**
    * Chooses the service for the next request on `route` and returns its name.
    */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -11,6 +11,7 @@
 import { CopiesInFlight } from "./copies_in_flight.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect } from "./dispatch_effect.ts";
+import { isRefusedForMemory, REFUSED_FOR_MEMORY } from "./memory_pressure.ts";
 import {
   type Attempt,
   attemptName,
@@ -113,7 +114,9 @@
       this.#effects.push(...this.#responses.unroutedRefusal(arrival));
     } else {
       const request = this.#register(arrival, route, now);
-      this.#dispatch(request, now);
+      if (isRefusedForMemory(arrival, route, catalog)) {
+        this.#refuse(request, REFUSED_FOR_MEMORY, now);
+      } else this.#dispatch(request, now);
     }
     return this.#takeEffects();
   }
@@ -276,11 +279,11 @@
     this.#requests.set(arrival.exchange, request);
     this.#retryPolicy.recordRequest(service, now);
     this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
-    this.context.demand.arrived(
-      service,
-      route.priority,
-      this.#retryAfterPolicy.isReturn(request),
-    );
+    const isReturn = this.#retryAfterPolicy.isReturn(request);
+    this.context.demand.arrived(service, route.priority, isReturn);
+    if (isReturn && this.context.features.schedulesReturns) {
+      this.context.returns.returned(service);
+    }
     this.#log.defer("request.routed", request, now, {
       target: arrival.target,
       timeout: arrival.timeout,
@@ -304,6 +307,7 @@
     } else if (
       now >= waitLimit(request, plan) || queue.length >= MAXIMUM_QUEUE_LENGTH
     ) {
+      request.lacksCapacity = plan.lacksCapacity;
       this.#refuseOrFail(request, plan.reason, now);
     } else {
       const { reason } = plan;
@@ -525,6 +529,7 @@
       }
       if (now >= waitLimit(request, plan)) {
         this.#queues.remove(request);
+        request.lacksCapacity = plan.lacksCapacity;
         this.#refuseOrFail(request, plan.reason, now);
       }
       return;
@@ -573,6 +578,7 @@
         return this.#refuseQuarantined(request, plan, now);
       case "refuse":
         request.isShed ||= plan.isRateLimited;
+        request.lacksCapacity = false;
         return this.#refuseOrFail(request, plan.reason, now);
     }
   }
@@ -584,6 +590,7 @@
     now: number,
   ): void {
     request.isShed = true;
+    request.lacksCapacity = true;
     const detail = {
       share: Number(share.toFixed(3)),
       chance: Number(request.chance.toFixed(3)),
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -48,6 +48,12 @@
    * fingerprint, other requests have another one.
    */
   fingerprint: Fingerprint;
+  /**
+   * Bytes that this process holds for slow callers and servers, as a share of
+   * their bound; 0 or omitted without a bound. At 1 and above the request must
+   * be refused: its body may be incomplete.
+   */
+  memoryShare?: number;
 }
 
 /** One attempt to send a request to a server. */
@@ -133,6 +139,8 @@
    * reached. Such overload does not end within the target latency.
    */
   isShed: boolean;
+  /** Whether it is refused because its service cannot run all requests. */
+  lacksCapacity: boolean;
   /** Attempts in flight. */
   attempts: Attempt[];
   /**
@@ -198,6 +206,7 @@
     refusal: null,
     chance,
     isShed: false,
+    lacksCapacity: false,
     attempts: [],
     tried: [],
     sentCount: 0,
