--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { DemandMeter } from "./admission/index.ts";
+import { AdmissionPolicy, DemandMeter } from "./admission/index.ts";
 import { Catalog, type Configuration, NamedVersions } from "./catalog/index.ts";
 import type { EntryEffect } from "./entry_effect.ts";
 import {
@@ -48,6 +48,8 @@
   readonly demand = DemandMeter.create();
   /** Planned returns of refused callers, as the term holder has stated them. */
   readonly returns = ReturnPolicy.create();
+  /** Which requests of services above their capacity this VM admits. */
+  readonly admission = AdmissionPolicy.create();
   readonly quarantine = Quarantine.create(({ kind, crashes }) =>
     this.logDecision(`quarantine.${kind}`, {
       fingerprint: crashes.request,
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { requestRank } from "../admission/index.ts";
 import type { Route } from "../catalog/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { AssignedRange } from "../keyspace/index.ts";
@@ -116,11 +117,19 @@
       const request = this.#register(arrival, route, now);
       if (isRefusedForMemory(arrival, route, catalog)) {
         this.#refuse(request, REFUSED_FOR_MEMORY, now);
-      } else this.#dispatch(request, now);
+      } else this.#admit(request, now);
     }
     return this.#takeEffects();
   }
 
+  /** Sends or queues a request that has arrived, unless it is not admitted. */
+  #admit(request: PendingRequest, now: number): void {
+    const denied = this.#planner.planArrival(request, now);
+    if (denied !== null) return this.#refuseUnsent(request, denied, now);
+    this.#planner.extendWait(request, now);
+    this.#dispatch(request, now);
+  }
+
   /** Refuses a request that arrived while this VM is stopping. */
   refuseWhileStopping(arrival: RequestArrival): DispatchEffect[] {
     return this.#responses.shutdownRefusal(arrival);
@@ -280,6 +289,7 @@
     this.#retryPolicy.recordRequest(service, now);
     this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
     const isReturn = this.#retryAfterPolicy.isReturn(request);
+    request.rank = requestRank(route.priority, request.chance, isReturn);
     this.context.demand.arrived(service, route.priority, isReturn);
     if (isReturn && this.context.features.schedulesReturns) {
       this.context.returns.returned(service);
@@ -310,7 +320,8 @@
       request.lacksCapacity = plan.lacksCapacity;
       this.#refuseOrFail(request, plan.reason, now);
     } else {
-      const { reason } = plan;
+      const { reason, isTransient } = plan;
+      if (!isTransient) this.context.admission.overloadSeen(now);
       this.#log.defer("request.waits", request, now, {
         reason,
         ahead: queue.length,
@@ -527,6 +538,9 @@
         this.#queues.remove(request);
         return this.#refuseUnsent(request, plan, now);
       }
+      if (now >= waitLimit(request, plan)) {
+        this.#planner.extendWait(request, now);
+      }
       if (now >= waitLimit(request, plan)) {
         this.#queues.remove(request);
         request.lacksCapacity = plan.lacksCapacity;
@@ -574,6 +588,8 @@
     switch (plan.kind) {
       case "shed":
         return this.#shed(request, plan, now);
+      case "unadmitted":
+        return this.#refuseUnadmitted(request, plan, now);
       case "quarantined":
         return this.#refuseQuarantined(request, plan, now);
       case "refuse":
@@ -600,6 +616,26 @@
     this.#refuseOrFail(request, reason, now);
   }
 
+  /** Refuses a request that is not admitted, before it is queued or sent. */
+  #refuseUnadmitted(
+    request: PendingRequest,
+    { denial: { reason, threshold, age } }: DispatchPlan & {
+      kind: "unadmitted";
+    },
+    now: number,
+  ): void {
+    const { service, route, rank } = request;
+    request.isShed = true;
+    request.lacksCapacity = true;
+    this.context.admission.denied(service, route.priority);
+    this.#log.write("info", "request.not_admitted", request, now, {
+      rank: Number(rank.toFixed(3)),
+      threshold: threshold === null ? null : Number(threshold.toFixed(3)),
+      thresholdAge: Math.round(age),
+    });
+    this.#refuse(request, reason, now);
+  }
+
   /** Ends a quarantined request, so that it cannot crash another server. */
   #refuseQuarantined(
     request: PendingRequest,
@@ -657,6 +693,11 @@
     let isAtCapacity = false;
     const stillQueued: PendingRequest[] = [];
     for (const request of [...queue]) {
+      const denied = this.#planner.planQueued(request, now);
+      if (denied !== null) {
+        this.#refuseUnsent(request, denied, now);
+        continue;
+      }
       const { fingerprint } = request.arrival;
       const isQuarantined =
         this.context.quarantine.quarantinedRequest(fingerprint, now) !== null;
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { isFull } from "../admission/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { DispatchEffect, LogLine } from "./dispatch_effect.ts";
@@ -108,6 +109,7 @@
     }
     paths.answered(name, outcome.isRelayed ?? false, now);
     this.#applyStatement(attempt, outcome, now);
+    if (showsFullServer(outcome)) this.context.admission.overloadSeen(now);
     return outcome.isNotRun
       ? this.#handleRefusal(request, attempt, outcome, now)
       : this.#handleResponse(request, attempt, outcome, now);
@@ -365,6 +367,19 @@
   return isGenuine || isNotRun ? null : "not signed for this request";
 }
 
+/**
+ * Whether a response shows that its server is full: by the load that it states,
+ * or since it refused a request. A server that refuses although it states free
+ * slots is not full.
+ */
+function showsFullServer({ status, isNotRun, statement }: ServerResponse) {
+  const { load, backoff } = statement;
+  if (load !== null && isFull(load)) return true;
+  const isRefusal = isNotRun && status !== MISDIRECTED && backoff === null;
+  if (!isRefusal) return false;
+  return load === null || load.running + load.waiting >= load.slots;
+}
+
 /**
  * Handles an attempt without a valid response: the request may have run, so it
  * is retried only if it is idempotent.
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -139,6 +139,7 @@
       paths: this.#paths,
       demand: this.clusterState.demand,
       returns: this.clusterState.returns,
+      admission: this.clusterState.admission,
       features: this.clusterState.features,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
--- a/src/core/returns/index.ts
+++ b/src/core/returns/index.ts
@@ -1,3 +1,2 @@
 export * from "./return_planner.ts";
 export * from "./return_policy.ts";
-export * from "./service_capacity.ts";
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Writable } from "node:stream";
+import { admissionGauges } from "../core/admission/index.ts";
 import { Entry } from "../core/entry.ts";
 import { describeEntry, type EntryStatus } from "../core/entry_status.ts";
 import { capHoldTimes, fitnessOf } from "../core/keyspace/index.ts";
@@ -380,5 +381,6 @@
     peer_messages_dropped_total: traffic.dropped,
     ...returnMetrics(entry.clusterState.returns.counts),
     ...Object.fromEntries(bytesByKind),
+    ...admissionGauges(entry.clusterState.admission, monotonicNow()),
   };
 }
