Pace: the term holder paces started and recovered servers for all VMs

With balancing.startPace, the holder detects servers that were listed anew, became cold, have ended a backoff or fail, from the reports of all VMs, and its answers name their paces. VMs leave such a server out of a choice by its pace, new servers get keys by it, and without answers the pace rises to 1. Older versions ignore the new fields. Off by default; the choice draws no random number then.

--- a/src/core/cluster_state.ts
+++ b/src/core/cluster_state.ts
@@ -27,6 +27,7 @@
   CrashDetector,
   Quarantine,
 } from "./quarantine/index.ts";
+import { INITIAL_PACE } from "./pace/index.ts";
 import { RegistryReplica } from "./registry/index.ts";
 import { ReturnPolicy } from "./returns/index.ts";
 
@@ -339,6 +340,10 @@
       if (kind === "removed" || kind === "restarted") {
         this.emit({ kind: "connections.close", server: server.id });
       }
+      const isNew = kind === "joined" || kind === "restarted";
+      if (isNew && this.features.pacesStarts) {
+        this.fleet.get(server.id)?.pace.apply(INITIAL_PACE, now);
+      }
       this.logDecision(`server.${kind}`, {
         server: server.id,
         service: server.service,
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -122,7 +122,11 @@
     !paths.isDetoured(server.id, now)
   );
   const pool = healthy.length > 0 ? healthy : usable;
-  const candidates = pool.filter((server) => hasCapacity(server, now, vmCount));
+  const candidates = withPace(
+    pool.filter((server) => hasCapacity(server, now, vmCount)),
+    now,
+    context.draw,
+  );
   let best: TrackedServer | null = null;
   let lowest = Infinity;
   let unpermitted: TrackedServer | null = null;
@@ -148,6 +152,23 @@
   return best;
 }
 
+/**
+ * Leaves out each server with a probability of one minus its pace, relative to
+ * the highest one: if all servers have just started, none is left out.
+ */
+function withPace(
+  servers: readonly TrackedServer[],
+  now: number,
+  draw: () => number,
+): readonly TrackedServer[] {
+  const paces = servers.map((server) => server.pace.at(now));
+  if (paces.every((pace) => pace === 1)) return servers;
+  const highest = Math.max(...paces);
+  return servers.filter((_, i) =>
+    paces[i] === highest || draw() < paces[i] / highest
+  );
+}
+
 /** Expected cost of a request at a server. */
 function expectedCost(
   server: TrackedServer,
--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -163,6 +163,11 @@
     return this.#vmCount.value;
   }
 
+  /** Number of servers to which this VM, as the term holder, gives a pace. */
+  get pacedServers(): number {
+    return this.campaign.holder === null ? 0 : this.#publisher.pacing.count;
+  }
+
   /**
    * Whether this VM receives store updates from the term holder instead of
    * reading them from the store. Only observers do, the VMs that are not
@@ -489,8 +494,8 @@
   #takeServerReports(now: number): ServerReports {
     if (!this.followerLink.isReportDue(now)) return NO_SERVER_REPORTS;
     const { catalog, demand, features, fleet } = this.clusterState;
-    // Admission by priority needs the loads of the servers of all services.
-    const services = features.admitsByPriority
+    // Both need the responses of the servers of all services.
+    const services = features.admitsByPriority || features.pacesStarts
       ? catalog.services
       : catalog.keyedServices;
     return {
@@ -576,6 +581,9 @@
     const admissions = message.admissions ?? [];
     if (features.admitsByPriority) admission.replace(admissions, now);
     this.#applyReturns(admissions, now);
+    if (features.pacesStarts && message.answersTo !== undefined) {
+      this.clusterState.fleet.applyPaces(message.servers ?? [], now);
+    }
     this.clusterState.keyLimits.replace(limits, now);
     this.clusterState.fleet.applyPeerLoads(loads, now);
     this.clusterState.applyPeerRates(rates ?? [], now);
--- a/src/core/exchange/state_publisher.ts
+++ b/src/core/exchange/state_publisher.ts
@@ -12,6 +12,7 @@
  */
 import type { ClusterState, Emit } from "../cluster_state.ts";
 import type { RetryShares } from "./retry_shares.ts";
+import { StartPacing } from "./start_pacing.ts";
 import { OverloadMonitor } from "./overload_monitor.ts";
 import type { ServerSamples } from "../fleet/index.ts";
 import type { KeyLoads, TermCampaign, TermHolder } from "../keyspace/index.ts";
@@ -22,6 +23,7 @@
   type HolderAddress,
   HolderLink,
   type HolderState,
+  MAXIMUM_SERVER_STATES,
   MessagePacing,
   type PeerSend,
   type PriorityDemand,
@@ -68,6 +70,8 @@
 export class StatePublisher {
   readonly #link = HolderLink.create();
   readonly #overload: OverloadMonitor;
+  /** Paces of servers that have started or recovered. */
+  readonly pacing: StartPacing;
   /** Term and version of the assignments that were last published. */
   #published = { term: 0, version: 0 };
   #publishedAt = -Infinity;
@@ -111,6 +115,7 @@
     private readonly retryShares: RetryShares,
   ) {
     this.#overload = OverloadMonitor.create(clusterState, loads);
+    this.pacing = StartPacing.create(clusterState);
     this.#returnPlanner = ReturnPlanner.create((service, priority) =>
       clusterState.catalog.shortestTimeout(service, priority)
     );
@@ -169,6 +174,7 @@
     }
     this.#recordOwnDemand(now);
     this.#publishRegistry();
+    this.pacing.advance(holder.term, now);
     this.#overload.advance(holder, now);
     this.#publishAdmissions(holder, now);
     if (!this.#isCurrent(holder)) this.clusterState.assign(holder.assignments);
@@ -188,6 +194,7 @@
       for (const key of keys) this.loads.of(service).record(key, now);
     }
     this.#recordLatencies(address, report, now);
+    this.pacing.observe(report.latencies, now);
     this.#recordDemand(address, report.demand ?? [], report.sentAt, now);
     this.clusterState.applyPeerRates(report.rates ?? [], now);
     this.clusterState.applyPeerLeaving(report.leaving ?? [], now);
@@ -202,7 +209,7 @@
         this.#holderState(now),
         registryChanges,
         { ...this.#overload.current, admissions: this.admissions(now) },
-        [],
+        this.pacing.states.slice(0, MAXIMUM_SERVER_STATES),
         this.clusterState.fleet.stated.leaving(),
         this.relaysFor(address, now),
         this.retryShares.grant(address, now),
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -54,6 +54,12 @@
  */
 const MEAN_LATENCY_LIFETIME = 50;
 
+/**
+ * Time by which the term holder has listed a server that this VM lists, and has
+ * sent an answer since, in milliseconds.
+ */
+const LISTING_DELAY = 1_000;
+
 /** Drain time unless the settings contain another one, in milliseconds. */
 const DEFAULT_DRAIN_TIME = 2_000;
 
@@ -315,6 +321,29 @@
     });
   }
 
+  /** Returns the samples of the servers of all services since the last call. */
+  takeAllSamples(now: number): ServerSamples[] {
+    return [...this.#byService.keys()].flatMap((service) =>
+      this.takeSamples(service, now)
+    );
+  }
+
+  /**
+   * Applies the paces that the term holder has sent. Servers that it does not
+   * name have their full pace, unless it may not have listed them yet.
+   */
+  applyPaces(
+    paces: readonly { server: string; pace?: number }[],
+    now: number,
+  ): void {
+    const byServer = new Map(paces.map(({ server, pace }) => [server, pace]));
+    for (const server of this.#servers.values()) {
+      const pace = byServer.get(server.id);
+      if (pace !== undefined) server.pace.apply(pace, now);
+      else if (now - server.listedAt > LISTING_DELAY) server.pace.apply(1, now);
+    }
+  }
+
   /** Adds latency samples that the VM at `vm` measured. */
   addPeerSamples(
     samples: readonly ServerSamples[],
@@ -475,6 +504,7 @@
     const statements = this.stated.statementsOf(entry, now);
     const server = TrackedServer.create(entry, statements);
     this.stated.listed(server);
+    server.listedAt = now;
     this.#removedIds.delete(entry.id);
     server.update(entry, now);
     server.setEvacuated(this.evacuations.has(entry.availabilityZone), now);
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { BackendServer } from "./backend_server.ts";
+import { KnownPace } from "../pace/known_pace.ts";
 import { ProcessStatements } from "./process_statements.ts";
 import type { ReportedRateLimit } from "./reported_rate_limit.ts";
 import type { ReportedLoad } from "./server_statement.ts";
@@ -80,6 +81,11 @@
   count: number;
   /** The load that it reported with the last response, if any. */
   load?: LoadReport;
+  /**
+   * Number of requests that failed, or that it refused although it has free
+   * slots; none if absent.
+   */
+  failures?: number;
 }
 
 /** Origin of the latest latency samples of a server. */
@@ -114,6 +120,10 @@
  * incarnation and is ignored.
  */
 export class TrackedServer {
+  /** When it was listed; -Infinity if it is not. */
+  listedAt = -Infinity;
+  /** Its pace as the term holder has stated it. */
+  readonly pace = KnownPace.create();
   /** When it was first listed as draining, or null. */
   drainingSince: number | null = null;
   /** When its availability zone was evacuated, or null. */
@@ -143,6 +153,8 @@
    */
   #sampleSum = 0;
   #sampleCount = 0;
+  /** Number of failures since then. */
+  #failureCount = 0;
   #hasResponded = false;
   /**
    * Latest time at which some VM is known to have received a response from it.
@@ -379,8 +391,10 @@
 
   /** Returns this VM's samples since the last call; null without a response. */
   takeSamples(now: number): LatencySamples | null {
-    if (!this.#hasResponded) return null;
+    const failures = this.#failureCount;
+    if (!this.#hasResponded && failures === 0) return null;
     this.#hasResponded = false;
+    this.#failureCount = 0;
     const count = this.#sampleCount;
     const mean = count === 0 ? 0 : this.#sampleSum / count;
     this.#sampleSum = 0;
@@ -388,7 +402,12 @@
     // Another VM that received the latest load report sends it itself.
     const isOwnLatest = this.#reportedAt === this.#ownReportAt;
     const load = isOwnLatest ? this.latestLoadReport(now) : null;
-    return load === null ? { mean, count } : { mean, count, load };
+    return {
+      mean,
+      count,
+      ...(load === null ? {} : { load }),
+      ...(failures === 0 ? {} : { failures }),
+    };
   }
 
   /**
@@ -406,12 +425,14 @@
     this.#recordResponse(now, load);
     this.refusedAt = now;
     if (hasBackoff) return;
+    if (load !== null && load.running < load.slots) this.#failureCount += 1;
     this.#acceptanceRate = movingAverage(this.#acceptanceRate, 0);
   }
 
   /** Records a failed request: no response, or an invalid one. */
   failed(attempt: number, now: number): void {
     if (this.#endAttempt(attempt) === null) return;
+    this.#failureCount += 1;
     this.#acceptanceRate = movingAverage(this.#acceptanceRate, 0);
     this.#consecutiveFailures += 1;
     if (this.#consecutiveFailures < FAILURES_TO_PAUSE) return;
--- a/src/core/keyspace/key_rebalancer.ts
+++ b/src/core/keyspace/key_rebalancer.ts
@@ -49,6 +49,9 @@
 const MIN_LIMITED_SPEED = 0.01;
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Time after it was listed for which a server counts as new, in milliseconds. */
+const START_TIME = 5_000;
+
 /** Plans the moves of all services; see the module's comment. */
 export class KeyRebalancer {
   readonly #checkedAt = new Map<string, number>();
@@ -165,7 +168,7 @@
     const eligible = healthy.length > 0 ? healthy : usable;
     const meanDemand = this.#demand(service, now) / eligible.length;
     return eligible.map((server) => {
-      const speed = relativeSpeed(server, meanLatency);
+      const speed = relativeSpeed(server, meanLatency) * startPace(server, now);
       const limit = server.rateLimit.current(now);
       return { id: server.id, speed: limitedSpeed(speed, limit, meanDemand) };
     });
@@ -192,6 +195,14 @@
   );
 }
 
+/**
+ * Pace of a server that has just joined, which gets its keys step by step. Keys
+ * of other servers do not move because of their pace, since a move costs more.
+ */
+function startPace(server: TrackedServer, now: number): number {
+  return now - server.listedAt < START_TIME ? server.pace.at(now) : 1;
+}
+
 function relativeSpeed(server: TrackedServer, meanLatency: number): number {
   if (server.latency === null || meanLatency === 0) return 1;
   return Math.min(
--- a/src/core/pace/server_pace.ts
+++ b/src/core/pace/server_pace.ts
@@ -20,7 +20,7 @@
  * Pace of a server that has just started or recovered. A server that is four
  * times slower than usual can bear it, and two steps lead to the full pace.
  */
-const INITIAL_PACE = 0.25;
+export const INITIAL_PACE = 0.25;
 /**
  * Lowest pace, so that a server has requests to show that it recovers, and four
  * steps lead from it to the full pace.
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -249,6 +249,11 @@
       count,
       /** The load that the server reported with the last of these responses. */
       load: reportedLoadSchema.optional(),
+      /**
+       * Requests that failed, or that the server refused although it has free
+       * slots. Absent if there are none, and in messages of older versions.
+       */
+      failures: count.optional(),
     }),
   ),
   /** Registry position that the sender has reached, or null. */
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -369,6 +369,7 @@
     vms: entry.vms ?? 0,
     requests_quarantined: entry.clusterState.quarantine.quarantinedCount,
     relayed_connections: relayedConnections,
+    servers_paced: entry.peers.pacedServers,
     servers_unreached: entry.reach.isIsolated ? 1 : 0,
     is_term_holder: entry.campaign.holder === null ? 0 : 1,
     configuration_lost: entry.clusterState.isConfigurationLost ? 1 : 0,
