--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -153,8 +153,10 @@
   );
   const pool = healthy.length > 0 ? healthy : usable;
   const { requestsPerSlot } = context;
-  const candidates = pool.filter((server) =>
-    hasCapacity(server, now, vmCount, requestsPerSlot)
+  const candidates = withPace(
+    pool.filter((server) => hasCapacity(server, now, vmCount, requestsPerSlot)),
+    now,
+    context.draw,
   );
   let best: TrackedServer | null = null;
   let lowest = Infinity;
@@ -181,6 +183,23 @@
   return best;
 }
 
+/**
+ * Leaves out each server with a probability of one minus its pace, relative to
+ * the highest one: if all servers have just started, none is left out.
+ */
+function withPace(
+  servers: readonly TrackedServer[],
+  now: number,
+  draw: () => number,
+): readonly TrackedServer[] {
+  const paces = servers.map((server) => server.pace.at(now));
+  if (paces.every((pace) => pace === 1)) return servers;
+  const highest = Math.max(...paces);
+  return servers.filter((_, i) =>
+    paces[i] === highest || draw() < paces[i] / highest
+  );
+}
+
 /** Expected cost of a request at a server. */
 function expectedCost(
   server: TrackedServer,
