--- a/src/core/features.ts
+++ b/src/core/features.ts
@@ -10,10 +10,6 @@
   admitsByPriority: boolean;
   /** Plans when refused callers return; needs `admitsByPriority`. */
   schedulesReturns: boolean;
-  /** Exchanges latencies and loads of the servers of all services. */
-  sharesLoads: boolean;
-  /** Moves busy keys before their server is full. */
-  spreadsKeys: boolean;
   /** Limits the requests to servers that have just started or recovered. */
   pacesStarts: boolean;
 }
@@ -22,7 +18,5 @@
 export const NO_FEATURES: Features = {
   admitsByPriority: false,
   schedulesReturns: false,
-  sharesLoads: false,
-  spreadsKeys: false,
   pacesStarts: false,
 };
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -333,7 +333,7 @@
    * name have their full pace, unless it may not have listed them yet.
    */
   applyPaces(
-    paces: readonly { server: string; pace?: number }[],
+    paces: readonly { server: string; pace: number }[],
     now: number,
   ): void {
     const byServer = new Map(paces.map(({ server, pace }) => [server, pace]));
--- a/src/core/peers/peer_message.ts
+++ b/src/core/peers/peer_message.ts
@@ -214,15 +214,8 @@
 /** What the term holder knows of a server from the reports of all VMs. */
 const serverStateSchema = z.object({
   server: z.string(),
-  /** Mean latency, in milliseconds. */
-  latency: z.number().positive().optional(),
-  /** Its last load report. */
-  load: reportedLoadSchema.optional(),
-  /**
-   * Share of the requests of a usual server that it should receive; 1 if
-   * absent.
-   */
-  pace: z.number().min(0).max(1).optional(),
+  /** Share of the requests of a usual server that it should receive. */
+  pace: z.number().min(0).max(1),
 });
 
 /** See {@linkcode serverStateSchema}. */
@@ -335,8 +328,8 @@
   admissions: z.array(serviceAdmissionSchema).max(MAXIMUM_SERVICE_ENTRIES)
     .optional(),
   /**
-   * State of some servers; an answer has those that follow the ones of the
-   * answer before. Absent in messages of older versions.
+   * Servers that should receive less than usual ones. Absent if there are none,
+   * and in messages of older versions.
    */
   servers: z.array(serverStateSchema).max(MAXIMUM_SERVER_STATES).optional(),
 });
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -136,8 +136,6 @@
       features: {
         admitsByPriority: settings.admission.byPriority,
         schedulesReturns: settings.admission.scheduleReturns,
-        sharesLoads: settings.balancing.sharedLoads,
-        spreadsKeys: settings.balancing.spreadKeys,
         pacesStarts: settings.balancing.startPace,
       },
       seed,
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -81,10 +81,6 @@
   ),
   /** How requests and keys are divided among servers. */
   balancing: z.object({
-    /** Whether VMs exchange latencies and loads of the servers of all services. */
-    sharedLoads: z.boolean().default(false),
-    /** Whether busy keys move before their server is full. */
-    spreadKeys: z.boolean().default(false),
     /** Whether started and recovered servers receive few requests at first. */
     startPace: z.boolean().default(false),
   }).prefault({}),
