Returns: callers with less time than their route are told no false "none"

Windows are planned for the timeout of the route. With a route of 8 s and callers of 4 s, all windows were beyond the callers' reach, so that each was told that no free capacity is expected in its time.

A draw beyond the reach of callers with the route's timeout still promises no return. If only the caller's own timeout excludes it, the draw is repeated in the part of the window that the caller can honour; if there is none, the delays are those without a plan.

--- a/src/core/catalog/configuration.ts
+++ b/src/core/catalog/configuration.ts
@@ -45,6 +45,17 @@
 /** See {@linkcode routeSchema}. */
 export type Route = z.infer<typeof routeSchema>;
 
+/**
+ * Timeout of a request if neither its caller nor its route specifies one, in
+ * milliseconds.
+ */
+export const DEFAULT_TIMEOUT = 30_000;
+
+/** Timeout of a route in milliseconds; the default if it is 0. */
+export function timeoutOf({ timeout }: Route): number {
+  return timeout > 0 ? timeout : DEFAULT_TIMEOUT;
+}
+
 /**
  * A group of backend servers. They are either interchangeable, or each of them
  * owns its keys exclusively.
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { requestRank } from "../admission/index.ts";
-import type { Route } from "../catalog/index.ts";
+import { DEFAULT_TIMEOUT, type Route, timeoutOf } from "../catalog/index.ts";
 import type { LogLine } from "./dispatch_effect.ts";
 import type { Fingerprint } from "../quarantine/index.ts";
 import type { ServerStatement } from "../fleet/index.ts";
@@ -22,12 +22,6 @@
  * likely, while a refused caller would retry too late to meet it.
  */
 const TRANSIENT_WAIT_SHARE = 0.6;
-/**
- * Timeout of a request if neither its caller nor its route specifies one, in
- * milliseconds.
- */
-const DEFAULT_TIMEOUT = 30_000;
-
 /** A request as its caller sent it. Its body stays in the HTTP server. */
 export interface RequestArrival {
   /** Number of the exchange with the caller, unique in this process. */
@@ -192,7 +186,7 @@
   const { targetLatency } = route;
   const timeout = Math.min(
     arrival.timeout ?? DEFAULT_TIMEOUT,
-    route.timeout > 0 ? route.timeout : DEFAULT_TIMEOUT,
+    timeoutOf(route),
   );
   return {
     arrival,
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -20,7 +20,7 @@
  *
  * @module
  */
-import type { Route } from "../catalog/index.ts";
+import { type Route, timeoutOf } from "../catalog/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { PendingRequest } from "./request.ts";
@@ -126,13 +126,16 @@
   #plannedDelay(request: PendingRequest, now: number): RetryDelay | null {
     const { features, returns, demand, draw } = this.context;
     if (!features.schedulesReturns || !request.lacksCapacity) return null;
-    const { service, route: { priority }, arrival, arrivedAt } = request;
+    const { service, route, arrival, arrivedAt } = request;
+    const { priority } = route;
     const end = arrival.timeout === null
       ? request.deadline
       : arrivedAt + arrival.timeout;
     const remaining = Math.max(0, end - now);
+    const routeEnd = arrivedAt + timeoutOf(route);
+    const routeRemaining = Math.max(0, routeEnd - now);
     const isReturn = this.isReturn(request);
-    const caller = { service, priority, remaining, isReturn };
+    const caller = { service, priority, remaining, routeRemaining, isReturn };
     const choice = returns.choose(caller, draw, now);
     if (choice === null) return null;
     if (choice.kind === "none") return { delay: remaining, window: "none" };
--- a/src/core/exchange/returns_exchange_test.ts
+++ b/src/core/exchange/returns_exchange_test.ts
@@ -144,6 +144,23 @@
   });
 });
 
+// Guards against telling callers that state less than the timeout of the route
+// that there is no capacity in their time, although it lies in the route's.
+test("returns: callers of 4 s at a route of 8 s return in their part of the window, or as without a plan", (t) => {
+  const { answer, refusal } = createFollower(true);
+  const answerWith = (from: number) =>
+    answer(1_000, [{
+      ...LIMIT,
+      returns: [{ priority: 2, from, until: 3_000 }],
+    }]);
+  answerWith(1_500);
+  const { delay, window } = refusal(2_780, 4_000);
+  t.true(delay >= 600 && delay <= 1_280, `${delay}`);
+  t.is(window, "600-2100");
+  answerWith(2_400);
+  t.is(refusal(2_780, 4_000).window, null);
+});
+
 // Without an answer for 1.2 s, with an older holder and without the feature, the
 // delays are those of the previous version.
 test("returns: without a plan, the delays are as before", (t) => {
--- a/src/core/returns/return_policy.ts
+++ b/src/core/returns/return_policy.ts
@@ -27,6 +27,11 @@
   priority: number;
   /** Time until the caller needs a response, in milliseconds. */
   remaining: number;
+  /**
+   * The same for a caller with the timeout of the route, for which windows are
+   * planned.
+   */
+  routeRemaining: number;
   /** Whether it was refused before; a second refusal is final. */
   isReturn: boolean;
 }
@@ -88,10 +93,15 @@
 
   /**
    * Chooses when a refused caller should return; null if no returns are planned
-   * for its service. `draw` returns a random number in [0, 1).
+   * for its service, or only later than its own timeout permits. `draw` returns
+   * a random number in [0, 1).
+   *
+   * A draw beyond the reach of callers with the timeout of the route promises no
+   * return. A draw that only a shorter timeout excludes is repeated in the part
+   * of the window that the caller can honour.
    */
   choose(
-    { service, priority, remaining, isReturn }: RefusedCaller,
+    { service, priority, remaining, routeRemaining, isReturn }: RefusedCaller,
     draw: () => number,
     now: number,
   ): ReturnChoice | null {
@@ -103,9 +113,13 @@
     if (window === undefined || isReturn) return { kind: "none" };
     const from = Math.max(MINIMUM_DELAY, this.#receivedAt + window.from - now);
     const until = this.#receivedAt + window.until - now;
-    const delay = from + draw() * (until - from);
-    const isInTime = delay <= remaining * MAXIMUM_DELAY_SHARE;
-    if (until < from || !isInTime) return { kind: "none" };
+    const reach = remaining * MAXIMUM_DELAY_SHARE;
+    const routeReach = routeRemaining * MAXIMUM_DELAY_SHARE;
+    if (until < from || from > routeReach) return { kind: "none" };
+    if (from > reach) return null;
+    let delay = from + draw() * (until - from);
+    if (delay > routeReach) return { kind: "none" };
+    if (delay > reach) delay = from + draw() * (reach - from);
     this.#countsOf(service).promised += 1;
     return { kind: "return", delay, from, until };
   }
--- a/src/core/returns/return_policy_test.ts
+++ b/src/core/returns/return_policy_test.ts
@@ -1,7 +1,13 @@
 import test from "ava";
 import { ReturnPolicy } from "./return_policy.ts";
 
-const CALLER = { service: "s", priority: 1, remaining: 8_000, isReturn: false };
+const CALLER = {
+  service: "s",
+  priority: 1,
+  remaining: 8_000,
+  routeRemaining: 8_000,
+  isReturn: false,
+};
 const NONE = { kind: "none" };
 
 /** Creates a policy with a window from 1 s to 2 s for priority 1 at time 0. */
@@ -19,7 +25,7 @@
   t.like(at(0, 0), { kind: "return", delay: 1_000 });
   t.like(at(0.5, 400), { kind: "return", delay: 1_100, from: 600 });
   // A third of the caller's time is 0.5 s, and 0.25 s of the window is left.
-  const short = { ...CALLER, remaining: 1_500 };
+  const short = { ...CALLER, remaining: 1_500, routeRemaining: 1_500 };
   t.like(policy.choose(short, () => 0, 700), { kind: "return", delay: 300 });
   t.deepEqual(policy.choose(short, () => 0.5, 700), NONE);
   t.deepEqual(policy.counts.get("s"), {
@@ -29,6 +35,29 @@
   });
 });
 
+// Guards against telling a caller that there is no capacity in its time just
+// because its timeout is shorter than that of its route, which is planned for.
+test("return policy: a caller with a shorter timeout than the route's uses what it can honour, or has no plan", (t) => {
+  const policy = createPolicy();
+  // A third of 4 s is 1.28 s.
+  const short = { ...CALLER, remaining: 4_000 };
+  for (const chance of [0, 0.5, 0.99]) {
+    const choice = policy.choose(short, () => chance, 0);
+    if (choice?.kind !== "return") return t.fail(`${chance}`);
+    t.true(choice.delay >= 1_000 && choice.delay <= 1_280, `${choice.delay}`);
+  }
+  const shorter = { ...CALLER, remaining: 2_000 };
+  t.is(policy.choose(shorter, () => 0, 0), null);
+  // What callers with the route's timeout cannot honour promises no return.
+  const returns = [{ priority: 1, from: 1_000, until: 9_000 }];
+  policy.receive([{ service: "s", returns }], 0);
+  t.deepEqual(policy.choose(short, () => 0.9, 0), NONE);
+  t.deepEqual(
+    policy.choose({ ...CALLER, remaining: 30_000 }, () => 0.9, 0),
+    NONE,
+  );
+});
+
 // A caller that returns in vain is refused for good.
 test("return policy: no free capacity is expected without a window for the priority", (t) => {
   const policy = createPolicy();
