Returns: priorities that are not planned keep the delays without a plan

Routes with a timeout of 0 got no window, although 30 s apply to their requests, and neither did a ninth priority. A missing window meant that there is no free capacity, so that all of their callers were told so.

The default timeout counts for such routes. A priority without free capacity now has a window an hour ahead, beyond the reach of all callers, and a missing window means that nothing is planned.

Two existing tests state a missing window as "no capacity" and now use the late window: the one of a priority that finds no capacity by rank, and the one of a caller that gets its whole time.

--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -4,11 +4,12 @@
  *
  * @module
  */
-import type {
-  CallerLimits,
-  Configuration,
-  Route,
-  Service,
+import {
+  type CallerLimits,
+  type Configuration,
+  type Route,
+  type Service,
+  timeoutOf,
 } from "./configuration.ts";
 import { RouteTable } from "./route_table.ts";
 import { WeightedRotation } from "./weighted_rotation.ts";
@@ -104,15 +105,15 @@
 
   /**
    * Shortest timeout of the routes of a priority to `service`, in milliseconds;
-   * null without such a route, or if none states a timeout.
+   * null without such a route.
    */
   shortestTimeout(service: string, priority: number): number | null {
     const routes = (this.#configuration?.routes ?? []).filter((each) =>
-      each.priority === priority && each.timeout > 0 &&
+      each.priority === priority &&
       each.destinations.some((other) => other.service === service)
     );
     if (routes.length === 0) return null;
-    return Math.min(...routes.map((each) => each.timeout));
+    return Math.min(...routes.map(timeoutOf));
   }
 
   /**
--- a/src/core/catalog/catalog_test.ts
+++ b/src/core/catalog/catalog_test.ts
@@ -66,3 +66,25 @@
   }
   t.deepEqual(counts, { a: 900, b: 100, c: 0 });
 });
+
+// Guards against returns that are not planned for callers of routes without a
+// timeout: the default applies to them.
+test("catalog: routes without a timeout count with the default in the shortest one", (t) => {
+  const catalog = Catalog.create();
+  const [first, second] = configuration(1, ["/", "/a/"]).routes;
+  const apply = (version: number, timeouts: number[]) =>
+    catalog.apply({
+      ...configuration(version, []),
+      routes: [
+        { ...first, timeout: timeouts[0] },
+        { ...second, timeout: timeouts[1] },
+      ],
+    });
+  apply(1, [0, 0]);
+  t.is(catalog.shortestTimeout("stock", 0), 30_000);
+  t.is(catalog.shortestTimeout("stock", 1), null);
+  apply(2, [0, 8_000]);
+  t.is(catalog.shortestTimeout("stock", 0), 8_000);
+  apply(3, [0, 40_000]);
+  t.is(catalog.shortestTimeout("stock", 0), 30_000);
+});
--- a/src/core/exchange/returns_exchange_test.ts
+++ b/src/core/exchange/returns_exchange_test.ts
@@ -129,9 +129,10 @@
 });
 
 // A caller that returns in vain is refused for good.
-test("returns: a caller without a window, or a refused return, gets its whole time", (t) => {
+test("returns: a caller without free capacity in its time, or a refused return, gets its whole time", (t) => {
   const { answer, refusal, entry } = createFollower(true);
-  answer(1_000, [{ ...LIMIT, returns: [] }]);
+  const late = [{ priority: 2, from: 9_000, until: 9_000 }];
+  answer(1_000, [{ ...LIMIT, returns: late }]);
   t.deepEqual(refusal(2_780), { delay: 8_000, window: "none" });
   answer(2_000, [{
     ...LIMIT,
--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -75,12 +75,18 @@
 const MINIMUM_REFUSALS = 0.02;
 /** Maximum number of windows for one service in a message. */
 const MAXIMUM_WINDOWS = 8;
+/**
+ * Start and end of the window of a priority without free capacity in its
+ * callers' time, in milliseconds from now: no caller honours such a delay. A
+ * priority without a window was not planned.
+ */
+const NO_CAPACITY_DELAY = 3_600_000;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A window in this VM's time. */
 interface PlannedWindow extends ReturnWindow {
-  /** Part of the refused callers that is promised a return. */
+  /** Part of the refused callers that is promised a return; 0 if none is. */
   share: number;
 }
 
@@ -149,9 +155,10 @@
 
   /**
    * Returns the windows of a service whose servers run `capacity` requests per
-   * second, in milliseconds from now. A priority without a window has no
-   * free capacity in its callers' time. Null if the service is not overloaded,
-   * or the demand before the overload is not known.
+   * second, in milliseconds from now. A priority without free capacity in its
+   * callers' time has a window that no caller can honour, and one that is not
+   * planned has none. Null if the service is not overloaded, or the demand
+   * before the overload is not known.
    */
   plan(service: string, capacity: number, now: number): ReturnWindow[] | null {
     const state = this.#services.get(service);
@@ -220,7 +227,11 @@
         reach,
         now,
       );
-      if (choice === null) continue;
+      if (choice === null) {
+        const end = now + NO_CAPACITY_DELAY;
+        windows.push({ priority, from: end, until: end, share: 0 });
+        continue;
+      }
       const { from, until, count } = choice;
       state.promised.add(priority, from, until, count, now);
       const share = count / needed;
@@ -299,8 +310,9 @@
     left = Math.max(0, left - returned);
     const excess = Math.max(0, fresh - left);
     left = Math.max(0, left - fresh);
-    const share = windows.find((each) => each.priority === priority)?.share;
-    const observed = share === undefined ? 0 : promised / share;
+    const share = windows.find((each) => each.priority === priority)?.share ??
+      0;
+    const observed = share === 0 ? 0 : promised / share;
     const rate = Math.max(excess, Math.min(observed, fresh));
     return [priority, Math.max(rate, MINIMUM_REFUSALS * capacity)];
   });
--- a/src/core/returns/return_planner_test.ts
+++ b/src/core/returns/return_planner_test.ts
@@ -50,13 +50,31 @@
   t.true(share > 0 && share < 0.5, `${share}`);
 });
 
-test("return planner: a priority that finds no capacity by rank gets no window", (t) => {
+test("return planner: a priority that finds no capacity by rank gets a window beyond its callers' time", (t) => {
   const planner = createPlanner();
   feed(planner, 0, 5_000, [300, 690]);
   feed(planner, 5_000, 6_000, [1_300, 690]);
   const windows = planner.plan("s", CAPACITY, 6_000)!;
   // The more urgent requests alone exceed the capacity.
-  t.deepEqual(windows.map(({ priority }) => priority), [0]);
+  t.deepEqual(windows.map(({ priority }) => priority), [0, 1]);
+  const [urgent, other] = windows;
+  t.true(urgent.from < REACH, `${urgent.from}`);
+  t.true(other.from > 8_000, `${other.from}`);
+  t.is(other.until, other.from);
+});
+
+// Guards against telling callers that there is no capacity in their time for
+// lack of a place in the message.
+test("return planner: a ninth priority and one without a timeout are not planned", (t) => {
+  const planner = ReturnPlanner.create((_, priority) =>
+    priority === 1 ? null : 8_000
+  );
+  const even = Array.from({ length: 10 }, () => 90);
+  feed(planner, 0, 5_000, even);
+  feed(planner, 5_000, 6_000, even.map((rate) => 2 * rate));
+  const windows = planner.plan("s", CAPACITY, 6_000)!;
+  const planned = windows.map(({ priority }) => priority);
+  t.deepEqual(planned, [0, 2, 3, 4, 5, 6, 7, 8]);
 });
 
 test("return planner: the windows end 1 s after the overload", (t) => {
--- a/src/core/returns/return_policy.ts
+++ b/src/core/returns/return_policy.ts
@@ -93,8 +93,8 @@
 
   /**
    * Chooses when a refused caller should return; null if no returns are planned
-   * for its service, or only later than its own timeout permits. `draw` returns
-   * a random number in [0, 1).
+   * for its service and priority, or only later than its own timeout permits.
+   * `draw` returns a random number in [0, 1).
    *
    * A draw beyond the reach of callers with the timeout of the route promises no
    * return. A draw that only a shorter timeout excludes is repeated in the part
@@ -110,7 +110,8 @@
     const windows = this.#windows.get(service);
     if (windows === undefined) return null;
     const window = windows.find((each) => each.priority === priority);
-    if (window === undefined || isReturn) return { kind: "none" };
+    if (window === undefined) return null;
+    if (isReturn) return { kind: "none" };
     const from = Math.max(MINIMUM_DELAY, this.#receivedAt + window.from - now);
     const until = this.#receivedAt + window.until - now;
     const reach = remaining * MAXIMUM_DELAY_SHARE;
--- a/src/core/returns/return_policy_test.ts
+++ b/src/core/returns/return_policy_test.ts
@@ -59,10 +59,13 @@
 });
 
 // A caller that returns in vain is refused for good.
-test("return policy: no free capacity is expected without a window for the priority", (t) => {
+test("return policy: no free capacity is expected if the window is beyond the caller's reach", (t) => {
   const policy = createPolicy();
+  const late = [{ priority: 2, from: 9_000, until: 9_000 }];
+  policy.receive([{ service: "s", returns: late }], 0);
   t.deepEqual(policy.choose({ ...CALLER, priority: 2 }, () => 0, 0), NONE);
-  t.deepEqual(policy.choose({ ...CALLER, isReturn: true }, () => 0, 0), NONE);
+  const returned = { ...CALLER, priority: 2, isReturn: true };
+  t.deepEqual(policy.choose(returned, () => 0, 0), NONE);
   t.deepEqual(policy.counts.get("s"), {
     promised: 0,
     returned: 0,
@@ -70,6 +73,13 @@
   });
 });
 
+// Guards against telling callers of a priority that the holder could not plan
+// that there is no capacity in their time.
+test("return policy: a priority that was not planned has no plan", (t) => {
+  const policy = createPolicy();
+  t.is(policy.choose({ ...CALLER, priority: 2 }, () => 0, 0), null);
+});
+
 // Guards against windows of a holder that is gone.
 test("return policy: without an answer for 1.2 s, no returns are planned", (t) => {
   const policy = createPolicy();
