--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -287,7 +287,7 @@
     );
     this.#requests.set(arrival.exchange, request);
     this.#retryPolicy.recordRequest(service, now);
-    this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
+    this.#retryAfterPolicy.recordTimeout(route, arrival.timeout, now);
     const isReturn = this.#retryAfterPolicy.isReturn(request);
     request.rank = requestRank(route.priority, request.chance, isReturn);
     this.context.demand.arrived(service, route.priority, isReturn);
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -10,7 +10,7 @@
  * requests for 8 s were late just because of the delay.
  *
  * ```ts
- * policy.recordTimeout(route, timeout);
+ * policy.recordTimeout(route, timeout, now);
  * const { delay } = policy.choose(request, now); // milliseconds
  * ```
  *
@@ -48,6 +48,17 @@
  * than the longest timeout of its route by at most this share of the longest.
  */
 const FIRST_ATTEMPT_TOLERANCE = 0.05;
+/**
+ * Minimum timeout of a return, as a share of the longest of its route. A caller
+ * that is refused within a fifth of its time and returns after a third of the
+ * rest has 0.53 left. A shorter timeout is that of another kind of caller.
+ */
+const MINIMUM_RETURN_SHARE = 0.52;
+/**
+ * Time without a first attempt after which the longest timeout of a route is
+ * replaced, in milliseconds.
+ */
+const LONGEST_TIMEOUT_LIFETIME = 60_000;
 /**
  * Maximum random reduction of a delay, as a share of it, so that callers that
  * were refused together do not retry together.
@@ -80,13 +91,20 @@
   "fleet" | "directory" | "paths" | "demand" | "returns" | "features" | "draw"
 >;
 
+/** Longest timeout of a route's callers, in milliseconds. */
+interface LongestTimeout {
+  timeout: number;
+  /** When a request with about this timeout last arrived. */
+  seenAt: number;
+}
+
 /** See the module's comment. */
 export class RetryAfterPolicy {
   /**
-   * Longest timeout that callers of each route have sent, in milliseconds. It
-   * is the timeout of first attempts, since retries have less time left.
+   * Longest timeout that callers of each route have sent recently. It is the
+   * timeout of first attempts, since retries have less time left.
    */
-  readonly #longestTimeouts = new Map<string, number>();
+  readonly #longestTimeouts = new Map<string, LongestTimeout>();
 
   private constructor(private readonly context: RetryAfterContext) {}
 
@@ -96,11 +114,15 @@
   }
 
   /** Records the timeout in milliseconds, or null, that a caller sent. */
-  recordTimeout({ name }: Route, timeout: number | null): void {
+  recordTimeout({ name }: Route, timeout: number | null, now: number): void {
     if (timeout === null) return;
-    if (timeout > (this.#longestTimeouts.get(name) ?? 0)) {
-      this.#longestTimeouts.set(name, timeout);
-    }
+    const longest = this.#longestTimeouts.get(name);
+    if (
+      longest === undefined || timeout > longest.timeout ||
+      now - longest.seenAt >= LONGEST_TIMEOUT_LIFETIME
+    ) {
+      this.#longestTimeouts.set(name, { timeout, seenAt: now });
+    } else if (isNear(timeout, longest.timeout)) longest.seenAt = now;
   }
 
   /**
@@ -194,17 +216,36 @@
 
   /** Whether a request seems to be the retry of a caller that was refused. */
   isReturn(request: PendingRequest): boolean {
-    return request.arrival.timeout !== null && !this.#isFirstAttempt(request);
+    const { timeout } = request.arrival;
+    if (timeout === null || this.#isFirstAttempt(request)) return false;
+    return timeout >= this.#longestTimeout(request) * MINIMUM_RETURN_SHARE;
   }
 
   /**
    * Whether a request seems to be the first attempt of its caller, not a retry.
    */
-  #isFirstAttempt({ arrival, route }: PendingRequest): boolean {
-    if (arrival.timeout === null) return false;
-    const longest = this.#longestTimeouts.get(route.name) ?? 0;
-    return arrival.timeout >= longest * (1 - FIRST_ATTEMPT_TOLERANCE);
+  #isFirstAttempt(request: PendingRequest): boolean {
+    const { timeout } = request.arrival;
+    return timeout !== null && isNear(timeout, this.#longestTimeout(request));
   }
+
+  /**
+   * Timeout of first attempts like a request, in milliseconds; 0 if it is not
+   * known. It is at most that of the route, if that has one, unless the request
+   * itself has more: one caller with much time would otherwise make the first
+   * attempts of others seem to be returns.
+   */
+  #longestTimeout({ arrival, route }: PendingRequest): number {
+    const { timeout = 0 } = this.#longestTimeouts.get(route.name) ?? {};
+    const isLimited = route.timeout > 0 &&
+      (arrival.timeout ?? 0) <= route.timeout;
+    return isLimited ? Math.min(timeout, route.timeout) : timeout;
+  }
+}
+
+/** Whether a timeout is that of a first attempt if these have `longest`. */
+function isNear(timeout: number, longest: number): boolean {
+  return timeout >= longest * (1 - FIRST_ATTEMPT_TOLERANCE);
 }
 
 /**
--- a/src/core/returns/overload_patterns_test.ts
+++ b/src/core/returns/overload_patterns_test.ts
@@ -104,7 +104,7 @@
   );
   const vms = Array.from({ length: vmCount }, () => createVm(isPlanned, draw));
   for (const { policy } of vms) {
-    routes.forEach((route) => policy.recordTimeout(route, route.timeout));
+    routes.forEach((route) => policy.recordTimeout(route, route.timeout, 0));
   }
   const waiting = new Map<number, Attempt[]>();
   const schedule = (attempt: Attempt) => {
