Returns: the forecast beyond one period is that of earlier periods

For times later than one period, the forecast was read from steps in the future and was 0. With a period of 5 s and callers of 30 s, windows lay in the next but one crest, as if it had the whole capacity free.

Periods are subtracted until the time has been reported. The new test failed before, with a window that begins in a crest.

--- a/src/core/returns/demand_history.ts
+++ b/src/core/returns/demand_history.ts
@@ -19,7 +19,7 @@
  * Mean age of the requests in a report when it arrives, in milliseconds: half
  * of the report interval.
  */
-const MEAN_REPORT_AGE = 250;
+export const MEAN_REPORT_AGE = 250;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -20,6 +20,7 @@
 import {
   DemandHistory,
   HISTORY_STEP,
+  MEAN_REPORT_AGE,
   type ReportedDemand,
 } from "./demand_history.ts";
 import { PromisedReturns } from "./promised_returns.ts";
@@ -341,7 +342,7 @@
     : rankBound(state, priority, capacity, now);
   const free = Array.from({ length: Math.max(0, steps) }, (_, i) => {
     const time = start + i * HISTORY_STEP;
-    const demand = forecast(state, priority, time);
+    const demand = forecast(state, priority, time, now);
     return Math.min(capacity - demand, bound) - unknown -
       state.promised.rateAt(time, now);
   });
@@ -385,15 +386,20 @@
   { history, period, baseline }: ServiceState,
   priority: number,
   time: number,
+  now: number,
 ): number {
+  const margin = FORECAST_SMOOTHING / 2;
+  const known = now - MEAN_REPORT_AGE - margin;
+  const periods = period === null
+    ? 0
+    : Math.max(1, Math.ceil((time - known) / period));
+  const middle = time - periods * (period ?? 0);
   let demand = 0;
   for (const each of history.priorities) {
     if (each > priority) break;
     if (period === null) {
       demand += baseline?.get(each) ?? 0;
     } else {
-      const middle = time - period;
-      const margin = FORECAST_SMOOTHING / 2;
       demand += history.freshBetween(each, middle - margin, middle + margin);
     }
   }
--- a/src/core/returns/return_planner_test.ts
+++ b/src/core/returns/return_planner_test.ts
@@ -77,6 +77,26 @@
   t.deepEqual(planned, [0, 2, 3, 4, 5, 6, 7, 8]);
 });
 
+// Guards against a forecast without demand for times of which the period before
+// is in the future as well: such windows lie in the next crest.
+test("return planner: beyond one period, the demand of earlier periods is expected", (t) => {
+  const period = 5_000;
+  const isCrest = (time: number) => time % period < 2_500;
+  // The reach is 9.6 s. Free capacity remains in the troughs only.
+  const planner = ReturnPlanner.create(() => 30_000);
+  const rates = (now: number) => isCrest(now) ? [1_500] : [950];
+  for (let now = 0; now < 21_000; now += 100) {
+    feed(planner, now, now + 100, rates(now));
+  }
+  const windows = planner.plan("s", CAPACITY, 21_000)!;
+  t.true(windows.length > 0);
+  for (const { from } of windows) {
+    // The requests of a report are taken to have arrived 250 ms before.
+    const start = 21_000 + from + 250;
+    t.true(start > 26_000 && !isCrest(start), `${start}`);
+  }
+});
+
 test("return planner: the windows end 1 s after the overload", (t) => {
   const planner = createPlanner();
   feed(planner, 0, 5_000, [300, 550]);
