Returns: admissions with windows are cut to the entries of one message

Followers reject an answer with more than 64 admissions. The controller cuts its list already, so that longer ones were not seen on the wire; the planner did not keep to the limit itself. The new test failed before, with 70 services.

--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -16,7 +16,11 @@
  *
  * @module
  */
-import type { ReturnWindow, ServiceAdmission } from "../peers/peer_message.ts";
+import {
+  MAXIMUM_SERVICE_ENTRIES,
+  type ReturnWindow,
+  type ServiceAdmission,
+} from "../peers/peer_message.ts";
 import {
   DemandHistory,
   HISTORY_STEP,
@@ -189,7 +193,8 @@
   /**
    * Adds the windows of services with a threshold to their admissions: callers
    * of the others are refused for other reasons. `capacities` has the requests
-   * per second that the servers of each service run.
+   * per second that the servers of each service run. The result fits into one
+   * message.
    */
   addWindows(
     admissions: readonly ServiceAdmission[],
@@ -203,7 +208,7 @@
       if (returns === null || admission?.threshold === undefined) continue;
       complete.set(service, { ...admission, returns });
     }
-    return [...complete.values()];
+    return [...complete.values()].slice(0, MAXIMUM_SERVICE_ENTRIES);
   }
 
   /** Plans the windows of a service, and records the returns they promise. */
--- a/src/core/returns/return_planner_test.ts
+++ b/src/core/returns/return_planner_test.ts
@@ -127,6 +127,17 @@
   t.deepEqual(planner.addWindows([], capacities, 6_000), []);
 });
 
+// Followers reject the whole answer if it lists more services.
+test("return planner: admissions with windows are at most those of one message", (t) => {
+  const admissions = Array.from({ length: 70 }, (_, i) => ({
+    service: `s${i}`,
+    threshold: 1,
+    wait: 0,
+  }));
+  const complete = createPlanner().addWindows(admissions, new Map(), 0);
+  t.deepEqual(complete, admissions.slice(0, 64));
+});
+
 // Windows that follow from a demand that was overloaded from the first report
 // on would promise no return to any caller.
 test("return planner: a new holder plans nothing before it knows 2 s without overload", (t) => {
