Returns: no plan for requests that wait when the VM stops, no delay of 0

A request that a server had refused, and that was queued again, kept `lacksCapacity` when the VM stopped. Its caller was told that there is no capacity in its time, although another VM could accept the request at once.

A caller whose time had passed got Retry-After: 0; it now gets 20 ms.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -140,6 +140,7 @@
     for (const request of [...this.#requests.values()]) {
       if (request.attempts.length > 0) continue;
       this.#queues.remove(request);
+      request.lacksCapacity = false;
       this.#refuseOrFail(request, reason, now);
     }
     return this.#takeEffects();
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -111,6 +111,7 @@
   );
   const paths = ServerPaths.create(ServerReach.create(fleet, draw));
   const admission = AdmissionPolicy.create();
+  const returns = ReturnPolicy.create();
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
@@ -122,7 +123,7 @@
     paths,
     tokens,
     demand: DemandMeter.create(),
-    returns: ReturnPolicy.create(),
+    returns,
     admission,
     features,
     availabilityZone: "a",
@@ -160,6 +161,7 @@
     quarantine,
     paths,
     admission,
+    returns,
   };
 }
 
@@ -1205,3 +1207,25 @@
     "the share of an older holder",
   );
 });
+
+// Guards against telling a caller that there is no capacity in its time, while
+// another VM can accept its request immediately.
+test("dispatch: a request that a server refused gets no planned return when this VM stops", (t) => {
+  const features = { ...NO_FEATURES, schedulesReturns: true };
+  const { dispatcher, arrive, returns } = createDispatcher(
+    8,
+    () => 0,
+    undefined,
+    undefined,
+    undefined,
+    10,
+    features,
+  );
+  arrive("/lookup/", 0);
+  const late = [{ priority: 0, from: 9_000, until: 9_000 }];
+  returns.receive([{ service: "stock", returns: late }], 0);
+  t.deepEqual(summarize(dispatcher.attemptEnded(1, NOT_RUN, 5)), []);
+  const [refusal] = dispatcher.endQueuedRequests("stopping", 6)
+    .filter((each) => each.kind === "request.refuse");
+  t.true(refusal.retryAfter !== null && refusal.retryAfter < 300);
+});
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -160,7 +160,9 @@
     const caller = { service, priority, remaining, routeRemaining, isReturn };
     const choice = returns.choose(caller, draw, now);
     if (choice === null) return null;
-    if (choice.kind === "none") return { delay: remaining, window: "none" };
+    if (choice.kind === "none") {
+      return { delay: Math.max(MINIMUM_DELAY, remaining), window: "none" };
+    }
     demand.refused(service, priority);
     const { delay, from, until } = choice;
     return { delay, window: `${Math.round(from)}-${Math.round(until)}` };
--- a/src/core/dispatch/retry_after_policy_test.ts
+++ b/src/core/dispatch/retry_after_policy_test.ts
@@ -14,12 +14,13 @@
 function createPolicy(timeout: number) {
   const fleet = Fleet.create();
   const draw = () => 0;
+  const returns = ReturnPolicy.create();
   const policy = RetryAfterPolicy.create({
     fleet,
     directory: KeyDirectory.create(),
     paths: ServerPaths.create(ServerReach.create(fleet, draw)),
     demand: DemandMeter.create(),
-    returns: ReturnPolicy.create(),
+    returns,
     features: { ...NO_FEATURES, schedulesReturns: true },
     draw,
   });
@@ -51,7 +52,7 @@
     policy.recordTimeout(route, stated, now);
     return policy.isReturn(requestWith(stated, now));
   };
-  return { policy, requestWith, isReturn };
+  return { policy, returns, requestWith, isReturn };
 }
 
 // Guards against one caller with a long timeout that makes the first attempts
@@ -81,3 +82,14 @@
   t.true(isReturn(4_200, 10));
   t.false(isReturn(4_000, 20));
 });
+
+// Guards against a caller that returns at once, in vain.
+test("retry after: a caller whose time has passed is not told to return at once", (t) => {
+  const { policy, returns, requestWith } = createPolicy(1_000);
+  const late = [{ priority: 0, from: 9_000, until: 9_000 }];
+  returns.receive([{ service: "s", returns: late }], 900);
+  const request = requestWith(1_000, 0);
+  request.lacksCapacity = true;
+  t.deepEqual(policy.choose(request, 990), { delay: 20, window: "none" });
+  t.deepEqual(policy.choose(request, 1_000), { delay: 20, window: "none" });
+});
