Admission: only waits for capacity are a sign of full servers

Any request that was queued, except for a transient condition, counted as a sign, also if its key's server was gone or no assignment was known. All VMs then reported each 200 ms or less instead of each 500 ms, to a holder that is busy with the same failure.

The new test failed before.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -321,8 +321,8 @@
       request.lacksCapacity = plan.lacksCapacity;
       this.#refuseOrFail(request, plan.reason, now);
     } else {
-      const { reason, isTransient } = plan;
-      if (!isTransient) this.context.admission.overloadSeen(now);
+      const { reason, lacksCapacity } = plan;
+      if (lacksCapacity) this.context.admission.overloadSeen(now);
       this.#log.defer("request.waits", request, now, {
         reason,
         ahead: queue.length,
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1229,3 +1229,14 @@
     .filter((each) => each.kind === "request.refuse");
   t.true(refusal.retryAfter !== null && refusal.retryAfter < 300);
 });
+
+// Guards against reports of all VMs each 200 ms while a server is gone, which is
+// no lack of capacity.
+test("dispatch: only a request that waits for capacity is a sign of a busy service", (t) => {
+  const { arrive, admission, assign } = createAdmittingDispatcher();
+  assign(2, true, "stock-3");
+  arrive("/lookup/", 0);
+  t.false(admission.isBusy(0));
+  for (let i = 0; i < 5; i++) arrive("/read/", 0);
+  t.true(admission.isBusy(0));
+});
