Admission: only waits for capacity are extended by an admission in force

While a service is above its capacity, admitted requests wait for a slot as long as they can meet their target. This also applied to requests whose key's server was gone, or whose key moved: they were held for up to 0.9 of the target less the work, and then refused, instead of after 0.22 of it.

The new test failed before: refused after 180 ms of a target of 200 ms, now after 44 ms as without an admission.

--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -203,14 +203,19 @@
       : null;
   }
 
-  /** Extends the wait limit of a request that an admission in force permits. */
+  /**
+   * Extends the time that a request may wait for a server with room if an
+   * admission in force permits it. Other conditions do not end sooner because
+   * the request is admitted.
+   */
   extendWait(request: PendingRequest, now: number): void {
     const { admission, features, fleet } = this.context;
     if (!features.admitsByPriority) return;
     const meanLatency = fleet.meanLatency(request.service, now);
     const described = admissionRequest(request);
     const end = admission.waitEnd(described, meanLatency, now);
-    if (end !== null) request.waitEnd = Math.max(request.waitEnd, end);
+    if (end === null) return;
+    request.capacityWaitEnd = Math.max(request.capacityWaitEnd, end);
   }
 
   /** Servers that can run a request: the owner of its key, or all. */
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1240,3 +1240,21 @@
   for (let i = 0; i < 5; i++) arrive("/read/", 0);
   t.true(admission.isBusy(0));
 });
+
+// Guards against holding an admitted request for most of its target although no
+// slot would help it.
+test("dispatch: an admitted request does not wait longer for a server that is gone", (t) => {
+  const refusedAt = (hasAdmission: boolean) => {
+    const { arrive, admission, dispatcher, assign } =
+      createAdmittingDispatcher();
+    assign(2, true, "stock-3");
+    if (hasAdmission) admission.replace([{ service: "stock", wait: 0 }], 0);
+    t.deepEqual(summarize(arrive("/lookup/", 0)), []);
+    for (let now = 1; now < 400; now++) {
+      if (summarize(dispatcher.advance(now)).length > 0) return now;
+    }
+    return null;
+  };
+  t.is(refusedAt(false), 44);
+  t.is(refusedAt(true), 44);
+});
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -110,6 +110,8 @@
   deadline: number;
   /** Time until which it may wait for a server. */
   waitEnd: number;
+  /** Time until which it may wait for a server that has room. */
+  capacityWaitEnd: number;
   /**
    * Time until which it may wait while a transient condition blocks it, such as
    * a moving key.
@@ -188,6 +190,7 @@
     arrival.timeout ?? DEFAULT_TIMEOUT,
     timeoutOf(route),
   );
+  const waitEnd = now + Math.min(WAIT_SHARE * targetLatency, timeout);
   return {
     arrival,
     route,
@@ -195,7 +198,8 @@
     key,
     arrivedAt: now,
     deadline: now + timeout,
-    waitEnd: now + Math.min(WAIT_SHARE * targetLatency, timeout),
+    waitEnd,
+    capacityWaitEnd: waitEnd,
     transientWaitEnd: now +
       Math.min(TRANSIENT_WAIT_SHARE * targetLatency, timeout),
     checkedAt: now,
--- a/src/core/dispatch/request_times.ts
+++ b/src/core/dispatch/request_times.ts
@@ -15,10 +15,11 @@
 
 /** Time until which a request may wait for the blocking condition to end. */
 export function waitLimit(
-  { waitEnd, transientWaitEnd, deadline }: PendingRequest,
-  { isTransient, isRequestSpecific }: WaitPlan,
+  { waitEnd, capacityWaitEnd, transientWaitEnd, deadline }: PendingRequest,
+  { isTransient, isRequestSpecific, lacksCapacity }: WaitPlan,
 ): number {
   if (isRequestSpecific) return deadline;
+  if (lacksCapacity) return Math.max(waitEnd, capacityWaitEnd);
   return isTransient ? Math.max(waitEnd, transientWaitEnd) : waitEnd;
 }
 
@@ -30,11 +31,15 @@
  */
 export function nextCheckAt(request: PendingRequest): number {
   if (request.attempts.length === 0) {
-    const { checkAt, waitEnd, transientWaitEnd, deadline, checkedAt } = request;
+    const { checkAt, waitEnd, capacityWaitEnd, transientWaitEnd, deadline } =
+      request;
     // Which of these ends applies depends on the condition that blocks the
     // request at that time, so the request is checked at each of them.
-    const ends = [waitEnd, transientWaitEnd, deadline];
-    return Math.min(ends.find((end) => checkedAt < end) ?? deadline, checkAt);
+    let next = Math.min(deadline, checkAt);
+    for (const end of [waitEnd, capacityWaitEnd, transientWaitEnd]) {
+      if (request.checkedAt < end) next = Math.min(next, end);
+    }
+    return next;
   }
   let checkAt = request.deadline + DEADLINE_GRACE;
   for (const { hedgeAt, coveredUntil } of request.attempts) {
