--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -140,6 +140,7 @@
     for (const request of [...this.#requests.values()]) {
       if (request.attempts.length > 0) continue;
       this.#queues.remove(request);
+      request.lacksCapacity = false;
       this.#refuseOrFail(request, reason, now);
     }
     return this.#takeEffects();
@@ -287,7 +288,7 @@
     );
     this.#requests.set(arrival.exchange, request);
     this.#retryPolicy.recordRequest(service, now);
-    this.#retryAfterPolicy.recordTimeout(route, arrival.timeout);
+    this.#retryAfterPolicy.recordTimeout(route, arrival.timeout, now);
     const isReturn = this.#retryAfterPolicy.isReturn(request);
     request.rank = requestRank(route.priority, request.chance, isReturn);
     this.context.demand.arrived(service, route.priority, isReturn);
@@ -320,8 +321,8 @@
       request.lacksCapacity = plan.lacksCapacity;
       this.#refuseOrFail(request, plan.reason, now);
     } else {
-      const { reason, isTransient } = plan;
-      if (!isTransient) this.context.admission.overloadSeen(now);
+      const { reason, lacksCapacity } = plan;
+      if (lacksCapacity) this.context.admission.overloadSeen(now);
       this.#log.defer("request.waits", request, now, {
         reason,
         ahead: queue.length,
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -111,6 +111,7 @@
   );
   const paths = ServerPaths.create(ServerReach.create(fleet, draw));
   const admission = AdmissionPolicy.create();
+  const returns = ReturnPolicy.create();
   const dispatcher = Dispatcher.create({
     catalog,
     fleet,
@@ -122,7 +123,7 @@
     paths,
     tokens,
     demand: DemandMeter.create(),
-    returns: ReturnPolicy.create(),
+    returns,
     admission,
     features,
     availabilityZone: "a",
@@ -160,6 +161,7 @@
     quarantine,
     paths,
     admission,
+    returns,
   };
 }
 
@@ -1205,3 +1207,54 @@
     "the share of an older holder",
   );
 });
+
+// Guards against telling a caller that there is no capacity in its time, while
+// another VM can accept its request immediately.
+test("dispatch: a request that a server refused gets no planned return when this VM stops", (t) => {
+  const features = { ...NO_FEATURES, schedulesReturns: true };
+  const { dispatcher, arrive, returns } = createDispatcher(
+    8,
+    () => 0,
+    undefined,
+    undefined,
+    undefined,
+    10,
+    features,
+  );
+  arrive("/lookup/", 0);
+  const late = [{ priority: 0, from: 9_000, until: 9_000 }];
+  returns.receive([{ service: "stock", returns: late }], 0);
+  t.deepEqual(summarize(dispatcher.attemptEnded(1, NOT_RUN, 5)), []);
+  const [refusal] = dispatcher.endQueuedRequests("stopping", 6)
+    .filter((each) => each.kind === "request.refuse");
+  t.true(refusal.retryAfter !== null && refusal.retryAfter < 300);
+});
+
+// Guards against reports of all VMs each 200 ms while a server is gone, which is
+// no lack of capacity.
+test("dispatch: only a request that waits for capacity is a sign of a busy service", (t) => {
+  const { arrive, admission, assign } = createAdmittingDispatcher();
+  assign(2, true, "stock-3");
+  arrive("/lookup/", 0);
+  t.false(admission.isBusy(0));
+  for (let i = 0; i < 5; i++) arrive("/read/", 0);
+  t.true(admission.isBusy(0));
+});
+
+// Guards against holding an admitted request for most of its target although no
+// slot would help it.
+test("dispatch: an admitted request does not wait longer for a server that is gone", (t) => {
+  const refusedAt = (hasAdmission: boolean) => {
+    const { arrive, admission, dispatcher, assign } =
+      createAdmittingDispatcher();
+    assign(2, true, "stock-3");
+    if (hasAdmission) admission.replace([{ service: "stock", wait: 0 }], 0);
+    t.deepEqual(summarize(arrive("/lookup/", 0)), []);
+    for (let now = 1; now < 400; now++) {
+      if (summarize(dispatcher.advance(now)).length > 0) return now;
+    }
+    return null;
+  };
+  t.is(refusedAt(false), 44);
+  t.is(refusedAt(true), 44);
+});
--- a/src/core/dispatch/request_return_test.ts
+++ b/src/core/dispatch/request_return_test.ts
@@ -26,7 +26,7 @@
 test("returns: first attempts with somewhat less time are not returns", (t) => {
   const policy = RetryAfterPolicy.create({} as RetryAfterContext);
   const isReturn = (timeout: number) => {
-    policy.recordTimeout(ROUTE, timeout);
+    policy.recordTimeout(ROUTE, timeout, 0);
     const arrival = {
       exchange: 1,
       id: "a",
--- a/src/core/returns/return_planner.ts
+++ b/src/core/returns/return_planner.ts
@@ -16,10 +16,15 @@
  *
  * @module
  */
-import type { ReturnWindow, ServiceAdmission } from "../peers/peer_message.ts";
+import {
+  MAXIMUM_SERVICE_ENTRIES,
+  type ReturnWindow,
+  type ServiceAdmission,
+} from "../peers/peer_message.ts";
 import {
   DemandHistory,
   HISTORY_STEP,
+  MEAN_REPORT_AGE,
   type ReportedDemand,
 } from "./demand_history.ts";
 import { PromisedReturns } from "./promised_returns.ts";
@@ -75,12 +80,18 @@
 const MINIMUM_REFUSALS = 0.02;
 /** Maximum number of windows for one service in a message. */
 const MAXIMUM_WINDOWS = 8;
+/**
+ * Start and end of the window of a priority without free capacity in its
+ * callers' time, in milliseconds from now: no caller honours such a delay. A
+ * priority without a window was not planned.
+ */
+const NO_CAPACITY_DELAY = 3_600_000;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A window in this VM's time. */
 interface PlannedWindow extends ReturnWindow {
-  /** Part of the refused callers that is promised a return. */
+  /** Part of the refused callers that is promised a return; 0 if none is. */
   share: number;
 }
 
@@ -149,9 +160,10 @@
 
   /**
    * Returns the windows of a service whose servers run `capacity` requests per
-   * second, in milliseconds from now. A priority without a window has no
-   * free capacity in its callers' time. Null if the service is not overloaded,
-   * or the demand before the overload is not known.
+   * second, in milliseconds from now. A priority without free capacity in its
+   * callers' time has a window that no caller can honour, and one that is not
+   * planned has none. Null if the service is not overloaded, or the demand
+   * before the overload is not known.
    */
   plan(service: string, capacity: number, now: number): ReturnWindow[] | null {
     const state = this.#services.get(service);
@@ -181,7 +193,8 @@
   /**
    * Adds the windows of services with a threshold to their admissions: callers
    * of the others are refused for other reasons. `capacities` has the requests
-   * per second that the servers of each service run.
+   * per second that the servers of each service run. The result fits into one
+   * message.
    */
   addWindows(
     admissions: readonly ServiceAdmission[],
@@ -195,7 +208,7 @@
       if (returns === null || admission?.threshold === undefined) continue;
       complete.set(service, { ...admission, returns });
     }
-    return [...complete.values()];
+    return [...complete.values()].slice(0, MAXIMUM_SERVICE_ENTRIES);
   }
 
   /** Plans the windows of a service, and records the returns they promise. */
@@ -225,7 +238,11 @@
         // the more urgent ones need the whole capacity.
         const mayEnd = state.period === null &&
           rankBound(state, priority, capacity, now) > 0;
-        if (mayEnd) windows.push(lateWindow(priority, reach, now));
+        windows.push(
+          mayEnd
+            ? lateWindow(priority, reach, now)
+            : noCapacityWindow(priority, now),
+        );
         continue;
       }
       const { from, until, count } = choice;
@@ -306,13 +323,20 @@
     left = Math.max(0, left - returned);
     const excess = Math.max(0, fresh - left);
     left = Math.max(0, left - fresh);
-    const share = windows.find((each) => each.priority === priority)?.share;
-    const observed = share === undefined ? 0 : promised / share;
+    const share = windows.find((each) => each.priority === priority)?.share ??
+      0;
+    const observed = share === 0 ? 0 : promised / share;
     const rate = Math.max(excess, Math.min(observed, fresh));
     return [priority, Math.max(rate, MINIMUM_REFUSALS * capacity)];
   });
 }
 
+/** A window beyond the time of all callers: no free capacity is expected. */
+function noCapacityWindow(priority: number, now: number): PlannedWindow {
+  const end = now + NO_CAPACITY_DELAY;
+  return { priority, from: end, until: end, share: 0 };
+}
+
 /** The latest window that callers of a priority honour. */
 function lateWindow(
   priority: number,
@@ -347,7 +371,7 @@
     : rankBound(state, priority, capacity, now);
   const free = Array.from({ length: Math.max(0, steps) }, (_, i) => {
     const time = start + i * HISTORY_STEP;
-    const demand = forecast(state, priority, time);
+    const demand = forecast(state, priority, time, now);
     return Math.min(capacity - demand, bound) - unknown -
       state.promised.rateAt(time, now);
   });
@@ -391,15 +415,20 @@
   { history, period, baseline }: ServiceState,
   priority: number,
   time: number,
+  now: number,
 ): number {
+  const margin = FORECAST_SMOOTHING / 2;
+  const known = now - MEAN_REPORT_AGE - margin;
+  const periods = period === null
+    ? 0
+    : Math.max(1, Math.ceil((time - known) / period));
+  const middle = time - periods * (period ?? 0);
   let demand = 0;
   for (const each of history.priorities) {
     if (each > priority) break;
     if (period === null) {
       demand += baseline?.get(each) ?? 0;
     } else {
-      const middle = time - period;
-      const margin = FORECAST_SMOOTHING / 2;
       demand += history.freshBetween(each, middle - margin, middle + margin);
     }
   }
--- a/src/core/returns/return_planner_test.ts
+++ b/src/core/returns/return_planner_test.ts
@@ -50,13 +50,51 @@
   t.true(share > 0 && share < 0.5, `${share}`);
 });
 
-test("return planner: a priority that finds no capacity by rank gets no window", (t) => {
+test("return planner: a priority that finds no capacity by rank gets a window beyond its callers' time", (t) => {
   const planner = createPlanner();
   feed(planner, 0, 5_000, [300, 690]);
   feed(planner, 5_000, 6_000, [1_300, 690]);
   const windows = planner.plan("s", CAPACITY, 6_000)!;
   // The more urgent requests alone exceed the capacity.
-  t.deepEqual(windows.map(({ priority }) => priority), [0]);
+  t.deepEqual(windows.map(({ priority }) => priority), [0, 1]);
+  const [urgent, other] = windows;
+  t.true(urgent.from < REACH, `${urgent.from}`);
+  t.true(other.from > 8_000, `${other.from}`);
+  t.is(other.until, other.from);
+});
+
+// Guards against telling callers that there is no capacity in their time for
+// lack of a place in the message.
+test("return planner: a ninth priority and one without a timeout are not planned", (t) => {
+  const planner = ReturnPlanner.create((_, priority) =>
+    priority === 1 ? null : 8_000
+  );
+  const even = Array.from({ length: 10 }, () => 90);
+  feed(planner, 0, 5_000, even);
+  feed(planner, 5_000, 6_000, even.map((rate) => 2 * rate));
+  const windows = planner.plan("s", CAPACITY, 6_000)!;
+  const planned = windows.map(({ priority }) => priority);
+  t.deepEqual(planned, [0, 2, 3, 4, 5, 6, 7, 8]);
+});
+
+// Guards against a forecast without demand for times of which the period before
+// is in the future as well: such windows lie in the next crest.
+test("return planner: beyond one period, the demand of earlier periods is expected", (t) => {
+  const period = 5_000;
+  const isCrest = (time: number) => time % period < 2_500;
+  // The reach is 9.6 s. Free capacity remains in the troughs only.
+  const planner = ReturnPlanner.create(() => 30_000);
+  const rates = (now: number) => isCrest(now) ? [1_500] : [950];
+  for (let now = 0; now < 21_000; now += 100) {
+    feed(planner, now, now + 100, rates(now));
+  }
+  const windows = planner.plan("s", CAPACITY, 21_000)!;
+  t.true(windows.length > 0);
+  for (const { from } of windows) {
+    // The requests of a report are taken to have arrived 250 ms before.
+    const start = 21_000 + from + 250;
+    t.true(start > 26_000 && !isCrest(start), `${start}`);
+  }
 });
 
 test("return planner: the windows end 1 s after the overload", (t) => {
@@ -89,6 +127,17 @@
   t.deepEqual(planner.addWindows([], capacities, 6_000), []);
 });
 
+// Followers reject the whole answer if it lists more services.
+test("return planner: admissions with windows are at most those of one message", (t) => {
+  const admissions = Array.from({ length: 70 }, (_, i) => ({
+    service: `s${i}`,
+    threshold: 1,
+    wait: 0,
+  }));
+  const complete = createPlanner().addWindows(admissions, new Map(), 0);
+  t.deepEqual(complete, admissions.slice(0, 64));
+});
+
 // Windows that follow from a demand that was overloaded from the first report
 // on would promise no return to any caller.
 test("return planner: a new holder plans nothing before it knows 2 s without overload", (t) => {
