Memory: a complete response is not cut off at the bound

The bound was checked while the last chunk of a response was counted, before Node reported its end. A response of 102,400 declared bytes was cut off after 102,400 bytes, and a request that is not idempotent got 502. The check now follows all callbacks of the read, and considers only responses of at least 64 KB, so that chunks at the bound cause no scan of all responses.

Not delayed to setImmediate: with it a response of 600 KB was read whole in one turn although the bound was 300 KB, and the test that expects the cut failed.

Existing tests of HeldBytes wait for a turn of the event loop before they compare the cuts; the expected cuts are unchanged. The new tests in held_bytes_test.ts and backend_pool_test.ts fail without the change.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -451,8 +451,7 @@
     const body = BodyBuffer.create();
     response.on("data", (chunk: Buffer) => {
       running.bytes.add(chunk.length);
-      // Counting the chunk may have cut off this response.
-      if (this.#attempts.get(attempt) === running) body.add(chunk);
+      body.add(chunk);
     });
     response.on(
       "error",
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -286,3 +286,21 @@
   t.deepEqual(cuts, ["server-1 body"]);
   t.is(held.held, 0);
 });
+
+// Guards against a complete response that is cut off with its last chunk, which
+// reaches the bound before Node reports the end of the response.
+test("backend pool: a response whose last bytes reach the bound is not cut off", async (t) => {
+  const size = 100 * 1_024;
+  const held = HeldBytes.create({ total: size, connection: size });
+  const { address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    socket.write(responseHead(id, [`Content-Length: ${size}`]));
+    socket.write("x".repeat(size));
+  });
+  const { send } = createPool(t, address, {
+    held,
+    onResponseCut: () => t.fail(),
+  });
+  t.is(outcomeKind(await send("whole")), "genuine");
+  t.is(held.held, 0);
+});
--- a/src/runtime/held_bytes.ts
+++ b/src/runtime/held_bytes.ts
@@ -98,7 +98,10 @@
 export class HeldBytes {
   #held = 0;
   #isHigh = false;
-  readonly #responses = new Set<IncomingResponse>();
+  /** Whether the bound is checked once the current callbacks have ended. */
+  #isCheckPending = false;
+  /** Responses that are being received and large enough to be cut off. */
+  readonly #largeResponses = new Set<IncomingResponse>();
 
   private constructor(
     private readonly limits: HeldLimits | null,
@@ -138,31 +141,53 @@
     );
   }
 
-  /** Starts counting for a response; `cut` must cut it off and end it. */
+  /**
+   * Starts counting for a response; `cut` must cut it off and end it. It is not
+   * called before the current callback has returned.
+   */
   openResponse(cut: () => void): ResponseBytes {
     const response = IncomingResponse.create(
-      (bytes) => this.#change(bytes),
-      () => this.#responses.delete(response),
+      (bytes) => {
+        const isLarge = response.bytes >= MINIMUM_CUT;
+        if (bytes > 0 && isLarge) this.#largeResponses.add(response);
+        this.#change(bytes);
+      },
+      () => this.#largeResponses.delete(response),
       cut,
     );
-    this.#responses.add(response);
     return response;
   }
 
   #change(bytes: number): void {
     this.#held += bytes;
-    if (bytes > 0) this.#cutResponses();
+    if (bytes > 0) this.#scheduleCuts();
     this.#updatePressure();
   }
 
+  /**
+   * Checks the bound once the bytes that were just read have been processed:
+   * Node reports the end of a response after its last chunk, and a complete
+   * response must not be cut off. `setImmediate` would be too late: 600 KB of a
+   * response were read in one turn of the event loop.
+   */
+  #scheduleCuts(): void {
+    if (this.#isCheckPending || this.share < 1) return;
+    this.#isCheckPending = true;
+    // Node reports the end by callbacks of `process.nextTick`. Microtasks that
+    // are queued by such a callback run after all of them.
+    process.nextTick(() =>
+      queueMicrotask(() => {
+        this.#isCheckPending = false;
+        this.#cutResponses();
+      })
+    );
+  }
+
   /** Cuts off the largest responses until the held bytes are below the bound. */
   #cutResponses(): void {
-    while (this.share >= 1) {
-      let largest: IncomingResponse | null = null;
-      for (const each of this.#responses) {
-        if (each.bytes > (largest?.bytes ?? MINIMUM_CUT - 1)) largest = each;
-      }
-      if (largest === null) return;
+    while (this.share >= 1 && this.#largeResponses.size > 0) {
+      const [largest] = [...this.#largeResponses]
+        .sort((one, other) => other.bytes - one.bytes);
       largest.end();
       largest.cut();
     }
--- a/src/runtime/held_bytes_test.ts
+++ b/src/runtime/held_bytes_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import {
   HeldBytes,
   heldLimitsOf,
@@ -36,11 +37,12 @@
 });
 
 // Guards against a bound that is in force although none is set.
-test("held bytes: without limits nothing is paused, cut off or under pressure", (t) => {
+test("held bytes: without limits nothing is paused, cut off or under pressure", async (t) => {
   const held = HeldBytes.create(null, () => t.fail());
   const { bytes, pauses } = openConnection(held);
   held.openResponse(() => t.fail()).add(2 ** 40);
   bytes.add(2 ** 40);
+  await nextTurn();
   t.is(held.held, 2 ** 41);
   t.is(held.share, 0);
   t.deepEqual(pauses, []);
@@ -77,7 +79,7 @@
   t.deepEqual(pauses, [true, false, true]);
 });
 
-test("held bytes: at the bound the largest incoming response is cut off first", (t) => {
+test("held bytes: at the bound the largest incoming response is cut off first", async (t) => {
   const held = HeldBytes.create(LIMITS);
   const cuts: string[] = [];
   const open = (name: string) => held.openResponse(() => cuts.push(name));
@@ -90,15 +92,29 @@
   const { bytes } = openConnection(held);
   bytes.add(400 * KILOBYTE);
   tiny.add(50 * KILOBYTE);
+  await nextTurn();
   t.deepEqual(cuts, []);
   bytes.add(50 * KILOBYTE);
+  await nextTurn();
   t.deepEqual(cuts, ["large"]);
   t.is(held.held, 700 * KILOBYTE);
   bytes.add(600 * KILOBYTE);
+  await nextTurn();
   // Cutting off the tiny one would free next to nothing.
   t.deepEqual(cuts, ["large", "small"]);
 });
 
+// Guards against the cut of a response whose last bytes reach the bound: Node
+// reports its end after them, in the same turn of the event loop.
+test("held bytes: a response that is complete in the same turn is not cut off", async (t) => {
+  const held = HeldBytes.create(LIMITS);
+  const response = held.openResponse(() => t.fail());
+  response.add(LIMITS.total);
+  process.nextTick(() => response.end());
+  await nextTurn();
+  t.is(held.held, 0);
+});
+
 test("held bytes: pressure is reported when it begins and when it ends", (t) => {
   const changes: PressureChange[] = [];
   const held = HeldBytes.create(LIMITS, (change) => changes.push(change));
