Memory: a request's bytes are released before its response counts

The response was added first, so that both counted for a moment: a response was cut off, or a connection paused, although the memory was free. With a request and a response of 100 KB, 204,800 bytes counted instead of 102,400. The new test in slow_caller_test.ts fails without the change.

--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -283,9 +283,10 @@
     if (exchange === undefined) return;
     this.#exchanges.delete(id);
     const { response, connection, arrivedAt } = exchange;
+    // The other order would count both and exceed limits without need.
+    connection.bytes.release(exchange.heldBytes, !exchange.isReceived);
     connection.bytes.add(body.length);
     response.once("close", () => connection.bytes.release(body.length, false));
-    connection.bytes.release(exchange.heldBytes, !exchange.isReceived);
     const isLast = connection.isLast(id);
     if (this.#isDraining && isLast) connection.end();
     const head = [...headers, "Content-Length", String(body.length)];
--- a/src/runtime/slow_caller_test.ts
+++ b/src/runtime/slow_caller_test.ts
@@ -8,7 +8,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { connectCaller } from "../../test/support/caller_connection.ts";
 import type { UntimedEvent } from "../core/entry_event.ts";
-import { HeldBytes } from "./held_bytes.ts";
+import { HeldBytes, type PressureChange } from "./held_bytes.ts";
 
 const KILOBYTE = 1_024;
 const MEGABYTE = 1_024 * KILOBYTE;
@@ -99,6 +99,25 @@
   t.is(held.held, 5);
 });
 
+// Guards against a response that counts together with its request: responses
+// would be cut off, and connections paused, although the memory is free.
+test("slow caller: a request is released before its response counts", async (t) => {
+  const limits = { total: 220 * KILOBYTE, connection: MEGABYTE };
+  const changes: PressureChange[] = [];
+  const held = HeldBytes.create(limits, (each) => changes.push(each));
+  const { server, socket, events, read } = await connectCaller(t, LIMITS, held);
+  socket.write(post(BODY));
+  while (arrivalsOf(events).length === 0) await delay(1);
+  const { exchange } = arrivalsOf(events)[0];
+  const headers: string[] = [];
+  const body = Buffer.from(BODY);
+  server.deliver(exchange, { status: 200, statusText: "", headers, body });
+  while (read().length < body.length) await delay(1);
+  await delay(SETTLE_TIME);
+  t.deepEqual(changes, []);
+  t.is(held.held, 0);
+});
+
 test("slow caller: a response counts until its caller has read it or has disconnected", async (t) => {
   const held = HeldBytes.create(null);
   const { server, socket, events, read } = await connectCaller(t, LIMITS, held);
