Memory: the core checks the bytes in flight to a server

Requests whose bodies exceeded this VM's share of a server's memory waited in a queue of the connection pool. The core took them for sent: their wait counted as latency of the server and for hedges, they were sent later without the checks of quarantine, cold servers and rate limits, and up to the grace after their deadline.

The share is now part of the capacity of a server: the event request.arrived has the size of the body, the core counts the bytes of the attempts at each server, and a request without room waits in the queue of its service. It is checked there like any other, and refused with 503 if it waits for too long. Cost per request: one comparison.

upload_queue.ts is removed. Its tests and that of the pool are replaced by tests of the dispatcher for the same failures (waiting, one large body alone, none without a body, requests that end while they wait) and for the faults above.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -42,6 +42,11 @@
   /** Availability zone of this VM. */
   availabilityZone: string;
   retryLimits: RetryLimits;
+  /**
+   * Bytes of request bodies that all VMs together may have in flight to a
+   * server for each of its slots; unlimited if omitted.
+   */
+  bodyBytesPerSlot?: number;
   /** Time at which this process started, in milliseconds of its clock. */
   startedAt(): number;
   /** Number of VMs, or null when unknown. */
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -8,6 +8,7 @@
 import type { AdmissionDenial, AdmissionRequest } from "../admission/index.ts";
 import type { TrackedServer } from "../fleet/index.ts";
 import type { QuarantinedRequest } from "../quarantine/index.ts";
+import { hasBodyRoom } from "./body_room.ts";
 import type { CopiesInFlight } from "./copies_in_flight.ts";
 import type { DispatchContext } from "./dispatch_context.ts";
 import type { RangeBackoff } from "./range_backoff.ts";
@@ -61,6 +62,11 @@
     isRequestSpecific: boolean;
     /** Whether the condition is that all servers that may run it are busy. */
     lacksCapacity: boolean;
+    /**
+     * Whether servers have capacity, but not for the bytes of the request's
+     * body; false if omitted.
+     */
+    lacksBodyRoom?: boolean;
     /** When the condition ends by itself; Infinity if it does not. */
     until: number;
   };
@@ -106,6 +112,22 @@
   };
 }
 
+/**
+ * A wait until a server can take the bytes of the request's body. It is no sign
+ * of overload: one large request may be in flight to an idle server.
+ */
+function bodyRoomWait(reason: string): DispatchPlan {
+  return {
+    kind: "wait",
+    reason,
+    isTransient: true,
+    isRequestSpecific: false,
+    lacksCapacity: false,
+    lacksBodyRoom: true,
+    until: Infinity,
+  };
+}
+
 /** A wait for a condition that affects only this request. */
 function requestSpecificWait(reason: string, until: number): DispatchPlan {
   return {
@@ -251,6 +273,8 @@
       tokens,
       paths,
       isUrgent,
+      hasBodyRoom: (server: TrackedServer) =>
+        this.#hasBodyRoom(request, server),
       draw,
     };
     const server = this.#sharedServer(request, now) ??
@@ -270,7 +294,12 @@
     if (usable.length > 0 && usable.every(isTokenDenied)) {
       return refusal("all servers of the service limit their requests", true);
     }
-    return capacityWait("no server has room");
+    const isBodyTooLarge = usable.some((server) =>
+      !this.#hasBodyRoom(request, server) && hasCapacity(server, now, vmCount)
+    );
+    return isBodyTooLarge
+      ? bodyRoomWait("no server can take the body now")
+      : capacityWait("no server has room");
   }
 
   /**
@@ -318,10 +347,18 @@
     const isHealthy = !server.isLeaving && !server.isBackedOff(now) &&
       !server.isPaused(now) && !server.isUnresponsive(now, meanLatency);
     const isAvailable = isHealthy && tokens.isReady(server, now) &&
-      hasCapacity(server, now, this.#vmCount);
+      hasCapacity(server, now, this.#vmCount) &&
+      this.#hasBodyRoom(request, server);
     return isAvailable ? server : null;
   }
 
+  /** Whether a server can take the bytes of a request's body now. */
+  #hasBodyRoom({ arrival }: PendingRequest, server: TrackedServer): boolean {
+    const { bodyBytesPerSlot = Infinity } = this.context;
+    const { bodyBytes = 0 } = arrival;
+    return hasBodyRoom(server, bodyBytes, bodyBytesPerSlot, this.#vmCount);
+  }
+
   /** Number of VMs, or null when unknown. */
   get #vmCount(): number | null {
     return this.context.vms();
@@ -388,6 +425,9 @@
     if (!hasCapacity(server, now, this.#vmCount)) {
       return capacityWait("the key's server has no room");
     }
+    if (!this.#hasBodyRoom(request, server)) {
+      return bodyRoomWait("the key's server cannot take the body now");
+    }
     return this.#checkRateLimit(request, server, now);
   }
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -387,7 +387,7 @@
       vms: this.context.vms(),
       assignments: `${term}.${version}`,
     });
-    server.started(number, now);
+    server.started(number, now, request.arrival.bodyBytes);
     this.#recordPath(request, attempt, server, mayReuseDirect, now);
     this.#recordLimitedSend(request, server, now);
     this.#effects.push({
@@ -714,9 +714,11 @@
       } else if (plan.kind !== "wait") {
         this.#refuseUnsent(request, plan, now);
       } else {
-        // Servers that a request has tried may have capacity for others.
+        // Servers that a request has tried, or that cannot take its body, may
+        // have capacity for others.
         isAtCapacity = isAtCapacity ||
-          (request.tried.length === 0 && !plan.isRequestSpecific);
+          (request.tried.length === 0 && !plan.isRequestSpecific &&
+            !plan.lacksBodyRoom);
         request.checkAt = plan.until;
         stillQueued.push(request);
       }
--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -36,6 +36,7 @@
   tokenAnswer = (): TokenAnswer | null => null,
   windowSeconds = 10,
   features = NO_FEATURES,
+  bodyBytesPerSlot = Infinity,
 ) {
   const catalog = Catalog.create();
   const route = (name: string, isIdempotent: boolean, service: string) => ({
@@ -125,6 +126,7 @@
     returns: ReturnPolicy.create(),
     admission,
     features,
+    bodyBytesPerSlot,
     availabilityZone: "a",
     retryLimits: { ratio: 0.2, windowSeconds, minimum: MINIMUM_RETRIES },
     startedAt: () => -Infinity,
@@ -137,7 +139,12 @@
     draw,
   });
   let exchange = 0;
-  const arrive = (path: string, now: number, timeout = 1_000) => {
+  const arrive = (
+    path: string,
+    now: number,
+    timeout = 1_000,
+    bodyBytes = 0,
+  ) => {
     exchange += 1;
     return dispatcher.requestArrived({
       exchange,
@@ -147,6 +154,7 @@
       timeout,
       key: 7,
       fingerprint: fingerprintOf(path),
+      bodyBytes,
     }, now);
   };
   return {
@@ -1205,3 +1213,95 @@
     "the share of an older holder",
   );
 });
+
+/** Creates a dispatcher of a single VM that sends each server 100 bytes. */
+function createBodyLimit() {
+  const created = createDispatcher(
+    1,
+    undefined,
+    undefined,
+    undefined,
+    undefined,
+    undefined,
+    undefined,
+    100,
+  );
+  const send = (path: string, bytes: number, now: number) =>
+    summarize(created.arrive(path, now, 1_000, bytes));
+  const end = (attempt: number, now: number, outcome = ANSWERED) =>
+    summarize(created.dispatcher.attemptEnded(attempt, outcome, now));
+  return { ...created, send, end };
+}
+
+// Guards against a server that is sent more than its memory takes, against a
+// wait at this VM that counts as time at the server, and against a larger
+// request that holds up smaller ones.
+test("dispatch: a request waits while too many bytes are in flight to its key's server", (t) => {
+  const { send, end, fleet } = createBodyLimit();
+  t.deepEqual(send("/lookup/a", 60, 0), ["start stock-1, 500 ms left"]);
+  t.deepEqual(send("/lookup/b", 60, 0), []);
+  t.deepEqual(send("/lookup/c", 40, 0), ["start stock-1, 500 ms left"]);
+  t.deepEqual(end(2, 10), ["deliver"]);
+  t.deepEqual(end(1, 40), ["deliver", "start stock-1, 460 ms left"]);
+  const server = fleet.get("stock-1")!;
+  t.is(server.bodyBytes, 60);
+  const latency = server.latency!;
+  t.deepEqual(end(3, 50), ["deliver"]);
+  t.true(server.latency! <= latency, `${server.latency}`);
+  t.is(server.bodyBytes, 0);
+});
+
+test("dispatch: a body above the limit is sent alone, a request without one at once", (t) => {
+  const { send, end } = createBodyLimit();
+  t.is(send("/lookup/a", 500, 0).length, 1);
+  t.deepEqual(send("/lookup/b", 1, 0), []);
+  t.is(send("/lookup/c", 0, 0).length, 1);
+  t.deepEqual(end(1, 10), ["deliver", "start stock-1, 490 ms left"]);
+});
+
+// Guards against a request that is sent after it was cancelled, and against
+// bytes that stay counted, after which the server would receive nothing more.
+test("dispatch: a request that ends while it waits for room is never sent", (t) => {
+  const { dispatcher, send, end, fleet } = createBodyLimit();
+  send("/lookup/a", 100, 0);
+  send("/lookup/b", 100, 0);
+  send("/lookup/c", 100, 0);
+  t.deepEqual(summarize(dispatcher.callerDisconnected(2, 5)), []);
+  t.deepEqual(end(1, 10), ["deliver", "start stock-1, 490 ms left"]);
+  t.deepEqual(summarize(dispatcher.callerDisconnected(3, 15)), ["cancel"]);
+  t.is(fleet.get("stock-1")!.bodyBytes, 0);
+});
+
+// Guards against requests that are sent near or after their deadline, without
+// the checks that were made on arrival, and against a 504 for a request that
+// was never sent.
+test("dispatch: a request that waits for room is checked again, and refused in time", (t) => {
+  const { dispatcher, send, end, assign } = createBodyLimit();
+  send("/lookup/a", 100, 0);
+  send("/lookup/b", 100, 0);
+  assign(2, true, "stock-2");
+  t.deepEqual(summarize(dispatcher.advance(20)), [
+    "start stock-2, 480 ms left",
+  ]);
+  send("/lookup/c", 100, 20);
+  t.deepEqual(summarize(dispatcher.advance(139)), []);
+  t.regex(
+    summarize(dispatcher.advance(141)).join(),
+    /^503, the key's server cannot take the body now, /,
+  );
+  t.deepEqual(end(2, 150), ["deliver"]);
+});
+
+// Guards against a wait for a whole service behind one large request, and
+// against a limit on an idle server that is taken for overload.
+test("dispatch: a large request without a key does not hold up smaller ones", (t) => {
+  const { send, end, admission } = createBodyLimit();
+  let overloads = 0;
+  admission.overloadSeen = () => overloads += 1;
+  for (let i = 0; i < 2; i++) t.is(send("/order/a", 60, 0).length, 1);
+  t.deepEqual(send("/order/b", 60, 0), []);
+  for (let i = 0; i < 2; i++) t.is(send("/order/c", 0, 0).length, 1);
+  t.is(overloads, 0);
+  t.deepEqual(send("/order/d", 0, 0), []);
+  t.deepEqual(end(3, 10), ["deliver", "start orders-1, 490 ms left"]);
+});
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -1,3 +1,4 @@
+export * from "./body_room.ts";
 export * from "./dispatch_context.ts";
 export * from "./dispatch_effect.ts";
 export * from "./dispatcher.ts";
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -55,6 +55,8 @@
    * be refused: its body may be incomplete.
    */
   memoryShare?: number;
+  /** Size of the body in bytes; 0 if omitted. */
+  bodyBytes?: number;
 }
 
 /** One attempt to send a request to a server. */
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -68,6 +68,8 @@
   paths: ServerPaths;
   /** Whether no route to the service is more urgent than the request's. */
   isUrgent: boolean;
+  /** Whether a server can take the bytes of the request's body now. */
+  hasBodyRoom(server: TrackedServer): boolean;
   /** Returns a random number in [0, 1). */
   draw(): number;
 }
@@ -122,7 +124,9 @@
     !paths.isDetoured(server.id, now)
   );
   const pool = healthy.length > 0 ? healthy : usable;
-  const candidates = pool.filter((server) => hasCapacity(server, now, vmCount));
+  const candidates = pool.filter((server) =>
+    hasCapacity(server, now, vmCount) && context.hasBodyRoom(server)
+  );
   let best: TrackedServer | null = null;
   let lowest = Infinity;
   let unpermitted: TrackedServer | null = null;
--- a/src/core/dispatch/server_choice_test.ts
+++ b/src/core/dispatch/server_choice_test.ts
@@ -111,6 +111,7 @@
       tokens,
       paths: ServerPaths.create(ServerReach.create(fleet, () => 0.5)),
       isUrgent: true,
+      hasBodyRoom: () => true,
       draw: () => 0.5,
     })!;
   t.not(choose(0).id, "cold");
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -143,6 +143,7 @@
       features: this.clusterState.features,
       availabilityZone: options.availabilityZone,
       retryLimits: options.retryLimits,
+      bodyBytesPerSlot: options.bodyBytesPerSlot,
       startedAt: () => this.#startedAt,
       vms: () => this.peers.vms,
       minimumShare: (now) => this.peers.retryShares.minimumShare(now),
--- a/src/core/entry_options.ts
+++ b/src/core/entry_options.ts
@@ -45,6 +45,11 @@
    */
   fitness: number;
   retryLimits: RetryLimits;
+  /**
+   * Bytes of request bodies that all VMs together may have in flight to a
+   * server for each of its slots; unlimited if omitted.
+   */
+  bodyBytesPerSlot?: number;
   shutdown: ShutdownTiming;
   registryTiming: RegistryTiming;
   /**
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -105,6 +105,8 @@
    * meanwhile, so its latency is unknown.
    */
   hasStalled: boolean;
+  /** Bytes of the body of its request. */
+  bodyBytes: number;
 }
 
 /**
@@ -134,6 +136,8 @@
   coldSince = -Infinity;
   /** Number of this VM's requests that it has not completed. */
   inFlight = 0;
+  /** Bytes of the bodies of these requests. */
+  bodyBytes = 0;
   /** When it last refused a request or responded with a failure. */
   refusedAt = -Infinity;
   #latency: number | null = null;
@@ -279,11 +283,16 @@
     this.#isConnectionRefused = true;
   }
 
-  /** Records that a request was sent to it. */
-  started(attempt: number, now: number): void {
+  /** Records that a request with a body of `bodyBytes` was sent to it. */
+  started(attempt: number, now: number, bodyBytes = 0): void {
     this.inFlight += 1;
+    this.bodyBytes += bodyBytes;
     this.#freeSlotsAt = -Infinity;
-    this.#attempts.set(attempt, { startedAt: now, hasStalled: false });
+    this.#attempts.set(attempt, {
+      startedAt: now,
+      hasStalled: false,
+      bodyBytes,
+    });
   }
 
   /** Whether an attempt at this incarnation is in flight. */
@@ -524,6 +533,7 @@
     if (timing === undefined) return null;
     this.#attempts.delete(attempt);
     this.inFlight -= 1;
+    this.bodyBytes -= timing.bodyBytes;
     return timing;
   }
 }
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -37,7 +37,6 @@
   ResponseGuard,
   type ResponseLimits,
 } from "./response_limits.ts";
-import { UploadQueue } from "./upload_queue.ts";
 
 /**
  * Connect timeout, in milliseconds. A host that is down sends nothing, not even
@@ -98,8 +97,6 @@
   onResponseCut: CutListener;
   /** Counts the responses that are being received. */
   held: HeldBytes;
-  /** Bytes of request bodies that may be in flight to a server. */
-  requestBytesLimit(server: string): number;
 }
 
 /** Returns the options that apply unless others are given. */
@@ -108,7 +105,6 @@
     responseLimits: DEFAULT_RESPONSE_LIMITS,
     onResponseCut: () => {},
     held: HeldBytes.create(null),
-    requestBytesLimit: () => Infinity,
   };
 }
 
@@ -138,16 +134,13 @@
   /** Connections through other VMs, by VM and server. */
   readonly #relayAgents = new Map<string, Map<string, RelayAgent>>();
   readonly #attempts = new Map<number, RunningAttempt>();
-  readonly #uploads: UploadQueue;
 
   private constructor(
     private readonly codec: HeaderCodec,
     private readonly sink: EventSink,
     private readonly connector: RelayConnector,
     private readonly options: BackendPoolOptions,
-  ) {
-    this.#uploads = UploadQueue.create(options.requestBytesLimit);
-  }
+  ) {}
 
   /**
    * Creates a pool without connections, which opens those through other VMs
@@ -164,26 +157,15 @@
   }
 
   /**
-   * Sends a request, once the server can take the bytes of its body. Pushes
-   * exactly one `attempt.ended`, unless the attempt is cancelled.
+   * Sends a request. Pushes exactly one `attempt.ended`, unless the attempt is
+   * cancelled.
    */
   send(start: AttemptStart, outgoing: OutgoingRequest): void {
-    const { attempt, server } = start;
-    const deadline = monotonicNow() + start.remaining;
-    this.#uploads.add(attempt, server, outgoing.body.length, () => {
-      const left = Math.floor(deadline - monotonicNow());
-      const remaining = Math.min(start.remaining, Math.max(1, left + 1));
-      this.#sendNow({ ...start, remaining }, outgoing);
-    });
-  }
-
-  #sendNow(start: AttemptStart, outgoing: OutgoingRequest): void {
     try {
       this.#startRequest(start, outgoing);
     } catch (error) {
       // Node throws on what it cannot send, and entries of the registry may
       // contain any text. An exception from here would end the process.
-      this.#uploads.end(start.attempt);
       this.sink.push({
         kind: "attempt.ended",
         attempt: start.attempt,
@@ -293,7 +275,6 @@
    * still in transit does not arrive later.
    */
   cancel(attempt: number): void {
-    this.#uploads.end(attempt);
     const running = this.#attempts.get(attempt);
     if (running === undefined) return;
     this.#attempts.delete(attempt);
@@ -492,7 +473,6 @@
     body: Buffer,
   ): void {
     if (this.#attempts.get(attempt) !== running) return;
-    this.#uploads.end(attempt);
     running.response = {
       status: response.statusCode ?? 0,
       statusText: validStatusText(response.statusMessage),
@@ -541,7 +521,6 @@
     const isCurrent = this.#attempts.get(attempt) === running;
     if (!isCurrent || running.response !== null || running.isVerifying) return;
     this.#attempts.delete(attempt);
-    this.#uploads.end(attempt);
     running.bytes.end();
     running.request.destroy();
     const relayError = error instanceof RelayError ? error : null;
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -239,33 +239,6 @@
   t.deepEqual(ends, ["ECONNRESET"]);
 });
 
-// Guards against a server that is sent more than its memory takes, and against
-// a request that is sent after it was cancelled.
-test("backend pool: a request waits while too many bytes are in flight to its server", async (t) => {
-  const received: [id: string, remaining: number, socket: Socket][] = [];
-  const { address } = await startServer(t, (socket, request) => {
-    const id = /request-id: (\w+)/i.exec(request)![1];
-    const remaining = /deadline-ms: (\d+)/i.exec(request)![1];
-    received.push([id, Number(remaining), socket]);
-  });
-  const { pool, send } = createPool(t, address, {
-    requestBytesLimit: () => 10,
-  });
-  const first = send("first", "12345678");
-  void send("cancelled", "12345678").catch(() => {});
-  void send("last", "12345678").catch(() => {});
-  await delay(100);
-  t.deepEqual(received.map(([id]) => id), ["first"]);
-  pool.cancel(2);
-  received[0][2].write(responseHead("first", ["Content-Length: 0"]));
-  t.is(outcomeKind(await first), "genuine");
-  for (let i = 0; i < 100 && received.length < 2; i++) await delay(10);
-  t.deepEqual(received.map(([id]) => id), ["first", "last"]);
-  const [[, atOnce], [, waited]] = received;
-  t.is(atOnce, 1_000);
-  t.true(waited <= 905, `${waited}`);
-});
-
 test("backend pool: at the bound on held bytes a response is cut off, a complete one is not", async (t) => {
   const size = 300 * 1_024;
   const cuts: string[] = [];
--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -403,6 +403,7 @@
         timeout: remaining,
         fingerprint: fingerprintOf(exchange),
         ...this.#memoryShare(exchange),
+        ...bodySize(exchange),
         ...metadata,
       },
     });
@@ -477,6 +478,12 @@
   }
 }
 
+/** Size of the body as part of a request's arrival; none without a body. */
+function bodySize({ outgoing }: Exchange): { bodyBytes?: number } {
+  const { length } = outgoing.body;
+  return length > 0 ? { bodyBytes: length } : {};
+}
+
 function fingerprintOf({ request, outgoing }: Exchange): Fingerprint {
   return Fingerprint.create({
     method: outgoing.method,
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -21,7 +21,7 @@
 import { EffectRunner } from "./effect_runner.ts";
 import { FeedFollower, type FeedTiming } from "./feed_follower.ts";
 import type { HeaderCodec } from "./header_codec.ts";
-import { HeldBytes, heldLimitsOf, requestBytesLimit } from "./held_bytes.ts";
+import { HeldBytes, heldLimitsOf } from "./held_bytes.ts";
 import { LoopLag } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
 import type { OrderSender } from "./order_sender.ts";
@@ -114,12 +114,14 @@
     this.#logger = Logger.create(settings.vm, settings.logging.level, output);
     const shutdownTimeout = settings.shutdownTimeoutSeconds *
       MILLISECONDS_PER_SECOND;
+    const heldLimits = heldLimitsOf(settings.memory);
     const entry = this.#entry = Entry.create({
       peerAddress: settings.peer,
       seeds: settings.seeds.filter((seed) => seed !== settings.peer),
       availabilityZone: settings.availabilityZone,
       leaseTiming: capHoldTimes(settings.leases),
       retryLimits: settings.retries,
+      bodyBytesPerSlot: heldLimits?.connection,
       shutdown: {
         closeAfter: Math.min(CLOSE_DELAY, shutdownTimeout * CLOSE_SHARE),
         stopAfter: shutdownTimeout - STOP_MARGIN,
@@ -153,7 +155,6 @@
         this.#held.held,
       )
     );
-    const heldLimits = heldLimitsOf(settings.memory);
     const held = this.#held = HeldBytes.create(
       heldLimits,
       (change) => this.#logger.write("warn", "memory.pressure", { ...change }),
@@ -178,11 +179,6 @@
         responseLimits: responseLimitsOf(settings.responses),
         onResponseCut: (server, cut) => this.#recordCut(server, cut),
         held,
-        requestBytesLimit: (server) => {
-          if (heldLimits === null) return Infinity;
-          const slots = entry.clusterState.fleet.get(server)?.entry.slots ?? 1;
-          return requestBytesLimit(heldLimits, slots, entry.vms);
-        },
       },
     );
     platform.orders.onResponseCut = (server, cut) =>
--- a/src/runtime/held_bytes.ts
+++ b/src/runtime/held_bytes.ts
@@ -25,12 +25,6 @@
  * and many of them are complete with their next bytes.
  */
 const MINIMUM_CUT = 64 * BYTES_PER_KILOBYTE;
-/**
- * Number of VMs that is assumed while it is not known. It is large, since the
- * limit on the bytes that a server receives is divided among them.
- */
-const UNKNOWN_VMS = 200;
-
 /** Limits in bytes. */
 export interface HeldLimits {
   /** Bytes that are held for all connections together. */
@@ -54,18 +48,6 @@
   };
 }
 
-/**
- * Bytes of request bodies that this VM may have in flight to a server with
- * `slots` slots: its share of those of all VMs (`vms`, null if unknown).
- */
-export function requestBytesLimit(
-  { connection }: HeldLimits,
-  slots: number,
-  vms: number | null,
-): number {
-  return connection * slots / (vms ?? UNKNOWN_VMS);
-}
-
 /** Beginning or end of memory pressure, with the held bytes and their bound. */
 export interface PressureChange {
   isHigh: boolean;
--- a/src/runtime/held_bytes_test.ts
+++ b/src/runtime/held_bytes_test.ts
@@ -1,11 +1,6 @@
 import test from "ava";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import {
-  HeldBytes,
-  heldLimitsOf,
-  type PressureChange,
-  requestBytesLimit,
-} from "./held_bytes.ts";
+import { HeldBytes, heldLimitsOf, type PressureChange } from "./held_bytes.ts";
 
 const KILOBYTE = 1_024;
 const LIMITS = { total: 1_000 * KILOBYTE, connection: 100 * KILOBYTE };
@@ -141,9 +136,4 @@
     total: 64 * KILOBYTE * KILOBYTE,
     connection: 4_096 * KILOBYTE,
   });
-  t.is(requestBytesLimit(limits, 4, 64), 256 * KILOBYTE);
-  // An unknown number of VMs counts as large.
-  t.true(
-    requestBytesLimit(limits, 4, null) < requestBytesLimit(limits, 4, 195),
-  );
 });
