Memory: bodies count with what is allocated for them

The second small chunk of a body allocated a block of 64 KB, of which only the received bytes counted as held: 500 bodies of two bytes took 32,776,192 bytes. BodyBuffer.add returns the change of the allocated bytes, which is what requests and responses count.

All tests of body_buffer_test.ts fail without the change; 500 bodies of two bytes take less than 1,000 KB with it.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -431,8 +431,7 @@
     );
     const body = BodyBuffer.create();
     response.on("data", (chunk: Buffer) => {
-      running.bytes.add(chunk.length);
-      body.add(chunk);
+      running.bytes.add(body.add(chunk));
     });
     response.on(
       "error",
--- a/src/runtime/request_body.ts
+++ b/src/runtime/request_body.ts
@@ -12,8 +12,8 @@
  */
 export interface BodyHandler {
   /**
-   * Called with the size of each chunk within the limit; returns whether the
-   * body is still needed.
+   * Called for each chunk within the limit, until it returns that the body is no
+   * longer needed, with the bytes that were allocated for the chunk.
    */
   onChunk(bytes: number): boolean;
   /** Called, possibly more than once, if the body exceeds the limit. */
@@ -36,14 +36,16 @@
 ): void {
   const body = BodyBuffer.create();
   let size = 0;
+  let isNeeded = true;
   request.on("data", (chunk: Buffer) => {
     size += chunk.length;
     if (size > maximumBytes()) {
       body.take();
       return handler.onTooLarge();
     }
-    if (handler.onChunk(chunk.length)) body.add(chunk);
-    else body.take();
+    if (!isNeeded) return;
+    isNeeded = handler.onChunk(body.add(chunk));
+    if (!isNeeded) body.take();
   });
   request.once("end", () => handler.onComplete(body.take()));
   // A truncated body closes the response, which reports that the caller has
