Memory: callers that read nothing are reset under pressure

A response had no time limit at the caller, so that 16 connections with 4 MB each could have all requests refused on a small VM. A connection that has accepted no byte of its response at 10 checks, one each second, is reset while memory is under pressure.

Tests in slow_caller_test.ts: 16 MB of which nothing is read are released under pressure (fails with the check disabled), and kept without pressure, or if the caller reads slowly.

--- a/src/runtime/caller_server.ts
+++ b/src/runtime/caller_server.ts
@@ -36,6 +36,7 @@
   type RequestRejection,
   TUNNEL_UNSUPPORTED,
 } from "./request_rejection.ts";
+import { UnreadResponses } from "./unread_responses.ts";
 
 /**
  * Maximum size of the headers that Node's parser accepts, in bytes. The
@@ -113,6 +114,8 @@
   readonly #server: Server;
   readonly #exchanges = new Map<number, Exchange>();
   readonly #connections = new Map<Duplex, CallerConnection>();
+  readonly #unread = UnreadResponses.create();
+  #checkTimer: NodeJS.Timeout | null = null;
   #limits: CallerLimits | null = null;
   #exchangeCount = 0;
   #discardedRequests = 0;
@@ -175,9 +178,20 @@
 
   /** Accepts callers at `address`. Rejects if it cannot listen there. */
   listen(address: string): Promise<void> {
+    this.#checkTimer = setInterval(() => this.checkUnread(), CHECK_INTERVAL);
+    this.#checkTimer.unref();
     return listenAt(this.#server, address);
   }
 
+  /**
+   * Resets the connections whose callers have not read their responses for a
+   * while, if too many bytes are held. Called each second.
+   */
+  checkUnread(): void {
+    const sockets = [...this.#connections.values()].map(({ socket }) => socket);
+    this.#unread.check(sockets, this.held.isHigh);
+  }
+
   /** Applies these limits to callers. */
   applyLimits(limits: CallerLimits): void {
     this.#limits = limits;
@@ -220,6 +234,7 @@
 
   /** Closes the server and destroys all connections. */
   destroy(): void {
+    if (this.#checkTimer !== null) clearInterval(this.#checkTimer);
     this.#server.close();
     for (const { socket } of this.#connections.values()) socket.destroy();
   }
--- a/src/runtime/held_bytes.ts
+++ b/src/runtime/held_bytes.ts
@@ -106,6 +106,11 @@
     return this.#held;
   }
 
+  /** Whether pressure has been reported and has not ended. */
+  get isHigh(): boolean {
+    return this.#isHigh;
+  }
+
   /** Held bytes as a share of their bound; 0 without one. */
   get share(): number {
     return this.limits === null ? 0 : this.#held / this.limits.total;
--- a/src/runtime/slow_caller_test.ts
+++ b/src/runtime/slow_caller_test.ts
@@ -4,7 +4,8 @@
  *
  * @module
  */
-import test from "ava";
+import type { Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
 import { setTimeout as delay } from "node:timers/promises";
 import { connectCaller } from "../../test/support/caller_connection.ts";
 import type { UntimedEvent } from "../core/entry_event.ts";
@@ -146,3 +147,50 @@
   await delay(SETTLE_TIME);
   t.is(held.held, 0);
 });
+
+/**
+ * Delivers a response of 16 MB to a caller that reads nothing, and checks 20
+ * times, with `between` before each, as if 20 seconds had passed. Returns the
+ * bytes that are still held.
+ */
+async function heldAfterChecks(
+  t: ExecutionContext,
+  total: number,
+  between: (socket: Socket) => void = () => {},
+): Promise<number> {
+  const held = HeldBytes.create({ total, connection: 64 * MEGABYTE });
+  const caller = await connectCaller(t, LIMITS, held);
+  const { server, socket, events } = caller;
+  socket.on("error", () => {});
+  socket.pause();
+  socket.write(post(""));
+  while (arrivalsOf(events).length === 0) await delay(1);
+  const { exchange } = arrivalsOf(events)[0];
+  const headers: string[] = [];
+  const body = Buffer.alloc(16 * MEGABYTE, "x");
+  server.deliver(exchange, { status: 200, statusText: "", headers, body });
+  await delay(SETTLE_TIME);
+  for (let i = 0; i < 20; i++) {
+    between(socket);
+    await delay(5);
+    server.checkUnread();
+  }
+  await delay(SETTLE_TIME);
+  return held.held;
+}
+
+// Guards against a few callers that read nothing and for which all others are
+// refused without end.
+test("slow caller: under pressure, a response of which nothing is read is given up", async (t) => {
+  t.is(await heldAfterChecks(t, 20 * MEGABYTE), 0);
+});
+
+test("slow caller: an unread response is kept without pressure", async (t) => {
+  t.is(await heldAfterChecks(t, 64 * MEGABYTE), 16 * MEGABYTE);
+});
+
+test("slow caller: under pressure, a response that is read slowly is kept", async (t) => {
+  // The operating system accepts further bytes only after many were read.
+  const read = (socket: Socket) => void socket.read(512 * KILOBYTE);
+  t.is(await heldAfterChecks(t, 20 * MEGABYTE, read), 16 * MEGABYTE);
+});
