--- a/src/core/admission/admission_controller.ts
+++ b/src/core/admission/admission_controller.ts
@@ -92,7 +92,7 @@
  * Lowest capacity of a service while its requests wait, as a share of that when
  * few waited. Latencies that are measured then include the wait at the server.
  */
-const MINIMUM_BUSY_SHARE = 0.85;
+const MINIMUM_BUSY_SHARE = 0.7;
 /** Weight of a capacity in the moving average while few requests wait. */
 const CALM_WEIGHT = 0.1;
 /** Share of used slots below which most servers have free slots. */
--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -142,6 +142,18 @@
     return priority >= this.#lastPriority;
   }
 
+  /** Whether all routes to a service have the same priority. */
+  hasOnePriority(service: string): boolean {
+    const priorities = new Set(
+      (this.#configuration?.routes ?? []).flatMap((each) =>
+        each.destinations.some((other) => other.service === service)
+          ? [each.priority]
+          : []
+      ),
+    );
+    return priorities.size === 1;
+  }
+
   /**
    * Chooses the service for the next request on `route` and returns its name.
    */
--- a/src/core/dispatch/server_choice.ts
+++ b/src/core/dispatch/server_choice.ts
@@ -81,6 +81,8 @@
    * if left out.
    */
   requestsPerSlot?: number;
+  /** Whether a server can take the bytes of the request's body now. */
+  hasBodyRoom(server: TrackedServer): boolean;
   /** Returns a random number in [0, 1). */
   draw(): number;
 }
@@ -154,7 +156,10 @@
   const pool = healthy.length > 0 ? healthy : usable;
   const { requestsPerSlot } = context;
   const candidates = withPace(
-    pool.filter((server) => hasCapacity(server, now, vmCount, requestsPerSlot)),
+    pool.filter((server) =>
+      hasCapacity(server, now, vmCount, requestsPerSlot) &&
+      context.hasBodyRoom(server)
+    ),
     now,
     context.draw,
   );
--- a/src/core/dispatch/server_choice_pace_test.ts
+++ b/src/core/dispatch/server_choice_pace_test.ts
@@ -27,6 +27,7 @@
     tokens,
     paths: ServerPaths.create(ServerReach.create(fleet, draw)),
     isUrgent: true,
+    hasBodyRoom: () => true,
     draw,
   };
   for (const [i, pace] of paces.entries()) {
--- a/src/core/exchange/overload_monitor.ts
+++ b/src/core/exchange/overload_monitor.ts
@@ -58,8 +58,12 @@
     private readonly clusterState: ClusterState,
     private readonly loads: KeyLoads,
   ) {
+    // Servers run requests in the order of their arrival, so that less urgent
+    // requests that wait there would delay the more urgent ones.
     this.#controller = AdmissionController.create((service, priority) =>
-      clusterState.catalog.shortestTarget(service, priority)
+      clusterState.catalog.hasOnePriority(service)
+        ? clusterState.catalog.shortestTarget(service, priority)
+        : null
     );
   }
 
--- a/src/runtime/held_bytes.ts
+++ b/src/runtime/held_bytes.ts
@@ -25,12 +25,6 @@
  * and many of them are complete with their next bytes.
  */
 const MINIMUM_CUT = 64 * BYTES_PER_KILOBYTE;
-/**
- * Number of VMs that is assumed while it is not known. It is large, since the
- * limit on the bytes that a server receives is divided among them.
- */
-const UNKNOWN_VMS = 200;
-
 /** Limits in bytes. */
 export interface HeldLimits {
   /** Bytes that are held for all connections together. */
@@ -54,18 +48,6 @@
   };
 }
 
-/**
- * Bytes of request bodies that this VM may have in flight to a server with
- * `slots` slots: its share of those of all VMs (`vms`, null if unknown).
- */
-export function requestBytesLimit(
-  { connection }: HeldLimits,
-  slots: number,
-  vms: number | null,
-): number {
-  return connection * slots / (vms ?? UNKNOWN_VMS);
-}
-
 /** Beginning or end of memory pressure, with the held bytes and their bound. */
 export interface PressureChange {
   isHigh: boolean;
@@ -98,7 +80,12 @@
 export class HeldBytes {
   #held = 0;
   #isHigh = false;
-  readonly #responses = new Set<IncomingResponse>();
+  /** Whether the end of pressure is checked in the next turn. */
+  #isReliefPending = false;
+  /** Whether the bound is checked once the current callbacks have ended. */
+  #isCheckPending = false;
+  /** Responses that are being received and large enough to be cut off. */
+  readonly #largeResponses = new Set<IncomingResponse>();
 
   private constructor(
     private readonly limits: HeldLimits | null,
@@ -121,6 +108,11 @@
     return this.#held;
   }
 
+  /** Whether pressure has been reported and has not ended. */
+  get isHigh(): boolean {
+    return this.#isHigh;
+  }
+
   /** Held bytes as a share of their bound; 0 without one. */
   get share(): number {
     return this.limits === null ? 0 : this.#held / this.limits.total;
@@ -138,42 +130,80 @@
     );
   }
 
-  /** Starts counting for a response; `cut` must cut it off and end it. */
+  /**
+   * Starts counting for a response; `cut` must cut it off and end it. It is not
+   * called before the current callback has returned.
+   */
   openResponse(cut: () => void): ResponseBytes {
     const response = IncomingResponse.create(
-      (bytes) => this.#change(bytes),
-      () => this.#responses.delete(response),
+      (bytes) => {
+        const isLarge = response.bytes >= MINIMUM_CUT;
+        if (bytes > 0 && isLarge) this.#largeResponses.add(response);
+        this.#change(bytes);
+      },
+      () => this.#largeResponses.delete(response),
       cut,
     );
-    this.#responses.add(response);
     return response;
   }
 
   #change(bytes: number): void {
     this.#held += bytes;
-    if (bytes > 0) this.#cutResponses();
+    if (bytes > 0) this.#scheduleCuts();
     this.#updatePressure();
   }
 
+  /**
+   * Checks the bound once the bytes that were just read have been processed:
+   * Node reports the end of a response after its last chunk, and a complete
+   * response must not be cut off. `setImmediate` would be too late: 600 KB of a
+   * response were read in one turn of the event loop.
+   */
+  #scheduleCuts(): void {
+    if (this.#isCheckPending || this.share < 1) return;
+    this.#isCheckPending = true;
+    // Node reports the end by callbacks of `process.nextTick`. Microtasks that
+    // are queued by such a callback run after all of them.
+    process.nextTick(() =>
+      queueMicrotask(() => {
+        this.#isCheckPending = false;
+        this.#cutResponses();
+      })
+    );
+  }
+
   /** Cuts off the largest responses until the held bytes are below the bound. */
   #cutResponses(): void {
-    while (this.share >= 1) {
-      let largest: IncomingResponse | null = null;
-      for (const each of this.#responses) {
-        if (each.bytes > (largest?.bytes ?? MINIMUM_CUT - 1)) largest = each;
-      }
-      if (largest === null) return;
+    while (this.share >= 1 && this.#largeResponses.size > 0) {
+      const [largest] = [...this.#largeResponses]
+        .sort((one, other) => other.bytes - one.bytes);
       largest.end();
       largest.cut();
     }
   }
 
+  /**
+   * Pressure ends only if it is still low in the next turn of the event loop: a
+   * response is released when it is complete, and counts again when it is
+   * delivered in the same turn.
+   */
   #updatePressure(): void {
-    const { share } = this;
-    const isHigh = this.#isHigh
-      ? share >= RELIEF_SHARE
-      : share > PRESSURE_SHARE;
-    if (isHigh === this.#isHigh || this.limits === null) return;
+    if (!this.#isHigh && this.share > PRESSURE_SHARE) this.#setPressure(true);
+    if (!this.#isRelieved || this.#isReliefPending) return;
+    this.#isReliefPending = true;
+    setImmediate(() => {
+      this.#isReliefPending = false;
+      if (this.#isRelieved) this.#setPressure(false);
+    });
+  }
+
+  /** Whether pressure has been reported and the held bytes are low again. */
+  get #isRelieved(): boolean {
+    return this.#isHigh && this.share < RELIEF_SHARE;
+  }
+
+  #setPressure(isHigh: boolean): void {
+    if (this.limits === null) return;
     this.#isHigh = isHigh;
     const { total: bound } = this.limits;
     this.onPressure({ isHigh, held: this.#held, bound });
