--- a/src/core/dispatch/retry_after_policy_test.ts
+++ b/src/core/dispatch/retry_after_policy_test.ts
@@ -84,7 +84,7 @@
 });
 
 // Guards against a caller that returns at once, in vain.
-test("retry after: a caller whose time has passed is not told to return at once", (t) => {
+test("retry after: a caller whose time has passed gets at least the minimum delay", (t) => {
   const { policy, returns, requestWith } = createPolicy(1_000);
   const late = [{ priority: 0, from: 9_000, until: 9_000 }];
   returns.receive([{ service: "s", returns: late }], 900);
--- a/src/core/exchange/returns_exchange_test.ts
+++ b/src/core/exchange/returns_exchange_test.ts
@@ -128,7 +128,7 @@
   t.like(entry.clusterState.returns.counts.get("s"), { promised: 1 });
 });
 
-// A caller that returns in vain is refused for good.
+// A second refusal is final, so a return that cannot be served is useless.
 test("returns: a caller without free capacity in its time, or a refused return, gets its whole time", (t) => {
   const { answer, refusal, entry } = createFollower(true);
   const late = [{ priority: 2, from: 9_000, until: 9_000 }];
--- a/src/core/pace/pace_control_test.ts
+++ b/src/core/pace/pace_control_test.ts
@@ -204,7 +204,7 @@
   t.true(counts[1] >= 0.8 * USUAL_COUNT * SERVERS, `${counts[1]}`);
 });
 
-test("pace: a server that is slow for good reaches its full pace", (t) => {
+test("pace: a permanently slow server reaches its full pace", (t) => {
   const control = PaceControl.create();
   control.started("slow", 0);
   for (let now = 0; now <= 2_000; now += 250) {
--- a/src/core/returns/return_policy_test.ts
+++ b/src/core/returns/return_policy_test.ts
@@ -58,7 +58,7 @@
   );
 });
 
-// A caller that returns in vain is refused for good.
+// A second refusal is final, so a return that cannot be served is useless.
 test("return policy: no free capacity is expected if the window is beyond the caller's reach", (t) => {
   const policy = createPolicy();
   const late = [{ priority: 2, from: 9_000, until: 9_000 }];
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -91,7 +91,7 @@
   body: Buffer;
 }
 
-/** Limits of a pool, and who is told of responses that exceed them. */
+/** Limits of a pool, and the listener for responses that exceed them. */
 export interface BackendPoolOptions {
   responseLimits: ResponseLimits;
   onResponseCut: CutListener;
