Pace: no steps in the first assignment of keys

Suspected cause: while all servers are new they have different paces, so that keys are assigned unevenly and move again.

--- a/src/core/keyspace/key_rebalancer.ts
+++ b/src/core/keyspace/key_rebalancer.ts
@@ -49,7 +49,11 @@
 const MIN_LIMITED_SPEED = 0.01;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Time after it was listed for which a server counts as new, in milliseconds. */
+/**
+ * Time after it was listed for which a server counts as new, in milliseconds. It
+ * gets its keys step by step then, by its pace. Keys of other servers do not
+ * move because of their pace, since a move costs more.
+ */
 const START_TIME = 5_000;
 
 /** Plans the moves of all services; see the module's comment. */
@@ -167,8 +171,12 @@
     );
     const eligible = healthy.length > 0 ? healthy : usable;
     const meanDemand = this.#demand(service, now) / eligible.length;
+    const isNew = (server: TrackedServer) => now - server.listedAt < START_TIME;
+    // While most servers are new, none of them needs fewer keys than the others.
+    const areMostNew = eligible.filter(isNew).length > eligible.length / 2;
     return eligible.map((server) => {
-      const speed = relativeSpeed(server, meanLatency) * startPace(server, now);
+      const pace = isNew(server) && !areMostNew ? server.pace.at(now) : 1;
+      const speed = relativeSpeed(server, meanLatency) * pace;
       const limit = server.rateLimit.current(now);
       return { id: server.id, speed: limitedSpeed(speed, limit, meanDemand) };
     });
@@ -195,14 +203,6 @@
   );
 }
 
-/**
- * Pace of a server that has just joined, which gets its keys step by step. Keys
- * of other servers do not move because of their pace, since a move costs more.
- */
-function startPace(server: TrackedServer, now: number): number {
-  return now - server.listedAt < START_TIME ? server.pace.at(now) : 1;
-}
-
 function relativeSpeed(server: TrackedServer, meanLatency: number): number {
   if (server.latency === null || meanLatency === 0) return 1;
   return Math.min(
