Reports: samples of servers without keys each 2 s unless a service is busy

With admission by priority and paces, each report named the servers of all services. The samples are needed soon only while a service is busy, of servers that fail, or while a pace is controlled. Tests of exchange, fleet and the entry pass; the effect on the price: not measured yet.

--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { ClusterState, Emit } from "../cluster_state.ts";
-import type { ServerStatement, TrackedServer } from "../fleet/index.ts";
+import type {
+  ServerSamples,
+  ServerStatement,
+  TrackedServer,
+} from "../fleet/index.ts";
 import type { Assignment, KeyLoads, TermCampaign } from "../keyspace/index.ts";
 import {
   expandAssignment,
@@ -43,6 +47,13 @@
  */
 const SUSPENSION_THRESHOLD = 1_000;
 
+/**
+ * Time between two reports with the samples of servers without keys while no
+ * service is busy, in milliseconds. With each report they add a fifth to the
+ * traffic between zones of a small deployment.
+ */
+const FULL_REPORT_INTERVAL = 2_000;
+
 /**
  * Minimum interval between two requests to the previous term holder to confirm
  * which servers hold which keys, in milliseconds.
@@ -62,6 +73,8 @@
   /** Whether a caller has requested a key of a keyed service. */
   #isAssignmentNeeded = false;
   #advancedAt = -Infinity;
+  /** When the last report with the samples of all services was created. */
+  #fullReportAt = -Infinity;
   readonly #vmCount = VmCount.create();
   readonly #roster = RelayRoster.create();
   /** The previous term holder, from which this one has requested its grants. */
@@ -490,16 +503,30 @@
     });
   }
 
+  /**
+   * Returns this VM's samples of servers for a report. Servers that hold keys
+   * are in each report. Admission by priority and paces need those of all
+   * services, but mostly only while a service is busy: otherwise they are in a
+   * report each {@linkcode FULL_REPORT_INTERVAL}.
+   */
+  #takeSamples(now: number): ServerSamples[] {
+    const { admission, catalog, features, fleet } = this.clusterState;
+    const needsAll = features.admitsByPriority || features.pacesStarts;
+    const isFull = admission.isBusy(now) ||
+      now - this.#fullReportAt >= FULL_REPORT_INTERVAL;
+    if (isFull) this.#fullReportAt = now;
+    return catalog.services.flatMap(({ name, isKeyed }) => {
+      if (isKeyed) return fleet.takeSamples(name, now);
+      return needsAll ? fleet.takeSamples(name, now, !isFull) : [];
+    });
+  }
+
   /** If a report is due, returns what it contains on servers. */
   #takeServerReports(now: number): ServerReports {
     if (!this.followerLink.isReportDue(now)) return NO_SERVER_REPORTS;
-    const { catalog, demand, features, fleet } = this.clusterState;
-    // Both need the responses of the servers of all services.
-    const services = features.admitsByPriority || features.pacesStarts
-      ? catalog.services
-      : catalog.keyedServices;
+    const { demand, features, fleet } = this.clusterState;
     return {
-      latencies: services.flatMap(({ name }) => fleet.takeSamples(name, now)),
+      latencies: this.#takeSamples(now),
       rates: fleet.takeUnsentRateLimits(now).slice(0, MAXIMUM_RATE_LIMITS),
       leaving: fleet.stated.unsharedLeaving(),
       refusing: fleet.stated.refusing(now),
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -312,10 +312,15 @@
 
   /**
    * Returns this VM's latency samples of a service's servers since the last
-   * call.
+   * call, or only those that the term holder needs soon.
    */
-  takeSamples(service: string, now: number): ServerSamples[] {
+  takeSamples(
+    service: string,
+    now: number,
+    mustBeUrgent = false,
+  ): ServerSamples[] {
     return this.serversOf(service).flatMap((server) => {
+      if (mustBeUrgent && !server.hasUrgentSamples(now)) return [];
       const samples = server.takeSamples(now);
       return samples === null ? [] : [{ server: server.id, ...samples }];
     });
--- a/src/core/fleet/tracked_server.ts
+++ b/src/core/fleet/tracked_server.ts
@@ -398,6 +398,14 @@
       : this.#latency + weight * (mean - this.#latency);
   }
 
+  /**
+   * Whether the term holder needs this VM's samples soon: requests have failed,
+   * or it controls the pace.
+   */
+  hasUrgentSamples(now: number): boolean {
+    return this.#failureCount > 0 || this.pace.at(now) < 1;
+  }
+
   /** Returns this VM's samples since the last call; null without a response. */
   takeSamples(now: number): LatencySamples | null {
     const failures = this.#failureCount;
