--- a/src/core/catalog/catalog.ts
+++ b/src/core/catalog/catalog.ts
@@ -25,6 +25,8 @@
    * service, by its name.
    */
   #topPriorities = new Map<string, number>();
+  /** Routes to each service, by its name. */
+  #routesByService = new Map<string, readonly Route[]>();
   /** Least urgent priority, that is, the highest number, among all routes. */
   #lastPriority = 0;
 
@@ -79,6 +81,7 @@
     this.#services = new Map(next.services.map((each) => [each.name, each]));
     this.#rotations = new Map();
     this.#topPriorities = topPriorities(next.routes);
+    this.#routesByService = routesByService(next.routes);
     this.#lastPriority = next.routes.reduce(
       (last, { priority }) => Math.max(last, priority),
       0,
@@ -108,9 +111,8 @@
    * null without such a route.
    */
   shortestTimeout(service: string, priority: number): number | null {
-    const routes = (this.#configuration?.routes ?? []).filter((each) =>
-      each.priority === priority &&
-      each.destinations.some((other) => other.service === service)
+    const routes = this.#routesTo(service).filter((each) =>
+      each.priority === priority
     );
     if (routes.length === 0) return null;
     return Math.min(...routes.map(timeoutOf));
@@ -121,9 +123,8 @@
    * milliseconds; null without such a route.
    */
   shortestTarget(service: string, priority: number): number | null {
-    const targets = (this.#configuration?.routes ?? []).flatMap((each) =>
-      each.priority === priority && each.targetLatency > 0 &&
-        each.destinations.some((other) => other.service === service)
+    const targets = this.#routesTo(service).flatMap((each) =>
+      each.priority === priority && each.targetLatency > 0
         ? [each.targetLatency]
         : []
     );
@@ -144,14 +145,13 @@
 
   /** Whether all routes to a service have the same priority. */
   hasOnePriority(service: string): boolean {
-    const priorities = new Set(
-      (this.#configuration?.routes ?? []).flatMap((each) =>
-        each.destinations.some((other) => other.service === service)
-          ? [each.priority]
-          : []
-      ),
-    );
-    return priorities.size === 1;
+    const [first, ...others] = this.#routesTo(service);
+    return first !== undefined &&
+      others.every(({ priority }) => priority === first.priority);
+  }
+
+  #routesTo(service: string): readonly Route[] {
+    return this.#routesByService.get(service) ?? [];
   }
 
   /**
@@ -168,6 +168,18 @@
   }
 }
 
+function routesByService(routes: readonly Route[]): Map<string, Route[]> {
+  const byService = new Map<string, Route[]>();
+  for (const route of routes) {
+    for (const { service } of route.destinations) {
+      const others = byService.get(service);
+      if (others === undefined) byService.set(service, [route]);
+      else others.push(route);
+    }
+  }
+  return byService;
+}
+
 function topPriorities(routes: readonly Route[]): Map<string, number> {
   const top = new Map<string, number>();
   for (const { priority, destinations } of routes) {
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -79,7 +79,8 @@
 export type WaitPlan = DispatchPlan & { kind: "wait" };
 
 /**
- * A wait of unknown duration, for example until a server registers again. The request is checked again at `until`.
+ * A wait of unknown duration, for example until the server of a key is listed
+ * again. The request is checked again at `until`.
  */
 function openEndedWait(reason: string, until = Infinity): DispatchPlan {
   return {
@@ -199,8 +200,8 @@
     request: PendingRequest,
     now: number,
   ): DispatchPlan & { kind: "unadmitted" } | null {
-    const { admission, features, fleet, paths, quarantine } = this.context;
-    if (!features.admitsByPriority) return null;
+    const { admission, fleet, paths, quarantine } = this.context;
+    if (!this.#admitsByPriority(request)) return null;
     const meanLatency = fleet.meanLatency(request.service, now);
     const described = admissionRequest(request);
     const denial = admission.check(described, meanLatency, now);
@@ -235,8 +236,8 @@
    * the request is admitted.
    */
   extendWait(request: PendingRequest, now: number): void {
-    const { admission, features, fleet } = this.context;
-    if (!features.admitsByPriority) return;
+    const { admission, fleet } = this.context;
+    if (!this.#admitsByPriority(request)) return;
     const meanLatency = fleet.meanLatency(request.service, now);
     const described = admissionRequest(request);
     const end = admission.waitEnd(described, meanLatency, now);
@@ -248,18 +249,21 @@
    * Maximum number of requests per slot of a server while the request's service
    * is above its capacity; undefined for the usual one.
    */
-  #requestsPerSlot(
-    { service, route }: PendingRequest,
-    now: number,
-  ): number | undefined {
-    const { admission, catalog, features, fleet } = this.context;
-    if (!features.admitsByPriority) return undefined;
+  #requestsPerSlot(request: PendingRequest, now: number): number | undefined {
+    const { admission, catalog, fleet } = this.context;
+    const { service, route } = request;
+    if (!this.#admitsByPriority(request)) return undefined;
     if (!admission.isLimited(service, now)) return undefined;
     if (!catalog.hasOnePriority(service)) return undefined;
     const latency = fleet.meanLatency(service, now);
     return requestsPerSlotAbove(latency, route.targetLatency);
   }
 
+  /** Whether admission by priority applies to a request. */
+  #admitsByPriority({ mayReturn }: PendingRequest): boolean {
+    return this.context.features.admitsByPriority && mayReturn;
+  }
+
   /** Servers that can run a request: the owner of its key, or all. */
   #possibleServers({ service, key }: PendingRequest): readonly TrackedServer[] {
     const { fleet, directory } = this.context;
@@ -405,9 +409,9 @@
     server: string | null,
     now: number,
   ): boolean {
-    const { features, fleet, keyLimits } = this.context;
+    const { fleet, keyLimits } = this.context;
     if (server !== null && fleet.get(server)?.isLoadKnown(now)) return false;
-    const rank = features.admitsByPriority ? request.rank : null;
+    const rank = this.#admitsByPriority(request) ? request.rank : null;
     return !keyLimits.admits(request.service, key, request.chance, rank, now);
   }
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -291,7 +291,10 @@
     this.#retryAfterPolicy.recordTimeout(route, arrival.timeout, now);
     const isReturn = this.#retryAfterPolicy.isReturn(request);
     request.rank = requestRank(route.priority, request.chance, isReturn);
-    this.context.demand.arrived(service, route.priority, isReturn);
+    request.mayReturn = this.#retryAfterPolicy.leavesTimeToReturn(route);
+    if (request.mayReturn) {
+      this.context.demand.arrived(service, route.priority, isReturn);
+    }
     if (isReturn && this.context.features.schedulesReturns) {
       this.context.returns.returned(service);
     }
@@ -322,7 +325,9 @@
       this.#refuseOrFail(request, plan.reason, now);
     } else {
       const { reason, lacksCapacity } = plan;
-      if (lacksCapacity) this.context.admission.overloadSeen(now);
+      if (lacksCapacity && request.mayReturn) {
+        this.context.admission.overloadSeen(now);
+      }
       this.#log.defer("request.waits", request, now, {
         reason,
         ahead: queue.length,
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -140,6 +140,11 @@
    * limit is reached. Such overload does not end within the target latency.
    */
   isShed: boolean;
+  /**
+   * Whether its caller has time to return after a refusal, so that admission by
+   * priority and planned returns apply to it.
+   */
+  mayReturn: boolean;
   /** Whether it is refused because its service cannot run all requests. */
   lacksCapacity: boolean;
   /** Attempts in flight. */
@@ -210,6 +215,7 @@
     chance,
     rank: requestRank(route.priority, chance, false),
     isShed: false,
+    mayReturn: true,
     lacksCapacity: false,
     attempts: [],
     tried: [],
--- a/src/core/dispatch/request_return_test.ts
+++ b/src/core/dispatch/request_return_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { fingerprintOf } from "../../../test/support/fingerprint.ts";
 import { routeSchema } from "../catalog/index.ts";
+import { NO_FEATURES } from "../features.ts";
 import { createPendingRequest } from "./request.ts";
 import {
   type RetryAfterContext,
@@ -49,3 +50,21 @@
   t.is(requestsPerSlotAbove(400, 8_000), 3);
   t.is(requestsPerSlotAbove(0, 8_000), 2);
 });
+
+// Guards against early refusals of callers who cannot return and be served: on a
+// deployment whose callers wait no longer than the route's timeout, fewer of them
+// were served in time.
+test("returns: callers have time to return if they wait long enough for two attempts", (t) => {
+  const leavesTime = (ratio: number, timeout: number) => {
+    const features = { ...NO_FEATURES, minimumTimeRatio: ratio };
+    const policy = RetryAfterPolicy.create({ features } as RetryAfterContext);
+    policy.recordTimeout(ROUTE, timeout, 0);
+    return policy.leavesTimeToReturn(ROUTE);
+  };
+  t.deepEqual([8_000, 15_000, 16_000].map((each) => leavesTime(1.9, each)), [
+    false,
+    false,
+    true,
+  ]);
+  t.true(leavesTime(0, 100));
+});
--- a/src/core/dispatch/retry_after_policy.ts
+++ b/src/core/dispatch/retry_after_policy.ts
@@ -154,7 +154,8 @@
    */
   #plannedDelay(request: PendingRequest, now: number): RetryDelay | null {
     const { features, returns, demand, draw } = this.context;
-    if (!features.schedulesReturns || !request.lacksCapacity) return null;
+    if (!features.schedulesReturns || !request.mayReturn) return null;
+    if (!request.lacksCapacity) return null;
     const { service, route, arrival, arrivedAt } = request;
     const { priority } = route;
     const end = arrival.timeout === null
@@ -223,6 +224,17 @@
     return slack * EARLY_RETRY_SHARE;
   }
 
+  /**
+   * Whether callers of a route have time for another whole attempt after a
+   * refusal; see {@linkcode Features.minimumTimeRatio}.
+   */
+  leavesTimeToReturn(route: Route): boolean {
+    const { minimumTimeRatio } = this.context.features;
+    if (minimumTimeRatio === 0) return true;
+    const { timeout = 0 } = this.#longestTimeouts.get(route.name) ?? {};
+    return timeout >= minimumTimeRatio * timeoutOf(route);
+  }
+
   /** Whether a request seems to be the retry of a caller that was refused. */
   isReturn(request: PendingRequest): boolean {
     const { timeout } = request.arrival;
--- a/src/core/features.ts
+++ b/src/core/features.ts
@@ -10,6 +10,11 @@
   admitsByPriority: boolean;
   /** Plans when refused callers return; needs `admitsByPriority`. */
   schedulesReturns: boolean;
+  /**
+   * Admission by priority, and planned returns, apply to routes whose callers
+   * wait at least this many times the route's timeout; 0 for all routes.
+   */
+  minimumTimeRatio: number;
   /** Limits the requests to servers that have just started or recovered. */
   pacesStarts: boolean;
 }
@@ -18,5 +23,6 @@
 export const NO_FEATURES: Features = {
   admitsByPriority: false,
   schedulesReturns: false,
+  minimumTimeRatio: 0,
   pacesStarts: false,
 };
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -138,6 +138,7 @@
       features: {
         admitsByPriority: settings.admission.byPriority,
         schedulesReturns: settings.admission.scheduleReturns,
+        minimumTimeRatio: settings.admission.minimumTimeRatio,
         pacesStarts: settings.balancing.startPace,
       },
       seed,
--- a/src/settings/entry_settings.ts
+++ b/src/settings/entry_settings.ts
@@ -75,6 +75,11 @@
      * `byPriority`.
      */
     scheduleReturns: z.boolean().default(false),
+    /**
+     * Both apply only to routes whose callers wait at least this many times the
+     * route's timeout; 0 for all. Others cannot return and be served in time.
+     */
+    minimumTimeRatio: z.number().min(0).max(10).default(0),
   }).prefault({}).refine(
     ({ byPriority, scheduleReturns }) => byPriority || !scheduleReturns,
     { path: ["scheduleReturns"], message: "needs admission.byPriority" },
