--- a/src/core/exchange/peer_exchange.ts
+++ b/src/core/exchange/peer_exchange.ts
@@ -52,7 +52,7 @@
  * service is busy, in milliseconds. With each report they add a fifth to the
  * traffic between zones of a small deployment.
  */
-const FULL_REPORT_INTERVAL = 2_000;
+const FULL_REPORT_INTERVAL = 1_000;
 
 /**
  * Minimum interval between two requests to the previous term holder to confirm
