--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -121,12 +121,15 @@
 export async function load(entries, clients, seconds, pause, create, onAnswer) {
   const end = Date.now() + seconds * 1_000;
   const run = async (entry) => {
-    await delay(Math.random() * pause);
+    // Clients do not start together.
+    await delay(Math.random() * 1_000);
     const client = new Client(entry.listen);
     while (Date.now() < end) {
       const request = create(entry);
       const answer = await client.send(request);
       onAnswer(request, answer, entry);
+      // A machine that is gone gets no more than a few connections.
+      if (answer.status === 0) await delay(300);
       await delay(pause * (0.5 + Math.random()));
     }
     client.close();
