--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -18,6 +18,8 @@
   #buffer = Buffer.alloc(0);
   #wake = () => {};
   #isEnded = true;
+  /** Answers received on the connection. */
+  #answers = 0;
 
   constructor(address) {
     this.address = address;
@@ -29,6 +31,7 @@
     this.#socket = socket;
     this.#buffer = Buffer.alloc(0);
     this.#isEnded = false;
+    this.#answers = 0;
     socket.on("data", (bytes) => {
       if (socket !== this.#socket) return;
       this.#buffer = Buffer.concat([this.#buffer, bytes]);
@@ -50,8 +53,9 @@
   }
 
   /**
-   * Sends a request and returns its answer. `status` is 0 if the connection
-   * ended before the answer was complete. The client gives up, and closes its
+   * Sends a request and returns its answer. `status` is 0 if there is none;
+   * `isCut` if that is so since the connection ended, and `isKept` if the
+   * connection had brought an answer before. The client gives up, and closes its
    * connection, a little after the time that it states to wait.
    */
   async send({ method, host, path, id, key = null, timeout, body = "" }) {
@@ -65,10 +69,11 @@
       ...(method === "GET" ? [] : [`Content-Length: ${body.length}`]),
     ];
     const sentAt = Date.now();
+    const isKept = this.#answers > 0;
     this.#socket.write(`${lines.join("\r\n")}\r\n\r\n`);
     if (body.length > 0) this.#socket.write(body);
     const answer = await this.#receive(sentAt + timeout + 1_000);
-    return { ...answer, sentAt, took: Date.now() - sentAt };
+    return { ...answer, isKept, sentAt, took: Date.now() - sentAt };
   }
 
   async #receive(until) {
@@ -77,8 +82,9 @@
       if (answer !== null) return answer;
       const left = until - Date.now();
       if (this.#isEnded || left <= 0) {
+        const isCut = this.#isEnded;
         this.close();
-        return { status: 0, headers: {}, body: "" };
+        return { status: 0, headers: {}, body: "", isCut };
       }
       await new Promise((done) => {
         const timer = setTimeout(done, left);
@@ -108,6 +114,7 @@
     if (this.#buffer.length < start + length) return null;
     const body = this.#buffer.toString("latin1", start, start + length);
     this.#buffer = this.#buffer.subarray(start + length);
+    this.#answers += 1;
     if (headers.connection === "close") this.close();
     return { status: Number(first.split(" ")[1]), headers, body };
   }
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -22,9 +22,10 @@
   // Body bytes of an answer, and the time over which they are sent.
   size: 200,
   sendTime: 0,
-  // Answers a request before its body is in, and reads on at this rate.
-  early: false,
-  readBytesPerSecond: 0,
+  // Requests with a longer body are rejected before they are in, and the rest
+  // of the body is read this many milliseconds later.
+  longBody: 100_000,
+  readAfter: 0,
   ...JSON.parse(process.argv[2]),
 };
 const { id, service, zone, address, store } = settings;
@@ -136,8 +137,10 @@
   #buffer = Buffer.alloc(0);
   #isBusy = false;
   #isClosed = false;
-  /** The request whose body is not complete. */
+  /** The request whose body is not complete, and the bytes that it lacks. */
   #partial = null;
+  #missing = 0;
+  #pieces = [];
   /** A second copy of the last answer, which arrives late. */
   #extra = null;
   #onClose = null;
@@ -145,8 +148,7 @@
   constructor(socket) {
     this.socket = socket;
     socket.on("data", (bytes) => {
-      this.#buffer = Buffer.concat([this.#buffer, bytes]);
-      this.#next();
+      this.#read(bytes);
     });
     socket.on("error", () => {});
     socket.on("end", () => socket.end());
@@ -160,6 +162,39 @@
     return this.#isClosed;
   }
 
+  #read(bytes) {
+    if (this.#partial === null) {
+      this.#buffer = Buffer.concat([this.#buffer, bytes]);
+      return this.#next();
+    }
+    const body = bytes.subarray(0, this.#missing);
+    this.#missing -= body.length;
+    this.#pieces.push(body);
+    if (this.#missing > 0) return;
+    const { method, path, headers, isRejected } = this.#partial;
+    const whole = isRejected ? "" : Buffer.concat(this.#pieces);
+    this.#partial = null;
+    this.#pieces = [];
+    this.#buffer = Buffer.from(bytes.subarray(body.length));
+    if (isRejected) {
+      this.#isBusy = false;
+      return this.#next();
+    }
+    void this.#handle(method, path, headers, whole);
+  }
+
+  /**
+   * Rejects a long request before it is in. The rest of its body is read later,
+   * and thrown away.
+   */
+  #reject(partial, requestId) {
+    partial.isRejected = true;
+    print(`got ${requestId} ${Date.now()}`);
+    this.#answer(requestId, 503, "", { notRun: true, isEarly: true });
+    this.socket.pause();
+    setTimeout(() => this.socket.resume(), settings.readAfter);
+  }
+
   #next() {
     if (this.#isBusy) return;
     const end = this.#buffer.indexOf("\r\n\r\n");
@@ -176,13 +211,15 @@
     }
     const length = Number(headers["content-length"] ?? 0);
     const start = end + 4;
-    if (this.#buffer.length < start + length) {
-      return;
-    }
-    const body = this.#buffer.subarray(start, start + length);
-    this.#buffer = this.#buffer.subarray(start + length);
+    const rest = this.#buffer.subarray(start);
+    this.#buffer = Buffer.alloc(0);
     this.#isBusy = true;
-    void this.#handle(method, path, headers, body);
+    this.#partial = { method, path, headers, isRejected: false };
+    this.#missing = length;
+    const isEarly = isTroubled && settings.readAfter > 0 &&
+      length > settings.longBody;
+    if (isEarly) this.#reject(this.#partial, headers["x-plumloft-request-id"]);
+    this.#read(rest);
   }
 
   async #handle(method, path, headers, body) {
@@ -238,7 +275,7 @@
     this.#answer(requestId, 200, text, { isRun: true });
   }
 
-  #answer(requestId, status, body, { notRun, isRun, more = {} }) {
+  #answer(requestId, status, body, { notRun, isRun, isEarly, more = {} }) {
     const headers = {
       "X-Plumloft-Request-Id": requestId,
       "X-Plumloft-Instance-Id": id,
@@ -259,6 +296,7 @@
     if (isTroubled && !isOrder && Math.random() < settings.extra) {
       this.#extra = bytes;
     }
+    if (isEarly) return;
     this.#isBusy = false;
     this.#next();
   }
