--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -294,11 +294,19 @@
   const isTroubled = process.env.TROUBLE !== "0";
   const deployment = new Deployment();
   // A script may take 120 s at most.
-  const guard = setTimeout(async () => {
+  const giveUp = async (why) => {
     await deployment.stop();
-    console.log("could not run: it took too long");
+    deployment.writeRecord(join(folder, "record.txt"), [why]);
+    console.log(why);
     process.exit(2);
-  }, 115_000);
+  };
+  const guard = setTimeout(
+    () => void giveUp("could not run: it took too long"),
+    112_000,
+  );
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => void giveUp(`could not run: ${signal}`));
+  }
   let code = 2;
   let summary = [];
   try {
