--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -123,9 +123,11 @@
 /**
  * Sends requests from `clients` clients to each entry for `seconds`, each
  * client one after the other with `pause` milliseconds between two. `create`
- * returns the next request; each answer is passed to `onAnswer`.
+ * returns the next request; each answer is passed to `onAnswer`. With `clump`,
+ * all clients send together, each time the clock is at a multiple of so many
+ * milliseconds.
  */
-export async function load(entries, clients, seconds, pause, create, onAnswer) {
+export async function load(entries, clients, seconds, pause, create, onAnswer, clump = 0) {
   const end = Date.now() + seconds * 1_000;
   const run = async (entry) => {
     // Clients do not start together.
@@ -137,7 +139,8 @@
       onAnswer(request, answer, entry);
       // A machine that is gone gets no more than a few connections.
       if (answer.status === 0) await delay(300);
-      await delay(pause * (0.5 + Math.random()));
+      if (clump > 0) await delay(clump - Date.now() % clump + 5 * Math.random());
+      else await delay(pause * (0.5 + Math.random()));
     }
     client.close();
   };
