--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,14 +11,11 @@
 /** Bytes of an answer, and the time in milliseconds over which it is sent. */
 const SIZE = 40_000;
 const SEND_TIME = 800;
-/** An upstream's queue of new connections, and the time that each takes. */
-const BACKLOG = 3;
-const HANDSHAKE = 1;
-/** Interval at which the clients send together, in milliseconds. */
-const CLUMP = 1_250;
+/** Time for which an upstream freezes, in milliseconds. */
+const FREEZE = 500;
 /** Connections through the machine that is killed, and the wait for them. */
-const RELAYED = 12;
-const WAIT = 12_000;
+const RELAYED = 6;
+const WAIT = 1_200;
 
 /** Returns the body that an upstream sends in answer to a request. */
 const bodyOf = ({ id }) => `${id}:`.padEnd(SIZE, "x");
@@ -58,8 +55,7 @@
       slots: 12,
       queue: 12,
       work: 30,
-      backlog: BACKLOG,
-      handshake: HANDSHAKE,
+      backlog: 3,
       unframed: true,
       size: SIZE,
       sendTime: SEND_TIME,
@@ -74,7 +70,7 @@
   const loading = load(
     system.entries,
     40,
-    18,
+    8,
     60,
     () => ({
       method: "GET",
@@ -93,11 +89,19 @@
       if (!isSuccess || (body === bodyOf(request) && signature)) return;
       breaches.push(`MIXED: ${text}; the upstream's body has ${SIZE}`);
     },
-    CLUMP,
   );
   await delay(3_000);
   let killed = "none";
   if (isTroubled) {
+    // The one with the most requests.
+    const [upstream] = [...system.upstreams].sort((one, other) =>
+      other.runs.length - one.runs.length
+    );
+    system.record(`disruption: ${upstream.id} freezes`);
+    upstream.child.kill("SIGSTOP");
+    await delay(FREEZE);
+    upstream.child.kill("SIGCONT");
+    system.record(`disruption: ${upstream.id} wakes`);
     const end = Date.now() + WAIT;
     let victim = null;
     while (Date.now() < end) {
@@ -109,7 +113,7 @@
       if (relayedConnections(most) >= RELAYED) break;
     }
     // A little later, when parts of the answers have arrived.
-    await delay(150);
+    await delay(250);
     killed = `${victim.vm} with ${relayedConnections(victim)} connections of others`;
     system.record(`disruption: the process of ${killed} is killed`);
     victim.child.kill("SIGKILL");
--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -123,11 +123,9 @@
 /**
  * Sends requests from `clients` clients to each entry for `seconds`, each
  * client one after the other with `pause` milliseconds between two. `create`
- * returns the next request; each answer is passed to `onAnswer`. With `clump`,
- * all clients send together, each time the clock is at a multiple of so many
- * milliseconds.
+ * returns the next request; each answer is passed to `onAnswer`.
  */
-export async function load(entries, clients, seconds, pause, create, onAnswer, clump = 0) {
+export async function load(entries, clients, seconds, pause, create, onAnswer) {
   const end = Date.now() + seconds * 1_000;
   const run = async (entry) => {
     // Clients do not start together.
@@ -139,8 +137,7 @@
       onAnswer(request, answer, entry);
       // A machine that is gone gets no more than a few connections.
       if (answer.status === 0) await delay(300);
-      if (clump > 0) await delay(clump - Date.now() % clump + 5 * Math.random());
-      else await delay(pause * (0.5 + Math.random()));
+      await delay(pause * (0.5 + Math.random()));
     }
     client.close();
   };
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -17,8 +17,6 @@
   extra: 0,
   // Length of the queue of new connections.
   backlog: 511,
-  // Time that a new connection takes, in milliseconds.
-  handshake: 0,
   // Answers have no length and end with their connection.
   unframed: false,
   // Body bytes of an answer, and the time over which they are sent.
@@ -334,12 +332,7 @@
   return `HTTP/1.1 ${status} ${REASONS[status]}\r\n${lines.join("")}\r\n`;
 }
 
-createServer({ noDelay: true }, (socket) => {
-  // A new connection takes time of the process.
-  const until = performance.now() + settings.handshake;
-  while (performance.now() < until);
-  new Connection(socket);
-})
+createServer({ noDelay: true }, (socket) => new Connection(socket))
   .listen(Number(port), host, settings.backlog, () => {
     register();
     setInterval(register, settings.heartbeat);
