Log: responses without a length that end with a connection through another VM

Cause: a response without a length ends with its connection. When it came through another VM and was short, no line of either VM showed it: the request was delivered, so nothing was written about it, and a process that is killed writes no `relay.ended`.

Change: the VM that has the request logs `response.relayed_end` with the request, server, VM between, bytes, and the cause if the response counts as incomplete. At most one line for each such response; direct connections log nothing new.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -91,10 +91,28 @@
   body: Buffer;
 }
 
-/** Limits of a pool, and the listener for responses that exceed them. */
+/**
+ * A response without a length that came through another VM, after its
+ * connection has ended.
+ */
+export interface RelayedEnd {
+  /** Id of the request. */
+  request: string;
+  /** Id of the server. */
+  server: string;
+  /** Peer address of the VM between. */
+  relay: string;
+  /** Bytes of the body. */
+  bytes: number;
+  /** Why the response counts as incomplete; null if it is complete. */
+  cause: string | null;
+}
+
+/** Limits of a pool, and the listeners for responses. */
 export interface BackendPoolOptions {
   responseLimits: ResponseLimits;
   onResponseCut: CutListener;
+  onRelayedEnd: (end: RelayedEnd) => void;
   /** Counts the responses that are being received. */
   held: HeldBytes;
 }
@@ -104,6 +122,7 @@
   return {
     responseLimits: DEFAULT_RESPONSE_LIMITS,
     onResponseCut: () => {},
+    onRelayedEnd: () => {},
     held: HeldBytes.create(null),
   };
 }
@@ -457,9 +476,19 @@
       if (reset === null) return succeed();
       running.isVerifying = true;
       void reset.then((error) => {
-        if (error === null) return succeed();
+        const cause = error === null ? null : errorText(error);
+        if (running.relay !== null) {
+          this.options.onRelayedEnd({
+            request: outgoing.id,
+            server: running.server,
+            relay: running.relay,
+            bytes: running.guard.progress?.bytes ?? 0,
+            cause,
+          });
+        }
+        if (cause === null) return succeed();
         running.isVerifying = false;
-        this.#failAttempt(attempt, running, errorText(error));
+        this.#failAttempt(attempt, running, cause);
       });
     });
   }
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -177,6 +177,8 @@
       {
         responseLimits: responseLimitsOf(settings.responses),
         onResponseCut: (server, cut) => this.#recordCut(server, cut),
+        onRelayedEnd: (end) =>
+          this.#logger.write("info", "response.relayed_end", { ...end }),
         held,
       },
     );
