Relay: the end of the VM between does not stand for that of the server

Cause: a response without a length ends with its connection. Through another VM, the end of the connection between the VMs stood for that of the server's connection. The VM between resets it for each cause that it knows, but the kernel ends the connections of a process that is killed, crashes or exits in order, and the VM that has the request can't tell the two apart.

Evidence: `response.relayed_end` with 6,012 to 18,036 of 20,037 bytes and no cause, all through the killed VM, at the time of its kill. Ruled out: the server breaks off (it went on sending, and its other responses are whole), a reset taken for an end (the VM between logs no `relay.ended`), a repeat that mixes bodies (the part is the beginning of the right body, and no line says that the request was sent again).

Change: the VM between sends the bytes of the server in frames, and states the end of the server's connection in a frame of its own, after all of its bytes. A process that is gone can't send the frame, whatever ended it, so this holds for a kill, a crash, `process.exit` and the end by force of a shutdown alike; and bytes that are lost before the end are lost with the frame. Other responses are judged as before. VMs of the former version: asked by one, the VM between sends bytes as they are; through one, an end is not proven, so a response without a length fails during an upgrade.

--- a/src/runtime/connection_relay.ts
+++ b/src/runtime/connection_relay.ts
@@ -14,8 +14,8 @@
 import { resetSocket } from "./socket_reset.ts";
 import { detectReset } from "./orderly_end.ts";
 import type {
-  RelayAnswer,
   RelayFailure,
+  RelayFrame,
   RelayOpenFrame,
 } from "./relay_frame.ts";
 
@@ -149,7 +149,7 @@
     found.isOpen = true;
     found.openedAt = performance.now();
     server.setTimeout(0);
-    client.write(encodeFrame({ kind: "relay.opened" }));
+    send(client, { kind: "relay.opened", isFramed: request.takesFrames });
     client.on("data", () => {
       // Pipes pass the bytes on after this.
       if (this.lag.lateness > MAXIMUM_DELAY) {
@@ -170,15 +170,16 @@
     });
     server.once("close", () => this.#end(connection, "server_error"));
     client.pipe(server);
-    server.pipe(client, { end: false });
+    if (request.takesFrames) sendFrames(server, client);
+    else server.pipe(client, { end: false });
   }
 
   #refuse(connection: number, why: RelayFailure): void {
     const found = this.#connections.get(connection);
     if (found === undefined) return;
     this.#connections.delete(connection);
-    const answer: RelayAnswer = { kind: "relay.refused", why };
-    found.client.end(encodeFrame(answer));
+    send(found.client, { kind: "relay.refused", why });
+    found.client.end();
     this.#close(found.server);
     this.#report(connection, found, why);
   }
@@ -193,7 +194,12 @@
     // Bytes that were not delivered must not be delivered later. A response
     // that ends with its connection has arrived completely by then.
     if (cause !== "server_closed") this.#close(client);
-    else if (!client.destroyed) client.end();
+    else if (!client.destroyed) {
+      if (found.request.takesFrames) {
+        send(client, { kind: "relay.server_ended" });
+      }
+      client.end();
+    }
     this.#close(server);
     this.#report(connection, found, cause);
   }
@@ -222,3 +228,16 @@
     this.sink.push({ kind: "relay.ended", connection });
   }
 }
+
+/** Sends a frame to another VM; returns whether it may send more now. */
+function send(client: Socket, frame: RelayFrame): boolean {
+  return client.write(encodeFrame(frame));
+}
+
+/** Passes on the bytes of a server in frames, as fast as the other VM reads. */
+function sendFrames(server: Socket, client: Socket): void {
+  server.on("data", (bytes: Buffer) => {
+    if (!send(client, { kind: "relay.data", bytes })) server.pause();
+  });
+  client.on("drain", () => server.resume());
+}
--- a/src/runtime/connection_relay_test.ts
+++ b/src/runtime/connection_relay_test.ts
@@ -10,7 +10,7 @@
 import { Logger } from "../logging/index.ts";
 import { parseAddress } from "../settings/index.ts";
 import { ConnectionRelay } from "./connection_relay.ts";
-import { encodeFrame, PROTOCOL_VERSION } from "./frame.ts";
+import { encodeFrame, FrameDecoder, PROTOCOL_VERSION } from "./frame.ts";
 import { detectReset } from "./orderly_end.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { RelayConnector, RelayError } from "./relay_connector.ts";
@@ -69,7 +69,9 @@
     return log.split("\n").filter((line) => line !== "")
       .map((line) => JSON.parse(line));
   };
-  return { address, relay, events, lag, readLog };
+  // The kernel ends the connections of a killed process in the same way.
+  const endConnections = () => network.close();
+  return { address, relay, events, lag, readLog, endConnections };
 }
 
 const CONNECTOR = RelayConnector.create({
@@ -77,6 +79,17 @@
   peerAddress: "127.0.0.1:1",
 });
 
+/** First frame of a connection, as VMs of an older version send it. */
+const OPEN_FRAME = {
+  kind: "relay.open",
+  protocol: PROTOCOL_VERSION,
+  vm: "vm-1",
+  peerAddress: "127.0.0.1:1",
+  server: "s",
+  address: "127.0.0.1:1",
+  responseTimeout: 100,
+};
+
 /** Opens a connection through the VM at `relay`. */
 function open(
   relay: string,
@@ -149,6 +162,107 @@
   t.not(await error, null);
 });
 
+// Guards against a truncated response that passes as complete since the VM
+// between was killed.
+test("relay: the end of the VM between is not taken for that of the server", async (t) => {
+  const address = await listen(t, (socket) => {
+    socket.once("data", () => socket.write("half a response"));
+  });
+  const relay = await startRelay(t);
+  const socket = await open(relay.address, address);
+  const end = detectReset(socket);
+  socket.write("request");
+  t.is(String(await once(socket, "data")), "half a response");
+  relay.endConnections();
+  t.regex(String(await end), /ended by the VM between/);
+});
+
+test("relay: the end of the server is stated, after all of its bytes", async (t) => {
+  const text = "x".repeat(4_000_000);
+  const address = await listen(t, (socket) => {
+    socket.once("data", () => socket.end(text));
+  });
+  const relay = await startRelay(t);
+  const socket = await open(relay.address, address);
+  const end = detectReset(socket);
+  socket.write("request");
+  // A slow reader: the VM between has to wait for it.
+  await delay(100);
+  t.true(socket.bytesRead < text.length);
+  t.true((await received(socket)).text === text);
+  t.is(await end, null);
+});
+
+/** Bytes that the VM between sends after the connection is open. */
+const BAD_FRAMES_AFTER_OPENING: [string, Buffer][] = [
+  ["an unknown frame", encodeFrame({ kind: "relay.unknown" })],
+  ["a second answer", encodeFrame({ kind: "relay.opened" })],
+  [
+    "data without bytes",
+    encodeFrame({ kind: "relay.data", bytes: 7 } as { kind: string }),
+  ],
+  [
+    "data after the end of the server",
+    Buffer.concat([
+      encodeFrame({ kind: "relay.server_ended" }),
+      encodeFrame(
+        { kind: "relay.data", bytes: Buffer.from("x") } as { kind: string },
+      ),
+    ]),
+  ],
+  ["bytes that are no frame", Buffer.alloc(64, 255)],
+];
+
+for (const [name, bytes] of BAD_FRAMES_AFTER_OPENING) {
+  test(`relay: bad input, ${name} after the opening: the connection is destroyed`, async (t) => {
+    const address = await listen(t, (socket) => {
+      const opened = { kind: "relay.opened", isFramed: true };
+      socket.once("data", () => {
+        socket.write(encodeFrame(opened));
+        socket.once("data", () => socket.write(bytes));
+      });
+    });
+    const socket = await open(address, "127.0.0.1:1");
+    socket.write("request");
+    t.is((await received(socket)).text, "");
+    t.not(socket.errored, null);
+  });
+}
+
+// Guards against VMs that do not understand one another during an update.
+test("relay: a VM of an older version receives the bytes of the server as they are", async (t) => {
+  const address = await listen(t, (socket) => {
+    socket.once("data", () => socket.end("response"));
+  });
+  const relay = await startRelay(t);
+  const openFrame = { ...OPEN_FRAME, address };
+  const socket = connect(parseAddress(relay.address));
+  socket.write(encodeFrame(openFrame));
+  const decoder = FrameDecoder.create();
+  for (let isOpen = false; !isOpen;) {
+    const [bytes] = await once(socket, "data");
+    isOpen = decoder.push(bytes).some((frame) =>
+      (frame as { kind: string }).kind === "relay.opened"
+    );
+  }
+  socket.write("request");
+  t.is((await received(socket)).text, "response");
+});
+
+test("relay: through a VM of an older version the bytes arrive, and their end is not proven", async (t) => {
+  const address = await listen(t, (socket) => {
+    socket.once("data", () => {
+      socket.write(encodeFrame({ kind: "relay.opened" }));
+      socket.once("data", () => socket.end("response"));
+    });
+  });
+  const socket = await open(address, "127.0.0.1:1");
+  const end = detectReset(socket);
+  socket.write("request");
+  t.is((await received(socket)).text, "response");
+  t.not(await end, null);
+});
+
 // Guards against work at a server whose caller has left.
 test("relay: the connection to the server ends with that of the other VM", async (t) => {
   let end: Promise<unknown> = Promise.resolve();
@@ -225,16 +339,6 @@
   t.is(relay.relay.count, 0);
 });
 
-const OPEN_FRAME = {
-  kind: "relay.open",
-  protocol: PROTOCOL_VERSION,
-  vm: "vm-1",
-  peerAddress: "127.0.0.1:1",
-  server: "s",
-  address: "127.0.0.1:1",
-  responseTimeout: 100,
-};
-
 /** First frames that open no connection. */
 const BAD_FRAMES: [string, object][] = [
   ["without a server", { ...OPEN_FRAME, server: undefined }],
--- a/src/runtime/relay_connector.ts
+++ b/src/runtime/relay_connector.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
-import { Socket } from "node:net";
+import type { Socket } from "node:net";
 import { StepError } from "../errors/index.ts";
 import { parseAddress } from "../settings/index.ts";
-import { encodeFrame, FrameDecoder, PROTOCOL_VERSION } from "./frame.ts";
+import { encodeFrame, PROTOCOL_VERSION } from "./frame.ts";
 import type { PeerIdentity } from "./peer_network.ts";
-import { relayAnswerSchema, type RelayFailure } from "./relay_frame.ts";
+import type { RelayFailure } from "./relay_frame.ts";
+import { RelayedSocket } from "./relayed_socket.ts";
 
 /**
  * Time within which a connection through another VM has to be open, in
@@ -90,14 +91,19 @@
    */
   open(target: RelayTarget, callback: RelayCallback): void {
     const { relay } = target;
-    const socket = new Socket();
-    const decoder = FrameDecoder.create();
+    const socket = RelayedSocket.create((answer) =>
+      end(
+        answer.kind === "relay.opened"
+          ? null
+          : RelayError.of(relay, answer.why, answer.why),
+      )
+    );
     const end = (error: RelayError | null) => {
       clearTimeout(timer);
       socket.removeAllListeners();
-      if (error === null) return callback(null, socket);
-      // Ignores errors after the result is known.
+      // An error may arrive before the caller listens.
       socket.on("error", () => {});
+      if (error === null) return callback(null, socket);
       socket.destroy();
       callback(error);
     };
@@ -106,22 +112,6 @@
     const timer = setTimeout(() => fail("timed out"), OPEN_TIMEOUT);
     socket.once("error", (error) => fail(error.message, error));
     socket.once("close", () => fail("connection closed"));
-    socket.on("data", (bytes: Buffer) => {
-      try {
-        // The first frame is the hello of the other VM.
-        for (const value of decoder.push(bytes)) {
-          const answer = relayAnswerSchema.safeParse(value);
-          if (!answer.success) continue;
-          return end(
-            answer.data.kind === "relay.opened"
-              ? null
-              : RelayError.of(relay, answer.data.why, answer.data.why),
-          );
-        }
-      } catch (error) {
-        fail("invalid frame", error as Error);
-      }
-    });
     try {
       socket.setNoDelay(true);
       socket.connect(parseAddress(relay));
@@ -141,6 +131,7 @@
       server,
       address,
       responseTimeout,
+      takesFrames: true,
     };
   }
 }
--- a/src/runtime/relay_frame.ts
+++ b/src/runtime/relay_frame.ts
@@ -1,7 +1,8 @@
 /**
- * Frames that open a connection to a backend server through another VM. After
- * them the connection between the VMs carries the bytes of the connection to
- * the server.
+ * Frames of a connection to a backend server through another VM. The VM that
+ * opens it sends one frame, then the bytes for the server. The VM between
+ * answers with frames: whether the connection is open, then the bytes of the
+ * server, and that the server has ended its connection.
  *
  * @module
  */
@@ -28,6 +29,11 @@
    * in milliseconds. Afterwards the connection to it is reset.
    */
   responseTimeout: z.number().positive().max(MAXIMUM_RESPONSE_TIMEOUT),
+  /**
+   * Whether the sender reads the bytes of the server from frames. Older
+   * versions omit it and read them as they are.
+   */
+  takesFrames: z.boolean().default(false),
 });
 
 /** See {@linkcode relayOpenSchema}. */
@@ -48,11 +54,33 @@
   "server_silent",
 ] as const satisfies readonly RelayFailure[];
 
+const relayOpenedSchema = z.object({
+  kind: z.literal("relay.opened"),
+  /**
+   * Whether the bytes of the server follow in frames. Older versions omit it
+   * and send them as they are.
+   */
+  isFramed: z.boolean().default(false),
+});
+
+const relayRefusedSchema = z.object({
+  kind: z.literal("relay.refused"),
+  why: z.enum(RELAY_FAILURES),
+});
+
 /** Answer to {@linkcode relayOpenSchema}. */
-export const relayAnswerSchema = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("relay.opened") }),
-  z.object({ kind: z.literal("relay.refused"), why: z.enum(RELAY_FAILURES) }),
+export type RelayAnswer =
+  | z.infer<typeof relayOpenedSchema>
+  | z.infer<typeof relayRefusedSchema>;
+
+/** Frames of the VM between. */
+export const relayFrameSchema = z.discriminatedUnion("kind", [
+  relayOpenedSchema,
+  relayRefusedSchema,
+  z.object({ kind: z.literal("relay.data"), bytes: z.instanceof(Buffer) }),
+  /** The server has ended its connection in order; the last frame. */
+  z.object({ kind: z.literal("relay.server_ended") }),
 ]);
 
-/** See {@linkcode relayAnswerSchema}. */
-export type RelayAnswer = z.infer<typeof relayAnswerSchema>;
+/** See {@linkcode relayFrameSchema}. */
+export type RelayFrame = z.infer<typeof relayFrameSchema>;
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -24,6 +24,9 @@
 /** Path of the calls that return the ranges of keys that the server holds. */
 export const LEASES_PATH = "/stand-in/leases";
 
+/** Number of parts in which a body without a length is sent. */
+const BODY_PARTS = 10;
+
 /** Settings of the stand-in. Durations are milliseconds. */
 export const backendServiceSchema = z.strictObject({
   /** Id of the server; it may stay the same when the process restarts. */
@@ -92,6 +95,12 @@
    * from all VMs combined; null for none.
    */
   rateLimit: z.string().nullable().default(null),
+  /**
+   * Sends the body of each response in parts over this time, in milliseconds,
+   * without a length: the response ends with its connection. Null for responses
+   * with a length.
+   */
+  closeDelimitedFor: z.number().nonnegative().nullable().default(null),
 });
 
 /** See {@linkcode backendFaultsSchema}. */
@@ -267,7 +276,7 @@
       if (response.destroyed) return;
       await this.#run(request, id, range);
       if (request.url === this.settings.endedBy) return killProcess();
-      this.#respond(request, response, body, id);
+      await this.#respond(request, response, body, id);
     } finally {
       this.#queue.release();
     }
@@ -343,15 +352,16 @@
     run.endedAt = Date.now();
   }
 
-  #respond(
+  async #respond(
     request: IncomingMessage,
     response: ServerResponse,
     body: Buffer,
     id: string,
-  ): void {
+  ): Promise<void> {
     if (this.#faults.loseAnswers > 0) {
       this.#faults.loseAnswers -= 1;
-      return void request.socket.destroy();
+      request.socket.destroy();
+      return;
     }
     if (this.#faults.crossed > 0) {
       this.#faults.crossed -= 1;
@@ -370,6 +380,14 @@
       HEADER.signature,
       `${this.settings.id}.${responseBody.length}`,
     );
+    const { closeDelimitedFor } = this.#faults;
+    if (closeDelimitedFor !== null) {
+      return await sendCloseDelimited(
+        response,
+        responseBody,
+        closeDelimitedFor,
+      );
+    }
     response.setHeader("content-length", responseBody.length);
     response.end(responseBody);
   }
@@ -409,6 +427,25 @@
   process.kill(process.pid, "SIGKILL");
 }
 
+/**
+ * Sends a body without a length in {@linkcode BODY_PARTS} parts over `duration`
+ * milliseconds, then ends the connection.
+ */
+async function sendCloseDelimited(
+  response: ServerResponse,
+  body: Buffer,
+  duration: number,
+): Promise<void> {
+  response.useChunkedEncodingByDefault = false;
+  response.setHeader("connection", "close");
+  const size = Math.ceil(body.length / BODY_PARTS);
+  for (let i = 0; i < BODY_PARTS && !response.destroyed; i++) {
+    response.write(body.subarray(i * size, (i + 1) * size));
+    await delay(duration / BODY_PARTS);
+  }
+  response.end();
+}
+
 /** Refuses a request, stating that it did not run. */
 function refuse(response: ServerResponse, status: number): void {
   response.setHeader(HEADER.notRun, "1");
