Responses without a body do not wait for the end of their connection

Cause: a response without the headers of a length counted as one that ends with its connection, whatever its status and method. The pool waited for the end of a connection that the server keeps. Node drops headers beyond 2,000, the length among them, although its parser goes by it.

Change: Node's parser decides how a response is delimited. Only if the connection has ended before the response did is that end verified; a response that ends before its connection is complete by its own framing.

Tests: three responses in `backend_pool_test.ts` and the one to HEAD failed before ("no outcome" within 5 s; the pool has no deadline of its own). 20 responses with 204 use one connection and leave no listeners. A connection after a response to HEAD without a length is still not used again: Node decides that before it knows that there is no body.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -26,7 +26,7 @@
 import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
 import { monotonicNow } from "./monotonic_clock.ts";
-import { detectReset } from "./orderly_end.ts";
+import { ResponseEnd } from "./orderly_end.ts";
 import { RelayAgent } from "./relay_agent.ts";
 import { type RelayConnector, RelayError } from "./relay_connector.ts";
 import {
@@ -466,10 +466,9 @@
         body.take(),
       );
     };
-    const reset = isDelimitedByClose(response)
-      ? detectReset(response.socket)
-      : null;
+    const end = ResponseEnd.watch(response);
     response.once("end", () => {
+      const reset = end.verify();
       if (!response.complete) return;
       // A complete response is not cut off.
       running.bytes.end();
@@ -576,12 +575,6 @@
   return isServerRefused ? "refused" : "silent";
 }
 
-/** Whether only the close of the connection marks the end of a response. */
-function isDelimitedByClose({ headers }: IncomingMessage): boolean {
-  return headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
-}
-
 /** The status text if Node accepts it in a response, else an empty string. */
 function validStatusText(text = ""): string {
   return /^[\t\x20-\x7e\x80-\xff]*$/.test(text) ? text : "";
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -63,11 +63,15 @@
   );
   t.teardown(() => pool.close());
   let count = 0;
-  const send = (id: string, body = ""): Promise<UntimedEvent> => {
+  const send = (
+    id: string,
+    body = "",
+    method = body === "" ? "GET" : "POST",
+  ): Promise<UntimedEvent> => {
     count += 1;
     const outgoing: OutgoingRequest = {
       id,
-      method: body === "" ? "GET" : "POST",
+      method,
       target: "/stock/7",
       headers: ["Host", "shop.example", "X-Plumloft-Request-Id", id],
       body: Buffer.from(body),
@@ -155,6 +159,19 @@
     socket.resetAndDestroy();
     blockEventLoop(20);
   },
+  "without a body, on a kept connection": (socket) =>
+    socket.write(responseHead("a").replace("200 OK", "204 No Content")),
+  "not modified, on a kept connection": (socket) =>
+    socket.write(responseHead("a").replace("200 OK", "304 Not Modified")),
+  "with more headers than Node keeps": (socket) =>
+    socket.write(
+      `${
+        responseHead("a", [
+          ...Array.from({ length: 2_500 }, (_, i) => `h${i}: x`),
+          "Content-Length: 2",
+        ])
+      }ok`,
+    ),
   "truncated": (socket) =>
     socket.end(responseHead("a", ["Content-Length: 9"]) + "ok"),
   "truncated in a chunk": (socket) =>
@@ -213,6 +230,36 @@
   t.is(outcomeKind(await send("a")), "failed, not sent");
 });
 
+// Guards against work that is done and whose caller gets 504.
+test("backend pool: a response to HEAD is complete without a body", async (t) => {
+  const { address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    socket.write(responseHead(id));
+  });
+  const { send } = createPool(t, address);
+  t.is(outcomeKind(await send("a", "", "HEAD")), "genuine");
+});
+
+// Guards against listeners that each response leaves on its connection.
+test("backend pool: the connection of responses without a body is used again", async (t) => {
+  const sockets = new Set<Socket>();
+  const { address } = await startServer(t, (socket, request) => {
+    sockets.add(socket);
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    socket.write(responseHead(id).replace("200 OK", "204 No Content"));
+  });
+  const warnings: Error[] = [];
+  const onWarning = (warning: Error) => warnings.push(warning);
+  process.on("warning", onWarning);
+  t.teardown(() => process.off("warning", onWarning));
+  const { send } = createPool(t, address);
+  for (let i = 0; i < 20; i++) {
+    t.is(outcomeKind(await send(`r${i}`)), "genuine");
+  }
+  t.is(sockets.size, 1);
+  t.deepEqual(warnings, []);
+});
+
 // Guards against a cancelled attempt whose bytes a silent link delivers later,
 // when the retry budget no longer counts it.
 test("backend pool: a cancelled attempt resets its connection", async (t) => {
