HTTP client: a response without a length needs an orderly end

What could be seen: a document of the store, or the response to an order, of which only the first part has arrived.

Cause: the client of the store and of orders took every end of a connection for the end of a response without a length: a reset that is read together with the last bytes, and the end of a VM between that is killed.

Change: it verifies that end as the pool of callers' requests does (`ResponseEnd`); a call whose response is not proven complete rejects, and its sender repeats it as after any failure. Responses with a length, in chunks or without a body are not affected.

Tests: "rejects a response without a length whose connection is reset" and "... if the VM between ends" failed before; 110 tests of the client, the relay, orders and the store passed. What this cannot tell: a store, or a server, that is killed while it sends a response without a length on a direct connection. The kernel ends that connection in order, and nothing in HTTP says more.

--- a/src/runtime/connection_relay_test.ts
+++ b/src/runtime/connection_relay_test.ts
@@ -199,14 +199,14 @@
   ["a second answer", encodeFrame({ kind: "relay.opened" })],
   [
     "data without bytes",
-    encodeFrame({ kind: "relay.data", bytes: 7 } as { kind: string }),
+    encodeFrame({ kind: "relay.data", bytes: 7 }),
   ],
   [
     "data after the end of the server",
     Buffer.concat([
       encodeFrame({ kind: "relay.server_ended" }),
       encodeFrame(
-        { kind: "relay.data", bytes: Buffer.from("x") } as { kind: string },
+        { kind: "relay.data", bytes: Buffer.from("x") },
       ),
     ]),
   ],
--- a/src/runtime/frame.ts
+++ b/src/runtime/frame.ts
@@ -34,7 +34,7 @@
  * decode it if `mayDeflate`.
  */
 export function encodeFrame(
-  value: { kind: string },
+  value: { kind: string; [field: string]: unknown },
   mayDeflate = false,
 ): Buffer {
   const body = codec.encode(value);
--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -19,6 +19,7 @@
 import { monotonicNow } from "./monotonic_clock.ts";
 import { BackendAgent } from "./backend_agent.ts";
 import { BodyBuffer } from "./body_buffer.ts";
+import { ResponseEnd } from "./orderly_end.ts";
 import { RelayAgent, type RelayedRequestOptions } from "./relay_agent.ts";
 import type { RelayConnector, RelayTarget } from "./relay_connector.ts";
 import {
@@ -333,13 +334,19 @@
 
 function receiveResponse(request: ClientRequest): Promise<HttpResponse> {
   return new Promise((resolve, reject) => {
+    let isEnded = false;
     request.on("error", reject);
     request.once("response", (response) => {
       const body = BodyBuffer.create();
+      const end = ResponseEnd.watch(response);
       response.on("data", (chunk: Buffer) => body.add(chunk));
       response.once("error", reject);
-      response.once("end", () => {
+      response.once("end", async () => {
+        const reset = end.verify();
         if (!response.complete) return;
+        isEnded = true;
+        const error = await reset;
+        if (error !== null) return reject(error);
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
@@ -347,7 +354,9 @@
         });
       });
     });
-    request.once("close", () => reject(new Error("connection closed")));
+    request.once("close", () => {
+      if (!isEnded) reject(new Error("connection closed"));
+    });
   });
 }
 
--- a/src/runtime/http_client_test.ts
+++ b/src/runtime/http_client_test.ts
@@ -1,5 +1,9 @@
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createTcpServer,
+  type Socket,
+} from "node:net";
 import test, { type ExecutionContext } from "ava";
 import {
   type HttpCall,
@@ -7,6 +11,8 @@
   type HttpClientOptions,
   type TransferTimeouts,
 } from "./http_client.ts";
+import { encodeFrame } from "./frame.ts";
+import { RelayConnector } from "./relay_connector.ts";
 
 const OPTIONS: HttpClientOptions = {
   connectTimeout: 300,
@@ -93,6 +99,66 @@
   await t.throwsAsync(createClient(t).send(`127.0.0.1:${port}`, CALL));
 });
 
+/** Starts a TCP server that calls `handler` for each connection. */
+async function startTcpServer(
+  t: ExecutionContext,
+  handler: (socket: Socket) => void,
+): Promise<string> {
+  const server = createTcpServer((socket) => {
+    socket.on("error", () => {});
+    handler(socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+const UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nhalf";
+
+test("http client: accepts a response that ends with its connection", async (t) => {
+  const address = await startTcpServer(t, (socket) => {
+    socket.once("data", () => socket.end(UNFRAMED));
+  });
+  const { body } = await createClient(t).send(address, CALL);
+  t.is(String(body), "half");
+});
+
+// Guards against a truncated document of the store.
+test("http client: rejects a response without a length whose connection is reset", async (t) => {
+  const address = await startTcpServer(t, (socket) => {
+    socket.once("data", () => {
+      socket.write(UNFRAMED);
+      socket.resetAndDestroy();
+      // The client reads the bytes and the reset together.
+      const until = performance.now() + 20;
+      while (performance.now() < until);
+    });
+  });
+  await t.throwsAsync(createClient(t).send(address, CALL));
+});
+
+// Guards against a response to an order of which only a part has arrived.
+test("http client: rejects a response without a length if the VM between ends", async (t) => {
+  const relay = await startTcpServer(t, (socket) => {
+    socket.once("data", () => {
+      socket.write(encodeFrame({ kind: "relay.opened", isFramed: true }));
+      socket.once("data", () => {
+        const bytes = Buffer.from(UNFRAMED);
+        socket.end(encodeFrame({ kind: "relay.data", bytes }));
+      });
+    });
+  });
+  const connector = RelayConnector.create({
+    vm: "vm-1",
+    peerAddress: "127.0.0.1:1",
+  });
+  const client = HttpClient.create({ ...OPTIONS, connector });
+  t.teardown(() => client.close());
+  const call = { ...CALL, relay: { relay, server: "s" } };
+  const error = await t.throwsAsync(client.send("127.0.0.1:1", call));
+  t.is(error?.message, "connection ended by the VM between");
+});
+
 test("http client: resets the connection of a call that times out", async (t) => {
   const ends: Promise<string>[] = [];
   const server = createServer().on("connection", (socket) => {
