Log: the connection on which a server refuses a request

Change: the line has the attempt, the number of the connection, and how many responses had arrived on it before.

--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -180,7 +180,7 @@
   #handleRefusal(
     request: PendingRequest,
     attempt: Attempt,
-    { status, server: respondingServer, statement }: ServerResponse,
+    { status, server: respondingServer, statement, connection }: ServerResponse,
     now: number,
   ): NextStep {
     const server = this.context.fleet.get(attempt.server);
@@ -199,8 +199,13 @@
       server?.refused(attempt.number, now, load, hasBackoff);
       request.lacksCapacity = !hasBackoff;
     }
-    const detail = { server: attempt.server, status };
-    this.log.write("info", "attempt.not_run", request, now, detail);
+    this.log.write("info", "attempt.not_run", request, now, {
+      attempt: attempt.number,
+      server: attempt.server,
+      status,
+      connection: connection?.number ?? null,
+      responsesBefore: connection?.responses ?? null,
+    });
     if (request.key !== null) delayKeyRetry(request, attempt, now);
     const fallback: NextStep = request.mayHaveRun
       ? { kind: "fail", reason: "not run again", detail: null }
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -229,6 +229,14 @@
   };
 }
 
+/** State of a connection to a server when a response arrives on it. */
+export interface ConnectionState {
+  /** Number of the connection, unique in this process. */
+  number: number;
+  /** Number of responses that had arrived on it before. */
+  responses: number;
+}
+
 /** How an attempt ended. */
 export type AttemptOutcome =
   | {
@@ -245,6 +253,8 @@
     server: string | null;
     /** What the server states of itself. */
     statement: ServerStatement;
+    /** The connection on which it arrived, for the log. */
+    connection?: ConnectionState;
     /** Whether it was sent through another VM; false if omitted. */
     isRelayed?: boolean;
   }
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -13,8 +13,8 @@
   type IncomingMessage,
   request as httpRequest,
 } from "node:http";
-import { connect } from "node:net";
-import type { AttemptStart } from "../core/dispatch/index.ts";
+import { connect, type Socket } from "node:net";
+import type { AttemptStart, ConnectionState } from "../core/dispatch/index.ts";
 import type { ProbeResult, ServerProbe } from "../core/quarantine/index.ts";
 import { errorText } from "../errors/index.ts";
 import { parseAddress } from "../settings/address.ts";
@@ -153,6 +153,9 @@
   /** Connections through other VMs, by VM and server. */
   readonly #relayAgents = new Map<string, Map<string, RelayAgent>>();
   readonly #attempts = new Map<number, RunningAttempt>();
+  /** Connections on which a response has arrived, for the log. */
+  readonly #connections = new WeakMap<Socket, ConnectionState>();
+  #connectionCount = 0;
 
   private constructor(
     private readonly codec: HeaderCodec,
@@ -448,6 +451,7 @@
       response.headers,
       outgoing.id,
     );
+    const connection = this.#recordResponse(response.socket);
     const body = BodyBuffer.create();
     response.on("data", (chunk: Buffer) => {
       running.bytes.add(body.add(chunk));
@@ -463,6 +467,7 @@
         running,
         response,
         metadata,
+        connection,
         body.take(),
       );
     };
@@ -497,6 +502,7 @@
     running: RunningAttempt,
     response: IncomingMessage,
     metadata: ResponseMetadata,
+    connection: ConnectionState,
     body: Buffer,
   ): void {
     if (this.#attempts.get(attempt) !== running) return;
@@ -516,6 +522,7 @@
         isNotRun: metadata.isNotRun && metadata.isOwnExchange,
         server: metadata.server,
         statement: metadata.statement,
+        connection,
         isRelayed: running.relay !== null,
       },
     });
@@ -524,6 +531,15 @@
     setImmediate(() => this.#attempts.delete(attempt));
   }
 
+  /** Counts a response, and returns the state of its connection before it. */
+  #recordResponse(socket: Socket): ConnectionState {
+    const state = this.#connections.get(socket) ??
+      { number: ++this.#connectionCount, responses: 0 };
+    const { number, responses } = state;
+    this.#connections.set(socket, { number, responses: responses + 1 });
+    return state;
+  }
+
   /**
    * Resets the connection of a response that exceeds a limit. Its attempt fails
    * as one that may have run.
