Pool: a connection never carries two attempts of one request

Cause: an attempt that its server refuses is sent to the same server again 30 ms later if only that one holds the key, often on the same connection. Both attempts have the id of the caller's request, so a second copy of the refusal, which arrives where the next response is expected, has the right id and was taken for the response to the later attempt, while the server ran that one.

Evidence: `attempt.not_run`: two refusals of one request on one connection, as its responses 25 and 26, 1 ms after the second send, where the server had written its copy; 362 of 5,999 refused requests had got two refusals on one connection. Ruled out: a server that refuses and runs (it logs one run, of the second send), idle connections (bytes there close them, tested before), responses without an id, other VMs between (none was used).

Change: each attempt has its position among the attempts of its request, counted by the core whatever becomes of them, and the pool uses a connection for one position only. A connection of second attempts carries one attempt of a request at most, so the id identifies the response again; a copy that arrives at another request has another id, as before. This holds for direct connections and those through other VMs, for retries, hedges and copies: all attempts start in one place. What it costs: idle connections are kept by position, so a VM may have more of them to a server in times of refusals, up to 8 s.

--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -577,6 +577,44 @@
   t.deepEqual(summarize(effects), ["start stock-2, 500 ms left"]);
 });
 
+// Guards against a late second response to one attempt that is taken for the
+// response to another one on the same connection.
+test("dispatch: attempts of one request have different ordinals, whatever became of them", (t) => {
+  const outcome = fc.constantFrom(...Object.values(OUTCOMES), MISDIRECTED);
+  fc.assert(
+    fc.property(
+      fc.constantFrom("/order/", "/read/", "/lookup/"),
+      fc.array(outcome, { minLength: 1, maxLength: 8 }),
+      (path, outcomes) => {
+        const { dispatcher, arrive } = createDispatcher();
+        const ordinals = new Map<number, number[]>();
+        const record = (effects: readonly DispatchEffect[], now: number) => {
+          for (const effect of effects) {
+            if (effect.kind !== "attempt.start") continue;
+            const { exchange, attempt, ordinal } = effect;
+            ordinals.set(exchange, [
+              ...ordinals.get(exchange) ?? [],
+              ordinal,
+            ]);
+            const next = outcomes.shift();
+            if (next === undefined) continue;
+            record(dispatcher.attemptEnded(attempt, next, now), now);
+          }
+        };
+        record(arrive(path, 0), 0);
+        for (let now = 5; now < 500; now += 5) {
+          record(dispatcher.advance(now), now);
+        }
+        return [...ordinals.values()].every((each) =>
+          each.every((ordinal, index) => ordinal === index + 1)
+        );
+      },
+    ),
+    { seed: 73 },
+  );
+  t.pass();
+});
+
 test("dispatch: a non-idempotent request that may have run fails with 502 and is never retried", (t) => {
   const { dispatcher, arrive } = createDispatcher();
   t.is(summarize(arrive("/order/", 0)).length, 1);
--- a/src/runtime/backend_agent.ts
+++ b/src/runtime/backend_agent.ts
@@ -3,23 +3,45 @@
  *
  * @module
  */
-import { Agent, type ClientRequest } from "node:http";
+import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
 import type { Socket } from "node:net";
 
+/** Options of a request that determine which connections it may use. */
+export interface OrdinalOptions {
+  /**
+   * Position among the attempts of a caller's request, from 1; 1 if omitted. A
+   * connection is used for one ordinal only.
+   */
+  ordinal?: number;
+}
+
 /**
  * Keeps connections alive, and destroys an idle connection on which bytes
  * arrive, since they belong to no request.
+ *
+ * Bytes that arrive later, when the next response is expected, are told from it
+ * by the id of their request. So a connection never carries two attempts of one
+ * request: its attempts have different ordinals.
  */
 export class BackendAgent extends Agent {
   #isRetired = false;
 
-  /** Whether a connection is idle, so that a request need not open one. */
-  get hasIdle(): boolean {
-    return Object.values(this.freeSockets).some((sockets) =>
-      (sockets ?? []).some((socket) => !socket.destroyed)
+  /**
+   * Whether a connection is idle, so that an attempt with this ordinal need not
+   * open one.
+   */
+  hasIdle(ordinal: number): boolean {
+    return Object.entries(this.freeSockets).some(([name, sockets = []]) =>
+      name.endsWith(nameSuffix(ordinal)) &&
+      sockets.some((socket) => !socket.destroyed)
     );
   }
 
+  /** Called by Node: a connection is used again by requests of its name. */
+  override getName(options?: ClientRequestArgs & OrdinalOptions): string {
+    return super.getName(options) + nameSuffix(options?.ordinal ?? 1);
+  }
+
   /**
    * Destroys idle connections now, and connections in use after their response
    * is complete.
@@ -49,3 +71,8 @@
 function destroySocket(this: Socket): void {
   this.destroy();
 }
+
+/** End of the name of connections that are used for an ordinal. */
+function nameSuffix(ordinal: number): string {
+  return `#${ordinal}`;
+}
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -12,6 +12,7 @@
   type ClientRequest,
   type IncomingMessage,
   request as httpRequest,
+  type RequestOptions,
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { AttemptStart, ConnectionState } from "../core/dispatch/index.ts";
@@ -20,7 +21,7 @@
 import { parseAddress } from "../settings/address.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { EventSink } from "./entry_loop.ts";
-import { BackendAgent } from "./backend_agent.ts";
+import { BackendAgent, type OrdinalOptions } from "./backend_agent.ts";
 import { BodyBuffer } from "./body_buffer.ts";
 import { HeldBytes, type ResponseBytes } from "./held_bytes.ts";
 import { abortRequest, limitConnectTime } from "./http_client.ts";
@@ -204,9 +205,10 @@
   #startRequest(start: AttemptStart, outgoing: OutgoingRequest): void {
     const separator = start.address.lastIndexOf(":");
     const relay = this.#relayOf(start);
-    const { server, address } = start;
+    const { server, address, ordinal } = start;
     const responseTimeout = RELAYED_RESPONSE_TIMEOUT;
-    const request = httpRequest({
+    const options: RequestOptions & OrdinalOptions = {
+      ordinal,
       host: start.address.slice(0, separator),
       port: Number(start.address.slice(separator + 1)),
       method: outgoing.method,
@@ -221,7 +223,8 @@
       }),
       setHost: false,
       maxHeaderSize: this.options.responseLimits.headBytes,
-    });
+    };
+    const request = httpRequest(options);
     const running: RunningAttempt = {
       server,
       deadline: monotonicNow() + start.remaining,
@@ -365,8 +368,11 @@
   }
 
   /** Returns the VM through which an attempt is sent, or null. */
-  #relayOf({ server, relay, mayReuseDirect }: AttemptStart): string | null {
-    const isReused = mayReuseDirect && this.#agents.get(server)?.hasIdle;
+  #relayOf(
+    { server, relay, mayReuseDirect, ordinal }: AttemptStart,
+  ): string | null {
+    const isReused = mayReuseDirect &&
+      this.#agents.get(server)?.hasIdle(ordinal);
     return isReused ? null : relay;
   }
 
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -67,6 +67,7 @@
     id: string,
     body = "",
     method = body === "" ? "GET" : "POST",
+    ordinal = 1,
   ): Promise<UntimedEvent> => {
     count += 1;
     const outgoing: OutgoingRequest = {
@@ -79,6 +80,7 @@
     pool.send({
       kind: "attempt.start",
       attempt: count,
+      ordinal,
       exchange: count,
       server: "server-1",
       address,
@@ -106,12 +108,18 @@
   ].join("\r\n");
 }
 
+function refusalOf(id: string): string {
+  return responseHead(id, ["Content-Length: 0", "X-Plumloft-Not-Executed: 1"])
+    .replace("200 OK", "503 Service Unavailable");
+}
+
 function outcomeKind(event: UntimedEvent): string {
   if (event.kind !== "attempt.ended") return event.kind;
   const { outcome } = event;
   if (outcome.kind === "failed") {
     return outcome.mayHaveBeenSent ? "failed, sent" : "failed, not sent";
   }
+  if (outcome.isNotRun) return "not run";
   return outcome.isGenuine ? "genuine" : "spoilt";
 }
 
@@ -260,6 +268,46 @@
   t.deepEqual(warnings, []);
 });
 
+// Guards against a request that is answered 503, or sent again, although the
+// server runs it: a second copy of the response to an earlier attempt has its id
+// and arrives where the response to the later one is expected.
+test("backend pool: a late copy of a refusal is not taken for the response to the next attempt", async (t) => {
+  const refusals = new Map<Socket, string>();
+  const { address } = await startServer(t, (socket, request, ordinal) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const refusal = refusalOf(id);
+    const copy = refusals.get(socket);
+    refusals.set(socket, refusal);
+    if (copy !== undefined) socket.write(copy);
+    setTimeout(() =>
+      socket.write(
+        ordinal < 3 ? refusal : responseHead(id, ["Content-Length: 2"]) + "ok",
+      ), 10);
+  });
+  const { send } = createPool(t, address);
+  const outcomes: string[] = [];
+  for (const ordinal of [1, 2, 3]) {
+    outcomes.push(outcomeKind(await send("a", "body", "POST", ordinal)));
+  }
+  t.deepEqual(outcomes, ["not run", "not run", "genuine"]);
+});
+
+test("backend pool: attempts of the same ordinal use the same connections", async (t) => {
+  const sockets = new Set<Socket>();
+  const { address } = await startServer(t, (socket, request) => {
+    sockets.add(socket);
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    socket.write(responseHead(id, ["Content-Length: 2"]) + "ok");
+  });
+  const { send } = createPool(t, address);
+  for (let i = 0; i < 5; i++) {
+    for (const ordinal of [1, 2]) {
+      t.is(outcomeKind(await send(`r${i}`, "x", "POST", ordinal)), "genuine");
+    }
+  }
+  t.is(sockets.size, 2);
+});
+
 // Guards against a cancelled attempt whose bytes a silent link delivers later,
 // when the retry budget no longer counts it.
 test("backend pool: a cancelled attempt resets its connection", async (t) => {
--- a/src/runtime/endless_response_test.ts
+++ b/src/runtime/endless_response_test.ts
@@ -121,6 +121,7 @@
     pool.send({
       kind: "attempt.start",
       attempt,
+      ordinal: 1,
       exchange: attempt,
       server: "server-1",
       address,
--- a/src/runtime/hostile_text_test.ts
+++ b/src/runtime/hostile_text_test.ts
@@ -39,6 +39,7 @@
   pool.send({
     kind: "attempt.start",
     attempt: 1,
+    ordinal: 1,
     exchange: 1,
     server,
     address,
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -9,7 +9,12 @@
  * @module
  */
 import { appendFileSync } from "node:fs";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { request as send } from "undici";
 import * as z from "zod";
@@ -101,6 +106,11 @@
    * with a length.
    */
   closeDelimitedFor: z.number().nonnegative().nullable().default(null),
+  /**
+   * States its load in refusals of requests, and sends each of them a second
+   * time when the next request arrives on its connection.
+   */
+  repeatsRefusals: z.boolean().default(false),
 });
 
 /** See {@linkcode backendFaultsSchema}. */
@@ -135,6 +145,8 @@
   readonly #receivedOrders: { from: number; target: number; token: number }[] =
     [];
   readonly #runs: Run[] = [];
+  /** Refusals to send a second time, by connection. */
+  readonly #lateCopies = new WeakMap<Socket, string>();
   readonly #heartbeat: NodeJS.Timeout;
   #grantedRanges: GrantedRange[] = [];
   #isDraining = false;
@@ -262,14 +274,15 @@
     response.setHeader(HEADER.requestId, id);
     response.setHeader(HEADER.server, this.settings.id);
     this.#recordArrival(id);
+    await this.#sendLateCopy(request.socket);
     const range = this.#findGrantedRange(request);
     const isMisdirected = this.#isMisdirected(request);
     if (isMisdirected || (this.settings.keyed && range === undefined)) {
-      return refuse(response, 421);
+      return this.#refuse(response, 421);
     }
     if (this.#faults.shed) return this.#shed(response);
     if (!await this.#queue.acquire()) {
-      if (!this.settings.resetsWhenFull) return refuse(response, 503);
+      if (!this.settings.resetsWhenFull) return this.#refuse(response, 503);
       return void request.socket.destroy();
     }
     try {
@@ -282,6 +295,31 @@
     }
   }
 
+  /** Refuses a request, stating that it did not run. */
+  #refuse(response: ServerResponse, status: number): void {
+    if (this.#faults.repeatsRefusals && response.socket !== null) {
+      response.setHeader(HEADER.load, this.#load);
+      this.#lateCopies.set(response.socket, refusalText(response, status));
+    }
+    refuse(response, status);
+  }
+
+  /** What it states of its load. */
+  get #load(): string {
+    const { running, waiting, slots } = this.#queue;
+    return `${running},${waiting},${slots}`;
+  }
+
+  /** Sends the second copy of an earlier refusal, if there is one. */
+  async #sendLateCopy(socket: Socket): Promise<void> {
+    const copy = this.#lateCopies.get(socket);
+    if (copy === undefined) return;
+    this.#lateCopies.delete(socket);
+    socket.write(copy);
+    // The response to the request follows separately.
+    await delay(2);
+  }
+
   /** Whether it states that it is leaving. */
   get #isLeaving(): boolean {
     return this.#isDraining || this.#faults.leaving;
@@ -306,7 +344,7 @@
   #shed(response: ServerResponse): void {
     const { retryAfter } = this.#faults;
     if (retryAfter !== null) response.setHeader(HEADER.retryAfter, retryAfter);
-    refuse(response, 503);
+    this.#refuse(response, 503);
   }
 
   /** Whether the request is addressed to another server. */
@@ -372,8 +410,7 @@
     const responseBody = request.method === "GET"
       ? this.#stored.get(path) ?? Buffer.alloc(0)
       : body;
-    const { running, waiting, slots } = this.#queue;
-    response.setHeader(HEADER.load, `${running},${waiting},${slots}`);
+    response.setHeader(HEADER.load, this.#load);
     const { rateLimit } = this.#faults;
     if (rateLimit !== null) response.setHeader(HEADER.rateLimit, rateLimit);
     response.setHeader(
@@ -446,6 +483,20 @@
   response.end();
 }
 
+/** Text of a refusal with the headers that are set so far. */
+function refusalText(response: ServerResponse, status: number): string {
+  const headers = Object.entries(response.getHeaders())
+    .map(([name, value]) => `${name}: ${value}`);
+  return [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    ...headers,
+    `${HEADER.notRun}: 1`,
+    "content-length: 0",
+    "",
+    "",
+  ].join("\r\n");
+}
+
 /** Refuses a request, stating that it did not run. */
 function refuse(response: ServerResponse, status: number): void {
   response.setHeader(HEADER.notRun, "1");
