Pool: the connection of a response to another request is closed

What callers saw: 502, or a repeat, for requests whose servers had answered in full: after one late second response on a connection, the next requests on it failed as well.

Cause: a response with the id of another request was meant to close its connection, by destroying the request once the response has ended. Node has handed the connection back to its agent by then, so that does nothing. The connection was used again; if the next request was sent before the response to the former one arrived, it got that one, which has another id in turn, and so on.

Change: the connection itself is destroyed.

Test: "the connection of a response to another request is closed" failed before (all three requests on one connection got the response to the one before; no wrong response was delivered, since the ids differ).

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -457,7 +457,8 @@
       response.headers,
       outgoing.id,
     );
-    const connection = this.#recordResponse(response.socket);
+    const { socket } = response;
+    const connection = this.#recordResponse(socket);
     const body = BodyBuffer.create();
     response.on("data", (chunk: Buffer) => {
       running.bytes.add(body.add(chunk));
@@ -467,7 +468,8 @@
       (error) => this.#failAttempt(attempt, running, errorText(error)),
     );
     const succeed = () => {
-      if (!metadata.isOwnExchange) running.request.destroy();
+      // Node has handed the connection back to its agent by now.
+      if (!metadata.isOwnExchange) socket.destroy();
       this.#completeAttempt(
         attempt,
         running,
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -292,6 +292,27 @@
   t.deepEqual(outcomes, ["not run", "not run", "genuine"]);
 });
 
+// Guards against a response that is taken for that to the next request on its
+// connection, and so on with each further one.
+test("backend pool: the connection of a response to another request is closed", async (t) => {
+  const sockets = new Set<Socket>();
+  const { address } = await startServer(t, (socket, request, ordinal) => {
+    sockets.add(socket);
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const copy = responseHead("other", ["Content-Length: 0"]);
+    socket.write(ordinal === 1 ? copy : "");
+    setTimeout(
+      () => socket.write(responseHead(id, ["Content-Length: 0"])),
+      20,
+    );
+  });
+  const { send } = createPool(t, address);
+  const outcomes: string[] = [];
+  for (const id of ["a", "b", "c"]) outcomes.push(outcomeKind(await send(id)));
+  t.deepEqual(outcomes, ["spoilt", "genuine", "genuine"]);
+  t.is(sockets.size, 2);
+});
+
 test("backend pool: attempts of the same ordinal use the same connections", async (t) => {
   const sockets = new Set<Socket>();
   const { address } = await startServer(t, (socket, request) => {
