Pool: a refusal without an id is believed only as the first response

What could be seen: 503, which promises that the request has not run, for a request that runs.

Cause: a response without the id of its request counted as its own. On a connection that has carried another request it may be a late second response to that one, or bytes that belong to no request.

Change: the codec states whose id a response has: its request's, another or none. "Not run" without an id counts only if the response is the first on its connection, and such a connection is closed, so that a server that sends no ids is still believed. Callers lose: where a server sends ids with some responses and refuses without one on the same connection, a request that may run once gets 502 instead of being sent again.

Tests: "a refusal without an id counts only as the first response on its connection" failed before ("not run" for the third of them).

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -468,8 +468,9 @@
       (error) => this.#failAttempt(attempt, running, errorText(error)),
     );
     const succeed = () => {
-      // Node has handed the connection back to its agent by now.
-      if (!metadata.isOwnExchange) socket.destroy();
+      // Node has handed the connection back to its agent by now. Whatever else
+      // arrives on it could not be told from the response.
+      if (metadata.echo !== "own") socket.destroy();
       this.#completeAttempt(
         attempt,
         running,
@@ -514,6 +515,10 @@
     body: Buffer,
   ): void {
     if (this.#attempts.get(attempt) !== running) return;
+    const { echo } = metadata;
+    // The first response on a connection cannot belong to an earlier request.
+    const isOwn = echo === "own" ||
+      (echo === "none" && connection.responses === 0);
     running.response = {
       status: response.statusCode ?? 0,
       statusText: validStatusText(response.statusMessage),
@@ -527,7 +532,7 @@
         kind: "answered",
         status: running.response.status,
         isGenuine: metadata.isGenuine,
-        isNotRun: metadata.isNotRun && metadata.isOwnExchange,
+        isNotRun: metadata.isNotRun && isOwn,
         server: metadata.server,
         statement: metadata.statement,
         connection,
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -313,6 +313,35 @@
   t.is(sockets.size, 2);
 });
 
+// Guards against "not run" of a response that cannot be told from a late one to
+// an earlier request.
+test("backend pool: a refusal without an id counts only as the first response on its connection", async (t) => {
+  const sockets: Socket[] = [];
+  const { address } = await startServer(t, (socket, request) => {
+    sockets.push(socket);
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const response = id.startsWith("own")
+      ? responseHead(id, ["Content-Length: 0"])
+      : refusalOf(id).replace(/X-Plumloft-Request-Id: .*\r\n/, "");
+    socket.write(response);
+  });
+  const { send } = createPool(t, address);
+  const outcomes: string[] = [];
+  for (const id of ["first", "second", "own1", "own2", "third", "own3"]) {
+    outcomes.push(outcomeKind(await send(id, "body")));
+  }
+  t.deepEqual(outcomes, [
+    "not run",
+    "not run",
+    "genuine",
+    "genuine",
+    "spoilt",
+    "genuine",
+  ]);
+  const order = sockets.map((each) => [...new Set(sockets)].indexOf(each));
+  t.deepEqual(order, [0, 1, 2, 2, 2, 3]);
+});
+
 test("backend pool: attempts of the same ordinal use the same connections", async (t) => {
   const sockets = new Set<Socket>();
   const { address } = await startServer(t, (socket, request) => {
--- a/src/runtime/header_codec.ts
+++ b/src/runtime/header_codec.ts
@@ -20,6 +20,9 @@
   key: number | null;
 }
 
+/** Whose id a response carries. */
+export type ResponseEcho = "own" | "other" | "none";
+
 /** Information that a server's response carries in its headers. */
 export interface ResponseMetadata {
   /** Whether the server reports that it did not run the request. */
@@ -29,8 +32,8 @@
    * request.
    */
   isGenuine: boolean;
-  /** Whether the response carries the id of this request or no id. */
-  isOwnExchange: boolean;
+  /** Whose id the response carries: that of this request, another or none. */
+  echo: ResponseEcho;
   /** Id of the server; null if missing. */
   server: string | null;
   /** What the server states of itself. */
