Dispatch: the ordinal of an attempt counts those at its server

Cause: ordinals counted all attempts of a request, so that a retry at another server, which has connections of first attempts, opened one of its own. Nothing requires that: a connection belongs to one server.

Change: the ordinal counts the attempts of the request at that server. A connection still never carries two attempts of one request; retries, hedges and copies at other servers use connections of first attempts again.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -380,7 +380,7 @@
     request.attempts.push(attempt);
     request.tried.push(server.id);
     request.sentCount += 1;
-    request.startCount += 1;
+    request.startedServers.push(server.id);
     this.#byAttempt.set(number, request);
     this.#copies.started(request, server.id);
     const { term, version } = this.context.directory.position;
@@ -400,7 +400,7 @@
     this.#effects.push({
       kind: "attempt.start",
       attempt: number,
-      ordinal: request.startCount,
+      ordinal: request.startedServers.filter((id) => id === server.id).length,
       exchange: request.arrival.exchange,
       server: server.id,
       address: server.entry.address,
--- a/src/core/dispatch/request.ts
+++ b/src/core/dispatch/request.ts
@@ -157,8 +157,8 @@
   tried: string[];
   /** Number of attempts that reached a server, or may have. */
   sentCount: number;
-  /** Number of attempts that were started, whatever became of them. */
-  startCount: number;
+  /** Id of the server of each attempt, whatever became of it. */
+  startedServers: string[];
   /** Number of attempts whose connection could not be opened on their path. */
   pathFailures: number;
   /** Whether a server may have run it. */
@@ -222,7 +222,7 @@
     attempts: [],
     tried: [],
     sentCount: 0,
-    startCount: 0,
+    startedServers: [],
     pathFailures: 0,
     mayHaveRun: false,
     isDeadlineUncertain: false,
--- a/src/runtime/backend_agent.ts
+++ b/src/runtime/backend_agent.ts
@@ -9,8 +9,8 @@
 /** Options of a request that determine which connections it may use. */
 export interface OrdinalOptions {
   /**
-   * Position among the attempts of a caller's request, from 1; 1 if omitted. A
-   * connection is used for one ordinal only.
+   * Position among the attempts of a caller's request at the server, from 1; 1
+   * if omitted. A connection is used for one ordinal only.
    */
   ordinal?: number;
 }
@@ -21,7 +21,7 @@
  *
  * Bytes that arrive later, when the next response is expected, are told from it
  * by the id of their request. So a connection never carries two attempts of one
- * request: its attempts have different ordinals.
+ * request: its attempts at one server have different ordinals.
  */
 export class BackendAgent extends Agent {
   #isRetired = false;
