--- a/src/core/dispatch/dispatch_effect.ts
+++ b/src/core/dispatch/dispatch_effect.ts
@@ -17,8 +17,8 @@
   /**
    * Position among the attempts of the request at this server, from 1. Attempts
    * of one request have the same id, so two of them must not use the same
-   * connection: a late second response to the former could not be told from
-   * that to the latter.
+   * connection: a late second response to the former would pass for that to the
+   * latter.
    */
   ordinal: number;
   /** Number of the request's exchange with its caller. */
--- a/src/runtime/backend_agent.ts
+++ b/src/runtime/backend_agent.ts
@@ -19,9 +19,9 @@
  * Keeps connections alive, and destroys an idle connection on which bytes
  * arrive, since they belong to no request.
  *
- * Bytes that arrive later, when the next response is expected, are told from it
- * by the id of their request. So a connection never carries two attempts of one
- * request: its attempts at one server have different ordinals.
+ * Bytes that arrive later, when the next response is expected, are distinguished
+ * from it by the id of their request. So a connection never carries two attempts
+ * of one request: its attempts at one server have different ordinals.
  */
 export class BackendAgent extends Agent {
   #isRetired = false;
--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -468,8 +468,9 @@
       (error) => this.#failAttempt(attempt, running, errorText(error)),
     );
     const succeed = () => {
-      // Node has handed the connection back to its agent by now. Whatever else
-      // arrives on it could not be told from the response.
+      // Destroying the request has no effect: Node has handed the connection
+      // back to its agent by now. The response to this request, or another late
+      // one, may still arrive on it.
       if (metadata.echo !== "own") socket.destroy();
       this.#completeAttempt(
         attempt,
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -313,8 +313,7 @@
   t.is(sockets.size, 2);
 });
 
-// Guards against "not run" of a response that cannot be told from a late one to
-// an earlier request.
+// Guards against "not run" of a late second response to an earlier request.
 test("backend pool: a refusal without an id counts only as the first response on its connection", async (t) => {
   const sockets: Socket[] = [];
   const { address } = await startServer(t, (socket, request) => {
