Comment: the connections of the pool are no longer for the log alone

Cause: since the number of responses on a connection also decides whether a refusal without an id is believed.

Change: one comment.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -154,7 +154,7 @@
   /** Connections through other VMs, by VM and server. */
   readonly #relayAgents = new Map<string, Map<string, RelayAgent>>();
   readonly #attempts = new Map<number, RunningAttempt>();
-  /** Connections on which a response has arrived, for the log. */
+  /** Connections on which a response has arrived. */
   readonly #connections = new WeakMap<Socket, ConnectionState>();
   #connectionCount = 0;
 
