Test runner: the titles of all failures at the end of the output

Only parts of the output are kept: the results of 36 tests and its end, which named the six. Which test was the seventh cannot be found out.

Change: the end of the output names the others too, as `failed: TITLE`. What passes and what fails the run is as before.

Measured: on a scratch copy with a passing, a failing and a listed failing test, both titles at the end, exit code 1.

--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -1,6 +1,6 @@
 /**
- * Runs the tests and prints how many passed and failed. Failures of tests that
- * are listed in KNOWN-RED.txt are printed, but don't fail the run.
+ * Runs the tests, then prints the title of each that failed, and how many passed
+ * and failed. Failures that are listed in KNOWN-RED.txt don't fail the run.
  *
  * @module
  */
@@ -44,8 +44,9 @@
   const unexpected = failed.filter((title) =>
     !knownFailures.some((knownTitle) => title.includes(knownTitle))
   );
-  for (const title of failed.filter((each) => !unexpected.includes(each))) {
-    process.stdout.write(`known to fail: ${title}\n`);
+  for (const title of failed) {
+    const label = unexpected.includes(title) ? "failed" : "known to fail";
+    process.stdout.write(`${label}: ${title}\n`);
   }
   process.stdout.write(`${passed} passed, ${failed.length} failed\n`);
   const hasCrashed = code !== 0 && failed.length === 0;
