Orders: the connection of a response to another order is closed

What could be seen: after one late second response to an order, each next order to that server failed as well, so keys were granted or released late.

Cause: a response with the id of another order failed the order, but its connection went on. The order's own response was then due there. If the next order was sent before it arrived, it got that one, and so on.

Change: the client of orders can name its own responses by their headers. On any other the connection is destroyed, and the call rejects. The cause that is logged keeps its text.

An order that may not open a connection loses none that it had: bytes that arrive on an idle connection close it anyway.

--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -76,6 +76,12 @@
   transfer?: TransferTimeouts;
   /** Called when the headers of the response have arrived. */
   onResponse?: () => void;
+  /**
+   * Whether a response with these headers may belong to this call; any may if
+   * omitted. Otherwise the call rejects with an {@linkcode OtherResponseError},
+   * and its connection is closed.
+   */
+  isOwnResponse?: (headers: IncomingHttpHeaders) => boolean;
   /**
    * Called if the response is cut off because it exceeds a limit or is not
    * complete in time; needs `responseLimits`.
@@ -110,6 +116,18 @@
   }
 }
 
+/** Thrown when the response to another call arrives on the connection. */
+export class OtherResponseError extends Error {
+  private constructor() {
+    super("response to another call");
+  }
+
+  /** Creates an error for one call. */
+  static create(): OtherResponseError {
+    return new OtherResponseError();
+  }
+}
+
 /** A complete response. */
 export interface HttpResponse {
   status: number;
@@ -203,7 +221,7 @@
     });
     if (call.relay === undefined) this.#directRequests.add(request);
     request.end(body);
-    return receiveResponse(request)
+    return receiveResponse(request, call)
       .catch((error: Error) => {
         throw cause === null ? error : new Error(cause);
       })
@@ -332,11 +350,15 @@
   });
 }
 
-function receiveResponse(request: ClientRequest): Promise<HttpResponse> {
+function receiveResponse(
+  request: ClientRequest,
+  { isOwnResponse = () => true }: HttpCall,
+): Promise<HttpResponse> {
   return new Promise((resolve, reject) => {
     let isEnded = false;
     request.on("error", reject);
     request.once("response", (response) => {
+      const { socket } = response;
       const body = BodyBuffer.create();
       const end = ResponseEnd.watch(response);
       response.on("data", (chunk: Buffer) => body.add(chunk));
@@ -345,13 +367,15 @@
         const reset = end.verify();
         if (!response.complete) return;
         isEnded = true;
+        const { headers, statusCode = 0 } = response;
+        if (!isOwnResponse(headers)) {
+          // The response to this call may still arrive on the connection.
+          socket.destroy();
+          return reject(OtherResponseError.create());
+        }
         const error = await reset;
         if (error !== null) return reject(error);
-        resolve({
-          status: response.statusCode ?? 0,
-          headers: response.headers,
-          body: body.take(),
-        });
+        resolve({ status: statusCode, headers, body: body.take() });
       });
     });
     request.once("close", () => {
--- a/test/order_sender_test.ts
+++ b/test/order_sender_test.ts
@@ -1,5 +1,5 @@
 import { createServer, type RequestListener } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { PlatformOrderSender } from "../platform/index.ts";
 
@@ -63,6 +63,31 @@
   t.is(outcome.kind, "failed");
 });
 
+// Guards against orders that all fail after one late duplicate response: each
+// one got the response to the order before it.
+test("orders: the connection of a response to another order is closed", async (t) => {
+  const sockets = new Set<Socket>();
+  const { orders, address } = await startOrderServer(t, (request, response) => {
+    const { socket } = request;
+    sockets.add(socket);
+    const id = request.headers["x-plumloft-request-id"];
+    response.writeHead(200, { "X-Plumloft-Request-Id": id });
+    if (id !== "order-2") return void response.end();
+    socket.write(
+      "HTTP/1.1 200 OK\r\nX-Plumloft-Request-Id: order-1\r\n" +
+        "Content-Length: 0\r\n\r\n",
+    );
+    setTimeout(() => response.end(), 20);
+  });
+  const outcomes: string[] = [];
+  for (const token of [1, 2, 3, 4]) {
+    const order = { ...releaseOrder(address), token };
+    outcomes.push((await orders.release(order, 500)).kind);
+  }
+  t.deepEqual(outcomes, ["accepted", "failed", "accepted", "accepted"]);
+  t.is(sockets.size, 2);
+});
+
 test("orders: the outcome has what the server states of itself with its response", async (t) => {
   const statementOf = async (
     status: number,
