Dispatch: the load of a response to another request is no sign of overload

What could be seen: reports of demand more often for a second, as in overload, although no server is full.

Cause: `showsFullServer` looked at each response, whoever made it. All else that a response states was checked already.

Change: the same check (`reasonToIgnore`) comes first.

Test: "a full server is seen only in a statement that it has made" failed before (spoilt: 1, another: 1).

--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -1051,6 +1051,27 @@
   t.false(fleet.get("orders-1")!.isLeaving, "a later process of the server");
 });
 
+// Guards against a response to another request that is taken for a sign of
+// overload.
+test("dispatch: a full server is seen only in a statement that it has made", (t) => {
+  const load = { running: 2, waiting: 2, slots: 2 };
+  const statement = serverStatement({ load });
+  const overloadsOf = (outcome: AttemptOutcome) => {
+    const { dispatcher, arrive, admission } = createDispatcher();
+    let overloads = 0;
+    admission.overloadSeen = () => overloads += 1;
+    arrive("/order/", 0);
+    dispatcher.attemptEnded(1, outcome, 10);
+    return overloads;
+  };
+  t.snapshot({
+    answered: overloadsOf({ ...ANSWERED, statement }),
+    refused: overloadsOf({ ...NOT_RUN, statement }),
+    spoilt: overloadsOf({ ...SPOILT, statement }),
+    another: overloadsOf({ ...NOT_RUN, server: "another", statement }),
+  });
+});
+
 /** Refusal of a server that accepts nothing for three seconds. */
 const BACKOFF = {
   ...NOT_RUN,
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -109,7 +109,10 @@
     }
     paths.answered(name, outcome.isRelayed ?? false, now);
     this.#applyStatement(attempt, outcome, now);
-    if (showsFullServer(outcome)) this.context.admission.overloadSeen(now);
+    const isOwnStatement = reasonToIgnore(outcome, attempt.server) === null;
+    if (isOwnStatement && showsFullServer(outcome)) {
+      this.context.admission.overloadSeen(now);
+    }
     return outcome.isNotRun
       ? this.#handleRefusal(request, attempt, outcome, now)
       : this.#handleResponse(request, attempt, outcome, now);
