Tests: the deployments of a test file run at most 40 processes

By the times of the folders of their deployments the three began at 22:07:42.0 and failed from 22:07:55.0 on; at 22:07:54.5 `retry_budget_process_test.ts` started its ten deployments at once, 130 processes.

Ruled out: the three beside one another, alone (passed 2 of 2); both files started at the same moment (3 of 3: all wait for the start then).

Change: a deployment waits until it and the others of its file have at most 40 processes. A larger one runs alone. A deployment whose start fails ends its processes; they went on until then. No bound, time or check of a test changes.

--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -40,6 +40,7 @@
 } from "../../src/stand_ins/index.ts";
 import { bundledProgram, type MutationName } from "./bundled_program.ts";
 import { loopbackAddress } from "./loopback_address.ts";
+import { ProcessSlots } from "./process_slots.ts";
 
 /** Maximum time that a test waits for a condition, in milliseconds. */
 const MAXIMUM_WAIT = 30_000;
@@ -50,6 +51,11 @@
 const SETTLE_TIME = 1_200;
 /** Maximum time for a server to return its leases, in milliseconds. */
 const LEASES_TIMEOUT = 500;
+/**
+ * Maximum processes of all deployments of a test file. More than a hundred that
+ * start together delay the calls of other tests beyond their timeouts.
+ */
+const MAXIMUM_PROCESSES = 40;
 /** Host name of all routes. */
 export const HOST = "test.example";
 /**
@@ -118,6 +124,8 @@
 /** Availability zone of all processes. */
 export const ZONE = "a";
 
+const processSlots = ProcessSlots.create(MAXIMUM_PROCESSES);
+
 /** A running system. */
 export class Deployment {
   readonly entries: DeployedProcess[] = [];
@@ -132,10 +140,12 @@
     private readonly link: (from: string, name: string, to: string) => string,
     private readonly warmUp: DeploymentOptions["warmUp"],
     private readonly settings: object,
+    private readonly releaseSlots: () => void,
   ) {}
 
   /**
-   * Starts a system with the services `stock` (keyed) and `orders` (not keyed).
+   * Starts a system with the services `stock` (keyed) and `orders` (not keyed),
+   * once the other deployments of the test file leave enough processes.
    */
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const folder = mkdtempSync(join(tmpdir(), "plumloft-deployment-"));
@@ -147,29 +157,39 @@
       options.link ?? ((_from, _name, to) => to),
       options.warmUp,
       options.settings ?? {},
+      await processSlots.acquire(1 + 2 * options.servers + options.entries),
     );
-    deployment.#spawn("store", { address: store }, ["stand-in", "store"], {
-      listen: store,
+    try {
+      await deployment.#startAll(options);
+      return deployment;
+    } catch (error) {
+      deployment.stop();
+      throw error;
+    }
+  }
+
+  async #startAll(options: DeploymentOptions): Promise<void> {
+    this.#spawn("store", { address: this.store }, ["stand-in", "store"], {
+      listen: this.store,
     });
-    await deployment.publish(1);
+    await this.publish(1);
     for (let i = 1; i <= options.servers; i++) {
       for (const service of ["stock", "orders"]) {
-        deployment.servers.push(
-          deployment.startServer(service, `${service}-${i}`),
+        this.servers.push(
+          this.startServer(service, `${service}-${i}`),
         );
       }
     }
     for (let i = 1; i <= options.entries; i++) {
-      deployment.entries.push(deployment.startEntry(`entry-${i}`));
+      this.entries.push(this.startEntry(`entry-${i}`));
     }
-    await deployment.waitUntil((status) =>
+    await this.waitUntil((status) =>
       status.servers.length === 2 * options.servers &&
       status.assignments.some(({ ranges, open, servers }) =>
         ranges === open && servers === options.servers
       )
     );
-    await deployment.#waitUntilSettled();
-    return deployment;
+    await this.#waitUntilSettled();
   }
 
   /**
@@ -351,6 +371,7 @@
   /** Kills all processes. */
   stop(): void {
     for (const child of this.#children) child.kill("SIGKILL");
+    this.releaseSlots();
   }
 
   readonly #children: ChildProcess[] = [];
