Responses in a transfer coding without chunks need a proven end

Callers: a response with a Transfer-Encoding whose last coding is not chunked (identity, gzip) passed as complete after a reset that arrives with its last bytes, or when the VM between was killed; so did those to orders and from the store.

Cause: any Transfer-Encoding counted as one that states the end of the body. Only chunked does; others end with the connection (RFC 9112, 6.3), as a response without a length does, and their end was not verified.

Evidence: the new tests on the code before: a reset after half a response gave 'genuine' in the pool, and the end of the VM between resolved with the half.

Ruled out: 'gzip, chunked' and 'Chunked' fail to Node's parser when cut off.

Why it holds: the end is verified whenever the last coding is not chunked; with a length or chunks Node's parser itself rejects a truncated body.

--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -167,6 +167,13 @@
     socket.resetAndDestroy();
     blockEventLoop(20);
   },
+  "in a coding without chunks": (socket) =>
+    socket.end(responseHead("a", ["Transfer-Encoding: identity"]) + "ok"),
+  "in a coding without chunks, then a reset": (socket) => {
+    socket.write(responseHead("a", ["Transfer-Encoding: identity"]) + "o");
+    socket.resetAndDestroy();
+    blockEventLoop(20);
+  },
   "without a body, on a kept connection": (socket) =>
     socket.write(responseHead("a").replace("200 OK", "204 No Content")),
   "not modified, on a kept connection": (socket) =>
--- a/src/runtime/http_client_test.ts
+++ b/src/runtime/http_client_test.ts
@@ -137,27 +137,38 @@
   await t.throwsAsync(createClient(t).send(address, CALL));
 });
 
-// Guards against a response to an order of which only a part has arrived.
-test("http client: rejects a response without a length if the VM between ends", async (t) => {
-  const relay = await startTcpServer(t, (socket) => {
-    socket.once("data", () => {
-      socket.write(encodeFrame({ kind: "relay.opened", isFramed: true }));
+/** Heads of responses whose body ends with their connection. */
+const UNFRAMED_HEADS: [string, string][] = [
+  ["without a length", "HTTP/1.1 200 OK\r\n\r\n"],
+  [
+    "in a coding without chunks",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, identity\r\n\r\n",
+  ],
+];
+
+for (const [name, head] of UNFRAMED_HEADS) {
+  // Guards against a response to an order of which only a part has arrived.
+  test(`http client: rejects a response ${name} if the VM between ends`, async (t) => {
+    const relay = await startTcpServer(t, (socket) => {
       socket.once("data", () => {
-        const bytes = Buffer.from(UNFRAMED);
-        socket.end(encodeFrame({ kind: "relay.data", bytes }));
+        socket.write(encodeFrame({ kind: "relay.opened", isFramed: true }));
+        socket.once("data", () => {
+          const bytes = Buffer.from(`${head}half`);
+          socket.end(encodeFrame({ kind: "relay.data", bytes }));
+        });
       });
     });
+    const connector = RelayConnector.create({
+      vm: "vm-1",
+      peerAddress: "127.0.0.1:1",
+    });
+    const client = HttpClient.create({ ...OPTIONS, connector });
+    t.teardown(() => client.close());
+    const call = { ...CALL, relay: { relay, server: "s" } };
+    const error = await t.throwsAsync(client.send("127.0.0.1:1", call));
+    t.is(error?.message, "connection ended by the VM between");
   });
-  const connector = RelayConnector.create({
-    vm: "vm-1",
-    peerAddress: "127.0.0.1:1",
-  });
-  const client = HttpClient.create({ ...OPTIONS, connector });
-  t.teardown(() => client.close());
-  const call = { ...CALL, relay: { relay, server: "s" } };
-  const error = await t.throwsAsync(client.send("127.0.0.1:1", call));
-  t.is(error?.message, "connection ended by the VM between");
-});
+}
 
 test("http client: resets the connection of a call that times out", async (t) => {
   const ends: Promise<string>[] = [];
--- a/src/runtime/orderly_end.ts
+++ b/src/runtime/orderly_end.ts
@@ -45,7 +45,7 @@
   static watch({ headers, socket }: IncomingMessage): ResponseEnd {
     const end = new ResponseEnd(socket);
     const isFramed = headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined;
+      isChunked(headers["transfer-encoding"]);
     if (!isFramed) socket.prependOnceListener("end", end.#onEnd);
     return end;
   }
@@ -61,3 +61,11 @@
     return this.#reset;
   }
 }
+
+/**
+ * Whether a body in these transfer codings states its end; in others it ends
+ * with its connection (RFC 9112, 6.3).
+ */
+function isChunked(transferEncoding = ""): boolean {
+  return /(^|,)[ \t]*chunked[ \t]*$/i.test(transferEncoding);
+}
