Pool: the rest of a request that is rejected early is not sent

Cause: the attempt was removed once its response was complete. Its request was still being sent: the connection kept the body until the server had read it, with no deadline, bound or count (held bytes 0).

Change: if the request is not sent when its response is complete, the connection is reset, unless the response is a success. After a success the rest is sent until the deadline of the request and counts as held. Log line response.early.

Why it holds: Node reports the end of sending for each request, so nothing stays in a connection that is neither counted nor limited. A reset frees the buffers at once, and the server gets no other bytes in place of the rest.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -23,6 +23,7 @@
 import type { EventSink } from "./entry_loop.ts";
 import { BackendAgent, type OrdinalOptions } from "./backend_agent.ts";
 import { BodyBuffer } from "./body_buffer.ts";
+import { type EarlyResponse, RequestRest } from "./request_rest.ts";
 import { HeldBytes, type ResponseBytes } from "./held_bytes.ts";
 import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
@@ -59,6 +60,9 @@
 const RELAYED_RESPONSE_TIMEOUT = 60_000;
 /** Lower values are not valid status codes (RFC 9110, 15). */
 const MINIMUM_STATUS = 100;
+/** Statuses of success (RFC 9110, 15.3). */
+const FIRST_SUCCESS = 200;
+const LAST_SUCCESS = 299;
 /** Headers that apply to a single connection only (RFC 9110, 7.6.1). */
 const HOP_BY_HOP = new Set([
   "connection",
@@ -114,7 +118,11 @@
   responseLimits: ResponseLimits;
   onResponseCut: CutListener;
   onRelayedEnd: (end: RelayedEnd) => void;
-  /** Counts the responses that are being received. */
+  onEarlyResponse: (response: EarlyResponse) => void;
+  /**
+   * Counts the responses that are being received, and the rest of requests that
+   * are still being sent after their response.
+   */
   held: HeldBytes;
 }
 
@@ -124,6 +132,7 @@
     responseLimits: DEFAULT_RESPONSE_LIMITS,
     onResponseCut: () => {},
     onRelayedEnd: () => {},
+    onEarlyResponse: () => {},
     held: HeldBytes.create(null),
   };
 }
@@ -472,6 +481,7 @@
       // back to its agent by now. The response to this request, or another late
       // one, may still arrive on it.
       if (metadata.echo !== "own") socket.destroy();
+      this.#endRequest(running, outgoing.id, status);
       this.#completeAttempt(
         attempt,
         running,
@@ -507,6 +517,29 @@
     });
   }
 
+  /** Ends a request whose response is complete and which may not be sent yet. */
+  #endRequest(
+    { request, server, deadline }: RunningAttempt,
+    id: string,
+    status: number,
+  ): void {
+    const rest = RequestRest.of(request);
+    if (rest === null) return;
+    const isAccepted = status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
+    const { bytes: unsent } = rest;
+    const isReset = !isAccepted;
+    this.options.onEarlyResponse({
+      request: id,
+      server,
+      status,
+      unsent,
+      isReset,
+    });
+    if (isReset) return abortRequest(request);
+    // The body of the caller's request counts until its response is delivered.
+    setImmediate(() => rest.sendUntil(deadline, this.options.held));
+  }
+
   #completeAttempt(
     attempt: number,
     running: RunningAttempt,
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -10,6 +10,7 @@
   type OutgoingRequest,
 } from "./backend_pool.ts";
 import { HeldBytes } from "./held_bytes.ts";
+import type { EarlyResponse } from "./request_rest.ts";
 import { RelayConnector } from "./relay_connector.ts";
 
 /** Maximum duration of an attempt, in milliseconds. */
@@ -390,6 +391,89 @@
   t.deepEqual(ends, ["ECONNRESET"]);
 });
 
+/**
+ * Starts a server that responds to each request with `status` at once and does
+ * not read the rest of it until `readOn`. Counts the bytes that it reads.
+ */
+async function startEarlyServer(t: ExecutionContext, status: string) {
+  const sockets = new Set<Socket>();
+  const state = { received: 0, isClosed: false };
+  const { server, address } = await startServer(t, (socket, request) => {
+    state.received += request.length;
+    if (sockets.has(socket)) return;
+    sockets.add(socket);
+    socket.pause();
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    socket.write(
+      responseHead(id, ["Content-Length: 0"]).replace("200 OK", status),
+    );
+  });
+  server.on("connection", (socket: Socket) => {
+    socket.once("close", () => state.isClosed = true);
+  });
+  const readOn = () => {
+    for (const socket of sockets) socket.resume();
+  };
+  return { address, state, readOn };
+}
+
+/** Longer than what the operating system takes for a connection. */
+const LONG_BODY = "x".repeat(16 * 1_048_576);
+
+// Guards against processes that exceed their memory, since bodies of requests
+// that were rejected stay in it until their server has read them.
+test("backend pool: the rest of a request that is rejected early is not sent", async (t) => {
+  const { address, state, readOn } = await startEarlyServer(
+    t,
+    "413 Payload Too Large",
+  );
+  const early: EarlyResponse[] = [];
+  const held = HeldBytes.create(null);
+  const { send } = createPool(t, address, {
+    held,
+    onEarlyResponse: (response) => early.push(response),
+  });
+  t.is(outcomeKind(await send("a", LONG_BODY)), "genuine");
+  await delay(20);
+  readOn();
+  for (let i = 0; i < 100 && !state.isClosed; i++) await delay(10);
+  t.true(state.isClosed);
+  t.true(state.received < LONG_BODY.length);
+  t.is(held.held, 0);
+  t.like(early, [{ request: "a", server: "server-1", status: 413 }]);
+  t.true(early[0].isReset);
+});
+
+test("backend pool: the rest of a request that is accepted early is sent and counts as held", async (t) => {
+  const { address, state, readOn } = await startEarlyServer(t, "200 OK");
+  const held = HeldBytes.create(null);
+  const { send } = createPool(t, address, { held });
+  t.is(outcomeKind(await send("a", LONG_BODY)), "genuine");
+  await delay(20);
+  t.true(held.held > LONG_BODY.length / 4);
+  readOn();
+  for (let i = 0; i < 100 && held.held > 0; i++) await delay(10);
+  t.is(held.held, 0);
+  t.false(state.isClosed);
+  for (let i = 0; i < 100 && state.received < LONG_BODY.length; i++) {
+    await delay(10);
+  }
+  t.true(state.received > LONG_BODY.length);
+});
+
+test("backend pool: the rest of a request that is accepted early is dropped at the deadline", async (t) => {
+  const { address, state, readOn } = await startEarlyServer(t, "200 OK");
+  const held = HeldBytes.create(null);
+  const { send } = createPool(t, address, { held });
+  t.is(outcomeKind(await send("a", LONG_BODY)), "genuine");
+  // `send` sets a deadline of 1 s.
+  await delay(1_100);
+  t.is(held.held, 0);
+  readOn();
+  for (let i = 0; i < 100 && !state.isClosed; i++) await delay(10);
+  t.true(state.isClosed);
+});
+
 test("backend pool: at the bound on held bytes a response is cut off, a complete one is not", async (t) => {
   const size = 300 * 1_024;
   const cuts: string[] = [];
--- a/src/runtime/entry_process.ts
+++ b/src/runtime/entry_process.ts
@@ -179,6 +179,8 @@
         onResponseCut: (server, cut) => this.#recordCut(server, cut),
         onRelayedEnd: (end) =>
           this.#logger.write("info", "response.relayed_end", { ...end }),
+        onEarlyResponse: (response) =>
+          this.#logger.write("info", "response.early", { ...response }),
         held,
       },
     );
--- a/src/runtime/held_bytes.ts
+++ b/src/runtime/held_bytes.ts
@@ -147,6 +147,16 @@
     return response;
   }
 
+  /** Counts bytes until the returned function is called. */
+  hold(bytes: number): () => void {
+    let held = bytes;
+    this.#change(held);
+    return () => {
+      this.#change(-held);
+      held = 0;
+    };
+  }
+
   #change(bytes: number): void {
     this.#held += bytes;
     if (bytes > 0) this.#scheduleCuts();
