HTTP client: the rest of a call that is rejected early is not sent

Seen: a call to the store, or an order, that is answered before its body is read kept its connection in use until the server read on, and with a limited number of connections all later calls to it waited.

Cause: Node frees a connection only once its request is sent, and a call ended with its response.

Change: if the request is not sent when its response has been verified, the connection is reset. A call is over with its response, whatever it says.

Open: a call that waits for a connection rejects only once it gets one, also after its time-out (ClientRequest.destroy emits nothing before that).

--- a/src/runtime/http_client.ts
+++ b/src/runtime/http_client.ts
@@ -374,6 +374,8 @@
           return reject(OtherResponseError.create());
         }
         const error = await reset;
+        // A body that is not read would keep its connection in use.
+        if (!request.writableFinished) abortRequest(request);
         if (error !== null) return reject(error);
         resolve({ status: statusCode, headers, body: body.take() });
       });
--- a/src/runtime/http_client_test.ts
+++ b/src/runtime/http_client_test.ts
@@ -170,6 +170,25 @@
   });
 }
 
+// Guards against a store that cannot be called any more, since the calls that it
+// has rejected keep their connections in use.
+test("http client: the rest of a call that is rejected early is not sent", async (t) => {
+  const address = await startTcpServer(t, (socket) => {
+    socket.once("data", () => {
+      socket.pause();
+      socket.write("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n");
+    });
+  });
+  const client = HttpClient.create({ ...OPTIONS, maximumConnections: 1 });
+  t.teardown(() => client.close());
+  const body = Buffer.alloc(16 * 1_048_576);
+  for (let i = 0; i < 2; i++) {
+    const call = { ...CALL, method: "POST", body } as const;
+    const { status } = await client.send(address, call);
+    t.is(status, 503);
+  }
+});
+
 test("http client: resets the connection of a call that times out", async (t) => {
   const ends: Promise<string>[] = [];
   const server = createServer().on("connection", (socket) => {
