--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -23,7 +23,6 @@
 import type { EventSink } from "./entry_loop.ts";
 import { BackendAgent, type OrdinalOptions } from "./backend_agent.ts";
 import { BodyBuffer } from "./body_buffer.ts";
-import { type EarlyResponse, RequestRest } from "./request_rest.ts";
 import { HeldBytes, type ResponseBytes } from "./held_bytes.ts";
 import { abortRequest, limitConnectTime } from "./http_client.ts";
 import { afterPendingReads } from "./loop_lag.ts";
@@ -31,6 +30,7 @@
 import { ResponseEnd } from "./orderly_end.ts";
 import { RelayAgent } from "./relay_agent.ts";
 import { type RelayConnector, RelayError } from "./relay_connector.ts";
+import { type EarlyResponse, RequestRest } from "./request_rest.ts";
 import {
   type CutListener,
   DEFAULT_RESPONSE_LIMITS,
@@ -517,7 +517,7 @@
     });
   }
 
-  /** Ends a request whose response is complete and which may not be sent yet. */
+  /** Drops or limits what is left to be sent of a request after its response. */
   #endRequest(
     { request, server, deadline }: RunningAttempt,
     id: string,
@@ -525,16 +525,10 @@
   ): void {
     const rest = RequestRest.of(request);
     if (rest === null) return;
-    const isAccepted = status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
     const { bytes: unsent } = rest;
-    const isReset = !isAccepted;
-    this.options.onEarlyResponse({
-      request: id,
-      server,
-      status,
-      unsent,
-      isReset,
-    });
+    const isReset = status < FIRST_SUCCESS || status > LAST_SUCCESS;
+    const early = { request: id, server, status, unsent, isReset };
+    this.options.onEarlyResponse(early);
     if (isReset) return abortRequest(request);
     // The body of the caller's request counts until its response is delivered.
     setImmediate(() => rest.sendUntil(deadline, this.options.held));
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -444,6 +444,7 @@
   t.true(early[0].isReset);
 });
 
+// Guards against a server that has accepted a request and gets only a part of it.
 test("backend pool: the rest of a request that is accepted early is sent and counts as held", async (t) => {
   const { address, state, readOn } = await startEarlyServer(t, "200 OK");
   const held = HeldBytes.create(null);
@@ -461,6 +462,7 @@
   t.true(state.received > LONG_BODY.length);
 });
 
+// Guards against memory that a server which does not read on holds for good.
 test("backend pool: the rest of a request that is accepted early is dropped at the deadline", async (t) => {
   const { address, state, readOn } = await startEarlyServer(t, "200 OK");
   const held = HeldBytes.create(null);
--- a/src/runtime/request_rest.ts
+++ b/src/runtime/request_rest.ts
@@ -17,7 +17,7 @@
   /** Id of the server. */
   server: string;
   status: number;
-  /** Bytes of the request that the operating system had not accepted. */
+  /** Bytes of the request that were not sent; see {@linkcode RequestRest}. */
   unsent: number;
   /**
    * Whether the connection was reset, since the server has not accepted the
@@ -37,7 +37,7 @@
     return isOver ? null : new RequestRest(request);
   }
 
-  /** Its length in bytes. */
+  /** Its length in bytes; a write that is accepted in part counts whole. */
   get bytes(): number {
     return this.request.writableLength;
   }
