--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -462,7 +462,8 @@
   t.true(state.received > LONG_BODY.length);
 });
 
-// Guards against memory that a server which does not read on holds for good.
+// Guards against memory that is held without limit for a server that does not
+// read on.
 test("backend pool: the rest of a request that is accepted early is dropped at the deadline", async (t) => {
   const { address, state, readOn } = await startEarlyServer(t, "200 OK");
   const held = HeldBytes.create(null);
