--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -373,6 +373,8 @@
 export class Caller {
   received = Buffer.alloc(0);
   responses = [];
+  /** Heads of interim responses (1xx), which are no answer (RFC 9110, 15.2). */
+  interim = [];
   isEnded = false;
   error = null;
 
@@ -412,12 +414,14 @@
         const colon = each.indexOf(":");
         headers[each.slice(0, colon).toLowerCase()] = each.slice(colon + 1).trim();
       }
-      const length = Number(headers["content-length"] ?? 0);
+      const status = Number(line.split(" ")[1]);
+      const hasBody = status >= 200 && status !== 204 && status !== 304;
+      const length = hasBody ? Number(headers["content-length"] ?? 0) : 0;
       if (this.received.length < end + 4 + length) return;
       const body = this.received.subarray(end + 4, end + 4 + length);
       this.received = this.received.subarray(end + 4 + length);
-      const status = Number(line.split(" ")[1]);
       if (status >= 200) this.responses.push({ status, headers, body, at: Date.now() });
+      else this.interim.push([line, ...lines].join("\n"));
     }
   }
 
