--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -48,7 +48,7 @@
         upstream.served += 1;
         if (time >= FAIL_FROM) failing ??= mostUsed(deployment.upstreams);
         const isFailed = TROUBLE && upstream === failing && time < FAIL_UNTIL &&
-          (received++ * FAILED_SHARE) % 1 < FAILED_SHARE;
+          (received += 1) * FAILED_SHARE % 1 < FAILED_SHARE;
         const status = isFailed ? 503 : 200;
         record.write("server answers", { id: request.id, status });
         upstream.answer(socket, request, status, isFailed ? "database is down" : `booked ${booking}`);
