Do not pass on a server's 503, 429 or 408 unless it states "not run"

Cause: whether a request has run and which status its caller gets were decided apart. Any signed response but a stated refusal was delivered as it was. With 408 and 429 the server counted as successful, too.

Now such a response counts as one to a request that may have run: idempotent requests are sent again, others are answered 502 at once, with the server's status in the log. A property test checks for any sequence of outcomes that callers get one of these statuses only if no attempt may have run, so the other paths on which a request can end are covered, too.

--- a/src/core/dispatch/dispatcher_test.ts
+++ b/src/core/dispatch/dispatcher_test.ts
@@ -622,6 +622,96 @@
   t.is(dispatcher.pending, 0);
 });
 
+/** Statuses that tell a caller that its request has not run and never will. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+
+// Guards against requests that have run although their callers are told that
+// they have not: the status of a server that does not state this was passed on.
+test("dispatch: a status that promises that a request has not run is not passed on unless the server states it", (t) => {
+  const steps = (path: string, outcome: AttemptOutcome) => {
+    const { dispatcher, arrive } = createDispatcher();
+    arrive(path, 0);
+    return {
+      first: summarize(dispatcher.attemptEnded(1, outcome, 10)),
+      again: summarize(dispatcher.attemptEnded(2, outcome, 20)),
+      pending: dispatcher.pending,
+    };
+  };
+  const outcomes = Object.fromEntries(
+    [408, 429, 500, 503].map((status) => [status, { ...ANSWERED, status }]),
+  );
+  t.snapshot(
+    Object.fromEntries(
+      ["/order/", "/read/", "/lookup/"].map((path) => [
+        path,
+        Object.fromEntries(
+          Object.entries(outcomes).map((
+            [status, outcome],
+          ) => [status, steps(path, outcome)]),
+        ),
+      ]),
+    ),
+  );
+});
+
+// Guards against the same on every path by which a request can end.
+test("dispatch: callers get a status that promises 'not run' only if no attempt may have run, for any sequence of outcomes", (t) => {
+  const responses = [200, 404, 500, ...NOT_RUN_STATUSES].map((status) => ({
+    ...ANSWERED,
+    status,
+  }));
+  const outcome = fc.constantFrom<AttemptOutcome>(
+    ...responses,
+    ...Object.values(OUTCOMES),
+    MISDIRECTED,
+    { ...SPOILT, status: 503 },
+    { ...NOT_RUN, statement: serverStatement({ backoff: 50 }) },
+  );
+  const mayHaveRun = (each: AttemptOutcome) =>
+    each.kind === "answered" ? !each.isNotRun : each.mayHaveBeenSent;
+  fc.assert(
+    fc.property(
+      fc.constantFrom("/order/", "/read/", "/lookup/"),
+      fc.array(outcome, { minLength: 1, maxLength: 8 }),
+      fc.integer({ min: 1, max: 200 }),
+      (path, outcomes, step) => {
+        const { dispatcher, arrive } = createDispatcher();
+        const upcoming = [...outcomes];
+        const ended = new Map<number, AttemptOutcome>();
+        const statuses: number[] = [];
+        const record = (effects: readonly DispatchEffect[], now: number) => {
+          for (const effect of effects) {
+            if (effect.kind === "request.refuse") statuses.push(effect.status);
+            if (effect.kind === "request.deliver") {
+              const delivered = ended.get(effect.attempt)!;
+              if (delivered.kind === "answered") {
+                statuses.push(delivered.status);
+              }
+            }
+            if (effect.kind !== "attempt.start") continue;
+            const next = upcoming.shift();
+            if (next === undefined) continue;
+            ended.set(effect.attempt, next);
+            const at = now + step;
+            record(dispatcher.attemptEnded(effect.attempt, next, at), at);
+          }
+        };
+        record(arrive(path, 0), 0);
+        for (let now = 5; now < 700; now += 5) {
+          record(dispatcher.advance(now), now);
+        }
+        const promises = statuses.filter((each) =>
+          NOT_RUN_STATUSES.includes(each)
+        );
+        return promises.length === 0 ||
+          ![...ended.values()].some(mayHaveRun);
+      },
+    ),
+    { seed: 79, numRuns: 1_000 },
+  );
+  t.pass();
+});
+
 test("dispatch: retries are limited while no share of the minimum is granted", (t) => {
   const { dispatcher, arrive } = createDispatcher(null);
   arrive("/order/", 0);
@@ -900,7 +990,16 @@
 });
 
 test("dispatch: a response with a status below 500 clears the crashes of a request, a server error does not", (t) => {
-  for (const [status, crashCount] of [[200, 0], [404, 0], [500, 1], [504, 1]]) {
+  const crashCounts = [
+    [200, 0],
+    [404, 0],
+    [408, 1],
+    [429, 1],
+    [500, 1],
+    [503, 1],
+    [504, 1],
+  ];
+  for (const [status, crashCount] of crashCounts) {
     const { dispatcher, arrive, quarantine } = createDispatcher();
     quarantine.recordCrash(fingerprintOf("/order/x").complete, "", "a#1", 0);
     arrive("/order/x", 10);
--- a/src/core/dispatch/outcome_review.ts
+++ b/src/core/dispatch/outcome_review.ts
@@ -20,6 +20,7 @@
   type AttemptOutcome,
   type PendingRequest,
 } from "./request.ts";
+import { promisesNotRun } from "./not_run_status.ts";
 import type { RequestLog } from "./request_log.ts";
 
 /**
@@ -46,6 +47,12 @@
  */
 const MISDIRECTED = 421;
 
+/**
+ * Reason given when a server responds to a request with a status that promises
+ * that it has not run, but does not state this.
+ */
+const UNSTATED_REFUSAL = "the server failed and may have run it";
+
 /** Outcome of an attempt to which a server responded. */
 type ServerResponse = AttemptOutcome & { kind: "answered" };
 
@@ -54,7 +61,7 @@
 
 /** The step that follows an attempt. */
 export type NextStep =
-  /** Pass the response to the caller. */
+  /** Pass the response to the caller; its status is no promise. */
   | { kind: "deliver"; status: number }
   /**
    * Retry the request and log `detail` unless it is null; if the request cannot
@@ -66,8 +73,8 @@
   /** Refuse the request, which has not run. */
   | { kind: "refuse"; reason: string }
   /**
-   * Fail the request, which may have run and has no response; log `detail`
-   * unless it is null.
+   * Fail the request, which may have run and has no response that can be passed
+   * on; log `detail` unless it is null.
    */
   | { kind: "fail"; reason: string; detail: LogLine["detail"] | null };
 
@@ -130,7 +137,7 @@
     return { kind: "retry", detail, fallback };
   }
 
-  /** Handles a response to a request that the server ran. */
+  /** Handles a response to a request that the server may have run. */
   #handleResponse(
     request: PendingRequest,
     attempt: Attempt,
@@ -144,19 +151,24 @@
       return retryOrFail(request, attempt, "spoilt answer", now);
     }
     if (attempt.range !== null) this.rangeBackoff.served(attempt.range);
+    const isPromise = promisesNotRun(status);
     const deliver: NextStep = { kind: "deliver", status };
-    if (status < 500) {
-      // A status of 500 or above does not clear the crashes of the request: the
-      // server may have failed before it ran the request.
+    if (status < 500 && !isPromise) {
+      // A failure does not clear the crashes of the request: the server may have
+      // failed before it ran the request.
       this.context.quarantine.clear(request.arrival.fingerprint, now);
       server?.answered(attempt.number, now, statement.load);
       return deliver;
     }
     server?.refused(attempt.number, now, statement.load);
-    if (!request.route.isIdempotent) return deliver;
     request.mayHaveRun = true;
     const detail = { server: attempt.server, status };
-    return { kind: "retry", detail, fallback: deliver };
+    const end: NextStep = isPromise
+      ? { kind: "fail", reason: UNSTATED_REFUSAL, detail }
+      : deliver;
+    return request.route.isIdempotent
+      ? { kind: "retry", detail, fallback: end }
+      : end;
   }
 
   /**
--- a/src/logging/request_trace.ts
+++ b/src/logging/request_trace.ts
@@ -111,6 +111,10 @@
       line.decision === "request.timed_out"
     );
     const server = uncertain?.detail.server ?? "the server";
+    const serverStatus = uncertain?.detail.status;
+    if (serverStatus !== undefined) {
+      return `${status}: ${server} responded ${serverStatus} without stating that it has not run it (${reason})`;
+    }
     return `${status}: ${server} may have run it, but its response did not arrive (${reason})`;
   },
   "request.delivered": ({ server, status, age, isLate }) =>
--- a/src/logging/request_trace_test.ts
+++ b/src/logging/request_trace_test.ts
@@ -30,3 +30,17 @@
       "(service stock)",
   );
 });
+
+// Guards against an explanation by which no response arrived.
+test("request trace: a refusal by a server that does not state it is named with its status", (t) => {
+  const reason = "the server failed and may have run it";
+  const { cause } = traceRequest("r", [
+    line("request.unknown", { server: "orders-1", status: 503 }),
+    line("request.failed", { status: 502, reason, age: 20 }),
+  ]);
+  t.is(
+    cause,
+    "502: orders-1 responded 503 without stating that it has not run it " +
+      "(the server failed and may have run it)",
+  );
+});
--- a/src/stand_ins/backend_service.ts
+++ b/src/stand_ins/backend_service.ts
@@ -111,6 +111,11 @@
    * time when the next request arrives on its connection.
    */
   repeatsRefusals: z.boolean().default(false),
+  /**
+   * Status of the responses to requests that it has run; null for success. They
+   * are signed and do not state that the request was not run.
+   */
+  failureStatus: z.number().int().nullable().default(null),
 });
 
 /** See {@linkcode backendFaultsSchema}. */
@@ -417,7 +422,8 @@
       HEADER.signature,
       `${this.settings.id}.${responseBody.length}`,
     );
-    const { closeDelimitedFor } = this.#faults;
+    const { closeDelimitedFor, failureStatus } = this.#faults;
+    if (failureStatus !== null) response.statusCode = failureStatus;
     if (closeDelimitedFor !== null) {
       return await sendCloseDelimited(
         response,
