Read costly responses in slices and with a limited share of the processor

No process ended.

Cause: responses were limited in bytes, not in the time that reading takes. A chunk of one byte takes as long as a kilobyte of body, and Node reads up to 2 MB of one connection before it turns to the next.

A connection whose response is complete while bytes wait is closed, as they would be read as the next response. The framing of a body in chunks may exceed it by 256 KB instead of 1 MB.

Ruled out: memory (155 MB at the peak with these bytes), and the load of the failed requests themselves, which the test compares with.

--- a/src/runtime/backend_agent.ts
+++ b/src/runtime/backend_agent.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
-import type { Socket } from "node:net";
+import type { NetConnectOpts, Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { PacedSocket } from "./paced_socket.ts";
 
 /** Options of a request that determine which connections it may use. */
 export interface OrdinalOptions {
@@ -53,8 +55,18 @@
     }
   }
 
+  /** Called by Node for a request without an idle connection. */
+  override createConnection(
+    options: ClientRequestArgs,
+    _callback?: (error: Error | null, socket: Duplex) => void,
+  ): Duplex | null | undefined {
+    return PacedSocket.connect(options as NetConnectOpts);
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     if (this.#isRetired) return false;
+    // They belong to no request, and would be read as the next response.
+    if (socket instanceof PacedSocket && socket.hasPendingBytes) return false;
     // Node's types omit the returned boolean, which tells whether the socket is
     // kept.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
@@ -64,6 +76,7 @@
 
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     socket.off("data", destroySocket);
+    if (socket instanceof PacedSocket) socket.startResponse();
     super.reuseSocket(socket, request);
   }
 }
--- a/src/runtime/relayed_socket.ts
+++ b/src/runtime/relayed_socket.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import { Socket } from "node:net";
 import { FrameDecoder } from "./frame.ts";
+import { PacedSocket } from "./paced_socket.ts";
 import {
   type RelayAnswer,
   type RelayFrame,
@@ -20,7 +20,7 @@
  * end does not stand for that of the server: the kernel ends the connections
  * of a killed process in order.
  */
-export class RelayedSocket extends Socket {
+export class RelayedSocket extends PacedSocket {
   readonly #decoder = FrameDecoder.create();
   #isOpen = false;
   /** Whether the VM between sends frames rather than bytes of the server. */
@@ -58,7 +58,7 @@
       for (const value of this.#decoder.push(chunk)) {
         mayContinue = this.#receive(value);
       }
-      return mayContinue;
+      return mayContinue && !this.hasPendingBytes;
     } catch (error) {
       this.destroy(error as Error);
       return false;
@@ -76,7 +76,7 @@
     if (!success || isAnswer(frame) || this.#isServerEnded) {
       throw new TypeError(`unexpected frame: ${kindOf(value)}`);
     }
-    if (frame.kind === "relay.data") return super.push(frame.bytes);
+    if (frame.kind === "relay.data") return this.receive(frame.bytes);
     this.#isServerEnded = true;
     return true;
   }
--- a/src/runtime/response_limits.ts
+++ b/src/runtime/response_limits.ts
@@ -28,10 +28,9 @@
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
 /**
  * Bytes by which the framing of a body in chunks may exceed the body. Chunks of
- * one byte have five of framing, and 1.4 million of them took more than 4 s of
- * processor time.
+ * one byte have five of framing, and each takes as long as a kilobyte of body.
  */
-const FRAMING_EXCESS = BYTES_PER_MEGABYTE;
+const FRAMING_EXCESS = 256 * BYTES_PER_KILOBYTE;
 const NOT_MODIFIED = 304;
 
 /** Limits that apply unless the settings contain others. */
