Check the whole head of a response before any of it is used

Cause: a head was checked only where a part of it was used. What was not used was passed on as it came, and Node throws on a name that is no token. Node's parser is no check, since it lets through different heads on x86-64 and arm64.

response_head.ts now checks status, names and values in one place. A head with a fault fails the attempt as one that may have run.

--- a/src/runtime/backend_pool.ts
+++ b/src/runtime/backend_pool.ts
@@ -31,6 +31,12 @@
 import { RelayAgent } from "./relay_agent.ts";
 import { type RelayConnector, RelayError } from "./relay_connector.ts";
 import { type EarlyResponse, RequestRest } from "./request_rest.ts";
+import {
+  findHeadFault,
+  type ForwardedHead,
+  forwardedHead,
+  isHopByHop,
+} from "./response_head.ts";
 import {
   type CutListener,
   DEFAULT_RESPONSE_LIMITS,
@@ -58,22 +64,9 @@
  * connections that the other VM has closed without its knowledge.
  */
 const RELAYED_RESPONSE_TIMEOUT = 60_000;
-/** Lower values are not valid status codes (RFC 9110, 15). */
-const MINIMUM_STATUS = 100;
 /** Statuses of success (RFC 9110, 15.3). */
 const FIRST_SUCCESS = 200;
 const LAST_SUCCESS = 299;
-/** Headers that apply to a single connection only (RFC 9110, 7.6.1). */
-const HOP_BY_HOP = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** Error code of a connection to an address at which no process listens. */
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
@@ -88,11 +81,7 @@
 }
 
 /** A complete response of a backend server. */
-export interface BackendResponse {
-  status: number;
-  statusText: string;
-  /** Alternating names and values. */
-  headers: string[];
+export interface BackendResponse extends ForwardedHead {
   body: Buffer;
 }
 
@@ -412,7 +401,7 @@
     const headers: string[] = [];
     for (let i = 0; i < outgoing.headers.length; i += 2) {
       const name = outgoing.headers[i].toLowerCase();
-      if (HOP_BY_HOP.has(name) || name === "content-length") continue;
+      if (isHopByHop(name) || name === "content-length") continue;
       if (this.codec.isInternal(name)) continue;
       headers.push(outgoing.headers[i], outgoing.headers[i + 1]);
     }
@@ -457,10 +446,9 @@
     response: IncomingMessage,
     outgoing: OutgoingRequest,
   ): void {
+    const fault = findHeadFault(response);
+    if (fault !== null) return this.#failAttempt(attempt, running, fault);
     const status = response.statusCode ?? 0;
-    if (status < MINIMUM_STATUS) {
-      return this.#failAttempt(attempt, running, `status ${status}`);
-    }
     const metadata = this.codec.readResponse(
       status,
       response.headers,
@@ -547,12 +535,7 @@
     // The first response on a connection cannot belong to an earlier request.
     const isOwn = echo === "own" ||
       (echo === "none" && connection.responses === 0);
-    running.response = {
-      status: response.statusCode ?? 0,
-      statusText: validStatusText(response.statusMessage),
-      headers: withoutHopByHop(response.rawHeaders),
-      body,
-    };
+    running.response = { ...forwardedHead(response), body };
     this.sink.push({
       kind: "attempt.ended",
       attempt,
@@ -631,18 +614,3 @@
   if (isRelayFault) return "unknown";
   return isServerRefused ? "refused" : "silent";
 }
-
-/** The status text if Node accepts it in a response, else an empty string. */
-function validStatusText(text = ""): string {
-  return /^[\t\x20-\x7e\x80-\xff]*$/.test(text) ? text : "";
-}
-
-function withoutHopByHop(headers: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let i = 0; i < headers.length; i += 2) {
-    const name = headers[i].toLowerCase();
-    if (HOP_BY_HOP.has(name) || name === "content-length") continue;
-    kept.push(headers[i], headers[i + 1]);
-  }
-  return kept;
-}
--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -349,6 +349,28 @@
   t.deepEqual(order, [0, 1, 2, 2, 2, 3]);
 });
 
+// Guards against a status that is no final one, such as a 101 that nobody has
+// asked for, being delivered as the response.
+test("backend pool: a response with an invalid status fails the attempt, and its connection is closed", async (t) => {
+  const closed: string[] = [];
+  const statuses = ["101 Switching", "099 Low", "600 High", "999 High"];
+  const { address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const status = statuses[Number(id.slice(1))];
+    socket.once("close", () => closed.push(id));
+    const head = responseHead(id, ["Content-Length: 2"]);
+    socket.write(head.replace("200 OK", status) + "ok");
+  });
+  const { send } = createPool(t, address);
+  const outcomes: string[] = [];
+  for (let i = 0; i < statuses.length; i++) {
+    outcomes.push(outcomeKind(await send(`r${i}`, "body")));
+  }
+  t.deepEqual(outcomes, statuses.map(() => "failed, sent"));
+  for (let i = 0; i < 100 && closed.length < 4; i++) await delay(10);
+  t.is(closed.length, 4);
+});
+
 test("backend pool: attempts of the same ordinal use the same connections", async (t) => {
   const sockets = new Set<Socket>();
   const { address } = await startServer(t, (socket, request) => {
