--- a/src/runtime/backend_pool_test.ts
+++ b/src/runtime/backend_pool_test.ts
@@ -349,6 +349,24 @@
   t.deepEqual(order, [0, 1, 2, 2, 2, 3]);
 });
 
+// Guards against a success that its caller cannot tell from one of another
+// origin.
+test("backend pool: a signature without a value is none", async (t) => {
+  const values = ["", " ", "\t", "s"];
+  const { address } = await startServer(t, (socket, request) => {
+    const id = /request-id: (\w+)/i.exec(request)![1];
+    const head = responseHead(id, ["Content-Length: 2"]);
+    const value = values[Number(id.slice(1))];
+    socket.write(head.replace("Signature: s", `Signature: ${value}`) + "ok");
+  });
+  const { send } = createPool(t, address);
+  const outcomes: string[] = [];
+  for (let i = 0; i < values.length; i++) {
+    outcomes.push(outcomeKind(await send(`r${i}`, "body")));
+  }
+  t.deepEqual(outcomes, ["spoilt", "spoilt", "spoilt", "genuine"]);
+});
+
 // Guards against a status that is no final one, such as a 101 that nobody has
 // asked for, being delivered as the response.
 test("backend pool: a response with an invalid status fails the attempt, and its connection is closed", async (t) => {
