Send no request whose response usually comes after the end of a stop

A stopping VM took requests and passed them on although their usual work lasts longer than it runs: they were cut off with 504 while they ran, among them requests that may run once.

Cause: requests were taken by a fixed time after SIGTERM, once, at their arrival. The usual latency of their server did not count, and nothing was decided when a request that had waited or was repeated was sent.

Now the one plan that decides on all sends looks at the time that is left: 1.5 times the usual latency of the server has to fit. Others are refused at once and return to another VM after 20 ms.

--- a/src/core/dispatch/dispatch_context.ts
+++ b/src/core/dispatch/dispatch_context.ts
@@ -49,6 +49,11 @@
   bodyBytesPerSlot?: number;
   /** Time at which this process started, in milliseconds of its clock. */
   startedAt(): number;
+  /**
+   * Time at which this VM, which is stopping, ends all requests in flight;
+   * Infinity if it is not stopping.
+   */
+  responsesEndAt(): number;
   /** Number of VMs, or null when unknown. */
   vms(): number | null;
   /**
--- a/src/core/dispatch/dispatch_planner.ts
+++ b/src/core/dispatch/dispatch_planner.ts
@@ -32,6 +32,12 @@
  */
 const HELD_SHARE = 1 / 8;
 
+/**
+ * Time for which a response may take, as a multiple of the usual latency, for
+ * its request to be sent while this VM is stopping.
+ */
+const LATENCY_MARGIN = 1.5;
+
 /** Whether and where a request can be sent now. */
 export type DispatchPlan =
   | { kind: "server"; server: TrackedServer }
@@ -55,6 +61,8 @@
    * (`isRateLimited`).
    */
   | { kind: "refuse"; reason: string; isRateLimited: boolean }
+  /** Refused because this VM stops before a response is expected. */
+  | { kind: "stopping" }
   /** Cannot be sent now, but may be later. */
   | {
     kind: "wait";
@@ -274,6 +282,33 @@
 
   /** Decides whether and where `request` can be sent now. */
   plan(request: PendingRequest, now: number): DispatchPlan {
+    const plan = this.#planUnstopped(request, now);
+    const isOpen = plan.kind === "server" || plan.kind === "wait";
+    if (!isOpen) return plan;
+    const server = plan.kind === "server" ? plan.server : null;
+    const isAnswered = this.#isAnsweredBeforeStop(request, server, now);
+    return isAnswered ? plan : { kind: "stopping" };
+  }
+
+  /**
+   * Whether a request that is sent now usually has a response before this VM
+   * stops; `server` is null if it is not known where it will be sent. Any server
+   * would be cut off while it runs the request otherwise.
+   */
+  #isAnsweredBeforeStop(
+    { service }: PendingRequest,
+    server: TrackedServer | null,
+    now: number,
+  ): boolean {
+    const responsesEndAt = this.context.responsesEndAt();
+    if (responsesEndAt === Infinity) return true;
+    const latency = server?.latency ??
+      this.context.fleet.meanLatency(service, now);
+    return now + latency * LATENCY_MARGIN <= responsesEndAt;
+  }
+
+  /** Decides the same while this VM is not stopping. */
+  #planUnstopped(request: PendingRequest, now: number): DispatchPlan {
     const { fleet, availabilityZone, draw, quarantine } = this.context;
     const quarantined = quarantine.quarantinedRequest(
       request.arrival.fingerprint,
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -23,7 +23,7 @@
 } from "./request.ts";
 import { DEADLINE_GRACE, nextCheckAt, waitLimit } from "./request_times.ts";
 import { type NextStep, OutcomeReview } from "./outcome_review.ts";
-import { LocalResponses } from "./local_responses.ts";
+import { LocalResponses, STOPPING } from "./local_responses.ts";
 import { RequestLog } from "./request_log.ts";
 import {
   type DispatchPlan,
@@ -600,6 +600,8 @@
         return this.#refuseUnadmitted(request, plan, now);
       case "quarantined":
         return this.#refuseQuarantined(request, plan, now);
+      case "stopping":
+        return this.#refuseStopping(request, now);
       case "refuse":
         request.isShed ||= plan.isRateLimited;
         request.lacksCapacity = false;
@@ -607,6 +609,14 @@
     }
   }
 
+  /** Ends a request that cannot have a response before this VM stops. */
+  #refuseStopping(request: PendingRequest, now: number): void {
+    if (request.mayHaveRun) return this.#fail(request, 502, STOPPING, now);
+    const refusal = this.#responses.shutdownRefusal(request.arrival);
+    this.#finish(request, null);
+    this.#effects.push(...refusal);
+  }
+
   /** Sheds a request whose key is overloaded, without queueing it. */
   #shed(
     request: PendingRequest,
--- a/src/core/dispatch/local_responses.ts
+++ b/src/core/dispatch/local_responses.ts
@@ -11,6 +11,8 @@
 import type { RequestLog } from "./request_log.ts";
 import type { RetryAfterPolicy } from "./retry_after_policy.ts";
 
+/** Reason given while this VM is stopping. */
+export const STOPPING = "this VM is stopping";
 /** Retry delay while this VM is stopping, in milliseconds. */
 const STOPPING_RETRY_AFTER = 20;
 /** Retry delay while this VM has no configuration, in milliseconds. */
@@ -108,7 +110,7 @@
   shutdownRefusal(
     { exchange, id, host, target }: RequestArrival,
   ): DispatchEffect[] {
-    const reason = "this VM is stopping";
+    const reason = STOPPING;
     return [
       {
         kind: "note",
--- a/src/core/entry.ts
+++ b/src/core/entry.ts
@@ -145,6 +145,7 @@
       retryLimits: options.retryLimits,
       bodyBytesPerSlot: options.bodyBytesPerSlot,
       startedAt: () => this.#startedAt,
+      responsesEndAt: () => this.#shutdown.responsesEndAt,
       vms: () => this.peers.vms,
       minimumShare: (now) => this.peers.retryShares.minimumShare(now),
       keyRefused: () => this.peers.keyRefused(),
--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -65,8 +65,16 @@
    * behind it.
    */
   isStopImminent(now: number): boolean {
-    if (this.#startedAt === null) return false;
-    return now - this.#startedAt >= this.#stopAfter - FINAL_RESPONSE_TIME;
+    return now >= this.responsesEndAt;
+  }
+
+  /**
+   * Time from which on the forced stop is imminent; Infinity before the
+   * shutdown.
+   */
+  get responsesEndAt(): number {
+    if (this.#startedAt === null) return Infinity;
+    return this.#startedAt + this.#stopAfter - FINAL_RESPONSE_TIME;
   }
 
   /**
--- a/src/core/shutdown_pending_request_test.ts
+++ b/src/core/shutdown_pending_request_test.ts
@@ -10,6 +10,8 @@
 import { fingerprintOf } from "../../test/support/fingerprint.ts";
 import { backendServer } from "../../test/support/backend_server.ts";
 import { createSteppedEntry } from "../../test/support/stepped_entry.ts";
+import { serverStatement } from "../../test/support/server_statement.ts";
+import type { EntryEffect } from "./entry_effect.ts";
 import type { BackendServer } from "./fleet/index.ts";
 
 /**
@@ -118,3 +120,83 @@
   t.is(errorResponse.kind === "request.refuse" && errorResponse.status, 504);
   t.true(kinds.includes("attempt.cancel"));
 });
+
+/**
+ * Creates a process that knows that its server responds after `latency`
+ * milliseconds, and stops it at 3,000.
+ */
+function createStoppingEntry(latency: number) {
+  const { step } = createEntry(backendServer("i-1"));
+  step(100, { kind: "request.arrived", arrival: ARRIVAL });
+  step(100 + latency, {
+    kind: "attempt.ended",
+    attempt: 1,
+    outcome: {
+      kind: "answered",
+      status: 200,
+      isGenuine: true,
+      isNotRun: false,
+      server: "i-1",
+      statement: serverStatement(),
+    },
+  });
+  step(3_000, { kind: "shutdown", lateness: 0 });
+  return step;
+}
+
+/** Summarizes what becomes of a request. */
+function summarize(effects: readonly EntryEffect[]): string[] {
+  return effects.flatMap((each) => {
+    if (each.kind === "attempt.start") return ["sent"];
+    if (each.kind !== "request.refuse") return [];
+    return [`${each.status}, ${each.reason}, retry after ${each.retryAfter}`];
+  });
+}
+
+// Guards against requests that are passed on and cut off while they run, since
+// they usually take longer than this process still runs.
+test("shutdown: a request is sent only if its response is usual before the final ones", (t) => {
+  const arrivals = Array.from({ length: 6 }, (_, i) => 3_100 + i * 500);
+  t.snapshot(
+    Object.fromEntries(arrivals.map((now) => {
+      const step = createStoppingEntry(2_400);
+      const arrival = { ...ARRIVAL, exchange: 2, id: "late" };
+      const effects = step(now, { kind: "request.arrived", arrival });
+      return [now, summarize(effects)];
+    })),
+  );
+});
+
+// Guards against the same for a request that has waited.
+test("shutdown: a request that waits is refused once its response would come too late", (t) => {
+  const step = createStoppingEntry(1_600);
+  const assign = (now: number, version: number, isOpen: boolean) =>
+    step(now, {
+      kind: "assignments.read",
+      assignments: [{
+        service: "s",
+        term: 1,
+        version,
+        ranges: [{
+          first: 0,
+          last: 65_535,
+          server: "i-1",
+          address: "i-1:1",
+          isOpen,
+        }],
+      }],
+    });
+  assign(3_010, 2, false);
+  const arrival = { ...ARRIVAL, exchange: 2, id: "waits" };
+  const events: [number, string[]][] = [];
+  const record = (now: number, effects: readonly EntryEffect[]) => {
+    const summary = summarize(effects);
+    if (summary.length > 0) events.push([now, summary]);
+  };
+  record(3_100, step(3_100, { kind: "request.arrived", arrival }));
+  for (let now = 3_150; now <= 8_700; now += 50) {
+    record(now, step(now, { kind: "timer" }));
+    if (now === 7_000) record(now, assign(now, 3, true));
+  }
+  t.snapshot(events);
+});
