--- a/test/server_statement_test.ts
+++ b/test/server_statement_test.ts
@@ -59,6 +59,35 @@
   }
 });
 
+// Guards against a load that other VMs cut the connection for when it is passed
+// on, and against one that keeps its server out of use for minutes.
+test("headers: a load consists of whole numbers of up to four digits", (t) => {
+  const read = (load: string) =>
+    readStatement(200, { "x-plumloft-server-load": load });
+  const valid = ["0,0,0", "3,0,8", "3, 1, 8", "9999,9999,9999", "1,2,3,4"];
+  for (const value of valid) {
+    const [running, waiting, slots] = value.split(",").map(Number);
+    t.deepEqual(read(value).load, { running, waiting, slots }, value);
+  }
+  const invalid = [
+    "",
+    "1,2",
+    ",,",
+    "-1,0,3",
+    "1.5,0,3",
+    "1e300,1e300,1e300",
+    "10000,0,3",
+    "0x1,0,3",
+    "Infinity,0,3",
+    "1 2,0,3",
+  ];
+  for (const value of invalid) {
+    const { load, ignored } = read(value);
+    t.is(load, null, value);
+    t.deepEqual(ignored, [{ name: "x-plumloft-server-load", value }]);
+  }
+});
+
 test("headers: invalid loads and rate limits are named for the log", (t) => {
   const { load, rateLimit, ignored } = readStatement(200, {
     "x-plumloft-server-load": "2,x",
