--- a/src/runtime/read_lane.ts
+++ b/src/runtime/read_lane.ts
@@ -1,7 +1,7 @@
 /**
  * Limits the processor time that the process spends on bytes of servers that
- * are costly to read. A response may have bytes without end, or framing that
- * takes a thousand times the time of its content: without a limit one server
+ * are costly to read. A response may have bytes without end, in pieces so small
+ * that they take a hundred times as long as a body: without a limit one server
  * could stop the requests of all callers.
  *
  * @module
@@ -18,8 +18,8 @@
 /** Time for which the lane reads in one turn of the event loop. */
 const TURN_TIME = 2;
 /**
- * Time that reading may take, in milliseconds for each byte. Bodies take a tenth
- * of it; chunks of one byte take fifty times as long.
+ * Time that reading may take, in milliseconds for each byte. Bodies take less
+ * than a fifth of it, chunks of one byte twenty times as much.
  */
 const USUAL_TIME_PER_BYTE = 0.01 / 1_024;
 /**
